--- /dev/null
+++ b/lupinmill/__init__.py
@@ -0,0 +1,1 @@
+"""lupinmill: a load balancer for services that call services."""
--- /dev/null
+++ b/lupinmill/benchlink/host.py
@@ -0,0 +1,130 @@
+"""Hosts many isolated instances of the decision module on one pair of streams."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TextIO
+
+from lupinmill import terms as t
+from lupinmill.benchlink import codec
+from lupinmill.benchlink.codec import Malformed
+from lupinmill.rules import Sidecar
+
+
+class ModuleFailed(Exception):
+    """The decision module raised; the text is for GIVE_IN."""
+
+    def __init__(self, instance: str, text: str) -> None:
+        super().__init__(text)
+        self.instance = instance
+
+
+@dataclass(slots=True)
+class Hosted:
+    sidecar: Sidecar
+    report: list[tuple[str, float] | None]
+
+
+@dataclass(slots=True)
+class Batch:
+    now: int
+    current: str = ""
+    notes: dict[str, list[t.Note]] = field(default_factory=dict)  # in the order instances were first named
+    rows_due: int = 0
+
+
+class Host:
+    def __init__(self) -> None:
+        self.instances: dict[str, Hosted] = {}
+        self.rosters: dict[str, list[t.Listing]] = {}
+        self.filling: list[t.Listing] = []
+
+    def read(self, batch: Batch, line: str) -> None:
+        name, f = codec.split(line)
+        if batch.rows_due:
+            if name != "ROW":
+                raise Malformed(f"{name} where {batch.rows_due} more ROW lines were due")
+            self.filling.append(codec.listing(f))
+            batch.rows_due -= 1
+        elif name == "SWITCH_TO":
+            batch.current = f["sidecar-id"]
+        elif name == "LEDGER":
+            self.filling = self.rosters[f["roster-id"]] = []
+            batch.rows_due = int(f["hosts"])
+        elif name == "ENLIST":
+            self.instances[batch.current] = Hosted(Sidecar(codec.deployment(f)), codec.report_fields(f))
+            batch.notes[batch.current] = []
+        else:
+            self.read_event(batch, name, f)
+
+    def read_event(self, batch: Batch, name: str, f: codec.Fields) -> None:
+        hosted = self.instances.get(batch.current)
+        if hosted is None:
+            raise Malformed(f"{name} for the unknown instance {batch.current[:60]!r}")
+        if name == "RETIRE":
+            del self.instances[batch.current]
+            batch.notes.pop(batch.current, None)
+            return
+        if name == "UPDATE":
+            kind = codec.LIST_KINDS[f["mode"]]
+            entries = [] if kind is t.ListKind.FAILED else self.rosters[f["roster-id"]]
+            note: t.Note = t.Listed(kind, entries)
+        elif name in codec.EVENTS:
+            note = codec.EVENTS[name](f, hosted.report)
+        else:
+            return  # messages of later wires are skipped, like unknown keys
+        batch.notes.setdefault(batch.current, []).append(note)
+
+    def reply(self, batch: Batch) -> str:
+        lines = []
+        for instance, notes in batch.notes.items():
+            try:
+                orders = self.instances[instance].sidecar.step(batch.now, notes)
+            except Exception as error:
+                raise ModuleFailed(instance, f"{type(error).__name__}: {error}") from error
+            if orders:
+                lines.append(f"AS sidecar-id={instance}")
+                lines.extend(map(codec.order_line, orders))
+        lines.append("DONE\n")
+        return "\n".join(lines)
+
+
+def serve(host: Host, source: TextIO, sink: TextIO) -> None:
+    batch: Batch | None = None
+    for number, raw in enumerate(source, 1):
+        line = raw.rstrip("\r\n")
+        try:
+            if line.startswith("CLOCK "):
+                batch = Batch(codec.micros(codec.split(line)[1]["time-s"]))
+            elif not line:
+                continue
+            elif batch is None:
+                raise Malformed("a batch has to begin with CLOCK")
+            elif line == "YOUR_TURN":
+                if batch.rows_due:
+                    raise Malformed(f"the batch ended where {batch.rows_due} more ROW lines were due")
+                sink.write(host.reply(batch))
+                sink.flush()
+                batch = None
+            else:
+                host.read(batch, line)
+        except KeyError as error:
+            raise Malformed(f"line {number}: missing or unknown value {error}") from error
+        except (Malformed, ValueError) as error:
+            raise Malformed(f"line {number}: {error}") from error
+    if batch is not None:
+        raise Malformed("input ended inside a batch")
+
+
+def main(source: TextIO, sink: TextIO, errors: TextIO) -> int:
+    try:
+        serve(Host(), source, sink)
+    except Malformed as error:
+        print(f"benchlink: {error}", file=errors)
+        return 2
+    except ModuleFailed as error:
+        text = " ".join(str(error).split())[:200]
+        sink.write(f"AS sidecar-id={error.instance}\nGIVE_IN body-text={text}\nDONE\n")
+        sink.flush()
+        print(f"benchlink: {text}", file=errors)
+        return 1
+    return 0
--- /dev/null
+++ b/lupinmill/rules.py
@@ -0,0 +1,919 @@
+"""All decisions of one sidecar. `Sidecar(deployment)` once, then `step(now, notes)` for every batch: it
+returns the orders to carry out, in order. Pure: no I/O, no clock, no state outside the instance. The
+types of notes and orders are in `lupinmill/terms.py`; the reasons are in `docs/design.md`.
+
+Parts, in the order a submission meets them: `Desk` (takes, holds, picks, retries, answers), `Endpoint`
+(one actor each: health and cap), `Roster` (the list, and who may be set aside). They talk only by notes
+in each other's inboxes, which `Mail.run` empties.
+"""
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from typing import Any
+
+from lupinmill import terms as t
+
+MS, SECOND = 1_000, 1_000_000
+SWEEP = 100 * MS  # health is looked over this often
+RETRY_BASE, RETRY_MAX = 20 * MS, 1 * SECOND
+RETRY_SHARE, RETRY_BUCKETS = 0.1, 20  # retries under a tenth of ten seconds' submissions, in 0.5 s buckets
+CAP_START, CAP_TOP = 4.0, 32.0
+FLEET_FLOOR = 2.5  # all sidecars together leave an endpoint this many launches at the least
+CROWDED, ROOMY = 2.2, 1.6  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
+REST, REST_MAX = 3 * SECOND, 12 * SECOND
+SILENCE = 4.0  # multiples of the usual answer time without any answer before an endpoint counts as silent
+SLOW = 2.7  # multiple of the middle endpoint's pace beyond which one is judged slow
+ASIDE_SHARE = 0.34  # on soft evidence no more than this share of the endpoints is set aside
+
+
+class Chance:
+    """A linear congruential generator; only its high bits are used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = (seed ^ 0x5DEECE66D) & (2**64 - 1)
+        self.draw()
+
+    def draw(self) -> float:
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (2**64 - 1)
+        return (self.state >> 32) / 2**32
+
+    def upto(self, ceiling: int) -> int:
+        return int(self.draw() * (ceiling + 1))
+
+
+class Ring:
+    """Sums over the last `buckets * width`, in buckets that are used again."""
+
+    __slots__ = ("width", "sums", "marks")
+
+    def __init__(self, buckets: int, width: int) -> None:
+        self.width, self.sums, self.marks = width, [0.0] * buckets, [-1] * buckets
+
+    def add(self, now: int, amount: float = 1.0) -> None:
+        mark = now // self.width
+        slot = mark % len(self.sums)
+        if self.marks[slot] != mark:
+            self.marks[slot], self.sums[slot] = mark, 0.0
+        self.sums[slot] += amount
+
+    def total(self, now: int) -> float:
+        oldest = now // self.width - len(self.sums)
+        return sum(s for s, mark in zip(self.sums, self.marks) if mark > oldest)
+
+
+class Gauge:
+    """Answer times of one workload: the usual one now, and the uncrowded one of the last half minute."""
+
+    __slots__ = ("usual", "uncrowded", "means", "mark", "total", "count")
+
+    def __init__(self, guess: int) -> None:
+        self.usual = self.uncrowded = float(guess)
+        self.means: deque[float] = deque(maxlen=15)
+        self.mark, self.total, self.count = -1, 0.0, 0
+
+    def add(self, now: int, took: int) -> None:
+        self.usual += (took - self.usual) * (0.05 if self.means else 0.2)
+        self.total, self.count = self.total + took, self.count + 1
+        if now // (2 * SECOND) != self.mark and self.count >= 10:
+            self.mark = now // (2 * SECOND)
+            self.means.append(self.total / self.count)
+            self.uncrowded = min(self.means)
+            self.total, self.count = 0.0, 0
+        elif not self.means:
+            self.uncrowded = self.usual
+
+
+class Mail:
+    """Inboxes and the one loop that empties them; orders to the outside collect here too."""
+
+    def __init__(self) -> None:
+        self.now = 0
+        self.orders: list[t.Order] = []
+        self.waiting: deque[Any] = deque()
+        self.alarms: list[tuple[int, int, Any, Any]] = []
+        self.serial = 0
+
+    def post(self, part: Any, note: Any) -> None:
+        if not part.inbox:
+            self.waiting.append(part)
+        part.inbox.append(note)
+
+    def alarm(self, at: int, part: Any, note: Any) -> None:
+        self.serial += 1
+        heappush(self.alarms, (at, self.serial, part, note))
+
+    def run(self) -> None:
+        while self.alarms and self.alarms[0][0] <= self.now:
+            _, _, part, note = heappop(self.alarms)
+            self.post(part, note)
+        while self.waiting:
+            part = self.waiting.popleft()
+            inbox, part.inbox = part.inbox, []
+            for note in inbox:
+                part.take(note)
+
+    def log(self, text: str) -> None:
+        self.orders.append(t.Log(text))
+
+
+# --- notes between the parts --------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Standing:  # endpoint -> desk: may it be picked, how much may be in flight, since when is it cold
+    name: str
+    open: bool
+    cap: float
+    cold_since: int | None
+    zone: str
+    cell: str
+
+
+@dataclass(slots=True)
+class Sent:  # desk -> endpoint
+    pass
+
+
+@dataclass(slots=True)
+class Answer:  # desk -> endpoint; pace is the time taken as a multiple of the uncrowded time
+    how: t.How
+    pace: float
+    at_cap: bool
+    overtaken: bool  # ended by us or by its client, not by the endpoint
+
+
+@dataclass(slots=True)
+class Sweep:  # roster -> all; what is usual in the fleet
+    usual: int = 0
+    pace: float = 1.0
+    failing: float = 0.0
+
+
+@dataclass(slots=True)
+class Usual:  # desk -> roster
+    took: int
+
+
+@dataclass(slots=True)
+class Figures:  # endpoint -> roster, after each sweep
+    name: str
+    pace: float | None
+    failed: float
+    answered: float
+
+
+@dataclass(slots=True)
+class Plea:  # endpoint -> roster: take me out; hard evidence needs no permission
+    name: str
+    why: str
+    hard: bool
+
+
+@dataclass(slots=True)
+class Aside:  # roster -> endpoint: granted
+    why: str
+
+
+@dataclass(slots=True)
+class Silent:  # endpoint -> desk: what is out there will hardly be answered
+    name: str
+
+
+@dataclass(slots=True)
+class ProbeDue:
+    turn: int
+
+
+@dataclass(slots=True)
+class AskDue:
+    pass
+
+
+@dataclass(slots=True)
+class GiveUp:
+    submission: Submission
+    final: bool
+
+
+@dataclass(slots=True)
+class RetryDue:
+    submission: Submission
+
+
+# --- the desk -----------------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Seat:
+    """What the desk knows of an endpoint: its own launches there, and the endpoint's last Standing."""
+
+    name: str
+    open: bool = False
+    cap: float = 0.0
+    flying: int = 0
+    cold_since: int | None = None
+    credit: float = 0.0
+    credited: int = 0
+    zone: str = ""
+    cell: str = ""
+
+
+@dataclass(slots=True)
+class Flight:
+    seat: Seat
+    sent: int
+    out: bool = True
+    never_ran: bool = False
+
+
+@dataclass(slots=True)
+class Submission:
+    name: str
+    workload: t.Workload
+    due: int
+    contract_end: int
+    arrived: int
+    lane: int
+    flights: list[Flight] = field(default_factory=list)
+    held: bool = False
+    retrying: bool = False
+    streaming: bool = False
+    done: bool = False
+    refusals: int = 0
+
+    def out(self) -> int:
+        return sum(flight.out for flight in self.flights)
+
+    def first_run(self) -> Flight | None:
+        """The earliest launch that is out or may have run."""
+        return next((flight for flight in self.flights if not flight.never_ran), None)
+
+
+@dataclass(slots=True)
+class Lane:
+    """Held submissions of one workload and standing, first come first served."""
+
+    worth: float
+    line: deque[Submission] = field(default_factory=deque)
+
+
+class Allowances:
+    """The derived figures that the desk decides by."""
+
+    def __init__(self, d: t.Deployment) -> None:
+        self.front = d.tier == 0
+        self.instances = d.instances
+        self.workloads = {w.name: w for w in d.workloads}
+        self.most_launches = d.most_launches
+        self.copies, self.cancel = d.copies_allowed, d.cancel_allowed
+        self.advice = d.longest_advice if d.advice_allowed else 0
+        self.margin = 2 * d.round
+        self.cold_share, self.cold_time = d.cold_share, max(1, d.cold_time)
+        self.cap_floor = max(1.0, FLEET_FLOOR / d.instances)
+        # The more the goal pools all workloads, the more value counts against evenness.
+        weight = d.pooled_weight + d.evenness_weight
+        self.greed = d.pooled_weight / weight if weight else 1.0
+        self.quotas = {q.name: q.quota_per_s / d.instances for q in d.tenants} if self.front else {}
+        self.beyond = d.beyond_share_value
+
+
+class Desk:
+    def __init__(self, mail: Mail, allow: Allowances, chance: Chance) -> None:
+        self.inbox: list[Any] = []
+        self.mail, self.allow, self.chance = mail, allow, chance
+        self.endpoints: dict[str, Endpoint] = {}
+        self.roster: Roster | None = None
+        self.open: dict[str, Submission] = {}  # until the last outcome has come
+        self.seats: dict[str, Seat] = {}
+        self.ready: list[Seat] = []
+        self.flying = 0  # in flight at ready endpoints
+        self.room = 0.0  # the sum of their caps: fractions of caps count here
+        self.lanes: dict[tuple[str, bool, bool], int] = {}
+        self.queue: list[Lane] = []
+        self.bound: list[Submission] = []  # held, but some group of endpoints alone will do
+        self.waiting = 0
+        self.shedding = False
+        self.gauges: dict[str, Gauge] = {}
+        self.taken = Ring(RETRY_BUCKETS, SECOND // 2)
+        self.retried = Ring(RETRY_BUCKETS, SECOND // 2)
+        self.launched = Ring(10, SECOND // 10)
+        self.shares = {name: Ring(10, SECOND // 5) for name in allow.quotas}
+        self.handlers = {
+            t.Arrived: self.arrive, t.Ended: self.end, t.Withdrawn: self.withdraw, t.Started: self.start,
+            Standing: self.seat, GiveUp: self.give_up, RetryDue: self.retry_due, Silent: self.silent,
+            Sweep: self.sweep,
+        }
+
+    def take(self, note: Any) -> None:
+        self.handlers[type(note)](note)
+        if self.waiting:
+            self.dispatch()
+
+    # A submission arrives.
+
+    def arrive(self, note: t.Arrived) -> None:
+        now, allow = self.mail.now, self.allow
+        w = allow.workloads.get(note.workload) or t.Workload(note.workload, note.due - now, note.due - now)
+        if not note.repeated:
+            self.taken.add(now)
+        contract = w.contract
+        if not allow.front:
+            contract = note.due - now
+        elif note.repeated:
+            contract //= 2  # its client has been waiting for a while already
+        beyond = self.beyond_share(note.tenant)
+        lane = self.lane_of(w, beyond, note.repeated)
+        s = Submission(note.submission, w, note.due, min(note.due, now + contract), now, lane)
+        self.open[s.name] = s
+        self.mail.alarm(note.due - allow.margin, self, GiveUp(s, True))
+        self.hold(s)
+        self.dispatch()
+        if s.held and allow.front:
+            self.admit(s)
+
+    def beyond_share(self, tenant: str) -> bool:
+        ring = self.shares.get(tenant)
+        if ring is None:
+            return False
+        ring.add(self.mail.now)
+        return ring.total(self.mail.now) / 2 > self.allow.quotas[tenant] * 1.1
+
+    def lane_of(self, w: t.Workload, beyond: bool, repeated: bool) -> int:
+        key = (w.name, beyond, repeated)
+        if key not in self.lanes:
+            worth = w.value ** self.allow.greed * (self.allow.beyond if beyond else 1.0)
+            self.lanes[key] = len(self.queue)
+            self.queue.append(Lane(worth * (0.7 if repeated else 1.0)))
+        return self.lanes[key]
+
+    def gauge(self, w: t.Workload) -> Gauge:
+        if w.name not in self.gauges:
+            self.gauges[w.name] = Gauge(w.contract // 3)
+        return self.gauges[w.name]
+
+    def patience(self, s: Submission) -> int:
+        """Until when holding it can still lead to an answer in time."""
+        need = self.gauge(s.workload).usual
+        span = s.contract_end - s.arrived
+        return s.contract_end - int(min(need * 1.3, span * 0.6))
+
+    def hold(self, s: Submission) -> None:
+        s.held = True
+        self.waiting += 1
+        if s.first_run() is not None and s.workload.repeat is t.Repeat.DEDUPLICATED:
+            self.bound.append(s)
+        else:
+            self.queue[s.lane].line.append(s)
+
+    def admit(self, s: Submission) -> None:
+        """Denies at once what would wait in vain; guards against queues that answer nobody in time."""
+        lane = self.queue[s.lane]
+        ahead = sum(len(other.line) for other in self.queue if other.worth > lane.worth) + len(lane.line)
+        rate = max(1.0, self.launched.total(self.mail.now))
+        limit = self.patience(s)
+        if self.mail.now + int(ahead / rate * SECOND) > limit:
+            if not self.shedding:
+                self.shedding = True
+                self.mail.log(f"shedding: {self.waiting} held, {rate:.0f} launches/s, {len(self.ready)} ready")
+            self.finish(s)
+        else:
+            self.mail.alarm(limit, self, GiveUp(s, False))
+
+    # Held submissions are launched.
+
+    def dispatch(self) -> None:
+        if self.bound:
+            for s in self.bound[:]:
+                if not s.held or self.try_launch(s):
+                    self.bound.remove(s)
+        while True:
+            best, urgency = None, -1.0
+            for lane in self.queue:
+                line = lane.line
+                while line and not line[0].held:
+                    line.popleft()
+                if line:
+                    head = line[0]
+                    waited = (self.mail.now - head.arrived) / (head.contract_end - head.arrived + 1)
+                    if lane.worth * (waited + 0.1) > urgency:
+                        best, urgency = lane, lane.worth * (waited + 0.1)
+            if best is None or not self.try_launch(best.line[0]):
+                return
+            best.line.popleft()
+
+    def may_launch(self, s: Submission) -> bool:
+        """Rule 2, and what the deployment allows: may this submission be launched (again) at all?"""
+        if s.done or s.streaming or len(s.flights) >= self.allow.most_launches:
+            return False
+        first = s.first_run()
+        if first is None:
+            return True
+        if s.out() and not self.allow.copies:
+            return False
+        if s.workload.repeat is t.Repeat.DEDUPLICATED:
+            return self.mail.now < first.sent + s.workload.window - self.allow.margin
+        return s.workload.repeat is t.Repeat.IDEMPOTENT
+
+    def group_allows(self, s: Submission, seat: Seat) -> bool:
+        first = s.first_run()
+        if first is None or s.workload.repeat is not t.Repeat.DEDUPLICATED:
+            return True
+        if s.workload.group is t.Group.ZONE:
+            return bool(seat.zone) and seat.zone == first.seat.zone
+        return s.workload.group is t.Group.ALL or (bool(seat.cell) and seat.cell == first.seat.cell)
+
+    def pick(self, s: Submission) -> Seat | None:
+        """Fewest own launches in flight under the cap, random ties; a cold one counts at mean load."""
+        if self.flying >= max(self.room, 1.0):
+            return None
+        mean = round(self.flying / len(self.ready)) if self.ready else 0
+        tried = [flight.seat for flight in s.flights]
+        best, least, ties = None, 1 << 30, 0
+        for seat in self.ready:
+            load = seat.flying
+            if load >= seat.cap or load > least:
+                continue
+            if tried and (not self.group_allows(s, seat) or (seat in tried and len(self.ready) > len(tried))):
+                continue
+            if seat.cold_since is not None:
+                load = max(load, mean)
+                if load > least or not self.credited(seat):
+                    continue
+            if load < least:
+                best, least, ties = seat, load, 1
+            else:
+                ties += 1
+                if self.chance.draw() * ties < 1:
+                    best = seat
+        return best
+
+    def credited(self, seat: Seat) -> bool:
+        """Rule 4: a cold endpoint gets the mean rate of launches, scaled by how warm it must be by now.
+
+        The sidecar's part alone keeps the rule: credit never exceeds one launch, so no burst builds up,
+        and sidecars that find the same endpoint together start with different credit.
+        """
+        now, allow = self.mail.now, self.allow
+        age = now - seat.cold_since
+        if age >= allow.cold_time:
+            seat.cold_since = None
+            return True
+        warmth = allow.cold_share + (1 - allow.cold_share) * max(0, age) / allow.cold_time
+        rate = self.launched.total(now) / max(1, len(self.ready))
+        seat.credit = min(1.0, seat.credit + rate * warmth * (now - seat.credited) / SECOND)
+        seat.credited = now
+        return seat.credit >= 1.0
+
+    def try_launch(self, s: Submission) -> bool:
+        """True when it need not be held any longer."""
+        if not self.may_launch(s):
+            self.unhold(s)
+            if not s.out():
+                self.finish(s)
+            return True
+        seat = self.pick(s)
+        if seat is None:
+            return False
+        self.unhold(s)
+        now = self.mail.now
+        if seat.cold_since is not None:
+            seat.credit -= 1.0
+        s.flights.append(Flight(seat, now))
+        s.retrying = False
+        seat.flying += 1
+        self.flying += 1
+        self.launched.add(now)
+        self.mail.orders.append(t.Launch(s.name, seat.name, s.due))
+        self.mail.post(self.endpoints[seat.name], Sent())
+        return True
+
+    def unhold(self, s: Submission) -> None:
+        if s.held:
+            s.held = False
+            self.waiting -= 1
+
+    # Outcomes, and what follows from them.
+
+    def end(self, note: t.Ended) -> None:
+        s = self.open.get(note.submission)
+        if s is None or note.launch >= len(s.flights) or not s.flights[note.launch].out:
+            return
+        flight, now = s.flights[note.launch], self.mail.now
+        flight.out, flight.never_ran = False, note.how in t.NEVER_RAN
+        seat = flight.seat
+        at_cap = seat.flying + 1 > seat.cap or self.waiting > 0
+        seat.flying -= 1
+        if seat.open:
+            self.flying -= 1
+        gauge = self.gauge(s.workload)
+        if note.how is t.How.HANDLED:
+            gauge.add(now, note.took)
+        overtaken = s.done or note.how in (t.How.CALLED_OFF, t.How.UNSENT)
+        pace = note.took / max(1.0, gauge.uncrowded)
+        self.mail.post(self.endpoints[seat.name], Answer(note.how, pace, at_cap, overtaken))
+        if note.closed or note.how is t.How.HANDLED:
+            self.close(s)
+        if s.done:
+            if not s.out():
+                self.open.pop(s.name, None)
+            return
+        if note.how is t.How.REFUSED:
+            s.refusals += 1
+        if not s.out() and not s.retrying:
+            if not self.plan_retry(s):
+                self.finish(s)
+
+    def plan_retry(self, s: Submission) -> bool:
+        """A further launch after a full-jitter delay, if design, rules and budget allow one."""
+        now, allow = self.mail.now, self.allow
+        # Inner tiers pass failures up: retries at every layer would multiply.
+        if not allow.front or s.held or not self.may_launch(s):
+            return False
+        if now + int(self.gauge(s.workload).uncrowded * 0.5) > s.contract_end:
+            return False
+        if self.retried.total(now) + 1 >= RETRY_SHARE * self.taken.total(now):
+            return False
+        self.retried.add(now)
+        s.retrying = True
+        earlier = len(s.flights) - 1 + s.refusals
+        ceiling = min(RETRY_MAX, RETRY_BASE << earlier, (s.due - now) // 2)
+        self.mail.alarm(now + self.chance.upto(max(0, ceiling)), self, RetryDue(s))
+        return True
+
+    def retry_due(self, note: RetryDue) -> None:
+        s = note.submission
+        if s.done or not s.retrying:
+            return
+        self.hold(s)
+        self.dispatch()
+        if s.held:
+            self.mail.alarm(max(self.patience(s), self.mail.now), self, GiveUp(s, False))
+
+    def silent(self, note: Silent) -> None:
+        """Second copies for what hangs at an endpoint that answers nothing."""
+        if not self.allow.copies:
+            return
+        for s in list(self.open.values()):
+            if s.done or s.held or s.retrying or s.streaming:
+                continue
+            if any(f.out and f.seat.name == note.name for f in s.flights) and s.out() == 1:
+                self.plan_retry(s)
+
+    def give_up(self, note: GiveUp) -> None:
+        s = note.submission
+        if s.done or s.streaming or not (note.final or s.held):
+            return
+        if not note.final and s.out():
+            self.unhold(s)  # a copy still waits for an answer
+            s.retrying = False
+            return
+        self.finish(s)
+
+    def may_deny(self, s: Submission) -> bool:
+        """Rule 2: a denial says that trying again is safe."""
+        w = s.workload
+        if w.repeat is t.Repeat.IDEMPOTENT or s.first_run() is None:
+            return True
+        return w.repeat is t.Repeat.DEDUPLICATED and w.group is t.Group.ALL
+
+    def finish(self, s: Submission) -> None:
+        """The one final answer that is not 'handled'."""
+        if self.may_deny(s):
+            # Jittered, so that denied clients do not come back as one wave.
+            advice = self.allow.advice // 2 + self.chance.upto(self.allow.advice // 2)
+            self.mail.orders.append(t.Deny(s.name, advice))
+        else:
+            self.mail.orders.append(t.BreakOff(s.name))
+        self.close(s)
+
+    def close(self, s: Submission) -> None:
+        if s.done:
+            return
+        self.unhold(s)
+        s.done, s.retrying = True, False
+        for number, flight in enumerate(s.flights):
+            if flight.out and self.allow.cancel:
+                self.mail.orders.append(t.CallOff(s.name, number))
+        if not s.out():
+            self.open.pop(s.name, None)
+
+    def withdraw(self, note: t.Withdrawn) -> None:
+        s = self.open.get(note.submission)
+        if s is not None:
+            self.close(s)
+
+    def start(self, note: t.Started) -> None:
+        s = self.open.get(note.submission)
+        if s is not None:
+            s.streaming = True
+
+    def seat(self, note: Standing) -> None:
+        seat = self.seats.setdefault(note.name, Seat(note.name))
+        if note.cold_since is not None and note.cold_since != seat.cold_since:
+            seat.credit, seat.credited = self.chance.draw(), self.mail.now
+        seat.open, seat.cap, seat.cold_since = note.open, note.cap, note.cold_since
+        seat.zone, seat.cell = note.zone, note.cell
+        self.ready = [other for other in self.seats.values() if other.open]
+        self.flying = sum(other.flying for other in self.ready)
+        self.room = sum(other.cap for other in self.ready)
+
+    def sweep(self, _: Sweep) -> None:
+        usual = [g.usual for g in self.gauges.values()]
+        if usual:
+            self.mail.post(self.roster, Usual(int(max(usual))))
+        if self.shedding and not self.waiting:
+            self.shedding = False
+            self.mail.log(f"shedding ended: {self.flying} in flight, room {self.room:.0f}")
+
+
+# --- endpoints ----------------------------------------------------------------------------------
+
+
+class Endpoint:
+    """Judges one endpoint: its cap, and whether it is ready, set aside or on trial."""
+
+    def __init__(self, mail: Mail, allow: Allowances, desk: Desk, roster: Roster, probes: bool,
+                 chance: Chance, entry: t.Listing) -> None:
+        self.inbox: list[Any] = []
+        self.mail, self.allow, self.desk, self.roster = mail, allow, desk, roster
+        self.probes, self.chance = probes, chance
+        self.entry = entry
+        self.cap = CAP_START
+        self.mode = "ready"  # ready, aside, trial
+        self.flying = 0
+        self.heard = 0  # last answer, or the first launch after having none out
+        self.pace: float | None = None
+        self.answers = 0  # since it was last set aside
+        self.broken = 0  # connections broken or not made, in a row
+        self.failed, self.answered = Ring(6, SECOND // 2), Ring(6, SECOND // 2)
+        self.rest, self.turn, self.good_probes, self.eased = REST, 0, 0, 0
+        self.cold_since: int | None = None
+        self.handlers = {
+            Sent: self.sent, Answer: self.answer, Sweep: self.sweep, Aside: self.aside,
+            t.Listing: self.listed, t.Probed: self.probed, ProbeDue: self.probe_due,
+        }
+
+    def take(self, note: Any) -> None:
+        self.handlers[type(note)](note)
+
+    def tell(self) -> None:
+        open_ = self.mode != "aside" and self.entry.state is t.State.READY
+        cap = 1.0 if self.mode == "trial" else self.cap
+        entry = self.entry
+        note = Standing(entry.endpoint, open_, cap, self.cold_since, entry.zone, entry.cell)
+        self.mail.post(self.desk, note)
+
+    def listed(self, entry: t.Listing) -> None:
+        if entry.started and entry.started != self.entry.started or self.heard == 0:
+            if entry.started and self.mail.now - entry.started < self.allow.cold_time:
+                self.cold_since = entry.started
+                if self.mode == "aside":
+                    self.schedule_probe(0)  # it was restarted: no need to sit out the rest
+        self.entry = entry
+        self.tell()
+
+    def sent(self, _: Sent) -> None:
+        if self.flying == 0:
+            self.heard = self.mail.now
+        self.flying += 1
+
+    def answer(self, note: Answer) -> None:
+        now = self.mail.now
+        self.flying -= 1
+        if note.overtaken:
+            return
+        self.answered.add(now)
+        if note.how is not t.How.TIMED_OUT:
+            self.heard = now
+        if note.how is t.How.HANDLED:
+            self.broken = 0
+            self.answers += 1
+            gain = max(0.1, 1 / (self.answers + 1))
+            self.pace = note.pace if self.pace is None else self.pace + gain * (min(note.pace, 8) - self.pace)
+            if self.mode == "trial" and self.answers >= 3:
+                self.mode = "ready"
+                self.mail.log(f"{self.entry.endpoint} ready again: 3 answers, pace {self.pace:.1f}")
+                self.tell()
+            else:
+                self.learn(note)
+            return
+        self.failed.add(now)
+        if note.how in (t.How.UNCONNECTED, t.How.RESET):
+            self.broken += 1
+            if self.broken >= 2:
+                self.plead("connections break", True)
+        else:
+            self.broken = 0
+            self.ease(0.7)
+        if self.mode == "trial":
+            self.plead("failed its trial", True)
+
+    def learn(self, note: Answer) -> None:
+        before = self.cap
+        if self.pace > CROWDED:
+            self.ease(0.9)
+        elif note.at_cap and self.pace < ROOMY:
+            self.cap = min(CAP_TOP, self.cap + 0.5 / self.cap)
+        if before != self.cap:
+            self.tell()
+
+    def ease(self, factor: float) -> None:
+        """Lowers the cap, at most once per few answers so that one bad moment counts once."""
+        if self.mail.now - self.eased > SWEEP:
+            self.eased = self.mail.now
+            self.cap = max(self.allow.cap_floor, self.cap * factor)
+            self.tell()
+
+    def sweep(self, note: Sweep) -> None:
+        now = self.mail.now
+        failed, answered = self.failed.total(now), self.answered.total(now)
+        self.mail.post(self.roster, Figures(self.entry.endpoint, self.pace, failed, answered))
+        if self.mode == "aside" or self.entry.state is t.State.GONE:
+            return
+        quiet = now - self.heard
+        if self.flying and quiet > SILENCE * note.usual + SWEEP:
+            # Takes work and answers nothing, while others do: hangs, or gone without a trace.
+            self.plead(f"silent {quiet // MS} ms, usual {note.usual // MS} ms", False)
+        elif failed >= 3 and failed / answered > 0.3 + 2 * note.failing:
+            # Quick errors free its places fast, and the pick would send it more and more.
+            self.plead(f"failed {failed:.0f} of {answered:.0f}", False)
+        elif self.pace and self.answers >= 6 and self.pace > SLOW * max(1.0, note.pace):
+            # Slow by itself, not with all others: jammed or starved, it needs rest.
+            self.plead(f"slow, pace {self.pace:.1f}, fleet {note.pace:.1f}", False)
+
+    def plead(self, why: str, hard: bool) -> None:
+        if self.mode != "aside":
+            self.mail.post(self.roster, Plea(self.entry.endpoint, why, hard))
+
+    def aside(self, note: Aside) -> None:
+        if self.mode == "aside":
+            return
+        self.rest = min(REST_MAX, self.rest * 2) if self.mode == "trial" else REST
+        self.mode, self.good_probes = "aside", 0
+        self.mail.log(f"{self.entry.endpoint} set aside: {note.why}")
+        if self.flying and note.why.startswith("silent"):
+            self.mail.post(self.desk, Silent(self.entry.endpoint))
+        quick = self.broken >= 2
+        self.schedule_probe(SECOND // 2 if quick else self.rest - self.chance.upto(self.rest // 4))
+        self.tell()
+
+    def schedule_probe(self, delay: int) -> None:
+        self.turn += 1
+        self.mail.alarm(self.mail.now + delay, self, ProbeDue(self.turn))
+
+    def probe_due(self, note: ProbeDue) -> None:
+        if note.turn != self.turn or self.mode != "aside" or self.entry.state is t.State.GONE:
+            return
+        if self.probes:
+            self.mail.orders.append(t.Probe(self.entry.endpoint))
+        else:
+            self.back()
+
+    def probed(self, note: t.Probed) -> None:
+        if self.mode != "aside":
+            return
+        if note.how is not t.How.HANDLED:
+            self.good_probes = 0
+            self.schedule_probe(SECOND + self.chance.upto(SECOND // 2))
+            return
+        self.good_probes += 1
+        if self.good_probes >= 2:
+            self.back()
+        else:
+            self.schedule_probe(SECOND // 5)
+
+    def back(self) -> None:
+        """On trial: one launch at a time, counted as cold, since a probe shows only that it runs."""
+        self.mode, self.answers, self.pace, self.broken = "trial", 0, None, 0
+        self.failed, self.answered = Ring(6, SECOND // 2), Ring(6, SECOND // 2)
+        self.heard = self.mail.now
+        if self.cold_since is None:
+            self.cold_since = self.mail.now
+        self.mail.log(f"{self.entry.endpoint} on trial")
+        self.tell()
+
+
+# --- the roster ---------------------------------------------------------------------------------
+
+
+class Roster:
+    """Follows the list, keeps what is usual in the fleet, and grants setting aside."""
+
+    def __init__(self, mail: Mail, allow: Allowances, desk: Desk, chance: Chance, d: t.Deployment) -> None:
+        self.inbox: list[Any] = []
+        self.mail, self.allow, self.desk, self.chance = mail, allow, desk, chance
+        self.probes = d.probes_allowed
+        self.ask_span = max(SECOND, min(d.ask_within, 10 * SECOND)) * 2 // 5 if d.must_ask else 0
+        self.asks = 0
+        self.endpoints = desk.endpoints
+        self.listed: dict[str, t.Listing] = {}
+        self.figures: dict[str, Figures] = {}
+        self.aside: dict[str, bool] = {}
+        self.usual = 200 * MS
+        self.handlers = {
+            t.Listed: self.update, t.Probed: self.probed, Figures: self.figure, Plea: self.plea,
+            Usual: self.use, Sweep: self.sweep, AskDue: self.ask, Standing: self.stands,
+        }
+
+    def take(self, note: Any) -> None:
+        self.handlers[type(note)](note)
+
+    def update(self, note: t.Listed) -> None:
+        if note.kind is t.ListKind.FAILED:
+            # The list service is overloaded or the watch broke: ask again, later each time, jittered.
+            self.asks += 1
+            span = min(self.ask_span, SECOND << min(self.asks, 4))
+            if span:
+                self.mail.alarm(self.mail.now + span // 4 + self.chance.upto(span), self, AskDue())
+            return
+        if note.kind is t.ListKind.CACHED and self.ask_span:
+            # Sidecars started together spread their calls, well before they count as told.
+            self.mail.alarm(self.mail.now + self.chance.upto(self.ask_span), self, AskDue())
+        if note.kind is not t.ListKind.CACHED:
+            self.asks = 0
+        if note.kind is not t.ListKind.CHANGES:
+            named = {entry.endpoint: True for entry in note.entries}
+            for name, entry in list(self.listed.items()):
+                if name not in named:
+                    self.tell(t.Listing(name, t.State.GONE, entry.zone, entry.kind, entry.cell, entry.started))
+        for entry in note.entries:
+            self.tell(entry)
+
+    def tell(self, entry: t.Listing) -> None:
+        name = entry.endpoint
+        if name not in self.endpoints:
+            self.endpoints[name] = Endpoint(
+                self.mail, self.allow, self.desk, self, self.probes, self.chance, entry
+            )
+        if entry.state is t.State.GONE:
+            self.listed.pop(name, None)
+        else:
+            self.listed[name] = entry
+        self.mail.post(self.endpoints[name], entry)
+
+    def ask(self, _: AskDue) -> None:
+        self.mail.orders.append(t.Watch())
+
+    def probed(self, note: t.Probed) -> None:
+        if note.endpoint in self.endpoints:
+            self.mail.post(self.endpoints[note.endpoint], note)
+
+    def figure(self, note: Figures) -> None:
+        self.figures[note.name] = note
+
+    def use(self, note: Usual) -> None:
+        self.usual = note.took
+
+    def stands(self, note: Standing) -> None:
+        self.aside[note.name] = not note.open
+
+    def sweep(self, _: Sweep) -> None:
+        figures = [self.figures[name] for name in self.listed if name in self.figures]
+        paces = sorted(f.pace for f in figures if f.pace is not None)
+        middle = paces[len(paces) // 2] if paces else 1.0
+        answered = sum(f.answered for f in figures)
+        failing = sum(f.failed for f in figures) / answered if answered else 0.0
+        note = Sweep(self.usual, middle, failing)
+        for name in self.listed:
+            self.mail.post(self.endpoints[name], note)
+        self.mail.post(self.desk, note)
+        self.mail.alarm(self.mail.now + SWEEP, self, Sweep())
+
+    def plea(self, note: Plea) -> None:
+        """Never all at once on thin evidence: what all endpoints share is not one endpoint's fault."""
+        aside = sum(1 for name in self.listed if self.endpoints[name].mode == "aside")
+        ready = len(self.listed) - aside
+        if ready > 1 and (note.hard or aside + 1 <= max(1, ASIDE_SHARE * len(self.listed))):
+            self.mail.post(self.endpoints[note.name], Aside(note.why))
+
+
+class Sidecar:
+    """One instance: routes outside notes to the parts and keeps one wake-up pending."""
+
+    def __init__(self, d: t.Deployment) -> None:
+        self.mail = Mail()
+        chance = Chance(d.seed)
+        allow = Allowances(d)
+        self.desk = Desk(self.mail, allow, chance)
+        self.roster = self.desk.roster = Roster(self.mail, allow, self.desk, chance, d)
+        self.armed: int | None = None
+        self.begun = False
+
+    def step(self, now: int, notes: list[t.Note]) -> list[t.Order]:
+        mail = self.mail
+        mail.now, mail.orders = now, []
+        if not self.begun:
+            self.begun = True
+            mail.alarm(now + SWEEP, self.roster, Sweep())
+        for note in notes:
+            if isinstance(note, t.Woke):
+                continue
+            mail.post(self.roster if isinstance(note, (t.Listed, t.Probed)) else self.desk, note)
+            mail.run()
+        mail.run()
+        if self.armed is None or self.armed <= now or mail.alarms[0][0] < self.armed:
+            self.armed = max(now + 1, mail.alarms[0][0])
+            mail.orders.append(t.WakeMe(self.armed, 1))
+        return mail.orders
--- /dev/null
+++ b/lupinmill/terms.py
@@ -0,0 +1,226 @@
+"""The interface of the decision module: what it is told, what it orders. No decisions live here.
+
+All times are whole microseconds of the caller's clock; ids are opaque and returned as received.
+A protocol adapter turns its messages into notes, calls `rules.Sidecar.step(now, notes)` and carries out
+the orders that come back, in their order.
+"""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Repeat(Enum):
+    """What a workload allows once a launch may have run."""
+
+    IDEMPOTENT = "idempotent"
+    DEDUPLICATED = "deduplicated"
+    UNREPEATABLE = "unrepeatable"
+
+
+class Group(Enum):
+    """Which endpoints drop each other's repeats of a deduplicated submission."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class How(Enum):
+    """How one launch or probe ended."""
+
+    HANDLED = "handled"
+    ERROR = "error"  # may have run
+    REFUSED = "refused"  # never ran
+    TIMED_OUT = "timed out"  # may have run
+    UNCONNECTED = "unconnected"  # never ran
+    RESET = "reset"  # may have run
+    CALLED_OFF = "called off"  # may have run
+    UNSENT = "unsent"  # never ran
+
+
+NEVER_RAN = (How.REFUSED, How.UNCONNECTED, How.UNSENT)
+
+
+class State(Enum):
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(Enum):
+    CACHED = "cached"
+    FULL = "full"
+    CHANGES = "changes"
+    FAILED = "failed"
+
+
+@dataclass(slots=True)
+class Workload:
+    name: str
+    contract: int
+    hard_limit: int
+    value: float = 1.0
+    overdue_value: float = 0.0
+    repeat: Repeat = Repeat.UNREPEATABLE
+    group: Group = Group.CELL
+    window: int = 0
+
+
+@dataclass(slots=True)
+class Tenant:
+    name: str
+    quota_per_s: float  # of all sidecars together
+
+
+@dataclass(slots=True)
+class Deployment:
+    """Everything a sidecar is told at its start."""
+
+    seed: int
+    tier: int = 0
+    instances: int = 1
+    workloads: list[Workload] = field(default_factory=list)
+    tenants: list[Tenant] = field(default_factory=list)
+    beyond_share_value: float = 1.0
+    pooled_weight: float = 1.0  # how much of the goal sums over workloads, ...
+    evenness_weight: float = 0.0  # ... and how much looks at the worst-served one
+    must_ask: bool = False
+    ask_within: int = 0
+    cold_share: float = 1.0
+    cold_time: int = 0
+    round: int = 1000
+    most_launches: int = 1
+    copies_allowed: bool = False
+    cancel_allowed: bool = False
+    probes_allowed: bool = False
+    advice_allowed: bool = False
+    longest_advice: int = 0
+
+
+@dataclass(slots=True)
+class Load:
+    """A load report; figures that did not come are None."""
+
+    queued: float | None = None
+    held: float | None = None
+    busy: float | None = None
+    service: float | None = None  # microseconds
+    rate: float | None = None
+
+
+@dataclass(slots=True)
+class Listing:
+    endpoint: str
+    state: State
+    zone: str = ""
+    kind: str = ""
+    cell: str = ""
+    started: int = 0  # 0: long ago
+
+
+# --- notes from outside -------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Listed:
+    kind: ListKind
+    entries: list[Listing]
+
+
+@dataclass(slots=True)
+class Arrived:
+    submission: str
+    workload: str
+    due: int
+    tenant: str = ""
+    repeated: bool = False
+
+
+@dataclass(slots=True)
+class Started:
+    """A streamed answer has begun; the submission belongs to its client now."""
+
+    submission: str
+    launch: int
+
+
+@dataclass(slots=True)
+class Ended:
+    submission: str
+    launch: int
+    how: How
+    took: int
+    closed: bool = False
+    load: Load | None = None
+
+
+@dataclass(slots=True)
+class Withdrawn:
+    submission: str
+
+
+@dataclass(slots=True)
+class Woke:
+    ref: int
+
+
+@dataclass(slots=True)
+class Probed:
+    endpoint: str
+    how: How
+    took: int
+    load: Load | None = None
+
+
+Note = Listed | Arrived | Started | Ended | Withdrawn | Woke | Probed
+
+# --- orders -------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Launch:
+    submission: str
+    endpoint: str
+    until: int
+
+
+@dataclass(slots=True)
+class CallOff:
+    submission: str
+    launch: int
+
+
+@dataclass(slots=True)
+class Deny:
+    submission: str
+    come_back: int = 0
+
+
+@dataclass(slots=True)
+class BreakOff:
+    submission: str
+
+
+@dataclass(slots=True)
+class WakeMe:
+    at: int
+    ref: int
+
+
+@dataclass(slots=True)
+class Probe:
+    endpoint: str
+
+
+@dataclass(slots=True)
+class Watch:
+    pass
+
+
+@dataclass(slots=True)
+class Log:
+    text: str
+
+
+Order = Launch | CallOff | Deny | BreakOff | WakeMe | Probe | Watch | Log
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,226 @@
+"""Plain cases, seeded random runs over the four rules, and one small test for each failure found."""
+import random
+
+import pytest
+from bed import IDEM, KEYED, KEYED_ALL, ONCE, Bed, deployment, listing
+
+from lupinmill import terms as t
+from lupinmill.rules import RETRY_BASE, SECOND
+
+MS = 1000
+HOWS = [h for h in t.How if h is not t.How.CALLED_OFF]
+
+
+def warm(bed: Bed, rounds: int = 60, took: int = 100 * MS, workload: t.Workload = IDEM) -> None:
+    """Enough handled traffic for a retry budget and for usual answer times."""
+    for _ in range(rounds):
+        name = bed.arrive(workload)
+        bed.run(took)
+        for launch in bed.out(name):
+            bed.end(name, launch, t.How.HANDLED)
+
+
+def test_a_submission_is_launched_at_once_and_handled():
+    bed = Bed(deployment())
+    name = bed.arrive(IDEM)
+    bed.end(name, 0, t.How.HANDLED, after=50 * MS)
+    assert bed.closed[name] == "handled"
+
+
+def test_the_endpoint_with_fewest_launches_is_picked_under_the_cap():
+    bed = Bed(deployment(), endpoints=3)
+    names = [bed.arrive(IDEM) for _ in range(12)]
+    picks = [bed.flights[n][0]["endpoint"] for n in names]
+    for start in range(0, 12, 3):
+        assert len(set(picks[start:start + 3])) == 3
+    held = bed.arrive(IDEM)
+    assert held in bed.owed and not bed.flights[held]
+    bed.end(names[0], 0, t.How.HANDLED, after=10 * MS)
+    assert len(bed.flights[held]) == 1
+
+
+def test_a_failure_is_retried_by_the_front_after_a_jittered_delay_elsewhere():
+    delays = []
+    for seed in range(40):
+        bed = Bed(deployment(seed=seed))
+        warm(bed, 25)
+        name = bed.arrive(IDEM)
+        start = bed.now
+        bed.end(name, 0, t.How.ERROR)
+        bed.run(60 * MS, stride=1000)
+        first, second = bed.flights[name]
+        assert first["endpoint"] != second["endpoint"]
+        delays.append(second["sent"] - start)
+    assert max(delays) <= RETRY_BASE + 2 * MS
+    assert len(set(delays)) > 10 and min(delays) < RETRY_BASE // 4
+
+
+def test_inner_tiers_launch_once_and_pass_the_failure_up():
+    bed = Bed(deployment(tier=1))
+    warm(bed, 30)
+    name = bed.arrive(IDEM)
+    bed.end(name, 0, t.How.ERROR)
+    assert bed.closed[name] == "denied" and len(bed.flights[name]) == 1
+
+
+def test_retries_stay_under_a_tenth_of_the_submissions():
+    bed = Bed(deployment(), endpoints=6)
+    taken = 200
+    for _ in range(taken):
+        bed.arrive(IDEM)
+        bed.run(40 * MS)
+        for name in list(bed.flights):
+            for launch in bed.out(name):
+                bed.end(name, launch, t.How.ERROR)
+    launches = sum(len(f) for f in bed.flights.values())
+    assert 0 < launches - taken < taken / 10
+
+
+@pytest.mark.parametrize("how, closed", [(t.How.ERROR, "broken off"), (t.How.UNCONNECTED, None)])
+def test_unrepeatable_is_relaunched_only_if_it_never_ran(how, closed):
+    bed = Bed(deployment())
+    warm(bed, 30)
+    name = bed.arrive(ONCE)
+    bed.end(name, 0, how)
+    bed.run(100 * MS)
+    assert bed.closed.get(name) == closed
+    assert len(bed.flights[name]) == (1 if closed else 2)
+
+
+def test_deduplicated_is_broken_off_when_its_group_has_nobody_left():
+    bed = Bed(deployment(), endpoints=3)  # e1 is alone in its cell
+    warm(bed, 30)
+    name = next(n for n in iter(lambda: bed.arrive(KEYED), "") if bed.flights[n][0]["endpoint"] == "e1")
+    bed.step(t.Listed(t.ListKind.CHANGES, [listing(1, t.State.GONE)]))
+    bed.end(name, 0, t.How.RESET)
+    bed.run(3 * SECOND)
+    assert bed.closed[name] == "broken off" and len(bed.flights[name]) == 1
+
+
+def test_a_held_submission_is_answered_without_any_endpoint():
+    bed = Bed(deployment(), endpoints=0)
+    names = [bed.arrive(w) for w in (IDEM, KEYED, KEYED_ALL, ONCE)]
+    bed.run(SECOND)
+    assert [bed.closed[n] for n in names] == ["denied"] * 4
+
+
+def test_a_queue_that_answers_nobody_in_time_is_denied_at_once():
+    bed = Bed(deployment(), endpoints=1)
+    names = [bed.arrive(IDEM) for _ in range(60)]
+    assert [bed.closed.get(n) for n in names[-20:]] == ["denied"] * 20
+
+
+def test_drained_endpoints_get_nothing_and_an_empty_list_holds():
+    bed = Bed(deployment(), endpoints=2)
+    bed.step(t.Listed(t.ListKind.CHANGES, [listing(0, t.State.DRAINING)]))
+    assert {bed.flights[bed.arrive(IDEM)][0]["endpoint"] for _ in range(4)} == {"e1"}
+    bed.step(t.Listed(t.ListKind.FULL, []))
+    assert not bed.flights[bed.arrive(IDEM)]
+
+
+def test_a_cold_endpoint_gets_no_burst():
+    bed = Bed(deployment(), endpoints=4)
+    warm(bed, 40, took=50 * MS)
+    bed.step(t.Listed(t.ListKind.CHANGES, [listing(9, started=bed.now)]))
+    for _ in range(100):
+        name = bed.arrive(IDEM)
+        bed.run(20 * MS)
+        for launch in bed.out(name):
+            bed.end(name, launch, t.How.HANDLED)
+    sent = [f["sent"] for fs in bed.flights.values() for f in fs if f["endpoint"] == "e9"]
+    assert 1 <= len(sent) <= 100 / 5 + 1
+
+
+def test_a_hanging_endpoint_is_set_aside_and_returns_after_probes():
+    bed = Bed(deployment(), endpoints=4)
+    warm(bed, 60)
+    stuck = []
+    for _ in range(80):
+        name = bed.arrive(IDEM)
+        bed.run(50 * MS)
+        for launch in bed.out(name):
+            if bed.flights[name][launch]["endpoint"] != "e0":
+                bed.end(name, launch, t.How.HANDLED)
+            else:
+                stuck.append(name)
+    assert any("e0 set aside: silent" in line for line in bed.logs)
+    assert any(len(bed.flights[n]) == 2 for n in stuck)  # second copies elsewhere
+    for _ in range(4):
+        bed.run(SECOND)
+        for endpoint in bed.probes:
+            bed.step(t.Probed(endpoint, t.How.HANDLED, MS))
+        bed.probes.clear()
+    assert any("e0 on trial" in line for line in bed.logs)
+
+
+def test_quick_errors_set_one_endpoint_aside_but_not_all():
+    for bad in (["e0"], ["e0", "e1", "e2", "e3"]):
+        bed = Bed(deployment(), endpoints=4)
+        warm(bed, 40)
+        for _ in range(150):
+            name = bed.arrive(ONCE)
+            bed.run(20 * MS)
+            for launch in bed.out(name):
+                failed = bed.flights[name][launch]["endpoint"] in bad
+                bed.end(name, launch, t.How.ERROR if failed else t.How.HANDLED)
+        aside = {line.split()[0] for line in bed.logs if "set aside" in line}
+        assert aside == ({"e0"} if len(bad) == 1 else set())
+
+
+def test_a_broken_watch_is_asked_for_again_with_jitter():
+    waits = []
+    for seed in range(10):
+        bed = Bed(deployment(must_ask=True, ask_within=10 * SECOND, seed=seed))
+        bed.run(5 * SECOND)
+        assert len(bed.watches) == 1
+        bed.step(t.Listed(t.ListKind.FAILED, []))
+        start = bed.now
+        bed.run(5 * SECOND)
+        waits.append(bed.watches[1] - start)
+    assert len(set(waits)) > 5
+
+
+def test_unknown_ends_and_late_notes_are_ignored():
+    bed = Bed(deployment())
+    name = bed.arrive(IDEM)
+    bed.end(name, 0, t.How.HANDLED)
+    late = [t.Ended(name, 0, t.How.ERROR, 5), t.Withdrawn(name), t.Withdrawn("other"), t.Woke(99)]
+    orders = bed.sidecar.step(bed.now + 5, late)
+    assert all(isinstance(o, t.WakeMe) for o in orders)
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_the_rules_hold_through_random_days(seed):
+    chance = random.Random(seed)
+    tier = chance.randrange(2)
+    bed = Bed(
+        deployment(seed=seed, tier=tier, copies_allowed=chance.random() < 0.7, must_ask=chance.random() < 0.5,
+                   cancel_allowed=chance.random() < 0.7, probes_allowed=chance.random() < 0.8,
+                   ask_within=10 * SECOND, most_launches=chance.randint(1, 4)),
+        endpoints=chance.randint(0, 6),
+    )
+    for _ in range(1500):
+        bed.run(5 * MS)
+        roll = chance.random()
+        live = [(n, i) for n, fs in bed.flights.items() for i, f in enumerate(fs) if f["how"] is None]
+        if roll < 0.45:
+            w = chance.choice(bed.d.workloads)
+            bed.arrive(w, chance.randint(20 * MS, w.hard_limit))
+        elif roll < 0.9 and live:
+            name, launch = chance.choice(live)
+            bed.end(name, launch, t.How.HANDLED if chance.random() < 0.6 else chance.choice(HOWS))
+        elif roll < 0.93:
+            started = bed.now if chance.random() < 0.5 else 0
+            entry = listing(chance.randrange(8), chance.choice(list(t.State)), started)
+            bed.step(t.Listed(t.ListKind.CHANGES, [entry]))
+        elif roll < 0.94 and bed.owed:
+            bed.step(t.Withdrawn(chance.choice(list(bed.owed))))
+        for endpoint in bed.probes:
+            bed.step(t.Probed(endpoint, chance.choice(HOWS), MS))
+        bed.probes.clear()
+        for name, launch in live:
+            arrived = bed.owed.get(name)
+            if arrived and arrived.due <= bed.now and launch in bed.out(name):
+                bed.end(name, launch, t.How.TIMED_OUT)
+    bed.run(4 * SECOND)
+    assert not bed.owed
