Silence takes longer to believe when few launches are out

Cause: at inner tiers an endpoint mostly holds one launch of ours, and one long piece of work looked like a hang. What stays: all servers jam (price for overdriven).

--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -23,7 +23,8 @@
 FLEET_FLOOR = 2.5  # all sidecars together leave an endpoint this many launches at the least
 CROWDED, ROOMY = 2.2, 1.6  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
-SILENCE = 4.0  # multiples of the usual answer time without any answer before an endpoint counts as silent
+SILENCE = 4.0  # multiples of the usual answer time without any answer before an endpoint counts as silent, ...
+LONELY = 6.0  # ... and this many more, shared by the launches out there: a single one may just be long
 SLOW = 2.7  # multiple of the middle endpoint's pace beyond which one is judged slow
 ASIDE_SHARE = 0.34  # on soft evidence no more than this share of the endpoints is set aside
 
@@ -733,7 +734,7 @@
         if self.mode == "aside" or self.entry.state is t.State.GONE:
             return
         quiet = now - self.heard
-        if self.flying and quiet > SILENCE * note.usual + SWEEP:
+        if self.flying and quiet > (SILENCE + LONELY / self.flying) * note.usual + SWEEP:
             # Takes work and answers nothing, while others do: hangs, or gone without a trace.
             self.plead(f"silent {quiet // MS} ms, usual {note.usual // MS} ms", False)
         elif failed >= 3 and failed / answered > 0.3 + 2 * note.failing:
