--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -148,13 +148,15 @@
 @dataclass(slots=True)
 class Sweep:  # roster -> all; what is usual in the fleet
     usual: int = 0
+    crowding: float = 1.0
     pace: float = 1.0
     failing: float = 0.0
 
 
 @dataclass(slots=True)
-class Usual:  # desk -> roster
+class Usual:  # desk -> roster; crowding is the pace of all answers together
     took: int
+    crowding: float
 
 
 @dataclass(slots=True)
@@ -296,6 +298,7 @@
         self.bound: list[Submission] = []  # held, but some group of endpoints alone will do
         self.waiting = 0
         self.shedding = False
+        self.crowding = 1.0
         self.gauges: dict[str, Gauge] = {}
         self.taken = Ring(RETRY_BUCKETS, SECOND // 2)
         self.retried = Ring(RETRY_BUCKETS, SECOND // 2)
@@ -513,6 +516,8 @@
             gauge.add(now, note.took)
         overtaken = s.done or note.how in (t.How.CALLED_OFF, t.How.UNSENT)
         pace = note.took / max(1.0, gauge.uncrowded)
+        if note.how is t.How.HANDLED:
+            self.crowding += 0.05 * (min(pace, 8.0) - self.crowding)
         self.mail.post(self.endpoints[seat.name], Answer(note.how, pace, at_cap, overtaken))
         if note.closed or note.how is t.How.HANDLED:
             self.close(s)
@@ -623,7 +628,7 @@
     def sweep(self, _: Sweep) -> None:
         usual = [g.usual for g in self.gauges.values()]
         if usual:
-            self.mail.post(self.roster, Usual(int(max(usual))))
+            self.mail.post(self.roster, Usual(int(max(usual)), self.crowding))
         if self.shedding and not self.waiting:
             self.shedding = False
             self.mail.log(f"shedding ended: {self.flying} in flight, room {self.room:.0f}")
@@ -722,7 +727,7 @@
 
     def ease(self, factor: float) -> None:
         """Lowers the cap, at most once per few answers so that one bad moment counts once."""
-        if self.mail.now - self.eased > SWEEP:
+        if self.mail.now - self.eased >= SWEEP:
             self.eased = self.mail.now
             self.cap = max(self.allow.cap_floor, self.cap * factor)
             self.tell()
@@ -733,6 +738,9 @@
         self.mail.post(self.roster, Figures(self.entry.endpoint, self.pace, failed, answered))
         if self.mode == "aside" or self.entry.state is t.State.GONE:
             return
+        if note.crowding > CROWDED:
+            # One endpoint's answers are too few to notice in time that all fill up and jam together.
+            self.ease(0.93)
         quiet = now - self.heard
         if self.flying and quiet > (SILENCE + LONELY / self.flying) * note.usual + SWEEP:
             # Takes work and answers nothing, while others do: hangs, or gone without a trace.
@@ -812,7 +820,7 @@
         self.listed: dict[str, t.Listing] = {}
         self.figures: dict[str, Figures] = {}
         self.aside: dict[str, bool] = {}
-        self.usual = 200 * MS
+        self.usual, self.crowding = 200 * MS, 1.0
         self.handlers = {
             t.Listed: self.update, t.Probed: self.probed, Figures: self.figure, Plea: self.plea,
             Usual: self.use, Sweep: self.sweep, AskDue: self.ask, Standing: self.stands,
@@ -865,7 +873,7 @@
         self.figures[note.name] = note
 
     def use(self, note: Usual) -> None:
-        self.usual = note.took
+        self.usual, self.crowding = note.took, note.crowding
 
     def stands(self, note: Standing) -> None:
         self.aside[note.name] = not note.open
@@ -876,7 +884,7 @@
         middle = paces[len(paces) // 2] if paces else 1.0
         answered = sum(f.answered for f in figures)
         failing = sum(f.failed for f in figures) / answered if answered else 0.0
-        note = Sweep(self.usual, middle, failing)
+        note = Sweep(self.usual, self.crowding, middle, failing)
         for name in self.listed:
             self.mail.post(self.endpoints[name], note)
         self.mail.post(self.desk, note)
