--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -20,8 +20,9 @@
 RETRY_BASE, RETRY_MAX = 20 * MS, 1 * SECOND
 RETRY_SHARE, RETRY_BUCKETS = 0.1, 20  # retries under a tenth of ten seconds' submissions, in 0.5 s buckets
 CAP_START, CAP_TOP = 4.0, 32.0
+GROWTH = 0.05  # added to a cap a sweep while submissions are held and answers come fast
 FLEET_FLOOR = 2.5  # all sidecars together leave an endpoint this many launches at the least
-CROWDED, ROOMY = 2.2, 1.6  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
+CROWDED, ROOMY = 2.2, 1.9  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
 SILENCE = 4.0  # multiples of the usual answer time without any answer before an endpoint counts as silent, ...
 LONELY = 6.0  # ... and this many more, shared by the launches out there: a single one may just be long
@@ -141,7 +142,6 @@
 class Answer:  # desk -> endpoint; pace is the time taken as a multiple of the uncrowded time
     how: t.How
     pace: float
-    at_cap: bool
     overtaken: bool  # ended by us or by its client, not by the endpoint
 
 
@@ -149,6 +149,7 @@
 class Sweep:  # roster -> all; what is usual in the fleet
     usual: int = 0
     crowding: float = 1.0
+    held: bool = False
     pace: float = 1.0
     failing: float = 0.0
 
@@ -157,6 +158,7 @@
 class Usual:  # desk -> roster; crowding is the pace of all answers together
     took: int
     crowding: float
+    held: bool
 
 
 @dataclass(slots=True)
@@ -507,7 +509,6 @@
         flight, now = s.flights[note.launch], self.mail.now
         flight.out, flight.never_ran = False, note.how in t.NEVER_RAN
         seat = flight.seat
-        at_cap = seat.flying + 1 > seat.cap or self.waiting > 0
         seat.flying -= 1
         if seat.open:
             self.flying -= 1
@@ -518,7 +519,7 @@
         pace = note.took / max(1.0, gauge.uncrowded)
         if note.how is t.How.HANDLED:
             self.crowding += 0.05 * (min(pace, 8.0) - self.crowding)
-        self.mail.post(self.endpoints[seat.name], Answer(note.how, pace, at_cap, overtaken))
+        self.mail.post(self.endpoints[seat.name], Answer(note.how, pace, overtaken))
         if note.closed or note.how is t.How.HANDLED:
             self.close(s)
         if s.done:
@@ -628,7 +629,7 @@
     def sweep(self, _: Sweep) -> None:
         usual = [g.usual for g in self.gauges.values()]
         if usual:
-            self.mail.post(self.roster, Usual(int(max(usual)), self.crowding))
+            self.mail.post(self.roster, Usual(int(max(usual)), self.crowding, self.waiting > 0))
         if self.shedding and not self.waiting:
             self.shedding = False
             self.mail.log(f"shedding ended: {self.flying} in flight, room {self.room:.0f}")
@@ -702,8 +703,6 @@
                 self.mode = "ready"
                 self.mail.log(f"{self.entry.endpoint} ready again: 3 answers, pace {self.pace:.1f}")
                 self.tell()
-            else:
-                self.learn(note)
             return
         self.failed.add(now)
         if note.how in (t.How.UNCONNECTED, t.How.RESET):
@@ -716,13 +715,14 @@
         if self.mode == "trial":
             self.plead("failed its trial", True)
 
-    def learn(self, note: Answer) -> None:
-        before = self.cap
-        if self.pace > CROWDED:
-            self.ease(0.9)
-        elif note.at_cap and self.pace < ROOMY:
-            self.cap = min(CAP_TOP, self.cap + 0.5 / self.cap)
-        if before != self.cap:
+    def learn(self, note: Sweep) -> None:
+        """The cap, from answer times: its own answers are few and noisy, so all of them set the course."""
+        if note.crowding > CROWDED:
+            self.ease(0.93)
+        elif self.pace and self.answers >= 6 and self.pace > 2 * max(1.0, note.crowding):
+            self.ease(0.95)
+        elif note.held and note.crowding < ROOMY and self.cap < CAP_TOP:
+            self.cap += GROWTH
             self.tell()
 
     def ease(self, factor: float) -> None:
@@ -738,9 +738,7 @@
         self.mail.post(self.roster, Figures(self.entry.endpoint, self.pace, failed, answered))
         if self.mode == "aside" or self.entry.state is t.State.GONE:
             return
-        if note.crowding > CROWDED:
-            # One endpoint's answers are too few to notice in time that all fill up and jam together.
-            self.ease(0.93)
+        self.learn(note)
         quiet = now - self.heard
         if self.flying and quiet > (SILENCE + LONELY / self.flying) * note.usual + SWEEP:
             # Takes work and answers nothing, while others do: hangs, or gone without a trace.
@@ -820,7 +818,7 @@
         self.listed: dict[str, t.Listing] = {}
         self.figures: dict[str, Figures] = {}
         self.aside: dict[str, bool] = {}
-        self.usual, self.crowding = 200 * MS, 1.0
+        self.usual, self.crowding, self.held = 200 * MS, 1.0, False
         self.handlers = {
             t.Listed: self.update, t.Probed: self.probed, Figures: self.figure, Plea: self.plea,
             Usual: self.use, Sweep: self.sweep, AskDue: self.ask, Standing: self.stands,
@@ -873,7 +871,7 @@
         self.figures[note.name] = note
 
     def use(self, note: Usual) -> None:
-        self.usual, self.crowding = note.took, note.crowding
+        self.usual, self.crowding, self.held = note.took, note.crowding, note.held
 
     def stands(self, note: Standing) -> None:
         self.aside[note.name] = not note.open
@@ -884,7 +882,7 @@
         middle = paces[len(paces) // 2] if paces else 1.0
         answered = sum(f.answered for f in figures)
         failing = sum(f.failed for f in figures) / answered if answered else 0.0
-        note = Sweep(self.usual, self.crowding, middle, failing)
+        note = Sweep(self.usual, self.crowding, self.held, middle, failing)
         for name in self.listed:
             self.mail.post(self.endpoints[name], note)
         self.mail.post(self.desk, note)
