Launches called off at the hard limit count as time-outs of the endpoint

Cause: the module calls launches off just before the client's hard limit, and the outcome was left out of health and caps, so only quick answers told how slow an endpoint was.

--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -231,6 +231,7 @@
     sent: int
     out: bool = True
     never_ran: bool = False
+    overdue: bool = False  # unanswered at the hard limit
 
 
 @dataclass(slots=True)
@@ -515,11 +516,14 @@
         gauge = self.gauge(s.workload)
         if note.how is t.How.HANDLED:
             gauge.add(now, note.took)
-        overtaken = s.done or note.how in (t.How.CALLED_OFF, t.How.UNSENT)
+        # What we call off at the hard limit is a time-out of the endpoint's: leaving those out would let
+        # only the quick answers tell how slow it is.
+        how = t.How.TIMED_OUT if flight.overdue else note.how
+        overtaken = s.done and not flight.overdue or how in (t.How.CALLED_OFF, t.How.UNSENT)
         pace = note.took / max(1.0, gauge.uncrowded)
-        if note.how is t.How.HANDLED:
+        if how in (t.How.HANDLED, t.How.TIMED_OUT):
             self.crowding += 0.05 * (min(pace, 8.0) - self.crowding)
-        self.mail.post(self.endpoints[seat.name], Answer(note.how, pace, overtaken))
+        self.mail.post(self.endpoints[seat.name], Answer(how, pace, overtaken))
         if note.closed or note.how is t.How.HANDLED:
             self.close(s)
         if s.done:
@@ -576,6 +580,9 @@
             self.unhold(s)  # a copy still waits for an answer
             s.retrying = False
             return
+        if note.final:
+            for flight in s.flights:
+                flight.overdue = flight.out
         self.finish(s)
 
     def may_deny(self, s: Submission) -> bool:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -224,3 +224,18 @@
                 bed.end(name, launch, t.How.TIMED_OUT)
     bed.run(4 * SECOND)
     assert not bed.owed
+
+
+def test_launches_unanswered_at_the_hard_limit_count_against_their_endpoint():
+    bed = Bed(deployment(), endpoints=4)
+    warm(bed, 40)
+    for _ in range(100):
+        name = bed.arrive(ONCE, 400 * MS)
+        bed.run(30 * MS)
+        for other in list(bed.flights):
+            for launch in bed.out(other):
+                if bed.flights[other][launch]["endpoint"] != "e0":
+                    bed.end(other, launch, t.How.HANDLED)
+                elif other not in bed.owed:
+                    bed.end(other, launch, t.How.CALLED_OFF)
+    assert any("e0 set aside" in line for line in bed.logs)
