New and returning endpoints take the cap the others have learned

Tried: successors of a release and endpoints back from rest started at the first cap while others were at the floor; trials ended on three answers however slow. The mechanics without decisions (chance, rings, mail, notes) moved to workings.py.

--- a/lupinmill/benchlink/codec.py
+++ b/lupinmill/benchlink/codec.py
@@ -135,7 +135,8 @@
 
 
 def arrived(f: Fields, _: Any) -> t.Arrived:
-    return t.Arrived(f["handle"], f["profile"], micros(f["due-s"]), f.get("tenant", ""), f.get("retry") == "1")
+    repeated = f.get("retry") == "1"
+    return t.Arrived(f["handle"], f["profile"], micros(f["due-s"]), f.get("tenant", ""), repeated)
 
 
 def ended(f: Fields, report: Any) -> t.Ended:
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -4,16 +4,19 @@
 
 Parts, in the order a submission meets them: `Desk` (takes, holds, picks, retries, answers), `Endpoint`
 (one actor each: health and cap), `Roster` (the list, and who may be set aside). They talk only by notes
-in each other's inboxes, which `Mail.run` empties.
+in each other's inboxes, which one loop empties (`Mail.run`, with the notes' types in `workings.py`).
 """
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
-from heapq import heappop, heappush
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from lupinmill import terms as t
+from lupinmill.workings import (
+    Answer, Aside, AskDue, Chance, Figures, GiveUp, Mail, Plea, ProbeDue, RetryDue, Ring, Sent, Silent,
+    Standing, Sweep, Usual,
+)
 
 MS, SECOND = 1_000, 1_000_000
 SWEEP = 100 * MS  # health is looked over this often
@@ -24,47 +27,12 @@
 FLEET_FLOOR = 2.5  # all sidecars together leave an endpoint this many launches at the least
 CROWDED, ROOMY = 2.2, 1.9  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
-SILENCE = 4.0  # multiples of the usual answer time without any answer before an endpoint counts as silent, ...
+SILENCE = 4.0  # multiples of the usual answer time without an answer before an endpoint counts as silent, ...
 LONELY = 6.0  # ... and this many more, shared by the launches out there: a single one may just be long
 SLOW = 2.7  # multiple of the middle endpoint's pace beyond which one is judged slow
 ASIDE_SHARE = 0.34  # on soft evidence no more than this share of the endpoints is set aside
 
 
-class Chance:
-    """A linear congruential generator; only its high bits are used."""
-
-    def __init__(self, seed: int) -> None:
-        self.state = (seed ^ 0x5DEECE66D) & (2**64 - 1)
-        self.draw()
-
-    def draw(self) -> float:
-        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (2**64 - 1)
-        return (self.state >> 32) / 2**32
-
-    def upto(self, ceiling: int) -> int:
-        return int(self.draw() * (ceiling + 1))
-
-
-class Ring:
-    """Sums over the last `buckets * width`, in buckets that are used again."""
-
-    __slots__ = ("width", "sums", "marks")
-
-    def __init__(self, buckets: int, width: int) -> None:
-        self.width, self.sums, self.marks = width, [0.0] * buckets, [-1] * buckets
-
-    def add(self, now: int, amount: float = 1.0) -> None:
-        mark = now // self.width
-        slot = mark % len(self.sums)
-        if self.marks[slot] != mark:
-            self.marks[slot], self.sums[slot] = mark, 0.0
-        self.sums[slot] += amount
-
-    def total(self, now: int) -> float:
-        oldest = now // self.width - len(self.sums)
-        return sum(s for s, mark in zip(self.sums, self.marks) if mark > oldest)
-
-
 class Gauge:
     """Answer times of one workload: the usual one now, and the uncrowded one of the last half minute."""
 
@@ -87,126 +55,6 @@
             self.uncrowded = self.usual
 
 
-class Mail:
-    """Inboxes and the one loop that empties them; orders to the outside collect here too."""
-
-    def __init__(self) -> None:
-        self.now = 0
-        self.orders: list[t.Order] = []
-        self.waiting: deque[Any] = deque()
-        self.alarms: list[tuple[int, int, Any, Any]] = []
-        self.serial = 0
-
-    def post(self, part: Any, note: Any) -> None:
-        if not part.inbox:
-            self.waiting.append(part)
-        part.inbox.append(note)
-
-    def alarm(self, at: int, part: Any, note: Any) -> None:
-        self.serial += 1
-        heappush(self.alarms, (at, self.serial, part, note))
-
-    def run(self) -> None:
-        while self.alarms and self.alarms[0][0] <= self.now:
-            _, _, part, note = heappop(self.alarms)
-            self.post(part, note)
-        while self.waiting:
-            part = self.waiting.popleft()
-            inbox, part.inbox = part.inbox, []
-            for note in inbox:
-                part.take(note)
-
-    def log(self, text: str) -> None:
-        self.orders.append(t.Log(text))
-
-
-# --- notes between the parts --------------------------------------------------------------------
-
-
-@dataclass(slots=True)
-class Standing:  # endpoint -> desk: may it be picked, how much may be in flight, since when is it cold
-    name: str
-    open: bool
-    cap: float
-    cold_since: int | None
-    zone: str
-    cell: str
-
-
-@dataclass(slots=True)
-class Sent:  # desk -> endpoint
-    pass
-
-
-@dataclass(slots=True)
-class Answer:  # desk -> endpoint; pace is the time taken as a multiple of the uncrowded time
-    how: t.How
-    pace: float
-    overtaken: bool  # ended by us or by its client, not by the endpoint
-
-
-@dataclass(slots=True)
-class Sweep:  # roster -> all; what is usual in the fleet
-    usual: int = 0
-    crowding: float = 1.0
-    held: bool = False
-    pace: float = 1.0
-    failing: float = 0.0
-
-
-@dataclass(slots=True)
-class Usual:  # desk -> roster; crowding is the pace of all answers together
-    took: int
-    crowding: float
-    held: bool
-
-
-@dataclass(slots=True)
-class Figures:  # endpoint -> roster, after each sweep
-    name: str
-    pace: float | None
-    failed: float
-    answered: float
-
-
-@dataclass(slots=True)
-class Plea:  # endpoint -> roster: take me out; hard evidence needs no permission
-    name: str
-    why: str
-    hard: bool
-
-
-@dataclass(slots=True)
-class Aside:  # roster -> endpoint: granted
-    why: str
-
-
-@dataclass(slots=True)
-class Silent:  # endpoint -> desk: what is out there will hardly be answered
-    name: str
-
-
-@dataclass(slots=True)
-class ProbeDue:
-    turn: int
-
-
-@dataclass(slots=True)
-class AskDue:
-    pass
-
-
-@dataclass(slots=True)
-class GiveUp:
-    submission: Submission
-    final: bool
-
-
-@dataclass(slots=True)
-class RetryDue:
-    submission: Submission
-
-
 # --- the desk -----------------------------------------------------------------------------------
 
 
@@ -383,7 +231,7 @@
         if self.mail.now + int(ahead / rate * SECOND) > limit:
             if not self.shedding:
                 self.shedding = True
-                self.mail.log(f"shedding: {self.waiting} held, {rate:.0f} launches/s, {len(self.ready)} ready")
+                self.mail.log(f"shedding: {self.waiting} held, {rate:.0f} launches/s, room {self.room:.0f}")
             self.finish(s)
         else:
             self.mail.alarm(limit, self, GiveUp(s, False))
@@ -649,12 +497,13 @@
     """Judges one endpoint: its cap, and whether it is ready, set aside or on trial."""
 
     def __init__(self, mail: Mail, allow: Allowances, desk: Desk, roster: Roster, probes: bool,
-                 chance: Chance, entry: t.Listing) -> None:
+                 chance: Chance, entry: t.Listing, cap: float) -> None:
         self.inbox: list[Any] = []
         self.mail, self.allow, self.desk, self.roster = mail, allow, desk, roster
         self.probes, self.chance = probes, chance
         self.entry = entry
-        self.cap = CAP_START
+        self.cap = self.fleet_cap = cap  # what the others have learned holds for a new one too
+        self.fleet_pace = 1.0
         self.mode = "ready"  # ready, aside, trial
         self.flying = 0
         self.heard = 0  # last answer, or the first launch after having none out
@@ -707,9 +556,7 @@
             gain = max(0.1, 1 / (self.answers + 1))
             self.pace = note.pace if self.pace is None else self.pace + gain * (min(note.pace, 8) - self.pace)
             if self.mode == "trial" and self.answers >= 3:
-                self.mode = "ready"
-                self.mail.log(f"{self.entry.endpoint} ready again: 3 answers, pace {self.pace:.1f}")
-                self.tell()
+                self.end_trial()
             return
         self.failed.add(now)
         if note.how in (t.How.UNCONNECTED, t.How.RESET):
@@ -722,6 +569,15 @@
         if self.mode == "trial":
             self.plead("failed its trial", True)
 
+    def end_trial(self) -> None:
+        """Guards against taking back at full count what is still jammed or has missed how caps fell."""
+        if self.pace > SLOW * max(1.0, self.fleet_pace):
+            self.plead(f"still slow, pace {self.pace:.1f}", True)
+            return
+        self.mode, self.cap = "ready", min(self.cap, self.fleet_cap)
+        self.mail.log(f"{self.entry.endpoint} ready again: 3 answers, pace {self.pace:.1f}")
+        self.tell()
+
     def learn(self, note: Sweep) -> None:
         """The cap, from answer times: its own answers are few and noisy, so all of them set the course."""
         if note.crowding > CROWDED:
@@ -742,7 +598,8 @@
     def sweep(self, note: Sweep) -> None:
         now = self.mail.now
         failed, answered = self.failed.total(now), self.answered.total(now)
-        self.mail.post(self.roster, Figures(self.entry.endpoint, self.pace, failed, answered))
+        self.mail.post(self.roster, Figures(self.entry.endpoint, self.pace, failed, answered, self.cap))
+        self.fleet_pace, self.fleet_cap = note.pace, note.cap
         if self.mode == "aside" or self.entry.state is t.State.GONE:
             return
         self.learn(note)
@@ -823,12 +680,12 @@
         self.asks = 0
         self.endpoints = desk.endpoints
         self.listed: dict[str, t.Listing] = {}
+        self.cap = CAP_START
         self.figures: dict[str, Figures] = {}
-        self.aside: dict[str, bool] = {}
         self.usual, self.crowding, self.held = 200 * MS, 1.0, False
         self.handlers = {
             t.Listed: self.update, t.Probed: self.probed, Figures: self.figure, Plea: self.plea,
-            Usual: self.use, Sweep: self.sweep, AskDue: self.ask, Standing: self.stands,
+            Usual: self.use, Sweep: self.sweep, AskDue: self.ask,
         }
 
     def take(self, note: Any) -> None:
@@ -851,7 +708,7 @@
             named = {entry.endpoint: True for entry in note.entries}
             for name, entry in list(self.listed.items()):
                 if name not in named:
-                    self.tell(t.Listing(name, t.State.GONE, entry.zone, entry.kind, entry.cell, entry.started))
+                    self.tell(replace(entry, state=t.State.GONE))
         for entry in note.entries:
             self.tell(entry)
 
@@ -859,7 +716,7 @@
         name = entry.endpoint
         if name not in self.endpoints:
             self.endpoints[name] = Endpoint(
-                self.mail, self.allow, self.desk, self, self.probes, self.chance, entry
+                self.mail, self.allow, self.desk, self, self.probes, self.chance, entry, self.cap
             )
         if entry.state is t.State.GONE:
             self.listed.pop(name, None)
@@ -880,16 +737,15 @@
     def use(self, note: Usual) -> None:
         self.usual, self.crowding, self.held = note.took, note.crowding, note.held
 
-    def stands(self, note: Standing) -> None:
-        self.aside[note.name] = not note.open
-
     def sweep(self, _: Sweep) -> None:
         figures = [self.figures[name] for name in self.listed if name in self.figures]
         paces = sorted(f.pace for f in figures if f.pace is not None)
         middle = paces[len(paces) // 2] if paces else 1.0
         answered = sum(f.answered for f in figures)
         failing = sum(f.failed for f in figures) / answered if answered else 0.0
-        note = Sweep(self.usual, self.crowding, self.held, middle, failing)
+        caps = sorted(f.cap for f in figures)
+        self.cap = caps[len(caps) // 2] if caps else CAP_START
+        note = Sweep(self.usual, self.crowding, self.held, middle, failing, self.cap)
         for name in self.listed:
             self.mail.post(self.endpoints[name], note)
         self.mail.post(self.desk, note)
--- /dev/null
+++ b/lupinmill/workings.py
@@ -0,0 +1,167 @@
+"""The workings that the decisions stand on, without any of their own: chance, rings of buckets, the mail
+between the parts of `rules`, and the notes that the parts send one another."""
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from typing import TYPE_CHECKING, Any
+
+from lupinmill import terms as t
+
+if TYPE_CHECKING:
+    from lupinmill.rules import Submission
+
+
+class Chance:
+    """A linear congruential generator; only its high bits are used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = (seed ^ 0x5DEECE66D) & (2**64 - 1)
+        self.draw()
+
+    def draw(self) -> float:
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (2**64 - 1)
+        return (self.state >> 32) / 2**32
+
+    def upto(self, ceiling: int) -> int:
+        return int(self.draw() * (ceiling + 1))
+
+
+class Ring:
+    """Sums over the last `buckets * width`, in buckets that are used again."""
+
+    __slots__ = ("width", "sums", "marks")
+
+    def __init__(self, buckets: int, width: int) -> None:
+        self.width, self.sums, self.marks = width, [0.0] * buckets, [-1] * buckets
+
+    def add(self, now: int, amount: float = 1.0) -> None:
+        mark = now // self.width
+        slot = mark % len(self.sums)
+        if self.marks[slot] != mark:
+            self.marks[slot], self.sums[slot] = mark, 0.0
+        self.sums[slot] += amount
+
+    def total(self, now: int) -> float:
+        oldest = now // self.width - len(self.sums)
+        return sum(s for s, mark in zip(self.sums, self.marks) if mark > oldest)
+
+
+class Mail:
+    """Inboxes and the one loop that empties them; orders to the outside collect here too."""
+
+    def __init__(self) -> None:
+        self.now = 0
+        self.orders: list[t.Order] = []
+        self.waiting: deque[Any] = deque()
+        self.alarms: list[tuple[int, int, Any, Any]] = []
+        self.serial = 0
+
+    def post(self, part: Any, note: Any) -> None:
+        if not part.inbox:
+            self.waiting.append(part)
+        part.inbox.append(note)
+
+    def alarm(self, at: int, part: Any, note: Any) -> None:
+        self.serial += 1
+        heappush(self.alarms, (at, self.serial, part, note))
+
+    def run(self) -> None:
+        while self.alarms and self.alarms[0][0] <= self.now:
+            _, _, part, note = heappop(self.alarms)
+            self.post(part, note)
+        while self.waiting:
+            part = self.waiting.popleft()
+            inbox, part.inbox = part.inbox, []
+            for note in inbox:
+                part.take(note)
+
+    def log(self, text: str) -> None:
+        self.orders.append(t.Log(text))
+
+
+@dataclass(slots=True)
+class Standing:  # endpoint -> desk: may it be picked, how much may be in flight, since when is it cold
+    name: str
+    open: bool
+    cap: float
+    cold_since: int | None
+    zone: str
+    cell: str
+
+
+@dataclass(slots=True)
+class Sent:  # desk -> endpoint
+    pass
+
+
+@dataclass(slots=True)
+class Answer:  # desk -> endpoint; pace is the time taken as a multiple of the uncrowded time
+    how: t.How
+    pace: float
+    overtaken: bool  # ended by us or by its client, not by the endpoint
+
+
+@dataclass(slots=True)
+class Sweep:  # roster -> all; what is usual in the fleet
+    usual: int = 0
+    crowding: float = 1.0
+    held: bool = False
+    pace: float = 1.0
+    failing: float = 0.0
+    cap: float = 0.0
+
+
+@dataclass(slots=True)
+class Usual:  # desk -> roster; crowding is the pace of all answers together
+    took: int
+    crowding: float
+    held: bool
+
+
+@dataclass(slots=True)
+class Figures:  # endpoint -> roster, after each sweep
+    name: str
+    pace: float | None
+    failed: float
+    answered: float
+    cap: float
+
+
+@dataclass(slots=True)
+class Plea:  # endpoint -> roster: take me out; hard evidence needs no permission
+    name: str
+    why: str
+    hard: bool
+
+
+@dataclass(slots=True)
+class Aside:  # roster -> endpoint: granted
+    why: str
+
+
+@dataclass(slots=True)
+class Silent:  # endpoint -> desk: what is out there will hardly be answered
+    name: str
+
+
+@dataclass(slots=True)
+class ProbeDue:
+    turn: int
+
+
+@dataclass(slots=True)
+class AskDue:
+    pass
+
+
+@dataclass(slots=True)
+class GiveUp:
+    submission: Submission
+    final: bool
+
+
+@dataclass(slots=True)
+class RetryDue:
+    submission: Submission
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -8,7 +8,8 @@
 
 START = (
     "SWITCH_TO sidecar-id=sidecar/0\n"
-    "ENLIST random-seed=5 tier=0 instances=2 new-key=9 limits.most-launches=4 load-report.fields=waiting,odd,cpu "
+    "ENLIST random-seed=5 tier=0 instances=2 new-key=9 limits.most-launches=4 "
+    "load-report.fields=waiting,odd,cpu "
     "workloads.count=1 workloads.0.name=view workloads.0.repeat=repeatable workloads.0.contract-time-s=0.5 "
     "workloads.0.hard-limit-s=1.0 workloads.0.value=1.0\n"
     "LEDGER roster-id=0 hosts=1\n"
@@ -38,7 +39,8 @@
 
 
 def test_a_reused_list_number_is_resolved_in_event_order():
-    later = "LEDGER roster-id=0 hosts=1\nROW endpoint=10.0.0.2:80 readiness=1\nUPDATE roster-id=0 mode=1 gen=2\n"
+    later = "LEDGER roster-id=0 hosts=1\n"
+    later += "ROW endpoint=10.0.0.2:80 readiness=1\nUPDATE roster-id=0 mode=1 gen=2\n"
     code, out, _ = play(START + later, JOB)
     assert code == 0 and "endpoint=10.0.0.2:80" in out
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -230,7 +230,7 @@
     bed = Bed(deployment(), endpoints=4)
     warm(bed, 40)
     for _ in range(100):
-        name = bed.arrive(ONCE, 400 * MS)
+        bed.arrive(ONCE, 400 * MS)
         bed.run(30 * MS)
         for other in list(bed.flights):
             for launch in bed.out(other):
@@ -239,3 +239,19 @@
                 elif other not in bed.owed:
                     bed.end(other, launch, t.How.CALLED_OFF)
     assert any("e0 set aside" in line for line in bed.logs)
+
+
+def test_a_new_endpoint_starts_with_the_cap_the_others_have_learned():
+    bed = Bed(deployment(instances=3), endpoints=4)
+    warm(bed, 40, took=50 * MS)
+    for _ in range(60):  # all answers slow down: caps fall
+        names = [bed.arrive(IDEM) for _ in range(4)]
+        bed.run(200 * MS)
+        for name in names:
+            for launch in bed.out(name):
+                bed.end(name, launch, t.How.HANDLED)
+    bed.step(t.Listed(t.ListKind.CHANGES, [listing(9)]))
+    for _ in range(12):
+        bed.arrive(IDEM)
+    flying = [f["endpoint"] for fs in bed.flights.values() for f in fs if f["how"] is None]
+    assert 1 <= flying.count("e9") < 4
