--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -10,6 +10,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field, replace
+from math import ceil
 from typing import Any
 
 from lupinmill import terms as t
@@ -23,8 +24,9 @@
 RETRY_BASE, RETRY_MAX = 20 * MS, 1 * SECOND
 RETRY_SHARE, RETRY_BUCKETS = 0.1, 20  # retries under a tenth of ten seconds' submissions, in 0.5 s buckets
 CAP_START, CAP_TOP = 4.0, 32.0
-GROWTH = 0.05  # added to a cap a sweep while submissions are held and answers come fast
-FLEET_FLOOR = 2.5  # all sidecars together leave an endpoint this many launches at the least
+# Of all sidecars together, shared out evenly: the most an endpoint's caps start with, what they add a sweep
+# while submissions are held and answers come fast, and what they leave at the least.
+FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 12.0, 0.1, 2.5
 CROWDED, ROOMY = 2.2, 1.9  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
 SILENCE = 4.0  # multiples of the usual answer time without an answer before an endpoint counts as silent, ...
@@ -65,6 +67,7 @@
     name: str
     open: bool = False
     cap: float = 0.0
+    places: int = 1  # the cap in whole launches
     flying: int = 0
     cold_since: int | None = None
     credit: float = 0.0
@@ -125,7 +128,10 @@
         self.advice = d.longest_advice if d.advice_allowed else 0
         self.margin = 2 * d.round
         self.cold_share, self.cold_time = d.cold_share, max(1, d.cold_time)
-        self.cap_floor = max(1.0, FLEET_FLOOR / d.instances)
+        # Where many sidecars share the endpoints even one launch from each would jam them, so caps may be
+        # fractions: the sum over the endpoints then limits what is in flight.
+        self.cap_start = min(CAP_START, FLEET_START / d.instances)
+        self.cap_growth, self.cap_floor = FLEET_GROWTH / d.instances, FLEET_FLOOR / d.instances
         # The more the goal pools all workloads, the more value counts against evenness.
         weight = d.pooled_weight + d.evenness_weight
         self.greed = d.pooled_weight / weight if weight else 1.0
@@ -288,7 +294,7 @@
         best, least, ties = None, 1 << 30, 0
         for seat in self.ready:
             load = seat.flying
-            if load >= seat.cap or load > least:
+            if load >= seat.places or load > least:
                 continue
             if tried and (not self.group_allows(s, seat) or (seat in tried and len(self.ready) > len(tried))):
                 continue
@@ -476,6 +482,7 @@
         if note.cold_since is not None and note.cold_since != seat.cold_since:
             seat.credit, seat.credited = self.chance.draw(), self.mail.now
         seat.open, seat.cap, seat.cold_since = note.open, note.cap, note.cold_since
+        seat.places = max(1, ceil(note.cap))
         seat.zone, seat.cell = note.zone, note.cell
         self.ready = [other for other in self.seats.values() if other.open]
         self.flying = sum(other.flying for other in self.ready)
@@ -523,7 +530,7 @@
 
     def tell(self) -> None:
         open_ = self.mode != "aside" and self.entry.state is t.State.READY
-        cap = 1.0 if self.mode == "trial" else self.cap
+        cap = min(1.0, self.cap) if self.mode == "trial" else self.cap
         entry = self.entry
         note = Standing(entry.endpoint, open_, cap, self.cold_since, entry.zone, entry.cell)
         self.mail.post(self.desk, note)
@@ -585,7 +592,7 @@
         elif self.pace and self.answers >= 6 and self.pace > 2 * max(1.0, note.crowding):
             self.ease(0.95)
         elif note.held and note.crowding < ROOMY and self.cap < CAP_TOP:
-            self.cap += GROWTH
+            self.cap += self.allow.cap_growth
             self.tell()
 
     def ease(self, factor: float) -> None:
@@ -680,7 +687,7 @@
         self.asks = 0
         self.endpoints = desk.endpoints
         self.listed: dict[str, t.Listing] = {}
-        self.cap = CAP_START
+        self.cap = allow.cap_start
         self.figures: dict[str, Figures] = {}
         self.usual, self.crowding, self.held = 200 * MS, 1.0, False
         self.handlers = {
@@ -744,7 +751,7 @@
         answered = sum(f.answered for f in figures)
         failing = sum(f.failed for f in figures) / answered if answered else 0.0
         caps = sorted(f.cap for f in figures)
-        self.cap = caps[len(caps) // 2] if caps else CAP_START
+        self.cap = caps[len(caps) // 2] if caps else self.allow.cap_start
         note = Sweep(self.usual, self.crowding, self.held, middle, failing, self.cap)
         for name in self.listed:
             self.mail.post(self.endpoints[name], note)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -255,3 +255,10 @@
         bed.arrive(IDEM)
     flying = [f["endpoint"] for fs in bed.flights.values() for f in fs if f["how"] is None]
     assert 1 <= flying.count("e9") < 4
+
+
+def test_many_sidecars_share_an_endpoint_in_fractions():
+    bed = Bed(deployment(instances=24), endpoints=8)
+    for _ in range(8):
+        bed.arrive(IDEM)
+    assert sum(f["how"] is None for fs in bed.flights.values() for f in fs) == 4
