--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -27,7 +27,7 @@
 # Of all sidecars together, shared out evenly: the most an endpoint's caps start with, what they add a sweep
 # while submissions are held and answers come fast, and what they leave at the least.
 FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 12.0, 0.1, 2.5
-CROWDED, ROOMY = 2.7, 2.3  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
+CROWDED, ROOMY = 2.3, 2.0  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
 SILENCE = 4.0  # multiples of the usual answer time without an answer before an endpoint counts as silent, ...
 LONELY = 6.0  # ... and this many more, shared by the launches out there: a single one may just be long
@@ -51,7 +51,8 @@
         if now // (2 * SECOND) != self.mark and self.count >= 10:
             self.mark = now // (2 * SECOND)
             self.means.append(self.total / self.count)
-            self.uncrowded = min(self.means)
+            # Not the least: the least of many noisy means is too low, and all would seem crowded.
+            self.uncrowded = sorted(self.means)[len(self.means) // 4]
             self.total, self.count = 0.0, 0
         elif not self.means:
             self.uncrowded = self.usual
@@ -376,7 +377,7 @@
         overtaken = s.done and not flight.overdue or how in (t.How.CALLED_OFF, t.How.UNSENT)
         pace = note.took / max(1.0, gauge.uncrowded)
         if how in (t.How.HANDLED, t.How.TIMED_OUT):
-            self.crowding += 0.05 * (min(pace, 8.0) - self.crowding)
+            self.crowding += 0.03 * (min(pace, 8.0) - self.crowding)
         self.mail.post(self.endpoints[seat.name], Answer(how, pace, overtaken))
         if note.closed or note.how is t.How.HANDLED:
             self.close(s)
