--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -26,7 +26,7 @@
 CAP_START, CAP_TOP = 4.0, 32.0
 # Of all sidecars together, shared out evenly: the most an endpoint's caps start with, what they add a sweep
 # while submissions are held and answers come fast, and what they leave at the least.
-FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 12.0, 0.1, 2.5
+FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 2.5
 CROWDED, ROOMY = 2.3, 2.0  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
 SILENCE = 4.0  # multiples of the usual answer time without an answer before an endpoint counts as silent, ...
