--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -26,8 +26,8 @@
 CAP_START, CAP_TOP = 4.0, 32.0
 # Of all sidecars together, shared out evenly: the most an endpoint's caps start with, what they add a sweep
 # while submissions are held and answers come fast, and what they leave at the least.
-FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 2.5
-CROWDED, ROOMY = 2.3, 2.0  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
+FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 4.0
+CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
 SILENCE = 4.0  # multiples of the usual answer time without an answer before an endpoint counts as silent, ...
 LONELY = 6.0  # ... and this many more, shared by the launches out there: a single one may just be long
@@ -51,8 +51,7 @@
         if now // (2 * SECOND) != self.mark and self.count >= 10:
             self.mark = now // (2 * SECOND)
             self.means.append(self.total / self.count)
-            # Not the least: the least of many noisy means is too low, and all would seem crowded.
-            self.uncrowded = sorted(self.means)[len(self.means) // 4]
+            self.uncrowded = min(self.means)
             self.total, self.count = 0.0, 0
         elif not self.means:
             self.uncrowded = self.usual
