--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -23,12 +23,13 @@
 SWEEP = 100 * MS  # health is looked over this often
 RETRY_BASE, RETRY_MAX = 20 * MS, 1 * SECOND
 RETRY_SHARE, RETRY_BUCKETS = 0.1, 20  # retries under a tenth of ten seconds' submissions, in 0.5 s buckets
-CAP_START, CAP_TOP = 4.0, 32.0
+CAP_START, CAP_TOP = 4, 32
 # Of all sidecars together, shared out evenly: the most an endpoint's caps start with, what they add a sweep
 # while submissions are held and answers come fast, and what they leave at the least.
 FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 4.0
 CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
+TOLD_AGE = 1 * SECOND  # a load report counts for this long
 SILENCE = 4.0  # multiples of the usual answer time without an answer before an endpoint counts as silent, ...
 LONELY = 6.0  # ... and this many more, shared by the launches out there: a single one may just be long
 SLOW = 2.7  # multiple of the middle endpoint's pace beyond which one is judged slow
@@ -66,6 +67,7 @@
 
     name: str
     open: bool = False
+    crowded: bool = False
     cap: float = 0.0
     places: int = 1  # the cap in whole launches
     flying: int = 0
@@ -294,7 +296,11 @@
         best, least, ties = None, 1 << 30, 0
         for seat in self.ready:
             load = seat.flying
-            if load >= seat.places or load > least:
+            if load >= seat.places:
+                continue
+            if seat.crowded:
+                load += CAP_TOP  # behind all others: what it holds of other sidecars' jams it all the same
+            if load > least:
                 continue
             if tried and (not self.group_allows(s, seat) or (seat in tried and len(self.ready) > len(tried))):
                 continue
@@ -377,7 +383,7 @@
         pace = note.took / max(1.0, gauge.uncrowded)
         if how in (t.How.HANDLED, t.How.TIMED_OUT):
             self.crowding += 0.03 * (min(pace, 8.0) - self.crowding)
-        self.mail.post(self.endpoints[seat.name], Answer(how, pace, overtaken))
+        self.mail.post(self.endpoints[seat.name], Answer(how, pace, note.load, overtaken))
         if note.closed or note.how is t.How.HANDLED:
             self.close(s)
         if s.done:
@@ -481,7 +487,8 @@
         seat = self.seats.setdefault(note.name, Seat(note.name))
         if note.cold_since is not None and note.cold_since != seat.cold_since:
             seat.credit, seat.credited = self.chance.draw(), self.mail.now
-        seat.open, seat.cap, seat.cold_since = note.open, note.cap, note.cold_since
+        seat.open, seat.crowded, seat.cap = note.open, note.crowded, note.cap
+        seat.cold_since = note.cold_since
         seat.places = max(1, ceil(note.cap))
         seat.zone, seat.cell = note.zone, note.cell
         self.ready = [other for other in self.seats.values() if other.open]
@@ -510,7 +517,9 @@
         self.probes, self.chance = probes, chance
         self.entry = entry
         self.cap = self.fleet_cap = cap  # what the others have learned holds for a new one too
-        self.fleet_pace = 1.0
+        self.fleet_pace, self.fleet_told = 1.0, 0.0
+        self.told: float | None = None
+        self.told_at, self.crowded = 0, False
         self.mode = "ready"  # ready, aside, trial
         self.flying = 0
         self.heard = 0  # last answer, or the first launch after having none out
@@ -532,7 +541,7 @@
         open_ = self.mode != "aside" and self.entry.state is t.State.READY
         cap = min(1.0, self.cap) if self.mode == "trial" else self.cap
         entry = self.entry
-        note = Standing(entry.endpoint, open_, cap, self.cold_since, entry.zone, entry.cell)
+        note = Standing(entry.endpoint, open_, self.crowded, cap, self.cold_since, entry.zone, entry.cell)
         self.mail.post(self.desk, note)
 
     def listed(self, entry: t.Listing) -> None:
@@ -552,6 +561,8 @@
     def answer(self, note: Answer) -> None:
         now = self.mail.now
         self.flying -= 1
+        if note.load is not None:
+            self.report(note.load)
         if note.overtaken:
             return
         self.answered.add(now)
@@ -576,6 +587,23 @@
         if self.mode == "trial":
             self.plead("failed its trial", True)
 
+    def report(self, load: t.Load) -> None:
+        """What it says it holds, where reports come; missing figures leave the judgement as it was."""
+        told = load.held if load.held is not None else load.queued
+        if told is not None:
+            self.told, self.told_at = told, self.mail.now
+            self.judge_crowd()
+
+    def judge_crowd(self) -> None:
+        """Own launches in flight say little where many sidecars share an endpoint: one that reports far
+        more than the others goes behind them, for as long as the report is fresh."""
+        if self.told is not None and self.mail.now - self.told_at > TOLD_AGE:
+            self.told = None
+        crowded = self.told is not None and self.told > 2 * self.fleet_told + 1
+        if crowded != self.crowded:
+            self.crowded = crowded
+            self.tell()
+
     def end_trial(self) -> None:
         """Guards against taking back at full count what is still jammed or has missed how caps fell."""
         if self.pace > SLOW * max(1.0, self.fleet_pace):
@@ -605,8 +633,10 @@
     def sweep(self, note: Sweep) -> None:
         now = self.mail.now
         failed, answered = self.failed.total(now), self.answered.total(now)
-        self.mail.post(self.roster, Figures(self.entry.endpoint, self.pace, failed, answered, self.cap))
-        self.fleet_pace, self.fleet_cap = note.pace, note.cap
+        name = self.entry.endpoint
+        self.mail.post(self.roster, Figures(name, self.pace, failed, answered, self.cap, self.told))
+        self.fleet_pace, self.fleet_cap, self.fleet_told = note.pace, note.cap, note.told
+        self.judge_crowd()
         if self.mode == "aside" or self.entry.state is t.State.GONE:
             return
         self.learn(note)
@@ -752,7 +782,9 @@
         failing = sum(f.failed for f in figures) / answered if answered else 0.0
         caps = sorted(f.cap for f in figures)
         self.cap = caps[len(caps) // 2] if caps else self.allow.cap_start
-        note = Sweep(self.usual, self.crowding, self.held, middle, failing, self.cap)
+        told = [f.told for f in figures if f.told is not None]
+        mean_told = sum(told) / len(told) if told else 0.0
+        note = Sweep(self.usual, self.crowding, self.held, middle, failing, self.cap, mean_told)
         for name in self.listed:
             self.mail.post(self.endpoints[name], note)
         self.mail.post(self.desk, note)
--- a/lupinmill/workings.py
+++ b/lupinmill/workings.py
@@ -85,6 +85,7 @@
 class Standing:  # endpoint -> desk: may it be picked, how much may be in flight, since when is it cold
     name: str
     open: bool
+    crowded: bool
     cap: float
     cold_since: int | None
     zone: str
@@ -100,6 +101,7 @@
 class Answer:  # desk -> endpoint; pace is the time taken as a multiple of the uncrowded time
     how: t.How
     pace: float
+    load: t.Load | None
     overtaken: bool  # ended by us or by its client, not by the endpoint
 
 
@@ -111,6 +113,7 @@
     pace: float = 1.0
     failing: float = 0.0
     cap: float = 0.0
+    told: float = 0.0
 
 
 @dataclass(slots=True)
@@ -127,6 +130,7 @@
     failed: float
     answered: float
     cap: float
+    told: float | None
 
 
 @dataclass(slots=True)
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -70,11 +70,12 @@
         self.step(t.Arrived(name, workload.name, self.now + (span or workload.hard_limit), tenant))
         return name
 
-    def end(self, name: str, launch: int, how: t.How, **more) -> list[t.Order]:
+    def end(self, name: str, launch: int, how: t.How, load: t.Load | None = None, **more) -> list[t.Order]:
         flight = self.flights[name][launch]
         handled = how is t.How.HANDLED
         took = self.now - flight["sent"]
-        return self.step(t.Ended(name, launch, how, took, closed=handled or name not in self.owed), **more)
+        closed = handled or name not in self.owed
+        return self.step(t.Ended(name, launch, how, took, closed, load), **more)
 
     def out(self, name: str) -> list[int]:
         return [i for i, f in enumerate(self.flights.get(name, [])) if f["how"] is None]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,11 +1,12 @@
 """Plain cases, seeded random runs over the four rules, and one small test for each failure found."""
 import random
+from math import ceil
 
 import pytest
 from bed import IDEM, KEYED, KEYED_ALL, ONCE, Bed, deployment, listing
 
 from lupinmill import terms as t
-from lupinmill.rules import RETRY_BASE, SECOND
+from lupinmill.rules import FLEET_START, RETRY_BASE, SECOND
 
 MS = 1000
 HOWS = [h for h in t.How if h is not t.How.CALLED_OFF]
@@ -261,4 +262,16 @@
     bed = Bed(deployment(instances=24), endpoints=8)
     for _ in range(8):
         bed.arrive(IDEM)
-    assert sum(f["how"] is None for fs in bed.flights.values() for f in fs) == 4
+    flying = sum(f["how"] is None for fs in bed.flights.values() for f in fs)
+    assert flying == ceil(8 * FLEET_START / 24) < 8
+
+
+def test_an_endpoint_that_reports_a_crowd_is_passed_over_while_others_have_room():
+    bed = Bed(deployment(), endpoints=4)
+    for _ in range(100):
+        name = bed.arrive(IDEM)
+        held = 9.0 if bed.flights[name][0]["endpoint"] == "e0" else 1.0
+        bed.run(20 * MS)
+        bed.end(name, 0, t.How.HANDLED, load=t.Load(held=held))
+    assert sum(fs[0]["endpoint"] == "e0" for fs in bed.flights.values()) < 15
+    assert "e0" in {bed.flights[bed.arrive(IDEM)][0]["endpoint"] for _ in range(13)}
