--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -29,7 +29,8 @@
 FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 4.0
 CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
-TOLD_AGE = 1 * SECOND  # a load report counts for this long
+BEHIND = 1.8  # multiple of the middle pace beyond which one is picked after the others
+TOLD_AGE = 2_500 * MS  # a load report counts for this long
 SILENCE = 4.0  # multiples of the usual answer time without an answer before an endpoint counts as silent, ...
 LONELY = 6.0  # ... and this many more, shared by the launches out there: a single one may just be long
 SLOW = 2.7  # multiple of the middle endpoint's pace beyond which one is judged slow
@@ -575,6 +576,7 @@
             self.pace = note.pace if self.pace is None else self.pace + gain * (min(note.pace, 8) - self.pace)
             if self.mode == "trial" and self.answers >= 3:
                 self.end_trial()
+            self.judge_crowd()
             return
         self.failed.add(now)
         if note.how in (t.How.UNCONNECTED, t.How.RESET):
@@ -600,6 +602,8 @@
         if self.told is not None and self.mail.now - self.told_at > TOLD_AGE:
             self.told = None
         crowded = self.told is not None and self.told > 2 * self.fleet_told + 1
+        if self.pace and self.answers >= 3 and self.mail.now - self.heard < TOLD_AGE:
+            crowded = crowded or self.pace > BEHIND * max(1.0, self.fleet_pace)
         if crowded != self.crowded:
             self.crowded = crowded
             self.tell()
