Endpoints well slower than the middle one are picked after the others

Cause: at inner tiers caps of less than one launch cannot hold a slow endpoint back, so it got its even share.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -275,3 +275,13 @@
         bed.end(name, 0, t.How.HANDLED, load=t.Load(held=held))
     assert sum(fs[0]["endpoint"] == "e0" for fs in bed.flights.values()) < 15
     assert "e0" in {bed.flights[bed.arrive(IDEM)][0]["endpoint"] for _ in range(13)}
+
+
+def test_an_endpoint_slower_than_the_others_is_picked_after_them():
+    bed = Bed(deployment(instances=20, tier=1), endpoints=4)
+    for _ in range(120):
+        name = bed.arrive(IDEM)
+        bed.run((100 if bed.flights[name][0]["endpoint"] == "e0" else 40) * MS)
+        bed.end(name, 0, t.How.HANDLED)
+    assert sum(fs[0]["endpoint"] == "e0" for fs in bed.flights.values()) < 20
+    assert not any("set aside" in line for line in bed.logs)
