--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -400,8 +400,11 @@
     def plan_retry(self, s: Submission) -> bool:
         """A further launch after a full-jitter delay, if design, rules and budget allow one."""
         now, allow = self.mail.now, self.allow
-        # Inner tiers pass failures up: retries at every layer would multiply.
-        if not allow.front or s.held or not self.may_launch(s):
+        if s.held or not self.may_launch(s):
+            return False
+        # Inner tiers pass failures up: retries at every layer would multiply. What provably never ran is
+        # the exception: it multiplies nothing, and passing it up redoes the work of all upper tiers.
+        if not allow.front and not all(flight.never_ran for flight in s.flights):
             return False
         if now + int(self.gauge(s.workload).uncrowded * 0.5) > s.contract_end:
             return False
@@ -580,7 +583,8 @@
             return
         self.failed.add(now)
         if note.how in (t.How.UNCONNECTED, t.How.RESET):
-            self.broken += 1
+            # One connection not made is enough: the probe that follows soon is cheaper than another launch.
+            self.broken += 2 if note.how is t.How.UNCONNECTED else 1
             if self.broken >= 2:
                 self.plead("connections break", True)
         else:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -279,9 +279,21 @@
 
 def test_an_endpoint_slower_than_the_others_is_picked_after_them():
     bed = Bed(deployment(instances=20, tier=1), endpoints=4)
-    for _ in range(120):
+    picks = []
+    for _ in range(200):
         name = bed.arrive(IDEM)
-        bed.run((100 if bed.flights[name][0]["endpoint"] == "e0" else 40) * MS)
+        picks.append(bed.flights[name][0]["endpoint"])
+        bed.run((90 if picks[-1] == "e0" else 40) * MS)
         bed.end(name, 0, t.How.HANDLED)
-    assert sum(fs[0]["endpoint"] == "e0" for fs in bed.flights.values()) < 20
+    assert picks[100:].count("e0") < 12
     assert not any("set aside" in line for line in bed.logs)
+
+
+def test_an_inner_launch_that_never_ran_goes_elsewhere_but_one_that_may_have_run_does_not():
+    for how, launches in ((t.How.UNCONNECTED, 2), (t.How.REFUSED, 2), (t.How.RESET, 1)):
+        bed = Bed(deployment(tier=1))
+        warm(bed, 30)
+        name = bed.arrive(ONCE)
+        bed.end(name, 0, how)
+        bed.run(100 * MS)
+        assert len({f["endpoint"] for f in bed.flights[name]}) == launches
