--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -283,7 +283,7 @@
     for _ in range(200):
         name = bed.arrive(IDEM)
         picks.append(bed.flights[name][0]["endpoint"])
-        bed.run((90 if picks[-1] == "e0" else 40) * MS)
+        bed.run((150 if picks[-1] == "e0" else 40) * MS)
         bed.end(name, 0, t.How.HANDLED)
     assert picks[100:].count("e0") < 12
     assert not any("set aside" in line for line in bed.logs)
