--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -521,7 +521,7 @@
         self.probes, self.chance = probes, chance
         self.entry = entry
         self.cap = self.fleet_cap = cap  # what the others have learned holds for a new one too
-        self.fleet_pace, self.fleet_told = 1.0, 0.0
+        self.fleet_pace, self.fleet_told, self.fleet_usual = 1.0, 0.0, SECOND
         self.told: float | None = None
         self.told_at, self.crowded = 0, False
         self.mode = "ready"  # ready, aside, trial
@@ -590,6 +590,10 @@
         else:
             self.broken = 0
             self.ease(0.7)
+            if now - self.heard > SILENCE * self.fleet_usual:
+                # A hang seen by one launch alone: where many sidecars share it no more are out there, and
+                # each would go on losing launches to it one by one until its hard limit.
+                self.plead(f"silent {(now - self.heard) // MS} ms up to a time-out", False)
         if self.mode == "trial":
             self.plead("failed its trial", True)
 
@@ -644,6 +648,7 @@
         name = self.entry.endpoint
         self.mail.post(self.roster, Figures(name, self.pace, failed, answered, self.cap, self.told))
         self.fleet_pace, self.fleet_cap, self.fleet_told = note.pace, note.cap, note.told
+        self.fleet_usual = note.usual
         self.judge_crowd()
         if self.mode == "aside" or self.entry.state is t.State.GONE:
             return
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -297,3 +297,17 @@
         bed.end(name, 0, how)
         bed.run(100 * MS)
         assert len({f["endpoint"] for f in bed.flights[name]}) == launches
+
+
+def test_a_hang_met_by_single_launches_is_seen_at_their_time_out():
+    bed = Bed(deployment(instances=20, tier=1), endpoints=6)
+    for _ in range(60):
+        name = bed.arrive(ONCE, 600 * MS)
+        if bed.flights[name][0]["endpoint"] == "e0":
+            bed.run(600 * MS)
+            bed.end(name, 0, t.How.CALLED_OFF)
+            break
+        bed.run(30 * MS)
+        bed.end(name, 0, t.How.HANDLED)
+    bed.run(200 * MS)
+    assert any("e0 set aside: silent" in line for line in bed.logs)
