--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,7 @@
 from bed import IDEM, KEYED, KEYED_ALL, ONCE, Bed, deployment, listing
 
 from lupinmill import terms as t
-from lupinmill.rules import FLEET_START, RETRY_BASE, SECOND
+from lupinmill.rules import CAP_START, FLEET_START, RETRY_BASE, SECOND
 
 MS = 1000
 HOWS = [h for h in t.How if h is not t.How.CALLED_OFF]
@@ -311,3 +311,41 @@
         bed.end(name, 0, t.How.HANDLED)
     bed.run(200 * MS)
     assert any("e0 set aside: silent" in line for line in bed.logs)
+
+
+def test_nothing_deduplicated_is_sent_again_after_its_window():
+    kind = t.Repeat.DEDUPLICATED, t.Group.ALL, SECOND // 2
+    short = t.Workload("short", 3 * SECOND, 5 * SECOND, 1.0, 0.0, *kind)
+    for wait, launches in ((100 * MS, 2), (700 * MS, 1)):
+        bed = Bed(deployment(workloads=[IDEM, short]))
+        warm(bed, 30)
+        name = bed.arrive(short)
+        bed.run(wait)
+        bed.end(name, 0, t.How.ERROR)
+        bed.run(200 * MS)
+        assert len(bed.flights[name]) == launches
+
+
+def test_a_cold_endpoint_is_not_filled_up_to_the_mean_at_once():
+    bed = Bed(deployment(), endpoints=4)
+    warm(bed, 40, took=50 * MS)
+    names = [bed.arrive(IDEM) for _ in range(12)]
+    bed.step(t.Listed(t.ListKind.CHANGES, [listing(9, started=bed.now)]))
+    names += [bed.arrive(IDEM) for _ in range(6)]
+    assert sum(bed.flights[n][0]["endpoint"] == "e9" for n in names if bed.flights[n]) <= 1
+
+
+def test_all_caps_fall_when_all_answers_slow_down():
+    bed = Bed(deployment(), endpoints=4)
+    warm(bed, 60, took=40 * MS)
+    for _ in range(30):
+        names = [bed.arrive(IDEM) for _ in range(4)]
+        bed.run(150 * MS)
+        for name in names:
+            for launch in bed.out(name):
+                bed.end(name, launch, t.How.HANDLED)
+    for _ in range(20):
+        bed.arrive(IDEM)
+    flying = sum(f["how"] is None for fs in bed.flights.values() for f in fs)
+    assert flying < 4 * CAP_START
+    assert not any("set aside" in line for line in bed.logs)
