--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -15,12 +15,12 @@
 
 from lupinmill import terms as t
 from lupinmill.workings import (
-    Answer, Aside, AskDue, Chance, Figures, GiveUp, Mail, Plea, ProbeDue, RetryDue, Ring, Sent, Silent,
-    Standing, Sweep, Usual,
+    Answer, Aside, AskDue, Chance, GiveUp, Mail, Plea, ProbeDue, RetryDue, Ring, Sent, Silent, Standing,
+    Sweep, Usual,
 )
 
 MS, SECOND = 1_000, 1_000_000
-SWEEP = 100 * MS  # health is looked over this often
+SWEEP = 100 * MS  # what is out is looked over this often
 RETRY_BASE, RETRY_MAX = 20 * MS, 1 * SECOND
 RETRY_SHARE, RETRY_BUCKETS = 0.1, 20  # retries under a tenth of ten seconds' submissions, in 0.5 s buckets
 CAP_START, CAP_TOP = 4, 32
@@ -29,6 +29,7 @@
 FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 4.0
 CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
+SHARE_BACK = 0.05  # of the common cap, won back with each answer
 BEHIND = 1.5  # multiple of the middle pace beyond which one is picked after the others
 TOLD_AGE = 2_500 * MS  # a load report counts for this long
 SILENCE = 4.0  # multiples of the usual answer time without an answer before an endpoint counts as silent, ...
@@ -68,10 +69,15 @@
 
     name: str
     open: bool = False
+    trial: bool = False
     crowded: bool = False
-    cap: float = 0.0
-    places: int = 1  # the cap in whole launches
+    share: float = 0.0  # of the common cap
+    pace: float | None = None
+    told: float | None = None
+    told_at: int = 0
     flying: int = 0
+    shelf: int = -1  # where it stands among the ready ones: by launches in flight, the crowded far behind
+    spot: int = 0
     cold_since: int | None = None
     credit: float = 0.0
     credited: int = 0
@@ -150,9 +156,12 @@
         self.roster: Roster | None = None
         self.open: dict[str, Submission] = {}  # until the last outcome has come
         self.seats: dict[str, Seat] = {}
-        self.ready: list[Seat] = []
-        self.flying = 0  # in flight at ready endpoints
-        self.room = 0.0  # the sum of their caps: fractions of caps count here
+        self.shelves: list[list[Seat]] = [[] for _ in range(2 * CAP_TOP)]  # the ready ones
+        self.ready, self.flying, self.shares = 0, 0, 0.0  # sums over the ready ones
+        self.busy: dict[str, Seat] = {}  # with launches in flight
+        self.cap = allow.cap_start  # common to all; each endpoint takes its share of it
+        self.usual = Usual()
+        self.sweeping, self.swept = False, 0
         self.lanes: dict[tuple[str, bool, bool], int] = {}
         self.queue: list[Lane] = []
         self.bound: list[Submission] = []  # held, but some group of endpoints alone will do
@@ -163,7 +172,8 @@
         self.taken = Ring(RETRY_BUCKETS, SECOND // 2)
         self.retried = Ring(RETRY_BUCKETS, SECOND // 2)
         self.launched = Ring(10, SECOND // 10)
-        self.shares = {name: Ring(10, SECOND // 5) for name in allow.quotas}
+        self.sent_by = {name: Ring(10, SECOND // 5) for name in allow.quotas}
+        self.failed, self.answered = Ring(6, SECOND // 2), Ring(6, SECOND // 2)
         self.handlers = {
             t.Arrived: self.arrive, t.Ended: self.end, t.Withdrawn: self.withdraw, t.Started: self.start,
             Standing: self.seat, GiveUp: self.give_up, RetryDue: self.retry_due, Silent: self.silent,
@@ -191,6 +201,7 @@
         lane = self.lane_of(w, beyond, note.repeated)
         s = Submission(note.submission, w, note.due, min(note.due, now + contract), now, lane)
         self.open[s.name] = s
+        self.keep_sweeping()
         self.mail.alarm(note.due - allow.margin, self, GiveUp(s, True))
         self.hold(s)
         self.dispatch()
@@ -198,7 +209,7 @@
             self.admit(s)
 
     def beyond_share(self, tenant: str) -> bool:
-        ring = self.shares.get(tenant)
+        ring = self.sent_by.get(tenant)
         if ring is None:
             return False
         ring.add(self.mail.now)
@@ -240,7 +251,7 @@
         if self.mail.now + int(ahead / rate * SECOND) > limit:
             if not self.shedding:
                 self.shedding = True
-                self.mail.log(f"shedding: {self.waiting} held, {rate:.0f} launches/s, room {self.room:.0f}")
+                self.mail.log(f"shedding: {self.waiting} held, {rate:.0f} launches/s, room {self.room():.1f}")
             self.finish(s)
         else:
             self.mail.alarm(limit, self, GiveUp(s, False))
@@ -288,34 +299,60 @@
             return bool(seat.zone) and seat.zone == first.seat.zone
         return s.workload.group is t.Group.ALL or (bool(seat.cell) and seat.cell == first.seat.cell)
 
+    def room(self) -> float:
+        """Launches in flight at all ready endpoints together: fractions of caps count here."""
+        return max(1.0, self.cap * self.shares)
+
     def pick(self, s: Submission) -> Seat | None:
-        """Fewest own launches in flight under the cap, random ties; a cold one counts at mean load."""
-        if self.flying >= max(self.room, 1.0):
+        """Fewest own launches in flight under the cap, random ties; a cold one counts at mean load.
+
+        Shelves of equal load, so that a pick costs the same in a large fleet.
+        """
+        if not self.ready or self.flying >= self.room():
             return None
-        mean = round(self.flying / len(self.ready)) if self.ready else 0
+        mean = round(self.flying / self.ready)
         tried = [flight.seat for flight in s.flights]
-        best, least, ties = None, 1 << 30, 0
-        for seat in self.ready:
-            load = seat.flying
-            if load >= seat.places:
-                continue
-            if seat.crowded:
-                load += CAP_TOP  # behind all others: what it holds of other sidecars' jams it all the same
-            if load > least:
-                continue
-            if tried and (not self.group_allows(s, seat) or (seat in tried and len(self.ready) > len(tried))):
-                continue
-            if seat.cold_since is not None:
-                load = max(load, mean)
-                if load > least or not self.credited(seat):
-                    continue
-            if load < least:
-                best, least, ties = seat, load, 1
-            else:
-                ties += 1
-                if self.chance.draw() * ties < 1:
-                    best = seat
-        return best
+        deepest = min(CAP_TOP, self.places(1.0))
+        late: list[Seat] = []
+        for behind in (0, CAP_TOP):
+            for load in range(deepest):
+                shelf = self.shelves[behind + load]
+                if late and (behind or load >= mean):
+                    shelf, late = shelf + late, []
+                start = self.chance.upto(len(shelf) - 1) if len(shelf) > 1 else 0
+                for at in range(start, start + len(shelf)):
+                    seat = shelf[at % len(shelf)]
+                    if seat.cold_since is not None and load < mean and not behind:
+                        late.append(seat)
+                    elif self.may_take(seat, s, tried):
+                        return seat
+        return None
+
+    def places(self, share: float) -> int:
+        return max(1, ceil(self.cap * share))
+
+    def may_take(self, seat: Seat, s: Submission, tried: list[Seat]) -> bool:
+        if seat.flying >= (1 if seat.trial else self.places(seat.share)):
+            return False
+        if tried and (not self.group_allows(s, seat) or (seat in tried and self.ready > len(tried))):
+            return False
+        return seat.cold_since is None or self.credited(seat)
+
+    def shelve(self, seat: Seat) -> None:
+        """Puts it where it belongs now; takes no longer in a large fleet."""
+        shelf = -1
+        if seat.open:
+            shelf = min(seat.flying, CAP_TOP - 1) + (CAP_TOP if seat.crowded else 0)
+        if shelf == seat.shelf:
+            return
+        if seat.shelf >= 0:
+            last = self.shelves[seat.shelf].pop()
+            if last is not seat:
+                self.shelves[seat.shelf][seat.spot], last.spot = last, seat.spot
+        seat.shelf = shelf
+        if shelf >= 0:
+            seat.spot = len(self.shelves[shelf])
+            self.shelves[shelf].append(seat)
 
     def credited(self, seat: Seat) -> bool:
         """Rule 4: a cold endpoint gets the mean rate of launches, scaled by how warm it must be by now.
@@ -329,7 +366,7 @@
             seat.cold_since = None
             return True
         warmth = allow.cold_share + (1 - allow.cold_share) * max(0, age) / allow.cold_time
-        rate = self.launched.total(now) / max(1, len(self.ready))
+        rate = self.launched.total(now) / max(1, self.ready)
         seat.credit = min(1.0, seat.credit + rate * warmth * (now - seat.credited) / SECOND)
         seat.credited = now
         return seat.credit >= 1.0
@@ -352,6 +389,8 @@
         s.retrying = False
         seat.flying += 1
         self.flying += 1
+        self.busy[seat.name] = seat
+        self.shelve(seat)
         self.launched.add(now)
         self.mail.orders.append(t.Launch(s.name, seat.name, s.due))
         self.mail.post(self.endpoints[seat.name], Sent())
@@ -372,8 +411,11 @@
         flight.out, flight.never_ran = False, note.how in t.NEVER_RAN
         seat = flight.seat
         seat.flying -= 1
+        if not seat.flying:
+            del self.busy[seat.name]
         if seat.open:
             self.flying -= 1
+            self.shelve(seat)
         gauge = self.gauge(s.workload)
         if note.how is t.How.HANDLED:
             gauge.add(now, note.took)
@@ -384,7 +426,11 @@
         pace = note.took / max(1.0, gauge.uncrowded)
         if how in (t.How.HANDLED, t.How.TIMED_OUT):
             self.crowding += 0.03 * (min(pace, 8.0) - self.crowding)
-        self.mail.post(self.endpoints[seat.name], Answer(how, pace, note.load, overtaken))
+        if not overtaken:
+            self.answered.add(now)
+            if how is not t.How.HANDLED:
+                self.failed.add(now)
+        self.mail.post(self.endpoints[seat.name], Answer(how, pace, note.load, overtaken, self.usual))
         if note.closed or note.how is t.How.HANDLED:
             self.close(s)
         if s.done:
@@ -428,8 +474,6 @@
 
     def silent(self, note: Silent) -> None:
         """Second copies for what hangs at an endpoint that answers nothing."""
-        if not self.allow.copies:
-            return
         for s in list(self.open.values()):
             if s.done or s.held or s.retrying or s.streaming:
                 continue
@@ -491,37 +535,76 @@
         seat = self.seats.setdefault(note.name, Seat(note.name))
         if note.cold_since is not None and note.cold_since != seat.cold_since:
             seat.credit, seat.credited = self.chance.draw(), self.mail.now
-        seat.open, seat.crowded, seat.cap = note.open, note.crowded, note.cap
-        seat.cold_since = note.cold_since
-        seat.places = max(1, ceil(note.cap))
-        seat.zone, seat.cell = note.zone, note.cell
-        self.ready = [other for other in self.seats.values() if other.open]
-        self.flying = sum(other.flying for other in self.ready)
-        self.room = sum(other.cap for other in self.ready)
+        self.count(seat, -1)
+        seat.open, seat.trial, seat.crowded, seat.share = note.open, note.trial, note.crowded, note.share
+        seat.pace, seat.told, seat.told_at = note.pace, note.told, note.told_at
+        seat.cold_since, seat.zone, seat.cell = note.cold_since, note.zone, note.cell
+        self.count(seat, 1)
+        self.shelve(seat)
+
+    def count(self, seat: Seat, sign: int) -> None:
+        if seat.open:
+            self.ready += sign
+            self.flying += sign * seat.flying
+            self.shares += sign * seat.share
+
+    def keep_sweeping(self) -> None:
+        """An idle sidecar is woken for nothing."""
+        if not self.sweeping:
+            self.sweeping = True
+            self.mail.alarm(self.mail.now + SWEEP, self, Sweep())
 
     def sweep(self, _: Sweep) -> None:
-        usual = [g.usual for g in self.gauges.values()]
-        if usual:
-            self.mail.post(self.roster, Usual(int(max(usual)), self.crowding, self.waiting > 0))
+        """Looks over what is out, and learns the cap: answers of one endpoint are few and noisy, so all of
+        them set the course."""
+        allow = self.allow
+        self.sweeping = False
+        if self.crowding > CROWDED:
+            self.cap = max(allow.cap_floor, self.cap * 0.93)
+        elif self.waiting and self.crowding < ROOMY:
+            self.cap = min(float(CAP_TOP), self.cap + allow.cap_growth)
+        self.swept += 1
+        self.look_over(self.swept % 5 == 0)
+        for seat in list(self.busy.values()):
+            self.mail.post(self.endpoints[seat.name], self.usual)
         if self.shedding and not self.waiting:
             self.shedding = False
-            self.mail.log(f"shedding ended: {self.flying} in flight, room {self.room:.0f}")
+            self.mail.log(f"shedding ended: {self.flying} in flight, room {self.room():.1f}")
+        if self.open:
+            self.keep_sweeping()
+
+    def look_over(self, all_: bool) -> None:
+        """What is usual in the fleet; the look at all endpoints, which costs most, is rarer."""
+        now, was = self.mail.now, self.usual
+        answered = self.answered.total(now)
+        took = int(max((g.usual for g in self.gauges.values()), default=was.took))
+        failing = self.failed.total(now) / answered if answered else 0.0
+        pace, told = was.pace, was.told
+        if all_:
+            paces = sorted([seat.pace for seat in self.seats.values() if seat.pace is not None])
+            pace = paces[len(paces) // 2] if paces else 1.0
+            fresh = now - TOLD_AGE
+            reports = [s.told for s in self.seats.values() if s.told is not None and s.told_at > fresh]
+            told = sum(reports) / len(reports) if reports else 0.0
+            for seat in self.shelves[CAP_TOP]:
+                self.mail.post(self.endpoints[seat.name], self.usual)
+        self.usual = Usual(took, self.crowding, pace, failing, told)
 
 
 # --- endpoints ----------------------------------------------------------------------------------
 
 
 class Endpoint:
-    """Judges one endpoint: its cap, and whether it is ready, set aside or on trial."""
+    """Judges one endpoint: its share of the cap, and whether it is ready, set aside or on trial."""
 
-    def __init__(self, mail: Mail, allow: Allowances, desk: Desk, roster: Roster, probes: bool,
-                 chance: Chance, entry: t.Listing, cap: float) -> None:
+    def __init__(self, mail: Mail, cold_time: int, desk: Desk, roster: Roster, probes: bool, chance: Chance,
+                 entry: t.Listing) -> None:
         self.inbox: list[Any] = []
-        self.mail, self.allow, self.desk, self.roster = mail, allow, desk, roster
+        self.mail, self.cold_time, self.desk, self.roster = mail, cold_time, desk, roster
         self.probes, self.chance = probes, chance
         self.entry = entry
-        self.cap = self.fleet_cap = cap  # what the others have learned holds for a new one too
-        self.fleet_pace, self.fleet_told, self.fleet_usual = 1.0, 0.0, SECOND
+        self.usual = Usual()
+        self.share = 1.0  # of the common cap
         self.told: float | None = None
         self.told_at, self.crowded = 0, False
         self.mode = "ready"  # ready, aside, trial
@@ -534,7 +617,7 @@
         self.rest, self.turn, self.good_probes, self.eased = REST, 0, 0, 0
         self.cold_since: int | None = None
         self.handlers = {
-            Sent: self.sent, Answer: self.answer, Sweep: self.sweep, Aside: self.aside,
+            Sent: self.sent, Answer: self.answer, Usual: self.look, Aside: self.aside,
             t.Listing: self.listed, t.Probed: self.probed, ProbeDue: self.probe_due,
         }
 
@@ -543,14 +626,14 @@
 
     def tell(self) -> None:
         open_ = self.mode != "aside" and self.entry.state is t.State.READY
-        cap = min(1.0, self.cap) if self.mode == "trial" else self.cap
-        entry = self.entry
-        note = Standing(entry.endpoint, open_, self.crowded, cap, self.cold_since, entry.zone, entry.cell)
-        self.mail.post(self.desk, note)
+        self.mail.post(self.desk, Standing(
+            self.entry.endpoint, open_, self.mode == "trial", self.crowded, self.share, self.pace, self.told,
+            self.told_at, self.cold_since, self.entry.zone, self.entry.cell,
+        ))
 
     def listed(self, entry: t.Listing) -> None:
         if entry.started and entry.started != self.entry.started or self.heard == 0:
-            if entry.started and self.mail.now - entry.started < self.allow.cold_time:
+            if entry.started and self.mail.now - entry.started < self.cold_time:
                 self.cold_since = entry.started
                 if self.mode == "aside":
                     self.schedule_probe(0)  # it was restarted: no need to sit out the rest
@@ -565,35 +648,44 @@
     def answer(self, note: Answer) -> None:
         now = self.mail.now
         self.flying -= 1
+        self.usual = note.usual
         if note.load is not None:
             self.report(note.load)
-        if note.overtaken:
-            return
-        self.answered.add(now)
-        if note.how is not t.How.TIMED_OUT:
-            self.heard = now
-        if note.how is t.How.HANDLED:
-            self.broken = 0
-            self.answers += 1
-            gain = max(0.1, 1 / (self.answers + 1))
-            self.pace = note.pace if self.pace is None else self.pace + gain * (min(note.pace, 8) - self.pace)
-            if self.mode == "trial" and self.answers >= 3:
-                self.end_trial()
-            self.judge_crowd()
-            return
-        self.failed.add(now)
-        if note.how in (t.How.UNCONNECTED, t.How.RESET):
+        if not note.overtaken:
+            self.answered.add(now)
+            if note.how is not t.How.TIMED_OUT:
+                self.heard = now
+            if note.how is t.How.HANDLED:
+                self.handled(note.pace)
+            else:
+                self.failure(note.how)
+            self.judge()
+        self.tell()
+
+    def handled(self, pace: float) -> None:
+        self.broken = 0
+        self.answers += 1
+        gain = max(0.1, 1 / (self.answers + 1))
+        self.pace = pace if self.pace is None else self.pace + gain * (min(pace, 8) - self.pace)
+        self.share = min(1.0, self.share + SHARE_BACK)
+        if self.mode == "trial" and self.answers >= 3:
+            self.end_trial()
+
+    def failure(self, how: t.How) -> None:
+        quiet = self.mail.now - self.heard
+        self.failed.add(self.mail.now)
+        if how in (t.How.UNCONNECTED, t.How.RESET):
             # One connection not made is enough: the probe that follows soon is cheaper than another launch.
-            self.broken += 2 if note.how is t.How.UNCONNECTED else 1
+            self.broken += 2 if how is t.How.UNCONNECTED else 1
             if self.broken >= 2:
                 self.plead("connections break", True)
         else:
             self.broken = 0
             self.ease(0.7)
-            if now - self.heard > SILENCE * self.fleet_usual:
+            if quiet > SILENCE * self.usual.took:
                 # A hang seen by one launch alone: where many sidecars share it no more are out there, and
                 # each would go on losing launches to it one by one until its hard limit.
-                self.plead(f"silent {(now - self.heard) // MS} ms up to a time-out", False)
+                self.plead(f"silent {quiet // MS} ms up to a time-out", False)
         if self.mode == "trial":
             self.plead("failed its trial", True)
 
@@ -602,67 +694,54 @@
         told = load.held if load.held is not None else load.queued
         if told is not None:
             self.told, self.told_at = told, self.mail.now
-            self.judge_crowd()
 
-    def judge_crowd(self) -> None:
-        """Own launches in flight say little where many sidecars share an endpoint: one that reports far
-        more than the others goes behind them, for as long as the report is fresh."""
-        if self.told is not None and self.mail.now - self.told_at > TOLD_AGE:
+    def judge(self) -> None:
+        """From its answers, against what is usual in the fleet."""
+        now, usual = self.mail.now, self.usual
+        # Own launches in flight say little where many sidecars share an endpoint: one that reports far
+        # more than the others, or is slower, goes behind them, for as long as that news is fresh.
+        if self.told is not None and now - self.told_at > TOLD_AGE:
             self.told = None
-        crowded = self.told is not None and self.told > 2 * self.fleet_told + 1
-        if self.pace and self.answers >= 3 and self.mail.now - self.heard < TOLD_AGE:
-            crowded = crowded or self.pace > BEHIND * max(1.0, self.fleet_pace)
-        if crowded != self.crowded:
-            self.crowded = crowded
-            self.tell()
+        self.crowded = self.told is not None and self.told > 2 * usual.told + 1
+        if self.pace and self.answers >= 3 and now - self.heard < TOLD_AGE:
+            self.crowded = self.crowded or self.pace > BEHIND * max(1.0, usual.pace)
+        failed, answered = self.failed.total(now), self.answered.total(now)
+        if failed >= 3 and failed / answered > 0.3 + 2 * usual.failing:
+            # Quick errors free its places fast, and the pick would send it more and more.
+            self.plead(f"failed {failed:.0f} of {answered:.0f}", False)
+        elif self.pace and self.answers >= 6 and self.pace > SLOW * max(1.0, usual.pace):
+            # Slow by itself, not with all others: jammed or starved, it needs rest.
+            self.plead(f"slow, pace {self.pace:.1f}, fleet {usual.pace:.1f}", False)
 
     def end_trial(self) -> None:
-        """Guards against taking back at full count what is still jammed or has missed how caps fell."""
-        if self.pace > SLOW * max(1.0, self.fleet_pace):
+        """Guards against taking back at full count what is still jammed."""
+        if self.pace > SLOW * max(1.0, self.usual.pace):
             self.plead(f"still slow, pace {self.pace:.1f}", True)
             return
-        self.mode, self.cap = "ready", min(self.cap, self.fleet_cap)
+        self.mode = "ready"
         self.mail.log(f"{self.entry.endpoint} ready again: 3 answers, pace {self.pace:.1f}")
-        self.tell()
-
-    def learn(self, note: Sweep) -> None:
-        """The cap, from answer times: its own answers are few and noisy, so all of them set the course."""
-        if note.crowding > CROWDED:
-            self.ease(0.93)
-        elif self.pace and self.answers >= 6 and self.pace > 2 * max(1.0, note.crowding):
-            self.ease(0.95)
-        elif note.held and note.crowding < ROOMY and self.cap < CAP_TOP:
-            self.cap += self.allow.cap_growth
-            self.tell()
 
     def ease(self, factor: float) -> None:
-        """Lowers the cap, at most once per few answers so that one bad moment counts once."""
+        """Lowers its share, at most once per few answers so that one bad moment counts once."""
         if self.mail.now - self.eased >= SWEEP:
             self.eased = self.mail.now
-            self.cap = max(self.allow.cap_floor, self.cap * factor)
-            self.tell()
+            self.share = max(0.1, self.share * factor)
 
-    def sweep(self, note: Sweep) -> None:
-        now = self.mail.now
-        failed, answered = self.failed.total(now), self.answered.total(now)
-        name = self.entry.endpoint
-        self.mail.post(self.roster, Figures(name, self.pace, failed, answered, self.cap, self.told))
-        self.fleet_pace, self.fleet_cap, self.fleet_told = note.pace, note.cap, note.told
-        self.fleet_usual = note.usual
-        self.judge_crowd()
+    def look(self, note: Usual) -> None:
+        """Launches are out there, or it stands behind the others: is that still right?"""
+        self.usual = note
         if self.mode == "aside" or self.entry.state is t.State.GONE:
             return
-        self.learn(note)
-        quiet = now - self.heard
-        if self.flying and quiet > (SILENCE + LONELY / self.flying) * note.usual + SWEEP:
+        quiet = self.mail.now - self.heard
+        if self.flying and quiet > (SILENCE + LONELY / self.flying) * note.took + SWEEP:
             # Takes work and answers nothing, while others do: hangs, or gone without a trace.
-            self.plead(f"silent {quiet // MS} ms, usual {note.usual // MS} ms", False)
-        elif failed >= 3 and failed / answered > 0.3 + 2 * note.failing:
-            # Quick errors free its places fast, and the pick would send it more and more.
-            self.plead(f"failed {failed:.0f} of {answered:.0f}", False)
-        elif self.pace and self.answers >= 6 and self.pace > SLOW * max(1.0, note.pace):
-            # Slow by itself, not with all others: jammed or starved, it needs rest.
-            self.plead(f"slow, pace {self.pace:.1f}, fleet {note.pace:.1f}", False)
+            self.plead(f"silent {quiet // MS} ms, usual {note.took // MS} ms", False)
+        crowded, share = self.crowded, self.share
+        self.judge()
+        if self.pace and self.answers >= 6 and self.pace > 2 * max(1.0, note.crowding):
+            self.ease(0.95)
+        if (crowded, share) != (self.crowded, self.share):
+            self.tell()
 
     def plead(self, why: str, hard: bool) -> None:
         if self.mode != "aside":
@@ -720,7 +799,7 @@
 
 
 class Roster:
-    """Follows the list, keeps what is usual in the fleet, and grants setting aside."""
+    """Follows the list, and grants setting aside."""
 
     def __init__(self, mail: Mail, allow: Allowances, desk: Desk, chance: Chance, d: t.Deployment) -> None:
         self.inbox: list[Any] = []
@@ -730,13 +809,7 @@
         self.asks = 0
         self.endpoints = desk.endpoints
         self.listed: dict[str, t.Listing] = {}
-        self.cap = allow.cap_start
-        self.figures: dict[str, Figures] = {}
-        self.usual, self.crowding, self.held = 200 * MS, 1.0, False
-        self.handlers = {
-            t.Listed: self.update, t.Probed: self.probed, Figures: self.figure, Plea: self.plea,
-            Usual: self.use, Sweep: self.sweep, AskDue: self.ask,
-        }
+        self.handlers = {t.Listed: self.update, t.Probed: self.probed, Plea: self.plea, AskDue: self.ask}
 
     def take(self, note: Any) -> None:
         self.handlers[type(note)](note)
@@ -766,7 +839,7 @@
         name = entry.endpoint
         if name not in self.endpoints:
             self.endpoints[name] = Endpoint(
-                self.mail, self.allow, self.desk, self, self.probes, self.chance, entry, self.cap
+                self.mail, self.allow.cold_time, self.desk, self, self.probes, self.chance, entry
             )
         if entry.state is t.State.GONE:
             self.listed.pop(name, None)
@@ -781,28 +854,6 @@
         if note.endpoint in self.endpoints:
             self.mail.post(self.endpoints[note.endpoint], note)
 
-    def figure(self, note: Figures) -> None:
-        self.figures[note.name] = note
-
-    def use(self, note: Usual) -> None:
-        self.usual, self.crowding, self.held = note.took, note.crowding, note.held
-
-    def sweep(self, _: Sweep) -> None:
-        figures = [self.figures[name] for name in self.listed if name in self.figures]
-        paces = sorted(f.pace for f in figures if f.pace is not None)
-        middle = paces[len(paces) // 2] if paces else 1.0
-        answered = sum(f.answered for f in figures)
-        failing = sum(f.failed for f in figures) / answered if answered else 0.0
-        caps = sorted(f.cap for f in figures)
-        self.cap = caps[len(caps) // 2] if caps else self.allow.cap_start
-        told = [f.told for f in figures if f.told is not None]
-        mean_told = sum(told) / len(told) if told else 0.0
-        note = Sweep(self.usual, self.crowding, self.held, middle, failing, self.cap, mean_told)
-        for name in self.listed:
-            self.mail.post(self.endpoints[name], note)
-        self.mail.post(self.desk, note)
-        self.mail.alarm(self.mail.now + SWEEP, self, Sweep())
-
     def plea(self, note: Plea) -> None:
         """Never all at once on thin evidence: what all endpoints share is not one endpoint's fault."""
         aside = sum(1 for name in self.listed if self.endpoints[name].mode == "aside")
@@ -821,21 +872,18 @@
         self.desk = Desk(self.mail, allow, chance)
         self.roster = self.desk.roster = Roster(self.mail, allow, self.desk, chance, d)
         self.armed: int | None = None
-        self.begun = False
 
     def step(self, now: int, notes: list[t.Note]) -> list[t.Order]:
         mail = self.mail
         mail.now, mail.orders = now, []
-        if not self.begun:
-            self.begun = True
-            mail.alarm(now + SWEEP, self.roster, Sweep())
         for note in notes:
             if isinstance(note, t.Woke):
                 continue
             mail.post(self.roster if isinstance(note, (t.Listed, t.Probed)) else self.desk, note)
             mail.run()
         mail.run()
-        if self.armed is None or self.armed <= now or mail.alarms[0][0] < self.armed:
-            self.armed = max(now + 1, mail.alarms[0][0])
+        at = mail.next_alarm()
+        if at is not None and (self.armed is None or self.armed <= now or at < self.armed):
+            self.armed = max(now + 1, at)
             mail.orders.append(t.WakeMe(self.armed, 1))
         return mail.orders
--- a/lupinmill/workings.py
+++ b/lupinmill/workings.py
@@ -77,16 +77,26 @@
             for note in inbox:
                 part.take(note)
 
+    def next_alarm(self) -> int | None:
+        """When to be woken; alarms of what has ended meanwhile wake nobody."""
+        while self.alarms and isinstance(self.alarms[0][3], GiveUp) and self.alarms[0][3].submission.done:
+            heappop(self.alarms)
+        return self.alarms[0][0] if self.alarms else None
+
     def log(self, text: str) -> None:
         self.orders.append(t.Log(text))
 
 
 @dataclass(slots=True)
-class Standing:  # endpoint -> desk: may it be picked, how much may be in flight, since when is it cold
+class Standing:  # endpoint -> desk: may it be picked, what it takes, what it was seen and heard to do
     name: str
     open: bool
+    trial: bool
     crowded: bool
-    cap: float
+    share: float
+    pace: float | None
+    told: float | None
+    told_at: int
     cold_since: int | None
     zone: str
     cell: str
@@ -97,40 +107,27 @@
     pass
 
 
-@dataclass(slots=True)
-class Answer:  # desk -> endpoint; pace is the time taken as a multiple of the uncrowded time
-    how: t.How
-    pace: float
-    load: t.Load | None
-    overtaken: bool  # ended by us or by its client, not by the endpoint
-
-
-@dataclass(slots=True)
-class Sweep:  # roster -> all; what is usual in the fleet
-    usual: int = 0
+@dataclass(slots=True, frozen=True)
+class Usual:  # desk -> endpoint; what is usual in the fleet: crowding is the pace of all answers together
+    took: int = 1_000_000
     crowding: float = 1.0
-    held: bool = False
     pace: float = 1.0
     failing: float = 0.0
-    cap: float = 0.0
     told: float = 0.0
 
 
 @dataclass(slots=True)
-class Usual:  # desk -> roster; crowding is the pace of all answers together
-    took: int
-    crowding: float
-    held: bool
+class Answer:  # desk -> endpoint; pace is the time taken as a multiple of the uncrowded time
+    how: t.How
+    pace: float
+    load: t.Load | None
+    overtaken: bool  # ended by us or by its client, not by the endpoint
+    usual: Usual
 
 
 @dataclass(slots=True)
-class Figures:  # endpoint -> roster, after each sweep
-    name: str
-    pace: float | None
-    failed: float
-    answered: float
-    cap: float
-    told: float | None
+class Sweep:  # desk -> desk
+    pass
 
 
 @dataclass(slots=True)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,5 +1,6 @@
 """Plain cases, seeded random runs over the four rules, and one small test for each failure found."""
 import random
+import sys
 from math import ceil
 
 import pytest
@@ -349,3 +350,20 @@
     flying = sum(f["how"] is None for fs in bed.flights.values() for f in fs)
     assert flying < 4 * CAP_START
     assert not any("set aside" in line for line in bed.logs)
+
+
+def test_the_work_for_a_submission_does_not_grow_with_the_fleet_and_an_idle_sidecar_sleeps():
+    def calls(endpoints: int) -> int:
+        bed, counted = Bed(deployment(instances=50), endpoints=endpoints), [0]
+
+        def count(frame, event, _):
+            counted[0] += event == "call" and "lupinmill" in frame.f_code.co_filename
+
+        sys.setprofile(count)
+        warm(bed, 40)
+        sys.setprofile(None)
+        bed.run(5 * SECOND)
+        assert not bed.wakes
+        return counted[0]
+
+    assert calls(300) < 1.3 * calls(10)
