--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -30,6 +30,7 @@
 CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
 SHARE_BACK = 0.05  # of the common cap, won back with each answer
+EVIDENCE = 40  # answers behind a mean: the least of many means of few would be far under the uncrowded time
 BEHIND = 1.5  # multiple of the middle pace beyond which one is picked after the others
 TOLD_AGE = 2_500 * MS  # a load report counts for this long
 SILENCE = 4.0  # multiples of the usual answer time without an answer before an endpoint counts as silent, ...
@@ -51,7 +52,7 @@
     def add(self, now: int, took: int) -> None:
         self.usual += (took - self.usual) * (0.05 if self.means else 0.2)
         self.total, self.count = self.total + took, self.count + 1
-        if now // (2 * SECOND) != self.mark and self.count >= 10:
+        if now // (2 * SECOND) != self.mark and self.count >= EVIDENCE:
             self.mark = now // (2 * SECOND)
             self.means.append(self.total / self.count)
             self.uncrowded = min(self.means)
