--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -32,7 +32,8 @@
 SHARE_BACK = 0.05  # of the common cap, won back with each answer
 EVIDENCE = 40  # answers behind a mean: the least of many means of few would be far under the uncrowded time
 BEHIND = 1.5  # multiple of the middle pace beyond which one is picked after the others
-TOLD_AGE = 2_500 * MS  # a load report counts for this long
+TOLD_AGE = 2_500 * MS  # a load report counts for this long, ...
+TOLD_KEPT = 8  # ... and so many of the last ones decide between ties
 SILENCE = 4.0  # multiples of the usual answer time without an answer before an endpoint counts as silent, ...
 LONELY = 6.0  # ... and this many more, shared by the launches out there: a single one may just be long
 SLOW = 2.7  # multiple of the middle endpoint's pace beyond which one is judged slow
@@ -135,6 +136,7 @@
         self.workloads = {w.name: w for w in d.workloads}
         self.most_launches = d.most_launches
         self.copies, self.cancel = d.copies_allowed, d.cancel_allowed
+        self.reports = d.probes_allowed and d.reports
         self.advice = d.longest_advice if d.advice_allowed else 0
         self.margin = 2 * d.round
         self.cold_share, self.cold_time = d.cold_share, max(1, d.cold_time)
@@ -161,6 +163,7 @@
         self.ready, self.flying, self.shares = 0, 0, 0.0  # sums over the ready ones
         self.busy: dict[str, Seat] = {}  # with launches in flight
         self.cap = allow.cap_start  # common to all; each endpoint takes its share of it
+        self.told: deque[Seat] = deque(maxlen=TOLD_KEPT)  # the last that reported their load
         self.usual = Usual()
         self.sweeping, self.swept = False, 0
         self.lanes: dict[tuple[str, bool, bool], int] = {}
@@ -320,6 +323,10 @@
                 shelf = self.shelves[behind + load]
                 if late and (behind or load >= mean):
                     shelf, late = shelf + late, []
+                if not behind:
+                    told = self.told_least(load, s, tried)
+                    if told is not None:
+                        return told
                 start = self.chance.upto(len(shelf) - 1) if len(shelf) > 1 else 0
                 for at in range(start, start + len(shelf)):
                     seat = shelf[at % len(shelf)]
@@ -329,6 +336,27 @@
                         return seat
         return None
 
+    def told_least(self, load: int, s: Submission, tried: list[Seat]) -> Seat | None:
+        """Of equals the one that last told of the least load, if that is less than the mean; each report
+        fades to the mean. Guards against ties at random where own launches in flight are mostly none."""
+        mean = self.usual.told
+        best, least = None, mean
+        for seat in self.told:
+            if seat.shelf == load and seat.told is not None and seat.cold_since is None:
+                faded = min(1.0, (self.mail.now - seat.told_at) / TOLD_AGE)
+                likely = seat.told + (mean - seat.told) * faded
+                if likely < least and self.may_take(seat, s, tried):
+                    best, least = seat, likely
+        return best
+
+    def ask_around(self) -> None:
+        """One shallow probe for a launch at most, for the ties to come, while most own places are empty."""
+        if self.allow.reports and 2 * self.flying < self.ready:
+            shelf = self.shelves[0]
+            seat = shelf[self.chance.upto(len(shelf) - 1)]
+            if seat not in self.told or self.mail.now - seat.told_at > TOLD_AGE // 4:
+                self.mail.orders.append(t.Probe(seat.name))
+
     def places(self, share: float) -> int:
         return max(1, ceil(self.cap * share))
 
@@ -395,6 +423,7 @@
         self.launched.add(now)
         self.mail.orders.append(t.Launch(s.name, seat.name, s.due))
         self.mail.post(self.endpoints[seat.name], Sent())
+        self.ask_around()
         return True
 
     def unhold(self, s: Submission) -> None:
@@ -540,6 +569,8 @@
         seat.open, seat.trial, seat.crowded, seat.share = note.open, note.trial, note.crowded, note.share
         seat.pace, seat.told, seat.told_at = note.pace, note.told, note.told_at
         seat.cold_since, seat.zone, seat.cell = note.cold_since, note.zone, note.cell
+        if note.told is not None and note.told_at == self.mail.now and seat not in self.told:
+            self.told.append(seat)
         self.count(seat, 1)
         self.shelve(seat)
 
@@ -691,10 +722,10 @@
             self.plead("failed its trial", True)
 
     def report(self, load: t.Load) -> None:
-        """What it says it holds, where reports come; missing figures leave the judgement as it was."""
+        """How long it takes for one more by its own word; missing figures leave the judgement as it was."""
         told = load.held if load.held is not None else load.queued
-        if told is not None:
-            self.told, self.told_at = told, self.mail.now
+        if told is not None and load.service != 0:
+            self.told, self.told_at = (told + 1) * (load.service or 1.0), self.mail.now
 
     def judge(self) -> None:
         """From its answers, against what is usual in the fleet."""
@@ -703,7 +734,7 @@
         # more than the others, or is slower, goes behind them, for as long as that news is fresh.
         if self.told is not None and now - self.told_at > TOLD_AGE:
             self.told = None
-        self.crowded = self.told is not None and self.told > 2 * usual.told + 1
+        self.crowded = self.told is not None and self.told > 2 * usual.told
         if self.pace and self.answers >= 3 and now - self.heard < TOLD_AGE:
             self.crowded = self.crowded or self.pace > BEHIND * max(1.0, usual.pace)
         failed, answered = self.failed.total(now), self.answered.total(now)
@@ -773,7 +804,13 @@
             self.back()
 
     def probed(self, note: t.Probed) -> None:
+        if note.load is not None:
+            self.report(note.load)
         if self.mode != "aside":
+            if note.how is t.How.UNCONNECTED:
+                self.failure(note.how)
+            self.judge()
+            self.tell()
             return
         if note.how is not t.How.HANDLED:
             self.good_probes = 0
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -94,6 +94,7 @@
     copies_allowed: bool = False
     cancel_allowed: bool = False
     probes_allowed: bool = False
+    reports: bool = False  # a probe brings a load report
     advice_allowed: bool = False
     longest_advice: int = 0
 
