--- a/lupinmill/benchlink/codec.py
+++ b/lupinmill/benchlink/codec.py
@@ -103,7 +103,7 @@
         copies_allowed=s.flag("limits.may-duplicate"),
         cancel_allowed=s.flag("limits.cancel"),
         probes_allowed=s.flag("limits.probes"),
-        reports=s.text("load-report.how", "off") != "off",
+        reports_asked=s.text("load-report.how", "off") == "on_probe",
         advice_allowed=s.flag("limits.retry-after"),
         longest_advice=s.micros("limits.max-retry-after-s"),
     )
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -136,7 +136,7 @@
         self.workloads = {w.name: w for w in d.workloads}
         self.most_launches = d.most_launches
         self.copies, self.cancel = d.copies_allowed, d.cancel_allowed
-        self.reports = d.probes_allowed and d.reports
+        self.reports = d.probes_allowed and d.reports_asked
         self.advice = d.longest_advice if d.advice_allowed else 0
         self.margin = 2 * d.round
         self.cold_share, self.cold_time = d.cold_share, max(1, d.cold_time)
@@ -337,11 +337,12 @@
         return None
 
     def told_least(self, load: int, s: Submission, tried: list[Seat]) -> Seat | None:
-        """Of equals the one that last told of the least load, if that is less than the mean; each report
-        fades to the mean. Guards against ties at random where own launches in flight are mostly none."""
+        """Of two equals that told of their load the lesser one, if that is less than the mean; each report
+        fades to the mean. Guards against ties at random where own launches in flight are mostly none; the
+        least of more would have all sidecars run after the same old report."""
         mean = self.usual.told
         best, least = None, mean
-        for seat in self.told:
+        for seat in self.two_of(self.told):
             if seat.shelf == load and seat.told is not None and seat.cold_since is None:
                 faded = min(1.0, (self.mail.now - seat.told_at) / TOLD_AGE)
                 likely = seat.told + (mean - seat.told) * faded
@@ -349,10 +350,16 @@
                     best, least = seat, likely
         return best
 
+    def two_of(self, seats: deque[Seat]) -> list[Seat]:
+        if len(seats) <= 2:
+            return list(seats)
+        one, other = self.chance.upto(len(seats) - 1), self.chance.upto(len(seats) - 2)
+        return [seats[one], seats[other + (other >= one)]]
+
     def ask_around(self) -> None:
         """One shallow probe for a launch at most, for the ties to come, while most own places are empty."""
-        if self.allow.reports and 2 * self.flying < self.ready:
-            shelf = self.shelves[0]
+        shelf = self.shelves[0]
+        if shelf and self.allow.reports and 2 * self.flying < self.ready:
             seat = shelf[self.chance.upto(len(shelf) - 1)]
             if seat not in self.told or self.mail.now - seat.told_at > TOLD_AGE // 4:
                 self.mail.orders.append(t.Probe(seat.name))
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -94,7 +94,7 @@
     copies_allowed: bool = False
     cancel_allowed: bool = False
     probes_allowed: bool = False
-    reports: bool = False  # a probe brings a load report
+    reports_asked: bool = False  # load reports come with probes alone
     advice_allowed: bool = False
     longest_advice: int = 0
 
