--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -59,7 +59,8 @@
             self.uncrowded = min(self.means)
             self.total, self.count = 0.0, 0
         elif not self.means:
-            self.uncrowded = self.usual
+            # Following it up here would call a crowd at the start the uncrowded state, and let caps grow.
+            self.uncrowded = min(self.uncrowded, self.usual)
 
 
 # --- the desk -----------------------------------------------------------------------------------
