--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -251,7 +251,9 @@
         """Denies at once what would wait in vain; guards against queues that answer nobody in time."""
         lane = self.queue[s.lane]
         ahead = sum(len(other.line) for other in self.queue if other.worth > lane.worth) + len(lane.line)
-        rate = max(1.0, self.launched.total(self.mail.now))
+        # The launches of the last second are few and chance where many sidecars share the traffic: what the
+        # room allows at the usual answer time counts too.
+        rate = max(1.0, self.launched.total(self.mail.now), self.room() * SECOND / self.gauge(s.workload).usual)
         limit = self.patience(s)
         if self.mail.now + int(ahead / rate * SECOND) > limit:
             if not self.shedding:
