--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -340,12 +340,11 @@
         return None
 
     def told_least(self, load: int, s: Submission, tried: list[Seat]) -> Seat | None:
-        """Of two equals that told of their load the lesser one, if that is less than the mean; each report
-        fades to the mean. Guards against ties at random where own launches in flight are mostly none; the
-        least of more would have all sidecars run after the same old report."""
+        """Of equals that told of their load the least, if that is less than the mean; each report fades to
+        the mean. Guards against ties at random where own launches in flight are mostly none."""
         mean = self.usual.told
         best, least = None, mean
-        for seat in self.two_of(self.told):
+        for seat in self.some_told():
             if seat.shelf == load and seat.told is not None and seat.cold_since is None:
                 faded = min(1.0, (self.mail.now - seat.told_at) / TOLD_AGE)
                 likely = seat.told + (mean - seat.told) * faded
@@ -353,9 +352,12 @@
                     best, least = seat, likely
         return best
 
-    def two_of(self, seats: deque[Seat]) -> list[Seat]:
-        if len(seats) <= 2:
-            return list(seats)
+    def some_told(self) -> list[Seat]:
+        """Probes name endpoints at random, so that all their reports may be compared; those in answers name
+        the ones just chosen, by others too: more than two would have all run after the same old figure."""
+        seats = list(self.told)
+        if self.allow.reports or len(seats) <= 2:
+            return seats
         one, other = self.chance.upto(len(seats) - 1), self.chance.upto(len(seats) - 2)
         return [seats[one], seats[other + (other >= one)]]
 
