--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -10,7 +10,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field, replace
-from math import ceil
+from math import ceil, sqrt
 from typing import Any
 
 from lupinmill import terms as t
@@ -27,6 +27,7 @@
 # Of all sidecars together, shared out evenly: the most an endpoint's caps start with, what they add a sweep
 # while submissions are held and answers come fast, and what they leave at the least.
 FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 4.0
+UNEVEN = 0.6  # of that where caps are fractions: launches then fall unevenly, and the fullest jams first
 CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
 SHARE_BACK = 0.05  # of the common cap, won back with each answer
@@ -143,8 +144,9 @@
         self.cold_share, self.cold_time = d.cold_share, max(1, d.cold_time)
         # Where many sidecars share the endpoints even one launch from each would jam them, so caps may be
         # fractions: the sum over the endpoints then limits what is in flight.
-        self.cap_start = min(CAP_START, FLEET_START / d.instances)
-        self.cap_growth, self.cap_floor = FLEET_GROWTH / d.instances, FLEET_FLOOR / d.instances
+        even = 1.0 if d.instances <= FLEET_START else UNEVEN
+        self.cap_start = min(CAP_START, even * FLEET_START / d.instances)
+        self.cap_growth, self.cap_floor = FLEET_GROWTH / d.instances, even * FLEET_FLOOR / d.instances
         # The more the goal pools all workloads, the more value counts against evenness.
         weight = d.pooled_weight + d.evenness_weight
         self.greed = d.pooled_weight / weight if weight else 1.0
@@ -307,8 +309,13 @@
         return s.workload.group is t.Group.ALL or (bool(seat.cell) and seat.cell == first.seat.cell)
 
     def room(self) -> float:
-        """Launches in flight at all ready endpoints together: fractions of caps count here."""
-        return max(1.0, self.cap * self.shares)
+        """Launches in flight at all ready endpoints together: fractions of caps count here.
+
+        While answers are quick a small room is exceeded for a moment, as arrivals come by chance: without
+        that hundreds of sidecars would each hold what the fleet together has room for.
+        """
+        room = self.cap * self.shares
+        return max(1.0, room + sqrt(room) if self.cap < 1 and self.crowding < ROOMY else room)
 
     def pick(self, s: Submission) -> Seat | None:
         """Fewest own launches in flight under the cap, random ties; a cold one counts at mean load.
