--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -474,7 +474,9 @@
         overtaken = s.done and not flight.overdue or how in (t.How.CALLED_OFF, t.How.UNSENT)
         pace = note.took / max(1.0, gauge.uncrowded)
         if how in (t.How.HANDLED, t.How.TIMED_OUT):
-            self.crowding += 0.03 * (min(pace, 8.0) - self.crowding)
+            # Over about a second's answers, at least eight: with few a fixed share would see a jam too late.
+            gain = max(0.03, 1 / (8 + self.answered.total(now) / 3))
+            self.crowding += gain * (min(pace, 8.0) - self.crowding)
         if not overtaken:
             self.answered.add(now)
             if how is not t.How.HANDLED:
