--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -29,6 +29,7 @@
 FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 4.0
 UNEVEN = 0.6  # of that where caps are fractions: launches then fall unevenly, and the fullest jams first
 CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
+BUSY = 0.8  # cores less busy than this by reports are not crowded, whatever few answers say
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
 SHARE_BACK = 0.05  # of the common cap, won back with each answer
 EVIDENCE = 40  # answers behind a mean: the least of many means of few would be far under the uncrowded time
@@ -79,6 +80,7 @@
     pace: float | None = None
     told: float | None = None
     told_at: int = 0
+    busy: float = 1.0
     flying: int = 0
     shelf: int = -1  # where it stands among the ready ones: by launches in flight, the crowded far behind
     spot: int = 0
@@ -588,7 +590,7 @@
             seat.credit, seat.credited = self.chance.draw(), self.mail.now
         self.count(seat, -1)
         seat.open, seat.trial, seat.crowded, seat.share = note.open, note.trial, note.crowded, note.share
-        seat.pace, seat.told, seat.told_at = note.pace, note.told, note.told_at
+        seat.pace, seat.told, seat.told_at, seat.busy = note.pace, note.told, note.told_at, note.busy
         seat.cold_since, seat.zone, seat.cell = note.cold_since, note.zone, note.cell
         if note.told is not None and note.told_at == self.mail.now and seat not in self.told:
             self.told.append(seat)
@@ -612,7 +614,9 @@
         them set the course."""
         allow = self.allow
         self.sweeping = False
-        if self.crowding > CROWDED:
+        # Few answers make a light day look crowded; where reports come they must bear it out.
+        pressed = self.crowding > CROWDED * (1 if self.usual.busy > BUSY else 2)
+        if pressed:
             self.cap = max(allow.cap_floor, self.cap * 0.93)
         elif self.waiting and self.crowding < ROOMY:
             self.cap = min(float(CAP_TOP), self.cap + allow.cap_growth)
@@ -633,6 +637,7 @@
         took = int(max((g.usual for g in self.gauges.values()), default=was.took))
         failing = self.failed.total(now) / answered if answered else 0.0
         pace, told = was.pace, was.told
+        busy = [seat.busy for seat in self.told if seat.told_at > now - TOLD_AGE]
         if all_:
             paces = sorted([seat.pace for seat in self.seats.values() if seat.pace is not None])
             pace = paces[len(paces) // 2] if paces else 1.0
@@ -641,7 +646,7 @@
             told = sum(reports) / len(reports) if reports else 0.0
             for seat in self.shelves[CAP_TOP]:
                 self.mail.post(self.endpoints[seat.name], self.usual)
-        self.usual = Usual(took, self.crowding, pace, failing, told)
+        self.usual = Usual(took, self.crowding, pace, failing, told, sum(busy) / len(busy) if busy else 1.0)
 
 
 # --- endpoints ----------------------------------------------------------------------------------
@@ -659,7 +664,7 @@
         self.usual = Usual()
         self.share = 1.0  # of the common cap
         self.told: float | None = None
-        self.told_at, self.crowded = 0, False
+        self.told_at, self.busy, self.crowded = 0, 1.0, False
         self.mode = "ready"  # ready, aside, trial
         self.flying = 0
         self.heard = 0  # last answer, or the first launch after having none out
@@ -681,7 +686,7 @@
         open_ = self.mode != "aside" and self.entry.state is t.State.READY
         self.mail.post(self.desk, Standing(
             self.entry.endpoint, open_, self.mode == "trial", self.crowded, self.share, self.pace, self.told,
-            self.told_at, self.cold_since, self.entry.zone, self.entry.cell,
+            self.told_at, self.busy, self.cold_since, self.entry.zone, self.entry.cell,
         ))
 
     def listed(self, entry: t.Listing) -> None:
@@ -747,6 +752,7 @@
         told = load.held if load.held is not None else load.queued
         if told is not None and load.service != 0:
             self.told, self.told_at = (told + 1) * (load.service or 1.0), self.mail.now
+            self.busy = 1.0 if load.busy is None else load.busy
 
     def judge(self) -> None:
         """From its answers, against what is usual in the fleet."""
--- a/lupinmill/workings.py
+++ b/lupinmill/workings.py
@@ -97,6 +97,7 @@
     pace: float | None
     told: float | None
     told_at: int
+    busy: float
     cold_since: int | None
     zone: str
     cell: str
@@ -114,6 +115,7 @@
     pace: float = 1.0
     failing: float = 0.0
     told: float = 0.0
+    busy: float = 1.0
 
 
 @dataclass(slots=True)
