--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -317,7 +317,11 @@
         that hundreds of sidecars would each hold what the fleet together has room for.
         """
         room = self.cap * self.shares
-        return max(1.0, room + sqrt(room) if self.cap < 1 and self.crowding < ROOMY else room)
+        return max(1.0, room if self.cap >= 1 or self.pace_over(ROOMY) else room + sqrt(room))
+
+    def pace_over(self, mark: float) -> bool:
+        """Few answers make a light day look crowded; where reports come they must bear it out."""
+        return self.crowding > mark * (1 if self.usual.busy > BUSY else 2)
 
     def pick(self, s: Submission) -> Seat | None:
         """Fewest own launches in flight under the cap, random ties; a cold one counts at mean load.
@@ -614,11 +618,9 @@
         them set the course."""
         allow = self.allow
         self.sweeping = False
-        # Few answers make a light day look crowded; where reports come they must bear it out.
-        pressed = self.crowding > CROWDED * (1 if self.usual.busy > BUSY else 2)
-        if pressed:
+        if self.pace_over(CROWDED):
             self.cap = max(allow.cap_floor, self.cap * 0.93)
-        elif self.waiting and self.crowding < ROOMY:
+        elif self.waiting and not self.pace_over(ROOMY):
             self.cap = min(float(CAP_TOP), self.cap + allow.cap_growth)
         self.swept += 1
         self.look_over(self.swept % 5 == 0)
