--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -320,8 +320,9 @@
         return max(1.0, room if self.cap >= 1 or self.pace_over(ROOMY) else room + sqrt(room))
 
     def pace_over(self, mark: float) -> bool:
-        """Few answers make a light day look crowded; where reports come they must bear it out."""
-        return self.crowding > mark * (1 if self.usual.busy > BUSY else 2)
+        """Few answers make a light day look crowded; where reports are probed for they must bear it out.
+        Those in answers are too late, and tell of the endpoints just chosen."""
+        return self.crowding > mark * (2 if self.allow.reports and self.usual.busy < BUSY else 1)
 
     def pick(self, s: Submission) -> Seat | None:
         """Fewest own launches in flight under the cap, random ties; a cold one counts at mean load.
