--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -171,6 +171,7 @@
         self.told: deque[Seat] = deque(maxlen=TOLD_KEPT)  # the last that reported their load
         self.usual = Usual()
         self.sweeping, self.swept = False, 0
+        self.luck, self.redraw = 0.0, 0
         self.lanes: dict[tuple[str, bool, bool], int] = {}
         self.queue: list[Lane] = []
         self.bound: list[Submission] = []  # held, but some group of endpoints alone will do
@@ -257,12 +258,13 @@
         ahead = sum(len(other.line) for other in self.queue if other.worth > lane.worth) + len(lane.line)
         # The launches of the last second are few and chance where many sidecars share the traffic: what the
         # room allows at the usual answer time counts too.
-        rate = max(1.0, self.launched.total(self.mail.now), self.room() * SECOND / self.gauge(s.workload).usual)
+        allowed = self.cap * self.shares * SECOND / self.gauge(s.workload).usual
+        rate = max(1.0, self.launched.total(self.mail.now), allowed)
         limit = self.patience(s)
         if self.mail.now + int(ahead / rate * SECOND) > limit:
             if not self.shedding:
                 self.shedding = True
-                self.mail.log(f"shedding: {self.waiting} held, {rate:.0f} launches/s, room {self.room():.1f}")
+                self.mail.log(f"shedding: {self.waiting} held, {rate:.0f} launches/s, room {self.cap * self.shares:.1f}")
             self.finish(s)
         else:
             self.mail.alarm(limit, self, GiveUp(s, False))
@@ -310,14 +312,21 @@
             return bool(seat.zone) and seat.zone == first.seat.zone
         return s.workload.group is t.Group.ALL or (bool(seat.cell) and seat.cell == first.seat.cell)
 
-    def room(self) -> float:
-        """Launches in flight at all ready endpoints together: fractions of caps count here.
+    def room(self) -> int:
+        """Launches in flight at all ready endpoints together.
 
-        While answers are quick a small room is exceeded for a moment, as arrivals come by chance: without
-        that hundreds of sidecars would each hold what the fleet together has room for.
+        Fractions are rounded by chance, drawn anew for each usual answer time, down to none at all: one
+        launch from each of hundreds of sidecars would jam a small fleet. While answers are quick a small
+        room is exceeded for a moment, as arrivals come by chance.
         """
         room = self.cap * self.shares
-        return max(1.0, room if self.cap >= 1 or self.pace_over(ROOMY) else room + sqrt(room))
+        if self.cap >= 1:
+            return max(1, ceil(room))
+        if not self.pace_over(ROOMY):
+            room += min(sqrt(room), room * (1 / UNEVEN - 1))
+        if self.mail.now >= self.redraw:
+            self.luck, self.redraw = self.chance.draw(), self.mail.now + self.usual.took
+        return int(room + self.luck)
 
     def pace_over(self, mark: float) -> bool:
         """Few answers make a light day look crowded; where reports are probed for they must bear it out.
@@ -629,7 +638,7 @@
             self.mail.post(self.endpoints[seat.name], self.usual)
         if self.shedding and not self.waiting:
             self.shedding = False
-            self.mail.log(f"shedding ended: {self.flying} in flight, room {self.room():.1f}")
+            self.mail.log(f"shedding ended: {self.flying} in flight, room {self.cap * self.shares:.1f}")
         if self.open:
             self.keep_sweeping()
 
