--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -27,7 +27,7 @@
 # Of all sidecars together, shared out evenly: the most an endpoint's caps start with, what they add a sweep
 # while submissions are held and answers come fast, and what they leave at the least.
 FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 4.0
-UNEVEN = 0.6  # of that where caps are fractions: launches then fall unevenly, and the fullest jams first
+UNEVEN = 0.7  # of that at the start where caps are fractions: launches then fall unevenly, and the fullest jams first
 CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
 BUSY = 0.8  # cores less busy than this by reports are not crowded, whatever few answers say
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
@@ -148,7 +148,7 @@
         # fractions: the sum over the endpoints then limits what is in flight.
         even = 1.0 if d.instances <= FLEET_START else UNEVEN
         self.cap_start = min(CAP_START, even * FLEET_START / d.instances)
-        self.cap_growth, self.cap_floor = FLEET_GROWTH / d.instances, even * FLEET_FLOOR / d.instances
+        self.cap_growth, self.cap_floor = FLEET_GROWTH / d.instances, FLEET_FLOOR / d.instances
         # The more the goal pools all workloads, the more value counts against evenness.
         weight = d.pooled_weight + d.evenness_weight
         self.greed = d.pooled_weight / weight if weight else 1.0
