--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -148,7 +148,7 @@
         # fractions: the sum over the endpoints then limits what is in flight.
         even = 1.0 if d.instances <= FLEET_START else UNEVEN
         self.cap_start = min(CAP_START, even * FLEET_START / d.instances)
-        self.cap_growth, self.cap_floor = FLEET_GROWTH / d.instances, FLEET_FLOOR / d.instances
+        self.cap_growth, self.cap_floor = even * even * FLEET_GROWTH / d.instances, FLEET_FLOOR / d.instances
         # The more the goal pools all workloads, the more value counts against evenness.
         weight = d.pooled_weight + d.evenness_weight
         self.greed = d.pooled_weight / weight if weight else 1.0
@@ -317,12 +317,13 @@
 
         Fractions are rounded by chance, drawn anew for each usual answer time, down to none at all: one
         launch from each of hundreds of sidecars would jam a small fleet. While answers are quick a small
-        room is exceeded for a moment, as arrivals come by chance.
+        room is exceeded for a moment, as arrivals come by chance, if the last second kept to it on average.
         """
         room = self.cap * self.shares
         if self.cap >= 1:
             return max(1, ceil(room))
-        if not self.pace_over(ROOMY):
+        mean = self.launched.total(self.mail.now) * self.usual.took / SECOND
+        if mean <= room and not self.pace_over(ROOMY):
             room += min(sqrt(room), room * (1 / UNEVEN - 1))
         if self.mail.now >= self.redraw:
             self.luck, self.redraw = self.chance.draw(), self.mail.now + self.usual.took
