--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -27,7 +27,7 @@
 # Of all sidecars together, shared out evenly: the most an endpoint's caps start with, what they add a sweep
 # while submissions are held and answers come fast, and what they leave at the least.
 FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 4.0
-UNEVEN = 0.7  # of that at the start where caps are fractions: launches then fall unevenly, and the fullest jams first
+UNEVEN = 0.7  # of that at the start where caps are fractions: the fullest of uneven ones jams first
 CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
 BUSY = 0.8  # cores less busy than this by reports are not crowded, whatever few answers say
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
@@ -45,8 +45,6 @@
 class Gauge:
     """Answer times of one workload: the usual one now, and the uncrowded one of the last half minute."""
 
-    __slots__ = ("usual", "uncrowded", "means", "mark", "total", "count")
-
     def __init__(self, guess: int) -> None:
         self.usual = self.uncrowded = float(guess)
         self.means: deque[float] = deque(maxlen=15)
@@ -73,22 +71,12 @@
     """What the desk knows of an endpoint: its own launches there, and the endpoint's last Standing."""
 
     name: str
-    open: bool = False
-    trial: bool = False
-    crowded: bool = False
-    share: float = 0.0  # of the common cap
-    pace: float | None = None
-    told: float | None = None
-    told_at: int = 0
-    busy: float = 1.0
+    says: Standing
     flying: int = 0
     shelf: int = -1  # where it stands among the ready ones: by launches in flight, the crowded far behind
     spot: int = 0
-    cold_since: int | None = None
     credit: float = 0.0
     credited: int = 0
-    zone: str = ""
-    cell: str = ""
 
 
 @dataclass(slots=True)
@@ -136,14 +124,13 @@
 
     def __init__(self, d: t.Deployment) -> None:
         self.front = d.tier == 0
-        self.instances = d.instances
         self.workloads = {w.name: w for w in d.workloads}
         self.most_launches = d.most_launches
         self.copies, self.cancel = d.copies_allowed, d.cancel_allowed
-        self.reports = d.probes_allowed and d.reports_asked
+        self.probes, self.reports = d.probes_allowed, d.probes_allowed and d.reports_asked
         self.advice = d.longest_advice if d.advice_allowed else 0
         self.margin = 2 * d.round
-        self.cold_share, self.cold_time = d.cold_share, max(1, d.cold_time)
+        self.cold_share, self.cold_time, self.beyond = d.cold_share, max(1, d.cold_time), d.beyond_share_value
         # Where many sidecars share the endpoints even one launch from each would jam them, so caps may be
         # fractions: the sum over the endpoints then limits what is in flight.
         even = 1.0 if d.instances <= FLEET_START else UNEVEN
@@ -153,7 +140,6 @@
         weight = d.pooled_weight + d.evenness_weight
         self.greed = d.pooled_weight / weight if weight else 1.0
         self.quotas = {q.name: q.quota_per_s / d.instances for q in d.tenants} if self.front else {}
-        self.beyond = d.beyond_share_value
 
 
 class Desk:
@@ -169,15 +155,12 @@
         self.busy: dict[str, Seat] = {}  # with launches in flight
         self.cap = allow.cap_start  # common to all; each endpoint takes its share of it
         self.told: deque[Seat] = deque(maxlen=TOLD_KEPT)  # the last that reported their load
-        self.usual = Usual()
-        self.sweeping, self.swept = False, 0
+        self.usual, self.sweeping, self.swept = Usual(), False, 0
         self.luck, self.redraw = 0.0, 0
         self.lanes: dict[tuple[str, bool, bool], int] = {}
         self.queue: list[Lane] = []
         self.bound: list[Submission] = []  # held, but some group of endpoints alone will do
-        self.waiting = 0
-        self.shedding = False
-        self.crowding = 1.0
+        self.waiting, self.shedding, self.crowding = 0, False, 1.0
         self.gauges: dict[str, Gauge] = {}
         self.taken = Ring(RETRY_BUCKETS, SECOND // 2)
         self.retried = Ring(RETRY_BUCKETS, SECOND // 2)
@@ -219,9 +202,9 @@
             self.admit(s)
 
     def beyond_share(self, tenant: str) -> bool:
-        ring = self.sent_by.get(tenant)
-        if ring is None:
+        if tenant not in self.sent_by:
             return False
+        ring = self.sent_by[tenant]
         ring.add(self.mail.now)
         return ring.total(self.mail.now) / 2 > self.allow.quotas[tenant] * 1.1
 
@@ -258,24 +241,21 @@
         ahead = sum(len(other.line) for other in self.queue if other.worth > lane.worth) + len(lane.line)
         # The launches of the last second are few and chance where many sidecars share the traffic: what the
         # room allows at the usual answer time counts too.
-        allowed = self.cap * self.shares * SECOND / self.gauge(s.workload).usual
+        room, limit = self.cap * self.shares, self.patience(s)
+        allowed = room * SECOND / self.gauge(s.workload).usual
         rate = max(1.0, self.launched.total(self.mail.now), allowed)
-        limit = self.patience(s)
-        if self.mail.now + int(ahead / rate * SECOND) > limit:
-            if not self.shedding:
-                self.shedding = True
-                self.mail.log(f"shedding: {self.waiting} held, {rate:.0f} launches/s, room {self.cap * self.shares:.1f}")
-            self.finish(s)
-        else:
+        if self.mail.now + int(ahead / rate * SECOND) <= limit:
             self.mail.alarm(limit, self, GiveUp(s, False))
+            return
+        if not self.shedding:
+            self.shedding = True
+            self.mail.log(f"shedding: {self.waiting} held, {rate:.0f} launches/s, room {room:.1f}")
+        self.finish(s)
 
     # Held submissions are launched.
 
     def dispatch(self) -> None:
-        if self.bound:
-            for s in self.bound[:]:
-                if not s.held or self.try_launch(s):
-                    self.bound.remove(s)
+        self.bound = [s for s in self.bound if s.held and not self.try_launch(s)]
         while True:
             best, urgency = None, -1.0
             for lane in self.queue:
@@ -296,21 +276,20 @@
         if s.done or s.streaming or len(s.flights) >= self.allow.most_launches:
             return False
         first = s.first_run()
-        if first is None:
-            return True
-        if s.out() and not self.allow.copies:
-            return False
+        if first is None or s.out() and not self.allow.copies:
+            return first is None
         if s.workload.repeat is t.Repeat.DEDUPLICATED:
             return self.mail.now < first.sent + s.workload.window - self.allow.margin
         return s.workload.repeat is t.Repeat.IDEMPOTENT
 
     def group_allows(self, s: Submission, seat: Seat) -> bool:
-        first = s.first_run()
-        if first is None or s.workload.repeat is not t.Repeat.DEDUPLICATED:
+        first, group = s.first_run(), s.workload.group
+        if first is None or s.workload.repeat is not t.Repeat.DEDUPLICATED or group is t.Group.ALL:
             return True
-        if s.workload.group is t.Group.ZONE:
-            return bool(seat.zone) and seat.zone == first.seat.zone
-        return s.workload.group is t.Group.ALL or (bool(seat.cell) and seat.cell == first.seat.cell)
+        old, new = first.seat.says, seat.says
+        if group is t.Group.ZONE:
+            return bool(new.zone) and new.zone == old.zone
+        return bool(new.cell) and new.cell == old.cell
 
     def room(self) -> int:
         """Launches in flight at all ready endpoints together.
@@ -341,73 +320,62 @@
         """
         if not self.ready or self.flying >= self.room():
             return None
-        mean = round(self.flying / self.ready)
         tried = [flight.seat for flight in s.flights]
-        deepest = min(CAP_TOP, self.places(1.0))
-        late: list[Seat] = []
         for behind in (0, CAP_TOP):
-            for load in range(deepest):
+            for load in range(min(CAP_TOP, max(1, ceil(self.cap)))):
                 shelf = self.shelves[behind + load]
-                if late and (behind or load >= mean):
-                    shelf, late = shelf + late, []
-                if not behind:
-                    told = self.told_least(load, s, tried)
-                    if told is not None:
-                        return told
+                told = None if behind else self.told_least(load, s, tried)
+                if told is not None:
+                    return told
                 start = self.chance.upto(len(shelf) - 1) if len(shelf) > 1 else 0
                 for at in range(start, start + len(shelf)):
-                    seat = shelf[at % len(shelf)]
-                    if seat.cold_since is not None and load < mean and not behind:
-                        late.append(seat)
-                    elif self.may_take(seat, s, tried):
-                        return seat
+                    if self.may_take(shelf[at % len(shelf)], s, tried):
+                        return shelf[at % len(shelf)]
         return None
 
     def told_least(self, load: int, s: Submission, tried: list[Seat]) -> Seat | None:
         """Of equals that told of their load the least, if that is less than the mean; each report fades to
-        the mean. Guards against ties at random where own launches in flight are mostly none."""
-        mean = self.usual.told
-        best, least = None, mean
-        for seat in self.some_told():
-            if seat.shelf == load and seat.told is not None and seat.cold_since is None:
-                faded = min(1.0, (self.mail.now - seat.told_at) / TOLD_AGE)
-                likely = seat.told + (mean - seat.told) * faded
+        the mean. Guards against ties at random where own launches in flight are mostly none.
+
+        Probes name endpoints at random, so that all their reports may be compared; those in answers name
+        the ones just chosen, by others too: more than two would have all run after the same old figure.
+        """
+        told = list(self.told)
+        if len(told) > 2 and not self.allow.reports:
+            at = self.chance.upto(len(told) - 1)
+            told = [told[at], told[at - 1]]
+        mean = least = self.usual.told
+        best = None
+        for seat in told:
+            says = seat.says
+            if seat.shelf == load and says.told is not None and says.cold_since is None:
+                faded = min(1.0, (self.mail.now - says.told_at) / TOLD_AGE)
+                likely = says.told + (mean - says.told) * faded
                 if likely < least and self.may_take(seat, s, tried):
                     best, least = seat, likely
         return best
 
-    def some_told(self) -> list[Seat]:
-        """Probes name endpoints at random, so that all their reports may be compared; those in answers name
-        the ones just chosen, by others too: more than two would have all run after the same old figure."""
-        seats = list(self.told)
-        if self.allow.reports or len(seats) <= 2:
-            return seats
-        one, other = self.chance.upto(len(seats) - 1), self.chance.upto(len(seats) - 2)
-        return [seats[one], seats[other + (other >= one)]]
-
     def ask_around(self) -> None:
         """One shallow probe for a launch at most, for the ties to come, while most own places are empty."""
         shelf = self.shelves[0]
         if shelf and self.allow.reports and 2 * self.flying < self.ready:
             seat = shelf[self.chance.upto(len(shelf) - 1)]
-            if seat not in self.told or self.mail.now - seat.told_at > TOLD_AGE // 4:
+            if seat not in self.told or self.mail.now - seat.says.told_at > TOLD_AGE // 4:
                 self.mail.orders.append(t.Probe(seat.name))
 
-    def places(self, share: float) -> int:
-        return max(1, ceil(self.cap * share))
-
     def may_take(self, seat: Seat, s: Submission, tried: list[Seat]) -> bool:
-        if seat.flying >= (1 if seat.trial else self.places(seat.share)):
+        if seat.flying and (seat.says.trial or seat.flying >= self.cap * seat.says.share):
             return False
-        if tried and (not self.group_allows(s, seat) or (seat in tried and self.ready > len(tried))):
+        if tried and (not self.group_allows(s, seat) or seat in tried and self.ready > len(tried)):
             return False
-        return seat.cold_since is None or self.credited(seat)
+        return seat.says.cold_since is None or self.credited(seat)
 
     def shelve(self, seat: Seat) -> None:
         """Puts it where it belongs now; takes no longer in a large fleet."""
         shelf = -1
-        if seat.open:
-            shelf = min(seat.flying, CAP_TOP - 1) + (CAP_TOP if seat.crowded else 0)
+        if seat.says.open:
+            mean = 0 if seat.says.cold_since is None else round(self.flying / self.ready)
+            shelf = min(max(seat.flying, mean), CAP_TOP - 1) + (CAP_TOP if seat.says.crowded else 0)
         if shelf == seat.shelf:
             return
         if seat.shelf >= 0:
@@ -426,9 +394,9 @@
         and sidecars that find the same endpoint together start with different credit.
         """
         now, allow = self.mail.now, self.allow
-        age = now - seat.cold_since
+        age = now - seat.says.cold_since
         if age >= allow.cold_time:
-            seat.cold_since = None
+            seat.says.cold_since = None
             return True
         warmth = allow.cold_share + (1 - allow.cold_share) * max(0, age) / allow.cold_time
         rate = self.launched.total(now) / max(1, self.ready)
@@ -448,7 +416,7 @@
             return False
         self.unhold(s)
         now = self.mail.now
-        if seat.cold_since is not None:
+        if seat.says.cold_since is not None:
             seat.credit -= 1.0
         s.flights.append(Flight(seat, now))
         s.retrying = False
@@ -474,12 +442,11 @@
         if s is None or note.launch >= len(s.flights) or not s.flights[note.launch].out:
             return
         flight, now = s.flights[note.launch], self.mail.now
-        flight.out, flight.never_ran = False, note.how in t.NEVER_RAN
-        seat = flight.seat
+        flight.out, flight.never_ran, seat = False, note.how in t.NEVER_RAN, flight.seat
         seat.flying -= 1
         if not seat.flying:
             del self.busy[seat.name]
-        if seat.open:
+        if seat.says.open:
             self.flying -= 1
             self.shelve(seat)
         gauge = self.gauge(s.workload)
@@ -501,24 +468,20 @@
         self.mail.post(self.endpoints[seat.name], Answer(how, pace, note.load, overtaken, self.usual))
         if note.closed or note.how is t.How.HANDLED:
             self.close(s)
-        if s.done:
-            if not s.out():
-                self.open.pop(s.name, None)
-            return
-        if note.how is t.How.REFUSED:
-            s.refusals += 1
-        if not s.out() and not s.retrying:
-            if not self.plan_retry(s):
-                self.finish(s)
+        s.refusals += note.how is t.How.REFUSED
+        if s.done and not s.out():
+            self.open.pop(s.name, None)
+        elif not s.done and not s.out() and not s.retrying and not self.plan_retry(s):
+            self.finish(s)
 
     def plan_retry(self, s: Submission) -> bool:
         """A further launch after a full-jitter delay, if design, rules and budget allow one."""
-        now, allow = self.mail.now, self.allow
+        now = self.mail.now
         if s.held or not self.may_launch(s):
             return False
         # Inner tiers pass failures up: retries at every layer would multiply. What provably never ran is
         # the exception: it multiplies nothing, and passing it up redoes the work of all upper tiers.
-        if not allow.front and not all(flight.never_ran for flight in s.flights):
+        if not self.allow.front and s.first_run() is not None:
             return False
         if now + int(self.gauge(s.workload).uncrowded * 0.5) > s.contract_end:
             return False
@@ -533,19 +496,17 @@
 
     def retry_due(self, note: RetryDue) -> None:
         s = note.submission
-        if s.done or not s.retrying:
-            return
-        self.hold(s)
-        self.dispatch()
+        if s.retrying:
+            self.hold(s)
+            self.dispatch()
         if s.held:
             self.mail.alarm(max(self.patience(s), self.mail.now), self, GiveUp(s, False))
 
     def silent(self, note: Silent) -> None:
         """Second copies for what hangs at an endpoint that answers nothing."""
         for s in list(self.open.values()):
-            if s.done or s.held or s.retrying or s.streaming:
-                continue
-            if any(f.out and f.seat.name == note.name for f in s.flights) and s.out() == 1:
+            there = any(flight.out and flight.seat.name == note.name for flight in s.flights)
+            if there and s.out() == 1 and not s.retrying:
                 self.plan_retry(s)
 
     def give_up(self, note: GiveUp) -> None:
@@ -556,26 +517,20 @@
             self.unhold(s)  # a copy still waits for an answer
             s.retrying = False
             return
-        if note.final:
-            for flight in s.flights:
-                flight.overdue = flight.out
+        for flight in s.flights:
+            flight.overdue = flight.out
         self.finish(s)
 
     def may_deny(self, s: Submission) -> bool:
         """Rule 2: a denial says that trying again is safe."""
-        w = s.workload
-        if w.repeat is t.Repeat.IDEMPOTENT or s.first_run() is None:
-            return True
-        return w.repeat is t.Repeat.DEDUPLICATED and w.group is t.Group.ALL
+        repeat, group = s.workload.repeat, s.workload.group
+        all_drop = repeat is t.Repeat.DEDUPLICATED and group is t.Group.ALL
+        return all_drop or repeat is t.Repeat.IDEMPOTENT or s.first_run() is None
 
     def finish(self, s: Submission) -> None:
-        """The one final answer that is not 'handled'."""
-        if self.may_deny(s):
-            # Jittered, so that denied clients do not come back as one wave.
-            advice = self.allow.advice // 2 + self.chance.upto(self.allow.advice // 2)
-            self.mail.orders.append(t.Deny(s.name, advice))
-        else:
-            self.mail.orders.append(t.BreakOff(s.name))
+        """The final answer that is not 'handled'; advice is jittered, lest the denied return as a wave."""
+        advice = self.allow.advice // 2 + self.chance.upto(self.allow.advice // 2)
+        self.mail.orders.append(t.Deny(s.name, advice) if self.may_deny(s) else t.BreakOff(s.name))
         self.close(s)
 
     def close(self, s: Submission) -> None:
@@ -590,33 +545,30 @@
             self.open.pop(s.name, None)
 
     def withdraw(self, note: t.Withdrawn) -> None:
-        s = self.open.get(note.submission)
-        if s is not None:
-            self.close(s)
+        if note.submission in self.open:
+            self.close(self.open[note.submission])
 
     def start(self, note: t.Started) -> None:
-        s = self.open.get(note.submission)
-        if s is not None:
-            s.streaming = True
+        if note.submission in self.open:
+            self.open[note.submission].streaming = True
 
     def seat(self, note: Standing) -> None:
-        seat = self.seats.setdefault(note.name, Seat(note.name))
-        if note.cold_since is not None and note.cold_since != seat.cold_since:
+        if note.name in self.seats:
+            self.count(self.seats[note.name], -1)
+        seat = self.seats.setdefault(note.name, Seat(note.name, note))
+        if note.cold_since is not None and (note is seat.says or note.cold_since != seat.says.cold_since):
             seat.credit, seat.credited = self.chance.draw(), self.mail.now
-        self.count(seat, -1)
-        seat.open, seat.trial, seat.crowded, seat.share = note.open, note.trial, note.crowded, note.share
-        seat.pace, seat.told, seat.told_at, seat.busy = note.pace, note.told, note.told_at, note.busy
-        seat.cold_since, seat.zone, seat.cell = note.cold_since, note.zone, note.cell
+        seat.says = note
         if note.told is not None and note.told_at == self.mail.now and seat not in self.told:
             self.told.append(seat)
         self.count(seat, 1)
         self.shelve(seat)
 
     def count(self, seat: Seat, sign: int) -> None:
-        if seat.open:
+        if seat.says.open:
             self.ready += sign
             self.flying += sign * seat.flying
-            self.shares += sign * seat.share
+            self.shares += sign * seat.says.share
 
     def keep_sweeping(self) -> None:
         """An idle sidecar is woken for nothing."""
@@ -650,15 +602,18 @@
         took = int(max((g.usual for g in self.gauges.values()), default=was.took))
         failing = self.failed.total(now) / answered if answered else 0.0
         pace, told = was.pace, was.told
-        busy = [seat.busy for seat in self.told if seat.told_at > now - TOLD_AGE]
+        busy = [seat.says.busy for seat in self.told if seat.says.told_at > now - TOLD_AGE]
         if all_:
-            paces = sorted([seat.pace for seat in self.seats.values() if seat.pace is not None])
+            says = [seat.says for seat in self.seats.values()]
+            paces = sorted(one.pace for one in says if one.pace is not None)
             pace = paces[len(paces) // 2] if paces else 1.0
-            fresh = now - TOLD_AGE
-            reports = [s.told for s in self.seats.values() if s.told is not None and s.told_at > fresh]
+            reports = [one.told for one in says if one.told is not None and one.told_at > now - TOLD_AGE]
             told = sum(reports) / len(reports) if reports else 0.0
             for seat in self.shelves[CAP_TOP]:
                 self.mail.post(self.endpoints[seat.name], self.usual)
+            for seat in self.seats.values():
+                if seat.says.cold_since is not None:
+                    self.shelve(seat)  # the mean that it counts at has moved
         self.usual = Usual(took, self.crowding, pace, failing, told, sum(busy) / len(busy) if busy else 1.0)
 
 
@@ -668,22 +623,18 @@
 class Endpoint:
     """Judges one endpoint: its share of the cap, and whether it is ready, set aside or on trial."""
 
-    def __init__(self, mail: Mail, cold_time: int, desk: Desk, roster: Roster, probes: bool, chance: Chance,
+    def __init__(self, mail: Mail, allow: Allowances, desk: Desk, roster: Roster, chance: Chance,
                  entry: t.Listing) -> None:
         self.inbox: list[Any] = []
-        self.mail, self.cold_time, self.desk, self.roster = mail, cold_time, desk, roster
-        self.probes, self.chance = probes, chance
-        self.entry = entry
-        self.usual = Usual()
-        self.share = 1.0  # of the common cap
+        self.mail, self.desk, self.roster, self.chance, self.entry = mail, desk, roster, chance, entry
+        self.probes, self.cold_time = allow.probes, allow.cold_time
+        self.usual, self.share = Usual(), 1.0  # what is usual in the fleet; its part of the common cap
         self.told: float | None = None
         self.told_at, self.busy, self.crowded = 0, 1.0, False
         self.mode = "ready"  # ready, aside, trial
-        self.flying = 0
-        self.heard = 0  # last answer, or the first launch after having none out
+        self.flying, self.heard = 0, 0  # heard: last answer, or the first launch after having none out
         self.pace: float | None = None
-        self.answers = 0  # since it was last set aside
-        self.broken = 0  # connections broken or not made, in a row
+        self.answers, self.broken = 0, 0  # since it was last set aside; connections broken in a row
         self.failed, self.answered = Ring(6, SECOND // 2), Ring(6, SECOND // 2)
         self.rest, self.turn, self.good_probes, self.eased = REST, 0, 0, 0
         self.cold_since: int | None = None
@@ -703,11 +654,11 @@
         ))
 
     def listed(self, entry: t.Listing) -> None:
-        if entry.started and entry.started != self.entry.started or self.heard == 0:
-            if entry.started and self.mail.now - entry.started < self.cold_time:
-                self.cold_since = entry.started
-                if self.mode == "aside":
-                    self.schedule_probe(0)  # it was restarted: no need to sit out the rest
+        fresh = entry.started and self.mail.now - entry.started < self.cold_time
+        if fresh and (entry.started != self.entry.started or self.heard == 0):
+            self.cold_since = entry.started
+            if self.mode == "aside":
+                self.schedule_probe(0)  # it was restarted: no need to sit out the rest
         self.entry = entry
         self.tell()
 
@@ -736,8 +687,8 @@
     def handled(self, pace: float) -> None:
         self.broken = 0
         self.answers += 1
-        gain = max(0.1, 1 / (self.answers + 1))
-        self.pace = pace if self.pace is None else self.pace + gain * (min(pace, 8) - self.pace)
+        was = pace if self.pace is None else self.pace
+        self.pace = was + max(0.1, 1 / (self.answers + 1)) * (min(pace, 8) - was)
         self.share = min(1.0, self.share + SHARE_BACK)
         if self.mode == "trial" and self.answers >= 3:
             self.end_trial()
@@ -765,7 +716,7 @@
         told = load.held if load.held is not None else load.queued
         if told is not None and load.service != 0:
             self.told, self.told_at = (told + 1) * (load.service or 1.0), self.mail.now
-            self.busy = 1.0 if load.busy is None else load.busy
+        self.busy = 1.0 if load.busy is None else load.busy
 
     def judge(self) -> None:
         """From its answers, against what is usual in the fleet."""
@@ -789,15 +740,14 @@
         """Guards against taking back at full count what is still jammed."""
         if self.pace > SLOW * max(1.0, self.usual.pace):
             self.plead(f"still slow, pace {self.pace:.1f}", True)
-            return
-        self.mode = "ready"
-        self.mail.log(f"{self.entry.endpoint} ready again: 3 answers, pace {self.pace:.1f}")
+        else:
+            self.mode = "ready"
+            self.mail.log(f"{self.entry.endpoint} ready again: 3 answers, pace {self.pace:.1f}")
 
     def ease(self, factor: float) -> None:
         """Lowers its share, at most once per few answers so that one bad moment counts once."""
         if self.mail.now - self.eased >= SWEEP:
-            self.eased = self.mail.now
-            self.share = max(0.1, self.share * factor)
+            self.eased, self.share = self.mail.now, max(0.1, self.share * factor)
 
     def look(self, note: Usual) -> None:
         """Launches are out there, or it stands behind the others: is that still right?"""
@@ -827,8 +777,7 @@
         self.mail.log(f"{self.entry.endpoint} set aside: {note.why}")
         if self.flying and note.why.startswith("silent"):
             self.mail.post(self.desk, Silent(self.entry.endpoint))
-        quick = self.broken >= 2
-        self.schedule_probe(SECOND // 2 if quick else self.rest - self.chance.upto(self.rest // 4))
+        self.schedule_probe(SECOND // 2 if self.broken >= 2 else self.rest - self.chance.upto(self.rest // 4))
         self.tell()
 
     def schedule_probe(self, delay: int) -> None:
@@ -852,15 +801,12 @@
             self.judge()
             self.tell()
             return
-        if note.how is not t.How.HANDLED:
-            self.good_probes = 0
-            self.schedule_probe(SECOND + self.chance.upto(SECOND // 2))
-            return
-        self.good_probes += 1
+        good = note.how is t.How.HANDLED
+        self.good_probes = self.good_probes + 1 if good else 0
         if self.good_probes >= 2:
             self.back()
         else:
-            self.schedule_probe(SECOND // 5)
+            self.schedule_probe(SECOND // 5 if good else SECOND + self.chance.upto(SECOND // 2))
 
     def back(self) -> None:
         """On trial: one launch at a time, counted as cold, since a probe shows only that it runs."""
@@ -882,7 +828,6 @@
     def __init__(self, mail: Mail, allow: Allowances, desk: Desk, chance: Chance, d: t.Deployment) -> None:
         self.inbox: list[Any] = []
         self.mail, self.allow, self.desk, self.chance = mail, allow, desk, chance
-        self.probes = d.probes_allowed
         self.ask_span = max(SECOND, min(d.ask_within, 10 * SECOND)) * 2 // 5 if d.must_ask else 0
         self.asks = 0
         self.endpoints = desk.endpoints
@@ -906,19 +851,16 @@
         if note.kind is not t.ListKind.CACHED:
             self.asks = 0
         if note.kind is not t.ListKind.CHANGES:
-            named = {entry.endpoint: True for entry in note.entries}
-            for name, entry in list(self.listed.items()):
-                if name not in named:
-                    self.tell(replace(entry, state=t.State.GONE))
+            named = {entry.endpoint for entry in note.entries}
+            for entry in [entry for name, entry in self.listed.items() if name not in named]:
+                self.tell(replace(entry, state=t.State.GONE))
         for entry in note.entries:
             self.tell(entry)
 
     def tell(self, entry: t.Listing) -> None:
-        name = entry.endpoint
+        name, allow = entry.endpoint, self.allow
         if name not in self.endpoints:
-            self.endpoints[name] = Endpoint(
-                self.mail, self.allow.cold_time, self.desk, self, self.probes, self.chance, entry
-            )
+            self.endpoints[name] = Endpoint(self.mail, allow, self.desk, self, self.chance, entry)
         if entry.state is t.State.GONE:
             self.listed.pop(name, None)
         else:
@@ -944,9 +886,7 @@
     """One instance: routes outside notes to the parts and keeps one wake-up pending."""
 
     def __init__(self, d: t.Deployment) -> None:
-        self.mail = Mail()
-        chance = Chance(d.seed)
-        allow = Allowances(d)
+        self.mail, chance, allow = Mail(), Chance(d.seed), Allowances(d)
         self.desk = Desk(self.mail, allow, chance)
         self.roster = self.desk.roster = Roster(self.mail, allow, self.desk, chance, d)
         self.armed: int | None = None
