--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -309,9 +309,10 @@
         return int(room + self.luck)
 
     def pace_over(self, mark: float) -> bool:
-        """Few answers make a light day look crowded; where reports are probed for they must bear it out.
-        Those in answers are too late, and tell of the endpoints just chosen."""
-        return self.crowding > mark * (2 if self.allow.reports and self.usual.busy < BUSY else 1)
+        """Where caps are fractions, few answers make a light day look crowded: reports that are probed for
+        must bear it out. Those in answers are too late, and tell of the endpoints just chosen."""
+        idle = self.cap < 1 and self.allow.reports and self.usual.busy < BUSY
+        return self.crowding > mark * (2 if idle else 1)
 
     def pick(self, s: Submission) -> Seat | None:
         """Fewest own launches in flight under the cap, random ties; a cold one counts at mean load.
