--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -32,7 +32,7 @@
 BUSY = 0.8  # cores less busy than this by reports are not crowded, whatever few answers say
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
 SHARE_BACK = 0.05  # of the common cap, won back with each answer
-EVIDENCE = 40  # answers behind a mean: the least of many means of few would be far under the uncrowded time
+EVIDENCE, THIN = 10, 40  # answers behind a mean; more where they are few: their least mean is too low
 BEHIND = 1.5  # multiple of the middle pace beyond which one is picked after the others
 TOLD_AGE = 2_500 * MS  # a load report counts for this long, ...
 TOLD_KEPT = 8  # ... and so many of the last ones decide between ties
@@ -45,15 +45,15 @@
 class Gauge:
     """Answer times of one workload: the usual one now, and the uncrowded one of the last half minute."""
 
-    def __init__(self, guess: int) -> None:
-        self.usual = self.uncrowded = float(guess)
+    def __init__(self, guess: int, evidence: int) -> None:
+        self.usual, self.uncrowded, self.evidence = float(guess), float(guess), evidence
         self.means: deque[float] = deque(maxlen=15)
         self.mark, self.total, self.count = -1, 0.0, 0
 
     def add(self, now: int, took: int) -> None:
         self.usual += (took - self.usual) * (0.05 if self.means else 0.2)
         self.total, self.count = self.total + took, self.count + 1
-        if now // (2 * SECOND) != self.mark and self.count >= EVIDENCE:
+        if now // (2 * SECOND) != self.mark and self.count >= self.evidence:
             self.mark = now // (2 * SECOND)
             self.means.append(self.total / self.count)
             self.uncrowded = min(self.means)
@@ -133,7 +133,7 @@
         self.cold_share, self.cold_time, self.beyond = d.cold_share, max(1, d.cold_time), d.beyond_share_value
         # Where many sidecars share the endpoints even one launch from each would jam them, so caps may be
         # fractions: the sum over the endpoints then limits what is in flight.
-        even = 1.0 if d.instances <= FLEET_START else UNEVEN
+        even, self.evidence = (1.0, EVIDENCE) if d.instances <= FLEET_START else (UNEVEN, THIN)
         self.cap_start = min(CAP_START, even * FLEET_START / d.instances)
         self.cap_growth, self.cap_floor = even * even * FLEET_GROWTH / d.instances, FLEET_FLOOR / d.instances
         # The more the goal pools all workloads, the more value counts against evenness.
@@ -218,7 +218,7 @@
 
     def gauge(self, w: t.Workload) -> Gauge:
         if w.name not in self.gauges:
-            self.gauges[w.name] = Gauge(w.contract // 3)
+            self.gauges[w.name] = Gauge(w.contract // 3, self.allow.evidence)
         return self.gauges[w.name]
 
     def patience(self, s: Submission) -> int:
@@ -243,7 +243,7 @@
         # room allows at the usual answer time counts too.
         room, limit = self.cap * self.shares, self.patience(s)
         allowed = room * SECOND / self.gauge(s.workload).usual
-        rate = max(1.0, self.launched.total(self.mail.now), allowed)
+        rate = max(1.0, self.launched.total(self.mail.now), allowed if self.cap < 1 else 0.0)
         if self.mail.now + int(ahead / rate * SECOND) <= limit:
             self.mail.alarm(limit, self, GiveUp(s, False))
             return
