--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,7 @@
 from bed import IDEM, KEYED, KEYED_ALL, ONCE, Bed, deployment, listing
 
 from lupinmill import terms as t
-from lupinmill.rules import CAP_START, FLEET_START, RETRY_BASE, SECOND
+from lupinmill.rules import CAP_START, FLEET_START, RETRY_BASE, SECOND, UNEVEN, Gauge
 
 MS = 1000
 HOWS = [h for h in t.How if h is not t.How.CALLED_OFF]
@@ -370,3 +370,71 @@
         return counted[0]
 
     assert calls(300) < 1.3 * calls(10)
+
+
+def probing(instances: int = 20, endpoints: int = 8, heavy: tuple = ("e0",), busy: float = 0.5) -> Bed:
+    """Light traffic of one sidecar among many, whose probes are answered with reports; e0's are heavy."""
+    bed = Bed(deployment(instances=instances, reports_asked=True), endpoints=endpoints)
+    bed.taken = 0
+    for _ in range(150):
+        name = bed.arrive(IDEM)
+        bed.taken += 1
+        bed.run(30 * MS)
+        for endpoint in bed.probes:
+            load = t.Load(queued=50.0 if endpoint in heavy else 1.0, busy=busy)
+            bed.step(t.Probed(endpoint, t.How.HANDLED, MS, load))
+        bed.probed = getattr(bed, "probed", 0) + len(bed.probes)
+        bed.probes.clear()
+        bed.run(100 * MS)
+        for launch in bed.out(name):
+            bed.end(name, launch, t.How.HANDLED)
+    return bed
+
+
+def test_probed_reports_decide_ties_at_one_probe_a_launch():
+    bed = probing()
+    picks = [fs[0]["endpoint"] for fs in bed.flights.values() if fs]
+    assert 0 < bed.probed <= len(picks)
+    assert picks[50:].count("e0") < 100 / 8 / 2
+    assert len(set(picks[50:])) > 4  # no herd
+
+
+def test_no_place_among_the_ready_ones_is_no_fault():
+    probing(instances=9, endpoints=3, heavy=("e0", "e1"))  # the only light one is in use
+
+
+@pytest.mark.parametrize("busy, falls", [(0.4, False), (0.95, True)])
+def test_where_caps_are_fractions_probed_reports_must_bear_out_a_crowd(busy, falls):
+    bed = probing(busy=busy)
+    desk = bed.sidecar.desk
+    start = desk.cap
+    for _ in range(12):  # 2.5 times slower than before
+        name = bed.arrive(IDEM)
+        bed.run(325 * MS)
+        for endpoint in bed.probes:
+            bed.step(t.Probed(endpoint, t.How.HANDLED, MS, t.Load(queued=1.0, busy=busy)))
+        bed.probes.clear()
+        for launch in bed.out(name):
+            bed.end(name, launch, t.How.HANDLED)
+    assert (desk.cap < 0.8 * start) is falls
+
+
+def test_a_jam_at_the_start_is_not_taken_for_the_uncrowded_state():
+    gauge = Gauge(200 * MS, 40)
+    for took in (150 * MS, 140 * MS, 130 * MS, 600 * MS, 700 * MS, 800 * MS):
+        gauge.add(SECOND, took)
+    assert gauge.uncrowded < 200 * MS < gauge.usual
+
+
+def test_a_lasting_overload_keeps_to_the_room():
+    bed = Bed(deployment(instances=100), endpoints=50)
+    total = []
+    for _ in range(60):
+        bed.arrive(IDEM)
+        bed.run(50 * MS)
+        out = [(n, i) for n, fs in bed.flights.items() for i, f in enumerate(fs) if f["how"] is None]
+        for name, launch in out:
+            if bed.now - bed.flights[name][launch]["sent"] >= 300 * MS:
+                bed.end(name, launch, t.How.HANDLED)
+        total.append(len(out))
+    assert sum(total[20:60]) / 40 <= 1.5 * 50 * FLEET_START * UNEVEN / 100
