--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -29,6 +29,8 @@
 FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 4.0
 UNEVEN = 0.7  # of that at the start where caps are fractions: the fullest of uneven ones jams first
 CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
+JAMMED, JAM_TIME = 2.5, 2 * SECOND  # answers so slow for so long with caps at their floor are a jam: ...
+REST_PART, REST_TIME, REST_AGAIN = 0.15, 5 * SECOND, 15 * SECOND  # ... then so little, so long, so rarely
 BUSY = 0.8  # cores less busy than this by reports are not crowded, whatever few answers say
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
 SHARE_BACK = 0.05  # of the common cap, won back with each answer
@@ -156,7 +158,7 @@
         self.cap = allow.cap_start  # common to all; each endpoint takes its share of it
         self.told: deque[Seat] = deque(maxlen=TOLD_KEPT)  # the last that reported their load
         self.usual, self.sweeping, self.swept = Usual(), False, 0
-        self.luck, self.redraw = 0.0, 0
+        self.luck, self.redraw, self.rest_until, self.eased = 0.0, 0, 0, 0
         self.lanes: dict[tuple[str, bool, bool], int] = {}
         self.queue: list[Lane] = []
         self.bound: list[Submission] = []  # held, but some group of endpoints alone will do
@@ -239,9 +241,8 @@
         """Denies at once what would wait in vain; guards against queues that answer nobody in time."""
         lane = self.queue[s.lane]
         ahead = sum(len(other.line) for other in self.queue if other.worth > lane.worth) + len(lane.line)
-        # The launches of the last second are few and chance where many sidecars share the traffic: what the
-        # room allows at the usual answer time counts too.
-        room, limit = self.cap * self.shares, self.patience(s)
+        # Where caps are fractions the last second's launches are few and chance: what the room allows counts.
+        room, limit = self.part(), self.patience(s)
         allowed = room * SECOND / self.gauge(s.workload).usual
         rate = max(1.0, self.launched.total(self.mail.now), allowed if self.cap < 1 else 0.0)
         if self.mail.now + int(ahead / rate * SECOND) <= limit:
@@ -295,10 +296,10 @@
         """Launches in flight at all ready endpoints together.
 
         Fractions are rounded by chance, drawn anew for each usual answer time, down to none at all: one
-        launch from each of hundreds of sidecars would jam a small fleet. While answers are quick a small
-        room is exceeded for a moment, as arrivals come by chance, if the last second kept to it on average.
+        launch from each of hundreds of sidecars would jam a small fleet. While answers are quick and the
+        last second's mean keeps to it, arrivals by chance may exceed it for a moment.
         """
-        room = self.cap * self.shares
+        room = self.part()
         if self.cap >= 1:
             return max(1, ceil(room))
         mean = self.launched.total(self.mail.now) * self.usual.took / SECOND
@@ -308,6 +309,10 @@
             self.luck, self.redraw = self.chance.draw(), self.mail.now + self.usual.took
         return int(room + self.luck)
 
+    def part(self) -> float:
+        """This sidecar's part of what all ready endpoints take; little while they rest."""
+        return self.cap * self.shares * (REST_PART if self.mail.now < self.rest_until else 1.0)
+
     def pace_over(self, mark: float) -> bool:
         """Where caps are fractions, few answers make a light day look crowded: reports that are probed for
         must bear it out. Those in answers are too late, and tell of the endpoints just chosen."""
@@ -338,8 +343,8 @@
         """Of equals that told of their load the least, if that is less than the mean; each report fades to
         the mean. Guards against ties at random where own launches in flight are mostly none.
 
-        Probes name endpoints at random, so that all their reports may be compared; those in answers name
-        the ones just chosen, by others too: more than two would have all run after the same old figure.
+        Probes name endpoints at random, so all their reports may be compared; answers name those just
+        chosen, by others too: comparing more than two would have all run after the same old figure.
         """
         told = list(self.told)
         if len(told) > 2 and not self.allow.reports:
@@ -407,16 +412,15 @@
 
     def try_launch(self, s: Submission) -> bool:
         """True when it need not be held any longer."""
-        if not self.may_launch(s):
-            self.unhold(s)
+        allowed, now = self.may_launch(s), self.mail.now
+        seat = self.pick(s) if allowed else None
+        if allowed and seat is None:
+            return False
+        self.unhold(s)
+        if seat is None:
             if not s.out():
                 self.finish(s)
             return True
-        seat = self.pick(s)
-        if seat is None:
-            return False
-        self.unhold(s)
-        now = self.mail.now
         if seat.says.cold_since is not None:
             seat.credit -= 1.0
         s.flights.append(Flight(seat, now))
@@ -478,14 +482,13 @@
     def plan_retry(self, s: Submission) -> bool:
         """A further launch after a full-jitter delay, if design, rules and budget allow one."""
         now = self.mail.now
-        if s.held or not self.may_launch(s):
+        hopeless = now + int(self.gauge(s.workload).uncrowded * 0.5) > s.contract_end
+        if s.held or hopeless or not self.may_launch(s):
             return False
         # Inner tiers pass failures up: retries at every layer would multiply. What provably never ran is
         # the exception: it multiplies nothing, and passing it up redoes the work of all upper tiers.
         if not self.allow.front and s.first_run() is not None:
             return False
-        if now + int(self.gauge(s.workload).uncrowded * 0.5) > s.contract_end:
-            return False
         if self.retried.total(now) + 1 >= RETRY_SHARE * self.taken.total(now):
             return False
         self.retried.add(now)
@@ -578,21 +581,26 @@
             self.mail.alarm(self.mail.now + SWEEP, self, Sweep())
 
     def sweep(self, _: Sweep) -> None:
-        """Looks over what is out, and learns the cap: answers of one endpoint are few and noisy, so all of
-        them set the course."""
+        """Looks over what is out, and learns the cap from all answers: those of one endpoint are few."""
         allow = self.allow
         self.sweeping = False
         if self.pace_over(CROWDED):
             self.cap = max(allow.cap_floor, self.cap * 0.93)
         elif self.waiting and not self.pace_over(ROOMY):
             self.cap = min(float(CAP_TOP), self.cap + allow.cap_growth)
+        # Jammed endpoints stay slow until mostly idle: guards against a jam that outlasts its cause.
+        if self.cap >= 1 or self.cap > allow.cap_floor or not self.pace_over(JAMMED):
+            self.eased = self.mail.now
+        elif self.mail.now > max(self.eased + JAM_TIME, self.rest_until + REST_AGAIN):
+            self.rest_until = self.mail.now + REST_TIME
+            self.mail.log(f"all rest: pace {self.crowding:.1f} at the floor, {self.flying} in flight")
         self.swept += 1
         self.look_over(self.swept % 5 == 0)
         for seat in list(self.busy.values()):
             self.mail.post(self.endpoints[seat.name], self.usual)
         if self.shedding and not self.waiting:
             self.shedding = False
-            self.mail.log(f"shedding ended: {self.flying} in flight, room {self.cap * self.shares:.1f}")
+            self.mail.log(f"shedding ended: {self.flying} in flight, room {self.part():.1f}")
         if self.open:
             self.keep_sweeping()
 
@@ -724,9 +732,8 @@
         now, usual = self.mail.now, self.usual
         # Own launches in flight say little where many sidecars share an endpoint: one that reports far
         # more than the others, or is slower, goes behind them, for as long as that news is fresh.
-        if self.told is not None and now - self.told_at > TOLD_AGE:
-            self.told = None
-        self.crowded = self.told is not None and self.told > 2 * usual.told
+        fresh = self.told is not None and now - self.told_at <= TOLD_AGE
+        self.crowded = fresh and self.told > 2 * usual.told
         if self.pace and self.answers >= 3 and now - self.heard < TOLD_AGE:
             self.crowded = self.crowded or self.pace > BEHIND * max(1.0, usual.pace)
         failed, answered = self.failed.total(now), self.answered.total(now)
@@ -759,12 +766,8 @@
         if self.flying and quiet > (SILENCE + LONELY / self.flying) * note.took + SWEEP:
             # Takes work and answers nothing, while others do: hangs, or gone without a trace.
             self.plead(f"silent {quiet // MS} ms, usual {note.took // MS} ms", False)
-        crowded, share = self.crowded, self.share
         self.judge()
-        if self.pace and self.answers >= 6 and self.pace > 2 * max(1.0, note.crowding):
-            self.ease(0.95)
-        if (crowded, share) != (self.crowded, self.share):
-            self.tell()
+        self.tell()
 
     def plead(self, why: str, hard: bool) -> None:
         if self.mode != "aside":
@@ -895,9 +898,7 @@
     def step(self, now: int, notes: list[t.Note]) -> list[t.Order]:
         mail = self.mail
         mail.now, mail.orders = now, []
-        for note in notes:
-            if isinstance(note, t.Woke):
-                continue
+        for note in (note for note in notes if not isinstance(note, t.Woke)):
             mail.post(self.roster if isinstance(note, (t.Listed, t.Probed)) else self.desk, note)
             mail.run()
         mail.run()
