--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -29,7 +29,7 @@
 FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 4.0
 UNEVEN = 0.7  # of that at the start where caps are fractions: the fullest of uneven ones jams first
 CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
-JAMMED, JAM_TIME = 2.5, 2 * SECOND  # answers so slow for so long with caps at their floor are a jam: ...
+JAM_TIME = 2 * SECOND  # answers that are crowded for so long with caps at their floor are a jam: ...
 REST_PART, REST_TIME, REST_AGAIN = 0.15, 5 * SECOND, 15 * SECOND  # ... then so little, so long, so rarely
 BUSY = 0.8  # cores less busy than this by reports are not crowded, whatever few answers say
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
@@ -589,7 +589,7 @@
         elif self.waiting and not self.pace_over(ROOMY):
             self.cap = min(float(CAP_TOP), self.cap + allow.cap_growth)
         # Jammed endpoints stay slow until mostly idle: guards against a jam that outlasts its cause.
-        if self.cap >= 1 or self.cap > allow.cap_floor or not self.pace_over(JAMMED):
+        if self.cap >= 1 or self.cap > allow.cap_floor or not self.pace_over(CROWDED):
             self.eased = self.mail.now
         elif self.mail.now > max(self.eased + JAM_TIME, self.rest_until + REST_AGAIN):
             self.rest_until = self.mail.now + REST_TIME
