--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -29,8 +29,8 @@
 FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 4.0
 UNEVEN = 0.7  # of that at the start where caps are fractions: the fullest of uneven ones jams first
 CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
-JAM_TIME = 2 * SECOND  # answers that are crowded for so long with caps at their floor are a jam: ...
-REST_PART, REST_TIME, REST_AGAIN = 0.15, 5 * SECOND, 15 * SECOND  # ... then so little, so long, so rarely
+# Answers that are crowded for so long with caps at their floor are a jam: then so little, so long, so rarely.
+JAM_TIME, REST_PART, REST_TIME, REST_AGAIN = 2 * SECOND, 0.15, 5 * SECOND, 15 * SECOND
 BUSY = 0.8  # cores less busy than this by reports are not crowded, whatever few answers say
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
 SHARE_BACK = 0.05  # of the common cap, won back with each answer
@@ -57,6 +57,8 @@
         self.total, self.count = self.total + took, self.count + 1
         if now // (2 * SECOND) != self.mark and self.count >= self.evidence:
             self.mark = now // (2 * SECOND)
+            if not self.means and self.evidence == THIN:  # that first mean may come of a jam already
+                self.means.append(1.4 * self.uncrowded)
             self.means.append(self.total / self.count)
             self.uncrowded = min(self.means)
             self.total, self.count = 0.0, 0
@@ -238,10 +240,10 @@
             self.queue[s.lane].line.append(s)
 
     def admit(self, s: Submission) -> None:
-        """Denies at once what would wait in vain; guards against queues that answer nobody in time."""
+        """Denies at once what would wait in vain; guards against queues that answer nobody in time. Where
+        caps are fractions the last second's launches are few and chance: what the room allows counts."""
         lane = self.queue[s.lane]
         ahead = sum(len(other.line) for other in self.queue if other.worth > lane.worth) + len(lane.line)
-        # Where caps are fractions the last second's launches are few and chance: what the room allows counts.
         room, limit = self.part(), self.patience(s)
         allowed = room * SECOND / self.gauge(s.workload).usual
         rate = max(1.0, self.launched.total(self.mail.now), allowed if self.cap < 1 else 0.0)
@@ -694,8 +696,7 @@
         self.tell()
 
     def handled(self, pace: float) -> None:
-        self.broken = 0
-        self.answers += 1
+        self.broken, self.answers = 0, self.answers + 1
         was = pace if self.pace is None else self.pace
         self.pace = was + max(0.1, 1 / (self.answers + 1)) * (min(pace, 8) - was)
         self.share = min(1.0, self.share + SHARE_BACK)
