--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -206,9 +206,8 @@
             self.admit(s)
 
     def beyond_share(self, tenant: str) -> bool:
-        if tenant not in self.sent_by:
+        if (ring := self.sent_by.get(tenant)) is None:
             return False
-        ring = self.sent_by[tenant]
         ring.add(self.mail.now)
         return ring.total(self.mail.now) / 2 > self.allow.quotas[tenant] * 1.1
 
@@ -364,9 +363,10 @@
         return best
 
     def ask_around(self) -> None:
-        """One shallow probe for a launch at most, for the ties to come, while most own places are empty."""
-        shelf = self.shelves[0]
-        if shelf and self.allow.reports and 2 * self.flying < self.ready:
+        """One shallow probe for a launch at most, for the ties to come, while most own places are empty;
+        for every fourth only while the cores are idle, when any endpoint will do."""
+        shelf, wanted = self.shelves[0], self.usual.busy > BUSY / 2 or self.chance.draw() < 0.25
+        if shelf and wanted and self.allow.reports and 2 * self.flying < self.ready:
             seat = shelf[self.chance.upto(len(shelf) - 1)]
             if seat not in self.told or self.mail.now - seat.says.told_at > TOLD_AGE // 4:
                 self.mail.orders.append(t.Probe(seat.name))
@@ -379,7 +379,6 @@
         return seat.says.cold_since is None or self.credited(seat)
 
     def shelve(self, seat: Seat) -> None:
-        """Puts it where it belongs now; takes no longer in a large fleet."""
         shelf = -1
         if seat.says.open:
             mean = 0 if seat.says.cold_since is None else round(self.flying / self.ready)
