--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -202,7 +202,7 @@
         self.mail.alarm(note.due - allow.margin, self, GiveUp(s, True))
         self.hold(s)
         self.dispatch()
-        if s.held and allow.front:
+        if s.held:
             self.admit(s)
 
     def beyond_share(self, tenant: str) -> bool:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -372,7 +372,8 @@
     assert calls(300) < 1.3 * calls(10)
 
 
-def probing(instances: int = 20, endpoints: int = 8, heavy: tuple = ("e0",), busy: float = 0.5) -> Bed:
+def probing(instances: int = 20, endpoints: int = 8, heavy: tuple = ("e0",), busy: float = 0.5,
+            load: float = 50.0) -> Bed:
     """Light traffic of one sidecar among many, whose probes are answered with reports; e0's are heavy."""
     bed = Bed(deployment(instances=instances, reports_asked=True), endpoints=endpoints)
     bed.taken = 0
@@ -381,8 +382,8 @@
         bed.taken += 1
         bed.run(30 * MS)
         for endpoint in bed.probes:
-            load = t.Load(queued=50.0 if endpoint in heavy else 1.0, busy=busy)
-            bed.step(t.Probed(endpoint, t.How.HANDLED, MS, load))
+            report = t.Load(queued=load if endpoint in heavy else 1.0, busy=busy)
+            bed.step(t.Probed(endpoint, t.How.HANDLED, MS, report))
         bed.probed = getattr(bed, "probed", 0) + len(bed.probes)
         bed.probes.clear()
         bed.run(100 * MS)
@@ -424,6 +425,9 @@
     for took in (150 * MS, 140 * MS, 130 * MS, 600 * MS, 700 * MS, 800 * MS):
         gauge.add(SECOND, took)
     assert gauge.uncrowded < 200 * MS < gauge.usual
+    for _ in range(40):  # the first mean is taken in the jam, too
+        gauge.add(3 * SECOND, 800 * MS)
+    assert len(gauge.means) > 1 and gauge.uncrowded < 300 * MS
 
 
 def test_a_lasting_overload_keeps_to_the_room():
@@ -438,3 +442,46 @@
                 bed.end(name, launch, t.How.HANDLED)
         total.append(len(out))
     assert sum(total[20:60]) / 40 <= 1.5 * 50 * FLEET_START * UNEVEN / 100
+
+
+def test_a_tie_goes_to_the_endpoint_that_told_of_less_even_without_a_crowd():
+    bed = probing(load=2.0)
+    picks = [fs[0]["endpoint"] for fs in bed.flights.values() if fs]
+    assert not bed.sidecar.desk.seats["e0"].says.crowded
+    assert picks[50:].count("e0") < 100 / 8 / 2
+
+
+@pytest.mark.parametrize("copies", [True, False])
+def test_a_second_copy_is_sent_only_where_two_launches_may_be_out(copies):
+    bed = Bed(deployment(copies_allowed=copies), endpoints=4)
+    warm(bed, 60)
+    for _ in range(80):
+        name = bed.arrive(IDEM)
+        bed.run(50 * MS)
+        for launch in bed.out(name):
+            if bed.flights[name][launch]["endpoint"] != "e0":
+                bed.end(name, launch, t.How.HANDLED)
+    assert any("e0 set aside: silent" in line for line in bed.logs)
+    assert any(len(fs) == 2 for fs in bed.flights.values()) is copies
+
+
+def test_a_held_call_of_an_inner_tier_is_answered_long_before_its_hard_limit():
+    bed = Bed(deployment(tier=1), endpoints=1)
+    names = [bed.arrive(ONCE) for _ in range(60)]
+    assert [bed.closed.get(n) for n in names[-20:]] == ["denied"] * 20
+
+
+def test_all_rest_when_answers_stay_crowded_at_the_floor():
+    bed = Bed(deployment(instances=20), endpoints=20)
+    warm(bed, 60, took=50 * MS)
+    launches = []
+    for _ in range(300):
+        bed.arrive(IDEM)
+        bed.run(50 * MS)
+        for name in list(bed.owed):
+            for launch in bed.out(name):
+                if bed.now - bed.flights[name][launch]["sent"] >= 400 * MS:
+                    bed.end(name, launch, t.How.HANDLED)
+        if any("all rest" in line for line in bed.logs):
+            launches.append(sum(len(fs) for fs in bed.flights.values()))
+    assert launches[80] - launches[10] < 0.4 * (launches[-1] - launches[-71])  # 3.5 s of rest, and after it
