--- a/lupinmill/benchlink/codec.py
+++ b/lupinmill/benchlink/codec.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 from lupinmill import terms as t
-
-Fields = dict[str, str]
+from lupinmill.protocol.reports import REPORT
+from lupinmill.protocol.settings import Fields, deployment
 
 HOW = {
     "S": t.How.HANDLED, "E": t.How.ERROR, "F": t.How.REFUSED, "T": t.How.TIMED_OUT,
@@ -14,12 +14,6 @@
 }
 STATES = {"1": t.State.READY, "2": t.State.DRAINING, "0": t.State.GONE}
 LIST_KINDS = {"1": t.ListKind.FULL, "2": t.ListKind.CACHED, "3": t.ListKind.FAILED, "4": t.ListKind.CHANGES}
-REPEATS = {"repeatable": t.Repeat.IDEMPOTENT, "by_key": t.Repeat.DEDUPLICATED}
-# Report fields by wire name: the name in Load and the factor to our unit.
-REPORT = {
-    "waiting": ("queued", 1.0), "active": ("held", 1.0), "cpu": ("busy", 1.0),
-    "avg_ms": ("service", 1000.0), "rps": ("rate", 1.0),
-}
 
 
 class Malformed(Exception):
@@ -45,70 +39,6 @@
     return name, fields
 
 
-class Settings:
-    """Typed look-ups in the start-up pairs."""
-
-    def __init__(self, fields: Fields) -> None:
-        self.fields = fields
-
-    def text(self, key: str, default: str = "") -> str:
-        return self.fields.get(key) or default
-
-    def number(self, key: str, default: float = 0.0) -> float:
-        return float(self.fields.get(key) or default)
-
-    def micros(self, key: str, default: float = 0.0) -> int:
-        return round(self.number(key, default) * 1_000_000)
-
-    def flag(self, key: str, default: bool = False) -> bool:
-        return self.fields.get(key, "true" if default else "false") in ("true", "1")
-
-    def items(self, key: str) -> list[Settings]:
-        prefixes = [f"{key}.{i}." for i in range(int(self.number(f"{key}.count")))]
-        return [
-            Settings({k[len(p):]: v for k, v in self.fields.items() if k.startswith(p)}) for p in prefixes
-        ]
-
-
-def workload(s: Settings) -> t.Workload:
-    return t.Workload(
-        name=s.text("name"),
-        contract=s.micros("contract-time-s"),
-        hard_limit=s.micros("hard-limit-s"),
-        value=s.number("value", 1.0),
-        overdue_value=s.number("overdue-value"),
-        repeat=REPEATS.get(s.text("repeat"), t.Repeat.UNREPEATABLE),
-        group={"all": t.Group.ALL, "zone": t.Group.ZONE}.get(s.text("group"), t.Group.CELL),
-        window=s.micros("window-s"),
-    )
-
-
-def deployment(fields: Fields) -> t.Deployment:
-    s = Settings(fields)
-    return t.Deployment(
-        seed=int(s.text("random-seed", "0")),
-        tier=int(s.number("tier")),
-        instances=max(1, int(s.number("instances", 1))),
-        workloads=[workload(w) for w in s.items("workloads")],
-        tenants=[t.Tenant(a.text("name"), a.number("quota-per-s")) for a in s.items("accounts")],
-        beyond_share_value=s.number("beyond-share-value", 1.0),
-        pooled_weight=s.number("blend.whole") + s.number("blend.worst-window"),
-        evenness_weight=s.number("blend.worst-class") + s.number("blend.kept-promises"),
-        must_ask=s.text("discovery") == "ask",
-        ask_within=s.micros("invariants.ask-within-s", 10.0),
-        cold_share=s.number("invariants.cold-share", 1.0),
-        cold_time=s.micros("invariants.cold-s"),
-        round=s.micros("round-s", 0.001),
-        most_launches=int(s.number("limits.most-launches", 1)),
-        copies_allowed=s.flag("limits.may-duplicate"),
-        cancel_allowed=s.flag("limits.cancel"),
-        probes_allowed=s.flag("limits.probes"),
-        reports_asked=s.text("load-report.how", "off") == "on_probe",
-        advice_allowed=s.flag("limits.retry-after"),
-        longest_advice=s.micros("limits.max-retry-after-s"),
-    )
-
-
 def report_fields(fields: Fields) -> list[tuple[str, float] | None]:
     names = fields.get("load-report.fields", "")
     return [REPORT.get(name) for name in names.split(",")] if names else []
--- /dev/null
+++ b/lupinmill/program/__init__.py
@@ -0,0 +1,1 @@
+"""The running program: configuration, logs, signals, the watch on the list of endpoints."""
--- /dev/null
+++ b/lupinmill/program/sidecar.py
@@ -0,0 +1,95 @@
+"""One running sidecar: its parts put together, its signals, its end."""
+from __future__ import annotations
+
+import gc
+import signal
+
+import anyio
+
+from lupinmill import terms as t
+from lupinmill.program.discovery import Discovery
+from lupinmill.program.told import Told
+from lupinmill.routing.admit import Admit
+from lupinmill.routing.book import Book
+from lupinmill.routing.directory import Directory
+from lupinmill.routing.engine import Clock, Engine, Log
+from lupinmill.routing.relay import Relay
+from lupinmill.routing.route import Route
+from lupinmill.routing.send import Send
+from lupinmill.routing.take_in import TakeIn
+from lupinmill.transport.descriptors import Descriptors
+from lupinmill.transport.listener import Listener
+from lupinmill.transport.pool import Pool
+from lupinmill.transport.ring import Store
+
+LAG_EVERY, LAG_HIGH, LAG_LOW = 0.25, 0.05, 0.01  # seconds
+STILL_COMING = 0.6  # seconds after SIGTERM for which new connections go on coming
+LAST = 6.0  # seconds after which what is still open is a connection that nobody uses
+
+
+class Program:
+    def __init__(self, told: Told, log: Log) -> None:
+        self.told, self.log = told, log
+        self.store, self.descriptors = Store(), Descriptors(told.descriptors)
+        self.pool = Pool(self.descriptors, self.store, told.idle_limit, told.connect_limit)
+        self.engine = Engine(told.deployment, Clock(), log)
+        self.directory = Directory(self.engine, self.pool)
+        self.book = Book(self.engine)
+        self.admit = Admit(self.book, self.directory, {w.name for w in told.deployment.workloads})
+        self.discovery = Discovery(told.discovery, self.directory, self.store, log)
+        self.engine.carriers[t.Watch] = self.discovery.watch
+
+    async def run(self) -> None:
+        deployment = self.told.deployment
+        send = Send(self.pool, self.directory, self.book, deployment.reports_asked, self.log)
+        listener = Listener(self.told.listen, self.descriptors, self.store)
+        take_in = TakeIn(listener, self.admit, Relay(self.book, self.log), self.log)
+        try:
+            async with anyio.create_task_group() as group:
+                Route(self.engine, self.book, send, group)
+                self.directory.update(self.told.known, t.ListKind.CACHED)
+                for task in (self.engine.keep_time, self.discovery.run, self.sweep, self.measure_lag):
+                    group.start_soon(task)
+                group.start_soon(listener.run, group, take_in.serve)
+                self.log("started", tier=deployment.tier, listen=self.told.listen,
+                         endpoints=len(self.told.known.entries), descriptors=self.told.descriptors)
+                gc.collect()
+                gc.freeze()
+                await self.await_end(listener, take_in)
+                group.cancel_scope.cancel()
+        finally:
+            listener.close()
+            self.pool.close()
+            self.discovery.hang_up()
+        self.log("stopped")
+
+    async def await_end(self, listener: Listener, take_in: TakeIn) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for signum in signals:
+                self.log("leaving", signal=signal.Signals(signum).name, open=len(self.book.journeys))
+                break
+        self.admit.leaving = take_in.leaving = True
+        began = anyio.current_time()
+        while (waited := anyio.current_time() - began) < LAST:
+            if waited >= STILL_COMING:
+                while listener.close_oldest():
+                    pass
+                if not take_in.clients:
+                    break
+            await anyio.sleep(0.02)
+
+    async def sweep(self) -> None:
+        while True:
+            await anyio.sleep(1.0)
+            self.pool.sweep()
+
+    async def measure_lag(self) -> None:
+        """A loop that lags makes every endpoint look slow: the log must tell the two apart."""
+        lagging = False
+        while True:
+            due = anyio.current_time() + LAG_EVERY
+            await anyio.sleep(LAG_EVERY)
+            late = anyio.current_time() - due
+            if late > LAG_HIGH if not lagging else late < LAG_LOW:
+                lagging = not lagging
+                self.log("lagging" if lagging else "lag_over", late_ms=round(late * 1000, 1))
--- /dev/null
+++ b/lupinmill/program/told.py
@@ -0,0 +1,74 @@
+"""What this sidecar is told at its start, from the environment and the file that it names."""
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from lupinmill import terms as t
+from lupinmill.protocol import lists, settings
+from lupinmill.protocol.http import Garbled
+from lupinmill.transport.connection import split_address
+
+
+class BadStart(Exception):
+    """The text is the one line for standard error."""
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    name: str
+    listen: str
+    discovery: str
+    deployment: t.Deployment
+    known: lists.Known
+    descriptors: int
+    idle_limit: float
+    connect_limit: float
+
+
+def read(environ: Mapping[str, str]) -> Told:
+    path = environ.get("BALANCER_CONFIG")
+    if not path:
+        raise BadStart("BALANCER_CONFIG is not set")
+    try:
+        table = orjson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise BadStart(f"{path}: {error.strerror}") from error
+    except orjson.JSONDecodeError as error:
+        raise BadStart(f"{path}: {error}") from error
+    if not isinstance(table, dict):
+        raise BadStart(f"{path}: not a JSON object")
+    try:
+        return understand(table, environ)
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError, Garbled) as error:
+        text = f"missing {error}" if isinstance(error, KeyError) else str(error)
+        raise BadStart(f"{path}: {' '.join(text.split())[:200]}") from error
+
+
+def understand(table: dict[str, Any], environ: Mapping[str, str]) -> Told:
+    fields = settings.flatten(table["settings"])
+    deployment = replace(settings.deployment(fields), seed=seed(table.get("seed", 0)))
+    if not deployment.workloads:
+        raise ValueError("settings: no workloads")
+    listen = environ.get("BALANCER_LISTEN") or str(table["listen"])
+    discovery = environ.get("BALANCER_DISCOVERY") or str(table["discovery"])
+    for address in (listen, discovery):
+        split_address(address)
+    return Told(
+        name=environ.get("BALANCER_NAME") or str(table.get("name", "")),
+        listen=listen,
+        discovery=discovery,
+        deployment=deployment,
+        known=lists.known(table.get("known") or {"index": 0, "endpoints": []}),
+        descriptors=int((table.get("limits") or {}).get("sockets", 1024)),
+        idle_limit=settings.idle_limit(fields),
+        connect_limit=settings.connect_limit(fields),
+    )
+
+
+def seed(value: Any) -> int:
+    return int(value, 16) if isinstance(value, str) else int(value)
--- /dev/null
+++ b/lupinmill/protocol/settings.py
@@ -0,0 +1,106 @@
+"""The settings that a sidecar is told, as name=value pairs or as nested JSON, turned into a `Deployment`."""
+from __future__ import annotations
+
+from typing import Any
+
+from lupinmill import terms as t
+
+Fields = dict[str, str]
+
+REPEATS = {"repeatable": t.Repeat.IDEMPOTENT, "by_key": t.Repeat.DEDUPLICATED}
+
+
+def flatten(value: Any, path: str = "") -> Fields:
+    """Nested JSON as the pairs of the simulator's wire: `a.b`, lists of objects under `.count` and `.0`."""
+    if isinstance(value, dict):
+        found: Fields = {}
+        for key, inner in value.items():
+            found |= flatten(inner, f"{path}.{key}" if path else key)
+        return found
+    if isinstance(value, list) and all(isinstance(inner, dict) for inner in value):
+        found = {f"{path}.count": str(len(value))}
+        for at, inner in enumerate(value):
+            found |= flatten(inner, f"{path}.{at}")
+        return found
+    if isinstance(value, list):
+        return {path: ",".join(map(plain, value))}
+    return {path: plain(value)}
+
+
+def plain(value: Any) -> str:
+    if value is None:
+        return ""
+    return str(value).lower() if isinstance(value, bool) else str(value)
+
+
+class Settings:
+    """Typed look-ups in the start-up pairs."""
+
+    def __init__(self, fields: Fields) -> None:
+        self.fields = fields
+
+    def text(self, key: str, default: str = "") -> str:
+        return self.fields.get(key) or default
+
+    def number(self, key: str, default: float = 0.0) -> float:
+        return float(self.fields.get(key) or default)
+
+    def micros(self, key: str, default: float = 0.0) -> int:
+        return round(self.number(key, default) * 1_000_000)
+
+    def flag(self, key: str, default: bool = False) -> bool:
+        return self.fields.get(key, "true" if default else "false") in ("true", "1")
+
+    def items(self, key: str) -> list[Settings]:
+        prefixes = [f"{key}.{i}." for i in range(int(self.number(f"{key}.count")))]
+        return [
+            Settings({k[len(p):]: v for k, v in self.fields.items() if k.startswith(p)}) for p in prefixes
+        ]
+
+
+def workload(s: Settings) -> t.Workload:
+    return t.Workload(
+        name=s.text("name"),
+        contract=s.micros("contract-time-s"),
+        hard_limit=s.micros("hard-limit-s"),
+        value=s.number("value", 1.0),
+        overdue_value=s.number("overdue-value"),
+        repeat=REPEATS.get(s.text("repeat"), t.Repeat.UNREPEATABLE),
+        group={"all": t.Group.ALL, "zone": t.Group.ZONE}.get(s.text("group"), t.Group.CELL),
+        window=s.micros("window-s"),
+    )
+
+
+def deployment(fields: Fields) -> t.Deployment:
+    s = Settings(fields)
+    return t.Deployment(
+        seed=int(s.text("random-seed", "0")),
+        tier=int(s.number("tier")),
+        instances=max(1, int(s.number("instances", 1))),
+        workloads=[workload(w) for w in s.items("workloads")],
+        tenants=[t.Tenant(a.text("name"), a.number("quota-per-s")) for a in s.items("accounts")],
+        beyond_share_value=s.number("beyond-share-value", 1.0),
+        pooled_weight=s.number("blend.whole") + s.number("blend.worst-window"),
+        evenness_weight=s.number("blend.worst-class") + s.number("blend.kept-promises"),
+        must_ask=s.text("discovery") == "ask",
+        ask_within=s.micros("invariants.ask-within-s", 10.0),
+        cold_share=s.number("invariants.cold-share", 1.0),
+        cold_time=s.micros("invariants.cold-s"),
+        round=s.micros("round-s", 0.001),
+        most_launches=int(s.number("limits.most-launches", 1)),
+        copies_allowed=s.flag("limits.may-duplicate"),
+        cancel_allowed=s.flag("limits.cancel"),
+        probes_allowed=s.flag("limits.probes"),
+        reports_asked=s.text("load-report.how", "off") == "on_probe",
+        advice_allowed=s.flag("limits.retry-after"),
+        longest_advice=s.micros("limits.max-retry-after-s"),
+    )
+
+
+def idle_limit(fields: Fields) -> float:
+    """Seconds for which an endpoint keeps an idle connection at the least."""
+    return Settings(fields).number("limits.conn-idle-s", 5.0)
+
+
+def connect_limit(fields: Fields) -> float:
+    return Settings(fields).number("limits.connect-timeout-s", 1.0) or 1.0
--- /dev/null
+++ b/lupinmill/protocol/submission.py
@@ -0,0 +1,86 @@
+"""A client's request as a submission, a launch of it as an endpoint's request, an answer as an outcome."""
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from lupinmill import terms as t
+from lupinmill.protocol import reports
+from lupinmill.protocol.http import Answer, Malformed, Request, plain
+
+ID, KIND, DEADLINE, RETRY, OWNER = b"req-id", b"req-kind", b"req-deadline", b"req-retry", b"req-owner"
+LOAD, DECLINED = b"srv-load", b"srv-declined"
+LONGEST = 3600.0  # no client waits for longer
+READY = b"/ready"
+HEALTH, STATUS = b"/health", b"/status/load"
+
+
+@dataclass(slots=True)
+class Asked:
+    submission: str
+    workload: str
+    left: int  # microseconds that its client will wait
+    tenant: str
+    repeated: bool
+
+
+def read(request: Request, workloads: set[str]) -> Asked:
+    name = request.header(ID)
+    if not name or len(name) > 200:
+        raise Malformed(400, "no usable Req-Id", True)
+    path = request.target.split(b"?", 1)[0].lstrip(b"/").split(b"/", 1)[0].decode("latin-1")
+    kind = request.header(KIND) or path
+    if kind not in workloads:
+        raise Malformed(404, f"unknown workload {kind[:60]!r}", True)
+    if path in workloads and path != kind:
+        raise Malformed(400, "Req-Kind and the path name different workloads", True)
+    try:
+        left = float(request.header(DEADLINE) or "none")
+    except ValueError:
+        left = math.nan
+    if not math.isfinite(left):
+        raise Malformed(400, "no readable Req-Deadline", True)
+    micros = int(max(0.0, min(left, LONGEST)) * 1_000_000)
+    return Asked(name, kind, micros, request.header(OWNER) or "", request.header(RETRY) == "1")
+
+
+def launch(request: Request, left: int) -> Request:
+    """The same, with the time that this sidecar will still wait."""
+    headers = [(key, value) for key, value in request.headers if key.lower() != DEADLINE]
+    headers.append((b"Req-Deadline", b"%.6f" % (max(0, left) / 1_000_000)))
+    return Request(request.method, request.target, headers, request.body)
+
+
+def outcome(answer: Answer) -> t.How:
+    if answer.status == 200:
+        return t.How.HANDLED
+    if answer.status in (503, 504) and answer.header(DECLINED) == "1":
+        return t.How.REFUSED
+    return t.How.ERROR
+
+
+def handled(answer: Answer) -> Answer:
+    """As it goes to the client: the load report was for this sidecar."""
+    return Answer(200, [(key, value) for key, value in answer.headers if key.lower() != LOAD], answer.body)
+
+
+def denied(come_back: int) -> Answer:
+    advice = [(b"Retry-After", b"%.3f" % (come_back / 1_000_000))] if come_back else []
+    return plain(503, "denied\n", advice)
+
+
+def broken_off() -> Answer:
+    return plain(502, "broken off\n")
+
+
+def load_report(answer: Answer) -> t.Load | None:
+    return reports.read(answer.header(LOAD))
+
+
+def probe(reported: bool) -> Request:
+    return Request(b"GET", STATUS if reported else HEALTH, [(b"Host", b"endpoint")])
+
+
+def probed(answer: Answer) -> tuple[t.How, t.Load | None]:
+    how = t.How.HANDLED if answer.status == 200 else t.How.REFUSED if answer.status == 503 else t.How.ERROR
+    return how, reports.read(answer.body.decode("latin-1")) or load_report(answer)
--- /dev/null
+++ b/lupinmill/routing/admit.py
@@ -0,0 +1,30 @@
+"""Admit: a request that came whole becomes a submission, or gets the answer that says why not."""
+from __future__ import annotations
+
+from lupinmill.protocol import submission
+from lupinmill.protocol.http import Answer, Malformed, Request, plain
+from lupinmill.routing.book import Book, Journey
+from lupinmill.routing.directory import Directory
+
+
+class Admit:
+    def __init__(self, book: Book, directory: Directory, workloads: set[str]) -> None:
+        self.book, self.directory, self.workloads = book, directory, workloads
+        self.leaving = False
+
+    def request(self, request: Request) -> Journey | Answer:
+        if request.target.split(b"?", 1)[0] == submission.READY and request.method in (b"GET", b"HEAD"):
+            return plain(200, "ready\n") if self.ready() else plain(503, "not ready\n")
+        try:
+            asked = submission.read(request, self.workloads)
+            if asked.submission in self.book.journeys:
+                # Under one name the module would take both for one, and one client would get no answer.
+                raise Malformed(400, "this Req-Id is still open", True)
+        except Malformed as error:
+            return plain(error.status, f"{error}\n")
+        journey = Journey(asked, request, self.book.engine.clock.now() + asked.left)
+        self.book.begin(journey)
+        return journey
+
+    def ready(self) -> bool:
+        return not self.leaving and not self.directory.empty()
--- /dev/null
+++ b/lupinmill/routing/book.py
@@ -0,0 +1,79 @@
+"""Book: every open submission, its launches and its one final answer."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import anyio
+
+from lupinmill import terms as t
+from lupinmill.protocol.http import Answer, Request
+from lupinmill.protocol.submission import Asked
+from lupinmill.routing.engine import Engine
+
+
+@dataclass(slots=True)
+class Launch:
+    endpoint: str
+    number: int
+    at: int
+    until: int
+    scope: anyio.CancelScope
+    written: bool = False  # its last byte has left: from here on it may have run
+    called_off: bool = False
+    out: bool = True
+
+
+@dataclass(slots=True)
+class Journey:
+    """One submission from its taking in until its last launch has ended."""
+
+    asked: Asked
+    request: Request
+    due: int
+    settled: anyio.Event = field(default_factory=anyio.Event)
+    answer: Answer | None = None  # stays None where the client has gone away
+    launches: list[Launch] = field(default_factory=list)
+
+
+class Book:
+    """Owns the open journeys. `close` is the one place where they are given back."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+        self.journeys: dict[str, Journey] = {}
+
+    def begin(self, journey: Journey) -> None:
+        asked = journey.asked
+        self.journeys[asked.submission] = journey
+        self.engine.tell(
+            t.Arrived(asked.submission, asked.workload, journey.due, asked.tenant, asked.repeated)
+        )
+
+    def settle(self, journey: Journey, answer: Answer | None) -> bool:
+        """The first final answer stands; what comes later is dropped."""
+        if journey.settled.is_set():
+            return False
+        journey.answer = answer
+        journey.settled.set()
+        self.close(journey)
+        return True
+
+    def withdraw(self, journey: Journey) -> None:
+        """Its client has gone away, or its answer came from no decision."""
+        if self.settle(journey, None):
+            self.engine.tell(t.Withdrawn(journey.asked.submission))
+
+    def ended(self, journey: Journey, launch: Launch, how: t.How, answer: Answer | None,
+              load: t.Load | None) -> None:
+        if not launch.out:
+            return
+        launch.out = False
+        if answer is not None:
+            self.settle(journey, answer)
+        name, took = journey.asked.submission, self.engine.clock.now() - launch.at
+        self.engine.tell(t.Ended(name, launch.number, how, took, journey.settled.is_set(), load))
+        self.close(journey)
+
+    def close(self, journey: Journey) -> None:
+        if journey.settled.is_set() and not any(launch.out for launch in journey.launches):
+            self.journeys.pop(journey.asked.submission, None)
--- /dev/null
+++ b/lupinmill/routing/engine.py
@@ -0,0 +1,81 @@
+"""Drives the decision module: notes in, orders out, one clock and one timer."""
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from lupinmill import terms as t
+from lupinmill.rules import Sidecar
+
+Log = Callable[..., None]
+
+
+class Clock:
+    """Unix time in whole microseconds that only moves forward, whatever is done to the machine's clock."""
+
+    def __init__(self) -> None:
+        self.ahead = time.time_ns() - time.monotonic_ns()
+
+    def now(self) -> int:
+        return (time.monotonic_ns() + self.ahead) // 1000
+
+
+class Engine:
+    """Owns the `Sidecar`. Each type of order is carried out by whoever registered for it."""
+
+    def __init__(self, deployment: t.Deployment, clock: Clock, log: Log) -> None:
+        self.sidecar, self.clock, self.log = Sidecar(deployment), clock, log
+        self.notes: list[t.Note] = []
+        self.stepping = False
+        self.wake_at: int | None = None
+        self.rearmed = anyio.Event()
+        self.carriers: dict[type, Callable[[Any], None]] = {
+            t.WakeMe: self.wake_me, t.Log: lambda order: log("mode", text=order.text),
+        }
+
+    def tell(self, note: t.Note) -> None:
+        """Notes that arise while orders are carried out wait for the next step."""
+        self.notes.append(note)
+        if self.stepping:
+            return
+        self.stepping = True
+        try:
+            while self.notes:
+                notes, self.notes = self.notes, []
+                self.step(notes)
+        finally:
+            self.stepping = False
+
+    def step(self, notes: list[t.Note]) -> None:
+        """One failure must cost one note's submission at most, never the program: relay has a backstop."""
+        try:
+            orders = self.sidecar.step(self.clock.now(), notes)
+        except Exception as error:
+            self.log("module_failed", error=f"{type(error).__name__}: {error}")
+            orders, self.sidecar.mail.orders = self.sidecar.mail.orders, []
+            self.wake_me(t.WakeMe(self.clock.now() + 100_000, 1))
+        for order in orders:
+            try:
+                self.carriers[type(order)](order)
+            except Exception as error:
+                self.log("order_failed", order=type(order).__name__, error=f"{type(error).__name__}: {error}")
+
+    def wake_me(self, order: t.WakeMe) -> None:
+        self.wake_at = order.at
+        self.rearmed.set()
+
+    async def keep_time(self) -> None:
+        while True:
+            self.rearmed = anyio.Event()
+            now = self.clock.now()
+            if self.wake_at is not None and self.wake_at <= now:
+                self.wake_at = None
+                self.tell(t.Woke(1))
+            elif self.wake_at is None:
+                await self.rearmed.wait()
+            else:
+                with anyio.move_on_after((self.wake_at - now) / 1_000_000):
+                    await self.rearmed.wait()
--- /dev/null
+++ b/lupinmill/routing/route.py
@@ -0,0 +1,47 @@
+"""Route: the module's orders become launches, call-offs, probes and final answers."""
+from __future__ import annotations
+
+import anyio
+from anyio.abc import TaskGroup
+
+from lupinmill import terms as t
+from lupinmill.protocol import submission
+from lupinmill.routing.book import Book, Launch
+from lupinmill.routing.engine import Engine
+from lupinmill.routing.send import Send
+
+
+class Route:
+    def __init__(self, engine: Engine, book: Book, send: Send, group: TaskGroup) -> None:
+        self.clock, self.book, self.send, self.group = engine.clock, book, send, group
+        engine.carriers |= {
+            t.Launch: self.launch, t.CallOff: self.call_off, t.Deny: self.deny, t.BreakOff: self.break_off,
+            t.Probe: self.probe,
+        }
+
+    def launch(self, order: t.Launch) -> None:
+        journey = self.book.journeys[order.submission]
+        now = self.clock.now()
+        scope = anyio.CancelScope(deadline=anyio.current_time() + (order.until - now) / 1_000_000)
+        launch = Launch(order.endpoint, len(journey.launches), now, order.until, scope)
+        journey.launches.append(launch)
+        self.group.start_soon(self.send.launch, journey, launch)
+
+    def call_off(self, order: t.CallOff) -> None:
+        """Giving up closes the connection: the scope's end does."""
+        journey = self.book.journeys.get(order.submission)
+        if journey is not None:
+            launch = journey.launches[order.launch]
+            launch.called_off = True
+            launch.scope.cancel()
+
+    def deny(self, order: t.Deny) -> None:
+        if journey := self.book.journeys.get(order.submission):
+            self.book.settle(journey, submission.denied(order.come_back))
+
+    def break_off(self, order: t.BreakOff) -> None:
+        if journey := self.book.journeys.get(order.submission):
+            self.book.settle(journey, submission.broken_off())
+
+    def probe(self, order: t.Probe) -> None:
+        self.group.start_soon(self.send.probe, order.endpoint)
--- /dev/null
+++ b/lupinmill/routing/send.py
@@ -0,0 +1,130 @@
+"""Send: one launch, or one probe, on a connection to an endpoint, up to its outcome."""
+from __future__ import annotations
+
+import anyio
+
+from lupinmill import terms as t
+from lupinmill.protocol import submission
+from lupinmill.protocol.http import Answer, ClientSide, Garbled, Request
+from lupinmill.routing.book import Book, Journey, Launch
+from lupinmill.routing.directory import Directory
+from lupinmill.routing.engine import Log
+from lupinmill.transport.connection import Connection, Unconnected
+from lupinmill.transport.pool import NoDescriptor, Pool
+
+
+class Unsent(Exception):
+    """It was over, or the endpoint had left the list, before the first byte."""
+
+
+class Send:
+    def __init__(self, pool: Pool, directory: Directory, book: Book, reported: bool, log: Log) -> None:
+        self.pool, self.directory, self.book, self.log = pool, directory, book, log
+        self.reported = reported  # endpoints tell of their load when probed
+
+    async def launch(self, journey: Journey, launch: Launch) -> None:
+        """Whatever happens here, the module hears of one outcome for this launch."""
+        how, answer = None, None
+        try:
+            with launch.scope:
+                answer = await self.attempt(journey, launch)
+                how = submission.outcome(answer)
+            if how is None and launch.written:
+                how = t.How.CALLED_OFF if launch.called_off else t.How.TIMED_OUT
+        except Unconnected:
+            how = t.How.UNCONNECTED
+        except Garbled:
+            how = t.How.ERROR if launch.written else t.How.UNSENT
+        except OSError:
+            how = t.How.RESET if launch.written else t.How.UNCONNECTED
+        except (Unsent, NoDescriptor):
+            how = t.How.UNSENT
+        except Exception as error:
+            self.log("task_failed", task="launch", error=f"{type(error).__name__}: {error}")
+        finally:
+            if how is None:
+                how = t.How.RESET if launch.written else t.How.UNSENT
+            handled = submission.handled(answer) if answer and how is t.How.HANDLED else None
+            load = submission.load_report(answer) if answer else None
+            self.book.ended(journey, launch, how, handled, load)
+
+    async def attempt(self, journey: Journey, launch: Launch) -> Answer:
+        address = self.address(launch.endpoint)
+        while True:
+            kept = self.pool.reuse(address)
+            connection: Connection | None = kept or await self.pool.open(address)
+            try:
+                # Told while it connected: nothing new to what drains, nothing for what has its answer.
+                if journey.settled.is_set() or not self.directory.takes(launch.endpoint):
+                    self.pool.keep(connection, address)
+                    connection = None
+                    raise Unsent
+                side = ClientSide()
+                left = launch.until - self.book.engine.clock.now()
+                data = side.ask(submission.launch(journey.request, left))
+                try:
+                    await connection.send(data)
+                except OSError:
+                    if kept:
+                        continue  # ended by the endpoint while idle: not a byte was handled
+                    raise
+                launch.written = True
+                answer = await self.answer(connection, side)
+                if side.reusable():
+                    self.pool.keep(connection, address)
+                    connection = None
+                return answer
+            finally:
+                if connection is not None:
+                    connection.close()
+
+    def address(self, endpoint: str) -> str:
+        address = self.directory.addresses.get(endpoint)
+        if address is None:
+            raise Unconnected(f"no address for {endpoint}")
+        return address
+
+    async def answer(self, connection: Connection, side: ClientSide) -> Answer:
+        while (answer := side.next_answer()) is None:
+            data = await connection.receive()
+            if not data:
+                raise ConnectionResetError("ended before the whole answer")
+            side.feed(data)
+        return answer
+
+    async def probe(self, endpoint: str) -> None:
+        clock = self.book.engine.clock
+        began, how, load = clock.now(), t.How.TIMED_OUT, None
+        try:
+            with anyio.move_on_after(2 * self.pool.time_out):
+                answer = await self.exchange(self.address(endpoint), submission.probe(self.reported))
+                how, load = submission.probed(answer)
+        except Unconnected:
+            how = t.How.UNCONNECTED
+        except (OSError, Garbled):
+            how = t.How.RESET
+        except NoDescriptor:
+            how = t.How.UNSENT
+        except Exception as error:
+            self.log("task_failed", task="probe", error=f"{type(error).__name__}: {error}")
+        self.book.engine.tell(t.Probed(endpoint, how, clock.now() - began, load))
+
+    async def exchange(self, address: str, request: Request) -> Answer:
+        """Of what is harmless to ask again: an idle connection that turns out ended is replaced by a new one."""
+        while True:
+            kept = self.pool.reuse(address)
+            connection: Connection | None = kept or await self.pool.open(address)
+            try:
+                side = ClientSide()
+                await connection.send(side.ask(request))
+                answer = await self.answer(connection, side)
+                if side.reusable():
+                    self.pool.keep(connection, address)
+                    connection = None
+                return answer
+            except OSError:
+                if not kept:
+                    raise
+            finally:
+                if connection is not None:
+                    connection.close()
--- /dev/null
+++ b/lupinmill/routing/take_in.py
@@ -0,0 +1,80 @@
+"""Take in: one client connection, submission after submission."""
+from __future__ import annotations
+
+import anyio
+
+from lupinmill.protocol.http import Answer, Malformed, Request, ServerSide, plain
+from lupinmill.protocol.submission import denied
+from lupinmill.routing.admit import Admit
+from lupinmill.routing.engine import Log
+from lupinmill.routing.relay import Relay
+from lupinmill.transport.listener import Client, Listener
+
+STALLED = 10.0  # seconds between two parts of a request before its client counts as stuck
+CROWDED_OUT = 1.0  # seconds for a request on a connection that there is no descriptor for
+
+
+class TakeIn:
+    def __init__(self, listener: Listener, admit: Admit, relay: Relay, log: Log) -> None:
+        self.listener, self.admit, self.relay, self.log = listener, admit, relay, log
+        self.leaving = False
+        self.clients = 0
+
+    async def serve(self, client: Client, welcome: bool) -> None:
+        self.clients += 1
+        try:
+            with client:
+                if welcome:
+                    await self.converse(client)
+                else:
+                    await self.turn_away(client)
+        except (OSError, TimeoutError):
+            pass  # the client's side broke or is stuck: all it held is given back above
+        except Exception as error:
+            self.log("task_failed", task="client", error=f"{type(error).__name__}: {error}")
+        finally:
+            self.clients -= 1
+
+    async def converse(self, client: Client) -> None:
+        side = ServerSide()
+        while True:
+            try:
+                request = await self.read(client, side)
+            except Malformed as error:
+                await self.relay.pass_back(client, side, plain(error.status, f"{error}\n"), True)
+                return
+            if request is None:
+                return
+            answer = await self.answer(client, request)
+            if answer is None or not await self.relay.pass_back(client, side, answer, self.leaving):
+                return
+
+    async def answer(self, client: Client, request: Request) -> Answer | None:
+        admitted = self.admit.request(request)
+        return admitted if isinstance(admitted, Answer) else await self.relay.final_answer(client, admitted)
+
+    async def read(self, client: Client, side: ServerSide) -> Request | None:
+        while (request := side.next_request()) is None:
+            if side.begun():
+                with anyio.fail_after(STALLED):
+                    data = await client.receive()
+            else:
+                data = await self.listener.next_bytes(client)
+            if not data:
+                return None
+            side.feed(data)
+            if ahead := side.go_ahead():
+                await client.send(ahead)
+        return request
+
+    async def turn_away(self, client: Client) -> None:
+        """No descriptor to serve it with: what it asks is denied at once, and nothing was launched."""
+        side = ServerSide()
+        with anyio.fail_after(CROWDED_OUT):
+            try:
+                request = await self.read(client, side)
+            except Malformed as error:
+                await self.relay.pass_back(client, side, plain(error.status, f"{error}\n"), True)
+                return
+        if request is not None:
+            await self.relay.pass_back(client, side, denied(0), True)
--- /dev/null
+++ b/lupinmill/transport/connection.py
@@ -0,0 +1,123 @@
+"""One TCP connection: a non-blocking socket with a ring buffer a direction."""
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+import anyio
+
+from lupinmill.transport.ring import RingBuffer, Store
+
+
+class Unconnected(Exception):
+    """The connection never came up."""
+
+
+class Connection:
+    """`close` is the one place where the socket, the storage and the descriptor are given back."""
+
+    def __init__(self, sock: socket.socket, store: Store, give_back: Callable[[], None]) -> None:
+        self.sock, self.give_back = sock, give_back
+        self.incoming, self.outgoing = RingBuffer(store), RingBuffer(store)
+        self.closed = False
+        self.idle_since = 0.0
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def __enter__(self) -> Connection:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.incoming.clear()
+            self.outgoing.clear()
+            self.sock.close()
+            self.give_back()
+
+    async def receive(self) -> bytes:
+        """The next bytes, none at the end; OSError where the connection broke."""
+        while True:
+            await anyio.wait_readable(self.sock)
+            try:
+                self.incoming.filled(self.sock.recv_into(self.incoming.space()))
+            except BlockingIOError:
+                self.incoming.filled(0)
+                continue
+            data = bytes(self.incoming.stretch())
+            self.incoming.took(len(data))
+            return data
+
+    async def send(self, data: bytes) -> None:
+        """Returns once the last byte is written; whatever it raises, that has not happened."""
+        rest = memoryview(data)
+        while rest or self.outgoing.size:
+            rest = rest[self.outgoing.put(rest):]
+            try:
+                self.outgoing.took(self.sock.send(self.outgoing.stretch()))
+            except BlockingIOError:
+                await anyio.wait_writable(self.sock)
+
+    def quiet(self) -> bool:
+        """Open at both ends with nothing to read."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
+    def has_unread(self) -> bool:
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    async def gone(self) -> bool:
+        """Waits for the other side to end it; False when bytes came instead."""
+        await anyio.wait_readable(self.sock)
+        return not self.quiet() and not self.has_unread()
+
+    def end_sending(self) -> None:
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
+
+def split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{address[:80]!r} is not host:port")
+    return host.strip("[]"), int(port)
+
+
+async def connect(address: str, time_out: float, store: Store, give_back: Callable[[], None]) -> Connection:
+    """Guards against machines that say nothing: the time-out is ours, the kernel's takes minutes."""
+    try:
+        host, port = split_address(address)
+        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    except (OSError, ValueError) as error:
+        give_back()
+        raise Unconnected(str(error)) from error
+    made = None
+    try:
+        made = Connection(sock, store, give_back)
+        with anyio.fail_after(time_out):
+            try:
+                sock.connect((host, port))
+            except BlockingIOError:
+                await anyio.wait_writable(sock)
+            if failed := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                raise OSError(failed, "connect failed")
+        done, made = made, None
+        return done
+    except (OSError, TimeoutError) as error:
+        raise Unconnected(str(error)) from error
+    finally:
+        if made is not None:
+            made.close()
--- /dev/null
+++ b/lupinmill/transport/descriptors.py
@@ -0,0 +1,44 @@
+"""The one owner of the budget of file descriptors."""
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+
+OWN = 24  # standard streams, the event loop's own, the listener, discovery, and some to turn clients away with
+
+
+class Side(Enum):
+    CLIENT = 0
+    ENDPOINT = 1
+
+
+class Descriptors:
+    """Counts what is open. When short it closes an idle endpoint connection, then an idle client's.
+
+    A quarter stays for endpoints: clients that hold connections open must not keep all launches from going out.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.limit = max(8, limit - OWN)
+        self.client_limit = self.limit - self.limit // 4
+        self.open = {Side.CLIENT: 0, Side.ENDPOINT: 0}
+        self.leaving = 0  # idle clients told to close, whose tasks have not done so yet
+        self.close_idle_endpoint: Callable[[], bool] = lambda: False
+        self.close_idle_client: Callable[[], bool] = lambda: False
+
+    def free(self, side: Side) -> bool:
+        clients = self.open[Side.CLIENT] - self.leaving
+        if side is Side.CLIENT and clients >= self.client_limit:
+            return False
+        return clients + self.open[Side.ENDPOINT] < self.limit
+
+    def lease(self, side: Side) -> bool:
+        while not self.free(side):
+            crowded = side is Side.CLIENT and self.open[side] - self.leaving >= self.client_limit
+            if not (not crowded and self.close_idle_endpoint() or self.close_idle_client()):
+                return False
+        self.open[side] += 1
+        return True
+
+    def give_back(self, side: Side) -> None:
+        self.open[side] -= 1
--- /dev/null
+++ b/lupinmill/transport/pool.py
@@ -0,0 +1,81 @@
+"""Connections to endpoints, kept for the next launch while they are fresh."""
+from __future__ import annotations
+
+import time
+
+from lupinmill.transport.connection import Connection, connect
+from lupinmill.transport.descriptors import Descriptors, Side
+from lupinmill.transport.ring import Store
+
+
+class NoDescriptor(Exception):
+    """The budget has none left, and nothing idle could be closed."""
+
+
+class Pool:
+    """Owns idle connections to endpoints, and opens new ones. A connection out on a launch is the launch's."""
+
+    def __init__(self, descriptors: Descriptors, store: Store, idle_limit: float, time_out: float) -> None:
+        self.descriptors, self.store, self.time_out = descriptors, store, time_out
+        # What is written to a connection from its idle limit on ends as a reset: stay well clear of it.
+        self.fresh = max(0.0, min(idle_limit * 0.8, idle_limit - 1.0))
+        self.idle: dict[str, list[Connection]] = {}  # the one used last at the end
+        descriptors.close_idle_endpoint = self.close_oldest
+
+    def reuse(self, address: str) -> Connection | None:
+        """An idle connection that is still open at both ends."""
+        kept = self.idle.get(address)
+        while kept:
+            connection = kept.pop()
+            if not kept:
+                del self.idle[address]
+            if time.monotonic() - connection.idle_since < self.fresh and connection.quiet():
+                return connection
+            connection.close()
+        return None
+
+    async def open(self, address: str) -> Connection:
+        if not self.descriptors.lease(Side.ENDPOINT):
+            raise NoDescriptor(address)
+        return await connect(
+            address, self.time_out, self.store, lambda: self.descriptors.give_back(Side.ENDPOINT)
+        )
+
+    def keep(self, connection: Connection, address: str) -> None:
+        if self.fresh <= 0 or not connection.quiet():
+            connection.close()
+            return
+        connection.idle_since = time.monotonic()
+        self.idle.setdefault(address, []).append(connection)
+
+    def close_oldest(self) -> bool:
+        if not self.idle:
+            return False
+        address = min(self.idle, key=lambda at: self.idle[at][0].idle_since)
+        self.close_first(address)
+        return True
+
+    def close_first(self, address: str) -> None:
+        self.idle[address].pop(0).close()
+        if not self.idle[address]:
+            del self.idle[address]
+
+    def sweep(self) -> None:
+        """Closes what has stood too long or was ended by its endpoint."""
+        now = time.monotonic()
+        for address in list(self.idle):
+            kept = self.idle.pop(address)
+            alive = [one for one in kept if now - one.idle_since < self.fresh and one.quiet()]
+            for one in kept:
+                if one not in alive:
+                    one.close()
+            if alive:
+                self.idle[address] = alive
+
+    def drop(self, address: str) -> None:
+        for connection in self.idle.pop(address, []):
+            connection.close()
+
+    def close(self) -> None:
+        for address in list(self.idle):
+            self.drop(address)
