--- a/lupinmill/program/discovery.py
+++ b/lupinmill/program/discovery.py
@@ -1,6 +1,8 @@
 """The watch on the list of endpoints."""
 from __future__ import annotations
 
+import random
+
 import anyio
 
 from lupinmill import terms as t
@@ -8,18 +10,23 @@
 from lupinmill.protocol.http import ClientSide, Garbled
 from lupinmill.routing.directory import Directory
 from lupinmill.routing.engine import Log
-from lupinmill.transport.connection import Connection, Unconnected, connect
+from lupinmill.transport.connection import Connection, NoDescriptor, Unconnected, connect
 from lupinmill.transport.ring import Store
 
 WAIT_MS = 20_000  # how long one call of a watch waits for news
+AGAIN = 1.0  # seconds, at most, before a broken watch begins anew where the list is pushed
 LATE = 3.0  # seconds beyond that wait before discovery counts as silent
 CONNECT = 2.0
 
 
 class Discovery:
-    """Begins a watch when the module asks for one, and keeps it until a call fails. Owns the connection."""
+    """Begins a watch when the module asks for one, and keeps it until a call fails. Owns the connection.
+
+    Where the settings say that changes are pushed, the module never asks: then it watches from the start.
+    """
 
-    def __init__(self, address: str, directory: Directory, store: Store, log: Log) -> None:
+    def __init__(self, address: str, pushed: bool, directory: Directory, store: Store, log: Log) -> None:
+        self.pushed = pushed
         self.address, self.directory, self.store, self.log = address, directory, store, log
         self.wanted = anyio.Event()
         self.connection: Connection | None = None
@@ -29,17 +36,21 @@
 
     async def run(self) -> None:
         while True:
-            await self.wanted.wait()
+            if not self.pushed:
+                await self.wanted.wait()
             try:
                 await self.follow()
-            except (OSError, TimeoutError, Unconnected, Garbled) as error:
+            except (OSError, TimeoutError, Unconnected, NoDescriptor, Garbled) as error:
                 self.log("watch_failed", error=f"{type(error).__name__}: {error}")
             except Exception as error:
                 self.log("task_failed", task="watch", error=f"{type(error).__name__}: {error}")
             finally:
                 self.hang_up()
             self.wanted = anyio.Event()
-            self.directory.failed()
+            if self.pushed:
+                await anyio.sleep(AGAIN * random.uniform(0.2, 1))
+            else:
+                self.directory.failed()
 
     async def follow(self) -> None:
         """The next call goes out at once: a watch goes on only if it comes soon after the last answer."""
@@ -53,8 +64,10 @@
             self.hang_up()
             self.connection = await connect(self.address, CONNECT, self.store, lambda: None)
         side = ClientSide(lists.LARGEST_LIST)
+        # With no endpoint known, changes since that version would leave out all that did not change.
+        index = self.directory.index if self.directory.states else None
         with anyio.fail_after(WAIT_MS / 1000 + LATE):
-            await self.connection.send(side.ask(lists.call(self.directory.index, WAIT_MS)))
+            await self.connection.send(side.ask(lists.call(index, WAIT_MS)))
             while (answer := side.next_answer()) is None:
                 data = await self.connection.receive()
                 if not data:
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -5,6 +5,7 @@
 import signal
 
 import anyio
+from anyio.abc import TaskStatus
 
 from lupinmill import terms as t
 from lupinmill.program.discovery import Discovery
@@ -24,7 +25,7 @@
 
 LAG_EVERY, LAG_HIGH, LAG_LOW = 0.25, 0.05, 0.01  # seconds
 STILL_COMING = 0.6  # seconds after SIGTERM for which new connections go on coming
-LAST = 6.0  # seconds after which what is still open is a connection that nobody uses
+LAST = 6.0  # seconds after which a connection without an open submission is not waited for
 
 
 class Program:
@@ -36,10 +37,11 @@
         self.directory = Directory(self.engine, self.pool)
         self.book = Book(self.engine)
         self.admit = Admit(self.book, self.directory, {w.name for w in told.deployment.workloads})
-        self.discovery = Discovery(told.discovery, self.directory, self.store, log)
+        pushed = not told.deployment.must_ask
+        self.discovery = Discovery(told.discovery, pushed, self.directory, self.store, log)
         self.engine.carriers[t.Watch] = self.discovery.watch
 
-    async def run(self) -> None:
+    async def run(self, *, task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED) -> None:
         deployment = self.told.deployment
         send = Send(self.pool, self.directory, self.book, deployment.reports_asked, self.log)
         listener = Listener(self.told.listen, self.descriptors, self.store)
@@ -51,10 +53,12 @@
                 for task in (self.engine.keep_time, self.discovery.run, self.sweep, self.measure_lag):
                     group.start_soon(task)
                 group.start_soon(listener.run, group, take_in.serve)
-                self.log("started", tier=deployment.tier, listen=self.told.listen,
+                self.log("started", tier=deployment.tier, listen=listener.address,
                          endpoints=len(self.told.known.entries), descriptors=self.told.descriptors)
                 gc.collect()
                 gc.freeze()
+                gc.set_threshold(20_000, 20, 20)
+                task_status.started(listener.address)
                 await self.await_end(listener, take_in)
                 group.cancel_scope.cancel()
         finally:
@@ -70,7 +74,7 @@
                 break
         self.admit.leaving = take_in.leaving = True
         began = anyio.current_time()
-        while (waited := anyio.current_time() - began) < LAST:
+        while (waited := anyio.current_time() - began) < LAST or self.book.journeys:
             if waited >= STILL_COMING:
                 while listener.close_oldest():
                     pass
--- a/lupinmill/protocol/http.py
+++ b/lupinmill/protocol/http.py
@@ -57,10 +57,11 @@
 
 
 def end_to_end(headers: Headers) -> Headers:
-    named = {
-        part.strip().lower() for key, value in headers if key.lower() == b"connection" for part in value.split(b",")
-    }
-    return [(key, value) for key, value in headers if (low := key.lower()) not in HOP_BY_HOP and low not in named]
+    named = set(HOP_BY_HOP)
+    for key, value in headers:
+        if key.lower() == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    return [(key, value) for key, value in headers if key.lower() not in named]
 
 
 def plain(status: int, text: str = "", more: Headers | None = None) -> Answer:
@@ -186,4 +187,5 @@
 
     def reusable(self) -> bool:
         """The exchange is over, and the other side keeps the connection."""
-        return self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not self.http.trailing_data[0]
+        over = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+        return over and not self.http.trailing_data[0]
--- a/lupinmill/protocol/lists.py
+++ b/lupinmill/protocol/lists.py
@@ -42,7 +42,7 @@
     try:
         rows = table["endpoints"]
         entries = [listing(row) for row in rows]
-        addresses = {entry.endpoint: str(row["address"]) for entry, row in zip(entries, rows) if "address" in row}
+        addresses = {str(row["name"]): str(row["address"]) for row in rows if "address" in row}
         return Known(int(table["index"]), bool(table.get("snapshot")), entries, addresses)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise Garbled(f"list of endpoints: {type(error).__name__} {error}") from error
--- a/lupinmill/routing/admit.py
+++ b/lupinmill/routing/admit.py
@@ -12,7 +12,7 @@
         self.book, self.directory, self.workloads = book, directory, workloads
         self.leaving = False
 
-    def request(self, request: Request) -> Journey | Answer:
+    def request(self, request: Request, waited: int = 0) -> Journey | Answer:
         if request.target.split(b"?", 1)[0] == submission.READY and request.method in (b"GET", b"HEAD"):
             return plain(200, "ready\n") if self.ready() else plain(503, "not ready\n")
         try:
@@ -22,7 +22,11 @@
                 raise Malformed(400, "this Req-Id is still open", True)
         except Malformed as error:
             return plain(error.status, f"{error}\n")
-        journey = Journey(asked, request, self.book.engine.clock.now() + asked.left)
+        engine = self.book.engine
+        # Guards against answers after the hard limit while the loop lags: they come out as late as wake-ups
+        # do, once from the module and once to the client.
+        left = asked.left - min(2 * engine.late, asked.left // 3)
+        journey = Journey(asked, request, engine.clock.now() - waited + left)
         self.book.begin(journey)
         return journey
 
--- a/lupinmill/routing/book.py
+++ b/lupinmill/routing/book.py
@@ -20,6 +20,7 @@
     scope: anyio.CancelScope
     written: bool = False  # its last byte has left: from here on it may have run
     called_off: bool = False
+    waited: int = 0  # microseconds that its answer lay unread
     out: bool = True
 
 
@@ -30,8 +31,9 @@
     asked: Asked
     request: Request
     due: int
-    settled: anyio.Event = field(default_factory=anyio.Event)
+    settled: bool = False
     answer: Answer | None = None  # stays None where the client has gone away
+    waiting: anyio.CancelScope | None = None  # its client's task, until it is settled
     launches: list[Launch] = field(default_factory=list)
 
 
@@ -51,10 +53,11 @@
 
     def settle(self, journey: Journey, answer: Answer | None) -> bool:
         """The first final answer stands; what comes later is dropped."""
-        if journey.settled.is_set():
+        if journey.settled:
             return False
-        journey.answer = answer
-        journey.settled.set()
+        journey.answer, journey.settled = answer, True
+        if journey.waiting is not None:
+            journey.waiting.cancel()
         self.close(journey)
         return True
 
@@ -70,10 +73,10 @@
         launch.out = False
         if answer is not None:
             self.settle(journey, answer)
-        name, took = journey.asked.submission, self.engine.clock.now() - launch.at
-        self.engine.tell(t.Ended(name, launch.number, how, took, journey.settled.is_set(), load))
+        name, took = journey.asked.submission, self.engine.clock.now() - launch.at - launch.waited
+        self.engine.tell(t.Ended(name, launch.number, how, took, journey.settled, load))
         self.close(journey)
 
     def close(self, journey: Journey) -> None:
-        if journey.settled.is_set() and not any(launch.out for launch in journey.launches):
+        if journey.settled and not any(launch.out for launch in journey.launches):
             self.journeys.pop(journey.asked.submission, None)
--- a/lupinmill/routing/engine.py
+++ b/lupinmill/routing/engine.py
@@ -31,6 +31,7 @@
         self.notes: list[t.Note] = []
         self.stepping = False
         self.wake_at: int | None = None
+        self.late = 0  # microseconds by which wake-ups came late of late
         self.rearmed = anyio.Event()
         self.carriers: dict[type, Callable[[Any], None]] = {
             t.WakeMe: self.wake_me, t.Log: lambda order: log("mode", text=order.text),
@@ -72,6 +73,7 @@
             self.rearmed = anyio.Event()
             now = self.clock.now()
             if self.wake_at is not None and self.wake_at <= now:
+                self.late = max(now - self.wake_at, self.late * 9 // 10)
                 self.wake_at = None
                 self.tell(t.Woke(1))
             elif self.wake_at is None:
--- a/lupinmill/routing/relay.py
+++ b/lupinmill/routing/relay.py
@@ -19,26 +19,26 @@
         self.book, self.log = book, log
 
     async def final_answer(self, client: Client, journey: Journey) -> Answer | None:
-        """None where the client has gone away."""
+        """None where the client has gone away.
+
+        Settling the journey cancels the wait; a task that waited beside this one would cost a tenth of what a
+        submission costs in all.
+        """
         left = journey.due + BACKSTOP - self.book.engine.clock.now()
         try:
-            async with anyio.create_task_group() as group:
-                group.start_soon(self.watch, client, journey)
-                with anyio.move_on_after(left / 1_000_000):
-                    await journey.settled.wait()
-                group.cancel_scope.cancel()
+            with anyio.move_on_after(left / 1_000_000) as journey.waiting:
+                if not journey.settled and await client.gone():
+                    self.book.withdraw(journey)
+                elif not journey.settled:
+                    await anyio.sleep_forever()  # it sends already, and has to wait
         finally:
-            if not journey.settled.is_set():
+            journey.waiting = None
+            if not journey.settled:
                 self.book.withdraw(journey)
                 journey.answer = broken_off()
                 self.log("backstop", submission=journey.asked.submission)
         return journey.answer
 
-    async def watch(self, client: Client, journey: Journey) -> None:
-        """A client that closes its connection has gone away; one that sends already has to wait."""
-        if await client.gone():
-            self.book.withdraw(journey)
-
     async def pass_back(self, client: Client, side: ServerSide, answer: Answer, close: bool) -> bool:
         """True when the connection can serve another submission."""
         with anyio.move_on_after(STUCK) as scope:
--- a/lupinmill/routing/send.py
+++ b/lupinmill/routing/send.py
@@ -9,8 +9,8 @@
 from lupinmill.routing.book import Book, Journey, Launch
 from lupinmill.routing.directory import Directory
 from lupinmill.routing.engine import Log
-from lupinmill.transport.connection import Connection, Unconnected
-from lupinmill.transport.pool import NoDescriptor, Pool
+from lupinmill.transport.connection import Connection, NoDescriptor, Unconnected
+from lupinmill.transport.pool import Pool
 
 
 class Unsent(Exception):
@@ -24,11 +24,13 @@
 
     async def launch(self, journey: Journey, launch: Launch) -> None:
         """Whatever happens here, the module hears of one outcome for this launch."""
-        how, answer = None, None
+        how = handled = load = None
         try:
             with launch.scope:
                 answer = await self.attempt(journey, launch)
+                load = submission.load_report(answer)
                 how = submission.outcome(answer)
+                handled = submission.handled(answer) if how is t.How.HANDLED else None
             if how is None and launch.written:
                 how = t.How.CALLED_OFF if launch.called_off else t.How.TIMED_OUT
         except Unconnected:
@@ -44,8 +46,6 @@
         finally:
             if how is None:
                 how = t.How.RESET if launch.written else t.How.UNSENT
-            handled = submission.handled(answer) if answer and how is t.How.HANDLED else None
-            load = submission.load_report(answer) if answer else None
             self.book.ended(journey, launch, how, handled, load)
 
     async def attempt(self, journey: Journey, launch: Launch) -> Answer:
@@ -55,7 +55,7 @@
             connection: Connection | None = kept or await self.pool.open(address)
             try:
                 # Told while it connected: nothing new to what drains, nothing for what has its answer.
-                if journey.settled.is_set() or not self.directory.takes(launch.endpoint):
+                if journey.settled or not self.directory.takes(launch.endpoint):
                     self.pool.keep(connection, address)
                     connection = None
                     raise Unsent
@@ -70,6 +70,7 @@
                     raise
                 launch.written = True
                 answer = await self.answer(connection, side)
+                launch.waited = connection.waited()
                 if side.reusable():
                     self.pool.keep(connection, address)
                     connection = None
@@ -110,7 +111,7 @@
         self.book.engine.tell(t.Probed(endpoint, how, clock.now() - began, load))
 
     async def exchange(self, address: str, request: Request) -> Answer:
-        """Of what is harmless to ask again: an idle connection that turns out ended is replaced by a new one."""
+        """Of what is harmless to ask again: where a kept connection turns out ended a new one is opened."""
         while True:
             kept = self.pool.reuse(address)
             connection: Connection | None = kept or await self.pool.open(address)
--- a/lupinmill/routing/take_in.py
+++ b/lupinmill/routing/take_in.py
@@ -50,7 +50,7 @@
                 return
 
     async def answer(self, client: Client, request: Request) -> Answer | None:
-        admitted = self.admit.request(request)
+        admitted = self.admit.request(request, client.waited())
         return admitted if isinstance(admitted, Answer) else await self.relay.final_answer(client, admitted)
 
     async def read(self, client: Client, side: ServerSide) -> Request | None:
--- a/lupinmill/transport/connection.py
+++ b/lupinmill/transport/connection.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from collections.abc import Callable
 
 import anyio
@@ -9,10 +10,18 @@
 from lupinmill.transport.ring import RingBuffer, Store
 
 
+TICK = 4  # milliseconds, by which the kernel may round up how long bytes have waited
+LAST_DATA = 52  # where tcp_info says how many milliseconds ago the last data came
+
+
 class Unconnected(Exception):
     """The connection never came up."""
 
 
+class NoDescriptor(Exception):
+    """There is none left for a connection: no fault of the other side's."""
+
+
 class Connection:
     """`close` is the one place where the socket, the storage and the descriptor are given back."""
 
@@ -51,6 +60,19 @@
             self.incoming.took(len(data))
             return data
 
+    def waited(self) -> int:
+        """Microseconds for which the last bytes lay in the kernel before they were read.
+
+        Guards against a loop that lags: what it reads late would count as late sent, by a client whose hard
+        limit runs already, or by an endpoint that was quick.
+        """
+        try:
+            info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA + 4)
+            (ago,) = struct.unpack_from("I", info, LAST_DATA)
+        except (AttributeError, OSError, struct.error):
+            return 0  # not on this system
+        return max(0, ago - TICK) * 1000
+
     async def send(self, data: bytes) -> None:
         """Returns once the last byte is written; whatever it raises, that has not happened."""
         rest = memoryview(data)
@@ -91,22 +113,28 @@
 
 def split_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not port.isdigit() or not int(port) < 65536:
         raise ValueError(f"{address[:80]!r} is not host:port")
     return host.strip("[]"), int(port)
 
 
+def stream_socket(host: str) -> socket.socket:
+    return socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+
+
 async def connect(address: str, time_out: float, store: Store, give_back: Callable[[], None]) -> Connection:
     """Guards against machines that say nothing: the time-out is ours, the kernel's takes minutes."""
     try:
         host, port = split_address(address)
-        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
-    except (OSError, ValueError) as error:
+        made: Connection | None = Connection(stream_socket(host), store, give_back)
+    except ValueError as error:
         give_back()
         raise Unconnected(str(error)) from error
-    made = None
+    except OSError as error:
+        give_back()
+        raise NoDescriptor(str(error)) from error
+    sock = made.sock
     try:
-        made = Connection(sock, store, give_back)
         with anyio.fail_after(time_out):
             try:
                 sock.connect((host, port))
--- a/lupinmill/transport/descriptors.py
+++ b/lupinmill/transport/descriptors.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from enum import Enum
 
-OWN = 24  # standard streams, the event loop's own, the listener, discovery, and some to turn clients away with
+OWN = 40  # standard streams, the event loop's own, listener, discovery, and some to turn clients away with
 
 
 class Side(Enum):
@@ -15,7 +15,7 @@
 class Descriptors:
     """Counts what is open. When short it closes an idle endpoint connection, then an idle client's.
 
-    A quarter stays for endpoints: clients that hold connections open must not keep all launches from going out.
+    A quarter stays for endpoints: clients that hold connections open must not keep launches from going out.
     """
 
     def __init__(self, limit: int) -> None:
--- a/lupinmill/transport/listener.py
+++ b/lupinmill/transport/listener.py
@@ -8,7 +8,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from lupinmill.transport.connection import Connection, split_address
+from lupinmill.transport.connection import Connection, split_address, stream_socket
 from lupinmill.transport.descriptors import OWN, Descriptors, Side
 from lupinmill.transport.ring import Store
 
@@ -31,12 +31,13 @@
         self.idle: dict[Client, None] = {}  # the one idle for longest first
         self.turning_away = 0
         host, port = split_address(address)
-        self.sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+        self.sock = stream_socket(host)
         try:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             self.sock.bind((host, port))
             self.sock.listen(4096)
             self.sock.setblocking(False)
+            self.address = "%s:%d" % self.sock.getsockname()[:2]
         except BaseException:
             self.sock.close()
             raise
--- a/lupinmill/transport/pool.py
+++ b/lupinmill/transport/pool.py
@@ -3,17 +3,13 @@
 
 import time
 
-from lupinmill.transport.connection import Connection, connect
+from lupinmill.transport.connection import Connection, NoDescriptor, connect
 from lupinmill.transport.descriptors import Descriptors, Side
 from lupinmill.transport.ring import Store
 
 
-class NoDescriptor(Exception):
-    """The budget has none left, and nothing idle could be closed."""
-
-
 class Pool:
-    """Owns idle connections to endpoints, and opens new ones. A connection out on a launch is the launch's."""
+    """Owns idle connections to endpoints, and opens new ones. One out on a launch is the launch's."""
 
     def __init__(self, descriptors: Descriptors, store: Store, idle_limit: float, time_out: float) -> None:
         self.descriptors, self.store, self.time_out = descriptors, store, time_out
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -1,7 +1,19 @@
-"""A sidecar on a test bed: drives `rules.Sidecar` without any bench and checks the rules after every step."""
+"""Test beds. `Bed` drives `rules.Sidecar` without any bench and checks the rules after every step; `Net` puts
+a whole program among stand-ins on loopback."""
 from __future__ import annotations
 
+import re
+import socket
+import struct
+
+import anyio
+import h11
+import orjson
+
 from lupinmill import terms as t
+from lupinmill.program.sidecar import Program
+from lupinmill.program.told import understand
+from lupinmill.protocol.http import Answer, ClientSide, Garbled, ServerSide
 from lupinmill.rules import SECOND, Sidecar
 
 NEVER = {t.How.REFUSED, t.How.UNCONNECTED, t.How.UNSENT}
@@ -135,3 +147,186 @@
             assert not self.out(name), f"{name} has two launches out"
         assert len(self.flights[name]) < self.d.most_launches
         self.flights[name].append({"endpoint": order.endpoint, "sent": self.now, "how": None})
+
+
+# --- the network: loopback stand-ins for endpoints and discovery around a whole program -----------------
+
+NO_CHANCE_OF_STOPPING = 20  # seconds after which a test on sockets has failed
+
+
+class Stand:
+    """A server on loopback. `act(request)` gives an Answer, or the name of a fault."""
+
+    def __init__(self, act) -> None:
+        self.act, self.seen, self.address, self.open = act, [], "", 0
+
+    async def run(self, *, task_status) -> None:
+        async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener:
+            self.address = "127.0.0.1:%d" % listener.extra(anyio.abc.SocketAttribute.local_port)
+            task_status.started()
+            await listener.serve(self.attend)
+
+    async def attend(self, stream) -> None:
+        self.open += 1
+        try:
+            async with stream:
+                await self.converse(stream, ServerSide())
+        except (OSError, anyio.BrokenResourceError, anyio.EndOfStream):
+            pass
+        finally:
+            self.open -= 1
+
+    async def converse(self, stream, side) -> None:
+        while True:
+            while (request := side.next_request()) is None:
+                side.feed(await stream.receive())
+            self.seen.append(request)
+            what = await self.act(request)
+            if isinstance(what, Answer):
+                await stream.send(side.answer(what, False))
+                side.goes_on()
+            elif what == "silent":
+                await stream.receive()
+                return
+            elif what == "cut":
+                await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf")
+                return
+            elif what == "endless":
+                await stream.send(b"HTTP/1.1 200 OK\r\n\r\nwho knows where this ends")
+                return
+            elif what == "garbled":
+                await stream.send(b"200 fine, thanks\r\n\r\n")
+                return
+            else:
+                reset = struct.pack("ii", 1, 0)
+                stream.extra(anyio.abc.SocketAttribute.raw_socket).setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, reset
+                )
+                return
+
+
+class DiscoveryStand(Stand):
+    """Answers watches as the protocol says; `fault` names what it does instead."""
+
+    def __init__(self) -> None:
+        super().__init__(self.answer)
+        self.rows, self.index, self.changes, self.fault = [], 1, {}, None
+        self.news = anyio.Event()
+
+    def change(self, row: dict, **fields) -> None:
+        row |= fields
+        self.index += 1
+        self.changes[self.index] = dict(row)
+        self.news.set()
+        self.news = anyio.Event()
+
+    async def answer(self, request):
+        if self.fault:
+            return self.fault
+        after = re.search(rb"index=(\d+)", request.target)
+        known = int(after[1]) if after else None
+        if known is not None and known >= self.index:
+            with anyio.move_on_after(1):
+                await self.news.wait()
+        whole = not known
+        rows = self.rows if whole else [row for at, row in self.changes.items() if at > known]
+        return Answer(200, [], orjson.dumps({"index": self.index, "snapshot": whole, "endpoints": rows}))
+
+
+def settings(**more) -> dict:
+    limits = {
+        "most-launches": 4, "may-duplicate": True, "cancel": True, "probes": True, "retry-after": True,
+        "max-retry-after-s": 1.0, "conn-idle-s": 30.0, "connect-timeout-s": 0.2,
+    }
+    workloads = [
+        {"name": "view", "contract-time-s": 0.5, "hard-limit-s": 1.0, "repeat": "repeatable"},
+        {"name": "bid", "contract-time-s": 0.5, "hard-limit-s": 1.0, "repeat": "by_key", "group": "cell",
+         "window-s": 1.0},
+        {"name": "issue", "contract-time-s": 0.5, "hard-limit-s": 1.0, "repeat": "once"},
+    ]
+    usual = {
+        "tier": 0, "instances": 1, "discovery": "ask", "round-s": 0.005, "workloads": workloads,
+        "limits": limits,
+        "load-report": {"how": "on_probe", "fields": ["waiting", "cpu"]}, "invariants": {"ask-within-s": 1.0},
+    }
+    return usual | more
+
+
+class Net:
+    """A whole program among stand-ins. `notes` are what its module was told, `logs` what it logged."""
+
+    def __init__(self, acts, sockets: int = 1024, known: bool = True, **more) -> None:
+        self.stands, self.discovery = [Stand(act) for act in acts], DiscoveryStand()
+        self.sockets, self.known, self.more = sockets, known, more
+        self.notes, self.logs = [], []
+
+    async def start(self, group) -> None:
+        for stand in (*self.stands, self.discovery):
+            await group.start(stand.run)
+        self.discovery.rows = [
+            {"name": f"e{at}", "address": stand.address, "zone": "z", "type": "k", "group": at % 2,
+             "status": "SERVING", "weight": 1.0, "since_ms": 0}
+            for at, stand in enumerate(self.stands)
+        ]
+        rows = [dict(row) for row in self.discovery.rows] if self.known else []
+        self.table = {
+            "name": "n1", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "1f",
+            "limits": {"sockets": self.sockets}, "known": {"index": 1, "snapshot": True, "endpoints": rows},
+            "settings": settings(**self.more),
+        }
+
+    async def start_program(self, group) -> None:
+        self.program = Program(understand(self.table, {}), lambda event, **f: self.logs.append((event, f)))
+        tell = self.program.engine.tell
+        self.program.engine.tell = lambda note: (self.notes.append(note), tell(note))
+        self.address = await group.start(self.program.run)
+
+    def ended(self) -> list[t.How]:
+        return [note.how for note in self.notes if isinstance(note, t.Ended)]
+
+    async def ask(self, data: bytes, gone_after: float | None = None) -> Answer | None:
+        """One exchange on a connection of its own; None where it ended without a whole answer."""
+        host, port = self.address.split(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(data)
+            side = ClientSide()
+            side.http.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
+            side.http.send(h11.EndOfMessage())
+            with anyio.move_on_after(gone_after if gone_after is not None else 10):
+                try:
+                    while (answer := side.next_answer()) is None:
+                        side.feed(await stream.receive())
+                    return answer
+                except (anyio.EndOfStream, anyio.BrokenResourceError, Garbled):
+                    pass
+        return None
+
+
+def wanted(name: str, workload: str = "view", deadline: str = "1.0", body: bytes = b"",
+           more: str = "") -> bytes:
+    head = (
+        f"POST /{workload}?q=1 HTTP/1.1\r\nHost: app.svc\r\nReq-Id: {name}\r\nReq-Kind: {workload}\r\n"
+        f"Req-Deadline: {deadline}\r\nIdempotency-Key: k-{name}\r\n{more}Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def on_network(check, *acts, **more) -> Net:
+    """Runs `check(net)` beside a whole program; afterwards nothing may be left that was leased."""
+    net = Net(acts, **more)
+
+    async def main() -> None:
+        with anyio.fail_after(NO_CHANCE_OF_STOPPING):
+            async with anyio.create_task_group() as group:
+                await net.start(group)
+                async with anyio.create_task_group() as inner:
+                    await net.start_program(inner)
+                    await check(net)
+                    inner.cancel_scope.cancel()
+                group.cancel_scope.cancel()
+
+    anyio.run(main)
+    program = net.program
+    assert program.store.leased == 0 and not program.pool.idle and program.descriptors.leaving == 0
+    assert set(program.descriptors.open.values()) == {0} and not program.book.journeys
+    return net
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,461 @@
+"""Whole sidecars on loopback: one answer each, by the rules, whatever endpoints, clients and discovery do."""
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import anyio
+import orjson
+import pytest
+from bed import Net, on_network, settings, wanted
+
+from lupinmill import terms as t
+from lupinmill.protocol import lists
+from lupinmill.protocol.http import Answer
+from lupinmill.routing import send, take_in
+
+DECLINED = Answer(503, [(b"Srv-Declined", b"1")])
+
+
+async def fine(request) -> Answer:
+    if request.target == b"/status/load":
+        return Answer(200, [], b"queue=2,util=0.4")
+    headers = [(b"X-From", b"here"), (b"Srv-Load", b"queue=1")]
+    return Answer(200, headers, b"done-" + request.header(b"req-id").encode())
+
+
+def always(what, after: float = 0.0):
+    async def act(request):
+        await anyio.sleep(after)
+        return what
+
+    return act
+
+
+def seen(net: Net, name: str) -> list[int]:
+    """The endpoints that got this submission whole."""
+    return [at for at, stand in enumerate(net.stands) for one in stand.seen if one.header(b"req-id") == name]
+
+
+def test_a_submission_is_handled_by_an_endpoint_and_its_answer_comes_back_unchanged():
+    async def check(net: Net):
+        answer = await net.ask(wanted("s1", deadline="0.8", body=b"x" * 60_000, more="Cookie: k=4\r\n"))
+        assert (answer.status, answer.body) == (200, b"done-s1")
+        assert answer.header(b"x-from") == "here" and answer.header(b"srv-load") is None
+        (got,) = [one for stand in net.stands for one in stand.seen if one.header(b"req-id")]
+        assert (got.method, got.target, got.body) == (b"POST", b"/view?q=1", b"x" * 60_000)
+        assert got.header(b"idempotency-key") == "k-s1" and got.header(b"cookie") == "k=4"
+        assert 0.7 < float(got.header(b"req-deadline")) <= 0.8
+        assert (await net.ask(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")).status == 200
+
+        await until(lambda: any(isinstance(note, t.Probed) for note in net.notes))
+
+    net = on_network(check, *[fine] * 4)
+    assert net.ended() == [t.How.HANDLED]
+    probed = next(note for note in net.notes if isinstance(note, t.Probed))
+    assert probed.how is t.How.HANDLED and probed.load == t.Load(queued=2.0, busy=0.4)
+
+
+@pytest.mark.parametrize("act, how, status", [
+    (always(Answer(500)), t.How.ERROR, 502), (always(Answer(503)), t.How.ERROR, 502),
+    (always(DECLINED), t.How.REFUSED, 503), (always("cut"), t.How.RESET, 502),
+    (always("reset"), t.How.RESET, 502),
+    (always("garbled"), t.How.ERROR, 502), (always("endless"), t.How.ERROR, 502),
+    (always(Answer(200, [], b"z" * 70_000)), t.How.ERROR, 502), (always("silent"), t.How.CALLED_OFF, 502),
+])
+def test_what_comes_back_is_an_outcome_and_what_may_have_run_is_broken_off(act, how, status):
+    async def check(net: Net):
+        began = time.monotonic()
+        assert (await net.ask(wanted("s1", "issue", "0.4"))).status == status
+        assert time.monotonic() - began < 0.47
+
+    assert on_network(check, act, tier=1).ended()[0] is how
+
+
+def test_an_endpoint_that_is_not_there_never_ran_it():
+    async def check(net: Net):
+        net.program.directory.addresses["e0"] = "127.0.0.1:1"
+        assert (await net.ask(wanted("s1", "issue", "0.4"))).status == 503
+
+    net = on_network(check, fine)
+    assert net.ended()[0] is t.How.UNCONNECTED and not seen(net, "s1")
+
+
+@pytest.mark.parametrize("row", [{"status": "DRAINING"}, {"status": "DELETED"}])
+def test_what_drains_while_the_connection_is_made_gets_no_byte(row):
+    async def check(net: Net):
+        whole = net.program.pool.open
+
+        async def slow(address):
+            connection = await whole(address)
+            entry = lists.known({"index": 9, "endpoints": [net.discovery.rows[0] | row]})
+            net.program.directory.update(entry, t.ListKind.CHANGES)
+            return connection
+
+        net.program.pool.open = slow
+        assert (await net.ask(wanted("s1", "issue", "0.3"))).status == 503
+
+    net = on_network(check, fine, limits=settings()["limits"] | {"probes": False})
+    assert net.ended() == [t.How.UNSENT] and not seen(net, "s1")
+
+
+def test_nothing_is_written_for_a_client_that_left_while_the_connection_was_made():
+    async def check(net: Net):
+        whole = net.program.pool.open
+
+        async def slow(address):
+            with anyio.CancelScope(shield=True):
+                await anyio.sleep(0.2)
+            return await whole(address)
+
+        net.program.pool.open = slow
+        assert await net.ask(wanted("s1"), gone_after=0.05) is None
+        await anyio.sleep(0.3)
+
+    net = on_network(check, fine, limits=settings()["limits"] | {"cancel": False})
+    assert net.ended() == [t.How.UNSENT] and not seen(net, "s1")
+
+
+def test_a_client_that_leaves_is_withdrawn_and_its_launch_closed():
+    async def check(net: Net):
+        assert await net.ask(wanted("s1"), gone_after=0.1) is None
+        await anyio.sleep(0.1)
+        assert net.stands[0].open == 0
+
+    net = on_network(check, always("silent"))
+    assert any(isinstance(note, t.Withdrawn) for note in net.notes) and net.ended() == [t.How.CALLED_OFF]
+
+
+def test_an_idle_connection_that_broke_costs_no_launch():
+    """Guards against booking an endpoint as gone because a kept connection could not be written to."""
+    async def check(net: Net):
+        assert (await net.ask(wanted("s1"))).status == 200
+        (kept,) = [one for some in net.program.pool.idle.values() for one in some][:1]
+        kept.sock.shutdown(1)  # a write now fails, yet nothing is to be read
+        assert (await net.ask(wanted("s2", "issue"))).status == 200
+
+    net = on_network(check, fine, limits=settings()["limits"] | {"probes": False})
+    assert net.ended() == [t.How.HANDLED] * 2
+
+
+@pytest.mark.parametrize("data, status", [
+    (b"nonsense\r\n\r\n", 400), (wanted("s1", "odd"), 404), (wanted("s1", deadline="soon"), 400),
+    (wanted("s1", body=b"z" * 200_000), 413), (wanted("s1").replace(b"Req-Id: s1\r\n", b""), 400),
+])
+def test_bad_input_is_answered_and_reaches_no_endpoint(data, status):
+    async def check(net: Net):
+        assert (await net.ask(data)).status == status
+        assert (await net.ask(wanted("s2"))).status == 200
+
+    net = on_network(check, fine)
+    assert not seen(net, "s1") and not [log for log in net.logs if "failed" in log[0]]
+
+
+def test_an_id_that_is_still_open_is_refused_and_the_first_one_served():
+    async def check(net: Net):
+        got = []
+
+        async def ask():
+            got.append(await net.ask(wanted("s1")))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            await anyio.sleep(0.1)
+            assert (await net.ask(wanted("s1"))).status == 400
+        assert [answer.status for answer in got] == [200]
+
+    on_network(check, always(Answer(200), 0.3))
+
+
+def test_a_request_cut_off_in_the_middle_frees_all_it_held(monkeypatch):
+    monkeypatch.setattr(take_in, "STALLED", 0.1)
+
+    async def check(net: Net):
+        host, port = net.address.split(":")
+        async with await anyio.connect_tcp(host, int(port)) as stuck:
+            await stuck.send(wanted("s1", body=b"z" * 9000)[:500])
+            await anyio.sleep(0.3)
+            assert net.program.descriptors.open[take_in_side()] == 0
+            with pytest.raises(anyio.EndOfStream):
+                await stuck.receive()
+        async with await anyio.connect_tcp(host, int(port)) as leaving:
+            await leaving.send(wanted("s2")[:50])
+        await anyio.sleep(0.05)
+        assert net.program.descriptors.open[take_in_side()] == 0
+
+    assert not [note for note in on_network(check, fine).notes if isinstance(note, t.Arrived)]
+
+
+def take_in_side():
+    from lupinmill.transport.descriptors import Side
+
+    return Side.CLIENT
+
+
+def test_short_of_descriptors_every_client_still_gets_an_answer():
+    most = []
+
+    async def check(net: Net):
+        got = []
+
+        async def ask(name: str):
+            got.append((await net.ask(wanted(name, deadline="2.0"))).status)
+            most.append(sum(net.program.descriptors.open.values()))
+
+        async with anyio.create_task_group() as group:
+            for at in range(120):
+                group.start_soon(ask, f"s{at}")
+        assert len(got) == 120 and set(got) == {200, 503}
+        assert (await net.ask(wanted("last"))).status == 200
+
+    on_network(check, always(Answer(200), 0.1), always(Answer(200), 0.1), sockets=80)
+    assert max(most) <= 40
+
+
+def test_idle_clients_make_room_for_new_ones():
+    async def check(net: Net):
+        host, port = net.address.split(":")
+        idle = [await anyio.connect_tcp(host, int(port)) for _ in range(60)]
+        await anyio.sleep(0.1)
+        assert (await net.ask(wanted("s1"))).status == 200
+        for stream in idle:
+            await stream.aclose()
+
+    on_network(check, fine, sockets=80)
+
+
+def test_a_failing_module_costs_no_other_submission_and_its_own_gets_a_break_off():
+    async def check(net: Net):
+        desk, whole = net.program.engine.sidecar.desk, net.program.engine.sidecar.desk.arrive
+
+        def broken(note):
+            if note.submission == "bad":
+                raise RuntimeError("a defect")
+            whole(note)
+
+        desk.handlers[t.Arrived] = broken
+        got = {}
+
+        async def ask(name: str):
+            began = time.monotonic()
+            got[name] = (await net.ask(wanted(name, deadline="0.3"))).status, time.monotonic() - began
+
+        async with anyio.create_task_group() as group:
+            for name in ("s1", "bad", "s2"):
+                group.start_soon(ask, name)
+        assert got["s1"][0] == got["s2"][0] == 200
+        assert got["bad"][0] == 502 and got["bad"][1] < 0.37
+
+    net = on_network(check, always(Answer(200), 0.1))
+    assert {"module_failed", "backstop"} <= {event for event, _ in net.logs}
+
+
+def test_a_loop_that_lags_gives_up_earlier():
+    """Seen: answers 100 ms and more after the hard limit where many sidecars shared two cores."""
+    async def check(net: Net):
+        async def lag():
+            for _ in range(12):
+                time.sleep(0.08)
+                await anyio.sleep(0.005)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(net.ask, wanted("s1"))
+            group.start_soon(lag)
+        assert (await net.ask(wanted("s2", "issue"))).status == 502
+        (due,) = [note.due for note in net.notes if isinstance(note, t.Arrived) and note.submission == "s2"]
+        assert 700_000 < due - began[-1] < 950_000
+
+    began = []
+
+    async def note_time(request):
+        began.append(time.time_ns() // 1000)
+        await anyio.sleep(9)
+
+    on_network(check, note_time, tier=1)
+
+
+def test_a_task_that_fails_is_an_outcome_and_no_more(monkeypatch):
+    def broken(answer):
+        raise RuntimeError("a defect")
+
+    monkeypatch.setattr(send.submission, "outcome", broken)
+
+    async def check(net: Net):
+        assert (await net.ask(wanted("s1", "issue", "0.3"))).status == 502
+        monkeypatch.undo()
+        assert (await net.ask(wanted("s2", "issue"))).status == 200
+
+    net = on_network(check, fine, tier=1)
+    assert net.ended()[0] is t.How.RESET and "task_failed" in [event for event, _ in net.logs]
+
+
+async def until(what) -> None:
+    while not what():
+        await anyio.sleep(0.01)
+
+
+@pytest.mark.parametrize("fault", ["silent", "garbled", "reset", Answer(503), Answer(200, [], b'{"index":')])
+def test_discovery_in_trouble_is_asked_again_and_the_old_list_stays(fault):
+    async def check(net: Net):
+        net.discovery.fault = fault
+        await until(lambda: net.discovery.seen)
+        assert (await net.ask(wanted("s1"))).status == 200
+        if fault != "silent":
+            await until(lambda: t.Listed(t.ListKind.FAILED, []) in net.notes)
+            net.discovery.fault = None
+            net.discovery.change(net.discovery.rows[0], status="DRAINING")
+            await until(lambda: not net.program.directory.takes("e0"))
+
+    on_network(check, fine, fine)
+
+
+@pytest.mark.parametrize("mode", ["ask", "push"])
+def test_the_watch_goes_on_and_its_news_are_told_at_once(mode):
+    async def check(net: Net):
+        if mode == "ask":
+            assert (await net.ask(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")).status == 503
+        await until(lambda: net.program.directory.takes("e0"))
+        assert (await net.ask(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")).status == 200
+        await anyio.sleep(0.05)
+        began = time.monotonic()
+        net.discovery.change(net.discovery.rows[0], status="DRAINING")
+        await until(lambda: not net.program.directory.takes("e0"))
+        net.discovery.change(net.discovery.rows[0], status="SERVING", since_ms=int(time.time() * 1000))
+        await until(lambda: net.program.directory.takes("e0"))
+        assert time.monotonic() - began < 0.2
+        (entry,) = net.notes[-1].entries
+        assert abs(net.program.engine.clock.now() - entry.started) < 1_000_000
+
+    on_network(check, fine, known=False, discovery=mode)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_random_troubles_keep_the_rules(seed):
+    chance, ran, answers, late = random.Random(seed), {}, {}, []
+    faults = [Answer(500), DECLINED, "silent", "cut", "reset", "garbled"]
+
+    def endpoint(number: int):
+        async def act(request):
+            name = request.header(b"req-id")
+            if name is None:
+                return Answer(200, [], b"queue=1,util=0.5")
+            what = chance.choice(faults) if chance.random() < 0.35 else None
+            if what is not DECLINED:
+                ran.setdefault(name, []).append((number, time.monotonic()))
+            await anyio.sleep(chance.uniform(0, 0.15))
+            return what or Answer(200, [], b"done-" + name.encode())
+
+        return act
+
+    async def check(net: Net):
+        async def ask(name: str, workload: str, deadline: float):
+            began = time.monotonic()
+            gone = 0.05 if chance.random() < 0.1 else None
+            body = b"b" * chance.randrange(3000)
+            answer = await net.ask(wanted(name, workload, f"{deadline:.3f}", body), gone)
+            if gone is None:
+                answers[name] = workload, answer
+                late.append(time.monotonic() - began - deadline)
+
+        async def flap():
+            for _ in range(8):
+                await anyio.sleep(0.15)
+                row = chance.choice(net.discovery.rows)
+                net.discovery.change(row, status="SERVING" if row["status"] != "SERVING" else "DRAINING")
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(flap)
+            for at in range(150):
+                await anyio.sleep(chance.uniform(0, 0.02))
+                workload = chance.choice(["view", "bid", "issue"])
+                group.start_soon(ask, f"s{at}", workload, chance.uniform(0.3, 0.8))
+
+    net = on_network(check, *(endpoint(number) for number in range(4)))
+    assert len(answers) > 100 and max(late) < 0.07
+    assert sum(answer is not None and answer.status == 200 for _, answer in answers.values()) > 40
+    for name, (workload, answer) in answers.items():
+        assert answer is not None, f"{name} was lost"
+        times = ran.get(name, [])
+        if answer.status == 200:
+            assert answer.body == b"done-" + name.encode()
+        if workload == "issue":
+            assert len(times) <= 1 and (answer.status != 503 or not times), f"{name} ran {times}"
+        if workload == "bid":
+            assert len({number % 2 for number, _ in times}) <= 1 and (answer.status != 503 or not times)
+    assert not [log for log in net.logs if "failed" in log[0] or log[0] == "backstop"]
+
+
+# --- the program as a process ---------------------------------------------------------------------------
+
+
+def start(tmp_path, table) -> subprocess.Popen:
+    path = tmp_path / "told.json"
+    path.write_bytes(table if isinstance(table, bytes) else orjson.dumps(table))
+    environ = {key: value for key, value in os.environ.items() if not key.startswith("BALANCER_")}
+    return subprocess.Popen(
+        [sys.executable, "-m", "lupinmill"], env=environ | {"BALANCER_CONFIG": str(path)},
+        stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+    )
+
+
+def test_sigterm_answers_all_that_was_taken_and_ends_with_0(tmp_path):
+    net = Net([always(Answer(200, [], b"late"), 0.9)])
+
+    async def main():
+        with anyio.fail_after(15):
+            async with anyio.create_task_group() as group:
+                await net.start(group)
+                process = start(tmp_path, net.table)
+                started = orjson.loads(await anyio.to_thread.run_sync(process.stdout.readline))
+                net.address, got = started["listen"], []
+
+                async def ask(name: str):
+                    got.append(await net.ask(wanted(name, deadline="2.0")))
+
+                async with anyio.create_task_group() as inner:
+                    host, port = net.address.split(":")
+                    idle = await anyio.connect_tcp(host, int(port))
+                    inner.start_soon(ask, "before")
+                    await anyio.sleep(0.2)
+                    process.send_signal(signal.SIGTERM)
+                    await anyio.sleep(0.1)
+                    assert (await net.ask(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")).status == 503
+                    await anyio.sleep(0.2)
+                    inner.start_soon(ask, "after")
+                    with pytest.raises(anyio.EndOfStream):
+                        await idle.receive()
+                    await idle.aclose()
+                code = await anyio.to_thread.run_sync(process.wait)
+                assert code == 0 and [answer.status for answer in got] == [200, 200]
+                assert {answer.header(b"connection") for answer in got} == {"close"}
+                assert process.stderr.read() == b""
+                events = [orjson.loads(line)["event"] for line in process.stdout.read().splitlines()]
+                assert events[-1] == "stopped"
+                group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize("table, said", [
+    (b"{", "told.json"), (b"[]", "not a JSON object"), ({}, "missing 'settings'"),
+    ({"listen": "127.0.0.1:0", "discovery": "nowhere", "settings": settings()}, "nowhere"),
+    ({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": {"tier": "x"}}, "'x'"),
+    ({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": {}}, "no workloads"),
+])
+def test_a_bad_start_is_one_plain_line_and_exit_2(tmp_path, table, said):
+    process = start(tmp_path, table)
+    out, err = process.communicate(timeout=10)
+    assert process.returncode == 2 and out == b""
+    assert err.count(b"\n") == 1 and said in err.decode() and b"Traceback" not in err
+
+
+def test_an_address_in_use_is_one_plain_line_and_exit_2(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = "127.0.0.1:%d" % taken.getsockname()[1]
+        table = {"listen": address, "discovery": "127.0.0.1:1", "settings": settings()}
+        process = start(tmp_path, table)
+        out, err = process.communicate(timeout=10)
+    assert process.returncode == 2 and err == f"lupinmill: {address}: Address already in use\n".encode()
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,246 @@
+"""Storage, descriptors and connections: what is leased, and that it is given back."""
+import random
+import socket
+import time
+
+import anyio
+import pytest
+
+from lupinmill.transport import connection as c
+from lupinmill.transport.descriptors import Descriptors, Side
+from lupinmill.transport.listener import Listener
+from lupinmill.transport.pool import Pool
+from lupinmill.transport.ring import RingBuffer, Store
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_ring_keeps_every_byte_in_order_and_its_block_only_while_it_holds_some(seed):
+    chance, store = random.Random(seed), Store(block=37)
+    ring, model, serial = RingBuffer(store), b"", 0
+    for _ in range(3000):
+        if chance.random() < 0.5:
+            data = bytes((serial + i) % 251 for i in range(chance.randrange(60)))
+            done = ring.put(memoryview(data))
+            assert done == min(len(data), 37 - len(model))
+            model, serial = model + data[:done], serial + done
+        else:
+            stretch = bytes(ring.stretch())
+            assert model.startswith(stretch) and (stretch or not model)
+            count = chance.randint(0, len(stretch))
+            ring.took(count)
+            model = model[count:]
+        assert ring.size == len(model) and store.leased == (1 if model else 0)
+
+
+def test_short_of_descriptors_idle_endpoint_connections_go_first_then_idle_clients():
+    budget, gone = Descriptors(40 + 16), []
+    idle = {"endpoint": 1, "client": 2}
+
+    def close(kind: str, side: Side) -> bool:
+        if not idle[kind]:
+            return False
+        idle[kind] -= 1
+        gone.append(kind)
+        budget.give_back(side)
+        return True
+
+    budget.close_idle_endpoint = lambda: close("endpoint", Side.ENDPOINT)
+    budget.close_idle_client = lambda: close("client", Side.CLIENT)
+    assert all(budget.lease(Side.CLIENT) for _ in range(12))
+    assert all(budget.lease(Side.ENDPOINT) for _ in range(4))
+    assert budget.lease(Side.ENDPOINT) and gone == ["endpoint"]
+    assert budget.lease(Side.ENDPOINT) and gone == ["endpoint", "client"]
+    assert budget.lease(Side.CLIENT) and gone == ["endpoint", "client", "client"]
+    assert not budget.lease(Side.CLIENT)
+    assert sum(budget.open.values()) <= budget.limit
+
+
+def test_clients_leave_a_quarter_of_the_descriptors_to_endpoints():
+    budget = Descriptors(40 + 100)
+    assert sum(budget.lease(Side.CLIENT) for _ in range(200)) == 75
+    assert sum(budget.lease(Side.ENDPOINT) for _ in range(200)) == 25
+
+
+def pair(store: Store, given: list) -> tuple[c.Connection, socket.socket]:
+    ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_STREAM)
+    made = c.Connection.__new__(c.Connection)
+    made.sock, made.give_back = ours, lambda: given.append(1)
+    made.incoming, made.outgoing = RingBuffer(store), RingBuffer(store)
+    made.closed, made.idle_since = False, 0.0
+    ours.setblocking(False)
+    return made, theirs
+
+
+def test_a_send_that_is_cancelled_gives_back_storage_and_descriptor():
+    store, given = Store(), []
+
+    async def main():
+        ours, theirs = pair(store, given)
+        with theirs:
+            with anyio.move_on_after(0.05) as scope, ours:
+                await ours.send(bytes(10_000_000))
+            assert scope.cancelled_caught and store.leased == 0 and given == [1]
+
+    anyio.run(main)
+
+
+def test_all_bytes_arrive_through_a_slow_reader():
+    data = random.Random(3).randbytes(700_000)
+
+    async def main():
+        ours, theirs = pair(Store(), [])
+        theirs.setblocking(False)
+        got = bytearray()
+
+        async def drain():
+            while len(got) < len(data):
+                await anyio.wait_readable(theirs)
+                got.extend(theirs.recv(3000))
+
+        with ours, theirs, anyio.fail_after(10):
+            async with anyio.create_task_group() as group:
+                group.start_soon(drain)
+                await ours.send(data)
+        assert got == data
+
+    anyio.run(main)
+
+
+def test_a_machine_that_says_nothing_is_given_up_in_our_own_time():
+    given = []
+    with socket.socket() as full:
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        address = "127.0.0.1:%d" % full.getsockname()[1]
+        held = [socket.socket() for _ in range(4)]
+        for sock in held:
+            sock.setblocking(False)
+            sock.connect_ex(full.getsockname())
+
+        async def main():
+            began = time.monotonic()
+            with pytest.raises(c.Unconnected):
+                await c.connect(address, 0.1, Store(), lambda: given.append(1))
+            assert 0.09 < time.monotonic() - began < 0.5
+
+        anyio.run(main)
+        for sock in held:
+            sock.close()
+    assert given == [1]
+
+
+@pytest.mark.parametrize("address", ["nowhere", "127.0.0.1:x", "127.0.0.1:70000"])
+def test_an_address_that_is_none_counts_as_unconnected(address):
+    given = []
+
+    async def main():
+        with pytest.raises(c.Unconnected):
+            await c.connect(address, 0.1, Store(), lambda: given.append(1))
+
+    anyio.run(main)
+    assert given == [1]
+
+
+def pooled(check, idle_limit: float = 30.0) -> None:
+    """`check(pool, address, server)` with one connection in the pool."""
+    budget = Descriptors(100)
+    pool = Pool(budget, Store(), idle_limit, 0.5)
+
+    async def main():
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            address = "127.0.0.1:%d" % server.getsockname()[1]
+            pool.keep(await pool.open(address), address)
+            theirs, _ = server.accept()
+            with theirs:
+                await check(pool, address, theirs)
+        pool.close()
+        assert budget.open[Side.ENDPOINT] == 0
+
+    anyio.run(main)
+
+
+def test_a_kept_connection_is_used_again_but_not_with_its_end_read_or_bytes_unasked_for():
+    async def check(pool, address, theirs):
+        again = pool.reuse(address)
+        assert again is not None
+        pool.keep(again, address)
+        theirs.send(b"HTTP/1.1 408 too slow\r\n\r\n")
+        await anyio.sleep(0.01)
+        assert pool.reuse(address) is None and not pool.idle
+
+    async def check_end(pool, address, theirs):
+        theirs.shutdown(socket.SHUT_WR)
+        await anyio.sleep(0.01)
+        assert pool.reuse(address) is None
+
+    pooled(check)
+    pooled(check_end)
+
+
+def test_a_kept_connection_is_left_alone_near_its_idle_limit():
+    async def check(pool, address, theirs):
+        (kept,) = pool.idle[address]
+        kept.idle_since -= 3.99
+        assert pool.reuse(address) is kept
+        pool.keep(kept, address)
+        kept.idle_since -= 4.0  # of 5 s: the endpoint's clock may be ahead
+        assert pool.reuse(address) is None
+
+    pooled(check, 5.0)
+
+
+def test_the_sweep_closes_what_was_ended():
+    async def check(pool, address, theirs):
+        pool.sweep()
+        assert pool.idle
+        theirs.close()
+        await anyio.sleep(0.01)
+        pool.sweep()
+        assert not pool.idle and pool.descriptors.open[Side.ENDPOINT] == 0
+
+    pooled(check)
+
+
+def test_bytes_that_lay_unread_are_told_by_how_long():
+    async def main():
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            with await c.connect("127.0.0.1:%d" % server.getsockname()[1], 1, Store(), lambda: None) as ours:
+                theirs, _ = server.accept()
+                with theirs:
+                    theirs.send(b"x")
+                    time.sleep(0.1)  # the loop lags
+                    assert await ours.receive() == b"x"
+                    assert 85_000 < ours.waited() < 130_000
+
+    anyio.run(main)
+
+
+def test_an_idle_client_told_to_close_is_still_served_when_its_bytes_have_come():
+    budget, store = Descriptors(100), Store()
+
+    async def main():
+        listener, got = Listener("127.0.0.1:0", budget, store), []
+
+        async def serve(client, welcome):
+            with client:
+                got.append(await listener.next_bytes(client))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.run, group, serve)
+            host, port = listener.address.split(":")
+            at = (host, int(port))
+            with socket.create_connection(at) as quiet, socket.create_connection(at) as busy:
+                await anyio.sleep(0.05)
+                assert len(listener.idle) == 2
+                busy.send(b"GET")
+                while listener.close_oldest():
+                    pass
+                await anyio.sleep(0.05)
+                assert sorted(got) == [b"", b"GET"]
+                quiet.setblocking(False)
+                assert quiet.recv(1) == b""
+            group.cancel_scope.cancel()
+        listener.close()
+
+    anyio.run(main)
+    assert budget.leaving == 0 and budget.open[Side.CLIENT] == 0 and store.leased == 0
