--- a/lupinmill/benchlink/codec.py
+++ b/lupinmill/benchlink/codec.py
@@ -6,7 +6,7 @@
 
 from lupinmill import terms as t
 from lupinmill.protocol.reports import REPORT
-from lupinmill.protocol.settings import Fields, deployment
+from lupinmill.protocol.settings import Fields
 
 HOW = {
     "S": t.How.HANDLED, "E": t.How.ERROR, "F": t.How.REFUSED, "T": t.How.TIMED_OUT,
--- a/lupinmill/benchlink/host.py
+++ b/lupinmill/benchlink/host.py
@@ -7,6 +7,7 @@
 from lupinmill import terms as t
 from lupinmill.benchlink import codec
 from lupinmill.benchlink.codec import Malformed
+from lupinmill.protocol import settings
 from lupinmill.rules import Sidecar
 
 
@@ -51,7 +52,7 @@
             self.filling = self.rosters[f["roster-id"]] = []
             batch.rows_due = int(f["hosts"])
         elif name == "ENLIST":
-            self.instances[batch.current] = Hosted(Sidecar(codec.deployment(f)), codec.report_fields(f))
+            self.instances[batch.current] = Hosted(Sidecar(settings.deployment(f)), codec.report_fields(f))
             batch.notes[batch.current] = []
         else:
             self.read_event(batch, name, f)
