Addresses are IP only, defects are logged with their place, no endless calls of discovery

Found by reading: a host name in a list would have been looked up on the loop; a discovery that answers at once without news would have been called without end; a go-ahead for Expect was sent one read too late (test seen failing).

--- a/lupinmill/program/discovery.py
+++ b/lupinmill/program/discovery.py
@@ -9,7 +9,7 @@
 from lupinmill.protocol import lists
 from lupinmill.protocol.http import ClientSide, Garbled
 from lupinmill.routing.directory import Directory
-from lupinmill.routing.engine import Log
+from lupinmill.routing.engine import Log, defect
 from lupinmill.transport.connection import Connection, NoDescriptor, Unconnected, connect
 from lupinmill.transport.ring import Store
 
@@ -17,6 +17,7 @@
 AGAIN = 1.0  # seconds, at most, before a broken watch begins anew where the list is pushed
 LATE = 3.0  # seconds beyond that wait before discovery counts as silent
 CONNECT = 2.0
+NO_NEWS = 0.05  # seconds before the next call after an answer without any
 
 
 class Discovery:
@@ -43,7 +44,7 @@
             except (OSError, TimeoutError, Unconnected, NoDescriptor, Garbled) as error:
                 self.log("watch_failed", error=f"{type(error).__name__}: {error}")
             except Exception as error:
-                self.log("task_failed", task="watch", error=f"{type(error).__name__}: {error}")
+                self.log("task_failed", task="watch", **defect(error))
             finally:
                 self.hang_up()
             self.wanted = anyio.Event()
@@ -53,11 +54,16 @@
                 self.directory.failed()
 
     async def follow(self) -> None:
-        """The next call goes out at once: a watch goes on only if it comes soon after the last answer."""
+        """The next call goes out at once: a watch goes on only if it comes soon after the last answer.
+
+        After no news there is a short pause, as a discovery that never waits would be called without end.
+        """
         self.log("watch", index=self.directory.index)
         while True:
             known = await self.call()
             self.directory.update(known, t.ListKind.FULL if known.whole else t.ListKind.CHANGES)
+            if not known.entries:
+                await anyio.sleep(NO_NEWS)
 
     async def call(self) -> lists.Known:
         if self.connection is None or not self.connection.quiet():
--- a/lupinmill/protocol/http.py
+++ b/lupinmill/protocol/http.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 import h11
 
@@ -68,6 +69,13 @@
     return Answer(status, [(b"Content-Type", b"text/plain"), *(more or [])], text.encode())
 
 
+def phrase(answer: Answer) -> str:
+    try:
+        return HTTPStatus(answer.status).phrase
+    except ValueError:
+        return ""
+
+
 class ServerSide:
     """The sidecar as its clients' server, on one connection."""
 
@@ -119,7 +127,7 @@
         if close:
             headers.append((b"Connection", b"close"))
         parts = [
-            self.http.send(h11.Response(status_code=answer.status, headers=headers)),
+            self.http.send(h11.Response(status_code=answer.status, headers=headers, reason=phrase(answer))),
             self.http.send(h11.Data(data=answer.body)) if answer.body else b"",
             self.http.send(h11.EndOfMessage()),
         ]
--- a/lupinmill/routing/engine.py
+++ b/lupinmill/routing/engine.py
@@ -1,7 +1,9 @@
 """Drives the decision module: notes in, orders out, one clock and one timer."""
 from __future__ import annotations
 
+import os
 import time
+import traceback
 from collections.abc import Callable
 from typing import Any
 
@@ -13,6 +15,14 @@
 Log = Callable[..., None]
 
 
+def defect(error: Exception) -> dict[str, str]:
+    """What the log tells of an exception that should not have been: the last line of ours that it passed."""
+    where = traceback.extract_tb(error.__traceback__)
+    ours = [frame for frame in where if "lupinmill" in frame.filename] or where
+    place = f"{os.path.basename(ours[-1].filename)}:{ours[-1].lineno}" if ours else ""
+    return {"error": f"{type(error).__name__}: {error}", "where": place}
+
+
 class Clock:
     """Unix time in whole microseconds that only moves forward, whatever is done to the machine's clock."""
 
@@ -55,14 +65,14 @@
         try:
             orders = self.sidecar.step(self.clock.now(), notes)
         except Exception as error:
-            self.log("module_failed", error=f"{type(error).__name__}: {error}")
+            self.log("module_failed", **defect(error))
             orders, self.sidecar.mail.orders = self.sidecar.mail.orders, []
             self.wake_me(t.WakeMe(self.clock.now() + 100_000, 1))
         for order in orders:
             try:
                 self.carriers[type(order)](order)
             except Exception as error:
-                self.log("order_failed", order=type(order).__name__, error=f"{type(error).__name__}: {error}")
+                self.log("order_failed", order=type(order).__name__, **defect(error))
 
     def wake_me(self, order: t.WakeMe) -> None:
         self.wake_at = order.at
--- a/lupinmill/routing/send.py
+++ b/lupinmill/routing/send.py
@@ -8,7 +8,7 @@
 from lupinmill.protocol.http import Answer, ClientSide, Garbled, Request
 from lupinmill.routing.book import Book, Journey, Launch
 from lupinmill.routing.directory import Directory
-from lupinmill.routing.engine import Log
+from lupinmill.routing.engine import Log, defect
 from lupinmill.transport.connection import Connection, NoDescriptor, Unconnected
 from lupinmill.transport.pool import Pool
 
@@ -42,7 +42,7 @@
         except (Unsent, NoDescriptor):
             how = t.How.UNSENT
         except Exception as error:
-            self.log("task_failed", task="launch", error=f"{type(error).__name__}: {error}")
+            self.log("task_failed", task="launch", **defect(error))
         finally:
             if how is None:
                 how = t.How.RESET if launch.written else t.How.UNSENT
@@ -107,7 +107,7 @@
         except NoDescriptor:
             how = t.How.UNSENT
         except Exception as error:
-            self.log("task_failed", task="probe", error=f"{type(error).__name__}: {error}")
+            self.log("task_failed", task="probe", **defect(error))
         self.book.engine.tell(t.Probed(endpoint, how, clock.now() - began, load))
 
     async def exchange(self, address: str, request: Request) -> Answer:
--- a/lupinmill/routing/take_in.py
+++ b/lupinmill/routing/take_in.py
@@ -6,7 +6,7 @@
 from lupinmill.protocol.http import Answer, Malformed, Request, ServerSide, plain
 from lupinmill.protocol.submission import denied
 from lupinmill.routing.admit import Admit
-from lupinmill.routing.engine import Log
+from lupinmill.routing.engine import Log, defect
 from lupinmill.routing.relay import Relay
 from lupinmill.transport.listener import Client, Listener
 
@@ -31,7 +31,7 @@
         except (OSError, TimeoutError):
             pass  # the client's side broke or is stuck: all it held is given back above
         except Exception as error:
-            self.log("task_failed", task="client", error=f"{type(error).__name__}: {error}")
+            self.log("task_failed", task="client", **defect(error))
         finally:
             self.clients -= 1
 
@@ -55,6 +55,8 @@
 
     async def read(self, client: Client, side: ServerSide) -> Request | None:
         while (request := side.next_request()) is None:
+            if ahead := side.go_ahead():
+                await client.send(ahead)
             if side.begun():
                 with anyio.fail_after(STALLED):
                     data = await client.receive()
@@ -63,8 +65,6 @@
             if not data:
                 return None
             side.feed(data)
-            if ahead := side.go_ahead():
-                await client.send(ahead)
         return request
 
     async def turn_away(self, client: Client) -> None:
--- a/lupinmill/transport/connection.py
+++ b/lupinmill/transport/connection.py
@@ -1,6 +1,7 @@
 """One TCP connection: a non-blocking socket with a ring buffer a direction."""
 from __future__ import annotations
 
+import ipaddress
 import socket
 import struct
 from collections.abc import Callable
@@ -30,8 +31,12 @@
         self.incoming, self.outgoing = RingBuffer(store), RingBuffer(store)
         self.closed = False
         self.idle_since = 0.0
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            self.close()
+            raise
 
     def __enter__(self) -> Connection:
         return self
@@ -112,9 +117,14 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
+    """Guards against names too: looking one up would hold the whole loop, and there is no DNS."""
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not int(port) < 65536:
-        raise ValueError(f"{address[:80]!r} is not host:port")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        if not 0 <= int(port) < 65536:
+            raise ValueError
+    except ValueError:
+        raise ValueError(f"{address[:80]!r} is not IP:port") from None
     return host.strip("[]"), int(port)
 
 
@@ -126,15 +136,16 @@
     """Guards against machines that say nothing: the time-out is ours, the kernel's takes minutes."""
     try:
         host, port = split_address(address)
-        made: Connection | None = Connection(stream_socket(host), store, give_back)
+        sock = stream_socket(host)
     except ValueError as error:
         give_back()
         raise Unconnected(str(error)) from error
     except OSError as error:
         give_back()
         raise NoDescriptor(str(error)) from error
-    sock = made.sock
+    made: Connection | None = None
     try:
+        made = Connection(sock, store, give_back)
         with anyio.fail_after(time_out):
             try:
                 sock.connect((host, port))
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -1,11 +1,13 @@
 """Whole sidecars on loopback: one answer each, by the rules, whatever endpoints, clients and discovery do."""
 import os
 import random
+import re
 import signal
 import socket
 import subprocess
 import sys
 import time
+from pathlib import Path
 
 import anyio
 import orjson
@@ -388,6 +390,28 @@
     assert not [log for log in net.logs if "failed" in log[0] or log[0] == "backstop"]
 
 
+def test_a_client_that_asks_before_it_sends_the_body_is_told_to_go_ahead():
+    async def check(net: Net):
+        host, port = net.address.split(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(wanted("s1", body=b"later", more="Expect: 100-continue\r\n")[:-5])
+            assert (await stream.receive()).startswith(b"HTTP/1.1 100 ")
+            await stream.send(b"later")
+            assert (await stream.receive()).startswith(b"HTTP/1.1 200 OK")
+
+    on_network(check, fine)
+
+
+def test_discovery_that_never_waits_is_not_called_without_end():
+    async def check(net: Net):
+        net.discovery.fault = Answer(200, [], orjson.dumps({"index": 1, "snapshot": False, "endpoints": []}))
+        await until(lambda: net.discovery.seen)
+        await anyio.sleep(0.5)
+        assert 2 < len(net.discovery.seen) < 12
+
+    on_network(check, fine, discovery="push")
+
+
 # --- the program as a process ---------------------------------------------------------------------------
 
 
@@ -439,6 +463,29 @@
     anyio.run(main)
 
 
+def test_memory_is_bounded_with_many_large_submissions_at_a_silent_endpoint(tmp_path):
+    net = Net([always("silent")])
+
+    async def main():
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as group:
+                await net.start(group)
+                process = start(tmp_path, net.table)
+                net.address = orjson.loads(await anyio.to_thread.run_sync(process.stdout.readline))["listen"]
+                async with anyio.create_task_group() as inner:
+                    for at in range(250):
+                        inner.start_soon(net.ask, wanted(f"s{at}", deadline="2.0", body=b"z" * 65_536))
+                    await anyio.sleep(1.0)
+                    status = Path(f"/proc/{process.pid}/status").read_text()
+                    used = int(re.search(r"VmRSS:\s+(\d+) kB", status)[1])
+                    assert 16_000 < used < 90_000
+                process.kill()
+                process.communicate()
+                group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
 @pytest.mark.parametrize("table, said", [
     (b"{", "told.json"), (b"[]", "not a JSON object"), ({}, "missing 'settings'"),
     ({"listen": "127.0.0.1:0", "discovery": "nowhere", "settings": settings()}, "nowhere"),
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -129,7 +129,7 @@
     assert given == [1]
 
 
-@pytest.mark.parametrize("address", ["nowhere", "127.0.0.1:x", "127.0.0.1:70000"])
+@pytest.mark.parametrize("address", ["nowhere", "localhost:80", "127.0.0.1:x", "127.0.0.1:70000"])
 def test_an_address_that_is_none_counts_as_unconnected(address):
     given = []
 
