--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import gc
+import resource
 import signal
 
 import anyio
@@ -28,10 +29,20 @@
 LAST = 6.0  # seconds after which a connection without an open submission is not waited for
 
 
+def allowed(told: int) -> int:
+    """As many descriptors as the sidecar is told, if the system lets it have them."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY or soft >= told:
+        return told
+    most = told if hard == resource.RLIM_INFINITY else min(told, hard)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+    return most
+
+
 class Program:
     def __init__(self, told: Told, log: Log) -> None:
         self.told, self.log = told, log
-        self.store, self.descriptors = Store(), Descriptors(told.descriptors)
+        self.store, self.descriptors = Store(), Descriptors(allowed(told.descriptors))
         self.pool = Pool(self.descriptors, self.store, told.idle_limit, told.connect_limit)
         self.engine = Engine(told.deployment, Clock(), log)
         self.directory = Directory(self.engine, self.pool)
@@ -54,7 +65,7 @@
                     group.start_soon(task)
                 group.start_soon(listener.run, group, take_in.serve)
                 self.log("started", tier=deployment.tier, listen=listener.address,
-                         endpoints=len(self.told.known.entries), descriptors=self.told.descriptors)
+                         endpoints=len(self.told.known.entries), descriptors=self.descriptors.limit)
                 gc.collect()
                 gc.freeze()
                 gc.set_threshold(20_000, 20, 20)
