A place that falls free serves the next client at once; lasting tasks outlive a defect

Found by reading Listener.accept_all: with twenty stuck clients being turned away it waited for one of those (1 s) even when a place had fallen free; the test fails without the change. A defect in a task that lasts as long as the program would have ended it; now it is logged and goes on.

--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -4,6 +4,7 @@
 import gc
 import resource
 import signal
+from collections.abc import Awaitable, Callable
 
 import anyio
 from anyio.abc import TaskStatus
@@ -14,7 +15,7 @@
 from lupinmill.routing.admit import Admit
 from lupinmill.routing.book import Book
 from lupinmill.routing.directory import Directory
-from lupinmill.routing.engine import Clock, Engine, Log
+from lupinmill.routing.engine import Clock, Engine, Log, defect
 from lupinmill.routing.relay import Relay
 from lupinmill.routing.route import Route
 from lupinmill.routing.send import Send
@@ -25,6 +26,7 @@
 from lupinmill.transport.ring import Store
 
 LAG_EVERY, LAG_HIGH, LAG_LOW = 0.25, 0.05, 0.01  # seconds
+AGAIN = 0.1  # seconds before a task that failed goes on
 STILL_COMING = 0.6  # seconds after SIGTERM for which new connections go on coming
 LAST = 6.0  # seconds after which a connection without an open submission is not waited for
 
@@ -62,8 +64,8 @@
                 Route(self.engine, self.book, send, group)
                 self.directory.update(self.told.known, t.ListKind.CACHED)
                 for task in (self.engine.keep_time, self.discovery.run, self.sweep, self.measure_lag):
-                    group.start_soon(task)
-                group.start_soon(listener.run, group, take_in.serve)
+                    group.start_soon(self.keep_up, task)
+                group.start_soon(self.keep_up, listener.run, group, take_in.serve)
                 self.log("started", tier=deployment.tier, listen=listener.address,
                          endpoints=len(self.told.known.entries), descriptors=self.descriptors.limit)
                 gc.collect()
@@ -78,6 +80,15 @@
             self.discovery.hang_up()
         self.log("stopped")
 
+    async def keep_up(self, task: Callable[..., Awaitable[None]], *args: object) -> None:
+        """One defect in a task that lasts as long as the program must not end the program."""
+        while True:
+            try:
+                return await task(*args)
+            except Exception as error:
+                self.log("task_failed", task=task.__name__, **defect(error))
+                await anyio.sleep(AGAIN)
+
     async def await_end(self, listener: Listener, take_in: TakeIn) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for signum in signals:
--- a/lupinmill/transport/listener.py
+++ b/lupinmill/transport/listener.py
@@ -57,7 +57,7 @@
 
     async def accept_all(self, group: TaskGroup, serve: Serve) -> None:
         while True:
-            while self.turning_away >= OWN // 2:
+            while self.turning_away >= OWN // 2 and not self.descriptors.free(Side.CLIENT):
                 await anyio.sleep(0.005)
             try:
                 sock, _ = self.sock.accept()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -217,6 +217,28 @@
     assert max(most) <= 40
 
 
+def test_a_place_that_falls_free_is_used_while_stuck_clients_are_turned_away():
+    async def check(net: Net):
+        host, port = net.address.split(":")
+        async with anyio.create_task_group() as group:
+            for at in range(6):
+                group.start_soon(net.ask, wanted(f"s{at}", "issue", "0.4"))
+            await anyio.sleep(0.1)
+            stuck = []
+            for _ in range(24):
+                stuck.append(await anyio.connect_tcp(host, int(port)))
+                await stuck[-1].send(b"POST /view HTTP/1.1\r\n")  # an idle one would be closed for the next
+                await anyio.sleep(0.005)
+            await anyio.sleep(0.3)
+            began = time.monotonic()
+            assert (await net.ask(wanted("last", "issue", "0.3"))).status in (502, 503)
+            assert time.monotonic() - began < 0.4
+            for stream in stuck:
+                await stream.aclose()
+
+    on_network(check, always("silent"), sockets=48)
+
+
 def test_idle_clients_make_room_for_new_ones():
     async def check(net: Net):
         host, port = net.address.split(":")
@@ -294,6 +316,23 @@
     assert net.ended()[0] is t.How.RESET and "task_failed" in [event for event, _ in net.logs]
 
 
+def test_a_lasting_task_that_fails_goes_on():
+    calls = []
+
+    async def check(net: Net):
+        async def broken():
+            calls.append(1)
+            if len(calls) == 1:
+                raise RuntimeError("a defect")
+
+        await net.program.keep_up(broken)
+        assert (await net.ask(wanted("s1"))).status == 200
+
+    net = on_network(check, fine)
+    (fields,) = [fields for event, fields in net.logs if event == "task_failed"]
+    assert len(calls) == 2 and fields["task"] == "broken" and fields["error"] == "RuntimeError: a defect"
+
+
 async def until(what) -> None:
     while not what():
         await anyio.sleep(0.01)
