One note a step: notes told behind one that fails are not lost with it

Found by reading Engine.tell: notes told while orders are carried out went to the module as one batch, and an exception at the first would have lost the rest (an outcome lost counts a launch as out for good). Test seen failing without it.

--- a/lupinmill/routing/engine.py
+++ b/lupinmill/routing/engine.py
@@ -4,6 +4,7 @@
 import os
 import time
 import traceback
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -38,7 +39,7 @@
 
     def __init__(self, deployment: t.Deployment, clock: Clock, log: Log) -> None:
         self.sidecar, self.clock, self.log = Sidecar(deployment), clock, log
-        self.notes: list[t.Note] = []
+        self.notes: deque[t.Note] = deque()
         self.stepping = False
         self.wake_at: int | None = None
         self.late = 0  # microseconds by which wake-ups came late of late
@@ -55,15 +56,15 @@
         self.stepping = True
         try:
             while self.notes:
-                notes, self.notes = self.notes, []
-                self.step(notes)
+                self.step(self.notes.popleft())
         finally:
             self.stepping = False
 
-    def step(self, notes: list[t.Note]) -> None:
-        """One failure must cost one note's submission at most, never the program: relay has a backstop."""
+    def step(self, note: t.Note) -> None:
+        """One failure must cost one note's submission at most, never the program: relay has a backstop. Hence
+        one note a step: of a batch, those behind the one that fails would be lost."""
         try:
-            orders = self.sidecar.step(self.clock.now(), notes)
+            orders = self.sidecar.step(self.clock.now(), [note])
         except Exception as error:
             self.log("module_failed", **defect(error))
             orders, self.sidecar.mail.orders = self.sidecar.mail.orders, []
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -329,6 +329,28 @@
     on_network(check, note_time, tier=1)
 
 
+def test_notes_told_behind_one_that_fails_are_not_lost():
+    async def check(net: Net):
+        engine, desk = net.program.engine, net.program.engine.sidecar.desk
+        whole = desk.arrive
+
+        def arrive(note):
+            whole(note)
+            if note.submission == "s1":  # told while its orders are carried out, as a failing launch would
+                engine.carriers[t.Launch] = lambda order: [engine.tell(one) for one in (bad, emptied)]
+
+        def broken(note):
+            raise RuntimeError("a defect")
+
+        bad, emptied = t.Withdrawn("none"), t.Listed(t.ListKind.FULL, [])
+        desk.handlers |= {t.Arrived: arrive, t.Withdrawn: broken}
+        engine.tell(t.Arrived("s1", "view", engine.clock.now() + 300_000))
+        await anyio.sleep(0)
+        assert not engine.sidecar.roster.listed
+
+    on_network(check, fine, discovery="push", limits=settings()["limits"] | {"probes": False})
+
+
 def test_a_task_that_fails_is_an_outcome_and_no_more(monkeypatch):
     def broken(answer):
         raise RuntimeError("a defect")
