--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -62,13 +62,9 @@
 
 
 def pair(store: Store, given: list) -> tuple[c.Connection, socket.socket]:
-    ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_STREAM)
-    made = c.Connection.__new__(c.Connection)
-    made.sock, made.give_back = ours, lambda: given.append(1)
-    made.incoming, made.outgoing = RingBuffer(store), RingBuffer(store)
-    made.closed, made.idle_since = False, 0.0
-    ours.setblocking(False)
-    return made, theirs
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        ours = socket.create_connection(server.getsockname())
+        return c.Connection(ours, store, lambda: given.append(1)), server.accept()[0]
 
 
 def test_a_send_that_is_cancelled_gives_back_storage_and_descriptor():
