--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -15,6 +15,7 @@
 from bed import Net, on_network, settings, wanted
 
 from lupinmill import terms as t
+from lupinmill.program.logs import Logs
 from lupinmill.protocol import lists
 from lupinmill.protocol.http import Answer
 from lupinmill.routing import send, take_in
@@ -501,6 +502,27 @@
     on_network(check, fine, discovery="push")
 
 
+def test_a_log_that_nobody_reads_blocks_nothing_and_says_what_it_dropped():
+    reader, writer = os.pipe()
+    logs, began = Logs("n1", writer), time.monotonic()
+    for at in range(6000):
+        logs.event("mode", text="x" * 100, at_=at)
+    assert time.monotonic() - began < 1 and logs.dropped > 1000
+    dropped, got = logs.dropped, b""
+    os.set_blocking(reader, False)
+    while logs.lines.qsize() or got.count(b"\n") < 6000 - dropped:
+        try:
+            got += os.read(reader, 65536)
+        except BlockingIOError:
+            time.sleep(0.001)
+    logs.event("mode")
+    logs.close()
+    last = orjson.loads((got + os.read(reader, 65536)).splitlines()[-1])
+    assert (last["sidecar"], last["event"], last["dropped"]) == ("n1", "mode", dropped)
+    os.close(reader)
+    os.close(writer)
+
+
 # --- the program as a process ---------------------------------------------------------------------------
 
 
