Operators' calls at a second address: endpoints out by hand, drain and resume

Change: admin/standing (pure: what is out, which mode), admin/desk (listener with 16 places of its own), admin/office (order of steps), protocol/calls, ByHand in terms and rules; SIGTERM's end goes by the same machine. An endpoint out by hand is a drain to the module and to launches on their way, isn't probed, and returns cold.

--- a/lupinmill/__main__.py
+++ b/lupinmill/__main__.py
@@ -21,7 +21,7 @@
     try:
         anyio.run(Program(start, logs.event, lambda: told.read(os.environ, again=True)).run)
     except OSError as error:
-        print(f"lupinmill: {start.listen}: {error.strerror}", file=sys.stderr)
+        print(f"lupinmill: {error.strerror}", file=sys.stderr)
         return 2
     finally:
         logs.close()
--- /dev/null
+++ b/lupinmill/admin/office.py
@@ -0,0 +1,60 @@
+"""Carries the operators' calls out: what stands changes first, then all that go by it hear of it, then yes is said.
+
+Owns nothing but the order of these steps: a yes holds already when it is read."""
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from lupinmill.admin.standing import Standing, Verdict
+from lupinmill.protocol import calls
+from lupinmill.routing.directory import Directory
+from lupinmill.routing.engine import Engine, Log
+
+SWEEP = 1.0  # seconds between two looks at what is long forgotten
+
+ANSWERS = {
+    Verdict.DONE: (200, "done"),
+    Verdict.UNKNOWN: (404, "no list names this endpoint"),
+    Verdict.FULL: (503, "too many endpoints are out by hand"),
+}
+
+
+class Office:
+    def __init__(self, standing: Standing, directory: Directory, engine: Engine, log: Log) -> None:
+        self.standing, self.directory, self.engine, self.log = standing, directory, engine, log
+        self.taking = lambda: False  # does this process take clients?
+        self.pass_on: Callable[[calls.Call], Awaitable[None]] | None = None  # to the other process of an upgrade
+
+    async def carry_out(self, call: calls.Call) -> tuple[int, str]:
+        if call.what == calls.HEALTH:
+            return (200, "takes clients") if self.taking() else (503, "takes no clients")
+        status, text = self.apply(call)
+        if status == 200 and self.pass_on is not None:
+            await self.pass_on(call)
+        return status, text
+
+    def apply(self, call: calls.Call) -> tuple[int, str]:
+        """In one go, with no pause between the set, the module and the launches on their way."""
+        now = self.engine.clock.now()
+        if call.what in (calls.OUT, calls.BACK):
+            out = call.what == calls.OUT
+            change = self.standing.take_out if out else self.standing.back
+            args = (now, call.endpoint) if out else (call.endpoint,)
+            verdict = change(*args, call.endpoint in self.directory.states)
+            if verdict is Verdict.DONE:
+                self.directory.by_hand(call.endpoint, out)
+            return ANSWERS[verdict]
+        changed = self.standing.quiesce(now) if call.what == calls.QUIESCE else self.standing.resume(now)
+        if changed:
+            self.log("mode", text=f"{self.standing.mode.value}, by an operator's call")
+        return 200, self.standing.mode.value
+
+    async def sweep(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP)
+            for name in self.standing.forget(self.engine.clock.now(), self.directory.states):
+                self.directory.by_hand(name, False)
+                self.log("mode", text=f"{name} was out by hand and is forgotten: no list names it")
+
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -5,11 +5,15 @@
 import resource
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
 
 import anyio
 from anyio.abc import TaskStatus
 
 from lupinmill import terms as t
+from lupinmill.admin.desk import PLACES, AdminDesk
+from lupinmill.admin.office import Office
+from lupinmill.admin.standing import Standing
 from lupinmill.limits.gate import Gate
 from lupinmill.program.discovery import Discovery
 from lupinmill.program.told import BadStart, Told, fixed
@@ -32,7 +36,8 @@
 STILL_COMING = 0.6  # seconds after SIGTERM for which new connections go on coming, ...
 # ... and beyond the longest hard limit (of 3 s at most) for which the platform lets the program live.
 KILLED_AFTER, LONGEST_WAIT = 0.7, 3.0
-CLOSING, SPARE = 0.5, 0.2  # seconds before that for the last answers, and for what comes late
+CLOSING, SPARE = 500_000, 0.2  # before that for the last answers (microseconds), and for what comes late
+CLOSE_EVERY = 0.02  # seconds between two looks at idle clients while connections are to be closed
 
 
 def allowed(told: int) -> int:
@@ -48,32 +53,54 @@
 class Program:
     def __init__(self, told: Told, log: Log, read_again: Callable[[], Told]) -> None:
         self.told, self.log, self.read_again = told, log, read_again
-        self.store, self.descriptors = Store(), Descriptors(allowed(told.descriptors), told.memory)
+        own = PLACES if told.operator is not None else 0
+        self.store, self.descriptors = Store(), Descriptors(allowed(told.descriptors) - own, told.memory)
         self.pool = Pool(self.descriptors, self.store, told.idle_limit, told.connect_limit)
         self.engine = Engine(told.deployment, Clock(), log)
-        self.directory = Directory(self.engine, self.pool)
+        self.standing = Standing()
+        self.directory = Directory(self.engine, self.pool, self.standing.out)
         self.book = Book(self.engine)
-        self.admit = Admit(self.book, self.directory, {w.name for w in told.deployment.workloads})
+        workloads = {w.name for w in told.deployment.workloads}
+        self.admit = Admit(self.book, self.directory, workloads, self.standing)
+        self.office = Office(self.standing, self.directory, self.engine, log)
         self.discovery = Discovery(told.discovery, told.deployment, self.directory, self.store, log)
         self.engine.carriers[t.Watch] = self.discovery.watch
+        self.operator: str | None = None  # where operators call, once bound
+
+    def bound(self, kind: Callable[..., Any], address: str, *more: Any) -> Any:
+        """Guards against a line at the start that doesn't say which address can't be had."""
+        try:
+            return kind(address, *more)
+        except OSError as error:
+            raise OSError(error.errno, f"{address}: {error.strerror}") from error
 
     async def run(self, *, task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED) -> None:
         deployment = self.told.deployment
         send = Send(self.pool, self.directory, self.book, deployment.reports_asked, self.log)
-        listener = Listener(self.told.listen, self.descriptors, self.store)
+        listener = self.bound(Listener, self.told.listen, self.descriptors, self.store)
+        desk = None
+        if self.told.operator is not None:
+            desk = self.bound(AdminDesk, self.told.operator, self.office.carry_out, self.log)
         advice = deployment.longest_advice // 2 if deployment.advice_allowed else 0
         self.door = door = listener.door = Door(Gate(deployment), self.book, self.log)
         take_in = TakeIn(listener, self.admit, Relay(self.book, self.log), door, advice, self.log)
+        take_in.closing = lambda: self.standing.closing(self.engine.clock.now())
         try:
             # The receiver comes first and goes last: without it a signal ends the program.
             with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
                 async with anyio.create_task_group() as group:
                     Route(self.engine, self.book, send, group)
                     self.directory.update(self.told.known, t.ListKind.CACHED)
-                    for task in (self.engine.keep_time, self.discovery.run, self.sweep, self.measure_lag):
+                    for task in (self.engine.keep_time, self.discovery.run, self.sweep, self.measure_lag,
+                                 self.office.sweep):
                         group.start_soon(self.keep_up, task)
                     group.start_soon(self.keep_up, listener.run, group, take_in.serve)
-                    self.log("started", tier=deployment.tier, listen=listener.address,
+                    group.start_soon(self.keep_up, self.close_idle, listener)
+                    if desk is not None:
+                        group.start_soon(self.keep_up, desk.run, group)
+                        self.operator = desk.address
+                    self.office.taking = lambda: True
+                    self.log("started", tier=deployment.tier, listen=listener.address, operator=self.operator,
                              endpoints=len(self.told.known.entries), descriptors=self.descriptors.limit)
                     gc.collect()
                     gc.freeze()
@@ -84,6 +111,8 @@
                     group.cancel_scope.cancel()
         finally:
             listener.close()
+            if desk is not None:
+                desk.close()
             self.pool.close()
             self.discovery.hang_up()
         self.log("stopped")
@@ -125,15 +154,21 @@
         no other: they are served until little time is left, and only then sent away."""
         longest = max(workload.hard_limit for workload in self.told.deployment.workloads) / 1_000_000
         stay = min(longest, LONGEST_WAIT) + KILLED_AFTER - SPARE
-        self.admit.leave_by(self.engine.clock.now() + int(stay * 1_000_000))
+        now = self.engine.clock.now()
+        ends = now + int(stay * 1_000_000)
+        self.standing.leave(now, ends - CLOSING, ends)
         began = anyio.current_time()
         while (waited := anyio.current_time() - began) < stay or self.book.journeys:
-            if waited >= stay - CLOSING:
-                take_in.leaving = True
-                listener.dismiss_all()
             if waited >= STILL_COMING and not take_in.clients:
                 break
-            await anyio.sleep(0.02)
+            await anyio.sleep(CLOSE_EVERY)
+
+    async def close_idle(self, listener: Listener) -> None:
+        """While this sidecar drains or leaves, once what stands says so."""
+        while True:
+            await anyio.sleep(CLOSE_EVERY)
+            if self.standing.closing(self.engine.clock.now()):
+                listener.dismiss_all()
 
     async def sweep(self) -> None:
         while True:
--- a/lupinmill/program/told.py
+++ b/lupinmill/program/told.py
@@ -29,6 +29,7 @@
     memory: int | None  # bytes
     idle_limit: float
     connect_limit: float
+    operator: str | None = None  # where operators call
 
 
 def read(environ: Mapping[str, str], again: bool = False) -> Told:
@@ -61,7 +62,9 @@
     discovery = environ.get("BALANCER_DISCOVERY")
     if not discovery or again and "discovery" in table:
         discovery = str(table["discovery"])
-    for address in (listen, discovery):
+    operator = environ.get("BALANCER_OPERATOR") or table.get("operator")
+    operator = str(operator) if operator else None
+    for address in (listen, discovery, *([operator] if operator else [])):
         split_address(address)
     return Told(
         name=environ.get("BALANCER_NAME") or str(table.get("name", "")),
@@ -73,6 +76,7 @@
         memory=int(float(limits["memory_mb"]) * 2**20) if "memory_mb" in limits else None,
         idle_limit=settings.idle_limit(fields),
         connect_limit=settings.connect_limit(fields),
+        operator=operator,
     )
 
 
--- /dev/null
+++ b/lupinmill/protocol/calls.py
@@ -0,0 +1,82 @@
+"""Operators' calls: one HTTP/1.1 request on a connection becomes a `Call`, or the status that says why not. Pure."""
+from __future__ import annotations
+
+from dataclasses import dataclass
+from urllib.parse import unquote_to_bytes
+
+import h11
+
+from lupinmill.protocol.http import Malformed, phrase, plain
+
+LARGEST_HEAD = 4 * 1024
+LONGEST_ID = 200  # bytes
+PREFIX = b"/admin/"
+HEALTH, OUT, BACK, QUIESCE, RESUME = "health", "cordon", "uncordon", "quiesce", "resume"
+METHODS = {HEALTH: (b"GET", b"HEAD"), OUT: (b"PUT",), BACK: (b"PUT",), QUIESCE: (b"PUT",), RESUME: (b"PUT",)}
+MEMBER = b"member"
+
+
+@dataclass(slots=True)
+class Call:
+    what: str
+    endpoint: str = ""
+
+
+class CallSide:
+    """The sidecar as its operators' server, for the one call of a connection."""
+
+    def __init__(self) -> None:
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=2 * LARGEST_HEAD)
+        self.fed = 0
+
+    def feed(self, data: bytes) -> Call | None:
+        """The call once its head has come. Raises Malformed; a body, if any, says nothing here."""
+        self.fed += len(data)
+        if self.fed > LARGEST_HEAD:
+            raise Malformed(431, "the call is too long")
+        try:
+            self.http.receive_data(data)
+            event = self.http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise Malformed(400, str(error)) from error
+        return read(event) if isinstance(event, h11.Request) else None
+
+    def answer(self, status: int, text: str) -> bytes:
+        """The whole answer's bytes; the connection ends with it."""
+        answer = plain(status, f"{text}\n")
+        headers = [*answer.headers, (b"Content-Length", b"%d" % len(answer.body)), (b"Connection", b"close")]
+        data = self.http.send(h11.Response(status_code=status, headers=headers, reason=phrase(answer))) or b""
+        data += self.http.send(h11.Data(data=answer.body)) or b""
+        return data
+
+
+def read(request: h11.Request) -> Call:
+    target = request.target
+    if not target.startswith(b"/"):  # the absolute form
+        target = b"/" + target.partition(b"://")[2].partition(b"/")[2]
+    path, _, query = target.partition(b"?")
+    path = unquote_to_bytes(path)
+    what = path[len(PREFIX):].decode("latin-1") if path.startswith(PREFIX) else ""
+    if what not in METHODS:
+        raise Malformed(404, "unknown path")
+    if request.method not in METHODS[what]:
+        raise Malformed(405, f"this wants {METHODS[what][0].decode()}")
+    return Call(what, member(query) if what in (OUT, BACK) else "")
+
+
+def member(query: bytes) -> str:
+    """The one id that it names, however it is encoded."""
+    values = [
+        unquote_to_bytes(value)
+        for name, _, value in (part.partition(b"=") for part in query.split(b"&"))
+        if unquote_to_bytes(name) == MEMBER
+    ]
+    if len(values) != 1:
+        raise Malformed(400, f"wants member=ID once, not {len(values)} times")
+    try:
+        text = values[0].decode()
+    except UnicodeDecodeError:
+        raise Malformed(400, "member is no UTF-8") from None
+    if not text or len(values[0]) > LONGEST_ID:
+        raise Malformed(400, "member is empty or too long")
+    return text
--- a/lupinmill/routing/admit.py
+++ b/lupinmill/routing/admit.py
@@ -1,6 +1,7 @@
 """Admit: a request that came whole becomes a submission, or gets the answer that says why not."""
 from __future__ import annotations
 
+from lupinmill.admin.standing import Standing
 from lupinmill.protocol import submission
 from lupinmill.protocol.http import Answer, Malformed, Request, plain
 from lupinmill.routing.book import Book, Journey
@@ -8,12 +9,8 @@
 
 
 class Admit:
-    def __init__(self, book: Book, directory: Directory, workloads: set[str]) -> None:
-        self.book, self.directory, self.workloads = book, directory, workloads
-        self.ends_at: int | None = None  # when the program that leaves is gone
-
-    def leave_by(self, at: int) -> None:
-        self.ends_at = at
+    def __init__(self, book: Book, directory: Directory, workloads: set[str], standing: Standing) -> None:
+        self.book, self.directory, self.workloads, self.standing = book, directory, workloads, standing
 
     def request(self, request: Request, waited: int = 0) -> Journey | Answer:
         if request.target.split(b"?", 1)[0] == submission.READY and request.method in (b"GET", b"HEAD"):
@@ -29,12 +26,13 @@
         # Guards against answers after the hard limit while the loop lags: they come out as late as wake-ups
         # do, once from the module and once to the client.
         left = asked.left - min(2 * engine.late, asked.left // 3)
-        due = engine.clock.now() - waited + left
-        if self.ends_at is not None:
-            due = min(due, self.ends_at)  # nothing may be open when the program is killed
+        now = engine.clock.now()
+        due = now - waited + left
+        if (latest := self.standing.latest(now)) is not None:
+            due = min(due, latest)  # nothing may be open when the program is killed, or the drain is over
         journey = Journey(asked, request, due)
         self.book.begin(journey)
         return journey
 
     def ready(self) -> bool:
-        return self.ends_at is None and not self.directory.empty()
+        return self.standing.ready() and not self.directory.empty()
--- a/lupinmill/routing/directory.py
+++ b/lupinmill/routing/directory.py
@@ -1,6 +1,8 @@
 """What the list of endpoints says now: where each listens, and whether it still takes launches."""
 from __future__ import annotations
 
+from collections.abc import Container
+
 from lupinmill import terms as t
 from lupinmill.protocol.lists import Known
 from lupinmill.routing.engine import Engine
@@ -10,8 +12,9 @@
 class Directory:
     """Hears of every list first, so that a launch on its way can look at it, then tells the module."""
 
-    def __init__(self, engine: Engine, pool: Pool) -> None:
+    def __init__(self, engine: Engine, pool: Pool, out: Container[str] = ()) -> None:
         self.engine, self.pool = engine, pool
+        self.out = out  # by hand; whose set it is changes it before `by_hand` is called
         self.states: dict[str, t.State] = {}
         self.addresses: dict[str, str] = {}
         self.index: int | None = None
@@ -33,6 +36,11 @@
                 self.addresses[name] = address
         self.engine.tell(t.Listed(kind, known.entries))
 
+    def by_hand(self, name: str, out: bool) -> None:
+        """Launches on their way look at the set itself; connections that are kept would outlast a restart."""
+        self.pool.drop(name)
+        self.engine.tell(t.ByHand(name, out))
+
     def failed(self) -> None:
         self.engine.tell(t.Listed(t.ListKind.FAILED, []))
 
@@ -43,10 +51,11 @@
         self.pool.drop(name)
 
     def listens(self, name: str, address: str) -> bool:
-        return self.addresses.get(name) == address
+        return self.addresses.get(name) == address and name not in self.out
 
     def takes(self, name: str) -> bool:
-        return self.states.get(name) is t.State.READY
+        return self.states.get(name) is t.State.READY and name not in self.out
 
     def empty(self) -> bool:
+        """No endpoint is there; those out by hand are, for this: it is by operators' will that none serves."""
         return not any(state is t.State.READY for state in self.states.values())
--- a/lupinmill/routing/take_in.py
+++ b/lupinmill/routing/take_in.py
@@ -19,7 +19,7 @@
                  log: Log) -> None:
         self.listener, self.admit, self.relay, self.door, self.log = listener, admit, relay, door, log
         self.advice = advice  # microseconds after which those may come back that there is no place for
-        self.leaving = False
+        self.closing = lambda: False  # answers close their connections
         self.clients = 0
 
     async def serve(self, client: Client, welcome: bool) -> None:
@@ -51,7 +51,7 @@
             client.asked = True
             self.door.enter(client)
             answer = await self.answer(client, request)
-            if answer is None or not await self.relay.pass_back(client, side, answer, self.leaving):
+            if answer is None or not await self.relay.pass_back(client, side, answer, self.closing()):
                 return
             self.door.leave(client)
 
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -660,10 +660,11 @@
 
     def listed(self, entry: t.Listing) -> None:
         fresh = entry.started and self.mail.now - entry.started < self.cold_time
-        if fresh and (entry.started != self.entry.started or self.heard == 0):
+        fresh = fresh and (entry.started != self.entry.started or self.heard == 0)
+        if fresh:
             self.cold_since = entry.started
-            if self.mode == "aside":
-                self.schedule_probe(0)  # it was restarted: no need to sit out the rest
+        if self.mode == "aside" and (fresh or self.entry.state is not entry.state is t.State.READY):
+            self.schedule_probe(0)  # restarted, or not to be probed so far: no need to sit out the rest
         self.entry = entry
         self.tell()
 
@@ -786,7 +787,7 @@
         self.mail.alarm(self.mail.now + delay, self, ProbeDue(self.turn))
 
     def probe_due(self, note: ProbeDue) -> None:
-        if note.turn != self.turn or self.mode != "aside" or self.entry.state is t.State.GONE:
+        if note.turn != self.turn or self.mode != "aside" or self.entry.state is not t.State.READY:
             return
         if self.probes:
             self.mail.orders.append(t.Probe(self.entry.endpoint))
@@ -836,7 +837,11 @@
         self.asks = 0
         self.endpoints = desk.endpoints
         self.listed: dict[str, t.Listing] = {}
-        self.handlers = {t.Listed: self.update, t.Probed: self.probed, Plea: self.plea, AskDue: self.ask}
+        self.out: set[str] = set()  # by hand
+        self.handlers = {
+            t.Listed: self.update, t.Probed: self.probed, Plea: self.plea, AskDue: self.ask,
+            t.ByHand: self.by_hand,
+        }
 
     def update(self, note: t.Listed) -> None:
         if note.kind is t.ListKind.FAILED:
@@ -866,8 +871,21 @@
             self.listed.pop(name, None)
         else:
             self.listed[name] = entry
+        if name in self.out and entry.state is t.State.READY:
+            entry = replace(entry, state=t.State.DRAINING)
         self.mail.post(self.endpoints[name], entry)
 
+    def by_hand(self, note: t.ByHand) -> None:
+        """Rule 3 holds for it as for a drain that the list told; the list is followed underneath. Rule 4 for
+        its return: it was restarted while out."""
+        if note.out == (note.endpoint in self.out):
+            return
+        (self.out.add if note.out else self.out.discard)(note.endpoint)
+        entry = self.listed.get(note.endpoint)
+        if entry is not None:
+            self.tell(entry if note.out else replace(entry, started=max(entry.started, self.mail.now)))
+        self.mail.log(f"{note.endpoint} {'out' if note.out else 'back'} by hand")
+
     def ask(self, _: AskDue) -> None:
         self.mail.orders.append(t.Watch())
 
@@ -884,6 +902,9 @@
             self.mail.post(self.endpoints[note.name], Aside(note.why))
 
 
+ROSTERS = (t.Listed, t.Probed, t.ByHand)
+
+
 class Sidecar:
     """One instance: routes outside notes to the parts and keeps one wake-up pending."""
 
@@ -897,7 +918,7 @@
         mail = self.mail
         mail.now, mail.orders = now, []
         for note in (note for note in notes if not isinstance(note, t.Woke)):
-            mail.post(self.roster if isinstance(note, (t.Listed, t.Probed)) else self.desk, note)
+            mail.post(self.roster if isinstance(note, ROSTERS) else self.desk, note)
             mail.run()
         mail.ring()
         at = mail.next_alarm()
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -176,7 +176,15 @@
     load: Load | None = None
 
 
-Note = Listed | Arrived | Started | Ended | Withdrawn | Woke | Probed
+@dataclass(slots=True)
+class ByHand:
+    """Operators take an endpoint out, whatever lists say meanwhile, or put it back: then it was restarted."""
+
+    endpoint: str
+    out: bool
+
+
+Note = Listed | Arrived | Started | Ended | Withdrawn | Woke | Probed | ByHand
 
 # --- orders -------------------------------------------------------------------------------------
 
--- a/lupinmill/transport/connection.py
+++ b/lupinmill/transport/connection.py
@@ -152,6 +152,23 @@
     return socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
 
 
+def listen_at(address: str, backlog: int) -> socket.socket:
+    """A listening socket. The next process of an upgrade may listen there beside this one."""
+    host, port = split_address(address)
+    sock = stream_socket(host)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if hasattr(socket, "SO_REUSEPORT"):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind((host, port))
+        sock.listen(backlog)
+        sock.setblocking(False)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
 async def connect(address: str, time_out: float, store: Store, give_back: Callable[[], None]) -> Connection:
     """Guards against machines that say nothing: the time-out is ours, the kernel's takes minutes."""
     try:
--- a/lupinmill/transport/listener.py
+++ b/lupinmill/transport/listener.py
@@ -11,10 +11,11 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from lupinmill.transport.connection import STAMP_ROOM, Connection, split_address, stream_socket
+from lupinmill.transport.connection import STAMP_ROOM, Connection, listen_at
 from lupinmill.transport.descriptors import OWN, Descriptors, Side
 from lupinmill.transport.ring import Store
 
+BACKLOG = 4096
 BATCH = 16  # connections accepted in a row before others get their turn
 WHOLE = 2.5  # seconds for a new connection's first byte, and from a request's first byte to its last
 SILENT = 0.1  # seconds without a byte after which a new connection makes room for others, ...
@@ -58,17 +59,8 @@
         self.idle: dict[Client, None] = {}  # the one idle for longest first
         self.turning_away = 0
         self.door: Open | None = None
-        host, port = split_address(address)
-        self.sock = stream_socket(host)
-        try:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self.sock.bind((host, port))
-            self.sock.listen(4096)
-            self.sock.setblocking(False)
-            self.address = "%s:%d" % self.sock.getsockname()[:2]
-        except BaseException:
-            self.sock.close()
-            raise
+        self.sock = listen_at(address, BACKLOG)
+        self.address = "%s:%d" % self.sock.getsockname()[:2]
         descriptors.close_idle_client = self.make_room
 
     async def run(self, group: TaskGroup, serve: Serve) -> None:
@@ -120,8 +112,10 @@
         return False
 
     def dismiss_all(self) -> None:
+        """But those just come: their first request is on its way."""
+        now = time.monotonic()
         for client in list(self.idle):
-            if client.quiet():
+            if (client.asked or client.spare(now)) and client.quiet():
                 self.dismiss(client)
 
     def dismiss(self, client: Client) -> None:
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -271,6 +271,7 @@
     def __init__(self, acts, sockets: int = 1024, known: bool = True, **more) -> None:
         self.stands, self.discovery = [Stand(act) for act in acts], DiscoveryStand()
         self.sockets, self.known, self.more = sockets, known, more
+        self.operator = self.more.pop("operator", False)
         self.notes, self.logs = [], []
 
     async def start(self, group) -> None:
@@ -289,6 +290,8 @@
         }
 
     async def start_program(self, group) -> None:
+        if self.operator:
+            self.table["operator"] = "127.0.0.1:0"
         told = understand(self.table, {})
         self.program = Program(told, lambda event, **f: self.logs.append((event, f)), lambda: told)
         tell = self.program.engine.tell
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,294 @@
+"""Operators' calls: endpoints out by hand, drain and resume, at an address that no crowd can hold."""
+import random
+import time
+
+import anyio
+import pytest
+from bed import SECOND, Bed, deployment, listing, on_network, wanted
+from hypothesis import given, settings, strategies
+from test_sidecar import always, fine, seen, until
+
+from lupinmill import terms as t
+from lupinmill.admin import desk, standing
+from lupinmill.admin.standing import Mode, Standing, Verdict
+from lupinmill.protocol import lists
+from lupinmill.protocol.calls import CallSide
+from lupinmill.protocol.http import Answer, Malformed
+
+
+def call(method: str, target: str, more: str = "") -> bytes:
+    return f"{method} {target} HTTP/1.1\r\nHost: a\r\n{more}\r\n".encode()
+
+
+async def operate(net, method: str, target: str, more: str = "") -> int:
+    """The status of one call on a connection of its own."""
+    return (await said(net, call(method, target, more)))[0]
+
+
+async def said(net, data: bytes) -> tuple[int, bytes]:
+    host, port = net.program.operator.split(":")
+    async with await anyio.connect_tcp(host, int(port)) as stream:
+        if data:
+            await stream.send(data)
+        got = b""
+        try:
+            while True:
+                got += await stream.receive()
+        except anyio.EndOfStream:
+            return int(got.split(b" ", 2)[1]) if got else 0, got
+
+
+# --- the calls ----------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("data, found", [
+    (call("GET", "/admin/health"), ("health", "")),
+    (call("PUT", "/admin/quiesce", "Content-Length: 0\r\n"), ("quiesce", "")),
+    (call("PUT", "/admin/cordon?member=e1"), ("cordon", "e1")),
+    (call("PUT", "/admin/cordon?x=1&member=%65%2D1%2b&y"), ("cordon", "e-1+")),
+    (call("PUT", "http://any.host:1/admin/uncordon?%6dember=%C3%A9"), ("uncordon", "é")),
+    (call("GET", "/admin/nothing"), 404), (call("GET", "/health"), 404), (call("GET", "/"), 404),
+    (call("POST", "/admin/cordon?member=e1"), 405), (call("PUT", "/admin/health"), 405),
+    (call("PUT", "/admin/cordon"), 400), (call("PUT", "/admin/cordon?member="), 400),
+    (call("PUT", "/admin/cordon?member=a&member=a"), 400), (call("PUT", "/admin/cordon?member=%ff"), 400),
+    (call("PUT", "/admin/cordon?member=" + "a" * 300), 400),
+    (b"what is this\r\n\r\n", 400), (b"\x16\x03\x01\x02\x00" * 20 + b"\r\n\r\n", 400),
+    (call("GET", "/admin/health", "X: " + "a" * 6_000 + "\r\n"), 431),
+])
+def test_calls_are_read_however_they_are_cut(data, found):
+    rng = random.Random(5)
+    for step in (1, 7, len(data), 0):
+        side, at, got = CallSide(), 0, None
+        try:
+            while got is None and at < len(data):
+                end = at + (step or rng.randrange(1, 20))
+                got, at = side.feed(data[at:end]), end
+        except Malformed as error:
+            got = error.status
+        assert got == found if isinstance(found, int) else (got.what, got.endpoint) == found
+
+
+def test_each_call_twice_and_its_answers():
+    async def check(net):
+        async def put(what):
+            return await operate(net, "PUT", f"/admin/{what}")
+
+        assert await operate(net, "GET", "/admin/health") == 200
+        assert await put("cordon?member=nobody") == 404 and await put("uncordon?member=nobody") == 404
+        for what in ("cordon?member=e1", "uncordon?member=e1", "quiesce", "resume"):
+            assert [await put(what), await put(what)] == [200, 200]
+        status, whole = await said(net, call("GET", "/admin/nothing"))
+        assert status == 404 and b"connection: close" in whole.lower() and whole.endswith(b"unknown path\n")
+
+    on_network(check, fine, fine, operator=True)
+
+
+def test_silent_callers_and_half_calls_hold_no_place_that_another_wants():
+    async def check(net):
+        host, port = net.program.operator.split(":")
+        held = []
+        for number in range(3 * desk.PLACES):
+            stream = await anyio.connect_tcp(host, int(port))
+            if number % 2:
+                await stream.send(b"PUT /admin/cordon?mem")
+            held.append(stream)
+        assert await operate(net, "GET", "/admin/health") == 200
+        assert await operate(net, "PUT", "/admin/quiesce") == 200
+        for stream in held:
+            await stream.aclose()
+
+    on_network(check, fine, operator=True)
+
+
+# --- endpoints out by hand ----------------------------------------------------------------------
+
+
+def test_what_is_out_by_hand_gets_nothing_whatever_lists_say_and_serves_again_once_back():
+    async def check(net):
+        async def many(tag, count=20):
+            for number in range(count):
+                assert (await net.ask(wanted(f"{tag}{number}"))).status == 200
+
+        def found(tag):
+            return sum(len(seen(net, f"{tag}{number}")) for number in range(40)
+                       if 0 in seen(net, f"{tag}{number}"))
+
+        await many("a")
+        assert found("a")
+        assert await operate(net, "PUT", "/admin/cordon?member=e0") == 200
+        assert not net.program.pool.idle.get("e0")
+        row, update = net.discovery.rows[0], net.program.directory.update
+        for fields in ({}, {"status": "DRAINING"}, {"status": "SERVING"}, {"status": "DELETED"},
+                       {"status": "SERVING", "since_ms": int(time.time() * 1000)}):
+            update(lists.known({"index": 9, "endpoints": [row | fields]}), t.ListKind.CHANGES)
+            await many("b" + str(len(fields)) + fields.get("status", ""), 5)
+        assert not any(found(tag) for tag in ("b0", "b1DRAINING", "b1SERVING", "b1DELETED", "b2SERVING"))
+        assert await operate(net, "PUT", "/admin/cordon?member=e0") == 200
+        assert await operate(net, "PUT", "/admin/uncordon?member=e0") == 200
+        with anyio.fail_after(5):
+            tries = 0
+            while not found("c"):
+                assert (await net.ask(wanted(f"c{tries % 40}"))).status == 200
+                tries += 1
+
+    on_network(check, fine, fine, fine, operator=True)
+
+
+def test_a_launch_that_connects_while_its_endpoint_is_taken_out_sends_no_byte():
+    async def check(net):
+        whole = net.program.pool.open
+
+        async def slow(address):
+            connection = await whole(address)
+            assert await operate(net, "PUT", "/admin/cordon?member=e0") == 200
+            return connection
+
+        net.program.pool.open = slow
+        assert (await net.ask(wanted("s1", "issue", "0.3"))).status == 503
+
+    net = on_network(check, fine, operator=True)
+    assert net.ended() == [t.How.UNSENT] and not seen(net, "s1")
+
+
+def test_the_module_sends_nothing_to_what_is_out_and_counts_it_as_cold_afterwards():
+    bed = Bed(deployment(cold_share=0.1), 2)
+    bed.state["e0"] = t.State.DRAINING  # what the bed's rules go by
+    bed.step(t.ByHand("e0", True))
+    bed.step(t.ByHand("e0", True))
+    for _ in range(30):
+        bed.arrive(bed.workloads["view"])
+        for name in list(bed.owed):
+            for launch in bed.out(name):
+                bed.end(name, launch, t.How.HANDLED, after=2_000)
+    bed.sidecar.step(bed.now, [t.Listed(t.ListKind.FULL, [listing(0), listing(1)])])
+    for _ in range(10):
+        name = bed.arrive(bed.workloads["view"])
+        bed.end(name, 0, t.How.HANDLED, after=2_000)
+    bed.state["e0"] = t.State.READY
+    bed.step(t.ByHand("e0", False))
+    assert bed.sidecar.desk.seats["e0"].says.cold_since == bed.now
+    for _ in range(300):
+        name = bed.arrive(bed.workloads["view"])
+        bed.end(name, 0, t.How.HANDLED, after=5_000)
+    sent = [f["endpoint"] for flights in bed.flights.values() for f in flights]
+    assert "e0" not in sent[:40] and 0 < sent[-300:].count("e0") < 150
+
+
+def test_what_is_out_is_not_probed_and_is_probed_at_once_when_back():
+    bed = Bed(deployment(), 3)
+    for _ in range(2):
+        name = bed.arrive(bed.workloads["view"])
+        at = bed.flights[name][0]["endpoint"]
+        bed.end(name, 0, t.How.UNCONNECTED)
+    bed.step(t.ByHand(at, True))
+    bed.state[at] = t.State.DRAINING
+    bed.probes.clear()
+    bed.run(4 * SECOND)
+    assert at not in bed.probes
+    bed.step(t.ByHand(at, False))
+    bed.state[at] = t.State.READY
+    bed.run(SECOND // 2)
+    assert at in bed.probes
+
+
+# --- the modes ----------------------------------------------------------------------------------
+
+
+STEPS = strategies.lists(strategies.tuples(
+    strategies.sampled_from(["out", "back", "quiesce", "resume", "leave", "forget"]),
+    strategies.integers(0, 3), strategies.integers(0, 2_000_000_000), strategies.booleans(),
+), max_size=40)
+
+
+@settings(derandomize=True, max_examples=300)
+@given(STEPS)
+def test_what_stands_keeps_its_promises_after_every_step(steps):
+    stands, now, left, drains, named = Standing(), 10 * SECOND, False, None, {}
+    for what, number, wait, listed in steps:
+        now, name = now + wait, f"e{number}"
+        known = name in stands.out
+        if what == "out":
+            verdict = stands.take_out(now, name, listed)
+            assert (verdict is Verdict.DONE) == (known or listed) == (name in stands.out)
+            named.setdefault(name, now)
+        elif what == "back":
+            assert (stands.back(name, listed) is Verdict.DONE) == (known or listed)
+            assert name not in stands.out
+        elif what == "quiesce":
+            assert stands.quiesce(now) == (not left and drains is None)
+            drains = drains if left or drains is not None else now
+        elif what == "resume":
+            assert stands.resume(now) == (not left and drains is not None)
+            drains = drains if left else None
+        elif what == "leave":
+            stands.leave(now, now + 3 * SECOND, now + 3_500_000)
+            left = True
+        else:
+            gone = stands.forget(now, {name: None} if listed else {})
+            assert not listed or name not in gone
+            assert all(now - out.named < standing.FORGOTTEN for out in stands.out.values())
+        assert len(stands.out) <= standing.MOST_OUT
+        assert stands.ready() == (not left and drains is None)
+        assert (stands.mode is Mode.LEAVING) == left
+        if drains is None and not left:
+            assert not stands.closing(now + 9 * SECOND) and stands.latest(now) is None
+        elif drains is not None and not left:
+            assert not stands.closing(drains) and stands.closing(drains + standing.STAY)
+            assert now >= drains + standing.EMPTY or stands.latest(now) < drains + 4 * SECOND
+        else:
+            assert stands.closing(now + 3 * SECOND)
+
+
+def test_the_set_of_what_is_out_is_bounded():
+    stands = Standing()
+    for number in range(standing.MOST_OUT):
+        assert stands.take_out(0, f"e{number}", True) is Verdict.DONE
+    assert stands.take_out(0, "one more", True) is Verdict.FULL and len(stands.out) == standing.MOST_OUT
+    assert stands.take_out(0, "e7", False) is Verdict.DONE
+    assert len(stands.forget(standing.FORGOTTEN, {"e7": None})) == standing.MOST_OUT - 1
+
+
+def test_a_drain_says_not_ready_serves_on_then_holds_nothing_and_ends_with_resume(monkeypatch):
+    monkeypatch.setattr(standing, "STAY", 400_000)
+    monkeypatch.setattr(standing, "EMPTY", 900_000)
+
+    async def check(net):
+        ready = b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"
+        assert (await net.ask(ready)).status == 200
+        host, port = net.address.split(":")
+        async with await anyio.connect_tcp(host, int(port)) as kept:
+            assert await operate(net, "PUT", "/admin/quiesce") == 200
+            began = time.monotonic()
+            assert (await net.ask(ready)).status == 503
+            assert (await net.ask(wanted("new"))).status == 200
+            await kept.send(wanted("kept"))
+            assert b"200 OK" in await kept.receive()
+            with pytest.raises(anyio.EndOfStream):
+                await kept.receive()  # closed as idle once the drain closes
+            assert time.monotonic() - began >= 0.4
+        answer = await net.ask(wanted("late"))
+        assert answer.status == 200 and answer.header(b"connection") == "close"
+        await until(lambda: not net.program.descriptors.open[desk_side()])
+        assert await operate(net, "PUT", "/admin/resume") == 200
+        assert (await net.ask(ready)).status == 200
+        assert (await net.ask(wanted("again"))).header(b"connection") is None
+
+    on_network(check, fine, operator=True)
+
+
+def desk_side():
+    from lupinmill.transport.descriptors import Side
+    return Side.CLIENT
+
+
+def test_what_a_drain_takes_in_late_is_answered_before_its_end(monkeypatch):
+    monkeypatch.setattr(standing, "STAY", 100_000)
+    monkeypatch.setattr(standing, "EMPTY", 400_000)
+
+    async def check(net):
+        assert await operate(net, "PUT", "/admin/quiesce") == 200
+        began = time.monotonic()
+        assert (await net.ask(wanted("s1", "view", "1.0"))).status == 503
+        assert time.monotonic() - began < 0.8
+
+    on_network(check, always(Answer(200), 5), operator=True)
