--- /dev/null
+++ b/lupinmill/handover/driver.py
@@ -0,0 +1,298 @@
+"""The driver of an upgrade: the socket in `$TMPDIR`, the links to the process before and to the one after this one.
+
+Owns that socket and both links; a link's end gives back all that waits on it. What passes when is `Succession`'s."""
+from __future__ import annotations
+
+import os
+import socket
+import struct
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from lupinmill.handover.succession import VERSION, Do, Order, Succession
+from lupinmill.protocol.calls import Call
+from lupinmill.protocol.http import Malformed
+from lupinmill.routing.engine import Log, defect
+from lupinmill.transport.link import BrokenLink, Link
+
+FILE = "lupinmill.sock"
+LONGEST_PATH = 100  # bytes that the system takes in a Unix address, with some to spare
+CONNECT, ANSWER = 0.5, 1.5  # seconds: so long a start waits at most for a process that may be there
+AGREED = 0.4  # seconds for the other process to carry out an operator's call too
+TOLD_EVERY = 0.05  # seconds between two words on the descriptors still held
+FIRST_WORD = 1.0  # seconds
+LINKS = 4  # that ask to take over, at a time
+
+Message = dict[str, Any]
+
+
+class Place:
+    """Where processes of this sidecar find one another. A path too long for the system goes by its directory."""
+
+    def __init__(self, directory: str) -> None:
+        self.path = os.path.join(directory, FILE)
+        self.directory: int | None = None
+        if len(os.fsencode(self.path)) > LONGEST_PATH:
+            self.directory = os.open(directory, os.O_RDONLY | os.O_DIRECTORY)
+            self.path = f"/proc/self/fd/{self.directory}/{FILE}"
+
+    def listen(self) -> socket.socket:
+        """Replaces whoever listened there in one step; the mode keeps other users out."""
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        own = f"{self.path[:-5]}.{os.getpid() % 100_000}"
+        try:
+            if os.path.lexists(own):
+                os.unlink(own)
+            before = os.umask(0o177)
+            try:
+                sock.bind(own)
+            finally:
+                os.umask(before)
+            sock.listen(LINKS)
+            sock.setblocking(False)
+            os.rename(own, self.path)
+        except BaseException:
+            sock.close()
+            raise
+        return sock
+
+    async def find(self) -> socket.socket | None:
+        """A process that listens there; a file left by a dead one counts as none."""
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            sock.connect(self.path)
+        except OSError:
+            sock.close()
+            return None
+        return sock
+
+    def close(self) -> None:
+        if self.directory is not None:
+            os.close(self.directory)
+            self.directory = None
+
+
+def same_user(sock: socket.socket) -> bool:
+    try:
+        data = sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, struct.calcsize("3i"))
+    except (AttributeError, OSError):
+        return False
+    return struct.unpack("3i", data)[1] in (os.geteuid(), 0)
+
+
+class Handover:
+    """What it does to the rest of the program is set by whoever puts the program together."""
+
+    def __init__(self, directory: str | None, name: str, listen: str, log: Log) -> None:
+        self.log = log
+        self.succession = Succession(name, listen)
+        self.place: Place | None = None
+        if directory:
+            try:
+                self.place = Place(directory)
+            except OSError as error:
+                log("handover_off", error=f"{directory}: {error.strerror}")
+        self.older: Link | None = None
+        self.newer: Link | None = None
+        self.waiting: dict[int, anyio.Event] = {}  # operators' calls that the other process has yet to carry out
+        self.serial = 0
+        self.asking = 0  # links that have yet to say who they are
+        self.state: Callable[[], Message] = dict
+        self.listening: Callable[[], socket.socket]
+        self.held: Callable[[], int] = lambda: 0
+        self.yield_, self.take_up = (lambda: None), (lambda: None)
+        self.apply: Callable[[Call], tuple[int, str]] = lambda call: (500, "")
+        self.adopt: Callable[[socket.socket], None] = socket.socket.close
+        self.elsewhere: Callable[[int], None] = lambda held: None
+
+    # The start: is there one to take over from?
+
+    async def ask(self) -> tuple[Message, socket.socket] | None:
+        """The state of the process that serves now, and the listening socket; None: an ordinary start."""
+        if self.place is None:
+            return None
+        with anyio.move_on_after(CONNECT):
+            sock = await self.place.find()
+        if sock is None:
+            return None
+        link = Link(sock)
+        try:
+            if not same_user(sock):
+                raise BrokenLink("another user's process listens there")
+            own = self.succession
+            hello = {"say": "hello", "version": VERSION, "name": own.name, "listen": own.listen}
+            state = await link.ask(hello, ANSWER)
+            if state.get("say") != "state":
+                raise BrokenLink(str(state.get("why", "no state"))[:200])
+            listening = socket.socket(fileno=link.take_descriptor())
+            listening.setblocking(False)
+        except (OSError, BrokenLink, TimeoutError) as error:
+            self.log("handover_refused", error=f"{type(error).__name__}: {error}")
+            link.close()
+            return None
+        self.older = link
+        return state, listening
+
+    def start(self, group: TaskGroup) -> None:
+        """This process takes clients: whoever starts next finds it, the one before yields."""
+        if self.older is not None:
+            self.older.send({"say": "serving"})
+            group.start_soon(self.follow, self.older)
+        if self.place is not None:
+            group.start_soon(self.keep, group)
+
+    # To the process before this one.
+
+    async def follow(self, link: Link) -> None:
+        try:
+            await link.run(self.from_older)
+        except* (OSError, BrokenLink):
+            pass
+        except* Exception as errors:
+            self.log("task_failed", task="older", **defect(errors.exceptions[0]))
+        finally:
+            link.close()
+            self.older = None
+            self.elsewhere(0)
+            self.log("handover", text="the process before this one has ended")
+
+    def from_older(self, message: Message) -> None:
+        link, say = self.older, message.get("say")
+        if link is None:
+            return
+        if say == "client":
+            self.adopt(socket.socket(fileno=link.take_descriptor()))
+        elif say == "open":
+            self.elsewhere(int(message["held"]))
+        else:
+            self.both_ways(link, message)
+
+    # To the process after this one.
+
+    async def keep(self, group: TaskGroup) -> None:
+        """Listens for it, also anew after one that took over has died."""
+        assert self.place is not None
+        while True:
+            try:
+                sock = self.place.listen()
+            except OSError as error:
+                self.log("handover_off", error=str(error))
+                return
+            try:
+                while self.succession.accepts():
+                    with anyio.move_on_after(1.0):  # the one that takes over replaces the file
+                        await anyio.wait_readable(sock)
+                    try:
+                        found, _ = sock.accept()
+                    except OSError:
+                        continue
+                    found.setblocking(False)
+                    if self.asking >= LINKS:
+                        found.close()
+                    else:
+                        self.asking += 1
+                        group.start_soon(self.attend, Link(found))
+            finally:
+                sock.close()
+            while not self.succession.accepts():
+                await anyio.sleep(TOLD_EVERY)
+
+    async def attend(self, link: Link) -> None:
+        try:
+            try:
+                with anyio.fail_after(FIRST_WORD):
+                    hello = await link.hear_one()
+            finally:
+                self.asking -= 1
+            order = self.succession.hello(hello, same_user(link.sock))
+            if order.do is Do.REFUSE:
+                self.log("handover", text=f"refused: {order.why}")
+                await link.ask({"say": "no", "why": order.why}, FIRST_WORD)
+                return
+        except (OSError, BrokenLink, TimeoutError):
+            link.close()
+            return
+        self.newer = link
+        try:
+            self.log("handover", text="another process asks to take over")
+            link.send(self.state(), os.dup(self.listening().fileno()))
+            await link.run(self.from_newer)
+        except* (OSError, BrokenLink):
+            pass
+        except* Exception as errors:
+            self.log("task_failed", task="newer", **defect(errors.exceptions[0]))
+        finally:
+            link.close()
+            self.newer = None
+            self.carry_out(self.succession.lost())
+
+    def from_newer(self, message: Message) -> None:
+        if message.get("say") == "serving":
+            self.carry_out(self.succession.serving())
+        elif self.newer is not None:
+            self.both_ways(self.newer, message)
+
+    def carry_out(self, orders: list[Order]) -> None:
+        for order in orders:
+            if order.do is Do.YIELD:
+                self.log("handover", text="the next process serves; this one finishes what it has")
+                self.yield_()
+            elif order.do is Do.TAKE_UP:
+                self.log("handover", text="the next process has gone; this one serves again")
+                self.take_up()
+
+    def pass_client(self, sock: socket.socket) -> bool:
+        """The socket is the link's from now on; False, and nothing taken, where there is no link."""
+        link = self.newer
+        if link is None or not link.has_room():
+            return False
+        return link.send({"say": "client"}, sock.detach())
+
+    async def tell_held(self) -> None:
+        told = -1
+        while True:
+            await anyio.sleep(TOLD_EVERY)
+            if self.newer is not None and not self.succession.accepts() and told != (held := self.held()):
+                told = held
+                self.newer.send({"say": "open", "held": held})
+
+    async def flush(self) -> None:
+        while self.newer is not None and self.newer.going:
+            await anyio.sleep(0.005)
+
+    # Operators' calls hold in both.
+
+    def both_ways(self, link: Link, message: Message) -> None:
+        say = message.get("say")
+        if say == "call":
+            try:
+                status, _ = self.apply(Call(str(message["what"]), str(message["member"])))
+            except (KeyError, Malformed):
+                status = 400
+            link.send({"say": "done", "n": message.get("n"), "status": status})
+        elif say == "done" and (event := self.waiting.get(message.get("n"))) is not None:
+            event.set()
+
+    async def pass_on(self, call: Call) -> None:
+        links = [link for link in (self.older, self.newer) if link is not None and link.has_room()]
+        for link in links:
+            self.serial += 1
+            number, event = self.serial, anyio.Event()
+            self.waiting[number] = event
+            try:
+                link.send({"say": "call", "n": number, "what": call.what, "member": call.endpoint})
+                with anyio.move_on_after(AGREED):
+                    await event.wait()
+            finally:
+                del self.waiting[number]
+
+    def close(self) -> None:
+        for link in (self.older, self.newer):
+            if link is not None:
+                link.close()
+        if self.place is not None:
+            self.place.close()
--- /dev/null
+++ b/lupinmill/handover/papers.py
@@ -0,0 +1,59 @@
+"""What passes at an upgrade beside sockets, as a plain table. Pure. The taker reads it whole or refuses it whole."""
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from lupinmill import terms as t
+from lupinmill.admin.standing import Mode, Out, Standing
+from lupinmill.handover.succession import VERSION
+from lupinmill.protocol import lists
+from lupinmill.protocol.http import Garbled
+
+Table = dict[str, Any]
+STATUS = {t.State.READY: "SERVING", t.State.DRAINING: "DRAINING"}
+
+
+class BadPapers(Exception):
+    pass
+
+
+@dataclass(slots=True)
+class Papers:
+    known: lists.Known
+    learned: Table
+    held: int  # descriptors that the older process has open
+
+
+def write(listed: dict[str, t.Listing], addresses: dict[str, str], index: int | None, standing: Standing,
+          learned: Table, held: int) -> Table:
+    rows = [
+        {
+            "name": one.endpoint, "address": addresses[one.endpoint], "zone": one.zone, "type": one.kind,
+            "group": one.cell, "status": STATUS[one.state], "since_ms": one.started // 1000,
+        }
+        for one in listed.values() if one.endpoint in addresses
+    ]
+    return {
+        "say": "state", "version": VERSION, "held": held, "learned": learned,
+        "list": {"index": index or 0, "snapshot": True, "endpoints": rows},
+        "out": [[out.endpoint, out.since, out.named] for out in standing.out.values()],
+        "mode": [standing.mode.value, standing.since],
+    }
+
+
+def read(table: Table, standing: Standing) -> Papers:
+    """What stands is taken up here; the rest is returned."""
+    if table.get("say") != "state" or table.get("version") != VERSION:
+        raise BadPapers(str(table.get("why") or f"no state of version {VERSION}")[:200])
+    try:
+        known = lists.known(table["list"])
+        out = [Out(str(name), int(since), int(named)) for name, since, named in table["out"]]
+        mode, since = Mode(table["mode"][0]), int(table["mode"][1])
+        papers = Papers(known, dict(table["learned"]), int(table["held"]))
+    except (KeyError, TypeError, ValueError, IndexError, Garbled) as error:
+        raise BadPapers(f"{type(error).__name__}: {error}"[:200]) from error
+    standing.out.update((one.endpoint, one) for one in out)
+    if mode is Mode.DRAINING:
+        standing.quiesce(since)
+    return papers
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -4,16 +4,19 @@
 import gc
 import resource
 import signal
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 import anyio
-from anyio.abc import TaskStatus
+from anyio.abc import TaskGroup, TaskStatus
 
 from lupinmill import terms as t
 from lupinmill.admin.desk import PLACES, AdminDesk
 from lupinmill.admin.office import Office
 from lupinmill.admin.standing import Standing
+from lupinmill.handover import papers
+from lupinmill.handover.driver import Handover
 from lupinmill.limits.gate import Gate
 from lupinmill.program.discovery import Discovery
 from lupinmill.program.told import BadStart, Told, fixed
@@ -26,6 +29,7 @@
 from lupinmill.routing.route import Route
 from lupinmill.routing.send import Send
 from lupinmill.routing.take_in import TakeIn
+from lupinmill.state import learned
 from lupinmill.transport.descriptors import Descriptors
 from lupinmill.transport.listener import Listener
 from lupinmill.transport.pool import Pool
@@ -65,6 +69,7 @@
         self.office = Office(self.standing, self.directory, self.engine, log)
         self.discovery = Discovery(told.discovery, told.deployment, self.directory, self.store, log)
         self.engine.carriers[t.Watch] = self.discovery.watch
+        self.handover = Handover(told.directory, told.name, told.listen, log)
         self.operator: str | None = None  # where operators call, once bound
 
     def bound(self, kind: Callable[..., Any], address: str, *more: Any) -> Any:
@@ -77,31 +82,42 @@
     async def run(self, *, task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED) -> None:
         deployment = self.told.deployment
         send = Send(self.pool, self.directory, self.book, deployment.reports_asked, self.log)
-        listener = self.bound(Listener, self.told.listen, self.descriptors, self.store)
+        found = await self.handover.ask()
+        sock = papers_taken = None
+        if found is not None:
+            table, sock = found
+            try:
+                papers_taken = papers.read(table, self.standing)
+            except papers.BadPapers as error:
+                self.log("handover_refused", error=str(error))
+                sock.close()
+                sock = None
+        listener = self.bound(Listener, self.told.listen, self.descriptors, self.store, sock)
         desk = None
         if self.told.operator is not None:
             desk = self.bound(AdminDesk, self.told.operator, self.office.carry_out, self.log)
         advice = deployment.longest_advice // 2 if deployment.advice_allowed else 0
         self.door = door = listener.door = Door(Gate(deployment), self.book, self.log)
         take_in = TakeIn(listener, self.admit, Relay(self.book, self.log), door, advice, self.log)
-        take_in.closing = lambda: self.standing.closing(self.engine.clock.now())
+        take_in.closing = lambda: not listener.passing and self.standing.closing(self.engine.clock.now())
         try:
             # The receiver comes first and goes last: without it a signal ends the program.
             with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
                 async with anyio.create_task_group() as group:
                     Route(self.engine, self.book, send, group)
-                    self.directory.update(self.told.known, t.ListKind.CACHED)
+                    self.begin_list(papers_taken)
                     for task in (self.engine.keep_time, self.discovery.run, self.sweep, self.measure_lag,
                                  self.office.sweep):
                         group.start_soon(self.keep_up, task)
                     group.start_soon(self.keep_up, listener.run, group, take_in.serve)
+                    self.hand_over(listener, take_in, group)
                     group.start_soon(self.keep_up, self.close_idle, listener)
                     if desk is not None:
                         group.start_soon(self.keep_up, desk.run, group)
                         self.operator = desk.address
                     self.office.taking = lambda: True
                     self.log("started", tier=deployment.tier, listen=listener.address, operator=self.operator,
-                             endpoints=len(self.told.known.entries), descriptors=self.descriptors.limit)
+                             endpoints=len(self.directory.states), descriptors=self.descriptors.limit)
                     gc.collect()
                     gc.freeze()
                     gc.set_threshold(20_000, 20, 20)
@@ -111,6 +127,7 @@
                     group.cancel_scope.cancel()
         finally:
             listener.close()
+            self.handover.close()
             if desk is not None:
                 desk.close()
             self.pool.close()
@@ -154,20 +171,76 @@
         no other: they are served until little time is left, and only then sent away."""
         longest = max(workload.hard_limit for workload in self.told.deployment.workloads) / 1_000_000
         stay = min(longest, LONGEST_WAIT) + KILLED_AFTER - SPARE
+        self.handover.succession.leave()
         now = self.engine.clock.now()
         ends = now + int(stay * 1_000_000)
         self.standing.leave(now, ends - CLOSING, ends)
         began = anyio.current_time()
         while (waited := anyio.current_time() - began) < stay or self.book.journeys:
-            if waited >= STILL_COMING and not take_in.clients:
+            if not take_in.clients and (waited >= STILL_COMING or not self.handover.succession.accepts()):
                 break
             await anyio.sleep(CLOSE_EVERY)
+        with anyio.move_on_after(SPARE):
+            await self.handover.flush()
+
+    def begin_list(self, taken: papers.Papers | None) -> None:
+        """As told at the start, or as the process before this one knew it, with what it learned."""
+        if taken is None:
+            self.directory.update(self.told.known, t.ListKind.CACHED)
+            return
+        self.directory.update(taken.known, t.ListKind.CACHED)
+        for name in self.standing.out:
+            self.directory.by_hand(name, True)
+        try:
+            learned.recall(self.engine.sidecar, taken.learned, self.engine.clock.now())
+        except (TypeError, ValueError, KeyError, AttributeError) as error:
+            self.log("handover_refused", error=f"learned: {type(error).__name__}: {error}")
+        self.engine.tell(t.Woke(1))
+        self.descriptors.elsewhere = taken.held
+        self.discovery.watch(t.Watch())  # at once: what it tells from now on binds this process
+
+    def hand_over(self, listener: Listener, take_in: TakeIn, group: TaskGroup) -> None:
+        """What an upgrade does to the parts of this program, on either side of it."""
+        handover, descriptors = self.handover, self.descriptors
+
+        def held() -> int:
+            return sum(descriptors.open.values())
+
+        def state() -> dict[str, Any]:
+            listed, directory = self.engine.sidecar.roster.listed, self.directory
+            known = learned.learned(self.engine.sidecar)
+            return papers.write(listed, directory.addresses, directory.index, self.standing, known, held())
+
+        def yield_() -> None:
+            listener.pause()
+            listener.passing = True
+            take_in.pass_on = lambda client: handover.pass_client(client.sock)
+            self.pool.close()
+            listener.dismiss_all()
+
+        def take_up() -> None:
+            take_in.pass_on, listener.passing = None, False
+            listener.resume()
+
+        def adopt(sock: socket.socket) -> None:
+            descriptors.elsewhere = max(0, descriptors.elsewhere - 1)
+            listener.adopt(sock, group, take_in.serve)
+
+        def elsewhere(count: int) -> None:
+            descriptors.elsewhere = count
+
+        handover.state, handover.held, handover.listening = state, held, lambda: listener.sock
+        handover.yield_, handover.take_up = yield_, take_up
+        handover.adopt, handover.elsewhere, handover.apply = adopt, elsewhere, self.office.apply
+        self.office.pass_on = handover.pass_on
+        group.start_soon(self.keep_up, handover.tell_held)
+        handover.start(group)
 
     async def close_idle(self, listener: Listener) -> None:
         """While this sidecar drains or leaves, once what stands says so."""
         while True:
             await anyio.sleep(CLOSE_EVERY)
-            if self.standing.closing(self.engine.clock.now()):
+            if listener.passing or self.standing.closing(self.engine.clock.now()):
                 listener.dismiss_all()
 
     async def sweep(self) -> None:
--- a/lupinmill/program/told.py
+++ b/lupinmill/program/told.py
@@ -30,6 +30,7 @@
     idle_limit: float
     connect_limit: float
     operator: str | None = None  # where operators call
+    directory: str | None = None  # common to the processes of an upgrade
 
 
 def read(environ: Mapping[str, str], again: bool = False) -> Told:
@@ -77,6 +78,7 @@
         idle_limit=settings.idle_limit(fields),
         connect_limit=settings.connect_limit(fields),
         operator=operator,
+        directory=environ.get("TMPDIR") or None,
     )
 
 
--- a/lupinmill/routing/take_in.py
+++ b/lupinmill/routing/take_in.py
@@ -1,6 +1,8 @@
 """Take in: one client connection, submission after submission."""
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import anyio
 
 from lupinmill.protocol.http import Answer, Malformed, Request, ServerSide, plain
@@ -20,6 +22,7 @@
         self.listener, self.admit, self.relay, self.door, self.log = listener, admit, relay, door, log
         self.advice = advice  # microseconds after which those may come back that there is no place for
         self.closing = lambda: False  # answers close their connections
+        self.pass_on: Callable[[Client], bool] | None = None  # to the next process, with what lies unread
         self.clients = 0
 
     async def serve(self, client: Client, welcome: bool) -> None:
@@ -41,12 +44,15 @@
     async def converse(self, client: Client) -> None:
         side = ServerSide()
         while True:
+            if self.passed(client, side):
+                return
             try:
                 request = await self.read(client, side)
             except Malformed as error:
                 await self.relay.pass_back(client, side, plain(error.status, f"{error}\n"), True)
                 return
             if request is None:
+                self.passed(client, side)
                 return
             client.asked = True
             self.door.enter(client)
@@ -55,6 +61,10 @@
                 return
             self.door.leave(client)
 
+    def passed(self, client: Client, side: ServerSide) -> bool:
+        """Between two requests alone, with not a byte read of the next."""
+        return self.pass_on is not None and not client.broken and not side.begun() and self.pass_on(client)
+
     async def answer(self, client: Client, request: Request) -> Answer | None:
         admitted = self.admit.request(request, client.waited())
         return admitted if isinstance(admitted, Answer) else await self.relay.final_answer(client, admitted)
--- a/lupinmill/transport/descriptors.py
+++ b/lupinmill/transport/descriptors.py
@@ -29,6 +29,7 @@
             room = memory * 9 // 10 - OWN_MEMORY
             self.client_limit = max(4, min(self.client_limit, room // CLIENT_MEMORY))
         self.open = {Side.CLIENT: 0, Side.ENDPOINT: 0}
+        self.elsewhere = 0  # held by the process before this one, within the same limit
         self.leaving = 0  # idle clients told to close, whose tasks have not done so yet
         self.close_idle_endpoint: Callable[[], bool] = lambda: False
         self.close_idle_client: Callable[[], bool] = lambda: False
@@ -37,7 +38,7 @@
         clients = self.open[Side.CLIENT] - self.leaving
         if side is Side.CLIENT and clients >= self.client_limit:
             return False
-        return clients + self.open[Side.ENDPOINT] < self.limit
+        return clients + self.open[Side.ENDPOINT] + self.elsewhere < self.limit
 
     def lease(self, side: Side) -> bool:
         while not self.free(side):
--- a/lupinmill/transport/listener.py
+++ b/lupinmill/transport/listener.py
@@ -54,26 +54,58 @@
 class Listener:
     """Owns the listening socket and the set of idle client connections."""
 
-    def __init__(self, address: str, descriptors: Descriptors, store: Store) -> None:
+    def __init__(self, address: str, descriptors: Descriptors, store: Store,
+                 sock: socket.socket | None = None) -> None:
         self.descriptors, self.store = descriptors, store
         self.idle: dict[Client, None] = {}  # the one idle for longest first
         self.turning_away = 0
         self.door: Open | None = None
-        self.sock = listen_at(address, BACKLOG)
+        self.passing = False  # clients that fall idle go to the next process: not a byte more is read of them
+        self.turn: anyio.CancelScope | None = None  # of accepting
+        self.resumed: anyio.Event | None = None  # while it does not accept
+        self.sock = listen_at(address, BACKLOG) if sock is None else sock
         self.address = "%s:%d" % self.sock.getsockname()[:2]
         descriptors.close_idle_client = self.make_room
 
     async def run(self, group: TaskGroup, serve: Serve) -> None:
         """Keeps accepting under pressure: what is left in the kernel's queue counts as taken already."""
         while True:
-            await anyio.wait_readable(self.sock)
-            try:
-                await self.accept_all(group, serve)
-            except OSError as error:
-                if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    continue  # that one connection broke before it was taken
-                self.make_room()
-                await anyio.sleep(0.01)
+            if self.resumed is not None:
+                await self.resumed.wait()
+            with anyio.CancelScope() as self.turn:
+                await anyio.wait_readable(self.sock)
+                try:
+                    await self.accept_all(group, serve)
+                except OSError as error:
+                    if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                        continue  # that one connection broke before it was taken
+                    self.make_room()
+                    await anyio.sleep(0.01)
+
+    def pause(self) -> None:
+        """Accepts nothing more; the socket stays open, for another process or until `resume`."""
+        if self.resumed is None:
+            self.resumed = anyio.Event()
+            if self.turn is not None:
+                self.turn.cancel()
+
+    def resume(self) -> None:
+        if self.resumed is not None:
+            self.resumed.set()
+            self.resumed = None
+
+    def adopt(self, sock: socket.socket, group: TaskGroup, serve: Serve) -> None:
+        """A connection that another process of this sidecar accepted, between two requests."""
+        self.begin(sock, self.descriptors.lease(Side.CLIENT), group, serve, True)
+
+    def begin(self, sock: socket.socket, place: bool, group: TaskGroup, serve: Serve, asked: bool) -> None:
+        if place:
+            client = Client(sock, self.store, lambda: self.descriptors.give_back(Side.CLIENT))
+            client.asked = asked
+            group.start_soon(serve, client, True)
+        else:
+            self.turning_away += 1
+            group.start_soon(serve, Client(sock, self.store, self.turned_away), False)
 
     async def accept_all(self, group: TaskGroup, serve: Serve) -> None:
         """A batch at most, then those that are served get their turn; one only where there is no place free:
@@ -91,12 +123,7 @@
                 if isinstance(error, BlockingIOError):
                     return
                 raise
-            if place:
-                client = Client(sock, self.store, lambda: self.descriptors.give_back(Side.CLIENT))
-                group.start_soon(serve, client, True)
-            else:
-                self.turning_away += 1
-                group.start_soon(serve, Client(sock, self.store, self.turned_away), False)
+            self.begin(sock, place, group, serve, False)
 
     def turned_away(self) -> None:
         self.turning_away -= 1
@@ -112,10 +139,11 @@
         return False
 
     def dismiss_all(self) -> None:
-        """But those just come: their first request is on its way."""
+        """But those just come: their first request is on its way. All, with what lies unread, while they are
+        passed on."""
         now = time.monotonic()
         for client in list(self.idle):
-            if (client.asked or client.spare(now)) and client.quiet():
+            if self.passing or (client.asked or client.spare(now)) and client.quiet():
                 self.dismiss(client)
 
     def dismiss(self, client: Client) -> None:
@@ -180,7 +208,7 @@
                 del self.idle[client]
             else:
                 self.descriptors.leaving -= 1
-        if not woken.is_set() and client.has_unread():
+        if not woken.is_set() and not self.passing and client.has_unread():
             return await client.receive()
         return client.early
 
@@ -195,7 +223,7 @@
                     del self.idle[client]
                 else:
                     self.descriptors.leaving -= 1
-        return await client.receive() if client.has_unread() else b""
+        return await client.receive() if not self.passing and client.has_unread() else b""
 
     def close(self) -> None:
         self.sock.close()
