--- a/lupinmill/handover/driver.py
+++ b/lupinmill/handover/driver.py
@@ -8,6 +8,7 @@
 import struct
 from collections.abc import Callable
 from typing import Any
+from zlib import crc32
 
 import anyio
 from anyio.abc import TaskGroup
@@ -18,7 +19,7 @@
 from lupinmill.routing.engine import Log, defect
 from lupinmill.transport.link import BrokenLink, Link
 
-FILE = "lupinmill.sock"
+FILE = "lupinmill-%08x.sock"  # of name and address: other sidecars may share the directory
 LONGEST_PATH = 100  # bytes that the system takes in a Unix address, with some to spare
 CONNECT, ANSWER = 0.5, 1.5  # seconds: so long a start waits at most for a process that may be there
 AGREED = 0.4  # seconds for the other process to carry out an operator's call too
@@ -32,12 +33,13 @@
 class Place:
     """Where processes of this sidecar find one another. A path too long for the system goes by its directory."""
 
-    def __init__(self, directory: str) -> None:
-        self.path = os.path.join(directory, FILE)
+    def __init__(self, directory: str, name: str, listen: str) -> None:
+        file = FILE % crc32(f"{name} {listen}".encode())
+        self.path = os.path.join(directory, file)
         self.directory: int | None = None
         if len(os.fsencode(self.path)) > LONGEST_PATH:
             self.directory = os.open(directory, os.O_RDONLY | os.O_DIRECTORY)
-            self.path = f"/proc/self/fd/{self.directory}/{FILE}"
+            self.path = f"/proc/self/fd/{self.directory}/{file}"
 
     def listen(self) -> socket.socket:
         """Replaces whoever listened there in one step; the mode keeps other users out."""
@@ -93,7 +95,7 @@
         self.place: Place | None = None
         if directory:
             try:
-                self.place = Place(directory)
+                self.place = Place(directory, name, listen)
             except OSError as error:
                 log("handover_off", error=f"{directory}: {error.strerror}")
         self.older: Link | None = None
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,428 @@
+"""Upgrades: one process of a sidecar takes over from another, and nobody outside can tell."""
+import os
+import random
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import time
+
+import anyio
+import orjson
+import pytest
+from bed import IDEM, NO_CHANCE_OF_STOPPING, Bed, Net, deployment, listing, wanted
+from hypothesis import given, settings, strategies
+from test_admin import operate
+from test_sidecar import always, fine, until
+
+from lupinmill import terms as t
+from lupinmill.admin.standing import Mode, Standing
+from lupinmill.handover import papers
+from lupinmill.handover.driver import Handover, Place
+from lupinmill.handover.succession import VERSION, Do, Phase, Succession
+from lupinmill.program.sidecar import Program
+from lupinmill.program.told import understand
+from lupinmill.protocol.http import Answer
+from lupinmill.rules import Sidecar
+from lupinmill.state import learned
+from lupinmill.transport.descriptors import Side
+from lupinmill.transport.link import BrokenLink, Link
+
+HELLO = {"say": "hello", "version": VERSION, "name": "n1", "listen": "a:1"}
+
+
+# --- the link -----------------------------------------------------------------------------------
+
+
+def pair() -> tuple[Link, Link]:
+    ends = socket.socketpair(socket.AF_UNIX, socket.SOCK_STREAM)
+    for end in ends:
+        end.setblocking(False)
+    return Link(ends[0]), Link(ends[1])
+
+
+def test_messages_and_their_descriptors_arrive_in_order_and_none_stays_open():
+    before = len(os.listdir("/proc/self/fd"))
+
+    async def main() -> None:
+        here, there = pair()
+        got: list[tuple[int, str]] = []
+
+        def hear(message) -> None:
+            text = ""
+            if message["with"]:
+                number = there.take_descriptor()
+                text = os.read(number, 10).decode()
+                os.close(number)
+            got.append((message["at"], text))
+
+        rng, sent = random.Random(3), []
+        async with anyio.create_task_group() as group:
+            group.start_soon(here.write)
+            group.start_soon(there.run, hear)
+            for at in range(300):
+                number = None
+                if rng.random() < 0.5:
+                    number, write = os.pipe()
+                    os.write(write, b"%d" % at)
+                    os.close(write)
+                sent.append((at, "" if number is None else str(at)))
+                here.send({"at": at, "with": number is not None, "pad": "x" * rng.randrange(3_000)}, number)
+                if rng.random() < 0.1:
+                    await anyio.sleep(0)
+            await until(lambda: len(got) == 300)
+            group.cancel_scope.cancel()
+        assert got == sent
+        here.send({"left": "over"}, os.open("/dev/null", os.O_RDONLY))
+        here.close()
+        there.close()
+
+    anyio.run(main)
+    assert len(os.listdir("/proc/self/fd")) == before
+
+
+@pytest.mark.parametrize("data", [b"\xff\xff\xff\xff", b"\x00\x00\x00\x02no", b"\x00\x00\x00\x01", b""])
+def test_a_link_that_says_nonsense_or_ends_is_broken_and_no_more(data):
+    async def main() -> None:
+        here, there = pair()
+        here.sock.send(data)
+        here.sock.close()
+        with pytest.raises(BrokenLink):
+            await there.hear_one()
+        there.close()
+
+    anyio.run(main)
+
+
+# --- who accepts, as a model --------------------------------------------------------------------
+
+
+NOTES = strategies.lists(strategies.tuples(
+    strategies.sampled_from(["hello", "foreign", "stranger", "serving", "lost", "leave"]),
+), max_size=30)
+
+
+@settings(derandomize=True, max_examples=300)
+@given(NOTES)
+def test_one_process_at_least_accepts_at_each_moment(notes):
+    one = Succession("n1", "a:1")
+    asked = serves = left = False  # of the successor: its link is up; it accepts
+    for (note,) in notes:
+        if note == "hello":
+            order = one.hello(HELLO, True)
+            assert (order.do is Do.PASS_STATE) == (not asked and not (left and serves))
+            asked = asked or order.do is Do.PASS_STATE
+        elif note == "foreign":
+            assert one.hello(HELLO | {"name": "n2"}, True).do is Do.REFUSE
+        elif note == "stranger":
+            assert one.hello(HELLO, False).do is Do.REFUSE
+        elif note == "serving":
+            orders = one.serving()
+            assert bool(orders) == (asked and not serves)
+            serves = serves or asked
+        elif note == "lost" and asked:
+            orders = [order.do for order in one.lost()]
+            assert (Do.TAKE_UP in orders) == (serves and not left)
+            asked, serves = False, serves and left
+        elif note == "leave":
+            one.leave()
+            left = True
+        assert one.accepts() == (one.phase is not Phase.YIELDED) == (not serves)
+
+
+# --- what passes --------------------------------------------------------------------------------
+
+
+def test_what_stands_and_the_list_pass_and_nonsense_changes_nothing():
+    old, new = Standing(), Standing()
+    old.take_out(5, "e1", True)
+    old.quiesce(77)
+    listed = {f"e{at}": listing(at, started=at * 1000) for at in range(3)}
+    listed["e2"].state = t.State.DRAINING
+    table = papers.write(listed, {f"e{at}": f"127.0.0.1:{at + 1}" for at in range(3)}, 41, old, {"cap": 3}, 9)
+    table = orjson.loads(orjson.dumps(table))
+    taken = papers.read(table, new)
+    assert taken.known.index == 41 and taken.known.entries == list(listed.values()) and taken.held == 9
+    assert new.mode is Mode.DRAINING and new.since == 77 and list(new.out) == ["e1"]
+    for spoilt in ({"version": 99}, {"list": None}, {"out": [1]}, {"mode": ["x", 1]}, {"learned": 3}, {"held": "x"}):
+        untouched = Standing()
+        with pytest.raises(papers.BadPapers):
+            papers.read(table | spoilt, untouched)
+        assert not untouched.out and untouched.mode is Mode.SERVING
+
+
+def test_what_was_learned_passes_and_the_retry_budget_counts_as_spent():
+    bed = Bed(deployment(), 4)
+    for at in range(40):
+        name = bed.arrive(IDEM)
+        how = t.How.RESET if at % 10 == 9 else t.How.HANDLED
+        bed.end(name, 0, how, after=20_000)
+        bed.run(100_000)
+        for launch in bed.out(name):
+            bed.end(name, launch, t.How.HANDLED, after=20_000)
+    old = bed.sidecar
+    asided = next(iter(old.desk.endpoints))
+    old.desk.endpoints[asided].mode = "aside"
+    table = orjson.loads(orjson.dumps(learned.learned(old)))
+    new = Sidecar(deployment(seed=8))
+    new.step(bed.now, [t.Listed(t.ListKind.CACHED, [listing(at) for at in range(4)])])
+    learned.recall(new, table, bed.now)
+    assert new.desk.retried.total(bed.now) == old.desk.retried.total(bed.now) > 0
+    assert new.desk.taken.total(bed.now) == old.desk.taken.total(bed.now)
+    assert new.desk.cap == old.desk.cap and new.desk.crowding == old.desk.crowding
+    assert new.desk.endpoints[asided].mode == "aside" and not new.desk.seats[asided].says.open
+    gauge = new.desk.gauges["view"]
+    assert gauge.usual == old.desk.gauges["view"].usual and gauge.means == old.desk.gauges["view"].means
+
+
+# --- two programs -------------------------------------------------------------------------------
+
+
+class Pair:
+    """A net whose sidecar can be started beside itself, within one test's process."""
+
+    def __init__(self, net: Net, directory, group) -> None:
+        self.net, self.directory, self.group = net, directory, group
+        self.programs: list[Program] = []
+        self.ends: list[anyio.CancelScope] = []
+
+    async def start(self) -> Program:
+        table = self.net.table | {"operator": "127.0.0.1:0"}
+        if self.programs:
+            table |= {"listen": self.net.address}
+        told = understand(table, {"TMPDIR": str(self.directory)})
+        program = Program(told, lambda event, **f: self.net.logs.append((event, f)), lambda: told)
+        program.handover.succession.listen = "same"
+        program.handover.place = Place(str(self.directory), "n1", "same")
+        scope = anyio.CancelScope()
+
+        async def run(*, task_status) -> None:
+            with scope:
+                await program.run(task_status=task_status)
+
+        address = await self.group.start(run)
+        self.net.address = self.net.address if self.programs else address
+        self.programs.append(program)
+        self.ends.append(scope)
+        return program
+
+    def operator(self, number: int):
+        class Where:
+            program = self.programs[number]
+        return Where
+
+
+def beside(check, *acts) -> None:
+    import tempfile
+    net = Net(acts)
+
+    async def main(directory) -> None:
+        with anyio.fail_after(NO_CHANCE_OF_STOPPING):
+            async with anyio.create_task_group() as group:
+                await net.start(group)
+                async with anyio.create_task_group() as inner:
+                    both = Pair(net, directory, inner)
+                    await both.start()
+                    await check(both)
+                    inner.cancel_scope.cancel()
+                group.cancel_scope.cancel()
+
+    with tempfile.TemporaryDirectory(suffix="-" + "long" * 30) as directory:
+        anyio.run(main, directory)
+
+
+async def exchange(stream, name: str) -> bytes:
+    await stream.send(wanted(name))
+    return await stream.receive()
+
+
+def clients(program: Program) -> int:
+    return program.descriptors.open[Side.CLIENT]
+
+
+def test_idle_clients_pass_with_what_lies_unread_and_busy_ones_after_their_answer():
+    async def check(both: Pair):
+        net, old = both.net, both.programs[0]
+        host, port = net.address.split(":")
+        async with await anyio.connect_tcp(host, int(port)) as idle, \
+                await anyio.connect_tcp(host, int(port)) as busy:
+            assert b"done-a1" in await exchange(idle, "a1")
+            await busy.send(wanted("slow"))
+            await until(lambda: "slow" in old.book.journeys)
+            new = await both.start()
+            await until(lambda: clients(new) == 1)
+            assert clients(old) == 1
+            await busy.send(wanted("next"))  # behind the one that is open
+            assert b"done-slow" in await busy.receive()
+            assert b"done-next" in await busy.receive()
+            assert b"done-a2" in await exchange(idle, "a2")
+            await until(lambda: clients(new) == 2 and clients(old) == 0)
+            assert new.descriptors.elsewhere == 0 or clients(old) == 0
+            assert (await net.ask(wanted("fresh"))).body == b"done-fresh"
+            assert not old.book.journeys
+
+    async def act(request):
+        if request.header(b"req-id") == "slow":
+            await anyio.sleep(0.4)
+        return await fine(request)
+
+    beside(check, act, act)
+
+
+def test_calls_to_either_process_hold_at_both_and_a_drain_passes():
+    async def check(both: Pair):
+        old = both.programs[0]
+        assert await operate(both.operator(0), "PUT", "/admin/cordon?member=e0") == 200
+        assert await operate(both.operator(0), "PUT", "/admin/quiesce") == 200
+        new = await both.start()
+        assert await operate(both.operator(1), "GET", "/admin/health") == 200
+        assert list(new.standing.out) == ["e0"] and new.standing.mode is Mode.DRAINING
+        assert not new.engine.sidecar.desk.seats["e0"].says.open
+        assert await operate(both.operator(0), "PUT", "/admin/cordon?member=e1") == 200
+        assert list(new.standing.out) == ["e0", "e1"]
+        assert await operate(both.operator(1), "PUT", "/admin/uncordon?member=e0") == 200
+        assert list(old.standing.out) == ["e1"]
+        assert await operate(both.operator(1), "PUT", "/admin/resume") == 200
+        assert old.standing.mode is new.standing.mode is Mode.SERVING
+
+    beside(check, fine, fine, fine)
+
+
+@pytest.mark.parametrize("moment", ["asked", "serving"])
+def test_a_next_process_that_dies_leaves_the_one_before_in_service(moment, monkeypatch):
+    async def check(both: Pair):
+        old = both.programs[0]
+        if moment == "asked":
+            monkeypatch.setattr(Handover, "start", lambda *_: None)
+        await both.start()
+        if moment == "serving":
+            await until(lambda: not old.handover.succession.accepts())
+        both.ends[1].cancel()
+        await until(lambda: old.handover.newer is None and old.handover.succession.phase is Phase.ALONE)
+        monkeypatch.undo()
+        assert (await both.net.ask(wanted("s1"))).body == b"done-s1"
+        await both.start()
+        await until(lambda: not old.handover.succession.accepts())
+        assert (await both.net.ask(wanted("s2"))).body == b"done-s2"
+
+    beside(check, fine, fine)
+
+
+def test_a_file_left_by_a_dead_process_and_one_that_says_nothing_mean_an_ordinary_start(tmp_path, monkeypatch):
+    from lupinmill.handover import driver
+    monkeypatch.setattr(driver, "ANSWER", 0.2)
+    logs: list[str] = []
+
+    async def main() -> None:
+        for _ in range(2):  # nothing there, then a file that nobody listens at
+            found = Handover(str(tmp_path), "n1", "a:1", lambda event, **f: logs.append(event))
+            assert await found.ask() is None and not logs
+            found.place.listen().close()
+        mute = found.place.listen()
+        assert await found.ask() is None and logs == ["handover_refused"]
+        mute.close()
+
+    anyio.run(main)
+
+
+# --- processes ----------------------------------------------------------------------------------
+
+
+def spawn(tmp_path, table, number: int) -> subprocess.Popen:
+    path = tmp_path / f"told{number}.json"
+    path.write_bytes(orjson.dumps(table))
+    environ = {key: value for key, value in os.environ.items() if not key.startswith("BALANCER_")}
+    environ |= {"BALANCER_CONFIG": str(path), "TMPDIR": str(tmp_path)}
+    out = (tmp_path / f"log{number}").open("wb")
+    return subprocess.Popen([sys.executable, "-m", "lupinmill"], env=environ, stdout=out, stderr=out)
+
+
+def free_address() -> str:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return "127.0.0.1:%d" % sock.getsockname()[1]
+
+
+async def healthy(address: str) -> None:
+    class Where:
+        class program:
+            operator = address
+    while True:
+        try:
+            if await operate(Where, "GET", "/admin/health") == 200:
+                return
+        except OSError:
+            pass
+        await anyio.sleep(0.02)
+
+
+def test_twenty_upgrades_under_load_lose_double_and_turn_back_nothing(tmp_path):
+    """Kept and new connections, judged at the clients and at the endpoints; the old process is told to end each
+    time, every fifth time it is killed once it has nothing open."""
+    net = Net([always(Answer(200, [], b"fine"), 0.03)] * 3)
+    wrong: list[str] = []
+    asked: list[str] = []
+
+    async def kept(number: int, over: anyio.Event) -> None:
+        host, port = net.address.split(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            at = 0
+            while not over.is_set():
+                name, at = f"k{number}-{at}", at + 1
+                asked.append(name)
+                try:
+                    await stream.send(wanted(name))
+                    got = await stream.receive()
+                    if not got.startswith(b"HTTP/1.1 200 ") or b"fine" not in got or b"close" in got:
+                        wrong.append(f"{name}: {got[:60]!r}")
+                except (anyio.EndOfStream, anyio.BrokenResourceError) as error:
+                    wrong.append(f"{name}: {error!r}")
+                    return
+                await anyio.sleep(random.Random(name).uniform(0, 0.03))
+
+    async def fresh(over: anyio.Event) -> None:
+        at = 0
+        while not over.is_set():
+            name, at = f"f{at}", at + 1
+            asked.append(name)
+            answer = await net.ask(wanted(name))
+            if answer is None or answer.status != 200:
+                wrong.append(f"{name}: {answer}")
+            await anyio.sleep(0.01)
+
+    async def main() -> None:
+        processes: list[subprocess.Popen] = []
+        try:
+            with anyio.fail_after(100):
+                async with anyio.create_task_group() as group:
+                    await net.start(group)
+                    net.address = free_address()
+                    over = anyio.Event()
+                    for number in range(21):
+                        operator = free_address()
+                        table = net.table | {"listen": net.address, "operator": operator}
+                        processes.append(spawn(tmp_path, table, number))
+                        await healthy(operator)
+                        if number == 0:
+                            for client in range(8):
+                                group.start_soon(kept, client, over)
+                            group.start_soon(fresh, over)
+                            continue
+                        await anyio.sleep(0.1)
+                        processes[number - 1].send_signal(signal.SIGTERM)
+                        assert await anyio.to_thread.run_sync(processes[number - 1].wait) == 0
+                    over.set()
+                    await anyio.sleep(0.3)
+                    group.cancel_scope.cancel()
+        finally:
+            for process in processes:
+                process.kill()
+                process.wait()
+
+    anyio.run(main)
+    assert not wrong, wrong[:5]
+    got = [one.header(b"req-id") for stand in net.stands for one in stand.seen if one.header(b"req-id")]
+    assert sorted(got) == sorted(asked) and len(got) > 500
+    logs = b"".join((tmp_path / f"log{number}").read_bytes() for number in range(21))
+    assert b"failed" not in logs and b"Traceback" not in logs and b"refused" not in logs
