--- a/lupinmill/handover/driver.py
+++ b/lupinmill/handover/driver.py
@@ -102,6 +102,9 @@
         self.newer: Link | None = None
         self.waiting: dict[int, anyio.Event] = {}  # operators' calls that the other process has yet to carry out
         self.serial = 0
+        self.door: socket.socket | None = None  # where the next process asks, while it may
+        self.turn: anyio.CancelScope | None = None  # of letting in
+        self.alone = anyio.Event()  # the next one has gone
         self.asking = 0  # links that have yet to say who they are
         self.state: Callable[[], Message] = dict
         self.listening: Callable[[], socket.socket]
@@ -180,28 +183,31 @@
         assert self.place is not None
         while True:
             try:
-                sock = self.place.listen()
+                self.door = self.place.listen()
             except OSError as error:
                 self.log("handover_off", error=str(error))
                 return
-            try:
-                while self.succession.accepts():
-                    with anyio.move_on_after(1.0):  # the one that takes over replaces the file
-                        await anyio.wait_readable(sock)
-                    try:
-                        found, _ = sock.accept()
-                    except OSError:
-                        continue
-                    found.setblocking(False)
-                    if self.asking >= LINKS:
-                        found.close()
-                    else:
-                        self.asking += 1
-                        group.start_soon(self.attend, Link(found))
-            finally:
-                sock.close()
+            with self.door, anyio.CancelScope() as self.turn:
+                await self.let_in(self.door, group)
+            self.door = None
             while not self.succession.accepts():
+                self.alone = anyio.Event()
+                await self.alone.wait()
+
+    async def let_in(self, door: socket.socket, group: TaskGroup) -> None:
+        while True:
+            await anyio.wait_readable(door)
+            try:
+                found, _ = door.accept()
+            except OSError:
                 await anyio.sleep(TOLD_EVERY)
+                continue
+            found.setblocking(False)
+            if self.asking >= LINKS:
+                found.close()
+            else:
+                self.asking += 1
+                group.start_soon(self.attend, Link(found))
 
     async def attend(self, link: Link) -> None:
         try:
@@ -242,9 +248,12 @@
         for order in orders:
             if order.do is Do.YIELD:
                 self.log("handover", text="the next process serves; this one finishes what it has")
+                if self.turn is not None:
+                    self.turn.cancel()
                 self.yield_()
             elif order.do is Do.TAKE_UP:
                 self.log("handover", text="the next process has gone; this one serves again")
+                self.alone.set()
                 self.take_up()
 
     def pass_client(self, sock: socket.socket) -> bool:
