Large and slow bodies: whole while there is room, launched while they come beyond that

Cause: both sides held whole messages of 64 KiB at most, a request had 2.5 s from first to last byte, answers ended by close counted as spoilt.

--- a/lupinmill/program/discovery.py
+++ b/lupinmill/program/discovery.py
@@ -90,7 +90,7 @@
         if self.connection is None or not self.connection.quiet():
             self.hang_up()
             self.connection = await connect(self.address, CONNECT, self.store, lambda: None)
-        side = ClientSide(lists.LARGEST_LIST)
+        side = ClientSide(lists.LARGEST_LIST, lists.LARGEST_LIST)
         # With no endpoint known, changes since that version would leave out all that did not change.
         index = self.directory.index if self.directory.states and not self.moved else None
         with anyio.fail_after(WHOLE if index is None else self.wait + LATE):
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -30,10 +30,10 @@
 from lupinmill.routing.send import Send
 from lupinmill.routing.take_in import TakeIn
 from lupinmill.state import learned
-from lupinmill.transport.descriptors import Descriptors
+from lupinmill.transport.descriptors import Descriptors, shelf_of
 from lupinmill.transport.listener import Listener
 from lupinmill.transport.pool import Pool
-from lupinmill.transport.ring import Store
+from lupinmill.transport.ring import Shelf, Store
 
 LAG_EVERY, LAG_HIGH, LAG_LOW = 0.25, 0.05, 0.01  # seconds
 AGAIN = 0.1  # seconds before a task that failed goes on
@@ -59,6 +59,7 @@
         self.told, self.log, self.read_again = told, log, read_again
         own = PLACES if told.operator is not None else 0
         self.store, self.descriptors = Store(), Descriptors(allowed(told.descriptors) - own, told.memory)
+        self.shelf = Shelf(shelf_of(told.memory))
         self.pool = Pool(self.descriptors, self.store, told.idle_limit, told.connect_limit)
         self.engine = Engine(told.deployment, Clock(), log)
         self.standing = Standing()
@@ -98,7 +99,7 @@
             desk = self.bound(AdminDesk, self.told.operator, self.office.carry_out, self.log)
         advice = deployment.longest_advice // 2 if deployment.advice_allowed else 0
         self.door = door = listener.door = Door(Gate(deployment), self.book, self.log)
-        take_in = TakeIn(listener, self.admit, Relay(self.book, self.log), door, advice, self.log)
+        take_in = TakeIn(listener, self.admit, Relay(self.book, self.log), door, advice, self.log, self.shelf)
         take_in.closing = lambda: not listener.passing and self.standing.closing(self.engine.clock.now())
         try:
             # The receiver comes first and goes last: without it a signal ends the program.
--- a/lupinmill/protocol/http.py
+++ b/lupinmill/protocol/http.py
@@ -1,14 +1,16 @@
-"""HTTP/1.1 by h11, whole messages only: bytes in, a request or an answer out. No I/O."""
+"""HTTP/1.1 by h11: bytes in; requests and answers out, whole where they are small, in parts where not. No I/O."""
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import Enum
 from http import HTTPStatus
 
 import h11
 
 Headers = list[tuple[bytes, bytes]]
 
-LARGEST_BODY = 64 * 1024
+SMALL = 64 * 1024  # bytes of a body up to which an answer is passed on whole
+LARGEST_BODY = 32 * 1024 * 1024
 LARGEST_HEAD = 16 * 1024
 # Those of one connection only; the rest goes on from end to end.
 HOP_BY_HOP = {
@@ -69,6 +71,38 @@
     return Answer(status, [(b"Content-Type", b"text/plain"), *(more or [])], text.encode())
 
 
+class End(Enum):
+    """Behind the last part of a body."""
+
+    END = "end"
+
+
+END = End.END
+Part = bytes | End
+
+
+def says_close(headers: Headers) -> bool:
+    """By any `Connection` header, in any case and among other tokens."""
+    return any(
+        part.strip().lower() == b"close"
+        for key, value in headers if key.lower() == b"connection" for part in value.split(b",")
+    )
+
+
+def length_of(headers: Headers) -> int | None:
+    """As h11 has checked it: repeated lengths are equal ones."""
+    return next((int(value.split(b",")[0]) for key, value in headers if key.lower() == b"content-length"), None)
+
+
+def origin_form(target: bytes) -> bytes:
+    """An absolute target as its server takes it."""
+    if target[:1] == b"/" or b"://" not in target:
+        return target
+    path = target.partition(b"://")[2]
+    cut = min((at for at in (path.find(b"/"), path.find(b"?")) if at >= 0), default=len(path))
+    return path[cut:] if path[cut:cut + 1] == b"/" else b"/" + path[cut:]
+
+
 def phrase(answer: Answer) -> str:
     try:
         return HTTPStatus(answer.status).phrase
@@ -77,44 +111,67 @@
 
 
 class ServerSide:
-    """The sidecar as its clients' server, on one connection."""
+    """The sidecar as its clients' server, on one connection. A request is read by `next_part`: its head, then the
+    parts of its body, then END; or by `next_request`, whole."""
 
-    def __init__(self) -> None:
+    def __init__(self, largest: int = LARGEST_BODY) -> None:
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=LARGEST_HEAD)
-        self.request: Request | None = None
-        self.body = bytearray()
+        self.largest = largest
+        self.request: Request | None = None  # its head has come, but not its end
+        self.size = 0  # bytes of its body so far
+        self.body = bytearray()  # kept by `next_request` alone
+        self.method = b""
 
     def feed(self, data: bytes) -> None:
+        if self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
+            data = data.lstrip(b"\r\n")  # empty lines ahead of a request say nothing
+            if not data:
+                return
         try:
             self.http.receive_data(data)
         except h11.RemoteProtocolError as error:
             raise Malformed(400, str(error)) from error
 
-    def next_request(self) -> Request | None:
-        """A whole request, or None while more bytes are wanted."""
+    def next_part(self) -> Request | Part | None:
+        """None while more bytes are wanted."""
         try:
-            while True:
-                event = self.http.next_event()
-                if isinstance(event, h11.Request):
-                    request = Request(event.method, event.target, event.headers.raw_items())
-                    # Guards against a request hidden in another's body: h11 would choose between the two.
-                    if request.header(b"content-length") and request.header(b"transfer-encoding"):
-                        raise Malformed(400, "both Content-Length and Transfer-Encoding")
-                    if int(request.header(b"content-length") or 0) > LARGEST_BODY:
-                        raise Malformed(413, "the body is over 64 KiB")  # not one byte of it is read
-                    self.request = request
-                elif isinstance(event, h11.Data):
-                    self.body += event.data
-                    if len(self.body) > LARGEST_BODY:
-                        raise Malformed(413, "the body is over 64 KiB")
-                elif isinstance(event, h11.EndOfMessage) and self.request is not None:
-                    done, self.request = self.request, None
-                    done.body, self.body = bytes(self.body), bytearray()
-                    return done
-                else:
-                    return None
+            event = self.http.next_event()
+            if isinstance(event, h11.Request):
+                return self.head(event)
+            if isinstance(event, h11.Data):
+                self.size += len(event.data)
+                if self.size > self.largest:
+                    raise Malformed(413, "the body is too large")
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                self.request = None
+                return END
         except h11.RemoteProtocolError as error:
             raise Malformed(400, str(error)) from error
+        return None
+
+    def head(self, event: h11.Request) -> Request:
+        request = Request(event.method, origin_form(event.target), event.headers.raw_items())
+        # Guards against a request hidden in another's body: h11 would choose between the two.
+        if request.header(b"content-length") and request.header(b"transfer-encoding"):
+            raise Malformed(400, "both Content-Length and Transfer-Encoding")
+        if (length_of(request.headers) or 0) > self.largest:
+            raise Malformed(413, "the body is too large")  # not one byte of it is read
+        self.request, self.size, self.method = request, 0, event.method
+        return request
+
+    def next_request(self) -> Request | None:
+        """A whole request, or None while more bytes are wanted."""
+        request = self.request
+        while (part := self.next_part()) is not None:
+            if part is END and request is not None:
+                request.body, self.body = bytes(self.body), bytearray()
+                return request
+            if isinstance(part, bytes):
+                self.body += part
+            else:
+                request = self.request
+        return None
 
     def begun(self) -> bool:
         """Some of a request has come, but not all of it."""
@@ -128,75 +185,152 @@
 
     def answer(self, answer: Answer, close: bool) -> bytes:
         """The whole answer's bytes. Afterwards `goes_on` tells whether the connection serves another one."""
+        data = self.begin(answer, len(answer.body), close)
+        if answer.body:
+            data += self.part(answer.body)
+        return data + self.end()
+
+    def begin(self, answer: Answer, length: int | None, close: bool) -> bytes:
+        """Its head, with the length where that is told; else it is chunked, or ends with the connection for clients
+        that know no better."""
         headers = end_to_end(answer.headers)
-        headers.append((b"Content-Length", b"%d" % len(answer.body)))
+        if self.method == b"HEAD":
+            length = length_of(answer.headers) if not answer.body else length
+        if length is not None and answer.status not in (204, 304):
+            headers.append((b"Content-Length", b"%d" % length))
         if close:
             headers.append((b"Connection", b"close"))
-        parts = [
-            self.http.send(h11.Response(status_code=answer.status, headers=headers, reason=phrase(answer))),
-            self.http.send(h11.Data(data=answer.body)) if answer.body else b"",
-            self.http.send(h11.EndOfMessage()),
-        ]
-        return b"".join(part or b"" for part in parts)
+        return self.http.send(
+            h11.Response(status_code=answer.status, headers=headers, reason=phrase(answer))
+        ) or b""
+
+    def part(self, data: bytes) -> bytes:
+        if self.method == b"HEAD":
+            return b""
+        return self.http.send(h11.Data(data=data)) or b""
+
+    def end(self) -> bytes:
+        return self.http.send(h11.EndOfMessage()) or b""
+
+    def tells_its_end(self) -> bool:
+        """Could the client tell if the answer ended now, too early, with the connection?"""
+        return self.http.their_http_version != b"1.0"
 
     def goes_on(self) -> bool:
         if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
             return False
-        self.http.start_next_cycle()
+        rest = self.http.trailing_data[0]
+        if rest[:1] in (b"\r", b"\n"):  # empty lines between two requests
+            self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=LARGEST_HEAD)
+            self.feed(rest)
+        else:
+            self.http.start_next_cycle()
         return True
 
 
 class ClientSide:
-    """The sidecar as a client of an endpoint or of discovery, for one exchange on a connection."""
+    """The sidecar as a client of an endpoint or of discovery, for one exchange on a connection.
 
-    def __init__(self, largest: int = LARGEST_BODY) -> None:
+    An answer of over `whole` bytes isn't gathered: `large` turns true, and its body is taken in parts."""
+
+    def __init__(self, whole: int = SMALL, largest: int = LARGEST_BODY) -> None:
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=LARGEST_HEAD)
-        self.largest = largest
+        self.whole, self.largest = whole, max(whole, largest)
         self.got: Answer | None = None
         self.body = bytearray()
+        self.size = 0
+        self.large, self.over = False, False
+        self.by_close = False  # the answer ends with the connection
+        self.length: int | None = None
 
     def ask(self, request: Request) -> bytes:
+        """The whole request's bytes."""
+        told = bool(request.body) or request.method not in (b"GET", b"HEAD")
+        data = self.begin(request, len(request.body) if told else None)
+        if request.body:
+            data += self.part(request.body)
+        return data + self.end()
+
+    def begin(self, request: Request, length: int | None, chunked: bool = False) -> bytes:
         headers = end_to_end(request.headers)
-        if request.body or request.method not in (b"GET", b"HEAD"):
-            headers.append((b"Content-Length", b"%d" % len(request.body)))
+        if chunked:
+            headers.append((b"Transfer-Encoding", b"chunked"))
+        elif length is not None:
+            headers.append((b"Content-Length", b"%d" % length))
         try:
-            parts = [
-                self.http.send(h11.Request(method=request.method, target=request.target, headers=headers)),
-                self.http.send(h11.Data(data=request.body)) if request.body else b"",
-                self.http.send(h11.EndOfMessage()),
-            ]
+            return self.http.send(
+                h11.Request(method=request.method, target=request.target, headers=headers)
+            ) or b""
+        except h11.LocalProtocolError as error:
+            raise Garbled(str(error)) from error
+
+    def part(self, data: bytes) -> bytes:
+        try:
+            return self.http.send(h11.Data(data=data)) or b""
+        except h11.LocalProtocolError as error:
+            raise Garbled(str(error)) from error
+
+    def end(self) -> bytes:
+        try:
+            return self.http.send(h11.EndOfMessage()) or b""
         except h11.LocalProtocolError as error:
             raise Garbled(str(error)) from error
-        return b"".join(part or b"" for part in parts)
 
     def feed(self, data: bytes) -> None:
+        """None at all: the connection has ended, which ends an answer only where it says so."""
+        if not data and not self.by_close:
+            raise ConnectionResetError("ended before the whole answer")
         try:
             self.http.receive_data(data)
         except h11.RemoteProtocolError as error:
             raise Garbled(str(error)) from error
 
     def next_answer(self) -> Answer | None:
+        """The whole answer, if it is not large."""
+        self.advance()
+        if not self.over or self.large or self.got is None:
+            return None
+        self.got.body = bytes(self.body)
+        return self.got
+
+    def take(self) -> bytes:
+        """What has come of a large answer's body and was not taken yet; `over` tells whether that was all."""
+        self.advance()
+        data = bytes(self.body)
+        self.body.clear()
+        return data
+
+    def advance(self) -> None:
         try:
-            while True:
+            while not self.over:
                 event = self.http.next_event()
                 if isinstance(event, h11.Response):
-                    self.got = Answer(event.status_code, event.headers.raw_items())
-                    if self.got.header(b"content-length") is None and not self.chunked(self.got):
-                        raise Garbled("the answer's end can't be told from a broken connection")
-                    if int(self.got.header(b"content-length") or 0) > self.largest:
-                        raise Garbled("the answer's body is too large")
+                    self.head(event)
                 elif isinstance(event, h11.Data):
                     self.body += event.data
-                    if len(self.body) > self.largest:
+                    self.size += len(event.data)
+                    self.large = self.large or self.size > self.whole
+                    if self.size > self.largest:
                         raise Garbled("the answer's body is too large")
-                elif isinstance(event, h11.EndOfMessage) and self.got is not None:
-                    self.got.body = bytes(self.body)
-                    return self.got
+                elif isinstance(event, h11.EndOfMessage):
+                    self.over = True
                 elif not isinstance(event, h11.InformationalResponse):
-                    return None
+                    return
         except h11.RemoteProtocolError as error:
             raise Garbled(str(error)) from error
 
+    def head(self, event: h11.Response) -> None:
+        got = Answer(event.status_code, event.headers.raw_items())
+        self.length = length_of(got.headers)
+        if self.length is None and not self.chunked(got):
+            # Guards against one that was cut off in its head: only who says so ends by closing.
+            if not says_close(got.headers) and event.http_version != b"1.0":
+                raise Garbled("the answer's end can't be told from a broken connection")
+            self.by_close = True
+        if (self.length or 0) > self.largest:
+            raise Garbled("the answer's body is too large")
+        self.got, self.large = got, (self.length or 0) > self.whole
+
     def begun(self) -> bool:
         """Some of the answer has come; what goes ahead of it (1xx) does not count."""
         return self.got is not None or bool(self.http.trailing_data[0])
--- a/lupinmill/routing/admit.py
+++ b/lupinmill/routing/admit.py
@@ -4,6 +4,7 @@
 from lupinmill.admin.standing import Standing
 from lupinmill.protocol import submission
 from lupinmill.protocol.http import Answer, Malformed, Request, plain
+from lupinmill.routing.body import Body
 from lupinmill.routing.book import Book, Journey
 from lupinmill.routing.directory import Directory
 
@@ -12,7 +13,9 @@
     def __init__(self, book: Book, directory: Directory, workloads: set[str], standing: Standing) -> None:
         self.book, self.directory, self.workloads, self.standing = book, directory, workloads, standing
 
-    def request(self, request: Request, waited: int = 0) -> Journey | Answer:
+    def request(self, request: Request, waited: int = 0, body: Body | None = None,
+                to_come: float = 0.0) -> Journey | Answer:
+        """`to_come`: seconds that the rest of a body may take which isn't whole yet."""
         if request.target.split(b"?", 1)[0] == submission.READY and request.method in (b"GET", b"HEAD"):
             return plain(200, "ready\n") if self.ready() else plain(503, "not ready\n")
         try:
@@ -22,17 +25,24 @@
                 raise Malformed(400, "this Req-Id is still open", True)
         except Malformed as error:
             return plain(error.status, f"{error}\n")
+        due = self.due(asked.left, waited)
+        if body is not None and not body.whole:
+            due += int(to_come * 1_000_000)
+        journey = Journey(asked, request, due, body=body)
+        self.book.begin(journey)
+        return journey
+
+    def due(self, left: int, waited: int) -> int:
+        """The hard limit of what came whole so long ago."""
         engine = self.book.engine
         # Guards against answers after the hard limit while the loop lags: they come out as late as wake-ups
         # do, once from the module and once to the client.
-        left = asked.left - min(2 * engine.late, asked.left // 3)
+        left -= min(2 * engine.late, left // 3)
         now = engine.clock.now()
         due = now - waited + left
         if (latest := self.standing.latest(now)) is not None:
             due = min(due, latest)  # nothing may be open when the program is killed, or the drain is over
-        journey = Journey(asked, request, due)
-        self.book.begin(journey)
-        return journey
+        return due
 
     def ready(self) -> bool:
         return self.standing.ready() and not self.directory.empty()
--- a/lupinmill/routing/book.py
+++ b/lupinmill/routing/book.py
@@ -1,6 +1,7 @@
 """Book: every open submission, its launches and its one final answer."""
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 import anyio
@@ -8,7 +9,9 @@
 from lupinmill import terms as t
 from lupinmill.protocol.http import Answer, Request
 from lupinmill.protocol.submission import Asked
+from lupinmill.routing.body import Body
 from lupinmill.routing.engine import Engine
+from lupinmill.routing.stream import Stream
 
 
 LEAST = 5_000  # microseconds: below it answers differ by what this loop and the kernel do, not endpoints
@@ -25,6 +28,7 @@
     sent: int = 0  # when that was
     called_off: bool = False
     waited: int = 0  # microseconds that its answer lay unread
+    began: int = 0  # when the first bytes of a large answer came
     out: bool = True
 
 
@@ -39,6 +43,8 @@
     answer: Answer | None = None  # stays None where the client has gone away
     waiting: anyio.CancelScope | None = None  # its client's task, until it is settled
     launches: list[Launch] = field(default_factory=list)
+    body: Body | None = None  # over 64 KiB: what is kept of it, or still comes
+    stream: Stream | None = None  # of the answer, where that is large: its client's task takes it
 
 
 class Book:
@@ -53,10 +59,27 @@
         asked = journey.asked
         self.journeys[asked.submission] = journey
         self.unlaunched += 1
+        whole = journey.body is None or journey.body.whole
         self.engine.tell(
-            t.Arrived(asked.submission, asked.workload, journey.due, asked.tenant, asked.repeated)
+            t.Arrived(asked.submission, asked.workload, journey.due, asked.tenant, asked.repeated, whole)
         )
 
+    def whole(self, journey: Journey, due: int) -> None:
+        """Its last byte has come; the hard limit is known from here on."""
+        journey.due = due
+        now, clock = self.engine.clock.now(), anyio.current_time()
+        for launch in journey.launches:
+            if launch.out:
+                launch.until, launch.scope.deadline = due, clock + (due - now) / 1_000_000
+        self.engine.tell(t.Whole(journey.asked.submission, due))
+
+    def begin_stream(self, journey: Journey, launch: Launch, answer: Answer, stream: Stream) -> None:
+        """A large answer passes on as it comes: nothing of ours ends it any more."""
+        launch.began, launch.scope.deadline = self.engine.clock.now(), math.inf
+        journey.stream = stream
+        self.engine.tell(t.Started(journey.asked.submission, launch.number))
+        self.settle(journey, answer)
+
     def settle(self, journey: Journey, answer: Answer | None) -> bool:
         """The first final answer stands; what comes later is dropped."""
         if journey.settled:
@@ -81,12 +104,15 @@
             self.settle(journey, answer)
         # From its last byte on: until then it was this loop and the connection that took their time.
         began = launch.sent or launch.at
-        name, took = journey.asked.submission, self.engine.clock.now() - began - launch.waited
-        took = max(took, LEAST)
-        self.engine.tell(t.Ended(name, launch.number, how, took, journey.settled, load))
+        name, now = journey.asked.submission, launch.began or self.engine.clock.now()
+        took = max(now - began - launch.waited, LEAST)
+        last = journey.body is not None and not journey.body.anew()
+        self.engine.tell(t.Ended(name, launch.number, how, took, journey.settled, load, last))
         self.close(journey)
 
     def close(self, journey: Journey) -> None:
         if journey.settled and not any(launch.out for launch in journey.launches):
             if self.journeys.pop(journey.asked.submission, None) is not None and not journey.launches:
                 self.unlaunched -= 1
+            if journey.body is not None:
+                journey.body.drop()
--- a/lupinmill/routing/relay.py
+++ b/lupinmill/routing/relay.py
@@ -2,17 +2,20 @@
 from __future__ import annotations
 
 import anyio
+import h11
 
 from lupinmill.protocol.http import Answer, ServerSide
 from lupinmill.protocol.submission import broken_off
 from lupinmill.routing.book import Book, Journey
 from lupinmill.routing.engine import Log
+from lupinmill.routing.stream import Broken, Stream
 from lupinmill.transport.listener import Client
 
 BACKSTOP = 20_000  # after the hard limit, where no decision came: only a failure of the module leads here
 LINGER = 1.0  # seconds for a client to read an answer before its connection is closed, ...
 LINGERING = 1024 * 1024  # ... and bytes of what it goes on sending that are read and dropped
-STUCK = 5.0  # seconds that a client may leave its answer unread
+STUCK = 5.0  # seconds that a client may leave its answer unread, ...
+SLOW = 10.0  # ... or a part of a large one
 
 
 class Relay:
@@ -40,21 +43,54 @@
                 self.log("backstop", submission=journey.asked.submission)
         return journey.answer
 
-    async def pass_back(self, client: Client, side: ServerSide, answer: Answer, close: bool) -> bool:
-        """True when the connection can serve another submission."""
+    async def pass_stream(self, client: Client, side: ServerSide, answer: Answer, stream: Stream,
+                          close: bool) -> bool:
+        """As `pass_back`, of a large answer, part by part; only then is the connection the launch's again.
+
+        A client that can't tell an early end from the true one is shown a reset."""
+        whole, began = False, False
+        try:
+            await self.write(client, side.begin(answer, stream.side.length, close))
+            while data := await stream.next():
+                began = True
+                await self.write(client, side.part(data))
+            await self.write(client, side.end())
+            whole = True
+        except (Broken, h11.LocalProtocolError) as error:
+            self.log("answer_broken", error=str(error), began=began)
+        finally:
+            if not whole and not side.tells_its_end():
+                client.reset_on_close()
+            stream.finish()
+        if not whole:
+            return False
+        if side.goes_on():
+            return True
+        await self.linger(client)
+        return False
+
+    async def write(self, client: Client, data: bytes) -> None:
+        if data:
+            with anyio.fail_after(SLOW):
+                await client.send(data)
+
+    async def pass_back(self, client: Client, side: ServerSide, answer: Answer, close: bool,
+                        most: int = LINGERING) -> bool:
+        """True when the connection can serve another submission. Of what a client goes on sending so many bytes
+        are read and dropped."""
         with anyio.move_on_after(STUCK) as scope:
             await client.send(side.answer(answer, close))
         if scope.cancelled_caught:
             return False
         if side.goes_on():
             return True
-        await self.linger(client)
+        await self.linger(client, most)
         return False
 
-    async def linger(self, client: Client) -> None:
+    async def linger(self, client: Client, most: int = LINGERING) -> None:
         """Closing over unread bytes would reset the connection, and the answer with it."""
         client.end_sending()
         dropped = 0
         with anyio.move_on_after(LINGER):
-            while dropped < LINGERING and (data := await client.receive()):
+            while dropped < most and (data := await client.receive()):
                 dropped += len(data)
--- a/lupinmill/routing/send.py
+++ b/lupinmill/routing/send.py
@@ -6,14 +6,16 @@
 from lupinmill import terms as t
 from lupinmill.protocol import submission
 from lupinmill.protocol.http import Answer, ClientSide, Garbled, Request
+from lupinmill.routing.body import Body, Gone
 from lupinmill.routing.book import Book, Journey, Launch
 from lupinmill.routing.directory import Directory
 from lupinmill.routing.engine import Log, defect
+from lupinmill.routing.stream import Stream
 from lupinmill.transport.connection import Connection, NoDescriptor, Unconnected
 from lupinmill.transport.pool import Pool
 
 
-PAUSE = 0.25  # seconds between two parts of an answer, which endpoints write whole
+PAUSE = 0.25  # seconds between two parts of an answer of up to 64 KiB
 
 
 class Unsent(Exception):
@@ -33,8 +35,13 @@
                 answer = await self.attempt(journey, launch)
                 load = submission.load_report(answer)
                 how = submission.outcome(answer)
+                if journey.stream is not None and journey.stream.launch is launch:
+                    how = journey.stream.how
+                elif how is t.How.ERROR and not launch.written:
+                    how = t.How.REFUSED  # it came before the last byte did: nothing ran
                 # Launched anew, what is rejected would burn retries, and count against endpoints.
-                final = submission.passed_on(answer) if how in (t.How.HANDLED, t.How.REJECTED) else None
+                elif how in (t.How.HANDLED, t.How.REJECTED):
+                    final = submission.passed_on(answer)
             if how is None and launch.written:
                 how = t.How.CALLED_OFF if launch.called_off else t.How.TIMED_OUT
         except Unconnected:
@@ -66,17 +73,22 @@
                     raise Unsent
                 side = ClientSide()
                 left = launch.until - self.book.engine.clock.now()
-                data = side.ask(submission.launch(journey.request, left))
-                try:
-                    await connection.send(data)
-                except OSError:
-                    if kept:
-                        continue  # ended by the endpoint while idle: not a byte was handled
-                    raise
-                launch.written, launch.sent = True, self.book.engine.clock.now()
-                del data  # or each launch on its way holds the body twice
-                answer = await self.answer(connection, side)
-                launch.waited = connection.waited()
+                request = submission.launch(journey.request, left)
+                if journey.body is None:
+                    data = side.ask(request)
+                    try:
+                        await connection.send(data)
+                    except OSError:
+                        if kept:
+                            continue  # ended by the endpoint while idle: not a byte was handled
+                        raise
+                    launch.written, launch.sent = True, self.book.engine.clock.now()
+                    del data  # or each launch on its way holds the body twice
+                    answer = await self.answer(connection, side)
+                    launch.waited = connection.waited()
+                else:
+                    answer = await self.exchange_large(connection, side, journey, launch, request)
+                await self.pass_large(journey, launch, answer, connection, side)
                 if side.reusable():
                     self.keep(connection, endpoint, address)
                     connection = None
@@ -85,6 +97,58 @@
                 if connection is not None:
                     connection.close()
 
+    async def pass_large(self, journey: Journey, launch: Launch, answer: Answer, connection: Connection,
+                         side: ClientSide) -> None:
+        """Lends the connection to the client's task, where this answer is large and the client's. Of any other
+        large one nothing is wanted."""
+        if side.over or answer.status != 200 or journey.settled:
+            return
+        stream = Stream(connection, side, launch)
+        self.book.begin_stream(journey, launch, submission.passed_on(answer), stream)
+        await stream.done.wait()
+
+    async def exchange_large(self, connection: Connection, side: ClientSide, journey: Journey,
+                             launch: Launch, request: Request) -> Answer:
+        """Sends a body as it comes, and listens meanwhile: an answer ahead of its end ends the sending."""
+        failed: Exception | None = None
+        answer: Answer | None = None
+
+        async def send() -> None:
+            nonlocal failed
+            try:
+                await self.send_large(connection, side, journey.body, request)
+                launch.written, launch.sent = True, self.book.engine.clock.now()
+            except Gone:
+                failed = Unsent()
+                group.cancel_scope.cancel()
+            except OSError:
+                # What it said before it closed may lie here to be read; the end of that comes at once.
+                group.cancel_scope.deadline = anyio.current_time() + PAUSE
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(send)
+            try:
+                answer = await self.answer(connection, side)
+                launch.waited = connection.waited()
+            except (OSError, Garbled) as error:
+                failed = failed or error
+            group.cancel_scope.cancel()
+        if answer is None:
+            raise failed or ConnectionResetError("broke while it was sent")
+        return answer
+
+    async def send_large(self, connection: Connection, side: ClientSide, body: Body, request: Request) -> None:
+        length = body.end if body.whole else body.length
+        if not body.anew():
+            raise Gone
+        await connection.send(side.begin(request, length, chunked=length is None))
+        at = number = 0
+        while part := await body.read(at, number):
+            await connection.send(side.part(part))
+            at, number = at + len(part), number + 1
+        if rest := side.end():
+            await connection.send(rest)
+
     def keep(self, connection: Connection, endpoint: str, address: str) -> None:
         """Unless the endpoint has gone meanwhile: the next one at its address is another."""
         if self.directory.listens(endpoint, address):
@@ -100,16 +164,16 @@
 
     async def answer(self, connection: Connection, side: ClientSide) -> Answer:
         """Guards against answers that begin and never end: waiting for more until the hard limit would leave
-        no time for another launch."""
+        no time for another launch. Of a large one it is the head, with the body to be taken from `side`."""
         while (answer := side.next_answer()) is None:
+            if side.large and side.got is not None:
+                return side.got
             with anyio.move_on_after(PAUSE if side.begun() else None) as pause:
                 data = await connection.receive()
             if pause.cancelled_caught and not connection.has_unread():  # else it was this loop that lagged
                 raise Garbled("the answer stopped in the middle")
             if pause.cancelled_caught:
                 continue
-            if not data:
-                raise ConnectionResetError("ended before the whole answer")
             side.feed(data)
         return answer
 
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -90,6 +90,7 @@
     out: bool = True
     never_ran: bool = False
     overdue: bool = False  # unanswered at the hard limit
+    counted: bool = True  # in what is in flight: not while its submission is still coming
 
 
 @dataclass(slots=True)
@@ -107,6 +108,9 @@
     done: bool = False
     refusals: int = 0
     spoilt: bool = False  # the last answer was
+    whole: bool = True  # its last byte has come
+    repeated: bool = False
+    spent: bool = False  # it can't be sent once more
 
     def out(self) -> int:
         return sum(flight.out for flight in self.flights)
@@ -172,7 +176,7 @@
         self.handlers = {
             t.Arrived: self.arrive, t.Ended: self.end, t.Withdrawn: self.withdraw, t.Started: self.start,
             Standing: self.seat, GiveUp: self.give_up, RetryDue: self.retry_due, Silent: self.silent,
-            Sweep: self.sweep,
+            Sweep: self.sweep, t.Whole: self.complete,
         }
 
     def take(self, note: Any) -> None:
@@ -187,14 +191,11 @@
         w = allow.workloads.get(note.workload) or t.Workload(note.workload, note.due - now, note.due - now)
         if not note.repeated:
             self.taken.add(now)
-        contract = w.contract
-        if not allow.front:
-            contract = note.due - now
-        elif note.repeated:
-            contract //= 2  # its client has been waiting for a while already
+        contract = self.contract(w, note.due, note.repeated)
         beyond = self.beyond_share(note.tenant)
         lane = self.lane_of(w, beyond, note.repeated)
         s = Submission(note.submission, w, note.due, min(note.due, now + contract), now, lane)
+        s.whole, s.repeated = note.whole, note.repeated
         self.open[s.name] = s
         self.keep_sweeping()
         self.mail.alarm(note.due - allow.margin, self, GiveUp(s, True))
@@ -203,6 +204,36 @@
         if s.held:
             self.admit(s)
 
+    def contract(self, w: t.Workload, due: int, repeated: bool) -> int:
+        if not self.allow.front:
+            return due - self.mail.now
+        return w.contract // 2 if repeated else w.contract  # that client has been waiting for a while already
+
+    def complete(self, note: t.Whole) -> None:
+        """Launched while it came, it has kept no endpoint busy and no cap so far: an endpoint begins with its
+        last byte, and so does its time."""
+        s, now = self.open.get(note.submission), self.mail.now
+        if s is None or s.whole:
+            return
+        s.whole, s.due, s.arrived = True, note.due, now
+        s.contract_end = min(s.due, now + self.contract(s.workload, s.due, s.repeated))
+        self.mail.alarm(s.due - self.allow.margin, self, GiveUp(s, True))
+        for flight in s.flights:
+            if flight.out:
+                flight.sent = now
+                self.count_in(flight)
+
+    def count_in(self, flight: Flight) -> None:
+        seat = flight.seat
+        flight.counted = True
+        seat.flying += 1
+        self.flying += seat.says.open
+        self.busy[seat.name] = seat
+        self.shelve(seat)
+        self.launched.add(self.mail.now)
+        if seat.name in self.endpoints:
+            self.mail.post(self.endpoints[seat.name], Sent())
+
     def beyond_share(self, tenant: str) -> bool:
         if (ring := self.sent_by.get(tenant)) is None:
             return False
@@ -272,7 +303,7 @@
 
     def may_launch(self, s: Submission) -> bool:
         """Rule 2, and what the deployment allows: may this submission be launched (again) at all?"""
-        if s.done or s.streaming or len(s.flights) >= self.allow.most_launches:
+        if s.done or s.streaming or s.spent or len(s.flights) >= self.allow.most_launches:
             return False
         first = s.first_run()
         if first is None or s.out() and not self.allow.copies:
@@ -419,15 +450,11 @@
                 self.finish(s)
             return True
         seat.credit -= seat.says.cold_since is not None
-        s.flights.append(Flight(seat, now))
+        s.flights.append(Flight(seat, now, counted=False))
         s.retrying = False
-        seat.flying += 1
-        self.flying += 1
-        self.busy[seat.name] = seat
-        self.shelve(seat)
-        self.launched.add(now)
         self.mail.orders.append(t.Launch(s.name, seat.name, s.due))
-        self.mail.post(self.endpoints[seat.name], Sent())
+        if s.whole:
+            self.count_in(s.flights[-1])
         self.ask_around()
         return True
 
@@ -443,7 +470,10 @@
         if s is None or note.launch >= len(s.flights) or not s.flights[note.launch].out:
             return
         flight, now = s.flights[note.launch], self.mail.now
+        if not flight.counted:
+            self.count_in(flight)  # it ended before its submission was whole
         flight.out, flight.never_ran, seat = False, note.how in t.NEVER_RAN, flight.seat
+        s.spent = s.spent or note.last
         seat.flying -= 1
         if not seat.flying:
             del self.busy[seat.name]
@@ -549,8 +579,14 @@
             self.close(self.open[note.submission])
 
     def start(self, note: t.Started) -> None:
-        if note.submission in self.open:
-            self.open[note.submission].streaming = True
+        s = self.open.get(note.submission)
+        if s is None or s.streaming:
+            return
+        s.streaming = True
+        self.unhold(s)
+        for number, flight in enumerate(s.flights):
+            if flight.out and number != note.launch and self.allow.cancel:
+                self.mail.orders.append(t.CallOff(s.name, number))
 
     def seat(self, note: Standing) -> None:
         if note.name not in self.endpoints:
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -138,6 +138,15 @@
     due: int
     tenant: str = ""
     repeated: bool = False
+    whole: bool = True  # else it is still coming: `due` is a guess until `Whole`
+
+
+@dataclass(slots=True)
+class Whole:
+    """The last byte of a submission has come that arrived before; from here its time counts."""
+
+    submission: str
+    due: int
 
 
 @dataclass(slots=True)
@@ -156,6 +165,7 @@
     took: int
     closed: bool = False
     load: Load | None = None
+    last: bool = False  # no other launch can be made: part of what it would send is not kept
 
 
 @dataclass(slots=True)
@@ -184,7 +194,7 @@
     out: bool
 
 
-Note = Listed | Arrived | Started | Ended | Withdrawn | Woke | Probed | ByHand
+Note = Listed | Arrived | Started | Ended | Withdrawn | Woke | Probed | ByHand | Whole
 
 # --- orders -------------------------------------------------------------------------------------
 
--- a/lupinmill/transport/connection.py
+++ b/lupinmill/transport/connection.py
@@ -129,6 +129,13 @@
         await anyio.wait_readable(self.sock)
         return not self.quiet() and not self.has_unread()
 
+    def reset_on_close(self) -> None:
+        """The other side is to see that this is no proper end."""
+        try:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        except OSError:
+            pass
+
     def end_sending(self) -> None:
         try:
             self.sock.shutdown(socket.SHUT_WR)
--- a/lupinmill/transport/descriptors.py
+++ b/lupinmill/transport/descriptors.py
@@ -8,6 +8,7 @@
 
 
 OWN_MEMORY, CLIENT_MEMORY = 16 << 20, 128 << 10  # bytes: the program's, and a client's at most
+SHELF_PART, SHELF = 0.25, 64 << 20  # of the rest, for bodies that are kept; so much where no memory is told
 
 
 class Side(Enum):
@@ -15,6 +16,11 @@
     ENDPOINT = 1
 
 
+def shelf_of(memory: int | None) -> int:
+    """Bytes that bodies over 64 KiB may hold together, of the memory told."""
+    return SHELF if memory is None else max(1 << 20, int((memory * 9 // 10 - OWN_MEMORY) * SHELF_PART))
+
+
 class Descriptors:
     """Counts what is open. When short it closes an idle endpoint connection, then an idle client's.
 
@@ -26,7 +32,7 @@
         self.limit = max(8, limit - OWN)
         self.client_limit = self.limit - self.limit // 4
         if memory is not None:
-            room = memory * 9 // 10 - OWN_MEMORY
+            room = memory * 9 // 10 - OWN_MEMORY - shelf_of(memory)
             self.client_limit = max(4, min(self.client_limit, room // CLIENT_MEMORY))
         self.open = {Side.CLIENT: 0, Side.ENDPOINT: 0}
         self.elsewhere = 0  # held by the process before this one, within the same limit
--- a/lupinmill/transport/ring.py
+++ b/lupinmill/transport/ring.py
@@ -22,6 +22,22 @@
             self.free.append(block)
 
 
+class Shelf:
+    """What large bodies may hold of memory, all together. Who leases gives back, to the byte."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit, self.leased = limit, 0
+
+    def lease(self, count: int) -> bool:
+        if self.leased + count > self.limit:
+            return False
+        self.leased += count
+        return True
+
+    def give_back(self, count: int) -> None:
+        self.leased -= count
+
+
 class RingBuffer:
     """A bounded queue of bytes in one block, which it holds only while there are bytes in it."""
 
