A large answer takes no place at its endpoint once its first bytes have come

Cause: the module counted a launch as in flight until the last byte of its answer was passed on; the caps were full of answers being written (log: shedding, 12 in flight, room 12, endpoints idle).

--- a/lupinmill/routing/book.py
+++ b/lupinmill/routing/book.py
@@ -28,7 +28,7 @@
     sent: int = 0  # when that was
     called_off: bool = False
     waited: int = 0  # microseconds that its answer lay unread
-    began: int = 0  # when the first bytes of a large answer came
+    told: bool = False  # the module knows its end: a large answer had begun
     out: bool = True
 
 
@@ -73,12 +73,14 @@
                 launch.until, launch.scope.deadline = due, clock + (due - now) / 1_000_000
         self.engine.tell(t.Whole(journey.asked.submission, due))
 
-    def begin_stream(self, journey: Journey, launch: Launch, answer: Answer, stream: Stream) -> None:
+    def begin_stream(self, journey: Journey, launch: Launch, answer: Answer, stream: Stream,
+                     load: t.Load | None) -> None:
         """A large answer passes on as it comes: nothing of ours ends it any more."""
-        launch.began, launch.scope.deadline = self.engine.clock.now(), math.inf
-        journey.stream = stream
-        self.engine.tell(t.Started(journey.asked.submission, launch.number))
+        launch.scope.deadline, journey.stream = math.inf, stream
         self.settle(journey, answer)
+        # To the module it is over: the endpoint has done its work, what it still writes takes none of its places.
+        self.tell_ended(journey, launch, t.How.HANDLED, load)
+        launch.told = True
 
     def settle(self, journey: Journey, answer: Answer | None) -> bool:
         """The first final answer stands; what comes later is dropped."""
@@ -102,13 +104,17 @@
         launch.out = False
         if answer is not None:
             self.settle(journey, answer)
+        if not launch.told:
+            self.tell_ended(journey, launch, how, load)
+        self.close(journey)
+
+    def tell_ended(self, journey: Journey, launch: Launch, how: t.How, load: t.Load | None) -> None:
         # From its last byte on: until then it was this loop and the connection that took their time.
         began = launch.sent or launch.at
-        name, now = journey.asked.submission, launch.began or self.engine.clock.now()
-        took = max(now - began - launch.waited, LEAST)
+        name, took = journey.asked.submission, self.engine.clock.now() - began - launch.waited
+        took = max(took, LEAST)
         last = journey.body is not None and not journey.body.anew()
         self.engine.tell(t.Ended(name, launch.number, how, took, journey.settled, load, last))
-        self.close(journey)
 
     def close(self, journey: Journey) -> None:
         if journey.settled and not any(launch.out for launch in journey.launches):
--- a/lupinmill/routing/send.py
+++ b/lupinmill/routing/send.py
@@ -104,7 +104,8 @@
         if side.over or answer.status != 200 or journey.settled:
             return
         stream = Stream(connection, side, launch)
-        self.book.begin_stream(journey, launch, submission.passed_on(answer), stream)
+        load = submission.load_report(answer)
+        self.book.begin_stream(journey, launch, submission.passed_on(answer), stream, load)
         await stream.done.wait()
 
     async def exchange_large(self, connection: Connection, side: ClientSide, journey: Journey,
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -579,14 +579,8 @@
             self.close(self.open[note.submission])
 
     def start(self, note: t.Started) -> None:
-        s = self.open.get(note.submission)
-        if s is None or s.streaming:
-            return
-        s.streaming = True
-        self.unhold(s)
-        for number, flight in enumerate(s.flights):
-            if flight.out and number != note.launch and self.allow.cancel:
-                self.mail.orders.append(t.CallOff(s.name, number))
+        if note.submission in self.open:
+            self.open[note.submission].streaming = True
 
     def seat(self, note: Standing) -> None:
         if note.name not in self.endpoints:
