Tests of large and slow bodies; a full shelf no longer holds up bodies not launched yet

Found by its test, twenty of 32 MiB at once under 80 MB: with the shelf full a body waited for a launch to take what was there before it had been taken in itself, and nothing moved any more. Ruled out: the module (nothing had arrived), the endpoint. A part more is taken now and the submission launched. Also: a large answer that came in one read lost its body's end, seen by the test of HEAD's neighbour.

--- a/lupinmill/protocol/http.py
+++ b/lupinmill/protocol/http.py
@@ -239,7 +239,7 @@
         self.got: Answer | None = None
         self.body = bytearray()
         self.size = 0
-        self.large, self.over = False, False
+        self.over = False
         self.by_close = False  # the answer ends with the connection
         self.length: int | None = None
 
@@ -309,7 +309,6 @@
                 elif isinstance(event, h11.Data):
                     self.body += event.data
                     self.size += len(event.data)
-                    self.large = self.large or self.size > self.whole
                     if self.size > self.largest:
                         raise Garbled("the answer's body is too large")
                 elif isinstance(event, h11.EndOfMessage):
@@ -329,7 +328,12 @@
             self.by_close = True
         if (self.length or 0) > self.largest:
             raise Garbled("the answer's body is too large")
-        self.got, self.large = got, (self.length or 0) > self.whole
+        self.got = got
+
+    @property
+    def large(self) -> bool:
+        """To be taken in parts. Told by its length already, unless there is no body to come (HEAD)."""
+        return self.size > self.whole or not self.over and (self.length or 0) > self.whole
 
     def begun(self) -> bool:
         """Some of the answer has come; what goes ahead of it (1xx) does not count."""
--- a/lupinmill/routing/body.py
+++ b/lupinmill/routing/body.py
@@ -35,10 +35,11 @@
         self.changed.set()
         self.changed = anyio.Event()
 
-    async def put(self, data: bytes) -> None:
-        """Waits while no launch takes what is here and the shelf has no room."""
+    async def put(self, data: bytes, launched: bool = True) -> None:
+        """Waits while no launch takes what is here and the shelf has no room; one part more than that has room
+        is taken where there is no launch yet that could."""
         if not self.shelf.lease(len(data)):
-            while self.end - self.start > AHEAD and not self.broken:
+            while launched and self.end - self.start > AHEAD and not self.broken:
                 if not self.forget():
                     await self.changed.wait()
         else:
--- a/lupinmill/routing/send.py
+++ b/lupinmill/routing/send.py
@@ -101,7 +101,7 @@
                          side: ClientSide) -> None:
         """Lends the connection to the client's task, where this answer is large and the client's. Of any other
         large one nothing is wanted."""
-        if side.over or answer.status != 200 or journey.settled:
+        if not side.large or answer.status != 200 or journey.settled:
             return
         stream = Stream(connection, side, launch)
         load = submission.load_report(answer)
--- a/lupinmill/routing/take_in.py
+++ b/lupinmill/routing/take_in.py
@@ -158,7 +158,7 @@
                 return request, None
         body = Body(self.shelf, length_of(request.headers))
         try:
-            await body.put(bytes(small))
+            await body.put(bytes(small), False)
             small.clear()
             if body.kept() and not await self.gather(client, side, body, KEPT):
                 body.drop()
@@ -184,7 +184,7 @@
                 else:
                     asked = anyio.current_time()
                     scope.deadline = math.inf
-                    await body.put(part)
+                    await body.put(part, most == LARGEST_BODY)
                     began += anyio.current_time() - asked
                     if most < LARGEST_BODY and not body.kept():
                         break
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -47,6 +47,7 @@
         self.flights: dict[str, list[dict]] = {}  # of submissions, also after their end
         self.answers: dict[str, t.Order] = {}
         self.closed: dict[str, str] = {}
+        self.coming: set[str] = set()  # submissions whose last byte has not come
         self.state: dict[str, t.State] = {}
         self.cells: dict[str, str] = {}
         self.wakes: list[int] = []
@@ -97,6 +98,12 @@
         if isinstance(note, t.Arrived):
             self.owed[note.submission] = note
             self.flights[note.submission] = []
+            if not note.whole:
+                self.coming.add(note.submission)
+        elif isinstance(note, t.Whole):
+            if note.submission in self.owed:
+                self.owed[note.submission].due = note.due
+            self.coming.discard(note.submission)
         elif isinstance(note, t.Ended):
             self.flights[note.submission][note.launch]["how"] = note.how
             if note.how is t.How.HANDLED and self.owed.pop(note.submission, None):
@@ -197,6 +204,11 @@
             if isinstance(what, Answer):
                 await stream.send(side.answer(what, False))
                 side.goes_on()
+            elif isinstance(what, list):  # pieces as they are, then the end of the connection
+                for piece in what:
+                    await stream.send(piece)
+                    await anyio.sleep(0)
+                return
             elif what == "silent":
                 await stream.receive()
                 return
