The watch calls each second, gives up stalled lists at once and asks anew sooner

Cause: both front sidecars heard nothing for 7 s of a release (see the design): a silent or stalled watch was noticed after 4.5 s, the next call came up to 2.5 s later. Ruled out: the loop, the endpoints, judging by refusals. Change: calls of 1 s where ten sidecars or fewer share discovery, 0.6 s beyond that count as silence, 0.5 s within an answer as a stall; the module asks anew after instances x 30 ms, doubled and jittered (1 s as before from 34 sidecars on); changes older than what is known are answered by asking for the whole list.

--- a/lupinmill/program/discovery.py
+++ b/lupinmill/program/discovery.py
@@ -15,10 +15,11 @@
 
 # Seconds for which one call of a watch waits for news: a discovery that falls silent is noticed after that.
 # The more sidecars ask, the longer, so that all together call it ten times a second at the most.
-LEAST_WAIT, LONGEST_WAIT, CALLS = 3.0, 20.0, 10.0
+LEAST_WAIT, LONGEST_WAIT, CALLS = 1.0, 20.0, 10.0
 AGAIN = 1.0  # seconds, at most, before a broken watch begins anew where the list is pushed
 MOVE = 0.3  # seconds, at most, before the first call at a new address, lest all sidecars come at once
-LATE = 1.5  # seconds beyond that wait before discovery counts as silent
+LATE = 0.6  # seconds beyond that wait before discovery counts as silent
+STALL = 0.5  # seconds between two parts of an answer that has begun
 WHOLE = 3.0  # seconds for the whole list, which is worked out at once
 CONNECT = 2.0
 NO_NEWS = 0.05  # seconds before the next call after an answer without any
@@ -39,6 +40,7 @@
         self.connection: Connection | None = None
         self.following: anyio.CancelScope | None = None
         self.moved = False
+        self.anew = False  # the whole list is asked for, whatever is known
 
     def move(self, address: str) -> None:
         """A new address at once, whatever goes on at the old one. The list is asked for whole there: nothing
@@ -82,6 +84,13 @@
         self.log("watch", index=self.directory.index)
         while True:
             known = await self.call()
+            if not known.whole and self.directory.index is not None and known.index < self.directory.index:
+                # It came back from an older state: what changed since ours it can't tell, and may never.
+                self.log("watch_older", index=known.index, known=self.directory.index)
+                if self.anew:
+                    raise Garbled("changes from before ours where the whole list was asked for")
+                self.anew = True
+                continue
             self.directory.update(known, t.ListKind.FULL if known.whole else t.ListKind.CHANGES)
             if not known.entries:
                 await anyio.sleep(NO_NEWS)
@@ -92,18 +101,19 @@
             self.connection = await connect(self.address, CONNECT, self.store, lambda: None)
         side = ClientSide(lists.LARGEST_LIST, lists.LARGEST_LIST)
         # With no endpoint known, changes since that version would leave out all that did not change.
-        index = self.directory.index if self.directory.states and not self.moved else None
+        index = self.directory.index if self.directory.states and not (self.moved or self.anew) else None
         with anyio.fail_after(WHOLE if index is None else self.wait + LATE):
             await self.connection.send(side.ask(lists.call(index, int(self.wait * 1000))))
             while (answer := side.next_answer()) is None:
-                data = await self.connection.receive()
+                with anyio.fail_after(STALL if side.begun() else None):
+                    data = await self.connection.receive()
                 if not data:
                     raise ConnectionResetError("discovery hung up")
                 side.feed(data)
         if not side.reusable():
             self.hang_up()
         known = lists.read(answer)
-        self.moved = False
+        self.moved, self.anew = False, self.anew and not known.whole
         return known
 
     def hang_up(self) -> None:
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -41,6 +41,7 @@
 SILENCE = 4.0  # multiples of the usual answer time without an answer before an endpoint counts as silent, ...
 LONELY = 6.0  # ... and this many more, shared by the launches out there: a single one may just be long
 SLOW = 2.7  # multiple of the middle endpoint's pace beyond which one is judged slow
+ASK_APART = 30 * MS  # between two sidecars that ask for the list anew, when all lost it together
 ASIDE_SHARE = 0.34  # on soft evidence no more than this share of the endpoints is set aside
 
 
@@ -864,7 +865,7 @@
         super().__init__()
         self.mail, self.allow, self.desk, self.chance = mail, allow, desk, chance
         self.ask_span = max(SECOND, min(d.ask_within, 10 * SECOND)) * 2 // 5 if d.must_ask else 0
-        self.asks = 0
+        self.asks, self.ask_base = 0, min(SECOND, d.instances * ASK_APART)
         self.endpoints = desk.endpoints
         self.listed: dict[str, t.Listing] = {}
         self.out: set[str] = set()  # by hand
@@ -877,7 +878,7 @@
         if note.kind is t.ListKind.FAILED:
             # The list service is overloaded or the watch broke: ask again, later each time, jittered.
             self.asks += 1
-            span = min(self.ask_span, SECOND << min(self.asks, 4))
+            span = min(self.ask_span, self.ask_base << min(self.asks, 4))
             if span:
                 self.mail.alarm(self.mail.now + span // 4 + self.chance.upto(span), self, AskDue())
             return
