--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,132 @@
+"""The watch during a release: lists cut off, stalled, older than what is known."""
+import itertools
+
+import anyio
+import orjson
+import pytest
+from bed import Net, deployment, on_network
+from test_sidecar import fine, until
+
+from lupinmill import terms as t
+from lupinmill.program import discovery
+from lupinmill.program.discovery import Discovery
+from lupinmill.protocol.http import Answer, Garbled
+from lupinmill.transport.connection import Unconnected
+from lupinmill.transport.ring import Store
+
+ROWS = [
+    {"name": f"e{at}", "address": f"127.0.0.1:{at + 1}", "zone": "z", "type": "k", "group": at, "status": status,
+     "weight": 1.0, "since_ms": 0}
+    for at, status in enumerate(("SERVING", "DRAINING"))
+]
+FORMS = {
+    "length": lambda body: b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body),
+    "chunked": lambda body: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n" % (
+        len(body[:50]), body[:50], len(body[50:]), body[50:]),
+    "close": lambda body: b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body,
+}
+
+
+class Told:
+    """Stands for the directory: what was told, and what the watch asks by."""
+
+    def __init__(self) -> None:
+        self.updates, self.failures, self.states, self.index = [], 0, {"e0": t.State.READY}, 7
+
+    def update(self, known, kind) -> None:
+        self.updates.append((known.index, kind, [entry.endpoint for entry in known.entries]))
+
+    def failed(self) -> None:
+        self.failures += 1
+
+
+@pytest.mark.parametrize("form", list(FORMS))
+def test_a_list_cut_at_any_byte_changes_nothing(form):
+    body = orjson.dumps({"index": 8, "snapshot": False, "endpoints": ROWS})
+    data = FORMS[form](body)
+    cut = itertools.count()
+    told = Told()
+
+    async def serve(stream) -> None:
+        async with stream:
+            await stream.receive()
+            await stream.send(data[:next(cut)])
+
+    async def main() -> None:
+        with anyio.fail_after(30):
+            async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener:
+                address = "127.0.0.1:%d" % listener.extra(anyio.abc.SocketAttribute.local_port)
+                async with anyio.create_task_group() as group:
+                    group.start_soon(listener.serve, serve)
+                    watch = Discovery(address, deployment(), told, Store(), lambda *_, **__: None)
+                    for _ in range(len(data)):
+                        with pytest.raises((OSError, Garbled, Unconnected)):
+                            await watch.call()
+                        watch.hang_up()
+                    assert [entry.endpoint for entry in (await watch.call()).entries] == ["e0", "e1"]
+                    watch.hang_up()
+                    group.cancel_scope.cancel()
+
+    anyio.run(main)
+    assert not told.updates
+
+
+def test_a_list_that_stops_in_the_middle_is_given_up_long_before_a_silent_one(monkeypatch):
+    monkeypatch.setattr(discovery, "LEAST_WAIT", 30.0)
+    monkeypatch.setattr(discovery, "STALL", 0.1)
+    calls = []
+
+    async def act(request):
+        calls.append(request)
+        return "unfinished" if len(calls) == 1 else Answer(
+            200, [], orjson.dumps({"index": 9, "snapshot": True, "endpoints": []}))
+
+    async def check(net: Net):
+        net.discovery.act = act
+        await until(lambda: len(calls) > 1)
+        assert ("watch_failed", {"error": "TimeoutError: "}) in net.logs
+
+    on_network(check, fine, discovery="push")
+
+
+def test_a_discovery_that_comes_back_older_is_asked_for_the_whole_list():
+    """Seen failing: its changes were taken for news, and what had changed since was never heard of."""
+    async def check(net: Net):
+        await until(lambda: net.discovery.seen)
+        net.discovery.change(net.discovery.rows[0], status="DRAINING")
+        await until(lambda: not net.program.directory.takes("e0"))
+        before, rows = net.program.directory.index, [dict(row) for row in net.discovery.rows]
+        rows[0]["status"] = "SERVING"
+
+        async def older(request):
+            whole = b"index=" not in request.target
+            return Answer(200, [], orjson.dumps(
+                {"index": before - 1, "snapshot": whole, "endpoints": rows if whole else []}))
+
+        net.discovery.act = older
+        await until(lambda: net.program.directory.takes("e0"))
+        assert net.program.directory.index == before - 1
+        assert [event for event, _ in net.logs if event == "watch_older"] == ["watch_older"]
+
+    on_network(check, fine, fine, discovery="push")
+
+
+@pytest.mark.parametrize("instances, least, most", [(2, 0.01, 0.2), (9, 0.1, 0.7), (400, 0.4, 2.6)])
+def test_the_next_call_comes_sooner_the_fewer_sidecars_there_are_and_later_each_time(instances, least, most):
+    from bed import SECOND, Bed
+    spans = []
+    for seed in range(30):
+        bed = Bed(deployment(seed=seed, instances=instances, must_ask=True, ask_within=10 * SECOND))
+        for turn in range(4):
+            bed.run(12 * SECOND, 10_000)
+            asked = len(bed.watches)
+            assert asked == turn + 1
+            bed.step(t.Listed(t.ListKind.FAILED, []))
+            failed = bed.now
+            bed.run(12 * SECOND, 10_000)
+            spans.append((turn, (bed.watches[asked] - failed) / SECOND))
+            bed.watches.pop()
+    first = [span for turn, span in spans if turn == 0]
+    last = [span for turn, span in spans if turn == 3]
+    assert least <= min(first) and max(first) <= most and max(last) <= 5.1
+    assert sum(last) > sum(first) and max(first) - min(first) > 0.3 * max(first)  # jittered
