An older process's launches, retries and open ids count in the new one until it has ended

Need: after the handover each process filled the caps and spent the tenth of retries by itself, and an id open in one was taken by the other.

--- a/lupinmill/handover/driver.py
+++ b/lupinmill/handover/driver.py
@@ -108,11 +108,11 @@
         self.asking = 0  # links that have yet to say who they are
         self.state: Callable[[], Message] = dict
         self.listening: Callable[[], socket.socket]
-        self.held: Callable[[], int] = lambda: 0
+        self.still: Callable[[], Message] = dict  # what this process has open
         self.yield_, self.take_up = (lambda: None), (lambda: None)
         self.apply: Callable[[Call], tuple[int, str]] = lambda call: (500, "")
         self.adopt: Callable[[socket.socket], None] = socket.socket.close
-        self.elsewhere: Callable[[int], None] = lambda held: None
+        self.elsewhere: Callable[[Message], None] = lambda still: None
 
     # The start: is there one to take over from?
 
@@ -162,7 +162,7 @@
         finally:
             link.close()
             self.older = None
-            self.elsewhere(0)
+            self.elsewhere({})
             self.log("handover", text="the process before this one has ended")
 
     def from_older(self, message: Message) -> None:
@@ -172,7 +172,7 @@
         if say == "client":
             self.adopt(socket.socket(fileno=link.take_descriptor()))
         elif say == "open":
-            self.elsewhere(int(message["held"]))
+            self.elsewhere(message)
         else:
             self.both_ways(link, message)
 
@@ -263,13 +263,14 @@
             return False
         return link.send({"say": "client"}, sock.detach())
 
-    async def tell_held(self) -> None:
-        told = -1
+    async def tell_still(self) -> None:
+        """What is open here counts there too, until it has ended."""
+        told: Message = {}
         while True:
             await anyio.sleep(TOLD_EVERY)
-            if self.newer is not None and not self.succession.accepts() and told != (held := self.held()):
-                told = held
-                self.newer.send({"say": "open", "held": held})
+            if self.newer is not None and not self.succession.accepts() and told != (still := self.still()):
+                told = still
+                self.newer.send({"say": "open", **still})
 
     async def flush(self) -> None:
         while self.newer is not None and self.newer.going:
--- a/lupinmill/handover/papers.py
+++ b/lupinmill/handover/papers.py
@@ -23,6 +23,7 @@
     known: lists.Known
     learned: Table
     held: int  # descriptors that the older process has open
+    repeats: int  # launches beyond a submission's first that it has made so far
 
 
 def write(listed: dict[str, t.Listing], addresses: dict[str, str], index: int | None, standing: Standing,
@@ -50,7 +51,7 @@
         known = lists.known(table["list"])
         out = [Out(str(name), int(since), int(named)) for name, since, named in table["out"]]
         mode, since = Mode(table["mode"][0]), int(table["mode"][1])
-        papers = Papers(known, dict(table["learned"]), int(table["held"]))
+        papers = Papers(known, dict(table["learned"]), int(table["held"]), int(table.get("repeats", 0)))
     except (KeyError, TypeError, ValueError, IndexError, Garbled) as error:
         raise BadPapers(f"{type(error).__name__}: {error}"[:200]) from error
     standing.out.update((one.endpoint, one) for one in out)
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -71,6 +71,7 @@
         self.discovery = Discovery(told.discovery, told.deployment, self.directory, self.store, log)
         self.engine.carriers[t.Watch] = self.discovery.watch
         self.handover = Handover(told.directory, told.name, told.listen, log)
+        self.repeats_before = 0  # launches again of the process before this one, when it told what it knew
         self.operator: str | None = None  # where operators call, once bound
 
     def bound(self, kind: Callable[..., Any], address: str, *more: Any) -> Any:
@@ -197,7 +198,7 @@
         except (TypeError, ValueError, KeyError, AttributeError) as error:
             self.log("handover_refused", error=f"learned: {type(error).__name__}: {error}")
         self.engine.tell(t.Woke(1))
-        self.descriptors.elsewhere = taken.held
+        self.descriptors.elsewhere, self.repeats_before = taken.held, taken.repeats
         self.discovery.watch(t.Watch())  # at once: what it tells from now on binds this process
 
     def hand_over(self, listener: Listener, take_in: TakeIn, group: TaskGroup) -> None:
@@ -210,7 +211,8 @@
         def state() -> dict[str, Any]:
             listed, directory = self.engine.sidecar.roster.listed, self.directory
             known = learned.learned(self.engine.sidecar)
-            return papers.write(listed, directory.addresses, directory.index, self.standing, known, held())
+            table = papers.write(listed, directory.addresses, directory.index, self.standing, known, held())
+            return table | {"repeats": self.book.repeats}
 
         def yield_() -> None:
             listener.pause()
@@ -227,14 +229,27 @@
             descriptors.elsewhere = max(0, descriptors.elsewhere - 1)
             listener.adopt(sock, group, take_in.serve)
 
-        def elsewhere(count: int) -> None:
-            descriptors.elsewhere = count
+        repeats = self.repeats_before
 
-        handover.state, handover.held, handover.listening = state, held, lambda: listener.sock
+        def still() -> dict[str, Any]:
+            book = self.book
+            return {"held": held(), "flying": book.out(), "ids": list(book.journeys), "repeats": book.repeats}
+
+        def elsewhere(told: dict[str, Any]) -> None:
+            """What the process before this one still has open; nothing once it has ended."""
+            nonlocal repeats
+            now_repeats = int(told.get("repeats", repeats))
+            descriptors.elsewhere = int(told.get("held", 0))
+            self.book.elsewhere = {str(name) for name in told.get("ids", ())}
+            flying = {str(name): int(count) for name, count in dict(told.get("flying", {})).items()}
+            self.engine.tell(t.Elsewhere(flying, max(0, now_repeats - repeats)))
+            repeats = now_repeats
+
+        handover.state, handover.still, handover.listening = state, still, lambda: listener.sock
         handover.yield_, handover.take_up = yield_, take_up
         handover.adopt, handover.elsewhere, handover.apply = adopt, elsewhere, self.office.apply
         self.office.pass_on = handover.pass_on
-        group.start_soon(self.keep_up, handover.tell_held)
+        group.start_soon(self.keep_up, handover.tell_still)
         handover.start(group)
 
     async def close_idle(self, listener: Listener) -> None:
--- a/lupinmill/routing/admit.py
+++ b/lupinmill/routing/admit.py
@@ -20,7 +20,7 @@
             return plain(200, "ready\n") if self.ready() else plain(503, "not ready\n")
         try:
             asked = submission.read(request, self.workloads)
-            if asked.submission in self.book.journeys:
+            if self.book.is_open(asked.submission):
                 # Under one name the module would take both for one, and one client would get no answer.
                 raise Malformed(400, "this Req-Id is still open", True)
         except Malformed as error:
--- a/lupinmill/routing/book.py
+++ b/lupinmill/routing/book.py
@@ -53,6 +53,8 @@
     def __init__(self, engine: Engine) -> None:
         self.engine = engine
         self.journeys: dict[str, Journey] = {}
+        self.repeats = 0  # launches beyond a submission's first, so far
+        self.elsewhere: set[str] = set()  # ids open in an older process of this sidecar
         self.unlaunched = 0  # of them, those that the module has launched nowhere yet
 
     def begin(self, journey: Journey) -> None:
@@ -82,6 +84,18 @@
         self.tell_ended(journey, launch, t.How.HANDLED, load)
         launch.told = True
 
+    def is_open(self, name: str) -> bool:
+        return name in self.journeys or name in self.elsewhere
+
+    def out(self) -> dict[str, int]:
+        """Launches that are out and written, by endpoint."""
+        found: dict[str, int] = {}
+        for journey in self.journeys.values():
+            for launch in journey.launches:
+                if launch.out and launch.written and not launch.told:
+                    found[launch.endpoint] = found.get(launch.endpoint, 0) + 1
+        return found
+
     def settle(self, journey: Journey, answer: Answer | None) -> bool:
         """The first final answer stands; what comes later is dropped."""
         if journey.settled:
--- a/lupinmill/routing/route.py
+++ b/lupinmill/routing/route.py
@@ -25,6 +25,7 @@
         scope = anyio.CancelScope(deadline=anyio.current_time() + (order.until - now) / 1_000_000)
         launch = Launch(order.endpoint, len(journey.launches), now, order.until, scope)
         self.book.unlaunched -= not journey.launches
+        self.book.repeats += bool(journey.launches)
         journey.launches.append(launch)
         self.group.start_soon(self.send.launch, journey, launch)
 
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -78,6 +78,7 @@
     name: str
     says: Standing
     flying: int = 0
+    elsewhere: int = 0  # of them, those of an older process of this sidecar
     shelf: int = -1  # where it stands among the ready ones: by launches in flight, the crowded far behind
     spot: int = 0
     credit: float = 0.0
@@ -177,7 +178,7 @@
         self.handlers = {
             t.Arrived: self.arrive, t.Ended: self.end, t.Withdrawn: self.withdraw, t.Started: self.start,
             Standing: self.seat, GiveUp: self.give_up, RetryDue: self.retry_due, Silent: self.silent,
-            Sweep: self.sweep, t.Whole: self.complete,
+            Sweep: self.sweep, t.Whole: self.complete, t.Elsewhere: self.elsewhere,
         }
 
     def take(self, note: Any) -> None:
@@ -235,6 +236,24 @@
         if seat.name in self.endpoints:
             self.mail.post(self.endpoints[seat.name], Sent())
 
+    def elsewhere(self, note: t.Elsewhere) -> None:
+        """Counted with its own, or both processes of an upgrade would fill every cap."""
+        self.retried.add(self.mail.now, note.retried)
+        for seat in list(self.seats.values()):
+            more = note.flying.get(seat.name, 0) - seat.elsewhere
+            if not more:
+                continue
+            seat.elsewhere += more
+            seat.flying += more
+            self.flying += more * seat.says.open
+            if seat.flying:
+                self.busy[seat.name] = seat
+            else:
+                self.busy.pop(seat.name, None)
+            self.shelve(seat)
+            if seat.name in self.endpoints and not seat.flying:
+                self.endpoints[seat.name].tell()  # it may have gone meanwhile
+
     def beyond_share(self, tenant: str) -> bool:
         if (ring := self.sent_by.get(tenant)) is None:
             return False
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -194,7 +194,16 @@
     out: bool
 
 
-Note = Listed | Arrived | Started | Ended | Withdrawn | Woke | Probed | ByHand | Whole
+@dataclass(slots=True)
+class Elsewhere:
+    """What an older process of this sidecar still has out, until it has ended: one set of caps and one budget of
+    retries hold for both."""
+
+    flying: dict[str, int]  # launches at each endpoint
+    retried: int = 0  # since it was last told
+
+
+Note = Listed | Arrived | Started | Ended | Withdrawn | Woke | Probed | ByHand | Whole | Elsewhere
 
 # --- orders -------------------------------------------------------------------------------------
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -176,6 +176,24 @@
     assert gauge.usual == old.desk.gauges["view"].usual and gauge.means == old.desk.gauges["view"].means
 
 
+def test_what_an_older_process_has_out_counts_in_caps_and_retries_until_it_ended():
+    bed = Bed(deployment(), 2)
+    desk = bed.sidecar.desk
+    for _ in range(40):
+        bed.end(bed.arrive(IDEM), 0, t.How.HANDLED, after=10_000)
+    full = {f"e{at}": round(desk.cap) for at in range(2)}
+    bed.step(t.Elsewhere(full, 3))
+    assert desk.retried.total(bed.now) == 3 and desk.flying == sum(full.values())
+    name = bed.arrive(IDEM)
+    assert not bed.out(name)  # held: there is no room
+    bed.step(t.Elsewhere({"e0": full["e0"]}))
+    assert bed.flights[name][0]["endpoint"] == "e1"
+    bed.step(t.Listed(t.ListKind.CHANGES, [listing(0, t.State.GONE)]))
+    bed.end(name, 0, t.How.HANDLED, after=1_000)
+    bed.step(t.Elsewhere({}))
+    assert desk.flying == 0 and not desk.busy and set(desk.seats) == {"e1"}
+
+
 # --- two programs -------------------------------------------------------------------------------
 
 
@@ -253,12 +271,16 @@
             new = await both.start()
             await until(lambda: clients(new) == 1)
             assert clients(old) == 1
+            await until(lambda: "slow" in new.book.elsewhere)
+            assert sum(seat.elsewhere for seat in new.engine.sidecar.desk.seats.values()) == 1
+            assert (await net.ask(wanted("slow"))).status == 400  # that id is open
             await busy.send(wanted("next"))  # behind the one that is open
             assert b"done-slow" in await busy.receive()
             assert b"done-next" in await busy.receive()
             assert b"done-a2" in await exchange(idle, "a2")
             await until(lambda: clients(new) == 2 and clients(old) == 0)
-            assert new.descriptors.elsewhere == 0 or clients(old) == 0
+            await until(lambda: not new.book.elsewhere)
+            assert all(seat.elsewhere == 0 for seat in new.engine.sidecar.desk.seats.values())
             assert (await net.ask(wanted("fresh"))).body == b"done-fresh"
             assert not old.book.journeys
 
