--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -685,7 +685,7 @@
                  entry: t.Listing) -> None:
         super().__init__()
         self.mail, self.desk, self.roster, self.chance, self.entry = mail, desk, roster, chance, entry
-        self.probes, self.cold_time, self.cold_share = allow.probes, allow.cold_time, allow.cold_share
+        self.probes, self.cold_time = allow.probes, allow.cold_time
         self.usual, self.share = Usual(), 1.0  # what is usual in the fleet; its part of the common cap
         self.told: float | None = None
         self.told_at, self.busy, self.crowded = 0, 1.0, False
@@ -785,19 +785,13 @@
         if failed >= 3 and failed / answered > 0.3 + 2 * failing:
             # Quick errors free its places fast: it gets more and more, and must not count as what is usual.
             self.plead(f"failed {failed:.0f} of {answered:.0f}", False)
-        elif self.pace and self.answers >= 6 and self.pace > self.slow_mark():
+        elif self.pace and self.answers >= 6 and self.pace > SLOW * max(1.0, usual.pace):
             # Slow by itself, not with all others: jammed or starved, it needs rest.
             self.plead(f"slow, pace {self.pace:.1f}, fleet {usual.pace:.1f}", False)
 
-    def slow_mark(self) -> float:
-        """Guards against cold ones being judged slow: they must be slow, and get warm by work alone."""
-        age = self.cold_time if self.cold_since is None else self.mail.now - self.cold_since
-        warmth = min(1.0, self.cold_share + (1 - self.cold_share) * max(0, age) / self.cold_time)
-        return SLOW * max(1.0, self.usual.pace) / max(0.1, warmth)
-
     def end_trial(self) -> None:
         """Guards against taking back at full count what is still jammed."""
-        if self.pace > self.slow_mark():
+        if self.pace > SLOW * max(1.0, self.usual.pace):
             self.plead(f"still slow, pace {self.pace:.1f}", True)
         else:
             self.mode = "ready"
