--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,5 +1,6 @@
 """Operators' calls: endpoints out by hand, drain and resume, at an address that no crowd can hold."""
 import random
+import socket
 import time
 
 import anyio
@@ -292,3 +293,56 @@
         assert time.monotonic() - began < 0.8
 
     on_network(check, always(Answer(200), 5), operator=True)
+
+
+def test_a_crowd_at_the_clients_address_and_a_lack_of_descriptors_hold_up_no_call():
+    async def check(net):
+        host, port = net.address.split(":")
+        crowd = []
+        for _ in range(120):  # far more than there are places for
+            crowd.append(await anyio.connect_tcp(host, int(port)))
+        for number, stream in enumerate(crowd[:60]):
+            await stream.send(wanted(f"c{number}")[:40])
+        await anyio.sleep(0.1)
+        for _ in range(5):
+            assert await operate(net, "GET", "/admin/health") == 200
+            assert await operate(net, "PUT", "/admin/cordon?member=e0") == 200
+            assert await operate(net, "PUT", "/admin/uncordon?member=e0") == 200
+        for stream in crowd:
+            await stream.aclose()
+
+    on_network(check, fine, fine, sockets=90, operator=True)
+
+
+def test_with_every_endpoint_out_submissions_are_denied_and_served_once_one_is_back():
+    async def check(net):
+        for name in ("e0", "e1"):
+            assert await operate(net, "PUT", f"/admin/cordon?member={name}") == 200
+        began = time.monotonic()
+        assert (await net.ask(wanted("s1"))).status == 503
+        assert time.monotonic() - began < 0.9
+        assert await operate(net, "PUT", "/admin/uncordon?member=e1") == 200
+        await until(lambda: net.program.engine.sidecar.desk.seats["e1"].says.open)
+        with anyio.fail_after(5):
+            while (await net.ask(wanted(f"t{time.monotonic_ns()}"))).status != 200:
+                pass
+
+    on_network(check, fine, fine, operator=True)
+
+
+def test_an_operators_address_that_cant_be_used_is_one_plain_line_and_exit_2(tmp_path):
+    from bed import Net
+    from test_sidecar import start
+    net = Net([])
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            await net.start(group)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        for operator in ("127.0.0.1:%d" % taken.getsockname()[1], "host.name:80"):
+            process = start(tmp_path, net.table | {"operator": operator})
+            out, err = process.communicate(timeout=20)
+            assert process.returncode == 2 and out == b"" and err.count(b"\n") == 1 and operator.encode() in err
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -449,3 +449,95 @@
     assert sorted(got) == sorted(asked) and len(got) > 500
     logs = b"".join((tmp_path / f"log{number}").read_bytes() for number in range(21))
     assert b"task_failed" not in logs and b"_refused" not in logs and b"Traceback" not in logs
+
+
+def test_without_a_common_directory_the_next_process_listens_beside_the_one_before(tmp_path):
+    net = Net([fine, fine])
+
+    async def main() -> None:
+        processes = []
+        try:
+            with anyio.fail_after(20):
+                async with anyio.create_task_group() as group:
+                    await net.start(group)
+                    net.address = free_address()
+                    for number in range(2):
+                        folder = tmp_path / str(number)
+                        folder.mkdir()
+                        operator = free_address()
+                        table = net.table | {"listen": net.address, "operator": operator}
+                        processes.append(spawn(folder, table, number))
+                        await healthy(operator)
+                    for at in range(20):
+                        assert (await net.ask(wanted(f"s{at}"))).status == 200
+                    processes[0].send_signal(signal.SIGTERM)
+                    assert await anyio.to_thread.run_sync(processes[0].wait) == 0
+                    assert (await net.ask(wanted("after"))).status == 200
+                    group.cancel_scope.cancel()
+        finally:
+            for process in processes:
+                process.kill()
+                process.wait()
+
+    anyio.run(main)
+
+
+def test_what_is_under_way_at_an_upgrade_ends_where_it_began(tmp_path):
+    """An upload and a large answer, both longer than the time between the yes and SIGTERM."""
+    body = random.Random(2).randbytes(2_000_000)
+
+    async def act(request):
+        if request.header(b"req-id") == "up":
+            return Answer(200, [], b"%d" % len(request.body)) if request.body == body else Answer(500)
+        return Answer(200, [], body) if request.header(b"req-id") == "down" else await fine(request)
+
+    net = Net([act])
+
+    async def upload(stream, data: bytes) -> bytes:
+        for at in range(0, len(data), 100_000):
+            await stream.send(data[at:at + 100_000])
+            await anyio.sleep(0.05)
+        return await stream.receive()
+
+    async def main() -> None:
+        processes = []
+        try:
+            with anyio.fail_after(30):
+                async with anyio.create_task_group() as group:
+                    await net.start(group)
+                    net.address = free_address()
+                    host, port = net.address.split(":")
+                    got: dict[str, bytes] = {}
+                    for number in range(2):
+                        operator = free_address()
+                        table = net.table | {"listen": net.address, "operator": operator}
+                        processes.append(spawn(tmp_path, table, number))
+                        await healthy(operator)
+                        if number:
+                            break
+                        up = await anyio.connect_tcp(host, int(port))
+                        down = await anyio.connect_tcp(host, int(port))
+                        await down.send(wanted("down"))
+
+                        async def run_up() -> None:
+                            got["up"] = await upload(up, wanted("up", body=body))
+
+                        group.start_soon(run_up)
+                        got["down"] = await down.receive()
+                    processes[0].send_signal(signal.SIGTERM)
+                    while b"\r\n\r\n" not in got["down"] or len(got["down"].partition(b"\r\n\r\n")[2]) < len(body):
+                        got["down"] += await down.receive(20_000)
+                        await anyio.sleep(0.005)
+                    assert got["down"].partition(b"\r\n\r\n")[2] == body
+                    await until(lambda: "up" in got)
+                    assert got["up"].startswith(b"HTTP/1.1 200 ") and got["up"].endswith(b"2000000")
+                    for name, stream in (("a", up), ("b", down)):  # both connections have passed by now
+                        assert b"done-" + name.encode() in await exchange(stream, name)
+                    assert await anyio.to_thread.run_sync(processes[0].wait) == 0
+                    group.cancel_scope.cancel()
+        finally:
+            for process in processes:
+                process.kill()
+                process.wait()
+
+    anyio.run(main)
