--- a/lupinmill/admin/office.py
+++ b/lupinmill/admin/office.py
@@ -1,4 +1,5 @@
-"""Carries the operators' calls out: what stands changes first, then all that go by it hear of it, then yes is said.
+"""Carries the operators' calls out: what stands changes first, then all that go by it hear of it, then yes
+is said.
 
 Owns nothing but the order of these steps: a yes holds already when it is read."""
 from __future__ import annotations
@@ -25,7 +26,8 @@
     def __init__(self, standing: Standing, directory: Directory, engine: Engine, log: Log) -> None:
         self.standing, self.directory, self.engine, self.log = standing, directory, engine, log
         self.taking = lambda: False  # does this process take clients?
-        self.pass_on: Callable[[calls.Call], Awaitable[None]] | None = None  # to the other process of an upgrade
+        # To the other process of an upgrade.
+        self.pass_on: Callable[[calls.Call], Awaitable[None]] | None = None
 
     async def carry_out(self, call: calls.Call) -> tuple[int, str]:
         if call.what == calls.HEALTH:
--- a/lupinmill/handover/driver.py
+++ b/lupinmill/handover/driver.py
@@ -1,6 +1,8 @@
-"""The driver of an upgrade: the socket in `$TMPDIR`, the links to the process before and to the one after this one.
+"""The driver of an upgrade: the socket in `$TMPDIR`, the links to the process before and to the one after
+this one.
 
-Owns that socket and both links; a link's end gives back all that waits on it. What passes when is `Succession`'s."""
+Owns that socket and both links; a link's end gives back all that waits on it. What passes when is
+`Succession`'s."""
 from __future__ import annotations
 
 import os
@@ -31,7 +33,8 @@
 
 
 class Place:
-    """Where processes of this sidecar find one another. A path too long for the system goes by its directory."""
+    """Where processes of this sidecar find one another. A path too long for the system goes by its
+    directory."""
 
     def __init__(self, directory: str, name: str, listen: str) -> None:
         file = FILE % crc32(f"{name} {listen}".encode())
@@ -100,7 +103,7 @@
                 log("handover_off", error=f"{directory}: {error.strerror}")
         self.older: Link | None = None
         self.newer: Link | None = None
-        self.waiting: dict[int, anyio.Event] = {}  # operators' calls that the other process has yet to carry out
+        self.waiting: dict[int, anyio.Event] = {}  # calls that the other process has yet to carry out
         self.serial = 0
         self.door: socket.socket | None = None  # where the next process asks, while it may
         self.turn: anyio.CancelScope | None = None  # of letting in
--- a/lupinmill/handover/papers.py
+++ b/lupinmill/handover/papers.py
@@ -1,4 +1,5 @@
-"""What passes at an upgrade beside sockets, as a plain table. Pure. The taker reads it whole or refuses it whole."""
+"""What passes at an upgrade beside sockets, as a plain table. Pure. The taker reads it whole or refuses it
+whole."""
 from __future__ import annotations
 
 from dataclasses import dataclass
--- a/lupinmill/handover/succession.py
+++ b/lupinmill/handover/succession.py
@@ -1,6 +1,7 @@
 """Who of two processes accepts clients, and who passes what to whom. Pure: notes in, orders out, no clock.
 
-A process that serves may have one successor. `Succession` is its side; the successor's own side is short: it asks
+A process that serves may have one successor. `Succession` is its side; the successor's own side is short:
+it asks
 before it starts, and says `serving` once."""
 from __future__ import annotations
 
--- a/lupinmill/protocol/calls.py
+++ b/lupinmill/protocol/calls.py
@@ -1,4 +1,5 @@
-"""Operators' calls: one HTTP/1.1 request on a connection becomes a `Call`, or the status that says why not. Pure."""
+"""Operators' calls: one HTTP/1.1 request on a connection becomes a `Call`, or the status that says why not.
+Pure."""
 from __future__ import annotations
 
 from dataclasses import dataclass
--- a/lupinmill/protocol/http.py
+++ b/lupinmill/protocol/http.py
@@ -1,4 +1,5 @@
-"""HTTP/1.1 by h11: bytes in; requests and answers out, whole where they are small, in parts where not. No I/O."""
+"""HTTP/1.1 by h11: bytes in; requests and answers out, whole where they are small, in parts where not. No
+I/O."""
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -115,7 +116,8 @@
 
 
 class ServerSide:
-    """The sidecar as its clients' server, on one connection. A request is read by `next_part`: its head, then the
+    """The sidecar as its clients' server, on one connection. A request is read by `next_part`: its head,
+    then the
     parts of its body, then END; or by `next_request`, whole."""
 
     def __init__(self, largest: int = LARGEST_BODY) -> None:
@@ -196,7 +198,8 @@
         return data + self.end()
 
     def begin(self, answer: Answer, length: int | None, close: bool) -> bytes:
-        """Its head, with the length where that is told; else it is chunked, or ends with the connection for clients
+        """Its head, with the length where that is told; else it is chunked, or ends with the connection for
+        clients
         that know no better."""
         headers = end_to_end(answer.headers)
         if self.method == b"HEAD":
--- a/lupinmill/routing/body.py
+++ b/lupinmill/routing/body.py
@@ -1,4 +1,5 @@
-"""The body of a submission that is launched while it comes: what came lately waits here for the launch to send it, and
+"""The body of a submission that is launched while it comes: what came lately waits here for the launch to
+send it, and
 what of its beginning the shelf has room for stays, so that another launch can start anew.
 
 Owns its part of the shelf, which `drop` gives back."""
@@ -36,7 +37,8 @@
         self.changed = anyio.Event()
 
     async def put(self, data: bytes | bytearray, launched: bool = True) -> None:
-        """Waits while no launch takes what is here and the shelf has no room; one part more than that has room
+        """Waits while no launch takes what is here and the shelf has no room; one part more than that has
+        room
         is taken where there is no launch yet that could."""
         if not self.shelf.lease(len(data)):
             while launched and self.end - self.start > AHEAD and not self.broken:
--- a/lupinmill/routing/book.py
+++ b/lupinmill/routing/book.py
@@ -80,7 +80,8 @@
         """A large answer passes on as it comes: nothing of ours ends it any more."""
         launch.scope.deadline, journey.stream = math.inf, stream
         self.settle(journey, answer)
-        # To the module it is over: the endpoint has done its work, what it still writes takes none of its places.
+        # To the module it is over: the endpoint has done its work, what it still writes takes none of its
+        # places.
         self.tell_ended(journey, launch, t.How.HANDLED, load)
         launch.told = True
 
--- a/lupinmill/routing/directory.py
+++ b/lupinmill/routing/directory.py
@@ -57,5 +57,6 @@
         return self.states.get(name) is t.State.READY and name not in self.out
 
     def empty(self) -> bool:
-        """No endpoint is there; those out by hand are, for this: it is by operators' will that none serves."""
+        """No endpoint is there; those out by hand are, for this: it is by operators' will that none
+        serves."""
         return not any(state is t.State.READY for state in self.states.values())
--- a/lupinmill/routing/relay.py
+++ b/lupinmill/routing/relay.py
@@ -76,7 +76,8 @@
 
     async def pass_back(self, client: Client, side: ServerSide, answer: Answer, close: bool,
                         most: int = LINGERING) -> bool:
-        """True when the connection can serve another submission. Of what a client goes on sending so many bytes
+        """True when the connection can serve another submission. Of what a client goes on sending so many
+        bytes
         are read and dropped."""
         with anyio.move_on_after(STUCK) as scope:
             await client.send(side.answer(answer, close))
--- a/lupinmill/routing/send.py
+++ b/lupinmill/routing/send.py
@@ -98,7 +98,8 @@
 
     async def pass_large(self, journey: Journey, launch: Launch, answer: Answer, connection: Connection,
                          side: ClientSide) -> None:
-        """Lends the connection to the client's task, where this answer is large and the client's. Of any other
+        """Lends the connection to the client's task, where this answer is large and the client's. Of any
+        other
         large one nothing is wanted."""
         if not side.large or answer.status != 200 or journey.settled:
             return
@@ -137,7 +138,8 @@
             raise failed or ConnectionResetError("broke while it was sent")
         return answer
 
-    async def send_large(self, connection: Connection, side: ClientSide, body: Body, request: Request) -> None:
+    async def send_large(self, connection: Connection, side: ClientSide, body: Body,
+                         request: Request) -> None:
         length = body.end if body.whole else body.length
         if not body.anew():
             raise Gone
--- a/lupinmill/routing/take_in.py
+++ b/lupinmill/routing/take_in.py
@@ -72,7 +72,7 @@
         """True when the connection can serve another one."""
         if body is None or body.whole:
             self.door.enter(client)
-        admitted = self.admitted(client, side, request, body)
+        admitted = self.admitted(client, request, body)
         if isinstance(admitted, Answer):
             return await self.relay.pass_back(client, side, admitted, self.closing())
         journey = admitted
@@ -93,7 +93,7 @@
             if not journey.settled:
                 self.relay.book.withdraw(journey)
 
-    def admitted(self, client: Client, side: ServerSide, request: Request, body: Body | None) -> Journey | Answer:
+    def admitted(self, client: Client, request: Request, body: Body | None) -> Journey | Answer:
         to_come = 0.0
         if body is not None and not body.whole:
             to_come = WHOLE + ((body.length or LARGEST_BODY) - body.end) / PACE
@@ -106,7 +106,8 @@
                 body.drop()
 
     async def pump(self, client: Client, side: ServerSide, journey: Journey, body: Body) -> bool:
-        """The rest of a body to the launch that sends it on, until it is whole or its submission settled. False
+        """The rest of a body to the launch that sends it on, until it is whole or its submission settled.
+        False
         where nobody waits for an answer any more."""
         there = False
         with anyio.CancelScope() as journey.waiting:
@@ -174,7 +175,8 @@
         return request, body
 
     async def gather(self, client: Client, side: ServerSide, body: Body, most: int) -> bool:
-        """Up to the end, or until so much is there or the shelf is full. It may come slowly: time in which nobody
+        """Up to the end, or until so much is there or the shelf is full. It may come slowly: time in which
+        nobody
         takes what is there already doesn't count. False where the client left."""
         with anyio.fail_after(WHOLE) as scope:
             began, before = anyio.current_time(), side.size
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -196,7 +196,8 @@
 
 @dataclass(slots=True)
 class Elsewhere:
-    """What an older process of this sidecar still has out, until it has ended: one set of caps and one budget of
+    """What an older process of this sidecar still has out, until it has ended: one set of caps and one
+    budget of
     retries hold for both."""
 
     flying: dict[str, int]  # launches at each endpoint
--- a/lupinmill/transport/link.py
+++ b/lupinmill/transport/link.py
@@ -1,6 +1,7 @@
 """A link between two processes of one sidecar: messages, some with descriptors, over a Unix stream socket.
 
-Owns its socket and the descriptors that wait to be sent, which are given back by `close` or once they are sent. A
+Owns its socket and the descriptors that wait to be sent, which are given back by `close` or once they are
+sent. A
 message is four bytes of length and JSON; its descriptors come with its first byte at the latest."""
 from __future__ import annotations
 
@@ -79,7 +80,8 @@
         self.came += data
 
     async def ask(self, message: dict[str, Any], time_out: float) -> dict[str, Any]:
-        """Sends the first one and waits for the next; TimeoutError, OSError or BrokenLink where none comes."""
+        """Sends the first one and waits for the next; TimeoutError, OSError or BrokenLink where none
+        comes."""
         with anyio.fail_after(time_out):
             rest = memoryview(self.encode(message))
             while rest:
@@ -99,7 +101,8 @@
         return message
 
     def send(self, message: dict[str, Any], descriptor: int | None = None) -> bool:
-        """Queues it; the descriptor is the link's from now on. False, and nothing taken, where it is broken."""
+        """Queues it; the descriptor is the link's from now on. False, and nothing taken, where it is
+        broken."""
         if not self.has_room():
             return False
         self.going.append((self.encode(message), descriptor))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -3,10 +3,8 @@
 import random
 import signal
 import socket
-import struct
 import subprocess
 import sys
-import time
 
 import anyio
 import orjson
@@ -381,7 +379,8 @@
 
 
 def test_twenty_upgrades_under_load_lose_double_and_turn_back_nothing(tmp_path):
-    """Kept and new connections, judged at the clients and at the endpoints; the old process is told to end each
+    """Kept and new connections, judged at the clients and at the endpoints; the old process is told to end
+    each
     time."""
     net = Net([always(Answer(200, [], b"fine"), 0.03)] * 3)
     wrong: list[str] = []
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -755,7 +755,7 @@
                     await anyio.sleep(1.0)
                     status = Path(f"/proc/{process.pid}/status").read_text()
                     used = int(re.search(r"VmRSS:\s+(\d+) kB", status)[1])
-                    assert 16_000 < used < (OWN_MEMORY + 250 * CLIENT_MEMORY) // 1024  # what `Descriptors` counts on
+                    assert 16_000 < used < (OWN_MEMORY + 250 * CLIENT_MEMORY) // 1024
                 process.kill()
                 process.communicate()
                 group.cancel_scope.cancel()
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -12,9 +12,9 @@
 from test_sidecar import always, fine, seen, until
 
 from lupinmill import terms as t
-from lupinmill.protocol.http import END, SMALL, Answer, ClientSide, Garbled, Request, ServerSide
+from lupinmill.protocol.http import SMALL, Answer, ClientSide, Garbled, Request, ServerSide
 from lupinmill.routing import body as bodies
-from lupinmill.routing import relay, take_in
+from lupinmill.routing import take_in
 from lupinmill.routing.body import Body, Gone
 from lupinmill.transport.ring import Shelf
 
