--- a/lupinmill/admin/standing.py
+++ b/lupinmill/admin/standing.py
@@ -1,6 +1,5 @@
 """What stands by operators' word: the endpoints out by hand, and whether this sidecar serves, drains or
-leaves.
-Pure: each call brings its time, in microseconds. The one place that anybody asks about either.
+leaves. Pure: each call brings its time, in microseconds. The one place that anybody asks about either.
 
 Owns the set of endpoints out by hand; an entry is given back by `back`, or by `forget` long after its
 endpoint went."""
--- a/lupinmill/handover/succession.py
+++ b/lupinmill/handover/succession.py
@@ -1,8 +1,7 @@
 """Who of two processes accepts clients, and who passes what to whom. Pure: notes in, orders out, no clock.
 
-A process that serves may have one successor. `Succession` is its side; the successor's own side is short:
-it asks
-before it starts, and says `serving` once."""
+A process that serves may have one successor. `Succession` is its side; the successor's own side is short: it
+asks before it starts, and says `serving` once."""
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -37,7 +36,6 @@
         self.name, self.listen = name, listen
         self.phase = Phase.ALONE
         self.leaving = False  # told to end: it takes up nothing any more
-        self.passed = 0  # upgrades so far
 
     def accepts(self) -> bool:
         return self.phase is not Phase.YIELDED
@@ -60,7 +58,6 @@
         if self.phase is not Phase.OFFERED:
             return []
         self.phase = Phase.YIELDED
-        self.passed += 1
         return [Order(Do.YIELD)]
 
     def lost(self) -> list[Order]:
--- a/lupinmill/protocol/http.py
+++ b/lupinmill/protocol/http.py
@@ -116,9 +116,8 @@
 
 
 class ServerSide:
-    """The sidecar as its clients' server, on one connection. A request is read by `next_part`: its head,
-    then the
-    parts of its body, then END; or by `next_request`, whole."""
+    """The sidecar as its clients' server, on one connection. A request is read by `next_part`: its head, then
+    the parts of its body, then END; or by `next_request`, whole."""
 
     def __init__(self, largest: int = LARGEST_BODY) -> None:
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=LARGEST_HEAD)
@@ -199,8 +198,7 @@
 
     def begin(self, answer: Answer, length: int | None, close: bool) -> bytes:
         """Its head, with the length where that is told; else it is chunked, or ends with the connection for
-        clients
-        that know no better."""
+        clients that know no better."""
         headers = end_to_end(answer.headers)
         if self.method == b"HEAD":
             length = length_of(answer.headers) if not answer.body else length
--- a/lupinmill/routing/body.py
+++ b/lupinmill/routing/body.py
@@ -1,6 +1,5 @@
 """The body of a submission that is launched while it comes: what came lately waits here for the launch to
-send it, and
-what of its beginning the shelf has room for stays, so that another launch can start anew.
+send it, and what of its beginning the shelf has room for stays, so that another launch can start anew.
 
 Owns its part of the shelf, which `drop` gives back."""
 from __future__ import annotations
@@ -38,8 +37,7 @@
 
     async def put(self, data: bytes | bytearray, launched: bool = True) -> None:
         """Waits while no launch takes what is here and the shelf has no room; one part more than that has
-        room
-        is taken where there is no launch yet that could."""
+        room is taken where there is no launch yet that could."""
         if self.broken:
             return  # settled meanwhile: a lease taken now would be given back by nobody
         if not self.shelf.lease(len(data)):
--- a/lupinmill/routing/relay.py
+++ b/lupinmill/routing/relay.py
@@ -26,8 +26,7 @@
         """None where the client has gone away.
 
         Settling the journey cancels the wait; a task that waited beside this one would cost a tenth of what a
-        submission costs in all.
-        """
+        submission costs in all. """
         left = journey.due + BACKSTOP - self.book.engine.clock.now()
         try:
             with anyio.move_on_after(left / 1_000_000) as journey.waiting:
@@ -77,8 +76,7 @@
     async def pass_back(self, client: Client, side: ServerSide, answer: Answer, close: bool,
                         most: int = LINGERING) -> bool:
         """True when the connection can serve another submission. Of what a client goes on sending so many
-        bytes
-        are read and dropped."""
+        bytes are read and dropped."""
         with anyio.move_on_after(STUCK) as scope:
             await client.send(side.answer(answer, close))
         if scope.cancelled_caught:
--- a/lupinmill/routing/send.py
+++ b/lupinmill/routing/send.py
@@ -99,8 +99,7 @@
     async def pass_large(self, journey: Journey, launch: Launch, answer: Answer, connection: Connection,
                          side: ClientSide) -> None:
         """Lends the connection to the client's task, where this answer is large and the client's. Of any
-        other
-        large one nothing is wanted."""
+        other large one nothing is wanted."""
         if not side.large or answer.status != 200 or journey.settled:
             return
         stream = Stream(connection, side, launch)
--- a/lupinmill/routing/take_in.py
+++ b/lupinmill/routing/take_in.py
@@ -109,8 +109,7 @@
 
     async def pump(self, client: Client, side: ServerSide, journey: Journey, body: Body) -> bool:
         """The rest of a body to the launch that sends it on, until it is whole or its submission settled.
-        False
-        where nobody waits for an answer any more."""
+        False where nobody waits for an answer any more."""
         there = False
         with anyio.CancelScope() as journey.waiting:
             if not journey.settled:
@@ -178,8 +177,7 @@
 
     async def gather(self, client: Client, side: ServerSide, body: Body, most: int) -> bool:
         """Up to the end, or until so much is there or the shelf is full. It may come slowly: time in which
-        nobody
-        takes what is there already doesn't count. False where the client left."""
+        nobody takes what is there already doesn't count. False where the client left."""
         with anyio.fail_after(WHOLE) as scope:
             began, before = anyio.current_time(), side.size
             while body.end < most or most == LARGEST_BODY:
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -377,8 +377,7 @@
     def pick(self, s: Submission) -> Seat | None:
         """Fewest own launches in flight under the cap, random ties; a cold one counts at mean load.
 
-        Shelves of equal load, so that a pick costs the same in a large fleet.
-        """
+        Shelves of equal load, so that a pick costs the same in a large fleet. """
         if not self.ready or self.flying >= self.room():
             return None
         tried = [flight.seat for flight in s.flights]
--- a/lupinmill/state/learned.py
+++ b/lupinmill/state/learned.py
@@ -1,6 +1,5 @@
 """What the decision module has learned, as a plain table, and back. Pure. It decides nothing: figures that
-can't be
-read, or are of what no list names, are left out, and the module starts there as it would anyway."""
+can't be read, or are of what no list names, are left out, and the module starts there as it would anyway."""
 from __future__ import annotations
 
 from typing import Any
@@ -34,8 +33,7 @@
 
 def recall(sidecar: Sidecar, table: Table, now: int) -> None:
     """Into a module that has its list already. Budgets count as spent; what was set aside stays so, and is
-    probed
-    anew; who was on trial goes on."""
+    probed anew; who was on trial goes on."""
     desk = sidecar.desk
     desk.mail.now = now
     desk.cap = min(float(CAP_TOP), max(desk.allow.cap_floor, number(table.get("cap"), desk.cap)))
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -1,9 +1,8 @@
 """The interface of the decision module: what it is told, what it orders. No decisions live here.
 
-All times are whole microseconds of the caller's clock; ids are opaque and returned as received.
-A protocol adapter turns its messages into notes, calls `rules.Sidecar.step(now, notes)` and carries out
-the orders that come back, in their order.
-"""
+All times are whole microseconds of the caller's clock; ids are opaque and returned as received. A protocol
+adapter turns its messages into notes, calls `rules.Sidecar.step(now, notes)` and carries out the orders that
+come back, in their order. """
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -196,9 +195,8 @@
 
 @dataclass(slots=True)
 class Elsewhere:
-    """What an older process of this sidecar still has out, until it has ended: one set of caps and one
-    budget of
-    retries hold for both."""
+    """What an older process of this sidecar still has out, until it has ended: one set of caps and one budget
+    of retries hold for both."""
 
     flying: dict[str, int]  # launches at each endpoint
     retried: int = 0  # since it was last told
--- a/lupinmill/transport/connection.py
+++ b/lupinmill/transport/connection.py
@@ -86,8 +86,7 @@
         """Microseconds since the last bytes came, which lay in the kernel before they were read.
 
         Guards against a loop that lags: what it reads late would count as late sent, by a client whose hard
-        limit runs already, or by an endpoint that was quick.
-        """
+        limit runs already, or by an endpoint that was quick. """
         ago = time.time_ns() // 1000 - self.arrived
         if self.arrived and 0 <= ago < ABSURD:  # else the machine's clock was set meanwhile
             return ago
--- a/lupinmill/transport/link.py
+++ b/lupinmill/transport/link.py
@@ -1,8 +1,7 @@
 """A link between two processes of one sidecar: messages, some with descriptors, over a Unix stream socket.
 
 Owns its socket and the descriptors that wait to be sent, which are given back by `close` or once they are
-sent. A
-message is four bytes of length and JSON; its descriptors come with its first byte at the latest."""
+sent. A message is four bytes of length and JSON; its descriptors come with its first byte at the latest."""
 from __future__ import annotations
 
 import array
