--- a/lupinmill/admin/office.py
+++ b/lupinmill/admin/office.py
@@ -25,6 +25,7 @@
 class Office:
     def __init__(self, standing: Standing, directory: Directory, engine: Engine, log: Log) -> None:
         self.standing, self.directory, self.engine, self.log = standing, directory, engine, log
+        self.changed: Callable[[], None] = lambda: None  # told of each change of mode
         self.taking = lambda: False  # does this process take clients?
         # To the other process of an upgrade.
         self.pass_on: Callable[[calls.Call], Awaitable[None]] | None = None
@@ -50,6 +51,7 @@
             return ANSWERS[verdict]
         changed = self.standing.quiesce(now) if call.what == calls.QUIESCE else self.standing.resume(now)
         if changed:
+            self.changed()
             self.log("mode", text=f"{self.standing.mode.value}, by an operator's call")
         return 200, self.standing.mode.value
 
--- a/lupinmill/admin/standing.py
+++ b/lupinmill/admin/standing.py
@@ -5,7 +5,6 @@
 endpoint went."""
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 
 SECOND = 1_000_000
@@ -28,16 +27,9 @@
     FULL = "full"
 
 
-@dataclass(slots=True)
-class Out:
-    endpoint: str
-    since: int
-    named: int  # when a list last named it
-
-
 class Standing:
     def __init__(self) -> None:
-        self.out: dict[str, Out] = {}
+        self.out: dict[str, int] = {}  # by hand; when a list last named each
         self.mode = Mode.SERVING
         self.since = 0  # of the mode
         self.closes: int | None = None  # from when on connections close
@@ -53,7 +45,7 @@
             return Verdict.UNKNOWN
         if len(self.out) >= MOST_OUT:
             return Verdict.FULL
-        self.out[endpoint] = Out(endpoint, now, now)
+        self.out[endpoint] = now
         return Verdict.DONE
 
     def back(self, endpoint: str, listed: bool) -> Verdict:
@@ -63,10 +55,10 @@
 
     def forget(self, now: int, listed: set[str] | dict[str, object]) -> list[str]:
         """Those that no list has named for long; what is listed at this moment is marked as named."""
-        for name, out in self.out.items():
+        for name in self.out:
             if name in listed:
-                out.named = now
-        gone = [name for name, out in self.out.items() if now - out.named >= FORGOTTEN]
+                self.out[name] = now
+        gone = [name for name, named in self.out.items() if now - named >= FORGOTTEN]
         for name in gone:
             del self.out[name]
         return gone
--- a/lupinmill/handover/papers.py
+++ b/lupinmill/handover/papers.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from lupinmill import terms as t
-from lupinmill.admin.standing import Mode, Out, Standing
+from lupinmill.admin.standing import Mode, Standing
 from lupinmill.handover.succession import VERSION
 from lupinmill.protocol import lists
 from lupinmill.protocol.http import Garbled
@@ -39,7 +39,7 @@
     return {
         "say": "state", "version": VERSION, "held": held, "learned": learned,
         "list": {"index": index or 0, "snapshot": True, "endpoints": rows},
-        "out": [[out.endpoint, out.since, out.named] for out in standing.out.values()],
+        "out": [[name, named] for name, named in standing.out.items()],
         "mode": [standing.mode.value, standing.since],
     }
 
@@ -50,12 +50,12 @@
         raise BadPapers(str(table.get("why") or f"no state of version {VERSION}")[:200])
     try:
         known = lists.known(table["list"])
-        out = [Out(str(name), int(since), int(named)) for name, since, named in table["out"]]
+        out = {str(name): int(named) for name, named in table["out"]}
         mode, since = Mode(table["mode"][0]), int(table["mode"][1])
         papers = Papers(known, dict(table["learned"]), int(table["held"]), int(table.get("repeats", 0)))
     except (KeyError, TypeError, ValueError, IndexError, Garbled) as error:
         raise BadPapers(f"{type(error).__name__}: {error}"[:200]) from error
-    standing.out.update((one.endpoint, one) for one in out)
+    standing.out.update(out)
     if mode is Mode.DRAINING:
         standing.quiesce(since)
     return papers
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -72,6 +72,8 @@
         self.engine.carriers[t.Watch] = self.discovery.watch
         self.handover = Handover(told.directory, told.name, told.listen, log)
         self.repeats_before = 0  # launches again of the process before this one, when it told what it knew
+        self.to_close = anyio.Event()  # something may ask for idle clients to be closed or passed
+        self.office.changed = lambda: self.to_close.set()
         self.operator: str | None = None  # where operators call, once bound
 
     def bound(self, kind: Callable[..., Any], address: str, *more: Any) -> Any:
@@ -178,6 +180,7 @@
         now = self.engine.clock.now()
         ends = now + int(stay * 1_000_000)
         self.standing.leave(now, ends - CLOSING, ends)
+        self.to_close.set()
         began = anyio.current_time()
         while (waited := anyio.current_time() - began) < stay or self.book.journeys:
             if not take_in.clients and (waited >= STILL_COMING or not self.handover.succession.accepts()):
@@ -218,6 +221,7 @@
         def yield_() -> None:
             listener.pause()
             listener.passing = True
+            self.to_close.set()
             take_in.pass_on = lambda client: handover.pass_client(client.sock)
             self.pool.close()
             listener.dismiss_all()
@@ -258,8 +262,11 @@
         handover.start(group)
 
     async def close_idle(self, listener: Listener) -> None:
-        """While this sidecar drains or leaves, once what stands says so."""
+        """While this sidecar drains, leaves or passes its clients on; else it sleeps."""
         while True:
+            while not listener.passing and self.standing.closes is None:
+                await self.to_close.wait()
+                self.to_close = anyio.Event()
             await anyio.sleep(CLOSE_EVERY)
             if listener.passing or self.standing.closing(self.engine.clock.now()):
                 listener.dismiss_all()
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -341,14 +341,21 @@
     return head.encode() + body
 
 
-def on_network(check, *acts, **more) -> Net:
-    """Runs `check(net)` beside a whole program; afterwards nothing may be left that was leased."""
+def on_network(check, *acts, endpoint=None, **more) -> Net:
+    """Runs `check(net)` beside a whole program; afterwards nothing may be left that was leased. `endpoint`:
+    what serves a connection in the place of the first stand-in."""
     net = Net(acts, **more)
 
     async def main() -> None:
         with anyio.fail_after(NO_CHANCE_OF_STOPPING):
             async with anyio.create_task_group() as group:
                 await net.start(group)
+                if endpoint is not None:
+                    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+                    address = "127.0.0.1:%d" % listener.extra(anyio.abc.SocketAttribute.local_port)
+                    net.table["known"]["endpoints"][0]["address"] = address
+                    net.discovery.rows[0]["address"] = address
+                    group.start_soon(listener.serve, endpoint)
                 async with anyio.create_task_group() as inner:
                     await net.start_program(inner)
                     await check(net)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -227,7 +227,7 @@
         else:
             gone = stands.forget(now, {name: None} if listed else {})
             assert not listed or name not in gone
-            assert all(now - out.named < standing.FORGOTTEN for out in stands.out.values())
+            assert all(now - named < standing.FORGOTTEN for named in stands.out.values())
         assert len(stands.out) <= standing.MOST_OUT
         assert stands.ready() == (not left and drains is None)
         assert (stands.mode is Mode.LEAVING) == left
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -420,6 +420,46 @@
         await anyio.sleep(0.02)
 
 
+class Processes:
+    """Of one sidecar, started beside one another. All are ended with the test."""
+
+    def __init__(self, net: Net, folder) -> None:
+        self.net, self.folder, self.all = net, folder, []
+
+    async def start(self, folder=None) -> None:
+        operator = free_address()
+        table = self.net.table | {"listen": self.net.address, "operator": operator}
+        self.all.append(spawn(folder or self.folder, table, len(self.all)))
+        await healthy(operator)
+
+    async def end(self, number: int) -> None:
+        """By SIGTERM, to its own end."""
+        self.all[number].send_signal(signal.SIGTERM)
+        assert await anyio.to_thread.run_sync(self.all[number].wait) == 0
+
+    def kill(self) -> None:
+        for process in self.all:
+            process.kill()
+            process.wait()
+
+
+def among_processes(check, net: Net, folder, limit: float = 30) -> None:
+    """Runs `check(processes, group)` beside the stand-ins; what it starts in the group ends with it."""
+    async def main() -> None:
+        processes = Processes(net, folder)
+        try:
+            with anyio.fail_after(limit):
+                async with anyio.create_task_group() as group:
+                    await net.start(group)
+                    net.address = free_address()
+                    await check(processes, group)
+                    group.cancel_scope.cancel()
+        finally:
+            processes.kill()
+
+    anyio.run(main)
+
+
 def test_twenty_upgrades_under_load_lose_double_and_turn_back_nothing(tmp_path):
     """Kept and new connections, judged at the clients and at the endpoints; the old process is told to end
     each
@@ -455,36 +495,20 @@
                 wrong.append(f"{name}: {answer}")
             await anyio.sleep(0.01)
 
-    async def main() -> None:
-        processes: list[subprocess.Popen] = []
-        try:
-            with anyio.fail_after(100):
-                async with anyio.create_task_group() as group:
-                    await net.start(group)
-                    net.address = free_address()
-                    over = anyio.Event()
-                    for number in range(21):
-                        operator = free_address()
-                        table = net.table | {"listen": net.address, "operator": operator}
-                        processes.append(spawn(tmp_path, table, number))
-                        await healthy(operator)
-                        if number == 0:
-                            for client in range(8):
-                                group.start_soon(kept, client, over)
-                            group.start_soon(fresh, over)
-                            continue
-                        await anyio.sleep(0.1)
-                        processes[number - 1].send_signal(signal.SIGTERM)
-                        assert await anyio.to_thread.run_sync(processes[number - 1].wait) == 0
-                    over.set()
-                    await anyio.sleep(0.3)
-                    group.cancel_scope.cancel()
-        finally:
-            for process in processes:
-                process.kill()
-                process.wait()
-
-    anyio.run(main)
+    async def check(processes: Processes, group) -> None:
+        over = anyio.Event()
+        await processes.start()
+        for client in range(8):
+            group.start_soon(kept, client, over)
+        group.start_soon(fresh, over)
+        for number in range(20):
+            await processes.start()
+            await anyio.sleep(0.1)
+            await processes.end(number)
+        over.set()
+        await anyio.sleep(0.3)
+
+    among_processes(check, net, tmp_path, 100)
     assert not wrong, wrong[:5]
     got = [one.header(b"req-id") for stand in net.stands for one in stand.seen if one.header(b"req-id")]
     assert sorted(got) == sorted(asked) and len(got) > 500
@@ -493,34 +517,17 @@
 
 
 def test_without_a_common_directory_the_next_process_listens_beside_the_one_before(tmp_path):
-    net = Net([fine, fine])
-
-    async def main() -> None:
-        processes = []
-        try:
-            with anyio.fail_after(20):
-                async with anyio.create_task_group() as group:
-                    await net.start(group)
-                    net.address = free_address()
-                    for number in range(2):
-                        folder = tmp_path / str(number)
-                        folder.mkdir()
-                        operator = free_address()
-                        table = net.table | {"listen": net.address, "operator": operator}
-                        processes.append(spawn(folder, table, number))
-                        await healthy(operator)
-                    for at in range(20):
-                        assert (await net.ask(wanted(f"s{at}"))).status == 200
-                    processes[0].send_signal(signal.SIGTERM)
-                    assert await anyio.to_thread.run_sync(processes[0].wait) == 0
-                    assert (await net.ask(wanted("after"))).status == 200
-                    group.cancel_scope.cancel()
-        finally:
-            for process in processes:
-                process.kill()
-                process.wait()
+    async def check(processes: Processes, _) -> None:
+        for name in ("one", "two"):
+            (tmp_path / name).mkdir()
+            await processes.start(tmp_path / name)
+        for at in range(20):
+            assert (await net.ask(wanted(f"s{at}"))).status == 200
+        await processes.end(0)
+        assert (await net.ask(wanted("after"))).status == 200
 
-    anyio.run(main)
+    net = Net([fine, fine])
+    among_processes(check, net, tmp_path)
 
 
 def test_what_is_under_way_at_an_upgrade_ends_where_it_began(tmp_path):
@@ -540,45 +547,28 @@
             await anyio.sleep(0.05)
         return await stream.receive()
 
-    async def main() -> None:
-        processes = []
-        try:
-            with anyio.fail_after(30):
-                async with anyio.create_task_group() as group:
-                    await net.start(group)
-                    net.address = free_address()
-                    host, port = net.address.split(":")
-                    got: dict[str, bytes] = {}
-                    for number in range(2):
-                        operator = free_address()
-                        table = net.table | {"listen": net.address, "operator": operator}
-                        processes.append(spawn(tmp_path, table, number))
-                        await healthy(operator)
-                        if number:
-                            break
-                        up = await anyio.connect_tcp(host, int(port))
-                        down = await anyio.connect_tcp(host, int(port))
-                        await down.send(wanted("down"))
-
-                        async def run_up() -> None:
-                            got["up"] = await upload(up, wanted("up", body=body))
-
-                        group.start_soon(run_up)
-                        got["down"] = await down.receive()
-                    processes[0].send_signal(signal.SIGTERM)
-                    while b"\r\n\r\n" not in got["down"] or len(got["down"].partition(b"\r\n\r\n")[2]) < len(body):
-                        got["down"] += await down.receive(20_000)
-                        await anyio.sleep(0.005)
-                    assert got["down"].partition(b"\r\n\r\n")[2] == body
-                    await until(lambda: "up" in got)
-                    assert got["up"].startswith(b"HTTP/1.1 200 ") and got["up"].endswith(b"2000000")
-                    for name, stream in (("a", up), ("b", down)):  # both connections have passed by now
-                        assert b"done-" + name.encode() in await exchange(stream, name)
-                    assert await anyio.to_thread.run_sync(processes[0].wait) == 0
-                    group.cancel_scope.cancel()
-        finally:
-            for process in processes:
-                process.kill()
-                process.wait()
-
-    anyio.run(main)
+    async def check(processes: Processes, group) -> None:
+        got: dict[str, bytes] = {}
+        await processes.start()
+        host, port = net.address.split(":")
+        up, down = await anyio.connect_tcp(host, int(port)), await anyio.connect_tcp(host, int(port))
+
+        async def run_up() -> None:
+            got["up"] = await upload(up, wanted("up", body=body))
+
+        await down.send(wanted("down"))
+        group.start_soon(run_up)
+        whole = await down.receive()
+        await processes.start()
+        processes.all[0].send_signal(signal.SIGTERM)
+        while len(whole.partition(b"\r\n\r\n")[2]) < len(body):
+            whole += await down.receive(20_000)
+            await anyio.sleep(0.005)
+        assert whole.partition(b"\r\n\r\n")[2] == body
+        await until(lambda: "up" in got)
+        assert got["up"].startswith(b"HTTP/1.1 200 ") and got["up"].endswith(b"2000000")
+        for name, stream in (("a", up), ("b", down)):  # both connections have passed by now
+            assert b"done-" + name.encode() in await exchange(stream, name)
+        assert await anyio.to_thread.run_sync(processes.all[0].wait) == 0
+
+    among_processes(check, net, tmp_path)
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -353,8 +353,6 @@
                     group.cancel_scope.cancel()
             assert answer.startswith(b"HTTP/1.1 413 ")
 
-    net = Net([fine])
-
     async def endpoint(stream) -> None:
         """Answers what has come of a request when half a MiB is there."""
         async with stream:
@@ -367,22 +365,7 @@
             await stream.send(b"HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n")
             await anyio.sleep(1)
 
-    async def main() -> None:
-        with anyio.fail_after(20):
-            async with anyio.create_task_group() as group:
-                await net.start(group)
-                listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-                net.table["known"]["endpoints"][0]["address"] = "127.0.0.1:%d" % listener.extra(
-                    anyio.abc.SocketAttribute.local_port)
-                net.discovery.rows[0]["address"] = net.table["known"]["endpoints"][0]["address"]
-                group.start_soon(listener.serve, endpoint)
-                async with anyio.create_task_group() as inner:
-                    await net.start_program(inner)
-                    await check(net)
-                    inner.cancel_scope.cancel()
-                group.cancel_scope.cancel()
-
-    anyio.run(main)
+    net = on_network(check, fine, endpoint=endpoint)
     assert net.ended()[0] is t.How.REJECTED
 
 
