--- a/lupinmill/benchlink/codec.py
+++ b/lupinmill/benchlink/codec.py
@@ -52,6 +52,7 @@
         kind=f.get("generation-hw", ""),
         cell=f.get("group", ""),
         started=micros(f.get("started-at-s", "0")),
+        weight=float(f.get("rating", "1")) or 1.0,
     )
 
 
@@ -67,7 +68,8 @@
 
 def arrived(f: Fields, _: Any) -> t.Arrived:
     repeated = f.get("retry") == "1"
-    return t.Arrived(f["handle"], f["profile"], micros(f["due-s"]), f.get("tenant", ""), repeated)
+    due, key = micros(f["due-s"]), f.get("name-key", "")
+    return t.Arrived(f["handle"], f["profile"], due, f.get("tenant", ""), repeated, key=key)
 
 
 def ended(f: Fields, report: Any) -> t.Ended:
--- a/lupinmill/protocol/settings.py
+++ b/lupinmill/protocol/settings.py
@@ -94,6 +94,12 @@
         reports_asked=s.text("load-report.how", "off") == "on_probe",
         advice_allowed=s.flag("limits.retry-after"),
         longest_advice=s.micros("limits.max-retry-after-s"),
+        beside=s.text("family") == "mesh",
+        zone=s.text("locality"),
+        crossing_price=s.number("prices.cross-zone"),
+        warm_keys=s.flag("family-info.warm-keys"),
+        weights_tell_speed=s.text("weights") == "nominal",
+        few_connections=s.number("limits.streams-per-conn", 1) > 1 and s.number("prices.connection") > 0,
     )
 
 
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -10,8 +10,9 @@
 
 from collections import deque
 from dataclasses import dataclass, field, replace
-from math import ceil, sqrt
+from math import ceil, log, sqrt
 from typing import Any
+from zlib import crc32
 
 from lupinmill import terms as t
 from lupinmill.workings import (
@@ -27,6 +28,7 @@
 # Of all sidecars together, shared out evenly: the most an endpoint's caps start with, what they add a sweep
 # while submissions are held and answers come fast, and what they leave at the least.
 FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 4.0
+BESIDE_START, BESIDE_FLOOR, BESIDE_GROWTH = 2.0, 0.5, 0.02  # multiples of what own traffic keeps in flight
 UNEVEN = 0.7  # of that at the start where caps are fractions: the fullest of uneven ones jams first
 CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
 # Answers that are crowded for so long with caps at their floor are a jam: then so little, so long, so rarely.
@@ -83,6 +85,10 @@
     spot: int = 0
     credit: float = 0.0
     credited: int = 0
+    mark: int = 0  # of its name, common to all sidecars
+    lot: float = 0.0  # of this sidecar: the least make up the endpoints that it uses
+    used: bool = True
+    pull: float = 1.0  # its part among equals
 
 
 @dataclass(slots=True)
@@ -113,6 +119,7 @@
     whole: bool = True  # its last byte has come
     repeated: bool = False
     spent: bool = False  # it can't be sent once more
+    mark: int = 0  # of its key
 
     def out(self) -> int:
         return sum(flight.out for flight in self.flights)
@@ -150,6 +157,11 @@
         weight = d.pooled_weight + d.evenness_weight
         self.greed = d.pooled_weight / weight if weight else 1.0
         self.quotas = {q.name: q.quota_per_s / d.instances for q in d.tenants} if self.front else {}
+        self.beside, self.zone, self.warm_keys, self.few = d.beside, d.zone, d.warm_keys, d.few_connections
+        self.crossing, self.told_speed = d.crossing_price, d.weights_tell_speed
+        if self.beside:
+            self.cap_start, self.cap_floor, self.cap_growth = BESIDE_START, BESIDE_FLOOR, BESIDE_GROWTH
+            self.quotas = {}
 
 
 class Desk(Part):
@@ -173,6 +185,9 @@
         self.gauges: dict[str, Gauge] = {}
         self.taken, self.retried = Ring(RETRY_BUCKETS, SECOND // 2), Ring(RETRY_BUCKETS, SECOND // 2)
         self.launched = Ring(10, SECOND // 10)
+        self.came, self.began = Ring(10, SECOND // 2), -1
+        self.unhurried, self.scale = 0.0, 1.0  # uncrowded answer time over all; what a cap is a multiple of
+        self.kinds: dict[str, float] = {}  # usual pace of each kind of endpoint
         self.sent_by = {name: Ring(10, SECOND // 5) for name in allow.quotas}
         self.failed, self.answered = Ring(6, SECOND // 2), Ring(6, SECOND // 2)
         self.handlers = {
@@ -198,6 +213,8 @@
         lane = self.lane_of(w, beyond, note.repeated)
         s = Submission(note.submission, w, note.due, min(note.due, now + contract), now, lane)
         s.whole, s.repeated = note.whole, note.repeated
+        s.mark = crc32(note.key.encode()) if allow.warm_keys and note.key else 0
+        self.came.add(now)
         self.open[s.name] = s
         self.keep_sweeping()
         self.mail.alarm(self.end_of(s), self, GiveUp(s, True))
@@ -235,7 +252,7 @@
         seat = flight.seat
         flight.counted = True
         seat.flying += 1
-        self.flying += seat.says.open
+        self.flying += seat.says.open and seat.used
         self.busy[seat.name] = seat
         self.shelve(seat)
         self.launched.add(self.mail.now)
@@ -251,7 +268,7 @@
                 continue
             seat.elsewhere += more
             seat.flying += more
-            self.flying += more * seat.says.open
+            self.flying += more * (seat.says.open and seat.used)
             if seat.flying:
                 self.busy[seat.name] = seat
             else:
@@ -355,6 +372,8 @@
         last second's mean keeps to it, arrivals by chance may exceed it for a moment.
         """
         room = self.part()
+        if self.allow.beside:
+            return int(max(1.0, room + (0 if self.pace_over(ROOMY) else sqrt(room))) + 0.5)
         if self.cap >= 1:
             return max(1, ceil(room))
         mean = self.launched.total(self.mail.now) * self.usual.took / SECOND
@@ -366,7 +385,7 @@
 
     def part(self) -> float:
         """This sidecar's part of what all ready endpoints take; little while they rest."""
-        return self.cap * self.shares * (REST_PART if self.mail.now < self.rest_until else 1.0)
+        return self.cap * self.scale * self.shares * (REST_PART if self.mail.now < self.rest_until else 1.0)
 
     def pace_over(self, mark: float) -> bool:
         """Where caps are fractions, few answers make a light day look crowded: reports that are probed for
@@ -382,17 +401,32 @@
             return None
         tried = [flight.seat for flight in s.flights]
         for behind in (0, CAP_TOP):
-            for load in range(min(CAP_TOP, max(1, ceil(self.cap)))):
+            for load in range(min(CAP_TOP, max(1, ceil(self.cap * self.scale)))):
                 shelf = self.shelves[behind + load]
                 told = None if behind else self.told_least(load, s, tried)
                 if told is not None:
                     return told
+                if self.allow.beside:
+                    for seat in sorted(shelf, key=lambda seat: self.race(seat, s)):
+                        if self.may_take(seat, s, tried):
+                            return seat
+                    continue
                 start = self.chance.upto(len(shelf) - 1) if len(shelf) > 1 else 0
                 for at in range(start, start + len(shelf)):
                     if self.may_take(shelf[at % len(shelf)], s, tried):
                         return shelf[at % len(shelf)]
         return None
 
+    def race(self, seat: Seat, s: Submission) -> float:
+        """The least comes first: by chance, or by its key alike at all sidecars, each as often as it pulls."""
+        if s.mark:
+            mixed = (s.mark ^ seat.mark) * 0x9E3779B1 & 0xFFFFFFFF
+            mixed = (mixed ^ mixed >> 15) * 0x85EBCA77 & 0xFFFFFFFF
+            drawn = ((mixed ^ mixed >> 13) + 1) / 2**32
+        else:
+            drawn = self.chance.draw() or 0.5
+        return -log(drawn) / seat.pull
+
     def told_least(self, load: int, s: Submission, tried: list[Seat]) -> Seat | None:
         """Of equals that told of their load the least, if that is less than the mean; each report fades to
         the mean. Guards against ties at random where own launches in flight are mostly none.
@@ -424,7 +458,7 @@
                 self.mail.orders.append(t.Probe(seat.name))
 
     def may_take(self, seat: Seat, s: Submission, tried: list[Seat]) -> bool:
-        if seat.flying and (seat.says.trial or seat.flying >= self.cap * seat.says.share):
+        if seat.flying and (seat.says.trial or seat.flying >= self.cap * self.scale * seat.says.share):
             return False
         if tried and (not self.group_allows(s, seat) or seat in tried and self.ready > len(tried)):
             return False
@@ -432,7 +466,7 @@
 
     def shelve(self, seat: Seat) -> None:
         shelf = -1
-        if seat.says.open:
+        if seat.says.open and seat.used:
             mean = 0 if seat.says.cold_since is None else round(self.flying / self.ready)
             shelf = min(max(seat.flying, mean), CAP_TOP - 1) + (CAP_TOP if seat.says.crowded else 0)
         if shelf == seat.shelf:
@@ -502,7 +536,7 @@
         seat.flying -= 1
         if not seat.flying:
             del self.busy[seat.name]
-        if seat.says.open:
+        if seat.says.open and seat.used:
             self.flying -= 1
             self.shelve(seat)
         gauge = self.gauge(s.workload)
@@ -513,6 +547,8 @@
         how = t.How.TIMED_OUT if flight.overdue else note.how
         overtaken = s.done and not flight.overdue or how in (t.How.CALLED_OFF, t.How.UNSENT, t.How.REJECTED)
         pace = note.took / max(1.0, gauge.uncrowded)
+        if self.allow.beside and note.how is t.How.HANDLED:
+            self.learn(seat, pace, gauge.uncrowded)
         if how in (t.How.HANDLED, t.How.TIMED_OUT):
             # Over about a second's answers, at least eight: with few a fixed share would see a jam too late.
             gain = max(0.03, 1 / (8 + self.answered.total(now) / 3))
@@ -616,7 +652,11 @@
             return
         if note.name in self.seats:
             self.count(self.seats[note.name], -1)
-        seat = self.seats.setdefault(note.name, Seat(note.name, note))
+        seat = self.seats.get(note.name)
+        if seat is None:
+            seat = self.seats[note.name] = Seat(note.name, note, mark=crc32(note.name.encode()))
+            seat.used, seat.lot = not self.allow.few, -log(self.chance.draw() or 0.5) if self.allow.few else 0.0
+            seat.pull = note.weight
         if note.cold_since is not None and (note is seat.says or note.cold_since != seat.says.cold_since):
             seat.credit, seat.credited = self.chance.draw(), self.mail.now
         seat.says = note
@@ -629,11 +669,40 @@
             self.told = deque((one for one in self.told if one is not seat), TOLD_KEPT)
 
     def count(self, seat: Seat, sign: int) -> None:
-        if seat.says.open:
+        if seat.says.open and seat.used:
             self.ready += sign
             self.flying += sign * seat.flying
             self.shares += sign * seat.says.share
 
+    def learn(self, seat: Seat, pace: float, uncrowded: float) -> None:
+        kind = seat.says.kind
+        self.kinds[kind] = self.kinds.get(kind, pace) + 0.02 * (min(pace, 8) - self.kinds.get(kind, pace))
+        self.unhurried += (uncrowded - self.unhurried) * (0.02 if self.unhurried else 1.0)
+
+    def balance(self, usual: float) -> None:
+        """What own traffic keeps in flight, and what part of it each endpoint gets."""
+        now = self.mail.now
+        self.began = now if self.began < 0 else self.began
+        rate = self.came.total(now) * SECOND / min(5 * SECOND, max(SECOND, now - self.began))
+        self.scale = rate * (self.unhurried or 100 * MS) / SECOND / max(1, self.ready)
+        for seat in self.seats.values():
+            says = seat.says
+            seat.pull = says.weight / (1.0 if self.allow.told_speed else self.kinds.get(says.kind, 1.0))
+            if says.pace is not None:
+                seat.pull *= min(1.5, (usual / max(0.1, says.pace)) ** 1.5)
+            if self.allow.crossing and says.zone != self.allow.zone:
+                seat.pull *= 0.2
+        if self.allow.few:
+            places = ceil(4 + rate / 2)
+            for seat in sorted(self.seats.values(), key=lambda seat: seat.lot / seat.says.weight):
+                used = places > 0
+                places -= seat.says.open
+                if used != seat.used:
+                    self.count(seat, -1)
+                    seat.used = used
+                    self.count(seat, 1)
+                    self.shelve(seat)
+
     def keep_sweeping(self) -> None:
         """An idle sidecar is woken for nothing."""
         if not self.sweeping:
@@ -681,6 +750,8 @@
                 if seat.says.cold_since is not None:
                     self.shelve(seat)  # the mean that it counts at has moved
         load = sum(busy) / len(busy) if busy else 1.0
+        if all_ and self.allow.beside:
+            self.balance(pace)
         self.usual = Usual(took, self.crowding, pace, failed, answered, told, load)
 
 
@@ -714,7 +785,8 @@
         open_ = self.mode != "aside" and self.entry.state is t.State.READY
         self.mail.post(self.desk, Standing(
             self.entry.endpoint, open_, self.mode == "trial", self.crowded, self.share, self.pace, self.told,
-            self.told_at, self.busy, self.cold_since, self.entry.zone, self.entry.cell,
+            self.told_at, self.busy, self.cold_since, self.entry.zone, self.entry.cell, self.entry.kind,
+            self.entry.weight,
         ))
 
     def listed(self, entry: t.Listing) -> None:
@@ -838,7 +910,7 @@
         if self.flying and note.why.startswith("silent"):
             self.mail.post(self.desk, Silent(self.entry.endpoint))
         rest = self.rest - self.chance.upto(self.rest // 4)
-        self.schedule_probe(SECOND // 10 if self.broken >= 2 else rest)
+        self.schedule_probe(SECOND // 10 if self.broken >= 2 and self.probes else rest)
         self.tell()
 
     def schedule_probe(self, delay: int) -> None:
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -98,6 +98,12 @@
     reports_asked: bool = False  # load reports come with probes alone
     advice_allowed: bool = False
     longest_advice: int = 0
+    beside: bool = False  # each client process has a sidecar of its own
+    zone: str = ""  # where this sidecar is
+    crossing_price: float = 0.0  # for each launch that crosses zones, as a part of a submission's value
+    warm_keys: bool = False  # an endpoint handles with less work a key that it met lately
+    weights_tell_speed: bool = False  # an endpoint's weight holds its speed too, not its cores alone
+    few_connections: bool = False  # one carries many launches, and open ones are priced
 
 
 @dataclass(slots=True)
@@ -119,6 +125,7 @@
     kind: str = ""
     cell: str = ""
     started: int = 0  # 0: long ago
+    weight: float = 1.0  # its size against that of others
 
 
 # --- notes from outside -------------------------------------------------------------------------
@@ -138,6 +145,7 @@
     tenant: str = ""
     repeated: bool = False
     whole: bool = True  # else it is still coming: `due` is a guess until `Whole`
+    key: str = ""  # what it is about
 
 
 @dataclass(slots=True)
--- a/lupinmill/workings.py
+++ b/lupinmill/workings.py
@@ -117,6 +117,8 @@
     cold_since: int | None
     zone: str
     cell: str
+    kind: str
+    weight: float
 
 
 @dataclass(slots=True)
