--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -161,7 +161,8 @@
         self.crossing, self.told_speed = d.crossing_price, d.weights_tell_speed
         if self.beside:
             self.cap_start, self.cap_floor, self.cap_growth = BESIDE_START, BESIDE_FLOOR, BESIDE_GROWTH
-            self.quotas = {}
+            whole = sum(q.quota_per_s for q in d.tenants) or 1.0
+            self.quotas = {q.name: q.quota_per_s / whole for q in d.tenants}
 
 
 class Desk(Part):
@@ -188,7 +189,7 @@
         self.came, self.began = Ring(10, SECOND // 2), -1
         self.unhurried, self.scale = 0.0, 1.0  # uncrowded answer time over all; what a cap is a multiple of
         self.kinds: dict[str, float] = {}  # usual pace of each kind of endpoint
-        self.sent_by = {name: Ring(10, SECOND // 5) for name in allow.quotas}
+        self.sent_by = {name: Ring(10, SECOND // (2 if allow.beside else 5)) for name in allow.quotas}
         self.failed, self.answered = Ring(6, SECOND // 2), Ring(6, SECOND // 2)
         self.handlers = {
             t.Arrived: self.arrive, t.Ended: self.end, t.Withdrawn: self.withdraw, t.Started: self.start,
@@ -206,6 +207,7 @@
     def arrive(self, note: t.Arrived) -> None:
         now, allow = self.mail.now, self.allow
         w = allow.workloads.get(note.workload) or t.Workload(note.workload, note.due - now, note.due - now)
+        self.came.add(now)
         if not note.repeated:
             self.taken.add(now)
         contract = self.contract(w, note.due, note.repeated)
@@ -214,8 +216,9 @@
         s = Submission(note.submission, w, note.due, min(note.due, now + contract), now, lane)
         s.whole, s.repeated = note.whole, note.repeated
         s.mark = crc32(note.key.encode()) if allow.warm_keys and note.key else 0
-        self.came.add(now)
         self.open[s.name] = s
+        if not self.ready and allow.beside:
+            self.balance(1.0)
         self.keep_sweeping()
         self.mail.alarm(self.end_of(s), self, GiveUp(s, True))
         self.hold(s)
@@ -281,6 +284,10 @@
         if (ring := self.sent_by.get(tenant)) is None:
             return False
         ring.add(self.mail.now)
+        if self.allow.beside:
+            # Its part of own traffic, as all sidecars carry much the same mix; only what exceeds it is beyond.
+            part, sent = self.came.total(self.mail.now) * self.allow.quotas[tenant], ring.total(self.mail.now)
+            return part < sent and self.chance.draw() > part / sent
         return ring.total(self.mail.now) / 2 > self.allow.quotas[tenant] * 1.1
 
     def lane_of(self, w: t.Workload, beyond: bool, repeated: bool) -> int:
@@ -315,8 +322,9 @@
         lane = self.queue[s.lane]
         ahead = sum(len(other.line) for other in self.queue if other.worth > lane.worth) + len(lane.line)
         room, limit = self.part(), self.patience(s)
-        allowed = room * SECOND / self.gauge(s.workload).usual
-        rate = max(1.0, self.launched.total(self.mail.now), allowed if self.cap < 1 else 0.0)
+        fractions = self.allow.beside or self.cap < 1
+        allowed = (max(1.0, room) if self.allow.beside else room) * SECOND / self.gauge(s.workload).usual
+        rate = max(1.0, self.launched.total(self.mail.now), allowed if fractions else 0.0)
         if self.mail.now + int(ahead / rate * SECOND) <= limit:
             self.mail.alarm(limit, self, GiveUp(s, False))
             return
@@ -688,13 +696,15 @@
         for seat in self.seats.values():
             says = seat.says
             seat.pull = says.weight / (1.0 if self.allow.told_speed else self.kinds.get(says.kind, 1.0))
+            if self.allow.few:
+                seat.pull = sqrt(seat.pull)  # the other root is in how often it is among those used
             if says.pace is not None:
                 seat.pull *= min(1.5, (usual / max(0.1, says.pace)) ** 1.5)
             if self.allow.crossing and says.zone != self.allow.zone:
                 seat.pull *= 0.2
         if self.allow.few:
             places = ceil(4 + rate / 2)
-            for seat in sorted(self.seats.values(), key=lambda seat: seat.lot / seat.says.weight):
+            for seat in sorted(self.seats.values(), key=lambda seat: seat.lot / sqrt(seat.says.weight)):
                 used = places > 0
                 places -= seat.says.open
                 if used != seat.used:
