--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -29,6 +29,8 @@
 # while submissions are held and answers come fast, and what they leave at the least.
 FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 4.0
 BESIDE_START, BESIDE_FLOOR, BESIDE_GROWTH = 2.0, 0.5, 0.02  # multiples of what own traffic keeps in flight
+ABROAD, ABROAD_LEAST = 1.5, 0.03  # pace in the own zone from which others pull more; what they always pull
+BESIDE_CROWDED, BESIDE_ROOMY = 2.2, 1.75  # a thin stream of answers strays further
 UNEVEN = 0.7  # of that at the start where caps are fractions: the fullest of uneven ones jams first
 CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
 # Answers that are crowded for so long with caps at their floor are a jam: then so little, so long, so rarely.
@@ -157,6 +159,7 @@
         weight = d.pooled_weight + d.evenness_weight
         self.greed = d.pooled_weight / weight if weight else 1.0
         self.quotas = {q.name: q.quota_per_s / d.instances for q in d.tenants} if self.front else {}
+        self.crowded, self.roomy = (BESIDE_CROWDED, BESIDE_ROOMY) if d.beside else (CROWDED, ROOMY)
         self.beside, self.zone, self.warm_keys, self.few = d.beside, d.zone, d.warm_keys, d.few_connections
         self.crossing, self.told_speed = d.crossing_price, d.weights_tell_speed
         if self.beside:
@@ -189,6 +192,7 @@
         self.came, self.began = Ring(10, SECOND // 2), -1
         self.unhurried, self.scale = 0.0, 1.0  # uncrowded answer time over all; what a cap is a multiple of
         self.kinds: dict[str, float] = {}  # usual pace of each kind of endpoint
+        self.zones, self.abroad = [1.0, 1.0], 0.2  # pace in the own zone and in others; what others pull
         self.sent_by = {name: Ring(10, SECOND // (2 if allow.beside else 5)) for name in allow.quotas}
         self.failed, self.answered = Ring(6, SECOND // 2), Ring(6, SECOND // 2)
         self.handlers = {
@@ -294,6 +298,8 @@
         key = (w.name, beyond, repeated)
         if key not in self.lanes:
             worth = w.value ** self.allow.greed * (self.allow.beyond if beyond else 1.0)
+            if self.allow.beside:
+                worth *= SECOND / max(1, w.contract)  # the longer it may take the more of the endpoints' time it costs
             self.lanes[key] = len(self.queue)
             self.queue.append(Lane(worth * (0.7 if repeated else 1.0)))
         return self.lanes[key]
@@ -381,11 +387,11 @@
         """
         room = self.part()
         if self.allow.beside:
-            return int(max(1.0, room + (0 if self.pace_over(ROOMY) else sqrt(room))) + 0.5)
+            return int(max(1.0, room + (0 if self.pace_over(self.allow.roomy) else sqrt(room))) + 0.5)
         if self.cap >= 1:
             return max(1, ceil(room))
         mean = self.launched.total(self.mail.now) * self.usual.took / SECOND
-        if mean <= room and not self.pace_over(ROOMY):
+        if mean <= room and not self.pace_over(self.allow.roomy):
             room += min(sqrt(room), room * (1 / UNEVEN - 1))
         if self.mail.now >= self.redraw:
             self.luck, self.redraw = self.chance.draw(), self.mail.now + self.usual.took
@@ -685,6 +691,8 @@
     def learn(self, seat: Seat, pace: float, uncrowded: float) -> None:
         kind = seat.says.kind
         self.kinds[kind] = self.kinds.get(kind, pace) + 0.02 * (min(pace, 8) - self.kinds.get(kind, pace))
+        far = seat.says.zone != self.allow.zone
+        self.zones[far] += 0.05 * (min(pace, 8) - self.zones[far])
         self.unhurried += (uncrowded - self.unhurried) * (0.02 if self.unhurried else 1.0)
 
     def balance(self, usual: float) -> None:
@@ -693,6 +701,11 @@
         self.began = now if self.began < 0 else self.began
         rate = self.came.total(now) * SECOND / min(5 * SECOND, max(SECOND, now - self.began))
         self.scale = rate * (self.unhurried or 100 * MS) / SECOND / max(1, self.ready)
+        near, far = self.zones
+        if near > ABROAD and near > far:
+            self.abroad = min(1.0, self.abroad * 1.2)
+        else:
+            self.abroad = max(ABROAD_LEAST, self.abroad * 0.9)
         for seat in self.seats.values():
             says = seat.says
             seat.pull = says.weight / (1.0 if self.allow.told_speed else self.kinds.get(says.kind, 1.0))
@@ -701,7 +714,7 @@
             if says.pace is not None:
                 seat.pull *= min(1.5, (usual / max(0.1, says.pace)) ** 1.5)
             if self.allow.crossing and says.zone != self.allow.zone:
-                seat.pull *= 0.2
+                seat.pull *= self.abroad
         if self.allow.few:
             places = ceil(4 + rate / 2)
             for seat in sorted(self.seats.values(), key=lambda seat: seat.lot / sqrt(seat.says.weight)):
@@ -722,12 +735,12 @@
     def sweep(self, _: Sweep) -> None:
         """Looks over what is out, and learns the cap from all answers: those of one endpoint are few."""
         allow, self.sweeping = self.allow, False
-        if self.pace_over(CROWDED):
+        if self.pace_over(self.allow.crowded):
             self.cap = max(allow.cap_floor, self.cap * 0.93)
-        elif self.waiting and not self.pace_over(ROOMY):
+        elif self.waiting and not self.pace_over(self.allow.roomy):
             self.cap = min(float(CAP_TOP), self.cap + allow.cap_growth)
         # Jammed endpoints stay slow until mostly idle: guards against a jam that outlasts its cause.
-        if self.cap >= 1 or self.cap > allow.cap_floor or not self.pace_over(CROWDED):
+        if self.cap >= 1 or self.cap > allow.cap_floor or not self.pace_over(self.allow.crowded):
             self.eased = self.mail.now
         elif self.mail.now > max(self.eased + JAM_TIME, self.rest_until + REST_AGAIN):
             self.rest_until = self.mail.now + REST_TIME
