--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -299,7 +299,7 @@
         if key not in self.lanes:
             worth = w.value ** self.allow.greed * (self.allow.beyond if beyond else 1.0)
             if self.allow.beside:
-                worth *= SECOND / max(1, w.contract)  # the longer it may take the more of the endpoints' time it costs
+                worth *= SECOND / max(1, w.contract)  # what takes longer costs more of the endpoints' time
             self.lanes[key] = len(self.queue)
             self.queue.append(Lane(worth * (0.7 if repeated else 1.0)))
         return self.lanes[key]
@@ -561,8 +561,6 @@
         how = t.How.TIMED_OUT if flight.overdue else note.how
         overtaken = s.done and not flight.overdue or how in (t.How.CALLED_OFF, t.How.UNSENT, t.How.REJECTED)
         pace = note.took / max(1.0, gauge.uncrowded)
-        if self.allow.beside and note.how is t.How.HANDLED:
-            self.learn(seat, pace, gauge.uncrowded)
         if how in (t.How.HANDLED, t.How.TIMED_OUT):
             # Over about a second's answers, at least eight: with few a fixed share would see a jam too late.
             gain = max(0.03, 1 / (8 + self.answered.total(now) / 3))
@@ -571,6 +569,10 @@
             self.answered.add(now)
             if how is not t.How.HANDLED:
                 self.failed.add(now)
+        if self.allow.beside:
+            if note.how is t.How.HANDLED:
+                self.learn(seat, pace, gauge.uncrowded)
+            pace = self.against_kind(seat, pace)
         self.mail.post(self.endpoints[seat.name], Answer(how, pace, note.load, overtaken, self.usual))
         if note.closed or note.how is t.How.HANDLED:
             self.close(s)
@@ -695,6 +697,11 @@
         self.zones[far] += 0.05 * (min(pace, 8) - self.zones[far])
         self.unhurried += (uncrowded - self.unhurried) * (0.02 if self.unhurried else 1.0)
 
+    def against_kind(self, seat: Seat, pace: float) -> float:
+        """Guards against slow machines that stand behind the others for good, though all is well with them."""
+        kind = self.kinds.get(seat.says.kind)
+        return pace if kind is None else pace * sum(self.kinds.values()) / len(self.kinds) / kind
+
     def balance(self, usual: float) -> None:
         """What own traffic keeps in flight, and what part of it each endpoint gets."""
         now = self.mail.now
