--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -723,7 +723,7 @@
             if self.allow.crossing and says.zone != self.allow.zone:
                 seat.pull *= self.abroad
         if self.allow.few:
-            places = ceil(4 + rate / 2)
+            places = ceil(2 + rate / 8)
             for seat in sorted(self.seats.values(), key=lambda seat: seat.lot / sqrt(seat.says.weight)):
                 used = places > 0
                 places -= seat.says.open
