--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -1,10 +1,8 @@
 """All decisions of one sidecar. `Sidecar(deployment)` once, then `step(now, notes)` for every batch: it
-returns the orders to carry out, in order. Pure: no I/O, no clock, no state outside the instance. The
-types of notes and orders are in `lupinmill/terms.py`; the reasons are in `docs/design.md`.
-
-Parts, in the order a submission meets them: `Desk` (takes, holds, picks, retries, answers), `Endpoint`
-(one actor each: health and cap), `Roster` (the list, and who may be set aside). They talk only by notes
-in each other's inboxes, which one loop empties (`Mail.run`, with the notes' types in `workings.py`).
+returns the orders to carry out. Pure: no I/O, no clock, no state outside the instance. The types of notes
+and orders are in `lupinmill/terms.py`; the reasons are in `docs/design.md`. Parts, in the order a submission
+meets them: `Desk` (takes, holds, picks, retries, answers), `Endpoint` (one actor each: health and cap),
+`Roster` (the list, and who may be set aside). They talk only by notes, which one loop delivers (`Mail.run`).
 """
 from __future__ import annotations
 
@@ -17,7 +15,7 @@
 from lupinmill import terms as t
 from lupinmill.workings import (
     Answer, Aside, AskDue, Chance, GiveUp, Mail, Part, Plea, ProbeDue, RetryDue, Ring, Sent, Silent,
-    Standing, Sweep, Usual,
+    Standing, Sweep, Usual, mixed,
 )
 
 MS, SECOND = 1_000, 1_000_000
@@ -28,9 +26,9 @@
 # Of all sidecars together, shared out evenly: the most an endpoint's caps start with, what they add a sweep
 # while submissions are held and answers come fast, and what they leave at the least.
 FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 4.0
-BESIDE_START, BESIDE_FLOOR, BESIDE_GROWTH = 2.0, 0.5, 0.02  # multiples of what own traffic keeps in flight
+BESIDE_CAPS = 2.0, 0.02, 0.5  # start, growth and floor as multiples of what own traffic keeps in flight
 ABROAD, ABROAD_LEAST = 1.5, 0.03  # pace in the own zone from which others pull more; what they always pull
-BESIDE_CROWDED, BESIDE_ROOMY = 2.2, 1.75  # a thin stream of answers strays further
+BESIDE_MARKS = 2.2, 1.75  # as CROWDED and ROOMY: a thin stream of answers strays further
 UNEVEN = 0.7  # of that at the start where caps are fractions: the fullest of uneven ones jams first
 CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
 # Answers that are crowded for so long with caps at their floor are a jam: then so little, so long, so rarely.
@@ -40,10 +38,10 @@
 SHARE_BACK = 0.05  # of the common cap, won back with each answer
 EVIDENCE, THIN = 10, 40  # answers behind a mean; more where they are few: their least mean is too low
 BEHIND = 1.5  # multiple of the middle pace beyond which one is picked after the others
-TOLD_AGE = 2_500 * MS  # a load report counts for this long, ...
-TOLD_KEPT = 8  # ... and so many of the last ones decide between ties
-SILENCE = 4.0  # multiples of the usual answer time without an answer before an endpoint counts as silent, ...
-LONELY = 6.0  # ... and this many more, shared by the launches out there: a single one may just be long
+TOLD_AGE, TOLD_KEPT = 2_500 * MS, 8  # a load report counts so long; so many of the last ones decide ties
+# Multiples of the usual answer time without an answer before an endpoint counts as silent, and more, shared
+# by the launches out there: a single one may just be long.
+SILENCE, LONELY = 4.0, 6.0
 SLOW = 2.7  # multiple of the middle endpoint's pace beyond which one is judged slow
 ASK_APART = 30 * MS  # between two sidecars that ask for the list anew, when all lost it together
 ASIDE_SHARE = 0.34  # on soft evidence no more than this share of the endpoints is set aside
@@ -72,9 +70,6 @@
             self.uncrowded = min(self.uncrowded, self.usual)
 
 
-# --- the desk -----------------------------------------------------------------------------------
-
-
 @dataclass(slots=True)
 class Seat:
     """What the desk knows of an endpoint: its own launches there, and the endpoint's last Standing."""
@@ -92,6 +87,9 @@
     used: bool = True
     pull: float = 1.0  # its part among equals
 
+    def counts(self) -> bool:
+        return self.used and self.says.open
+
 
 @dataclass(slots=True)
 class Flight:
@@ -126,8 +124,7 @@
     def out(self) -> int:
         return sum(flight.out for flight in self.flights)
 
-    def first_run(self) -> Flight | None:
-        """The earliest launch that is out or may have run."""
+    def first_run(self) -> Flight | None:  # the earliest launch that is out or may have run
         return next((flight for flight in self.flights if not flight.never_ran), None)
 
 
@@ -144,28 +141,25 @@
 
     def __init__(self, d: t.Deployment) -> None:
         self.front, self.margin = d.tier == 0, 2 * d.round
-        self.workloads = {w.name: w for w in d.workloads}
-        self.most_launches = d.most_launches
-        self.copies, self.cancel = d.copies_allowed, d.cancel_allowed
+        self.workloads, self.most_launches = {w.name: w for w in d.workloads}, d.most_launches
+        self.copies, self.cancel, self.beyond = d.copies_allowed, d.cancel_allowed, d.beyond_share_value
         self.probes, self.reports = d.probes_allowed, d.probes_allowed and d.reports_asked
         self.advice = d.longest_advice if d.advice_allowed else 0
-        self.cold_share, self.cold_time, self.beyond = d.cold_share, max(1, d.cold_time), d.beyond_share_value
+        self.cold_share, self.cold_time = d.cold_share, max(1, d.cold_time)
         # Where many sidecars share the endpoints even one launch from each would jam them, so caps may be
-        # fractions: the sum over the endpoints then limits what is in flight.
+        # fractions. Beside each client traffic is uneven: caps are multiples of what it keeps in flight.
         even, self.evidence = (1.0, EVIDENCE) if d.instances <= FLEET_START else (UNEVEN, THIN)
-        self.cap_start = min(CAP_START, even * FLEET_START / d.instances)
-        self.cap_growth, self.cap_floor = even * even * FLEET_GROWTH / d.instances, FLEET_FLOOR / d.instances
+        caps = [one / d.instances for one in (even * FLEET_START, even * even * FLEET_GROWTH, FLEET_FLOOR)]
+        self.cap_start, self.cap_growth, self.cap_floor = BESIDE_CAPS if d.beside else caps
+        self.cap_start = min(CAP_START, self.cap_start)
         # The more the goal pools all workloads, the more value counts against evenness.
         weight = d.pooled_weight + d.evenness_weight
         self.greed = d.pooled_weight / weight if weight else 1.0
-        self.quotas = {q.name: q.quota_per_s / d.instances for q in d.tenants} if self.front else {}
-        self.crowded, self.roomy = (BESIDE_CROWDED, BESIDE_ROOMY) if d.beside else (CROWDED, ROOMY)
+        whole = sum(q.quota_per_s for q in d.tenants) or 1.0
+        self.quotas = {q.name: q.quota_per_s / whole for q in d.tenants} if self.front else {}
+        self.crowded, self.roomy = BESIDE_MARKS if d.beside else (CROWDED, ROOMY)
         self.beside, self.zone, self.warm_keys, self.few = d.beside, d.zone, d.warm_keys, d.few_connections
         self.crossing, self.told_speed = d.crossing_price, d.weights_tell_speed
-        if self.beside:
-            self.cap_start, self.cap_floor, self.cap_growth = BESIDE_START, BESIDE_FLOOR, BESIDE_GROWTH
-            whole = sum(q.quota_per_s for q in d.tenants) or 1.0
-            self.quotas = {q.name: q.quota_per_s / whole for q in d.tenants}
 
 
 class Desk(Part):
@@ -193,7 +187,7 @@
         self.unhurried, self.scale = 0.0, 1.0  # uncrowded answer time over all; what a cap is a multiple of
         self.kinds: dict[str, float] = {}  # usual pace of each kind of endpoint
         self.zones, self.abroad = [1.0, 1.0], 0.2  # pace in the own zone and in others; what others pull
-        self.sent_by = {name: Ring(10, SECOND // (2 if allow.beside else 5)) for name in allow.quotas}
+        self.sent_by = {name: Ring(10, SECOND // 2) for name in allow.quotas}
         self.failed, self.answered = Ring(6, SECOND // 2), Ring(6, SECOND // 2)
         self.handlers = {
             t.Arrived: self.arrive, t.Ended: self.end, t.Withdrawn: self.withdraw, t.Started: self.start,
@@ -214,10 +208,9 @@
         self.came.add(now)
         if not note.repeated:
             self.taken.add(now)
-        contract = self.contract(w, note.due, note.repeated)
-        beyond = self.beyond_share(note.tenant)
-        lane = self.lane_of(w, beyond, note.repeated)
-        s = Submission(note.submission, w, note.due, min(note.due, now + contract), now, lane)
+        end = min(note.due, now + self.contract(w, note.due, note.repeated))
+        lane = self.lane_of(w, self.beyond_share(note.tenant), note.repeated)
+        s = Submission(note.submission, w, note.due, end, now, lane)
         s.whole, s.repeated = note.whole, note.repeated
         s.mark = crc32(note.key.encode()) if allow.warm_keys and note.key else 0
         self.open[s.name] = s
@@ -231,13 +224,11 @@
             self.admit(s)
 
     def contract(self, w: t.Workload, due: int, repeated: bool) -> int:
-        if not self.allow.front:
-            return due - self.mail.now
-        return w.contract // 2 if repeated else w.contract  # that client has been waiting for a while already
+        own = w.contract // 2 if repeated else w.contract  # that client has been waiting for a while already
+        return own if self.allow.front else due - self.mail.now
 
     def complete(self, note: t.Whole) -> None:
-        """Launched while it came, it has kept no endpoint busy and no cap so far: an endpoint begins with its
-        last byte, and so does its time."""
+        """An endpoint begins with its last byte, and so does its time: until then it kept none busy."""
         s, now = self.open.get(note.submission), self.mail.now
         if s is None or s.whole:
             return
@@ -250,49 +241,42 @@
                 self.count_in(flight)
 
     def end_of(self, s: Submission) -> int:
-        """When to give it up, or look again: guards against alarms, each with its submission, that outlast by
-        minutes what came sooner than it was guessed."""
+        """Guards against alarms that outlast by minutes what came sooner than it was guessed."""
         end = s.due - self.allow.margin
         return end if s.whole else min(end, self.mail.now + 10 * SECOND)
 
     def count_in(self, flight: Flight) -> None:
-        seat = flight.seat
-        flight.counted = True
-        seat.flying += 1
-        self.flying += seat.says.open and seat.used
-        self.busy[seat.name] = seat
-        self.shelve(seat)
+        seat, flight.counted = flight.seat, True
+        self.fly(seat, 1)
         self.launched.add(self.mail.now)
         if seat.name in self.endpoints:
             self.mail.post(self.endpoints[seat.name], Sent())
 
-    def elsewhere(self, note: t.Elsewhere) -> None:
-        """Counted with its own, or both processes of an upgrade would fill every cap."""
+    def fly(self, seat: Seat, more: int) -> None:
+        seat.flying += more
+        self.flying += more * seat.counts()
+        if seat.flying:
+            self.busy[seat.name] = seat
+        else:
+            self.busy.pop(seat.name, None)
+        self.shelve(seat)
+
+    def elsewhere(self, note: t.Elsewhere) -> None:  # or both processes of an upgrade would fill every cap
         self.retried.add(self.mail.now, note.retried)
         for seat in list(self.seats.values()):
-            more = note.flying.get(seat.name, 0) - seat.elsewhere
-            if not more:
-                continue
-            seat.elsewhere += more
-            seat.flying += more
-            self.flying += more * (seat.says.open and seat.used)
-            if seat.flying:
-                self.busy[seat.name] = seat
-            else:
-                self.busy.pop(seat.name, None)
-            self.shelve(seat)
-            if seat.name in self.endpoints and not seat.flying:
+            if more := note.flying.get(seat.name, 0) - seat.elsewhere:
+                seat.elsewhere += more
+                self.fly(seat, more)
+            if more and seat.name in self.endpoints and not seat.flying:
                 self.endpoints[seat.name].tell()  # it may have gone meanwhile
 
     def beyond_share(self, tenant: str) -> bool:
+        """What exceeds the tenant's part of own traffic: all sidecars carry much the same mix."""
         if (ring := self.sent_by.get(tenant)) is None:
             return False
         ring.add(self.mail.now)
-        if self.allow.beside:
-            # Its part of own traffic, as all sidecars carry much the same mix; only what exceeds it is beyond.
-            part, sent = self.came.total(self.mail.now) * self.allow.quotas[tenant], ring.total(self.mail.now)
-            return part < sent and self.chance.draw() > part / sent
-        return ring.total(self.mail.now) / 2 > self.allow.quotas[tenant] * 1.1
+        part, sent = self.came.total(self.mail.now) * self.allow.quotas[tenant], ring.total(self.mail.now)
+        return part < sent and self.chance.draw() > part / sent
 
     def lane_of(self, w: t.Workload, beyond: bool, repeated: bool) -> int:
         key = (w.name, beyond, repeated)
@@ -306,11 +290,10 @@
 
     def gauge(self, w: t.Workload) -> Gauge:
         if w.name not in self.gauges:
-            self.gauges[w.name] = Gauge(w.contract // 3, self.allow.evidence)
+            self.gauges[w.name] = Gauge(w.contract // (5 if self.allow.beside else 3), self.allow.evidence)
         return self.gauges[w.name]
 
-    def patience(self, s: Submission) -> int:
-        """Until when holding it can still lead to an answer in time."""
+    def patience(self, s: Submission) -> int:  # until when holding it can still lead to an answer
         span = s.contract_end - s.arrived
         return s.contract_end - int(min(self.gauge(s.workload).usual * 1.3, span * 0.6))
 
@@ -323,14 +306,13 @@
             self.queue[s.lane].line.append(s)
 
     def admit(self, s: Submission) -> None:
-        """Denies at once what would wait in vain; guards against queues that answer nobody in time. Where
-        caps are fractions the last second's launches are few and chance: what the room allows counts."""
+        """Denies at once what would wait in vain; guards against queues that answer nobody in time.
+        Where caps are fractions the last launches are few and chance: what the room allows counts."""
         lane = self.queue[s.lane]
         ahead = sum(len(other.line) for other in self.queue if other.worth > lane.worth) + len(lane.line)
-        room, limit = self.part(), self.patience(s)
-        fractions = self.allow.beside or self.cap < 1
-        allowed = (max(1.0, room) if self.allow.beside else room) * SECOND / self.gauge(s.workload).usual
-        rate = max(1.0, self.launched.total(self.mail.now), allowed if fractions else 0.0)
+        room, limit, least = self.part(), self.patience(s), float(self.allow.beside)
+        allowed = max(least, room) * SECOND / self.gauge(s.workload).usual if least or self.cap < 1 else 0.0
+        rate = max(1.0, self.launched.total(self.mail.now), allowed)
         if self.mail.now + int(ahead / rate * SECOND) <= limit:
             self.mail.alarm(limit, self, GiveUp(s, False))
             return
@@ -373,21 +355,19 @@
         first, group = s.first_run(), s.workload.group
         if first is None or s.workload.repeat is not t.Repeat.DEDUPLICATED or group is t.Group.ALL:
             return True
-        old, new = first.seat.says, seat.says
+        old, new = first.seat.says.entry, seat.says.entry
         if group is t.Group.ZONE:
             return bool(new.zone) and new.zone == old.zone
         return bool(new.cell) and new.cell == old.cell
 
     def room(self) -> int:
-        """Launches in flight at all ready endpoints together.
-
-        Fractions are rounded by chance, drawn anew for each usual answer time, down to none at all: one
-        launch from each of hundreds of sidecars would jam a small fleet. While answers are quick and the
-        last second's mean keeps to it, arrivals by chance may exceed it for a moment.
-        """
+        """Launches in flight at all ready endpoints together. Fractions are rounded by chance, down to none:
+        one launch from each of hundreds of sidecars would jam a small fleet. While answers are quick and the
+        last second's mean keeps to it, arrivals by chance may exceed it for a moment."""
         room = self.part()
         if self.allow.beside:
-            return int(max(1.0, room + (0 if self.pace_over(self.allow.roomy) else sqrt(room))) + 0.5)
+            least = 0.0 if self.mail.now < self.rest_until else 1.0
+            return int(max(least, room + (0 if self.pace_over(self.allow.roomy) else sqrt(room))) + 0.5)
         if self.cap >= 1:
             return max(1, ceil(room))
         mean = self.launched.total(self.mail.now) * self.usual.took / SECOND
@@ -397,20 +377,16 @@
             self.luck, self.redraw = self.chance.draw(), self.mail.now + self.usual.took
         return int(room + self.luck)
 
-    def part(self) -> float:
-        """This sidecar's part of what all ready endpoints take; little while they rest."""
+    def part(self) -> float:  # this sidecar's, of what all ready endpoints take; little while they rest
         return self.cap * self.scale * self.shares * (REST_PART if self.mail.now < self.rest_until else 1.0)
 
     def pace_over(self, mark: float) -> bool:
-        """Where caps are fractions, few answers make a light day look crowded: reports that are probed for
-        must bear it out. Those in answers are too late, and tell of the endpoints just chosen."""
+        """Where caps are fractions few answers make a light day look crowded: reports must bear it out."""
         idle = self.cap < 1 and self.allow.reports and self.usual.busy < BUSY
         return self.crowding > mark * (2 if idle else 1)
 
     def pick(self, s: Submission) -> Seat | None:
-        """Fewest own launches in flight under the cap, random ties; a cold one counts at mean load.
-
-        Shelves of equal load, so that a pick costs the same in a large fleet. """
+        """Fewest own launches in flight under the cap, ties by race; a cold one counts at mean load."""
         if not self.ready or self.flying >= self.room():
             return None
         tried = [flight.seat for flight in s.flights]
@@ -421,39 +397,23 @@
                 if told is not None:
                     return told
                 if self.allow.beside:
-                    for seat in sorted(shelf, key=lambda seat: self.race(seat, s)):
-                        if self.may_take(seat, s, tried):
-                            return seat
-                    continue
-                start = self.chance.upto(len(shelf) - 1) if len(shelf) > 1 else 0
-                for at in range(start, start + len(shelf)):
-                    if self.may_take(shelf[at % len(shelf)], s, tried):
-                        return shelf[at % len(shelf)]
+                    line = sorted(shelf, key=lambda seat: self.race(seat, s))
+                else:
+                    start = self.chance.upto(len(shelf) - 1) if len(shelf) > 1 else 0
+                    line = shelf[start:] + shelf[:start]
+                for seat in line:
+                    if self.may_take(seat, s, tried):
+                        return seat
         return None
 
     def race(self, seat: Seat, s: Submission) -> float:
-        """The least comes first: by chance, or by its key alike at all sidecars, each as often as it pulls."""
-        if s.mark:
-            mixed = (s.mark ^ seat.mark) * 0x9E3779B1 & 0xFFFFFFFF
-            mixed = (mixed ^ mixed >> 15) * 0x85EBCA77 & 0xFFFFFFFF
-            drawn = ((mixed ^ mixed >> 13) + 1) / 2**32
-        else:
-            drawn = self.chance.draw() or 0.5
-        return -log(drawn) / seat.pull
+        """The least is first: by chance, or by key alike at all sidecars, each as often as it pulls."""
+        return -log(mixed(s.mark, seat.mark) if s.mark else self.chance.draw() or 0.5) / seat.pull
 
     def told_least(self, load: int, s: Submission, tried: list[Seat]) -> Seat | None:
-        """Of equals that told of their load the least, if that is less than the mean; each report fades to
-        the mean. Guards against ties at random where own launches in flight are mostly none.
-
-        Probes name endpoints at random, so all their reports may be compared; answers name those just
-        chosen, by others too: comparing more than two would have all run after the same old figure.
-        """
-        told = list(self.told)
-        if len(told) > 2 and not self.allow.reports:
-            at = self.chance.upto(len(told) - 1)
-            told = [told[at], told[at - 1]]
+        """Of equals the one that told of the least load, if below the mean, to which each report fades."""
         mean, least, best = self.usual.told, self.usual.told, None
-        for seat in told:
+        for seat in self.told:
             says = seat.says
             if seat.shelf == load and says.told is not None and says.cold_since is None:
                 faded = min(1.0, (self.mail.now - says.told_at) / TOLD_AGE)
@@ -463,8 +423,7 @@
         return best
 
     def ask_around(self) -> None:
-        """One shallow probe for a launch at most, for the ties to come, while most own places are empty;
-        for every fourth only while the cores are idle, when any endpoint will do."""
+        """One shallow probe a launch, for ties to come, while most places are empty; fewer at idle cores."""
         shelf, wanted = self.shelves[0], self.usual.busy > BUSY / 2 or self.chance.draw() < 0.25
         if shelf and wanted and self.allow.reports and 2 * self.flying < self.ready:
             seat = shelf[self.chance.upto(len(shelf) - 1)]
@@ -480,7 +439,7 @@
 
     def shelve(self, seat: Seat) -> None:
         shelf = -1
-        if seat.says.open and seat.used:
+        if seat.counts():
             mean = 0 if seat.says.cold_since is None else round(self.flying / self.ready)
             shelf = min(max(seat.flying, mean), CAP_TOP - 1) + (CAP_TOP if seat.says.crowded else 0)
         if shelf == seat.shelf:
@@ -496,10 +455,7 @@
 
     def credited(self, seat: Seat) -> bool:
         """Rule 4: a cold endpoint gets the mean rate of launches, scaled by how warm it must be by now.
-
-        The sidecar's part alone keeps the rule: credit never exceeds one launch, so no burst builds up,
-        and sidecars that find the same endpoint together start with different credit.
-        """
+        Credit never exceeds one launch, so no burst builds up; it starts differently at each sidecar."""
         now, allow = self.mail.now, self.allow
         age = now - seat.says.cold_since
         if age >= allow.cold_time:
@@ -511,8 +467,7 @@
         seat.credited = now
         return seat.credit >= 1.0
 
-    def try_launch(self, s: Submission) -> bool:
-        """True when it need not be held any longer."""
+    def try_launch(self, s: Submission) -> bool:  # true when it need not be held any longer
         allowed, now = self.may_launch(s), self.mail.now
         seat = self.pick(s) if allowed else None
         if allowed and seat is None:
@@ -547,12 +502,7 @@
             self.count_in(flight)  # it ended before its submission was whole
         flight.out, flight.never_ran, seat = False, note.how in t.NEVER_RAN, flight.seat
         s.spent = s.spent or note.last
-        seat.flying -= 1
-        if not seat.flying:
-            del self.busy[seat.name]
-        if seat.says.open and seat.used:
-            self.flying -= 1
-            self.shelve(seat)
+        self.fly(seat, -1)
         gauge = self.gauge(s.workload)
         if note.how is t.How.HANDLED:
             gauge.add(now, note.took)
@@ -565,15 +515,11 @@
             # Over about a second's answers, at least eight: with few a fixed share would see a jam too late.
             gain = max(0.03, 1 / (8 + self.answered.total(now) / 3))
             self.crowding += gain * (min(pace, 8.0) - self.crowding)
-        if not overtaken:
-            self.answered.add(now)
-            if how is not t.How.HANDLED:
-                self.failed.add(now)
+        self.answered.add(now, not overtaken)
+        self.failed.add(now, not overtaken and how is not t.How.HANDLED)
         if self.allow.beside:
-            if note.how is t.How.HANDLED:
-                self.learn(seat, pace, gauge.uncrowded)
-            pace = self.against_kind(seat, pace)
-        self.mail.post(self.endpoints[seat.name], Answer(how, pace, note.load, overtaken, self.usual))
+            pace = self.against_kind(seat, min(pace, 8.0), gauge.uncrowded * (note.how is t.How.HANDLED))
+        self.mail.post(self.endpoints[seat.name], Answer(how, pace, overtaken, self.usual))
         if note.closed or note.how is t.How.HANDLED:
             self.close(s)
         s.refusals, s.spoilt = s.refusals + (note.how is t.How.REFUSED), note.how is t.How.SPOILT
@@ -583,7 +529,6 @@
             self.finish(s)
 
     def plan_retry(self, s: Submission) -> bool:
-        """A further launch after a full-jitter delay, if design, rules and budget allow one."""
         now = self.mail.now
         hopeless = now + int(self.gauge(s.workload).uncrowded * 0.5) > s.contract_end
         if s.held or hopeless or not self.may_launch(s):
@@ -609,8 +554,7 @@
         if s.held:
             self.mail.alarm(max(self.patience(s), self.mail.now), self, GiveUp(s, False))
 
-    def silent(self, note: Silent) -> None:
-        """Second copies for what hangs at an endpoint that answers nothing."""
+    def silent(self, note: Silent) -> None:  # second copies for what hangs there
         for s in list(self.open.values()):
             there = any(flight.out and flight.seat.name == note.name for flight in s.flights)
             if there and s.out() == 1 and not s.retrying:
@@ -632,8 +576,7 @@
             flight.overdue = flight.out
         self.finish(s)
 
-    def may_deny(self, s: Submission) -> bool:
-        """Rule 2: a denial says that trying again is safe."""
+    def may_deny(self, s: Submission) -> bool:  # rule 2: a denial says that trying again is safe
         repeat, group = s.workload.repeat, s.workload.group
         all_drop = repeat is t.Repeat.DEDUPLICATED and group is t.Group.ALL
         return all_drop or repeat is t.Repeat.IDEMPOTENT or s.first_run() is None
@@ -671,8 +614,8 @@
         seat = self.seats.get(note.name)
         if seat is None:
             seat = self.seats[note.name] = Seat(note.name, note, mark=crc32(note.name.encode()))
-            seat.used, seat.lot = not self.allow.few, -log(self.chance.draw() or 0.5) if self.allow.few else 0.0
-            seat.pull = note.weight
+            seat.pull, seat.used = note.entry.weight, not self.allow.few
+            seat.lot = 0.0 if seat.used else -log(self.chance.draw() or 0.5) / sqrt(note.entry.weight)
         if note.cold_since is not None and (note is seat.says or note.cold_since != seat.says.cold_since):
             seat.credit, seat.credited = self.chance.draw(), self.mail.now
         seat.says = note
@@ -685,22 +628,19 @@
             self.told = deque((one for one in self.told if one is not seat), TOLD_KEPT)
 
     def count(self, seat: Seat, sign: int) -> None:
-        if seat.says.open and seat.used:
+        if seat.counts():
             self.ready += sign
             self.flying += sign * seat.flying
             self.shares += sign * seat.says.share
 
-    def learn(self, seat: Seat, pace: float, uncrowded: float) -> None:
-        kind = seat.says.kind
-        self.kinds[kind] = self.kinds.get(kind, pace) + 0.02 * (min(pace, 8) - self.kinds.get(kind, pace))
-        far = seat.says.zone != self.allow.zone
-        self.zones[far] += 0.05 * (min(pace, 8) - self.zones[far])
-        self.unhurried += (uncrowded - self.unhurried) * (0.02 if self.unhurried else 1.0)
-
-    def against_kind(self, seat: Seat, pace: float) -> float:
-        """Guards against slow machines that stand behind the others for good, though all is well with them."""
-        kind = self.kinds.get(seat.says.kind)
-        return pace if kind is None else pace * sum(self.kinds.values()) / len(self.kinds) / kind
+    def against_kind(self, seat: Seat, pace: float, uncrowded: float) -> float:
+        """Guards against slow machines that stand behind the others for good, though all is well."""
+        kind, far = seat.says.entry.kind, seat.says.entry.zone != self.allow.zone
+        if uncrowded:
+            self.kinds[kind] = 0.98 * self.kinds.get(kind, pace) + 0.02 * pace
+            self.zones[far] += 0.05 * (pace - self.zones[far])
+            self.unhurried += (uncrowded - self.unhurried) * (0.02 if self.unhurried else 1.0)
+        return pace * sum(self.kinds.values()) / max(1, len(self.kinds)) / self.kinds.get(kind, 1.0) or pace
 
     def balance(self, usual: float) -> None:
         """What own traffic keeps in flight, and what part of it each endpoint gets."""
@@ -708,23 +648,20 @@
         self.began = now if self.began < 0 else self.began
         rate = self.came.total(now) * SECOND / min(5 * SECOND, max(SECOND, now - self.began))
         self.scale = rate * (self.unhurried or 100 * MS) / SECOND / max(1, self.ready)
-        near, far = self.zones
-        if near > ABROAD and near > far:
-            self.abroad = min(1.0, self.abroad * 1.2)
-        else:
-            self.abroad = max(ABROAD_LEAST, self.abroad * 0.9)
+        wanted = self.zones[0] > max(ABROAD, self.zones[1])
+        self.abroad = min(1.0, self.abroad * 1.2) if wanted else max(ABROAD_LEAST, self.abroad * 0.9)
         for seat in self.seats.values():
-            says = seat.says
-            seat.pull = says.weight / (1.0 if self.allow.told_speed else self.kinds.get(says.kind, 1.0))
+            says, entry = seat.says, seat.says.entry
+            seat.pull = entry.weight / (1.0 if self.allow.told_speed else self.kinds.get(entry.kind, 1.0))
             if self.allow.few:
                 seat.pull = sqrt(seat.pull)  # the other root is in how often it is among those used
             if says.pace is not None:
                 seat.pull *= min(1.5, (usual / max(0.1, says.pace)) ** 1.5)
-            if self.allow.crossing and says.zone != self.allow.zone:
+            if self.allow.crossing and entry.zone != self.allow.zone:
                 seat.pull *= self.abroad
         if self.allow.few:
             places = ceil(2 + rate / 8)
-            for seat in sorted(self.seats.values(), key=lambda seat: seat.lot / sqrt(seat.says.weight)):
+            for seat in sorted(self.seats.values(), key=lambda seat: seat.lot):
                 used = places > 0
                 places -= seat.says.open
                 if used != seat.used:
@@ -733,8 +670,7 @@
                     self.count(seat, 1)
                     self.shelve(seat)
 
-    def keep_sweeping(self) -> None:
-        """An idle sidecar is woken for nothing."""
+    def keep_sweeping(self) -> None:  # an idle sidecar is woken for nothing
         if not self.sweeping:
             self.sweeping = True
             self.mail.alarm(self.mail.now + SWEEP, self, Sweep())
@@ -762,8 +698,7 @@
         if self.open:
             self.keep_sweeping()
 
-    def look_over(self, all_: bool) -> None:
-        """What is usual in the fleet; the look at all endpoints, which costs most, is rarer."""
+    def look_over(self, all_: bool) -> None:  # what is usual; a look at all endpoints costs most
         now, pace, told = self.mail.now, self.usual.pace, self.usual.told
         took = int(max((g.usual for g in self.gauges.values()), default=self.usual.took))
         failed, answered = self.failed.total(now), self.answered.total(now)
@@ -785,9 +720,6 @@
         self.usual = Usual(took, self.crowding, pace, failed, answered, told, load)
 
 
-# --- endpoints ----------------------------------------------------------------------------------
-
-
 class Endpoint(Part):
     """Judges one endpoint: its share of the cap, and whether it is ready, set aside or on trial."""
 
@@ -815,8 +747,7 @@
         open_ = self.mode != "aside" and self.entry.state is t.State.READY
         self.mail.post(self.desk, Standing(
             self.entry.endpoint, open_, self.mode == "trial", self.crowded, self.share, self.pace, self.told,
-            self.told_at, self.busy, self.cold_since, self.entry.zone, self.entry.cell, self.entry.kind,
-            self.entry.weight,
+            self.told_at, self.busy, self.cold_since, self.entry,
         ))
 
     def listed(self, entry: t.Listing) -> None:
@@ -836,8 +767,6 @@
         now = self.mail.now
         self.flying -= 1
         self.usual = note.usual
-        if note.load is not None:
-            self.report(note.load)
         if not note.overtaken:
             self.answered.add(now)
             if note.how is not t.How.TIMED_OUT:
@@ -869,24 +798,20 @@
             self.broken = 0
             self.ease(how)
             if quiet > SILENCE * self.usual.took:
-                # A hang seen by one launch alone: where many sidecars share it no more are out there, and
-                # each would go on losing launches to it one by one until its hard limit.
+                # A hang seen by one launch alone: each sidecar would go on losing launches to it one by one.
                 self.plead(f"silent {quiet // MS} ms up to a time-out", False)
         if self.mode == "trial":
             self.plead("failed its trial", True)
 
-    def report(self, load: t.Load) -> None:
-        """How long it takes for one more by its own word; missing figures leave the judgement as it was."""
-        told = load.held if load.held is not None else load.queued
-        if told is not None and load.service != 0:
-            self.told, self.told_at = (told + 1) * (load.service or 1.0), self.mail.now
+    def report(self, load: t.Load) -> None:  # how long one more takes by its own word, if it says so
+        if load.queued is not None:
+            self.told, self.told_at = load.queued + 1, self.mail.now
         self.busy = 1.0 if load.busy is None else load.busy
 
-    def judge(self) -> None:
-        """From its answers, against what is usual in the fleet."""
+    def judge(self) -> None:  # from its answers, against what is usual in the fleet
         now, usual = self.mail.now, self.usual
         # Own launches in flight say little where many sidecars share an endpoint: one that reports far
-        # more than the others, or is slower, goes behind them, for as long as that news is fresh.
+        # more than the others, or is slower, goes behind them while that news is fresh.
         fresh = self.told is not None and now - self.told_at <= TOLD_AGE
         self.crowded = fresh and self.told > 2 * usual.told
         if self.pace and self.answers >= 3 and now - self.heard < TOLD_AGE:
@@ -900,8 +825,7 @@
             # Slow by itself, not with all others: jammed or starved, it needs rest.
             self.plead(f"slow, pace {self.pace:.1f}, fleet {usual.pace:.1f}", False)
 
-    def end_trial(self) -> None:
-        """Guards against taking back at full count what is still jammed."""
+    def end_trial(self) -> None:  # guards against taking back at full count what is still jammed
         if self.pace > SLOW * max(1.0, self.usual.pace):
             self.plead(f"still slow, pace {self.pace:.1f}", True)
         else:
@@ -909,14 +833,13 @@
             self.mail.log(f"{self.entry.endpoint} ready again: 3 answers, pace {self.pace:.1f}")
 
     def ease(self, how: t.How) -> None:
-        """Lowers its share, at most once per few answers. While answers are quick errors tell of no load:
-        guards against ones that come from all endpoints alike and would shut the caps of all."""
+        """Lowers its share, at most once per few answers. Quick errors tell of no load: guards against
+        ones that come from all endpoints alike and would shut the caps of all."""
         load = how not in (t.How.ERROR, t.How.SPOILT) or self.usual.crowding > ROOMY
         if load and self.mail.now - self.eased >= SWEEP:
             self.eased, self.share = self.mail.now, max(0.1, self.share * 0.7)
 
-    def look(self, note: Usual) -> None:
-        """Launches are out there, or it stands behind the others: is that still right?"""
+    def look(self, note: Usual) -> None:  # launches are out there, or it stands behind: is that still right?
         self.usual = note
         if self.mode == "aside" or self.entry.state is t.State.GONE:
             return
@@ -985,9 +908,6 @@
         self.tell()
 
 
-# --- the roster ---------------------------------------------------------------------------------
-
-
 class Roster(Part):
     """Follows the list, and grants setting aside."""
 
@@ -1037,8 +957,7 @@
         self.mail.post(self.endpoints[name], entry)
 
     def by_hand(self, note: t.ByHand) -> None:
-        """Rule 3 holds for it as for a drain that the list told; the list is followed underneath. Rule 4 for
-        its return: it was restarted while out."""
+        """Rules 3 and 4 hold as for a drain and a start that the list told, which is followed underneath."""
         if note.out == (note.endpoint in self.out):
             return
         (self.out.add if note.out else self.out.discard)(note.endpoint)
--- a/lupinmill/workings.py
+++ b/lupinmill/workings.py
@@ -29,6 +29,13 @@
         return int(self.draw() * (ceiling + 1))
 
 
+def mixed(one: int, other: int) -> float:
+    """Two marks of 32 bits as one figure over 0 and up to 1, the same everywhere; of neighbours far apart."""
+    both = (one ^ other) * 0x9E3779B1 & 0xFFFFFFFF
+    both = (both ^ both >> 15) * 0x85EBCA77 & 0xFFFFFFFF
+    return ((both ^ both >> 13) + 1) / 2**32
+
+
 class Ring:
     """Sums over the last `buckets * width`, in buckets that are used again."""
 
@@ -115,10 +122,7 @@
     told_at: int
     busy: float
     cold_since: int | None
-    zone: str
-    cell: str
-    kind: str
-    weight: float
+    entry: t.Listing
 
 
 @dataclass(slots=True)
@@ -141,7 +145,6 @@
 class Answer:  # desk -> endpoint; pace is the time taken as a multiple of the uncrowded time
     how: t.How
     pace: float
-    load: t.Load | None
     overtaken: bool  # ended by us or by its client, not by the endpoint
     usual: Usual
 
