A growing fleet does not look crowded: cold endpoints get their part by warmth

Each cold one got the mean of all launches times its warmth, cold ones counted in the mean (credited), and its slow answers counted as crowding (end). Now, beside each client, the mean is over warmth and a cold one's pace is taken times its warmth.

--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -26,7 +26,7 @@
 # Of all sidecars together, shared out evenly: the most an endpoint's caps start with, what they add a sweep
 # while submissions are held and answers come fast, and what they leave at the least.
 FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 4.0
-BESIDE_CAPS = 2.0, 0.02, 0.5  # start, growth and floor as multiples of what own traffic keeps in flight
+BESIDE_CAPS = 3.0, 0.02, 0.5  # start, growth and floor as multiples of what own traffic keeps in flight
 ABROAD, ABROAD_LEAST = 1.5, 0.03  # pace in the own zone from which others pull more; what they always pull
 BESIDE_MARKS = 2.2, 1.75  # as CROWDED and ROOMY: a thin stream of answers strays further
 UNEVEN = 0.7  # of that at the start where caps are fractions: the fullest of uneven ones jams first
@@ -184,7 +184,8 @@
         self.taken, self.retried = Ring(RETRY_BUCKETS, SECOND // 2), Ring(RETRY_BUCKETS, SECOND // 2)
         self.launched = Ring(10, SECOND // 10)
         self.came, self.began = Ring(10, SECOND // 2), -1
-        self.unhurried, self.scale = 0.0, 1.0  # uncrowded answer time over all; what a cap is a multiple of
+        # Uncrowded answer time over all; what a cap is a multiple of; how warm the ready ones are together.
+        self.unhurried, self.scale, self.warm = 0.0, 1.0, 0.0
         self.kinds: dict[str, float] = {}  # usual pace of each kind of endpoint
         self.zones, self.abroad = [1.0, 1.0], 0.2  # pace in the own zone and in others; what others pull
         self.sent_by = {name: Ring(10, SECOND // 2) for name in allow.quotas}
@@ -453,16 +454,20 @@
             seat.spot = len(self.shelves[shelf])
             self.shelves[shelf].append(seat)
 
+    def warmth(self, says: Standing) -> float:  # at the least, by now
+        if says.cold_since is None:
+            return 1.0
+        age = min(1.0, max(0, self.mail.now - says.cold_since) / self.allow.cold_time)
+        return self.allow.cold_share + (1 - self.allow.cold_share) * age
+
     def credited(self, seat: Seat) -> bool:
         """Rule 4: a cold endpoint gets the mean rate of launches, scaled by how warm it must be by now.
         Credit never exceeds one launch, so no burst builds up; it starts differently at each sidecar."""
-        now, allow = self.mail.now, self.allow
-        age = now - seat.says.cold_since
-        if age >= allow.cold_time:
+        now, warmth = self.mail.now, self.warmth(seat.says)
+        if now - seat.says.cold_since >= self.allow.cold_time:
             seat.says.cold_since = None
             return True
-        warmth = allow.cold_share + (1 - allow.cold_share) * max(0, age) / allow.cold_time
-        rate = self.launched.total(now) / max(1, self.ready)
+        rate = self.launched.total(now) / max(1, self.warm if self.allow.beside else self.ready)
         seat.credit = min(1.0, seat.credit + rate * warmth * (now - seat.credited) / SECOND)
         seat.credited = now
         return seat.credit >= 1.0
@@ -510,7 +515,8 @@
         # only the quick answers tell how slow it is.
         how = t.How.TIMED_OUT if flight.overdue else note.how
         overtaken = s.done and not flight.overdue or how in (t.How.CALLED_OFF, t.How.UNSENT, t.How.REJECTED)
-        pace = note.took / max(1.0, gauge.uncrowded)
+        warm = self.warmth(seat.says) if self.allow.beside else 1.0  # or cold ones make growth look crowded
+        pace = note.took * warm / max(1.0, gauge.uncrowded)
         if how in (t.How.HANDLED, t.How.TIMED_OUT):
             # Over about a second's answers, at least eight: with few a fixed share would see a jam too late.
             gain = max(0.03, 1 / (8 + self.answered.total(now) / 3))
@@ -577,9 +583,8 @@
         self.finish(s)
 
     def may_deny(self, s: Submission) -> bool:  # rule 2: a denial says that trying again is safe
-        repeat, group = s.workload.repeat, s.workload.group
-        all_drop = repeat is t.Repeat.DEDUPLICATED and group is t.Group.ALL
-        return all_drop or repeat is t.Repeat.IDEMPOTENT or s.first_run() is None
+        all_drop = s.workload.repeat is t.Repeat.DEDUPLICATED and s.workload.group is t.Group.ALL
+        return all_drop or s.workload.repeat is t.Repeat.IDEMPOTENT or s.first_run() is None
 
     def finish(self, s: Submission) -> None:
         """The final answer that is not 'handled'; advice is jittered, lest the denied return as a wave."""
@@ -650,13 +655,12 @@
         self.scale = rate * (self.unhurried or 100 * MS) / SECOND / max(1, self.ready)
         wanted = self.zones[0] > max(ABROAD, self.zones[1])
         self.abroad = min(1.0, self.abroad * 1.2) if wanted else max(ABROAD_LEAST, self.abroad * 0.9)
+        self.warm = sum(self.warmth(seat.says) for seat in self.seats.values() if seat.counts())
         for seat in self.seats.values():
             says, entry = seat.says, seat.says.entry
             seat.pull = entry.weight / (1.0 if self.allow.told_speed else self.kinds.get(entry.kind, 1.0))
-            if self.allow.few:
-                seat.pull = sqrt(seat.pull)  # the other root is in how often it is among those used
-            if says.pace is not None:
-                seat.pull *= min(1.5, (usual / max(0.1, says.pace)) ** 1.5)
+            seat.pull **= 0.5 if self.allow.few else 1.0  # the other root is in who is used
+            seat.pull *= min(1.5, (usual / max(0.1, says.pace or usual)) ** 1.5)
             if self.allow.crossing and entry.zone != self.allow.zone:
                 seat.pull *= self.abroad
         if self.allow.few:
@@ -764,13 +768,12 @@
         self.heard, self.flying = self.heard if self.flying else self.mail.now, self.flying + 1
 
     def answer(self, note: Answer) -> None:
-        now = self.mail.now
         self.flying -= 1
         self.usual = note.usual
         if not note.overtaken:
-            self.answered.add(now)
+            self.answered.add(self.mail.now)
             if note.how is not t.How.TIMED_OUT:
-                self.heard = now
+                self.heard = self.mail.now
             if note.how is t.How.HANDLED:
                 self.handled(note.pace)
             else:
@@ -976,9 +979,8 @@
     def plea(self, note: Plea) -> None:
         """Never all at once on thin evidence: what all endpoints share is not one endpoint's fault."""
         aside = sum(1 for name in self.listed if self.endpoints[name].mode == "aside")
-        ready = len(self.listed) - aside
         most = max(1, ASIDE_SHARE * len(self.listed))
-        if ready > 1 and note.name in self.listed and (note.hard or aside + 1 <= most):
+        if len(self.listed) - aside > 1 and note.name in self.listed and (note.hard or aside + 1 <= most):
             self.mail.post(self.endpoints[note.name], Aside(note.why))
 
 
