--- a/lupinmill/handover/papers.py
+++ b/lupinmill/handover/papers.py
@@ -33,6 +33,7 @@
         {
             "name": one.endpoint, "address": addresses[one.endpoint], "zone": one.zone, "type": one.kind,
             "group": one.cell, "status": STATUS[one.state], "since_ms": one.started // 1000,
+            "weight": one.weight,
         }
         for one in listed.values() if one.endpoint in addresses
     ]
--- a/lupinmill/program/told.py
+++ b/lupinmill/program/told.py
@@ -55,6 +55,7 @@
 
 def understand(table: dict[str, Any], environ: Mapping[str, str], again: bool = False) -> Told:
     fields = settings.flatten(table["settings"])
+    settings.check(fields)
     deployment = replace(settings.deployment(fields), seed=seed(table.get("seed", 0)))
     limits = table.get("limits") or {}
     if not deployment.workloads:
--- a/lupinmill/protocol/lists.py
+++ b/lupinmill/protocol/lists.py
@@ -27,6 +27,12 @@
     return "" if value is None else str(value)
 
 
+def weight(value: Any) -> float:
+    """One that is no size at all counts as 1: guards against an endpoint that draws all traffic, or none."""
+    usable = isinstance(value, int | float) and 0 < value < 1e6
+    return float(value) if usable else 1.0
+
+
 def listing(entry: dict[str, Any]) -> t.Listing:
     return t.Listing(
         endpoint=str(entry["name"]),
@@ -35,6 +41,7 @@
         kind=text(entry.get("type")),
         cell=text(entry.get("group")),
         started=int(entry.get("since_ms") or 0) * 1000,  # the module's clock is Unix time in microseconds
+        weight=weight(entry.get("weight")),
     )
 
 
--- a/lupinmill/protocol/settings.py
+++ b/lupinmill/protocol/settings.py
@@ -1,6 +1,7 @@
 """The settings that a sidecar is told, as name=value pairs or as nested JSON, turned into a `Deployment`."""
 from __future__ import annotations
 
+from math import isfinite
 from typing import Any
 
 from lupinmill import terms as t
@@ -103,6 +104,49 @@
     )
 
 
+# What only one shape of deployment has, and the values that it may have in the other.
+BESIDE_ONLY = {
+    "limits.streams-per-conn": ("", "1", "1.0"), "family-info.warm-keys": ("", "false", "0"),
+    "prices.connection": ("", "0", "0.0"), "prices.cross-zone": ("", "0", "0.0"),
+    "weights": ("", "off"),
+}
+POOL_ONLY = {
+    "tier": ("", "0", "0.0"), "limits.may-duplicate": ("", "false", "0"), "limits.probes": ("", "false", "0"),
+    "load-report.how": ("", "off"),
+}
+CHOICES = {
+    "family": ("", "proxy", "chain", "mesh"), "weights": ("", "off", "nominal", "rough", "live"),
+    "family-info.warm-keys": ("", "true", "false", "1", "0"),
+}
+LEAST = {"limits.streams-per-conn": 1.0, "prices.connection": 0.0, "prices.cross-zone": 0.0}
+
+
+def check(fields: Fields) -> None:
+    """For the start of the program: one shape of deployment, whole. Raises ValueError, its text the key and
+    what is wrong there. Guards against a sidecar that runs half by the old shape and half by the new."""
+    for key, choices in CHOICES.items():
+        if fields.get(key, "") not in choices:
+            raise ValueError(f"settings.{key}: {fields[key]!r} is none of {', '.join(filter(None, choices))}")
+    for key, least in LEAST.items():
+        text = fields.get(key) or str(least)
+        try:
+            good = isfinite(float(text)) and float(text) >= least
+        except ValueError:
+            good = False
+        if not good:
+            raise ValueError(f"settings.{key}: {text!r} is not a number of {least:g} or more")
+    beside = fields.get("family") == "mesh"
+    for key, harmless in (POOL_ONLY if beside else BESIDE_ONLY).items():
+        if fields.get(key, "") not in harmless:
+            shape = "each client has a sidecar of its own" if beside else "clients share sidecars"
+            raise ValueError(f"settings.{key}: {fields[key]!r} has no place where {shape} (settings.family)")
+    zone, zones = fields.get("locality", ""), [one for one in fields.get("areas", "").split(",") if one]
+    if zone and zones and zone not in zones:
+        raise ValueError(f"settings.locality: {zone!r} is none of {', '.join(zones)}")
+    if not zone and float(fields.get("prices.cross-zone") or 0) > 0:
+        raise ValueError("settings.locality: missing, though settings.prices.cross-zone is set")
+
+
 def idle_limit(fields: Fields) -> float:
     """Seconds for which an endpoint keeps an idle connection at the least."""
     return Settings(fields).number("limits.conn-idle-s", 5.0)
--- a/lupinmill/protocol/submission.py
+++ b/lupinmill/protocol/submission.py
@@ -9,6 +9,7 @@
 from lupinmill.protocol.http import Answer, Malformed, Request, plain
 
 ID, KIND, DEADLINE, RETRY, OWNER = b"req-id", b"req-kind", b"req-deadline", b"req-retry", b"req-owner"
+KEY, LONGEST_KEY = b"req-key", 200
 LOAD, DECLINED = b"srv-load", b"srv-declined"
 LONGEST = 60  # seconds; no client waits for longer
 SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")  # `float` reads more: signs, exponents, `1_0`
@@ -24,6 +25,7 @@
     left: int  # microseconds that its client will wait
     tenant: str
     repeated: bool
+    key: str = ""  # what it is about
 
 
 def read(request: Request, workloads: set[str]) -> Asked:
@@ -39,7 +41,11 @@
     deadline = request.header(DEADLINE) or ""
     if not SECONDS.fullmatch(deadline) or (left := float(deadline)) > LONGEST:
         raise Malformed(400, "no readable Req-Deadline", True)
-    return Asked(name, kind, int(left * 1_000_000), request.header(OWNER) or "", request.header(RETRY) == "1")
+    key = request.header(KEY) or ""
+    if len(key) > LONGEST_KEY:
+        raise Malformed(400, "overlong Req-Key", True)
+    owner, again = request.header(OWNER) or "", request.header(RETRY) == "1"
+    return Asked(name, kind, int(left * 1_000_000), owner, again, key)
 
 
 def launch(request: Request, left: int) -> Request:
--- a/lupinmill/routing/book.py
+++ b/lupinmill/routing/book.py
@@ -62,9 +62,8 @@
         self.journeys[asked.submission] = journey
         self.unlaunched += 1
         whole = journey.body is None or journey.body.whole
-        self.engine.tell(
-            t.Arrived(asked.submission, asked.workload, journey.due, asked.tenant, asked.repeated, whole)
-        )
+        name, again = asked.submission, asked.repeated
+        self.engine.tell(t.Arrived(name, asked.workload, journey.due, asked.tenant, again, whole, asked.key))
 
     def whole(self, journey: Journey, due: int) -> None:
         """Its last byte has come; the hard limit is known from here on."""
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -816,7 +816,7 @@
         # Own launches in flight say little where many sidecars share an endpoint: one that reports far
         # more than the others, or is slower, goes behind them while that news is fresh.
         fresh = self.told is not None and now - self.told_at <= TOLD_AGE
-        self.crowded = fresh and self.told > 2 * usual.told
+        self.crowded = fresh and 0 < 2 * usual.told < self.told  # 0: the mean is not known so far
         if self.pace and self.answers >= 3 and now - self.heard < TOLD_AGE:
             self.crowded = self.crowded or self.pace > BEHIND * max(1.0, usual.pace)
         failed, answered = self.failed.total(now), self.answered.total(now)
--- /dev/null
+++ b/tests/test_beside.py
@@ -0,0 +1,170 @@
+"""A sidecar beside each client: what the module takes for granted there, a test for each assumption that fell."""
+import random
+
+import pytest
+from bed import IDEM, Bed, deployment
+
+from lupinmill import terms as t
+from lupinmill.rules import SECOND
+
+MS = 1000
+
+
+def beside(**changes) -> t.Deployment:
+    usual = dict(beside=True, copies_allowed=False, probes_allowed=False, instances=250, zone="z")
+    return deployment(**(usual | changes))
+
+
+def fleet(bed: Bed, *entries: t.Listing) -> None:
+    bed.step(t.Listed(t.ListKind.FULL, list(entries)))
+
+
+def entry(name: str, zone: str = "z", kind: str = "k", weight: float = 1.0, started: int = 0) -> t.Listing:
+    return t.Listing(name, t.State.READY, zone, kind, "0", started, weight)
+
+
+def serve(bed: Bed, count: int, apart: int, took=lambda endpoint: 50 * MS, key=lambda at: "", tenant=lambda at: ""):
+    """`count` submissions, one each `apart`; each endpoint answers after its time. The endpoints, in order."""
+    out, picks = [], []
+    for at in range(count + IDEM.hard_limit // apart):
+        if at < count:
+            bed.serial += 1
+            name = f"s{bed.serial}"
+            bed.step(t.Arrived(name, IDEM.name, bed.now + IDEM.hard_limit, tenant(at), key=key(at)))
+            out.append(name)
+        bed.run(apart)
+        for name in list(out):
+            for launch in bed.out(name):
+                flight = bed.flights[name][launch]
+                if bed.now - flight["sent"] >= took(flight["endpoint"]):
+                    bed.end(name, launch, t.How.HANDLED)
+            if name not in bed.owed:
+                out.remove(name)
+                picks += [flight["endpoint"] for flight in bed.flights[name]]
+    return picks
+
+
+def test_a_busy_sidecar_is_not_held_to_an_even_part_of_the_fleet():
+    """Seen: 43 to 68% denied at full size while the endpoints had room, all by the few busy sidecars."""
+    bed = Bed(beside(), endpoints=20)
+    serve(bed, 400, 10 * MS)
+    assert list(bed.closed.values()).count("denied") == 0
+
+
+def test_the_first_submission_is_launched_at_once():
+    """Seen: every sidecar with few connections denied all that came in its first half second."""
+    bed = Bed(beside(few_connections=True), endpoints=20)
+    assert bed.flights[bed.arrive(IDEM)]
+
+
+def test_a_thin_sidecar_holds_few_connections_and_others_take_the_place_of_those_that_fail():
+    bed = Bed(beside(few_connections=True), endpoints=40)
+    used = set(serve(bed, 100, 200 * MS))
+    assert 2 <= len(used) <= 4
+    for _ in range(3 * len(used)):
+        name = bed.arrive(IDEM)
+        for launch in bed.out(name):
+            if bed.flights[name][launch]["endpoint"] in used:
+                bed.end(name, launch, t.How.UNCONNECTED)
+    assert set(serve(bed, 20, 200 * MS)) - used
+
+
+def test_sidecars_with_few_connections_use_all_endpoints_by_weight():
+    told = [entry(f"e{at}", weight=8.0 if at < 10 else 2.0) for at in range(20)]
+    launches = {one.endpoint: 0 for one in told}
+    for seed in range(60):
+        bed = Bed(beside(few_connections=True, seed=seed), endpoints=0)
+        fleet(bed, *told)
+        for name in serve(bed, 20, 200 * MS):
+            launches[name] += 1
+    heavy, light = sum(launches[f"e{at}"] for at in range(10)), sum(launches[f"e{at}"] for at in range(10, 20))
+    assert 2.5 < heavy / light < 6 and all(launches.values())
+
+
+def test_a_key_goes_to_the_same_endpoint_from_every_sidecar_while_it_has_room():
+    def homes(seed: int) -> dict[str, str]:
+        bed = Bed(beside(warm_keys=True, seed=seed), endpoints=8)
+        picks = serve(bed, 40, 100 * MS, key=lambda at: f"key{at}")
+        return {f"key{at}": endpoint for at, endpoint in enumerate(picks)}
+
+    one, other = homes(1), homes(2)
+    assert sum(one[key] == other[key] for key in one) > 30 and len(set(one.values())) > 4
+
+
+def test_other_zones_are_used_while_the_own_one_is_crowded_and_hardly_otherwise():
+    bed = Bed(beside(crossing_price=0.1), endpoints=0)
+    fleet(bed, *[entry(f"near{at}") for at in range(4)], *[entry(f"far{at}", "y") for at in range(4)])
+    easy = serve(bed, 200, 50 * MS)
+    crowded = serve(bed, 400, 50 * MS, lambda name: (100 if name.startswith("near") else 50) * MS)
+    assert sum(name.startswith("far") for name in easy[50:]) < 15
+    assert sum(name.startswith("far") for name in crowded[100:]) > 60
+
+
+def test_slow_machines_do_not_stand_behind_the_others_for_good():
+    """Seen: endpoints of the slow kind on the shelf of the crowded all day, though nothing was wrong with them."""
+    bed = Bed(beside(), endpoints=0)
+    fleet(bed, *[entry(f"fast{at}", kind="fast") for at in range(4)],
+          *[entry(f"slow{at}", kind="slow") for at in range(4)])
+    picks = serve(bed, 600, 20 * MS, lambda name: (120 if name.startswith("slow") else 50) * MS)
+    seats = bed.sidecar.desk.seats
+    assert not any(seats[f"slow{at}"].says.crowded for at in range(4))
+    assert 40 < sum(name.startswith("slow") for name in picks[200:]) < 200
+
+
+def test_without_probes_a_broken_connection_is_not_tried_again_at_once():
+    """Seen: a trial each tenth of a second at an endpoint that was away, each at the cost of a launch."""
+    bed = Bed(beside(), endpoints=3)
+    serve(bed, 50, 50 * MS)
+    name = bed.arrive(IDEM)
+    gone = bed.flights[name][0]["endpoint"]
+    bed.end(name, 0, t.How.UNCONNECTED)
+    assert gone not in serve(bed, 40, 50 * MS)
+
+
+def test_only_what_a_tenant_sends_beyond_its_part_of_own_traffic_is_beyond_its_share():
+    d = beside(tenants=[t.Tenant("a", 50.0), t.Tenant("b", 50.0)], beyond_share_value=0.1)
+    bed, rand = Bed(d, endpoints=8), random.Random(3)
+    beyond = {"a": 0, "b": 0}
+    taken, desk = {"a": 0, "b": 0}, bed.sidecar.desk
+    whole = desk.beyond_share
+
+    def watched(tenant: str) -> bool:
+        found = whole(tenant)
+        beyond[tenant] += found
+        taken[tenant] += 1
+        return found
+
+    desk.beyond_share = watched
+    serve(bed, 600, 20 * MS, tenant=lambda at: "a" if rand.random() < 0.75 else "b")
+    assert beyond["b"] < 0.1 * taken["b"] and 0.2 < beyond["a"] / taken["a"] < 0.5
+
+
+def test_a_fleet_that_grows_with_cold_endpoints_does_not_look_crowded():
+    """Seen: 26 cold endpoints beside 9 jammed ones; their slow answers shut the caps, and half was denied."""
+    bed = Bed(beside(cold_share=0.2, cold_time=20 * SECOND), endpoints=4)
+    serve(bed, 200, 20 * MS)
+    new = [entry(f"new{at}", started=bed.now) for at in range(4)]
+    bed.step(t.Listed(t.ListKind.CHANGES, new))
+    picks = serve(bed, 300, 20 * MS, lambda name: (200 if name.startswith("new") else 50) * MS)
+    assert bed.sidecar.desk.crowding < 1.6
+    assert 10 < sum(name.startswith("new") for name in picks) < 150
+
+
+@pytest.mark.parametrize("few", [False, True])
+def test_what_is_given_up_is_denied_by_the_end_of_its_contract_and_told_when_to_come_back(few):
+    """Nothing waits for its deadline so that its client stays quiet."""
+    bed = Bed(beside(few_connections=few, advice_allowed=True, longest_advice=SECOND), endpoints=2)
+    came, waits = {}, []
+    for _ in range(600):
+        orders = []
+        step = bed.step
+        bed.step = lambda *notes, **more: orders.extend(found := step(*notes, **more)) or found
+        came[bed.arrive(IDEM)] = bed.now
+        bed.run(5 * MS)
+        del bed.step
+        for order in orders:
+            if isinstance(order, t.Deny):
+                assert order.come_back >= SECOND // 2
+            if isinstance(order, t.Deny) and not bed.flights[order.submission]:
+                waits.append(bed.now - came[order.submission])
+    assert len(waits) > 300 and max(waits) < IDEM.contract
--- /dev/null
+++ b/tests/test_shape.py
@@ -0,0 +1,99 @@
+"""One build, two shapes of deployment: which is in force follows from the settings, and a mix is refused."""
+import subprocess
+import sys
+
+import orjson
+import pytest
+from bed import Net, on_network, settings, wanted
+from test_sidecar import fine
+
+from lupinmill import terms as t
+from lupinmill.protocol import lists
+from lupinmill.protocol import settings as protocol_settings
+
+LIMITS = settings()["limits"]
+ALONE = LIMITS | {"may-duplicate": False, "probes": False, "streams-per-conn": 100}
+PRICES = {"cross-zone": 0.1, "connection": 0.05}
+BESIDE = {
+    "family": "mesh", "limits": ALONE, "load-report": {"how": "off", "fields": []}, "weights": "nominal",
+    "family-info": {"warm-keys": True}, "locality": "z", "areas": ["z", "y"], "prices": PRICES,
+}
+
+
+def fields(table: dict) -> dict[str, str]:
+    return protocol_settings.flatten(table)
+
+
+def test_defaults_are_the_old_shape():
+    d = protocol_settings.deployment(fields(settings()))
+    assert not (d.beside or d.warm_keys or d.few_connections or d.weights_tell_speed or d.crossing_price)
+    protocol_settings.check(fields(settings()))
+
+
+def test_the_new_shape_is_read_from_its_settings():
+    protocol_settings.check(fields(settings(**BESIDE)))
+    d = protocol_settings.deployment(fields(settings(**BESIDE)))
+    assert (d.beside, d.zone, d.crossing_price, d.warm_keys) == (True, "z", 0.1, True)
+    assert d.few_connections and d.weights_tell_speed and not d.copies_allowed
+
+
+MIXES = [
+    ("limits.probes", BESIDE | {"limits": ALONE | {"probes": True}}),
+    ("limits.may-duplicate", BESIDE | {"limits": ALONE | {"may-duplicate": True}}),
+    ("load-report.how", BESIDE | {"load-report": {"how": "on_probe", "fields": ["waiting"]}}),
+    ("tier", BESIDE | {"tier": 1}),
+    ("limits.streams-per-conn", {"limits": LIMITS | {"streams-per-conn": 100}}),
+    ("family-info.warm-keys", {"family": "chain", "family-info": {"warm-keys": True}}),
+    ("prices.cross-zone", {"prices": {"cross-zone": 0.1}}),
+    ("prices.connection", {"prices": {"connection": 0.05}}),
+    ("weights", {"weights": "nominal"}),
+    ("family", BESIDE | {"family": "meshed"}),
+    ("weights", BESIDE | {"weights": "heavy"}),
+    ("family-info.warm-keys", BESIDE | {"family-info": {"warm-keys": "often"}}),
+    ("limits.streams-per-conn", BESIDE | {"limits": ALONE | {"streams-per-conn": 0}}),
+    ("prices.cross-zone", BESIDE | {"prices": PRICES | {"cross-zone": "much"}}),
+    ("prices.connection", BESIDE | {"prices": PRICES | {"connection": -1}}),
+    ("prices.connection", BESIDE | {"prices": PRICES | {"connection": "nan"}}),
+    ("locality", BESIDE | {"locality": ""}),
+    ("locality", BESIDE | {"locality": "x"}),
+]
+
+
+@pytest.mark.parametrize("key, more", MIXES)
+def test_a_mix_of_shapes_or_an_unusable_value_is_refused_and_its_key_named(key, more):
+    with pytest.raises(ValueError, match=f"settings.{key}: "):
+        protocol_settings.check(fields(settings(**more)))
+
+
+@pytest.mark.parametrize("key, more", [MIXES[0], MIXES[4], MIXES[-2]])
+def test_the_program_says_so_in_one_line_and_serves_nothing(tmp_path, key, more):
+    path = tmp_path / "told.json"
+    table = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": settings(**more)}
+    path.write_bytes(orjson.dumps(table))
+    done = subprocess.run([sys.executable, "-m", "lupinmill"], env={"BALANCER_CONFIG": str(path)},
+                          capture_output=True, timeout=20, check=False)
+    assert done.returncode == 2 and done.stdout == b""
+    assert done.stderr.count(b"\n") == 1 and f"settings.{key}: ".encode() in done.stderr
+
+
+def test_a_sidecar_beside_its_client_serves_and_tells_the_module_keys_and_weights():
+    async def check(net: Net):
+        for at in range(12):
+            answer = await net.ask(wanted(f"s{at}", more=f"Req-Key: week{at % 3}\r\n"))
+            assert answer.status == 200
+        keys = [note.key for note in net.notes if isinstance(note, t.Arrived)]
+        assert keys == [f"week{at % 3}" for at in range(12)]
+        assert not any(isinstance(note, t.Probed) for note in net.notes)
+        seats = net.program.engine.sidecar.desk.seats.values()
+        assert sum(seat.used for seat in seats) <= 4 < len(seats)
+        overlong = await net.ask(wanted("s99", more=f"Req-Key: {'k' * 201}\r\n"))
+        assert overlong.status == 400
+
+    on_network(check, *[fine] * 8, **BESIDE)
+
+
+@pytest.mark.parametrize("told, taken", [(2.5, 2.5), (3, 3.0), (0, 1.0), (-1, 1.0), ("x", 1.0), (None, 1.0)])
+def test_a_weight_that_is_no_size_counts_as_one(told, taken):
+    row = {"name": "e0", "address": "127.0.0.1:1", "status": "SERVING", "weight": told}
+    assert lists.known({"index": 1, "endpoints": [row]}).entries[0].weight == taken
+
