An upgrade beside a client passes own rate and kinds; nothing learned passes between shapes

Found while reading migration.md against the code: learned.recall took a cap of the old shape (launches) into the new (multiples of own traffic) when one is started in the other's place, and a busy sidecar's next process began with no rate, so with room for about one launch (its part fell to a fraction, shown by the test). Ruled out: the rings pass already and go by one clock.

--- a/lupinmill/state/learned.py
+++ b/lupinmill/state/learned.py
@@ -13,6 +13,8 @@
 def learned(sidecar: Sidecar) -> Table:
     desk = sidecar.desk
     return {
+        "beside": desk.allow.beside,
+        "came": ring(desk.came), "began": desk.began, "unhurried": desk.unhurried, "kinds": desk.kinds,
         "cap": desk.cap,
         "crowding": desk.crowding,
         "gauges": {
@@ -33,17 +35,23 @@
 
 def recall(sidecar: Sidecar, table: Table, now: int) -> None:
     """Into a module that has its list already. Budgets count as spent; what was set aside stays so, and is
-    probed anew; who was on trial goes on."""
+    probed anew; who was on trial goes on. Nothing is taken from the other shape of deployment: there a cap
+    counts launches, here multiples of what own traffic keeps in flight, or the other way round."""
     desk = sidecar.desk
+    if bool(table.get("beside")) is not desk.allow.beside:
+        return
     desk.mail.now = now
     desk.cap = min(float(CAP_TOP), max(desk.allow.cap_floor, number(table.get("cap"), desk.cap)))
+    desk.began, desk.unhurried = int(table.get("began", -1)), number(table.get("unhurried"), 0.0)
+    desk.kinds = {str(kind): number(pace, 1.0) for kind, pace in table.get("kinds", {}).items()}
     desk.crowding = min(8.0, max(0.0, number(table.get("crowding"), 1.0)))
     for name, (usual, uncrowded, means) in table.get("gauges", {}).items():
         if name in desk.allow.workloads:
             gauge = desk.gauge(desk.allow.workloads[name])
             gauge.usual, gauge.uncrowded = float(usual), float(uncrowded)
             gauge.means.extend(float(mean) for mean in means)
-    for kept, pairs in ((desk.taken, "taken"), (desk.retried, "retried"), (desk.launched, "launched")):
+    rings = (desk.taken, "taken"), (desk.retried, "retried"), (desk.launched, "launched"), (desk.came, "came")
+    for kept, pairs in rings:
         fill(kept, table.get(pairs, []))
     for name, said in table.get("endpoints", {}).items():
         one = desk.endpoints.get(name)
--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -1,11 +1,13 @@
 """A sidecar beside each client: a test for each assumption about the shape of a deployment that fell."""
 import random
 
+import orjson
 import pytest
 from bed import IDEM, Bed, deployment
 
 from lupinmill import terms as t
 from lupinmill.rules import SECOND
+from lupinmill.state import learned
 
 MS = 1000
 
@@ -170,3 +172,29 @@
             if isinstance(order, t.Deny) and not bed.flights[order.submission]:
                 waits.append(bed.now - came[order.submission])
     assert len(waits) > 300 and max(waits) < IDEM.contract
+
+
+def taken_over(old: Bed, new: Bed) -> None:
+    table = orjson.loads(orjson.dumps(learned.learned(old.sidecar)))
+    learned.recall(new.sidecar, table, old.now)
+    new.now = old.now
+
+
+def test_the_next_process_of_an_upgrade_goes_on_with_the_room_of_its_traffic():
+    """Without its rate a busy sidecar began again with room for one launch."""
+    old, new = Bed(beside(), endpoints=8), Bed(beside(), endpoints=8)
+    serve(old, 400, 10 * MS)
+    taken_over(old, new)
+    before, after = old.sidecar.desk, new.sidecar.desk
+    for desk in (before, after):
+        desk.mail.now = old.now
+        desk.balance(1.0)
+    assert after.kinds == before.kinds and after.unhurried == before.unhurried > 0
+    assert 0.9 * before.part() < after.part() < 1.1 * before.part() and after.part() > 2
+
+
+def test_nothing_learned_passes_between_the_two_shapes():
+    old, new = Bed(deployment(), endpoints=4), Bed(beside(), endpoints=4)
+    old.sidecar.desk.cap = 9.0
+    taken_over(old, new)
+    assert new.sidecar.desk.cap == new.sidecar.desk.allow.cap_start
