Placement is kept, and ties fall by kind and zone wherever endpoints differ

Cause: Deployment knew no confined-to or bound-to, may_take no placement. Now Workload.open_at is asked at every launch, and such submissions wait beside the lanes (hold), so that one whose endpoints are all down holds up nobody. Tests: both fail without it. The start no longer refuses a price of crossings where clients share sidecars.

--- a/lupinmill/protocol/settings.py
+++ b/lupinmill/protocol/settings.py
@@ -52,6 +52,9 @@
     def flag(self, key: str, default: bool = False) -> bool:
         return self.fields.get(key, "true" if default else "false") in ("true", "1")
 
+    def names(self, key: str) -> tuple[str, ...]:
+        return tuple(name for name in self.text(key).split(",") if name)
+
     def items(self, key: str) -> list[Settings]:
         prefixes = [f"{key}.{i}." for i in range(int(self.number(f"{key}.count")))]
         return [
@@ -69,6 +72,8 @@
         repeat=REPEATS.get(s.text("repeat"), t.Repeat.UNREPEATABLE),
         group={"all": t.Group.ALL, "zone": t.Group.ZONE}.get(s.text("group"), t.Group.CELL),
         window=s.micros("window-s"),
+        zones=s.names("confined-to"),
+        kinds=s.names("bound-to"),
     )
 
 
@@ -97,6 +102,7 @@
         longest_advice=s.micros("limits.max-retry-after-s"),
         beside=s.text("family") == "mesh",
         zone=s.text("locality"),
+        uneven=s.text("family") == "mesh" or s.number("prices.cross-zone") > 0 or len(s.names("kinds")) > 1,
         crossing_price=s.number("prices.cross-zone"),
         warm_keys=s.flag("family-info.warm-keys"),
         weights_tell_speed=s.text("weights") == "nominal",
@@ -107,8 +113,7 @@
 # What only one shape of deployment has, and the values that it may have in the other.
 BESIDE_ONLY = {
     "limits.streams-per-conn": ("", "1", "1.0"), "family-info.warm-keys": ("", "false", "0"),
-    "prices.connection": ("", "0", "0.0"), "prices.cross-zone": ("", "0", "0.0"),
-    "weights": ("", "off"),
+    "prices.connection": ("", "0", "0.0"), "weights": ("", "off"),
 }
 POOL_ONLY = {
     "tier": ("", "0", "0.0"), "limits.may-duplicate": ("", "false", "0"), "limits.probes": ("", "false", "0"),
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -129,9 +129,7 @@
 
 
 @dataclass(slots=True)
-class Lane:
-    """Held submissions of one workload and standing, first come first served."""
-
+class Lane:  # held submissions of one workload and standing, first come first served
     worth: float
     line: deque[Submission] = field(default_factory=deque)
 
@@ -140,7 +138,7 @@
     """The derived figures that the desk decides by."""
 
     def __init__(self, d: t.Deployment) -> None:
-        self.front, self.margin = d.tier == 0, 2 * d.round
+        self.front, self.margin, self.warm_keys = d.tier == 0, 2 * d.round, d.warm_keys
         self.workloads, self.most_launches = {w.name: w for w in d.workloads}, d.most_launches
         self.copies, self.cancel, self.beyond = d.copies_allowed, d.cancel_allowed, d.beyond_share_value
         self.probes, self.reports = d.probes_allowed, d.probes_allowed and d.reports_asked
@@ -158,8 +156,8 @@
         whole = sum(q.quota_per_s for q in d.tenants) or 1.0
         self.quotas = {q.name: q.quota_per_s / whole for q in d.tenants} if self.front else {}
         self.crowded, self.roomy = BESIDE_MARKS if d.beside else (CROWDED, ROOMY)
-        self.beside, self.zone, self.warm_keys, self.few = d.beside, d.zone, d.warm_keys, d.few_connections
-        self.crossing, self.told_speed = d.crossing_price, d.weights_tell_speed
+        self.uneven, self.beside, self.few = d.uneven, d.beside, d.few_connections
+        self.crossing, self.told_speed, self.zone = d.crossing_price, d.weights_tell_speed, d.zone
 
 
 class Desk(Part):
@@ -301,7 +299,8 @@
     def hold(self, s: Submission) -> None:
         s.held = True
         self.waiting += 1
-        if s.first_run() is not None and s.workload.repeat is t.Repeat.DEDUPLICATED:
+        w = s.workload
+        if w.zones or w.kinds or s.first_run() is not None and w.repeat is t.Repeat.DEDUPLICATED:
             self.bound.append(s)
         else:
             self.queue[s.lane].line.append(s)
@@ -363,8 +362,7 @@
 
     def room(self) -> int:
         """Launches in flight at all ready endpoints together. Fractions are rounded by chance, down to none:
-        one launch from each of hundreds of sidecars would jam a small fleet. While answers are quick and the
-        last second's mean keeps to it, arrivals by chance may exceed it for a moment."""
+        one from each of hundreds of sidecars would jam a few endpoints. Quick answers let it be exceeded."""
         room = self.part()
         if self.allow.beside:
             least = 0.0 if self.mail.now < self.rest_until else 1.0
@@ -397,7 +395,7 @@
                 told = None if behind else self.told_least(load, s, tried)
                 if told is not None:
                     return told
-                if self.allow.beside:
+                if self.allow.uneven:
                     line = sorted(shelf, key=lambda seat: self.race(seat, s))
                 else:
                     start = self.chance.upto(len(shelf) - 1) if len(shelf) > 1 else 0
@@ -434,6 +432,8 @@
     def may_take(self, seat: Seat, s: Submission, tried: list[Seat]) -> bool:
         if seat.flying and (seat.says.trial or seat.flying >= self.cap * self.scale * seat.says.share):
             return False
+        if not s.workload.open_at(seat.says.entry):  # at every launch, also when all that are open are down
+            return False
         if tried and (not self.group_allows(s, seat) or seat in tried and self.ready > len(tried)):
             return False
         return seat.says.cold_since is None or self.credited(seat)
@@ -461,8 +461,7 @@
         return self.allow.cold_share + (1 - self.allow.cold_share) * age
 
     def credited(self, seat: Seat) -> bool:
-        """Rule 4: a cold endpoint gets the mean rate of launches, scaled by how warm it must be by now.
-        Credit never exceeds one launch, so no burst builds up; it starts differently at each sidecar."""
+        """Rule 4: a cold one gets its part by warmth; credit of one launch at most, so no burst builds up."""
         now, warmth = self.mail.now, self.warmth(seat.says)
         if now - seat.says.cold_since >= self.allow.cold_time:
             seat.says.cold_since = None
@@ -515,7 +514,7 @@
         # only the quick answers tell how slow it is.
         how = t.How.TIMED_OUT if flight.overdue else note.how
         overtaken = s.done and not flight.overdue or how in (t.How.CALLED_OFF, t.How.UNSENT, t.How.REJECTED)
-        warm = self.warmth(seat.says) if self.allow.beside else 1.0  # or cold ones make growth look crowded
+        warm = self.warmth(seat.says) if self.allow.uneven else 1.0  # or cold ones make growth look crowded
         pace = note.took * warm / max(1.0, gauge.uncrowded)
         if how in (t.How.HANDLED, t.How.TIMED_OUT):
             # Over about a second's answers, at least eight: with few a fixed share would see a jam too late.
@@ -523,7 +522,7 @@
             self.crowding += gain * (min(pace, 8.0) - self.crowding)
         self.answered.add(now, not overtaken)
         self.failed.add(now, not overtaken and how is not t.How.HANDLED)
-        if self.allow.beside:
+        if self.allow.uneven:
             pace = self.against_kind(seat, min(pace, 8.0), gauge.uncrowded * (note.how is t.How.HANDLED))
         self.mail.post(self.endpoints[seat.name], Answer(how, pace, overtaken, self.usual))
         if note.closed or note.how is t.How.HANDLED:
@@ -652,7 +651,8 @@
         now = self.mail.now
         self.began = now if self.began < 0 else self.began
         rate = self.came.total(now) * SECOND / min(5 * SECOND, max(SECOND, now - self.began))
-        self.scale = rate * (self.unhurried or 100 * MS) / SECOND / max(1, self.ready)
+        if self.allow.beside:
+            self.scale = rate * (self.unhurried or 100 * MS) / SECOND / max(1, self.ready)
         wanted = self.zones[0] > max(ABROAD, self.zones[1])
         self.abroad = min(1.0, self.abroad * 1.2) if wanted else max(ABROAD_LEAST, self.abroad * 0.9)
         self.warm = sum(self.warmth(seat.says) for seat in self.seats.values() if seat.counts())
@@ -719,7 +719,7 @@
                 if seat.says.cold_since is not None:
                     self.shelve(seat)  # the mean that it counts at has moved
         load = sum(busy) / len(busy) if busy else 1.0
-        if all_ and self.allow.beside:
+        if all_ and self.allow.uneven:
             self.balance(pace)
         self.usual = Usual(took, self.crowding, pace, failed, answered, told, load)
 
@@ -978,15 +978,12 @@
 
     def plea(self, note: Plea) -> None:
         """Never all at once on thin evidence: what all endpoints share is not one endpoint's fault."""
-        aside = sum(1 for name in self.listed if self.endpoints[name].mode == "aside")
+        aside = sum(self.endpoints[name].mode == "aside" for name in self.listed)
         most = max(1, ASIDE_SHARE * len(self.listed))
         if len(self.listed) - aside > 1 and note.name in self.listed and (note.hard or aside + 1 <= most):
             self.mail.post(self.endpoints[note.name], Aside(note.why))
 
 
-ROSTERS = (t.Listed, t.Probed, t.ByHand)
-
-
 class Sidecar:
     """One instance: routes outside notes to the parts and keeps one wake-up pending."""
 
@@ -1000,7 +997,7 @@
         mail = self.mail
         mail.now, mail.orders = now, []
         for note in (note for note in notes if not isinstance(note, t.Woke)):
-            mail.post(self.roster if isinstance(note, ROSTERS) else self.desk, note)
+            mail.post(self.roster if isinstance(note, t.Listed | t.Probed | t.ByHand) else self.desk, note)
             mail.run()
         mail.ring()
         at = mail.next_alarm()
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -66,6 +66,11 @@
     repeat: Repeat = Repeat.UNREPEATABLE
     group: Group = Group.CELL
     window: int = 0
+    zones: tuple[str, ...] = ()  # where any, only endpoints in these are open to it, ...
+    kinds: tuple[str, ...] = ()  # ... and only those of these kinds
+
+    def open_at(self, entry: Listing) -> bool:
+        return (not self.zones or entry.zone in self.zones) and (not self.kinds or entry.kind in self.kinds)
 
 
 @dataclass(slots=True)
@@ -100,6 +105,7 @@
     longest_advice: int = 0
     beside: bool = False  # each client process has a sidecar of its own
     zone: str = ""  # where this sidecar is
+    uneven: bool = False  # endpoints differ in kind, or in what it costs to reach them
     crossing_price: float = 0.0  # for each launch that crosses zones, as a part of a submission's value
     warm_keys: bool = False  # an endpoint handles with less work a key that it met lately
     weights_tell_speed: bool = False  # an endpoint's weight holds its speed too, not its cores alone
--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -13,7 +13,8 @@
 
 
 def beside(**changes) -> t.Deployment:
-    usual = dict(beside=True, copies_allowed=False, probes_allowed=False, instances=250, zone="z")
+    alone = dict(beside=True, uneven=True, instances=250, zone="z")
+    usual = alone | dict(copies_allowed=False, probes_allowed=False)
     return deployment(**(usual | changes))
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,8 +9,8 @@
 from lupinmill.rules import CAP_START, FLEET_START, RETRY_BASE, SECOND, UNEVEN, Gauge
 
 MS = 1000
-BESIDE = dict(beside=True, copies_allowed=False, probes_allowed=False, zone="z", crossing_price=0.1,
-              warm_keys=True)
+BESIDE = dict(beside=True, uneven=True, copies_allowed=False, probes_allowed=False, zone="z",
+              crossing_price=0.1, warm_keys=True)
 HOWS = [h for h in t.How if h is not t.How.CALLED_OFF]
 
 
@@ -369,6 +369,36 @@
     assert "e0" in {bed.flights[bed.arrive(IDEM)][0]["endpoint"] for _ in range(13)}
 
 
+@pytest.mark.parametrize("uneven", [False, True])
+def test_a_bound_workload_goes_to_no_other_endpoint_and_holds_up_nothing_else(uneven):
+    """As reported: claim-star, which only north-hall serves, went to west-hall at its first launch."""
+    star = t.Workload("star", SECOND, 2 * SECOND, repeat=t.Repeat.DEDUPLICATED, window=SECOND, zones=("n",))
+    bed = Bed(deployment(workloads=[IDEM, star], uneven=uneven, zone="z"), endpoints=0)
+    told = [t.Listing(f"e{at}", t.State.READY, "n" if at < 2 else "z", "k", "0") for at in range(6)]
+    bed.step(t.Listed(t.ListKind.FULL, told))
+    chance, stars, others = random.Random(3), [], []
+    hows = [t.How.HANDLED] * 8 + [t.How.REFUSED, t.How.ERROR]
+    for at in range(400):
+        if at == 200:
+            bed.step(t.Listed(t.ListKind.CHANGES, [t.Listing(f"e{n}", t.State.GONE) for n in (0, 1)]))
+        (stars if at % 3 else others).append(bed.arrive(star if at % 3 else IDEM))
+        bed.run(20 * MS)
+        for name in list(bed.flights):
+            for launch in bed.out(name):
+                bed.end(name, launch, chance.choice(hows))
+    assert {f["endpoint"] for name in stars for f in bed.flights[name]} == {"e0", "e1"}
+    assert sum(bed.closed.get(name) == "handled" for name in others) > 0.8 * len(others)
+
+
+def test_a_workload_bound_to_kinds_goes_to_those_alone():
+    heavy = t.Workload("heavy", SECOND, 2 * SECOND, 1.0, 0.0, t.Repeat.IDEMPOTENT, kinds=("big",))
+    bed = Bed(deployment(workloads=[heavy]), endpoints=0)
+    told = [t.Listing(f"e{at}", t.State.READY, "z", "big" if at == 3 else "small", "0") for at in range(4)]
+    bed.step(t.Listed(t.ListKind.FULL, told))
+    names = [bed.arrive(heavy) for _ in range(9)]
+    assert {f["endpoint"] for name in names for f in bed.flights[name]} == {"e3"}
+
+
 def test_a_first_report_puts_nobody_behind_before_the_mean_is_known():
     """Seen: whoever was probed in the first half second stood behind the others, whatever it told."""
     bed = Bed(deployment(reports_asked=True), endpoints=3)
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -44,7 +44,6 @@
     ("tier", BESIDE | {"tier": 1}),
     ("limits.streams-per-conn", {"limits": LIMITS | {"streams-per-conn": 100}}),
     ("family-info.warm-keys", {"family": "chain", "family-info": {"warm-keys": True}}),
-    ("prices.cross-zone", {"prices": {"cross-zone": 0.1}}),
     ("prices.connection", {"prices": {"connection": 0.05}}),
     ("weights", {"weights": "nominal"}),
     ("family", BESIDE | {"family": "meshed"}),
