--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -43,6 +43,7 @@
 # by the launches out there: a single one may just be long.
 SILENCE, LONELY = 4.0, 6.0
 SLOW = 2.7  # multiple of the middle endpoint's pace beyond which one is judged slow
+DRAGS = 3.5  # multiple of the least pace of a workload beyond which one is slow by itself
 ASK_APART = 30 * MS  # between two sidecars that ask for the list anew, when all lost it together
 ASIDE_SHARE = 0.34  # on soft evidence no more than this share of the endpoints is set aside
 
@@ -53,7 +54,7 @@
     def __init__(self, guess: int, evidence: int) -> None:
         self.usual, self.uncrowded, self.evidence = float(guess), float(guess), evidence
         self.means: deque[float] = deque(maxlen=15)
-        self.mark, self.total, self.count = -1, 0.0, 0
+        self.mark, self.total, self.count, self.pace = -1, 0.0, 0, 1.0
 
     def add(self, now: int, took: int) -> None:
         self.usual += (took - self.usual) * (0.05 if self.means else 0.2)
@@ -510,8 +511,7 @@
         gauge = self.gauge(s.workload)
         if note.how is t.How.HANDLED:
             gauge.add(now, note.took)
-        # What we call off at the hard limit is a time-out of the endpoint's: leaving those out would let
-        # only the quick answers tell how slow it is.
+        # What we call off at the hard limit is a time-out of its endpoint, or only quick answers would tell.
         how = t.How.TIMED_OUT if flight.overdue else note.how
         overtaken = s.done and not flight.overdue or how in (t.How.CALLED_OFF, t.How.UNSENT, t.How.REJECTED)
         warm = self.warmth(seat.says) if self.allow.uneven else 1.0  # or cold ones make growth look crowded
@@ -519,6 +519,9 @@
         if how in (t.How.HANDLED, t.How.TIMED_OUT):
             # Over about a second's answers, at least eight: with few a fixed share would see a jam too late.
             gain = max(0.03, 1 / (8 + self.answered.total(now) / 3))
+            gauge.pace += 0.1 * (min(pace, 8.0) - gauge.pace)
+            if gauge.pace > DRAGS * min(other.pace for other in self.gauges.values()):
+                pace = self.crowding  # slow at all endpoints while other workloads are not: it is no load
             self.crowding += gain * (min(pace, 8.0) - self.crowding)
         self.answered.add(now, not overtaken)
         self.failed.add(now, not overtaken and how is not t.How.HANDLED)
@@ -768,8 +771,7 @@
         self.heard, self.flying = self.heard if self.flying else self.mail.now, self.flying + 1
 
     def answer(self, note: Answer) -> None:
-        self.flying -= 1
-        self.usual = note.usual
+        self.flying, self.usual = self.flying - 1, note.usual
         if not note.overtaken:
             self.answered.add(self.mail.now)
             if note.how is not t.How.TIMED_OUT:
@@ -813,8 +815,7 @@
 
     def judge(self) -> None:  # from its answers, against what is usual in the fleet
         now, usual = self.mail.now, self.usual
-        # Own launches in flight say little where many sidecars share an endpoint: one that reports far
-        # more than the others, or is slower, goes behind them while that news is fresh.
+        # Own launches in flight say little where many share it: a slow or full one goes behind the others.
         fresh = self.told is not None and now - self.told_at <= TOLD_AGE
         self.crowded = fresh and 0 < 2 * usual.told < self.told  # 0: the mean is not known so far
         if self.pace and self.answers >= 3 and now - self.heard < TOLD_AGE:
@@ -888,8 +889,7 @@
             if note.how is t.How.UNCONNECTED:
                 self.failure(note.how)
             self.judge()
-            self.tell()
-            return
+            return self.tell()
         good = note.how is t.How.HANDLED
         self.good_probes, self.blip = self.good_probes + 1 if good else 0, self.blip and good
         if self.good_probes >= 2:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -390,6 +390,24 @@
     assert sum(bed.closed.get(name) == "handled" for name in others) > 0.8 * len(others)
 
 
+def test_a_workload_that_is_slow_everywhere_shuts_no_caps_and_blames_no_endpoint():
+    """Seen at puzzle-world-main: one workload waited two contracts at every endpoint, half was denied."""
+    bed, chance = Bed(deployment(), endpoints=4), random.Random(4)
+    warm(bed, took=40 * MS)
+    warm(bed, took=40 * MS, workload=ONCE)
+    due = []
+    for _ in range(800):
+        w = ONCE if chance.random() < 0.4 else IDEM
+        due.append((bed.now + (400 if w is ONCE else 40) * MS, bed.arrive(w)))
+        bed.run(20 * MS)
+        for at, name in due:
+            for launch in bed.out(name) if at <= bed.now else []:
+                bed.end(name, launch, t.How.HANDLED)
+        due = [(at, name) for at, name in due if name not in bed.closed]
+    assert bed.sidecar.desk.crowding < 1.5 and bed.sidecar.desk.cap >= CAP_START
+    assert not any("set aside" in line for line in bed.logs)
+
+
 def test_a_workload_bound_to_kinds_goes_to_those_alone():
     heavy = t.Workload("heavy", SECOND, 2 * SECOND, 1.0, 0.0, t.Repeat.IDEMPOTENT, kinds=("big",))
     bed = Bed(deployment(workloads=[heavy]), endpoints=0)
