--- a/lupinmill/protocol/settings.py
+++ b/lupinmill/protocol/settings.py
@@ -102,6 +102,7 @@
         longest_advice=s.micros("limits.max-retry-after-s"),
         beside=s.text("family") == "mesh",
         zone=s.text("locality"),
+        gone_binds=not s.flag("invariants.dropped-stay-open"),
         uneven=s.text("family") == "mesh" or s.number("prices.cross-zone") > 0 or len(s.names("kinds")) > 1,
         crossing_price=s.number("prices.cross-zone"),
         warm_keys=s.flag("family-info.warm-keys"),
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -135,9 +135,7 @@
     line: deque[Submission] = field(default_factory=deque)
 
 
-class Allowances:
-    """The derived figures that the desk decides by."""
-
+class Allowances:  # the derived figures that the desk decides by
     def __init__(self, d: t.Deployment) -> None:
         self.front, self.margin, self.warm_keys = d.tier == 0, 2 * d.round, d.warm_keys
         self.workloads, self.most_launches = {w.name: w for w in d.workloads}, d.most_launches
@@ -270,8 +268,7 @@
             if more and seat.name in self.endpoints and not seat.flying:
                 self.endpoints[seat.name].tell()  # it may have gone meanwhile
 
-    def beyond_share(self, tenant: str) -> bool:
-        """What exceeds the tenant's part of own traffic: all sidecars carry much the same mix."""
+    def beyond_share(self, tenant: str) -> bool:  # what exceeds its part of own traffic: the mix is alike
         if (ring := self.sent_by.get(tenant)) is None:
             return False
         ring.add(self.mail.now)
@@ -341,8 +338,7 @@
                 return
             best.line.popleft()
 
-    def may_launch(self, s: Submission) -> bool:
-        """Rule 2, and what the deployment allows: may this submission be launched (again) at all?"""
+    def may_launch(self, s: Submission) -> bool:  # (again): rule 2, and what the deployment allows
         if s.done or s.streaming or s.spent or len(s.flights) >= self.allow.most_launches:
             return False
         first = s.first_run()
@@ -406,8 +402,7 @@
                         return seat
         return None
 
-    def race(self, seat: Seat, s: Submission) -> float:
-        """The least is first: by chance, or by key alike at all sidecars, each as often as it pulls."""
+    def race(self, seat: Seat, s: Submission) -> float:  # least first: by chance, or by key alike everywhere
         return -log(mixed(s.mark, seat.mark) if s.mark else self.chance.draw() or 0.5) / seat.pull
 
     def told_least(self, load: int, s: Submission, tried: list[Seat]) -> Seat | None:
@@ -588,8 +583,7 @@
         all_drop = s.workload.repeat is t.Repeat.DEDUPLICATED and s.workload.group is t.Group.ALL
         return all_drop or s.workload.repeat is t.Repeat.IDEMPOTENT or s.first_run() is None
 
-    def finish(self, s: Submission) -> None:
-        """The final answer that is not 'handled'; advice is jittered, lest the denied return as a wave."""
+    def finish(self, s: Submission) -> None:  # advice is jittered, lest the denied return as a wave
         advice = self.allow.advice // 2 + self.chance.upto(self.allow.advice // 2)
         self.mail.orders.append(t.Deny(s.name, advice) if self.may_deny(s) else t.BreakOff(s.name))
         self.close(s)
@@ -911,17 +905,16 @@
         self.tell()
 
 
-class Roster(Part):
-    """Follows the list, and grants setting aside."""
-
+class Roster(Part):  # follows the list, and grants setting aside
     def __init__(self, mail: Mail, allow: Allowances, desk: Desk, chance: Chance, d: t.Deployment) -> None:
         super().__init__()
         self.mail, self.allow, self.desk, self.chance = mail, allow, desk, chance
         self.ask_span = max(SECOND, min(d.ask_within, 10 * SECOND)) * 2 // 5 if d.must_ask else 0
-        self.asks, self.ask_base = 0, min(SECOND, d.instances * ASK_APART)
+        self.asks, self.ask_base, self.gone_binds = 0, min(SECOND, d.instances * ASK_APART), d.gone_binds
         self.endpoints = desk.endpoints
         self.listed: dict[str, t.Listing] = {}
         self.out: set[str] = set()  # by hand
+        self.dropped: set[str] = set()  # listed as gone, undrained: where that does not bind they serve on
         self.handlers = {
             t.Listed: self.update, t.Probed: self.probed, Plea: self.plea, AskDue: self.ask,
             t.ByHand: self.by_hand,
@@ -929,15 +922,13 @@
 
     def update(self, note: t.Listed) -> None:
         if note.kind is t.ListKind.FAILED:
-            # The list service is overloaded or the watch broke: ask again, later each time, jittered.
-            self.asks += 1
+            self.asks += 1  # overloaded, or the watch broke: asked again, later each time, jittered
             span = min(self.ask_span, self.ask_base << min(self.asks, 4))
             if span:
                 self.mail.alarm(self.mail.now + span // 4 + self.chance.upto(span), self, AskDue())
             return
         if note.kind is t.ListKind.CACHED and self.ask_span:
-            # Sidecars started together spread their calls, well before they count as told.
-            self.mail.alarm(self.mail.now + self.chance.upto(self.ask_span), self, AskDue())
+            self.mail.alarm(self.mail.now + self.chance.upto(self.ask_span), self, AskDue())  # spread
         if note.kind is not t.ListKind.CACHED:
             self.asks = 0
         if note.kind is not t.ListKind.CHANGES:
@@ -948,7 +939,11 @@
             self.tell(entry)  # those that leave first: what is held goes out as soon as a new one is there
 
     def tell(self, entry: t.Listing) -> None:
-        name, allow = entry.endpoint, self.allow
+        name, allow, was = entry.endpoint, self.allow, self.listed.get(entry.endpoint)
+        self.dropped.discard(name)
+        gone = entry.state is t.State.GONE and was is not None and was.state is t.State.READY
+        if gone and not self.gone_binds and self.endpoints[name].mode != "aside":
+            return self.dropped.add(name)  # the list may be wrong: believed once the endpoint fails as well
         if name not in self.endpoints:
             self.endpoints[name] = Endpoint(self.mail, allow, self.desk, self, self.chance, entry)
         if entry.state is t.State.GONE:
@@ -978,6 +973,9 @@
 
     def plea(self, note: Plea) -> None:
         """Never all at once on thin evidence: what all endpoints share is not one endpoint's fault."""
+        if note.name in self.dropped:
+            self.endpoints[note.name].mode = "aside"
+            return self.tell(replace(self.listed[note.name], state=t.State.GONE))
         aside = sum(self.endpoints[name].mode == "aside" for name in self.listed)
         most = max(1, ASIDE_SHARE * len(self.listed))
         if len(self.listed) - aside > 1 and note.name in self.listed and (note.hard or aside + 1 <= most):
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -105,6 +105,7 @@
     longest_advice: int = 0
     beside: bool = False  # each client process has a sidecar of its own
     zone: str = ""  # where this sidecar is
+    gone_binds: bool = True  # else an endpoint that the list drops undrained may still be sent to
     uneven: bool = False  # endpoints differ in kind, or in what it costs to reach them
     crossing_price: float = 0.0  # for each launch that crosses zones, as a part of a submission's value
     warm_keys: bool = False  # an endpoint handles with less work a key that it met lately
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -408,6 +408,29 @@
     assert not any("set aside" in line for line in bed.logs)
 
 
+@pytest.mark.parametrize("drained", [False, True])
+def test_where_gone_alone_does_not_bind_what_the_list_drops_serves_until_it_fails(drained):
+    """Incident ibd6aa9: the list called 10 of 13 gone that served on; the other three got all of it."""
+    bed = Bed(deployment(gone_binds=False), endpoints=4)
+    warm(bed)
+    if drained:
+        bed.step(t.Listed(t.ListKind.CHANGES, [listing(0, t.State.DRAINING)]))
+    bed.step(t.Listed(t.ListKind.CHANGES, [listing(0, t.State.GONE)]))
+    bed.state["e0"] = t.State.GONE if drained else t.State.READY  # what the bed holds each launch against
+    picks = []
+    for _ in range(20):
+        picks.append(name := bed.arrive(IDEM))
+        bed.end(name, 0, t.How.HANDLED, after=20 * MS)
+    used = [bed.flights[name][0]["endpoint"] for name in picks]
+    assert ("e0" in used) is not drained
+    while not drained and "e0" in bed.sidecar.desk.endpoints:
+        name = bed.arrive(IDEM)
+        bed.end(name, 0, t.How.UNCONNECTED if bed.flights[name][0]["endpoint"] == "e0" else t.How.HANDLED)
+    assert "e0" not in bed.sidecar.roster.listed and not bed.sidecar.roster.dropped
+    bed.step(t.Listed(t.ListKind.CHANGES, [listing(0)]))
+    assert "e0" in bed.sidecar.desk.seats
+
+
 def test_a_workload_bound_to_kinds_goes_to_those_alone():
     heavy = t.Workload("heavy", SECOND, 2 * SECOND, 1.0, 0.0, t.Repeat.IDEMPOTENT, kinds=("big",))
     bed = Bed(deployment(workloads=[heavy]), endpoints=0)
