--- a/lupinmill/protocol/settings.py
+++ b/lupinmill/protocol/settings.py
@@ -123,7 +123,9 @@
 CHOICES = {
     "family": ("", "proxy", "chain", "mesh"), "weights": ("", "off", "nominal", "rough", "live"),
     "family-info.warm-keys": ("", "true", "false", "1", "0"),
+    "invariants.dropped-stay-open": ("", "true", "false", "1", "0"),
 }
+PLACES = {"confined-to": "areas", "bound-to": "kinds"}  # of a workload, and where all names stand
 LEAST = {"limits.streams-per-conn": 1.0, "prices.connection": 0.0, "prices.cross-zone": 0.0}
 
 
@@ -146,6 +148,12 @@
         if fields.get(key, "") not in harmless:
             shape = "each client has a sidecar of its own" if beside else "clients share sidecars"
             raise ValueError(f"settings.{key}: {fields[key]!r} has no place where {shape} (settings.family)")
+    for at, w in enumerate(Settings(fields).items("workloads")):
+        for key, known in PLACES.items():
+            names = Settings(fields).names(known)
+            for name in w.names(key):
+                if names and name not in names:
+                    raise ValueError(f"settings.workloads.{at}.{key}: {name!r} is none of {', '.join(names)}")
     zone, zones = fields.get("locality", ""), [one for one in fields.get("areas", "").split(",") if one]
     if zone and zones and zone not in zones:
         raise ValueError(f"settings.locality: {zone!r} is none of {', '.join(zones)}")
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -341,10 +341,10 @@
     return head.encode() + body
 
 
-def on_network(check, *acts, endpoint=None, **more) -> Net:
+def on_network(check, *acts, endpoint=None, net_of=Net, **more) -> Net:
     """Runs `check(net)` beside a whole program; afterwards nothing may be left that was leased. `endpoint`:
     what serves a connection in the place of the first stand-in."""
-    net = Net(acts, **more)
+    net = net_of(acts, **more)
 
     async def main() -> None:
         with anyio.fail_after(NO_CHANCE_OF_STOPPING):
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -37,6 +37,7 @@
     assert d.few_connections and d.weights_tell_speed and not d.copies_allowed
 
 
+STAR = {"name": "star", "contract-time-s": 0.5, "hard-limit-s": 1.0, "repeat": "repeatable"}
 MIXES = [
     ("limits.probes", BESIDE | {"limits": ALONE | {"probes": True}}),
     ("limits.may-duplicate", BESIDE | {"limits": ALONE | {"may-duplicate": True}}),
@@ -53,6 +54,9 @@
     ("prices.cross-zone", BESIDE | {"prices": PRICES | {"cross-zone": "much"}}),
     ("prices.connection", BESIDE | {"prices": PRICES | {"connection": -1}}),
     ("prices.connection", BESIDE | {"prices": PRICES | {"connection": "nan"}}),
+    ("invariants.dropped-stay-open", {"invariants": {"dropped-stay-open": "perhaps"}}),
+    ("workloads.0.confined-to", {"workloads": [STAR | {"confined-to": ["n", "moon"]}], "areas": ["n"]}),
+    ("workloads.0.bound-to", {"workloads": [STAR | {"bound-to": ["huge"]}], "kinds": ["big", "small"]}),
     ("locality", BESIDE | {"locality": ""}),
     ("locality", BESIDE | {"locality": "x"}),
 ]
@@ -75,6 +79,30 @@
     assert done.stderr.count(b"\n") == 1 and f"settings.{key}: ".encode() in done.stderr
 
 
+def test_the_real_sidecar_keeps_placement():
+    """A bound workload goes to endpoints in its zone alone, and is denied when those are down."""
+    async def check(net: Net):
+        for at in range(6):
+            assert (await net.ask(wanted(f"s{at}", "star"))).status == 200
+        stars = [[one for one in stand.seen if b"star" in one.target] for stand in net.stands]
+        assert [len(seen) for seen in stars] == [0, 0, 6]
+        update = {"index": 9, "endpoints": [net.discovery.rows[2] | {"status": "DRAINING"}]}
+        net.program.directory.update(lists.known(update), t.ListKind.CHANGES)
+        assert (await net.ask(wanted("s9", "star", "0.4"))).status == 503
+        assert (await net.ask(wanted("s10"))).status == 200
+
+    class Zoned(Net):
+        async def start(self, group) -> None:
+            await super().start(group)
+            for row in (self.discovery.rows[2], self.table["known"]["endpoints"][2]):
+                row["zone"] = "north"
+
+    table = settings()
+    star = table["workloads"][0] | {"name": "star", "confined-to": ["north"]}
+    workloads = [*table["workloads"], star]
+    on_network(check, *[fine] * 3, net_of=Zoned, workloads=workloads, areas=["z", "north"])
+
+
 def test_a_sidecar_beside_its_client_serves_and_tells_the_module_keys_and_weights():
     async def check(net: Net):
         for at in range(12):
