--- a/lupinmill/__main__.py
+++ b/lupinmill/__main__.py
@@ -36,7 +36,7 @@
     except ModuleNotFoundError as error:
         if error.name != "click":
             raise
-        print("lupinmill: commands want click: pip install 'lupinmill[lab]'", file=sys.stderr)
+        print("lupinmill: commands want click: pip install 'lupinmill[peers]' or 'lupinmill[lab]'", file=sys.stderr)
         return 2
     return command(sys.argv[1:])
 
--- a/lupinmill/admin/desk.py
+++ b/lupinmill/admin/desk.py
@@ -22,6 +22,7 @@
 ANSWER = 1.0  # seconds for an answer to be written and read
 DROPPED = 64 * 1024  # bytes behind the head that are read and dropped, lest the close reset the answer
 READ = 4 * 1024
+LOGGED = 200  # characters of an answer
 
 CarryOut = Callable[[Call], Awaitable[tuple[int, str]]]
 
@@ -95,7 +96,7 @@
             except Exception as error:
                 self.log("task_failed", task="operator", **defect(error))
                 status, text = 500, "a defect; see the log"
-            self.log("operator", call=call.what, member=call.endpoint, status=status, text=text)
+            self.log("operator", call=call.what, member=call.endpoint, status=status, text=text[:LOGGED])
         with anyio.move_on_after(ANSWER):
             await self.pass_back(caller, side.answer(status, text))
 
--- a/lupinmill/admin/office.py
+++ b/lupinmill/admin/office.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import orjson
 
 from lupinmill.admin.standing import Standing, Verdict
 from lupinmill.protocol import calls
@@ -27,12 +28,17 @@
         self.standing, self.directory, self.engine, self.log = standing, directory, engine, log
         self.changed: Callable[[], None] = lambda: None  # told of each change of mode
         self.taking = lambda: False  # does this process take clients?
+        self.peers: Callable[[], dict[str, object]] | None = None  # a plain table of who is there
         # To the other process of an upgrade.
         self.pass_on: Callable[[calls.Call], Awaitable[None]] | None = None
 
     async def carry_out(self, call: calls.Call) -> tuple[int, str]:
         if call.what == calls.HEALTH:
             return (200, "takes clients") if self.taking() else (503, "takes no clients")
+        if call.what == calls.PEERS:
+            if self.peers is None:
+                return 404, "peers are off"
+            return 200, orjson.dumps(self.peers()).decode()
         status, text = self.apply(call)
         if status == 200 and self.pass_on is not None:
             await self.pass_on(call)
--- a/lupinmill/cli/main.py
+++ b/lupinmill/cli/main.py
@@ -8,7 +8,11 @@
 
 import click
 
-GROUPS = {"lab": ("lupinmill.cli.lab", "lab", "Rehearse: emulator, load, experiments, reports.")}
+GROUPS = {  # module, command, help, and the extra that it wants
+    "check": ("lupinmill.cli.check", "check", "Check an operator's file, tell what follows.", "peers"),
+    "lab": ("lupinmill.cli.lab", "lab", "Rehearse: emulator, load, experiments, reports.", "lab"),
+    "peers": ("lupinmill.cli.peers", "peers", "What a sidecar knows of the others.", "peers"),
+}
 
 
 class Groups(click.Group):
@@ -18,18 +22,18 @@
     def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
         if name not in GROUPS:
             return super().get_command(ctx, name)
-        module, command, _ = GROUPS[name]
+        module, command, _, extra = GROUPS[name]
         try:
             return getattr(importlib.import_module(module), command)
         except ModuleNotFoundError as error:
             if error.name and error.name.startswith("lupinmill"):
                 raise
             raise click.ClickException(
-                f"{name} wants {error.name}: pip install 'lupinmill[{name}]'"
+                f"{name} wants {error.name}: pip install 'lupinmill[{extra}]'"
             ) from error
 
     def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
-        rows = [(name, text) for name, (_, _, text) in GROUPS.items()]
+        rows = [(name, text) for name, (_, _, text, _) in GROUPS.items()]
         rows += [
             (name, command.get_short_help_str())
             for name, command in super().list_commands(ctx) and self.commands.items()
--- /dev/null
+++ b/lupinmill/lab/explorer.py
@@ -0,0 +1,343 @@
+"""A model check of the very cores of `peers/`: small worlds, every schedule with a few departures from the
+plain one.
+
+The plain schedule delivers datagrams in the order in which they were sent and lets time pass when none is
+left. A departure, one of the world's `departures`, delivers another one first, loses or doubles one, restarts
+or stops a process, lets time pass early, moves a wall clock. All schedules with no departure are played
+first, then all with one, with two, and so on (delay bounding: Emmi, Qadeer, Rakamaric 2011), each state once;
+so the first failure found is among the simplest, and `replay` plays it from its text alone.
+
+Owns nothing: worlds are values, copied as pickles."""
+
+from __future__ import annotations
+
+import pickle
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from lupinmill.peers.claims import Chosen, Claims, Lost, Took
+from lupinmill.peers.elector import Elector, Keep, Memory
+from lupinmill.peers.view import MS, SECOND, Heard, Send
+from lupinmill.workings import Chance
+
+TOPIC = "rehearsal"
+SPAN = SECOND
+BEGIN = 1_000 * SECOND
+
+Action = tuple[str, int]  # what, and with which datagram or host
+
+
+@dataclass
+class Planted:
+    """Faults that the explorer must find: each makes one part of a core wrong."""
+
+    forgets: bool = False  # an elector votes after a restart without its memory
+    miscounts: bool = False  # half of the electors count as a majority
+    wall: bool = False  # an elector judges leases by the wall clock
+
+
+def half(electors: int) -> int:
+    return electors // 2
+
+
+@dataclass
+class Box:
+    """A process of the small world, and what outlives it."""
+
+    name: str
+    elector: Elector | None = None
+    claims: Claims | None = None
+    disk: bytes = b""
+    ahead: int = 0  # of its monotonic clock, ...
+    pace: int = 0  # ... which runs so many thousandths faster
+    wall: int = 0  # by which its wall clock was moved
+    paused: bool = False
+    lives: int = 0
+    decided: int = 0  # epoch under which it has decided
+
+
+@dataclass
+class AgreementWorld:
+    """Electors, some of whom want one lease and decide once under each holding of it."""
+
+    size: int = 3
+    wanting: int = 2  # the first ones
+    keeps: bool = True  # promises outlive a restart
+    horizon: int = 3 * SECOND
+    planted: Planted = field(default_factory=Planted)
+    now: int = 0
+    boxes: list[Box] = field(default_factory=list)
+    flying: list[tuple[int, int, object]] = field(default_factory=list)  # from, to, body
+    made: dict[int, tuple[int, bytes]] = field(default_factory=dict)
+    taken: dict[int, str] = field(default_factory=dict)
+    wrong: str = ""
+
+    def __post_init__(self) -> None:
+        self.boxes = [
+            Box(f"m{at}", ahead=BEGIN + 17 * at * SECOND, pace=(-4, 5, 0)[at % 3]) for at in range(self.size)
+        ]
+        for at in range(self.size):
+            self.start(at, True)
+        for at in range(self.size):
+            self.step(at, [])
+
+    def start(self, at: int, first: bool = False) -> None:
+        box = self.boxes[at]
+        box.lives += 1
+        life, now = box.lives * 100 + at, self.clock(at)
+        names = [one.name for one in self.boxes]
+        memory = Memory() if first or self.planted.forgets else None
+        if self.keeps and box.disk and not self.planted.forgets:
+            memory = msgspec.msgpack.decode(box.disk, type=Memory)
+        box.elector = Elector(box.name, names, [TOPIC], SPAN, life, now, memory)
+        box.claims = Claims(box.name, names, SPAN, life, life, now)
+        if self.planted.miscounts:
+            box.claims.majority = half
+        if at < self.wanting:
+            box.claims.want(TOPIC)
+        box.decided = 0
+
+    def clock(self, at: int) -> int:
+        box = self.boxes[at]
+        return box.ahead + self.now + self.now * box.pace // 1000
+
+    # What can happen.
+
+    def actions(self) -> list[Action]:
+        """The plain one first. Empty: the world has ended."""
+        if self.wrong or self.now >= self.horizon:
+            return []
+        found: list[Action] = []
+        for index, (_, to, _) in enumerate(self.flying):
+            if not self.boxes[to].paused:
+                found.append(("deliver", index))
+        found.append(("wait", 0))
+        found += [("lose", index) for index in range(len(self.flying))]
+        found += [("double", index) for index in range(len(self.flying))]
+        for at, box in enumerate(self.boxes):
+            if self.may_restart(at):
+                found.append(("restart", at))
+            found.append(("go on" if box.paused else "stop", at))
+            if self.planted.wall:
+                found.append(("move wall clock", at))
+        return found
+
+    def may_restart(self, at: int) -> bool:
+        """Without a directory decisions are promised to last only while no majority of the electors has
+        forgotten at a time: beyond that each begins anew, as docs/peers.md says."""
+        if self.keeps or self.planted.forgets:
+            return True
+        forgot = sum(box.elector is not None and not box.elector.votes() for box in self.boxes)
+        return (forgot + 1) * 2 < self.size
+
+    def apply(self, action: Action) -> None:
+        what, at = action
+        if what == "deliver":
+            sender, to, body = self.flying.pop(at)
+            self.step(to, [Heard(self.boxes[sender].name, body)])
+        elif what == "lose":
+            self.flying.pop(at)
+        elif what == "double":
+            self.flying.append(self.flying[at])
+        elif what == "restart":
+            self.boxes[at].paused = False
+            self.start(at)
+            self.step(at, [])
+        elif what == "stop":
+            self.boxes[at].paused = True
+        elif what == "go on":
+            self.boxes[at].paused = False
+            self.step(at, [])
+        elif what == "move wall clock":
+            self.boxes[at].wall += 60 * SECOND
+        else:
+            self.pass_time()
+
+    def pass_time(self) -> None:
+        """To when the next process has something to do."""
+        due = min((self.due(at) for at, box in enumerate(self.boxes) if not box.paused), default=SPAN // 2)
+        self.now = min(self.horizon, self.now + max(MS, due))
+        for at, box in enumerate(self.boxes):
+            if not box.paused and self.due(at) <= 0:
+                self.step(at, [])
+
+    def due(self, at: int) -> int:
+        """Microseconds from now until the process has something to do."""
+        box = self.boxes[at]
+        assert box.claims is not None and box.elector is not None
+        times = [box.claims.next(), box.elector.next()]
+        now = self.clock(at)
+        return min((when for when in times if when is not None), default=now + SPAN // 2) - now
+
+    def step(self, at: int, notes: list[Heard]) -> None:
+        box = self.boxes[at]
+        assert box.claims is not None and box.elector is not None
+        pending, first = notes, True
+        while pending or first:
+            first = False
+            now, own = self.clock(at), []
+            orders: list[object] = list(
+                box.elector.step(now + (box.wall if self.planted.wall else 0), pending)
+            )
+            orders += box.claims.step(now, pending)
+            if (epoch := box.claims.holds(TOPIC, now)) and box.decided != epoch:
+                if box.claims.decide(TOPIC, f"{box.name} {epoch}".encode()):
+                    box.decided = epoch
+                    orders += box.claims.step(now, [])
+            for order in orders:
+                self.carry_out(at, order, own)
+            pending = own
+        self.judge()
+
+    def carry_out(self, at: int, order: object, own: list[Heard]) -> None:
+        box = self.boxes[at]
+        if isinstance(order, Keep):
+            box.disk = order.data
+            for send in order.then:
+                self.carry_out(at, send, own)
+        elif isinstance(order, Send):
+            if order.to == box.name:
+                own.append(Heard(box.name, order.body))
+            else:
+                to = next(index for index, one in enumerate(self.boxes) if one.name == order.to)
+                self.flying.append((at, to, order.body))
+        elif isinstance(order, Took):
+            if self.taken.setdefault(order.epoch, box.name) != box.name:
+                self.wrong = f"epoch {order.epoch} was taken by {self.taken[order.epoch]} and by {box.name}"
+        elif isinstance(order, Chosen):
+            told = self.made.setdefault(order.version, (order.epoch, order.body))
+            if told[1] != order.body:
+                self.wrong = f"decision {order.version} is {told[1]!r} and {order.body!r}"
+            elif order.version < max(self.made):
+                self.wrong = f"decision {max(self.made)} was told as made and is lost"
+        else:
+            assert isinstance(order, Lost)
+
+    def judge(self) -> None:
+        holders = [
+            box.name
+            for at, box in enumerate(self.boxes)
+            if box.claims is not None and box.claims.holds(TOPIC, self.clock(at))
+        ]
+        if len(holders) > 1 and not self.wrong:
+            self.wrong = f"{' and '.join(holders)} hold one lease at the same moment"
+
+
+@dataclass
+class Found:
+    """A failing schedule: its departures, and all steps."""
+
+    wrong: str
+    departures: int
+    schedule: list[Action]
+
+    def text(self) -> str:
+        return "; ".join(f"{what} {at}" for what, at in self.schedule)
+
+
+@dataclass
+class Outcome:
+    found: Found | None
+    states: int
+    departures: int  # all schedules with so many were played
+    whole: bool  # else the bound on states ended it
+
+
+def explore(make: Callable[[], AgreementWorld], departures: int, states: int = 10**9) -> Outcome:
+    """Breadth first by departures, so that the first failure has the fewest."""
+    seen: set[int] = set()
+    level: list[tuple[bytes, Action | None, list[Action]]] = [(pickle.dumps(make()), None, [])]
+    chance = Chance(1)
+    for deep in range(departures + 1):
+        following: list[tuple[bytes, Action | None, list[Action]]] = []
+        if len(seen) < states:
+            shuffle(level, chance)
+        for data, action, before in level:
+            world = pickle.loads(data)
+            schedule = list(before)
+            if action is not None:
+                world.apply(action)
+                schedule.append(action)
+            while True:
+                if world.wrong:
+                    return Outcome(Found(world.wrong, deep, schedule), len(seen), deep, False)
+                data = pickle.dumps(world)
+                mark = hash(data)
+                actions = world.actions()
+                if mark in seen or not actions:
+                    break
+                seen.add(mark)
+                if len(seen) >= states:
+                    return Outcome(None, len(seen), deep, False)
+                if deep < departures:
+                    following += [(data, other, schedule[:]) for other in actions[1:]]
+                world.apply(actions[0])
+                schedule.append(actions[0])
+        level = following
+    return Outcome(None, len(seen), departures, True)
+
+
+def shuffle(level: list, chance: Chance) -> None:
+    """A bounded search shall see some of every part of a level."""
+    for at in range(len(level) - 1, 0, -1):
+        other = chance.upto(at)
+        level[at], level[other] = level[other], level[at]
+
+
+def replay(make: Callable[[], AgreementWorld], text: str) -> str:
+    """What goes wrong under a schedule as `Found.text` writes it; empty: nothing."""
+    world = make()
+    for part in text.split("; "):
+        what, _, at = part.rpartition(" ")
+        world.apply((what, int(at)))
+        if world.wrong:
+            break
+    return world.wrong
+
+
+def walk(make: Callable[[], AgreementWorld], seed: int, share: float = 0.15) -> Found | None:
+    """One schedule by chance, with departures at `share` of its steps: deeper than every order can be
+    tried."""
+    chance, world, schedule, departures = Chance(seed), make(), [], 0
+    while actions := world.actions():
+        action = actions[0]
+        if chance.draw() < share:
+            action, departures = actions[chance.upto(len(actions) - 1)], departures + 1
+        world.apply(action)
+        schedule.append(action)
+    return Found(world.wrong, departures, schedule) if world.wrong else None
+
+
+def shortened(make: Callable[[], AgreementWorld], found: Found) -> Found:
+    """Leaves out steps as long as it still goes wrong."""
+    schedule = found.schedule
+    size = max(1, len(schedule) // 2)
+    while True:
+        at = 0
+        while at < len(schedule):
+            shorter = schedule[:at] + schedule[at + size :]
+            if wrong := played(make, shorter):
+                schedule, found = shorter, Found(wrong, found.departures, shorter)
+            else:
+                at += size
+        if size == 1:
+            return found
+        size = max(1, size // 2)
+
+
+def played(make: Callable[[], AgreementWorld], schedule: list[Action]) -> str:
+    world = make()
+    for what, at in schedule:
+        bound = (
+            len(world.boxes)
+            if what in ("restart", "stop", "go on", "move wall clock", "wait")
+            else len(world.flying)
+        )
+        if at >= bound:
+            return ""
+        world.apply((what, at))
+        if world.wrong:
+            return world.wrong
+    return ""
--- /dev/null
+++ b/lupinmill/lab/fleet.py
@@ -0,0 +1,207 @@
+"""Scenarios of a fleet of sidecars that know each other: what is written in a file, and what a run of one
+tells.
+
+The same file plays in virtual time (`fleet_virtual`) and with real processes (`fleet_sockets`). Owns nothing;
+the types and the reading of them."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Any, Literal
+
+import msgspec
+import numpy as np
+from msgspec import Struct, field
+
+SHIPPED = Path(__file__).parent / "fleets"
+MOST_MEMBERS = 2_000
+
+
+class BadFleet(Exception):
+    """One line: file, key, reason."""
+
+
+class Network(Struct, forbid_unknown_fields=True, frozen=True):
+    """Between every two members, each way."""
+
+    loss: float = 0.0
+    double: float = 0.0
+    late: float = 0.0  # share of datagrams that come `late_ms` later, behind others
+    late_ms: tuple[float, float] = (20.0, 300.0)
+    delay_ms: tuple[float, float] = (0.2, 1.0)
+
+
+class Fault(Struct, forbid_unknown_fields=True, frozen=True):
+    """`members` are numbers, or a share of the fleet drawn by the seed. `until` 0: to the end."""
+
+    kind: Literal["partition", "cut", "loss", "pause", "starve", "kill", "restart", "leave"]
+    at: float
+    until: float = 0.0
+    members: list[int] = []
+    share: float = 0.0
+    groups: list[list[int]] = []  # of a partition; whoever is in none stands by itself
+    into: int = 0  # a partition into so many groups of like size
+    to: list[int] = []  # of a one-way cut: nothing of `members` reaches these
+    loss: float = 0.0
+    forget: bool = False  # of a restart: an elector's file is gone
+    stop_ms: float = 400.0  # of starving: stopped so long, then running for 50 ms
+
+
+class Fleet(Struct, forbid_unknown_fields=True, frozen=True):
+    title: str
+    seconds: float
+    members: int
+    seed: int = 1
+    zones: int = 1
+    electors: int = 3
+    keep: bool = True  # electors have a directory
+    lease_s: float = 2.0
+    round_ms: int = 200
+    load: float = 0.0  # submissions a second at each member; sockets only
+    network: Network = Network()
+    fault: list[Fault] = []
+
+    def names(self) -> list[str]:
+        return [f"m{at}" for at in range(self.members)]
+
+
+class Event(Struct, frozen=True):
+    """`at` in seconds from the start; `who` believes or does it."""
+
+    at: float
+    who: str
+    what: Literal["peer", "standing", "lease", "decision", "fault", "life"]
+    about: str = ""
+    state: str = ""
+    epoch: int = 0
+    version: int = 0
+    why: str = ""
+
+
+class FleetResult(Struct):
+    fleet: Fleet
+    driver: str
+    seed: int
+    events: list[Event] = []
+    figures: dict[str, float] = field(default_factory=dict)
+    broken: list[str] = []  # invariants that did not hold, in words
+
+
+def shipped() -> list[str]:
+    return sorted(path.stem for path in SHIPPED.glob("*.toml"))
+
+
+def load(name: str) -> Fleet:
+    """A shipped one by name, or a file. Raises BadFleet."""
+    path = Path(name) if name.endswith(".toml") else SHIPPED / f"{name}.toml"
+    try:
+        return understand(tomllib.loads(path.read_text()))
+    except OSError as error:
+        raise BadFleet(f"{name}: {error.strerror}; shipped are {', '.join(shipped())}") from error
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError, BadFleet) as error:
+        raise BadFleet(f"{path.name}: {error}") from error
+
+
+def understand(table: dict[str, Any]) -> Fleet:
+    fleet = msgspec.convert(table, Fleet)
+    if not 2 <= fleet.members <= MOST_MEMBERS:
+        raise BadFleet(f"members: wants 2 to {MOST_MEMBERS}")
+    if fleet.electors not in (0, 3, 5, 7) or fleet.electors > fleet.members:
+        raise BadFleet("electors: wants 0, 3, 5 or 7, no more than members")
+    for at, fault in enumerate(fleet.fault):
+        if not 0 <= fault.at <= fleet.seconds or fault.until and fault.until < fault.at:
+            raise BadFleet(f"fault.{at}.at: outside the run")
+        numbers = [*fault.members, *fault.to, *(n for group in fault.groups for n in group)]
+        if any(not 0 <= number < fleet.members for number in numbers):
+            raise BadFleet(f"fault.{at}.members: wants 0 to {fleet.members - 1}")
+    return fleet
+
+
+def meant(fleet: Fleet, fault: Fault, seed: int) -> list[str]:
+    """The members of a fault by name, drawn alike by both drivers."""
+    names = fleet.names()
+    if fault.members:
+        return [names[at] for at in fault.members]
+    chance = np.random.default_rng([seed, fleet.fault.index(fault)])
+    count = round(fault.share * fleet.members)
+    return [names[at] for at in sorted(chance.choice(fleet.members, count, replace=False))]
+
+
+def groups_of(fleet: Fleet, fault: Fault) -> dict[str, int]:
+    """Members to the number of their side."""
+    names = fleet.names()
+    if fault.into:
+        return {name: at * fault.into // fleet.members for at, name in enumerate(names)}
+    sides = {name: len(fault.groups) + at for at, name in enumerate(names)}
+    for at, group in enumerate(fault.groups):
+        for number in group:
+            sides[names[number]] = at
+    return sides
+
+
+class Weather:
+    """What the network between members is like at a moment: shared by both drivers, so that they put the same
+    faults between the same members."""
+
+    def __init__(self, fleet: Fleet, seed: int) -> None:
+        self.fleet, self.seed = fleet, seed
+        self.chance = np.random.default_rng([seed, 99])
+        self.draws: list[float] = []
+        self.sides: dict[str, int] | None = None
+        self.cuts: list[tuple[Fault, frozenset[str], frozenset[str]]] = []
+        self.loss = fleet.network.loss
+        self.on: list[Fault] = []
+
+    def draw(self) -> float:
+        if not self.draws:
+            self.draws = self.chance.random(4096).tolist()
+        return self.draws.pop()
+
+    def begin(self, fault: Fault) -> None:
+        self.on.append(fault)
+        self.look()
+
+    def end(self, fault: Fault) -> None:
+        self.on.remove(fault)
+        self.look()
+
+    def look(self) -> None:
+        self.sides, self.loss, self.cuts = None, self.fleet.network.loss, []
+        names = self.fleet.names()
+        for fault in self.on:
+            if fault.kind == "partition":
+                self.sides = groups_of(self.fleet, fault)
+            elif fault.kind == "cut":
+                senders = frozenset(meant(self.fleet, fault, self.seed))
+                hearers = frozenset(names[at] for at in fault.to) or frozenset(names) - senders
+                self.cuts.append((fault, senders, hearers))
+            elif fault.kind == "loss":
+                self.loss = max(self.loss, fault.loss)
+
+    def delays(self, sender: str, hearer: str) -> list[float]:
+        """Seconds after which each copy of a datagram comes; none where it is lost."""
+        if self.sides is not None and self.sides[sender] != self.sides[hearer]:
+            return []
+        if any(sender in senders and hearer in hearers for _, senders, hearers in self.cuts):
+            return []
+        network = self.fleet.network
+        found = []
+        for _ in range(2 if network.double and self.draw() < network.double else 1):
+            if self.loss and self.draw() < self.loss:
+                continue
+            least, most = network.delay_ms
+            delay = least + (most - least) * self.draw()
+            if network.late and self.draw() < network.late:
+                least, most = network.late_ms
+                delay += least + (most - least) * self.draw()
+            found.append(delay / 1000)
+        return found
+
+
+def apart(sides: dict[str, int], majority_of: int) -> dict[str, bool]:
+    """Which members are on a side with a majority."""
+    sizes: dict[int, int] = {}
+    for side in sides.values():
+        sizes[side] = sizes.get(side, 0) + 1
+    return {name: sizes[side] * 2 > majority_of for name, side in sides.items()}
--- a/lupinmill/lab/processes.py
+++ b/lupinmill/lab/processes.py
@@ -29,10 +29,13 @@
         folder: Path,
         told: Callable[[Process], dict[str, Any]],
         heard: Callable[[Process, dict[str, Any]], None],
+        environ: dict[str, str] | None = None,
     ) -> None:
         self.name, self.tier, self.told, self.heard = name, tier, told, heard
         self.config = folder / f"{name}.json"
-        self.address = ""
+        self.environ = environ or {}
+        self.address = self.operator = ""
+        self.last: deque[dict[str, Any]] = deque(maxlen=KEPT_LINES)  # of its log
         self.process: asyncio.subprocess.Process | None = None
         self.reader: asyncio.Task[None] | None = None
         self.started = asyncio.Event()
@@ -49,6 +52,7 @@
         environ |= {
             "BALANCER_CONFIG": str(self.config),
             "BALANCER_NAME": self.name,
+            **self.environ,
             "PYTHONPATH": os.pathsep.join(filter(None, [str(ROOT), environ.get("PYTHONPATH")])),
         }
         self.process = await asyncio.create_subprocess_exec(
@@ -93,8 +97,10 @@
         except orjson.JSONDecodeError:
             self.errors.append(line.decode("utf-8", "replace").strip()[:300])
             return
+        self.last.append(event)
         if event.get("event") == "started":
             self.address = str(event.get("listen", ""))
+            self.operator = str(event.get("operator") or "")
             self.started.set()
         self.heard(self, event)
 
@@ -132,6 +138,34 @@
             except ProcessLookupError:
                 pass  # it ended a moment ago
 
+    def cpu(self) -> float:
+        """Seconds of processor time that it has used; 0 where it has ended."""
+        try:
+            fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        except (OSError, AttributeError):
+            return 0.0
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def memory(self) -> float:
+        """MiB in memory; 0 where it has ended."""
+        try:
+            pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+        except (OSError, AttributeError):
+            return 0.0
+        return pages * os.sysconf("SC_PAGE_SIZE") / 2**20
+
+    async def leave(self, limit: float) -> int | None:
+        """SIGTERM, and its exit code; None: it had not ended by then, and was killed."""
+        assert self.process is not None
+        self.killed = True
+        self.signal(signal.SIGTERM)
+        try:
+            return await asyncio.wait_for(self.process.wait(), limit)
+        except TimeoutError:
+            self.process.kill()
+            await self.process.wait()
+            return None
+
     async def end(self) -> None:
         self.kill()
         if self.process is not None:
--- /dev/null
+++ b/lupinmill/peers/driver.py
@@ -0,0 +1,373 @@
+"""The driver of the peers: one UDP socket, one timer, the file of promises. It decides nothing.
+
+Owns the socket and the `Promises`, both given back in `Driver.serve`, and the queue of what waits for the
+disk (`MOST_KEPT` answers). What comes from no known address costs one `recvfrom` and a look in a table; what
+one address sends beyond its rate costs no more; a batch is followed by a pause, so that a flood can't have
+the loop."""
+
+from __future__ import annotations
+
+import os
+import socket
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from lupinmill.peers import wire
+from lupinmill.peers.claims import Chosen, Lost, Took
+from lupinmill.peers.elector import Keep
+from lupinmill.peers.keep import BadKeep, Promises
+from lupinmill.peers.peer import Forgot, Known, Note, Order, Peer, Told
+from lupinmill.peers.view import SECOND, Changed, Heard, Leave, Return, Roster, Send, Standing, Stands
+from lupinmill.routing.engine import Log
+from lupinmill.transport.connection import split_address
+
+BATCH = 64  # datagrams between two pauses
+PAUSE = 0.004  # seconds after a whole batch
+RATE, BURST = 150.0, 300.0  # datagrams a second from one address, and at once: some ten times what is usual
+LINES, LINES_AT_ONCE = 10.0, 200.0  # in the log a second, and at once
+AGAIN = 0.05  # seconds between two tries for an address that the process before this one still has
+RECEIVE = 256 * 1024  # bytes in the kernel
+MOST_KEPT = 256
+RETRY_LIMIT = 30.0  # seconds for the process before this one to give the address back
+
+
+def now() -> int:
+    """Microseconds that go on while the machine sleeps: what ran out meanwhile has run out."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
+
+
+class Rate:
+    """So many a second, so many at once."""
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self.rate, self.burst = rate, burst
+        self.left, self.at = burst, 0
+
+    def take(self, at: int) -> bool:
+        self.left = min(self.burst, self.left + (at - self.at) * self.rate / SECOND)
+        self.at = at
+        if self.left < 1:
+            return False
+        self.left -= 1
+        return True
+
+
+class Driver:
+    def __init__(self, told: Told, site: str, bind: str, keep: str | None, log: Log) -> None:
+        self.told, self.site, self.bind, self.directory, self.log = told, wire.site_of(site), bind, keep, log
+        self.peer: Peer | None = None
+        self.sock: socket.socket | None = None
+        self.promises: Promises | None = None
+        self.lines = Rate(LINES, LINES_AT_ONCE)
+        self.unwritten = 0  # lines
+        self.sent = self.received = self.bytes_out = self.bytes_in = 0
+        self.refused: dict[str, int] = {}
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self.names: dict[tuple[str, int], str] = {}
+        self.rates: dict[str, Rate] = {}
+        self.inbox: list[Note] = []
+        self.stepping = False
+        self.awake = anyio.Event()
+        self.wanted = anyio.Event()  # this process has the peers' address
+        self.turn: anyio.CancelScope | None = None
+        self.kept: tuple[bytes, list[Send]] | None = None
+        self.to_keep = anyio.Event()
+        self.gone = False  # left, or drained
+        self.followers: list[Callable[[Order], None]] = []  # features that go by what is known
+        self.set_seats(told)
+
+    def set_seats(self, told: Told) -> None:
+        self.told = told
+        self.addresses = {
+            seat.name: split_address(seat.address) for seat in told.seats if seat.name != told.name
+        }
+        self.names = {address: name for name, address in self.addresses.items()}
+        self.rates = {name: self.rates.get(name) or Rate(RATE, BURST) for name in self.addresses}
+
+    # The life of it.
+
+    async def run(self, wait: bool) -> None:
+        """`wait`: the process before this one still has the address, and gives it back when it yields."""
+        self.wanted.set()
+        while True:
+            await self.wanted.wait()
+            with anyio.CancelScope() as self.turn:
+                await self.serve(wait)
+            wait = True
+
+    async def serve(self, wait: bool) -> None:
+        try:
+            await self.open(wait)
+            life = int.from_bytes(os.urandom(7), "big")
+            memory = self.promises.read() if self.promises is not None else None
+            self.peer = Peer(self.told, life, life ^ 0x5851F42D4C957F2D, now(), memory)
+            self.log(
+                "peers",
+                text=f"{len(self.told.seats)} sidecars in the roster, {len(self.told.electors)} electors",
+                at=self.bind,
+                remembers=memory is not None,
+            )
+            if self.gone:
+                self.tell(Leave())
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.receive)
+                group.start_soon(self.keep_time)
+                group.start_soon(self.write)
+        finally:
+            self.peer, self.kept = None, None
+            if self.sock is not None:
+                self.sock.close()
+                self.sock = None
+            if self.promises is not None:
+                self.promises.close()
+                self.promises = None
+
+    async def open(self, wait: bool) -> None:
+        began = anyio.current_time()
+        while True:
+            try:
+                if self.sock is None:
+                    self.sock = self.listen()
+                if self.directory and self.promises is None:
+                    self.promises = Promises(self.directory)
+                return
+            except (OSError, BadKeep) as error:
+                if not wait or anyio.current_time() - began > RETRY_LIMIT:
+                    wait = True
+                    self.log("peers_wait", error=f"{self.bind}: {error}")
+                    began = anyio.current_time()
+                await anyio.sleep(AGAIN)
+
+    def listen(self) -> socket.socket:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
+            sock.bind(split_address(self.bind))
+        except BaseException:
+            sock.close()
+            raise
+        return sock
+
+    # What the program tells.
+
+    def leave(self) -> None:
+        """It ends, or is drained: leaving is not failing."""
+        if not self.gone:
+            self.gone = True
+            self.tell(Leave())
+
+    def come_back(self) -> None:
+        if self.gone:
+            self.gone = False
+            self.tell(Return())
+
+    def yield_(self) -> None:
+        """The next process of this sidecar is this member from now on: what was held is given up, the address
+        too."""
+        if self.peer is not None:
+            for topic in list(self.peer.claims.claims):
+                self.peer.claims.now = now()
+                self.peer.claims.give_up(topic)
+            self.tell()
+        self.wanted = anyio.Event()
+        if self.turn is not None:
+            self.turn.cancel()
+
+    def take_up(self) -> None:
+        self.wanted.set()
+
+    def change(self, told: Told) -> None:
+        """Another roster, from now on."""
+        self.set_seats(told)
+        if self.peer is not None:
+            self.peer.told = told
+            self.tell(Roster(list(told.seats)))
+
+    # Notes in, orders out.
+
+    def tell(self, *notes: Note) -> None:
+        if self.peer is None:
+            return
+        self.inbox += notes
+        if self.stepping:
+            return
+        self.stepping = True
+        try:
+            again = True
+            while again and self.peer is not None:
+                taken, self.inbox = self.inbox, []
+                for order in self.peer.step(now(), taken):
+                    self.carry_out(order)
+                again = bool(self.inbox)
+        finally:
+            self.stepping = False
+        self.awake.set()
+
+    def carry_out(self, order: Order) -> None:
+        if isinstance(order, Send):
+            self.send(order)
+        elif isinstance(order, Keep):
+            self.keep(order)
+        else:
+            self.say(order)
+            for follower in self.followers:
+                follower(order)
+
+    def send(self, order: Send) -> None:
+        if order.to == self.told.name:
+            self.inbox.append(Heard(order.to, order.body))
+            return
+        address = self.addresses.get(order.to)
+        if address is None or self.sock is None:
+            return
+        data = wire.encode(self.site, order.body, order.notes)
+        try:
+            self.sock.sendto(data, address)
+            self.sent += 1
+            self.bytes_out += len(data)
+        except OSError:
+            self.refuse("unsent")  # a full buffer is a lost datagram
+
+    def refuse(self, why: str) -> None:
+        self.refused[why] = self.refused.get(why, 0) + 1
+
+    async def receive(self) -> None:
+        assert self.sock is not None
+        while True:
+            await anyio.wait_readable(self.sock)
+            count = 0
+            while count < BATCH:
+                try:
+                    data, address = self.sock.recvfrom(wire.LARGEST + 1)
+                except OSError:
+                    break
+                count += 1
+                self.take(data, address)
+            self.tell()
+            if count == BATCH:
+                await anyio.sleep(PAUSE)
+
+    def take(self, data: bytes, address: Any) -> None:
+        name = self.names.get(address)
+        if name is None:
+            self.refuse("address")
+            return
+        if not self.rates[name].take(now()):
+            self.refuse("flood")
+            return
+        try:
+            found = wire.decode(self.site, data)
+        except wire.Foreign as error:
+            self.refuse(str(error))
+            return
+        self.received += 1
+        self.bytes_in += len(data)
+        self.inbox.append(Heard(name, found.body, found.notes))
+
+    async def keep_time(self) -> None:
+        while self.peer is not None:
+            self.awake = anyio.Event()
+            wait = self.peer.next() - now()
+            if wait > 0:
+                with anyio.move_on_after(wait / SECOND):
+                    await self.awake.wait()
+                    continue
+            # What lies unread was there before the timers: it is heard first.
+            await anyio.sleep(0)
+            self.tell()
+
+    # Promises are on disk before anybody hears of them.
+
+    def keep(self, order: Keep) -> None:
+        if self.promises is None:
+            for send in order.then:
+                self.send(send)
+            return
+        waiting = self.kept[1] if self.kept is not None else []
+        if len(waiting) + len(order.then) > MOST_KEPT:
+            self.refuse("disk")
+            return
+        self.kept = (order.data, waiting + order.then)
+        self.to_keep.set()
+
+    async def write(self) -> None:
+        failing = False
+        while True:
+            await self.to_keep.wait()
+            self.to_keep = anyio.Event()
+            if self.kept is None or self.promises is None:
+                continue
+            (data, then), self.kept = self.kept, None
+            try:
+                with anyio.CancelScope(shield=True):  # the directory's lock is held until the disk is done
+                    await anyio.to_thread.run_sync(self.promises.write, data)
+            except OSError as error:
+                self.refuse("disk")
+                if not failing:
+                    self.log(
+                        "peers",
+                        text="promises can't be kept, so this elector gives no vote",
+                        error=f"{self.directory}: {error.strerror}",
+                    )
+                failing = True
+                continue
+            if failing:
+                self.log("peers", text="promises are kept again; this elector votes")
+                failing = False
+            for send in then:
+                self.send(send)
+            self.tell()
+
+    # For people.
+
+    def say(self, order: Order) -> None:
+        if not self.lines.take(now()):
+            self.unwritten += 1
+            return
+        more = {"unwritten": self.unwritten} if self.unwritten else {}
+        self.unwritten = 0
+        if isinstance(order, Changed):
+            self.log(
+                "peer",
+                member=order.name,
+                was=order.before.name.lower(),
+                now=order.after.name.lower(),
+                by=order.by,
+                why=order.why,
+                **more,
+            )
+        elif isinstance(order, Stands):
+            self.log("standing", was=order.before.value, now=order.after.value, why=order.why, **more)
+        elif isinstance(order, Took):
+            self.log("lease", topic=order.topic, epoch=order.epoch, text="taken", **more)
+        elif isinstance(order, Lost):
+            self.log("lease", topic=order.topic, epoch=order.epoch, text=f"ended: {order.why}", **more)
+        elif isinstance(order, Known):
+            self.log("decision", topic=order.topic, epoch=order.epoch, version=order.version, **more)
+        elif isinstance(order, Forgot):
+            self.log("decision", topic=order.topic, text=f"forgotten: {order.why}", **more)
+        elif isinstance(order, Chosen):
+            self.log(
+                "decision", topic=order.topic, epoch=order.epoch, version=order.version, text="made", **more
+            )
+
+    def standing(self) -> Standing:
+        return self.peer.membership.standing if self.peer is not None else Standing.ALONE
+
+    def show(self) -> dict[str, object]:
+        if self.peer is None:
+            return {"name": self.told.name, "standing": "another process of this sidecar is the member"}
+        self.peer.now = now()
+        table = self.peer.show()
+        table["datagrams"] = {
+            "sent": self.sent,
+            "received": self.received,
+            "bytes_out": self.bytes_out,
+            "bytes_in": self.bytes_in,
+            "refused": dict(self.refused),
+        }
+        return table
--- /dev/null
+++ b/lupinmill/peers/keep.py
@@ -0,0 +1,72 @@
+"""What an elector promised, on disk: one small file, replaced whole. Owns the directory's lock while open.
+
+A file holds an 8-byte xxhash of the rest, then the msgpack `Memory`. Damage counts as having forgotten: the
+elector is then silent and asks the others, which is always safe."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+from pathlib import Path
+
+import msgspec
+import xxhash
+
+from lupinmill.peers.elector import Memory
+
+FILE, LOCK = "promises", "promises.lock"
+LARGEST = 64 * 1024
+FORMAT = b"lmp1"
+
+
+class BadKeep(Exception):
+    """The directory can't be used; the text says why."""
+
+
+class Promises:
+    def __init__(self, directory: str) -> None:
+        self.directory = Path(directory)
+        try:
+            self.directory.mkdir(mode=0o700, parents=True, exist_ok=True)
+            self.lock = os.open(self.directory / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        except OSError as error:
+            raise BadKeep(f"{directory}: {error.strerror}") from error
+        try:
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(self.lock)
+            raise BadKeep(f"{directory}: another process has it") from error
+
+    def read(self) -> Memory | None:
+        """None: nothing was kept, or it can't be trusted."""
+        try:
+            data = (self.directory / FILE).read_bytes()
+        except OSError:
+            return None
+        if len(data) > LARGEST or data[:4] != FORMAT or xxhash.xxh64(data[12:]).digest() != data[4:12]:
+            return None
+        try:
+            return msgspec.msgpack.decode(data[12:], type=Memory)
+        except msgspec.DecodeError:
+            return None
+
+    def write(self, body: bytes) -> None:
+        """Raises OSError, and then the file is as before. Blocks for the disk: not for an event loop."""
+        path, fresh = self.directory / FILE, self.directory / f"{FILE}.new"
+        descriptor = os.open(fresh, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+        try:
+            data = memoryview(FORMAT + xxhash.xxh64(body).digest() + body)
+            while data:
+                data = data[os.write(descriptor, data) :]
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        os.rename(fresh, path)
+        folder = os.open(self.directory, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    def close(self) -> None:
+        os.close(self.lock)
--- /dev/null
+++ b/lupinmill/peers/peer.py
@@ -0,0 +1,291 @@
+"""One member's whole core: who is there, its vote if it is an elector, its claims, and what was decided.
+Pure: `step(now, notes)` gives orders, `next()` the latest moment of the following step. The driver, the
+virtual fleet and the explorer all run this one.
+
+Owns the decisions known (one a topic) and the words of others on newer ones (`WORDS` a topic)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from zlib import crc32
+
+from lupinmill.peers import wire
+from lupinmill.peers.claims import Chosen, Claims, Lost, Took
+from lupinmill.peers.conduct import TABLE, may_decide
+from lupinmill.peers.elector import Elector, Keep, Memory
+from lupinmill.peers.membership import Membership
+from lupinmill.peers.view import SECOND, Changed, Heard, Leave, Return, Roster, Seat, Send, Stands, Timing
+from lupinmill.peers.wire import Made, Status
+
+REHEARSAL = "rehearsal"  # a topic that carries nothing: for drills of the operators and for tests
+WORDS = 8
+SPREAD = 8  # datagrams in which one member tells a new decision, FAN at a time
+FAN = 2
+DROPPED_CAUSES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What the operator's file says for the core."""
+
+    name: str
+    seats: tuple[Seat, ...]
+    electors: tuple[str, ...] = ()
+    topics: tuple[str, ...] = (REHEARSAL,)
+    wants: tuple[str, ...] = ()  # topics whose lease this member asks for
+    lease: int = 6 * SECOND
+    fades: int = 30 * SECOND  # after so long cut off a decision is forgotten
+    timing: Timing = Timing()
+
+
+@dataclass(slots=True)
+class Known:
+    """A decision that this member goes by from now on."""
+
+    topic: str
+    epoch: int
+    version: int
+    body: bytes
+
+
+@dataclass(slots=True)
+class Forgot:
+    topic: str
+    why: str
+
+
+Note = Heard | Leave | Return | Roster
+Order = Send | Keep | Changed | Stands | Took | Lost | Chosen | Known | Forgot
+
+
+class Peer:
+    def __init__(self, told: Told, life: int, seed: int, now: int, memory: Memory | None = None) -> None:
+        self.told, self.name, self.life, self.now = told, told.name, life, now
+        self.membership = Membership(told.name, list(told.seats), told.timing, seed, now)
+        electors = list(told.electors)
+        self.elector = None
+        if told.name in electors:
+            self.elector = Elector(told.name, electors, list(told.topics), told.lease, life, now, memory)
+        self.claims = Claims(told.name, electors, told.lease, life, seed ^ 0x9E3779B97F4A7C15, now)
+        self.decided: dict[str, Made] = {}
+        self.words: dict[str, dict[str, tuple[int, int, int]]] = {}
+        self.spreading: dict[str, int] = {}  # topics, and how often each is still told
+        self.spread_at = now
+        self.majority_at = now  # when this member last saw a majority
+        self.orders: list[Order] = []
+        self.membership.told = self.what_is_decided
+        self.membership.behind = self.help_behind
+
+    def next(self) -> int:
+        times = [self.membership.next(), self.claims.next(), self.elector.next() if self.elector else None]
+        if self.spreading:
+            times.append(self.spread_at)
+        return min(at for at in times if at is not None)
+
+    def step(self, now: int, notes: list[Note]) -> list[Order]:
+        self.now = now
+        of_members: list[Note] = []
+        votes: list[Heard] = []
+        claims: list[Heard] = []
+        for note in notes:
+            if isinstance(note, Heard):
+                body = note.body
+                if isinstance(body, wire.Prepare | wire.Accept | wire.Recall | wire.Recalled):
+                    votes.append(note)
+                elif isinstance(body, wire.Promise | wire.Accepted | wire.Refused):
+                    claims.append(note)
+                elif isinstance(body, Made):
+                    self.hear_made(note.sender, body)
+                else:
+                    of_members.append(note)
+                    continue
+                if note.sender != self.name:
+                    note = Heard(note.sender, body, note.notes)
+                    of_members.append(note)  # who is there shows in every datagram, and news rides on it
+            else:
+                of_members.append(note)
+                self.obey(note)
+        self.orders += self.membership.step(now, of_members)
+        if self.elector is not None:
+            known = [note for note in votes if self.is_member(note.sender)]
+            self.orders += self.elector.step(now, known)
+        elif votes:
+            self.membership.drop("votes")
+        self.claim()
+        for order in self.claims.step(now, claims):
+            self.orders.append(order)
+            if isinstance(order, Chosen):
+                self.chosen(order)
+        self.spread()
+        self.fade()
+        orders, self.orders = self.orders, []
+        return orders
+
+    def is_member(self, name: str) -> bool:
+        return name == self.name or name in self.membership.members
+
+    def obey(self, note: Note) -> None:
+        if isinstance(note, Leave):
+            for topic in list(self.claims.claims):
+                self.claims.now = self.now
+                self.claims.give_up(topic)
+
+    # Leases and decisions.
+
+    def claim(self) -> None:
+        """Only who sees a majority asks for a lease; one that is held stays until it runs out."""
+        asks = may_decide(self.membership.standing) and self.membership.status is Status.ALIVE
+        self.claims.now = self.now
+        if asks and self.told.electors:
+            for topic in self.told.wants:
+                self.claims.want(topic)
+
+    def holds(self, topic: str, now: int) -> int:
+        return self.claims.holds(topic, now)
+
+    def decide(self, topic: str, body: bytes) -> bool:
+        return self.claims.decide(topic, body)
+
+    def chosen(self, order: Chosen) -> None:
+        made = Made(order.topic, order.epoch, order.version, order.body)
+        for elector in self.told.electors:
+            if elector != self.name:
+                self.orders.append(Send(elector, made, []))
+        self.believe(made)
+
+    def believe(self, made: Made) -> None:
+        held = self.decided.get(made.topic)
+        if held is not None and (held.epoch, held.version) >= (made.epoch, made.version):
+            return
+        self.decided[made.topic] = made
+        self.words.pop(made.topic, None)
+        self.spreading[made.topic] = SPREAD
+        self.spread_at = self.now
+        self.orders.append(Known(made.topic, made.epoch, made.version, made.body))
+
+    def hear_made(self, sender: str, made: Made) -> None:
+        """Believed of two others, or of one where this elector has accepted just that: one member alone can
+        have nobody go by what no majority has decided."""
+        held = self.decided.get(made.topic)
+        if made.topic not in self.told.topics or not self.is_member(sender):
+            self.membership.drop("topic")
+            return
+        if held is not None and (made.epoch, made.version) <= (held.epoch, held.version):
+            return
+        if self.elector is not None and (register := self.elector.registers.get(made.topic)) is not None:
+            value = register.value
+            if (value.version, value.body) == (made.version, made.body) and value.epoch >= made.epoch:
+                self.believe(made)
+                return
+        words = self.words.setdefault(made.topic, {})
+        words.pop(sender, None)
+        if len(words) >= WORDS:
+            del words[next(iter(words))]
+        words[sender] = (made.epoch, made.version, crc32(made.body))
+        if sum(word == words[sender] for word in words.values()) >= 2:
+            self.believe(made)
+
+    def spread(self) -> None:
+        if not self.spreading or self.now < self.spread_at:
+            return
+        self.spread_at = self.now + self.told.timing.round // 2
+        for topic in list(self.spreading):
+            for name in self.membership.some(FAN):
+                self.orders.append(Send(name, self.decided[topic], []))
+            self.spreading[topic] -= 1
+            if not self.spreading[topic]:
+                del self.spreading[topic]
+
+    def what_is_decided(self) -> list[tuple[str, int, int]]:
+        return [(made.topic, made.epoch, made.version) for made in self.decided.values()]
+
+    def help_behind(self, sender: str, told: list[tuple[str, int, int]]) -> None:
+        """Two tables were compared: who lacks a decision is told it."""
+        theirs = {topic: (epoch, version) for topic, epoch, version in told}
+        for made in self.decided.values():
+            if theirs.get(made.topic, (0, 0)) < (made.epoch, made.version):
+                self.orders.append(Send(sender, made, []))
+
+    def fade(self) -> None:
+        """Cut off, what was decided counts for a while and no longer."""
+        if self.membership.standing.value in ("together", "in doubt"):
+            self.majority_at = self.now
+        elif self.decided and self.now - self.majority_at >= self.told.fades:
+            for topic in list(self.decided):
+                del self.decided[topic]
+                self.spreading.pop(topic, None)
+                self.orders.append(Forgot(topic, "no majority was seen for too long"))
+
+    # For operators.
+
+    def live(self) -> int:
+        """How many sidecars are there, this one among them."""
+        return self.membership.present + (self.membership.status is Status.ALIVE)
+
+    def show(self) -> dict[str, object]:
+        """A plain table. Times are seconds ago."""
+        m = self.membership
+
+        def ago(at: int) -> float | None:
+            return round((self.now - at) / SECOND, 1) if at >= 0 else None
+
+        members = [
+            {
+                "name": name,
+                "status": one.status.name.lower(),
+                "since_s": ago(one.since),
+                "by": one.by,
+                "incarnation": one.incarnation,
+                "answered_s": ago(one.answered),
+                "zone": one.seat.zone,
+                "region": one.seat.region,
+                "elector": name in self.told.electors,
+            }
+            for name, one in sorted(m.members.items())
+        ]
+        leases = [
+            {
+                "topic": topic,
+                "epoch": claim.epoch,
+                "held": bool(self.claims.holds(topic, self.now)),
+                "runs_s": max(0.0, round((claim.until - self.now) / SECOND, 1)),
+                "holder": claim.busy,
+            }
+            for topic, claim in self.claims.claims.items()
+        ]
+        decided = [
+            {"topic": d.topic, "epoch": d.epoch, "version": d.version, "bytes": len(d.body)}
+            for d in self.decided.values()
+        ]
+        elector = None
+        if self.elector is not None:
+            elector = {
+                "votes": self.elector.votes(),
+                "registers": [
+                    {
+                        "topic": topic,
+                        "epoch": r.value.epoch,
+                        "holder": r.value.holder,
+                        "runs_s": round(self.elector.running(r) / SECOND, 1),
+                        "version": r.value.version,
+                    }
+                    for topic, r in self.elector.registers.items()
+                ],
+            }
+        return {
+            "name": self.name,
+            "status": m.status.name.lower(),
+            "incarnation": m.incarnation,
+            "standing": m.standing.value,
+            "standing_s": ago(m.standing_since),
+            "late": m.health,
+            "sees": m.present + 1,
+            "of": m.total,
+            "electors": list(self.told.electors),
+            "members": members,
+            "leases": leases,
+            "decisions": decided,
+            "elector": elector,
+            "dropped": dict(list(m.dropped.items())[:DROPPED_CAUSES]),
+            "features": sorted(TABLE),
+        }
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -6,7 +6,7 @@
 import signal
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
@@ -14,7 +14,7 @@
 from lupinmill import terms as t
 from lupinmill.admin.desk import PLACES, AdminDesk
 from lupinmill.admin.office import Office
-from lupinmill.admin.standing import Standing
+from lupinmill.admin.standing import Mode, Standing
 from lupinmill.handover import papers
 from lupinmill.handover.driver import Handover
 from lupinmill.limits.gate import Gate
@@ -35,12 +35,16 @@
 from lupinmill.transport.pool import Pool
 from lupinmill.transport.ring import Shelf, Store
 
+if TYPE_CHECKING:
+    from lupinmill.peers.driver import Driver
+
 LAG_EVERY, LAG_HIGH, LAG_LOW = 0.25, 0.05, 0.01  # seconds
 AGAIN = 0.1  # seconds before a task that failed goes on
 STILL_COMING = 0.6  # seconds after SIGTERM for which new connections go on coming, ...
 # ... and beyond the longest hard limit (of 3 s at most) for which the platform lets the program live.
 KILLED_AFTER, LONGEST_WAIT = 0.7, 3.0
 CLOSING, SPARE = 500_000, 0.2  # before that for the last answers (microseconds), and for what comes late
+PEERS_OWN = 3  # descriptors that the peers have: socket, lock, file
 CLOSE_EVERY = 0.02  # seconds between two looks at idle clients while connections are to be closed
 
 
@@ -57,7 +61,7 @@
 class Program:
     def __init__(self, told: Told, log: Log, read_again: Callable[[], Told]) -> None:
         self.told, self.log, self.read_again = told, log, read_again
-        own = PLACES if told.operator is not None else 0
+        own = (PLACES if told.operator is not None else 0) + (PEERS_OWN if told.operators is not None else 0)
         self.store, self.descriptors = Store(), Descriptors(allowed(told.descriptors) - own, told.memory)
         self.shelf = Shelf(shelf_of(told.memory))
         self.pool = Pool(self.descriptors, self.store, told.idle_limit, told.connect_limit)
@@ -73,9 +77,32 @@
         self.handover = Handover(told.directory, told.name, told.listen, log)
         self.repeats_before = 0  # launches again of the process before this one, when it told what it knew
         self.to_close = anyio.Event()  # something may ask for idle clients to be closed or passed
-        self.office.changed = lambda: self.to_close.set()
+        self.office.changed = self.mode_changed
+        self.peers = self.know_peers()
         self.operator: str | None = None  # where operators call, once bound
 
+    def know_peers(self) -> Driver | None:
+        """Only where the operator's file says so; nothing is imported for it otherwise."""
+        file = self.told.operators
+        if file is None or file.peers is None:
+            return None
+        from lupinmill.peers.driver import Driver
+        from lupinmill.program import operators_file
+
+        name = self.told.name
+        peers = Driver(operators_file.told(file, name), file.site, operators_file.bind(file, name),
+                       file.peers.keep or None, self.log)
+        self.office.peers = peers.show
+        return peers
+
+    def mode_changed(self) -> None:
+        self.to_close.set()
+        if self.peers is not None:
+            if self.standing.mode is Mode.SERVING:
+                self.peers.come_back()
+            else:
+                self.peers.leave()
+
     def bound(self, kind: Callable[..., Any], address: str, *more: Any) -> Any:
         """Guards against a line at the start that doesn't say which address can't be had."""
         try:
@@ -120,6 +147,8 @@
                     if desk is not None:
                         group.start_soon(self.keep_up, desk.run, group)
                         self.operator = desk.address
+                    if self.peers is not None:
+                        group.start_soon(self.keep_up, self.peers.run, found is not None)
                     self.office.taking = lambda: True
                     self.log("started", tier=deployment.tier, listen=listener.address, operator=self.operator,
                              endpoints=len(self.directory.states), descriptors=self.descriptors.limit)
@@ -168,6 +197,10 @@
             return
         if told.discovery != self.told.discovery:
             self.discovery.move(told.discovery)
+        if self.peers is not None and told.operators != self.told.operators and told.operators is not None:
+            from lupinmill.program import operators_file
+
+            self.peers.change(operators_file.told(told.operators, told.name))
         self.told = told
         self.log("reloaded", discovery=told.discovery)
 
@@ -180,7 +213,7 @@
         now = self.engine.clock.now()
         ends = now + int(stay * 1_000_000)
         self.standing.leave(now, ends - CLOSING, ends)
-        self.to_close.set()
+        self.mode_changed()
         began = anyio.current_time()
         while (waited := anyio.current_time() - began) < stay or self.book.journeys:
             if not take_in.clients and (waited >= STILL_COMING or not self.handover.succession.accepts()):
@@ -225,10 +258,14 @@
             take_in.pass_on = lambda client: handover.pass_client(client.sock)
             self.pool.close()
             listener.dismiss_all()
+            if self.peers is not None:
+                self.peers.yield_()
 
         def take_up() -> None:
             take_in.pass_on, listener.passing = None, False
             listener.resume()
+            if self.peers is not None:
+                self.peers.take_up()
 
         def adopt(sock: socket.socket) -> None:
             descriptors.elsewhere = max(0, descriptors.elsewhere - 1)
--- a/lupinmill/program/told.py
+++ b/lupinmill/program/told.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
@@ -13,6 +13,9 @@
 from lupinmill.protocol.http import Garbled
 from lupinmill.transport.connection import split_address
 
+if TYPE_CHECKING:
+    from lupinmill.program.operators_file import File
+
 
 class BadStart(Exception):
     """The text is the one line for standard error."""
@@ -31,6 +34,7 @@
     connect_limit: float
     operator: str | None = None  # where operators call
     directory: str | None = None  # common to the processes of an upgrade
+    operators: File | None = None  # the operator's own file, where one is named
 
 
 def read(environ: Mapping[str, str], again: bool = False) -> Told:
@@ -47,10 +51,30 @@
     if not isinstance(table, dict):
         raise BadStart(f"{path}: not a JSON object")
     try:
-        return understand(table, environ, again)
+        told = understand(table, environ, again)
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError, Garbled) as error:
         text = f"missing {error}" if isinstance(error, KeyError) else str(error)
         raise BadStart(f"{path}: {' '.join(text.split())[:200]}") from error
+    path = environ.get("BALANCER_OPERATOR_FILE")
+    return replace(told, operators=operators(path, told.name)) if path else told
+
+
+def operators(path: str, name: str) -> File:
+    """What serves without such a file imports nothing for it."""
+    try:
+        from lupinmill.program import operators_file
+    except ModuleNotFoundError as error:
+        if error.name not in ("msgspec", "xxhash"):
+            raise
+        raise BadStart(f"{path}: wants {error.name}: pip install 'lupinmill[peers]'") from error
+    try:
+        file = operators_file.read(path)
+        if file.peers is not None:
+            operators_file.told(file, name)
+    except operators_file.BadFile as error:
+        text = str(error)
+        raise BadStart(text if text.startswith(path) else f"{path}: {text}") from error
+    return file
 
 
 def understand(table: dict[str, Any], environ: Mapping[str, str], again: bool = False) -> Told:
@@ -94,7 +118,12 @@
         "limits": (old.descriptors, old.memory) == (new.descriptors, new.memory),
         "settings": settings_of(old) == settings_of(new),
     }
-    return [name for name, holds in same.items() if not holds]
+    others = [name for name, holds in same.items() if not holds]
+    if old.operators is not None or new.operators is not None:
+        from lupinmill.program import operators_file
+
+        others += operators_file.fixed(old.operators, new.operators, old.name)
+    return others
 
 
 def seed(value: Any) -> int:
--- /dev/null
+++ b/tests/test_peers_members.py
@@ -0,0 +1,424 @@
+"""Who is there, in virtual time: the very cores under a simulated network, from told seeds."""
+
+import random
+
+import pytest
+
+from lupinmill.lab.fleet import Fault, Fleet, Network
+from lupinmill.lab.fleet_virtual import VirtualFleet
+from lupinmill.peers import wire
+from lupinmill.peers.conduct import TABLE
+from lupinmill.peers.membership import CHECKS, Membership
+from lupinmill.peers.peer import REHEARSAL, Peer, Told
+from lupinmill.peers.view import SECOND, Changed, Heard, Leave, Return, Roster, Seat, Send, Standing, Timing
+from lupinmill.peers.wire import Note, Status
+
+ROUND = Timing().round
+
+
+def played(members=7, seconds=20.0, seed=3, fault=(), **more) -> VirtualFleet:
+    fleet = VirtualFleet(Fleet("test", seconds, members, fault=list(fault), **more), seed)
+    fleet.play()
+    assert not fleet.result.broken
+    return fleet
+
+
+def deaths(fleet: VirtualFleet, after: float = 0.0) -> list:
+    return [e for e in fleet.result.events if e.what == "peer" and e.state == "dead" and e.at >= after]
+
+
+def standings(fleet: VirtualFleet) -> dict[str, str]:
+    return {name: h.peer.membership.standing.value for name, h in fleet.hosts.items() if h.peer is not None}
+
+
+@pytest.mark.parametrize("members", [2, 3, 8, 40])
+def test_all_that_start_find_one_another_and_stay_together(members):
+    fleet = played(members, 10.0, electors=0)
+    assert fleet.agreed() and set(standings(fleet).values()) == {"together"} and not deaths(fleet)
+
+
+@pytest.mark.parametrize(
+    "network",
+    [
+        Network(loss=0.1),
+        Network(loss=0.3),
+        Network(double=0.3),
+        Network(late=0.3),
+        Network(0.1, 0.1, 0.1),
+    ],
+)
+def test_no_false_death_while_datagrams_are_lost_doubled_and_late(network):
+    fleet = played(12, 30.0, network=network)
+    assert not deaths(fleet) and fleet.agreed()
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_killed_one_is_held_dead_by_all_and_by_its_name_again_when_it_returns(seed):
+    fleet = played(20, 40.0, seed, [Fault("kill", 10.0, 25.0, members=[5])])
+    told = {e.who: e.at for e in deaths(fleet) if e.about == "m5"}
+    assert len(told) == 19 and max(told.values()) < 14.0
+    assert {e.about for e in deaths(fleet)} == {"m5"} and fleet.agreed()
+
+
+def test_one_that_a_cut_keeps_from_hearing_one_other_is_vouched_for_by_helpers():
+    """A hears B, B does not hear A."""
+    fleet = played(8, 40.0, fault=[Fault("cut", 8.0, members=[0], to=[1])])
+    assert not deaths(fleet) and fleet.agreed()
+
+
+def test_one_that_nobody_hears_is_held_dead_and_stands_cut_off():
+    """It hears all; its own words reach no one. Nobody answers its probes either."""
+    fleet = played(8, 40.0, fault=[Fault("cut", 8.0, members=[0])])
+    assert {e.about for e in deaths(fleet) if e.who != "m0"} == {"m0"}
+    assert standings(fleet)["m0"] in ("cut off", "alone", "in doubt")
+
+
+@pytest.mark.parametrize(
+    "fault, sizes",
+    [
+        (Fault("partition", 8.0, 20.0, into=2), {5, 4}),
+        (Fault("partition", 8.0, 20.0, into=3), {3}),
+        (Fault("partition", 8.0, 20.0, groups=[[1, 2, 3, 4, 5, 6, 7, 8]]), {8, 1}),
+    ],
+)
+def test_a_partition_in_any_shape_is_seen_and_heals(fault, sizes):
+    fleet = VirtualFleet(Fleet("test", 40.0, 9, fault=[fault]), 4)
+    seen = {}
+
+    def look(_):
+        seen.update({h.name: h.peer.membership.present + 1 for h in fleet.hosts.values()})
+        seen["standing"] = standings(fleet)
+
+    fleet.do_look = look
+    fleet.put(19 * SECOND, "look", None)
+    result = fleet.play()
+    assert not result.broken and fleet.agreed() and set(standings(fleet).values()) == {"together"}
+    standing = seen.pop("standing")
+    assert {1 if standing[name] == "alone" else size for name, size in seen.items()} == sizes
+    for name, size in seen.items():
+        size = 1 if standing[name] == "alone" else size  # deaf, it need not have given up each
+        expected = "alone" if size == 1 else "together" if size > 4 else "cut off"
+        assert standing[name] == expected, (name, size)
+
+
+def test_one_stopped_for_three_seconds_accuses_nobody_when_it_goes_on():
+    for seed in range(5):
+        fleet = played(9, 30.0, seed, [Fault("pause", 10.0, 13.0, members=[4])])
+        assert not [e for e in deaths(fleet) if e.who == "m4"]
+        assert fleet.agreed() and standings(fleet)["m4"] == "together"
+        doubts = [e for e in fleet.result.events if e.who == "m4" and e.state == "in doubt" and e.at >= 13.0]
+        assert doubts, "it slept and did not doubt itself"
+
+
+def test_starved_ones_are_not_taken_for_dead():
+    """Stopped for 400 ms at a time: slower than a round, faster than a suspicion."""
+    fleet = played(20, 40.0, fault=[Fault("starve", 8.0, 30.0, members=[3], stop_ms=400)])
+    assert not [e for e in deaths(fleet) if e.about != "m3"] and fleet.agreed()
+
+
+def test_93_percent_restarted_within_a_second_find_one_another_again():
+    fleet = played(30, 30.0, fault=[Fault("restart", 10.0, share=0.93)])
+    assert fleet.agreed() and set(standings(fleet).values()) == {"together"}
+
+
+def test_one_that_flaps_ends_as_what_it_is():
+    faults = [Fault("kill", 6.0 + 2 * at, 7.0 + 2 * at, members=[2]) for at in range(8)]
+    fleet = played(9, 45.0, fault=faults)
+    assert fleet.agreed() and {e.about for e in deaths(fleet)} <= {"m2"}
+
+
+def test_leaving_is_not_failing():
+    fleet = played(5, 20.0, fault=[Fault("leave", 8.0, members=[1]), Fault("leave", 8.0, members=[2])])
+    held = [view for name, view in fleet.views().items()]
+    assert len(held) == 3 and all(view["m1"] is view["m2"] is Status.LEFT for view in held)
+    assert not deaths(fleet) and set(standings(fleet).values()) == {"together"}
+
+
+def test_three_that_failed_leave_two_cut_off():
+    fleet = played(5, 25.0, fault=[Fault("kill", 8.0, members=[1, 2, 3])])
+    assert set(standings(fleet).values()) == {"cut off"}
+
+
+def test_the_load_a_member_does_not_grow_with_the_fleet():
+    """Measured after the join. Theory: a probe and a knock's place a round, answered: 2 / 0.2 s sent, as much
+    again on helpers and tables; at 100 the figure of 10 and no more than a fifth above it."""
+
+    def quiet(members):
+        fleet = VirtualFleet(Fleet("test", 60.0, members, electors=0), 2)
+        fleet.check_truth = False
+        for name in fleet.hosts:
+            fleet.put(0, "start", name)
+        fleet.run_until(20 * SECOND)
+        before = sum(host.sent for host in fleet.hosts.values())
+        fleet.run_until(30 * SECOND)
+        return (sum(host.sent for host in fleet.hosts.values()) - before) / 10 / members
+
+    small, large = quiet(10), quiet(60)
+    assert 8 < small < 20 and large < 1.2 * small
+
+
+# --- one core by hand --------------------------------------------------------------------------------------
+
+
+def seats(count: int) -> list[Seat]:
+    return [Seat(f"m{at}", f"127.0.0.1:{at + 1}") for at in range(count)]
+
+
+class Alone:
+    """One core; the others answer or not, as told."""
+
+    def __init__(self, count: int = 6) -> None:
+        self.now = 1000 * SECOND
+        self.core = Membership("m0", seats(count), Timing(), 5, self.now)
+        self.answering = {f"m{at}": 0 for at in range(1, count)}  # incarnation of each that answers
+        self.changes: list[Changed] = []
+        self.sent: list[Send] = []
+
+    def tell(self, *notes):
+        inbox = list(notes)
+        while True:
+            orders, inbox = self.core.step(self.now, inbox), []
+            for order in orders:
+                if isinstance(order, Changed):
+                    self.changes.append(order)
+                elif isinstance(order, Send):
+                    self.sent.append(order)
+                    inbox += self.reply(order)
+            if not inbox:
+                return
+
+    def reply(self, order: Send) -> list[Heard]:
+        inc = self.answering.get(order.to)
+        body = order.body
+        if inc is None:
+            return []
+        if isinstance(body, wire.Ping):
+            if body.held in (Status.SUSPECT, Status.DEAD) and body.held_incarnation >= inc:
+                inc = self.answering[order.to] = body.held_incarnation + 1
+            if body.serial:
+                ack = wire.Ack(body.serial, Status.ALIVE, inc, Status.ALIVE, 0, body.digest)
+                return [Heard(order.to, ack)]
+        return []
+
+    def run(self, seconds: float) -> None:
+        ends = self.now + int(seconds * SECOND)
+        while self.core.next() <= ends:
+            self.now = max(self.now, self.core.next())
+            self.tell()
+        self.now = ends
+
+    def status(self, name: str) -> Status:
+        return self.core.members[name].status
+
+
+def joined(count: int = 6) -> Alone:
+    alone = Alone(count)
+    alone.run(8)
+    assert all(alone.status(name) is Status.ALIVE for name in alone.answering)
+    alone.changes.clear()
+    alone.sent.clear()
+    return alone
+
+
+def accuse(name: str, status: Status, incarnation: int, sender: str, by: str = "") -> Heard:
+    ping = wire.Ping(0, Status.ALIVE, 0, Status.ALIVE, 0, 0)
+    return Heard(sender, ping, [Note(name, status, incarnation, by or sender)])
+
+
+@pytest.mark.parametrize("status", [Status.SUSPECT, Status.DEAD, Status.LEFT])
+@pytest.mark.parametrize("ahead", [0, 1, 1000])
+def test_a_liar_can_not_have_one_declared_gone_that_answers(status, ahead):
+    """Whatever it says and however often, under any names it likes."""
+    alone = joined()
+    for at in range(300):
+        incarnation = alone.core.members["m3"].incarnation + ahead
+        alone.tell(accuse("m3", status, incarnation, "m1", f"m{at % 6}"))
+        alone.run(0.037)
+    alone.run(3)
+    assert not [c for c in alone.changes if c.after in (Status.DEAD, Status.LEFT)]
+    assert alone.status("m3") is Status.ALIVE
+
+
+def test_a_liar_that_accuses_all_gets_no_more_probes_than_the_pace_allows():
+    alone = joined(40)
+    pings = len([s for s in alone.sent if isinstance(s.body, wire.Ping)])
+    for _ in range(100):
+        notes = [
+            Note(f"m{at}", Status.DEAD, alone.core.members[f"m{at}"].incarnation, "m1") for at in range(2, 26)
+        ]
+        ping = wire.Ping(0, Status.ALIVE, 0, Status.ALIVE, 0, 0)
+        alone.tell(Heard("m1", ping, notes))
+        alone.run(0.01)
+    pings = len([s for s in alone.sent if isinstance(s.body, wire.Ping)]) - pings
+    assert pings < CHECKS + 20 * 1 + 60  # checks of a second, rounds, news
+    assert not [c for c in alone.changes if c.after is Status.DEAD]
+
+
+def test_one_that_does_not_answer_is_given_up_only_after_an_own_probe():
+    alone = joined()
+    del alone.answering["m3"]
+    alone.tell(accuse("m3", Status.DEAD, 0, "m1"))
+    assert alone.status("m3") is not Status.DEAD
+    alone.run(3)
+    assert alone.status("m3") is Status.DEAD
+    assert alone.changes[-1].why == "no answer to an own probe" or "three" in alone.changes[-1].why
+
+
+def test_three_others_that_hold_it_dead_stand_for_an_own_probe():
+    alone = joined(8)
+    del alone.answering["m3"]
+    alone.run(0.3)  # the last answer is older than a round
+    for sender in ("m1", "m2"):
+        alone.tell(accuse("m3", Status.DEAD, 0, sender))
+        assert alone.status("m3") is not Status.DEAD
+    alone.tell(accuse("m3", Status.DEAD, 0, "m4"))
+    assert alone.status("m3") is Status.DEAD
+
+
+def test_a_refuted_suspicion_never_ends_as_a_death():
+    alone = joined()
+    alone.tell(accuse("m3", Status.SUSPECT, 7, "m1"))
+    assert alone.status("m3") is Status.SUSPECT
+    alone.tell(accuse("m3", Status.ALIVE, 8, "m2"))
+    assert alone.status("m3") is Status.ALIVE
+    alone.run(10)
+    assert not [c for c in alone.changes if c.after is Status.DEAD]
+
+
+def test_old_words_change_nothing():
+    alone = joined()
+    alone.tell(accuse("m3", Status.ALIVE, 9, "m2"))
+    for status in (Status.SUSPECT, Status.DEAD, Status.LEFT):
+        alone.tell(accuse("m3", status, 8, "m1"))
+    assert alone.status("m3") is Status.ALIVE and len(alone.changes) == 0
+
+
+def test_it_refutes_what_is_said_of_itself_also_of_a_former_life():
+    alone = joined()
+    alone.tell(accuse("m0", Status.DEAD, 41, "m1"))
+    assert alone.core.incarnation == 42
+    alone.tell(accuse("m0", Status.ALIVE, 50, "m1"))
+    assert alone.core.incarnation == 51
+    alone.tell(accuse("m0", Status.SUSPECT, 50, "m1"))
+    assert alone.core.incarnation == 51
+
+
+def test_a_jump_that_would_end_the_numbers_is_dropped():
+    alone = joined()
+    alone.tell(accuse("m0", Status.DEAD, 2**53, "m1"), accuse("m3", Status.ALIVE, 2**53, "m1"))
+    assert alone.core.incarnation == 0 and alone.core.members["m3"].incarnation == 0
+    assert alone.core.dropped["jump"] == 1
+
+
+def test_a_drained_one_is_left_and_comes_back():
+    alone = joined()
+    alone.tell(Leave())
+    pings = [s for s in alone.sent if isinstance(s.body, wire.Ping)]
+    assert pings[-1].body.status is Status.LEFT and alone.core.incarnation == 1
+    alone.tell(Return())
+    assert alone.core.status is Status.ALIVE and alone.core.incarnation == 2
+
+
+def test_a_roster_may_change_while_it_runs_and_strangers_are_counted():
+    alone = joined(6)
+    alone.tell(Roster(seats(4) + [Seat("m9", "127.0.0.1:99")]))
+    assert sorted(alone.core.members) == ["m1", "m2", "m3", "m9"]
+    assert (alone.core.present, alone.core.total) == (3, 5)
+    alone.tell(accuse("m5", Status.DEAD, 0, "m1"), accuse("m2", Status.ALIVE, 1, "m5"))
+    assert alone.core.dropped["stranger"] == 2
+    alone.run(5)
+    assert alone.status("m9") is Status.UNKNOWN
+    alone.answering["m9"] = 0
+    alone.run(5)
+    assert alone.status("m9") is Status.ALIVE
+
+
+def test_what_was_slept_through_says_nothing():
+    """All stop answering while this process is stopped; it goes on, hears them, and suspects none."""
+    alone = joined()
+    alone.now += 4 * SECOND
+    alone.tell()
+    assert alone.core.standing is Standing.IN_DOUBT
+    alone.run(4)
+    assert not alone.changes and alone.core.standing is Standing.TOGETHER
+
+
+def random_message(chance: random.Random) -> Heard:
+    name = lambda: f"m{chance.randrange(9)}"  # noqa: E731
+    status = lambda: Status(chance.randrange(5))  # noqa: E731
+    number = lambda: chance.choice([0, 1, chance.randrange(20), chance.randrange(2**53)])  # noqa: E731
+    ballot = wire.Ballot(number(), name())
+    topic = wire.Topic(number(), name(), number(), chance.randrange(2**53), number(), chance.randbytes(9))
+    about = chance.choice([REHEARSAL, REHEARSAL, "other"])
+    body = chance.choice(
+        [
+            lambda: wire.Ping(number(), status(), number(), status(), number(), number()),
+            lambda: wire.Ack(number(), status(), number(), status(), number(), number()),
+            lambda: wire.Ask(number(), name()),
+            lambda: wire.Relayed(number(), name(), chance.random() < 0.5, number()),
+            lambda: wire.Table(chance.random() < 0.5, number(), [(about, number(), number())]),
+            lambda: wire.Prepare(about, ballot),
+            lambda: wire.Promise(about, ballot, number(), ballot, topic, number()),
+            lambda: wire.Accept(about, ballot, number(), topic),
+            lambda: wire.Accepted(about, ballot, number()),
+            lambda: wire.Refused(about, ballot, ballot, chance.random() < 0.5),
+            lambda: wire.Recall(number(), number()),
+            lambda: wire.Recalled(
+                number(), number(), True, number(), [(about, ballot, ballot, topic)], True, 0
+            ),
+            lambda: wire.Made(about, number(), number(), chance.randbytes(5)),
+        ]
+    )()
+    notes = [Note(name(), status(), number(), name()) for _ in range(chance.randrange(4))]
+    return Heard(name(), body, notes)
+
+
+def sizes(peer: Peer) -> dict[str, int]:
+    m = peer.membership
+    return {
+        "probes": len(m.probes),
+        "news": len(m.news),
+        "checks": len(m.waiting_checks),
+        "members": len(m.members),
+        "dropped": len(m.dropped),
+        "decided": len(peer.decided),
+        "words": sum(map(len, peer.words.values())),
+        "registers": len(peer.elector.registers),
+        "claims": len(peer.claims.claims),
+        "recalled": len(peer.elector.recalled),
+    }
+
+
+def test_a_mad_member_makes_nothing_grow_and_nothing_fail():
+    """Seeded; 40,000 well-formed messages of any content from any member, at any time."""
+    chance = random.Random(11)
+    names = tuple(f"m{at}" for at in range(8))
+    now = 1000 * SECOND
+    told = Told("m0", tuple(seats(8)), names[:3], wants=(REHEARSAL,))
+    peer = Peer(told, 1, 1, now)
+    for at in range(40_000):
+        now += chance.choice([0, 0, 100, 3_000, 20_000])
+        peer.step(now, [random_message(chance)])
+        if at % 1000 == 0:
+            bounds = {
+                "probes": 64,
+                "news": 8,
+                "checks": 8,
+                "members": 7,
+                "dropped": 16,
+                "decided": 1,
+                "words": 8,
+                "registers": 1,
+                "claims": 1,
+                "recalled": 2,
+            }
+            assert all(count <= bounds[what] for what, count in sizes(peer).items()), sizes(peer)
+    assert len(peer.membership.timers) < 2_000
+
+
+def test_what_a_member_may_do_is_one_table_and_the_page_has_its_rows():
+    from pathlib import Path
+
+    page = (Path(__file__).parent.parent / "docs" / "peers.md").read_text()
+    for row in TABLE.values():
+        assert f"| {row.feature} | {row.alone} | {row.majority} | {row.falls_back} |" in page
