Peers: decisions are believed of a majority of electors, leases are given up at an upgrade; processes under faults

Need: a decision was believed of two members' words, so its maker could lie about it; the next process of an upgrade waited for a lease to run out; a sidecar that stands cut off kept a lease where the electors were on its side.

Now hearsay of a decision asks the electors, and a majority that has accepted just that makes it known. At an upgrade leases are given up before the address is (0.4 s at most). Cut off, a lease is given up.

Ruled out on the way: an operators' call that reached a listener came of two sockets given one port by chance, so ports are told now.

--- a/lupinmill/admin/office.py
+++ b/lupinmill/admin/office.py
@@ -29,6 +29,7 @@
         self.changed: Callable[[], None] = lambda: None  # told of each change of mode
         self.taking = lambda: False  # does this process take clients?
         self.peers: Callable[[], dict[str, object]] | None = None  # a plain table of who is there
+        self.rehearse: Callable[[], bool] | None = None  # a decision that says nothing
         # To the other process of an upgrade.
         self.pass_on: Callable[[calls.Call], Awaitable[None]] | None = None
 
@@ -39,6 +40,10 @@
             if self.peers is None:
                 return 404, "peers are off"
             return 200, orjson.dumps(self.peers()).decode()
+        if call.what == calls.REHEARSE:
+            if self.rehearse is None:
+                return 404, "peers are off"
+            return (200, "asked for") if self.rehearse() else (409, "this sidecar holds no lease on it")
         status, text = self.apply(call)
         if status == 200 and self.pass_on is not None:
             await self.pass_on(call)
--- a/lupinmill/peers/claims.py
+++ b/lupinmill/peers/claims.py
@@ -89,9 +89,9 @@
     # What others of this process ask for.
 
     def want(self, topic: str) -> None:
+        """One that is just being given up is wanted anew only once that is over: its attempt is a release."""
         if topic not in self.claims:
             self.claims[topic] = Claim(topic, self.span, self.now + self.chance.upto(REST))
-        self.claims[topic].giving_up = False
 
     def give_up(self, topic: str) -> None:
         """From this moment on it is not held; the electors hear of it, else it runs out."""
--- a/lupinmill/peers/driver.py
+++ b/lupinmill/peers/driver.py
@@ -10,7 +10,6 @@
 import os
 import socket
 import time
-from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -19,9 +18,9 @@
 from lupinmill.peers.claims import Chosen, Lost, Took
 from lupinmill.peers.elector import Keep
 from lupinmill.peers.keep import BadKeep, Promises
-from lupinmill.peers.peer import Forgot, Known, Note, Order, Peer, Told
-from lupinmill.peers.view import SECOND, Changed, Heard, Leave, Return, Roster, Send, Standing, Stands
-from lupinmill.routing.engine import Log
+from lupinmill.peers.peer import REHEARSAL, Forgot, Known, Note, Order, Peer, Told
+from lupinmill.peers.view import SECOND, Changed, Heard, Leave, Resign, Return, Roster, Send, Stands
+from lupinmill.routing.engine import Log, defect
 from lupinmill.transport.connection import split_address
 
 BATCH = 64  # datagrams between two pauses
@@ -31,6 +30,7 @@
 AGAIN = 0.05  # seconds between two tries for an address that the process before this one still has
 RECEIVE = 256 * 1024  # bytes in the kernel
 MOST_KEPT = 256
+RESIGN = 400_000  # microseconds for giving leases up before the address is
 RETRY_LIMIT = 30.0  # seconds for the process before this one to give the address back
 
 
@@ -71,12 +71,13 @@
         self.inbox: list[Note] = []
         self.stepping = False
         self.awake = anyio.Event()
-        self.wanted = anyio.Event()  # this process has the peers' address
+        self.wanted = anyio.Event()  # this process has the peers' address, or is to have it
+        self.wanted.set()
         self.turn: anyio.CancelScope | None = None
         self.kept: tuple[bytes, list[Send]] | None = None
         self.to_keep = anyio.Event()
+        self.resigns_by: int | None = None  # while another process of this sidecar waits for the address
         self.gone = False  # left, or drained
-        self.followers: list[Callable[[Order], None]] = []  # features that go by what is known
         self.set_seats(told)
 
     def set_seats(self, told: Told) -> None:
@@ -91,23 +92,24 @@
 
     async def run(self, wait: bool) -> None:
         """`wait`: the process before this one still has the address, and gives it back when it yields."""
-        self.wanted.set()
         while True:
             await self.wanted.wait()
             with anyio.CancelScope() as self.turn:
                 await self.serve(wait)
             wait = True
+            await anyio.sleep(AGAIN)
 
     async def serve(self, wait: bool) -> None:
         try:
             await self.open(wait)
+            self.inbox.clear()
             life = int.from_bytes(os.urandom(7), "big")
             memory = self.promises.read() if self.promises is not None else None
             self.peer = Peer(self.told, life, life ^ 0x5851F42D4C957F2D, now(), memory)
             self.log(
                 "peers",
                 text=f"{len(self.told.seats)} sidecars in the roster, {len(self.told.electors)} electors",
-                at=self.bind,
+                listen=self.bind,
                 remembers=memory is not None,
             )
             if self.gone:
@@ -166,18 +168,22 @@
             self.tell(Return())
 
     def yield_(self) -> None:
-        """The next process of this sidecar is this member from now on: what was held is given up, the address
-        too."""
-        if self.peer is not None:
-            for topic in list(self.peer.claims.claims):
-                self.peer.claims.now = now()
-                self.peer.claims.give_up(topic)
-            self.tell()
+        """The next process of this sidecar is this member from now on: leases are given up, then the
+        address."""
         self.wanted = anyio.Event()
-        if self.turn is not None:
-            self.turn.cancel()
+        self.resigns_by = now() + RESIGN
+        self.tell(Resign())
+        self.end_turn()
+
+    def end_turn(self) -> None:
+        """Once the electors have heard of it, or have had time to."""
+        if self.resigns_by is not None and self.turn is not None:
+            if self.peer is None or not self.peer.claims.claims or now() >= self.resigns_by:
+                self.resigns_by = None
+                self.turn.cancel()
 
     def take_up(self) -> None:
+        """The next one has gone. Also where this one was just giving up: it begins anew."""
         self.wanted.set()
 
     def change(self, told: Told) -> None:
@@ -203,9 +209,14 @@
                 for order in self.peer.step(now(), taken):
                     self.carry_out(order)
                 again = bool(self.inbox)
+        except Exception as error:  # a defect costs this core, never the program: it begins anew
+            self.log("task_failed", task="peers", **defect(error))
+            if self.turn is not None:
+                self.turn.cancel()
         finally:
             self.stepping = False
         self.awake.set()
+        self.end_turn()
 
     def carry_out(self, order: Order) -> None:
         if isinstance(order, Send):
@@ -214,8 +225,6 @@
             self.keep(order)
         else:
             self.say(order)
-            for follower in self.followers:
-                follower(order)
 
     def send(self, order: Send) -> None:
         if order.to == self.told.name:
@@ -243,7 +252,10 @@
             while count < BATCH:
                 try:
                     data, address = self.sock.recvfrom(wire.LARGEST + 1)
+                except BlockingIOError:
+                    break
                 except OSError:
+                    count = BATCH  # whatever it is, it must not spin
                     break
                 count += 1
                 self.take(data, address)
@@ -271,7 +283,10 @@
     async def keep_time(self) -> None:
         while self.peer is not None:
             self.awake = anyio.Event()
-            wait = self.peer.next() - now()
+            due = self.peer.next()
+            if self.resigns_by is not None:
+                due = min(due, self.resigns_by)
+            wait = due - now()
             if wait > 0:
                 with anyio.move_on_after(wait / SECOND):
                     await self.awake.wait()
@@ -355,8 +370,14 @@
                 "decision", topic=order.topic, epoch=order.epoch, version=order.version, text="made", **more
             )
 
-    def standing(self) -> Standing:
-        return self.peer.membership.standing if self.peer is not None else Standing.ALONE
+    def rehearse(self) -> bool:
+        """A decision that says nothing, for drills; False where this sidecar doesn't hold the topic."""
+        if self.peer is None or not self.peer.holds(REHEARSAL, now()):
+            return False
+        self.peer.claims.now = now()
+        done = self.peer.decide(REHEARSAL, f"{self.told.name} {now()}".encode())
+        self.tell()
+        return done
 
     def show(self) -> dict[str, object]:
         if self.peer is None:
--- a/lupinmill/peers/membership.py
+++ b/lupinmill/peers/membership.py
@@ -144,6 +144,7 @@
             self.count(member.status, name, -1)
             self.news.pop(name, None)
             self.waiting_checks.pop(name, None)
+        self.probes = {serial: one for serial, one in self.probes.items() if one.target in wanted}
         for name, seat in wanted.items():
             if name in self.members:
                 self.members[name].seat = seat
@@ -370,7 +371,7 @@
         if sender is None:
             self.drop("stranger")
             return
-        sender.heard = self.heard = self.now
+        self.heard = self.now
         body = heard.body
         if isinstance(body, wire.Ping | wire.Ack):
             self.hear_from(sender, body)
@@ -540,7 +541,7 @@
         )
         notes = []
         for name in first:
-            notes.append(self.own_note() if name == self.name else self.members[name].note())
+            notes.append(self.own_note() if name == self.name else self.members[name].note(self.news[name]))
             self.news[name] += 1
             if self.news[name] >= enough:
                 del self.news[name]
--- a/lupinmill/peers/peer.py
+++ b/lupinmill/peers/peer.py
@@ -2,23 +2,38 @@
 Pure: `step(now, notes)` gives orders, `next()` the latest moment of the following step. The driver, the
 virtual fleet and the explorer all run this one.
 
-Owns the decisions known (one a topic) and the words of others on newer ones (`WORDS` a topic)."""
+Owns the decisions known (one a topic) and hearsay of newer ones (`WORDS` a topic)."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from zlib import crc32
 
 from lupinmill.peers import wire
 from lupinmill.peers.claims import Chosen, Claims, Lost, Took
 from lupinmill.peers.conduct import TABLE, may_decide
-from lupinmill.peers.elector import Elector, Keep, Memory
+from lupinmill.peers.elector import Elector, Keep, Memory, majority
 from lupinmill.peers.membership import Membership
-from lupinmill.peers.view import SECOND, Changed, Heard, Leave, Return, Roster, Seat, Send, Stands, Timing
-from lupinmill.peers.wire import Made, Status
+from lupinmill.peers.view import (
+    MS,
+    SECOND,
+    Changed,
+    Heard,
+    Leave,
+    Resign,
+    Return,
+    Roster,
+    Seat,
+    Send,
+    Standing,
+    Stands,
+    Timing,
+)
+from lupinmill.peers.wire import Confirm, Confirmed, Made, Status
 
 REHEARSAL = "rehearsal"  # a topic that carries nothing: for drills of the operators and for tests
-WORDS = 8
+WORDS = 4  # hearsay of newer decisions, a topic
+CONFIRM_EVERY = 100 * MS  # a topic: nobody can make this member ask more often
 SPREAD = 8  # datagrams in which one member tells a new decision, FAN at a time
 FAN = 2
 DROPPED_CAUSES = 16
@@ -48,13 +63,21 @@
     body: bytes
 
 
+@dataclass(slots=True)
+class Hearsay:
+    """A newer decision by another's word, until a majority of the electors has confirmed it."""
+
+    made: Made
+    confirmed: dict[str, None] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class Forgot:
     topic: str
     why: str
 
 
-Note = Heard | Leave | Return | Roster
+Note = Heard | Leave | Return | Roster | Resign
 Order = Send | Keep | Changed | Stands | Took | Lost | Chosen | Known | Forgot
 
 
@@ -68,7 +91,9 @@
             self.elector = Elector(told.name, electors, list(told.topics), told.lease, life, now, memory)
         self.claims = Claims(told.name, electors, told.lease, life, seed ^ 0x9E3779B97F4A7C15, now)
         self.decided: dict[str, Made] = {}
-        self.words: dict[str, dict[str, tuple[int, int, int]]] = {}
+        self.words: dict[str, dict[tuple[int, int], Hearsay]] = {}  # by topic, then version and mark
+        self.confirm_at: dict[str, int] = {}
+        self.resigned = False
         self.spreading: dict[str, int] = {}  # topics, and how often each is still told
         self.spread_at = now
         self.majority_at = now  # when this member last saw a majority
@@ -94,17 +119,17 @@
                     votes.append(note)
                 elif isinstance(body, wire.Promise | wire.Accepted | wire.Refused):
                     claims.append(note)
-                elif isinstance(body, Made):
-                    self.hear_made(note.sender, body)
+                elif isinstance(body, Made | Confirm | Confirmed):
+                    self.hear_of_decision(note.sender, body)
                 else:
                     of_members.append(note)
                     continue
                 if note.sender != self.name:
-                    note = Heard(note.sender, body, note.notes)
-                    of_members.append(note)  # who is there shows in every datagram, and news rides on it
+                    of_members.append(note)  # who is there shows in every datagram
             else:
-                of_members.append(note)
                 self.obey(note)
+                if not isinstance(note, Resign):
+                    of_members.append(note)
         self.orders += self.membership.step(now, of_members)
         if self.elector is not None:
             known = [note for note in votes if self.is_member(note.sender)]
@@ -125,7 +150,9 @@
         return name == self.name or name in self.membership.members
 
     def obey(self, note: Note) -> None:
-        if isinstance(note, Leave):
+        if isinstance(note, Resign):
+            self.resigned = True
+        if isinstance(note, Leave | Resign):
             for topic in list(self.claims.claims):
                 self.claims.now = self.now
                 self.claims.give_up(topic)
@@ -136,7 +163,12 @@
         """Only who sees a majority asks for a lease; one that is held stays until it runs out."""
         asks = may_decide(self.membership.standing) and self.membership.status is Status.ALIVE
         self.claims.now = self.now
-        if asks and self.told.electors:
+        if self.membership.standing in (Standing.CUT_OFF, Standing.ALONE):
+            # Even where the electors are on this side: who sees a minority decides nothing for the others.
+            for topic in list(self.claims.claims):
+                if self.claims.holds(topic, self.now):
+                    self.claims.give_up(topic)
+        if asks and not self.resigned and self.told.electors:
             for topic in self.told.wants:
                 self.claims.want(topic)
 
@@ -154,8 +186,9 @@
         self.believe(made)
 
     def believe(self, made: Made) -> None:
+        """Versions only grow, whoever the holder is: they tell which decision is newer."""
         held = self.decided.get(made.topic)
-        if held is not None and (held.epoch, held.version) >= (made.epoch, made.version):
+        if held is not None and held.version >= made.version:
             return
         self.decided[made.topic] = made
         self.words.pop(made.topic, None)
@@ -163,27 +196,52 @@
         self.spread_at = self.now
         self.orders.append(Known(made.topic, made.epoch, made.version, made.body))
 
+    def hear_of_decision(self, sender: str, body: Made | Confirm | Confirmed) -> None:
+        if body.topic not in self.told.topics or not self.is_member(sender):
+            self.membership.drop("topic")
+        elif isinstance(body, Made):
+            self.hear_made(sender, body)
+        elif isinstance(body, Confirm):
+            if self.has_accepted(body):
+                self.orders.append(Send(sender, Confirmed(body.topic, body.version, body.mark), []))
+        elif sender in self.told.electors:
+            self.confirmed(sender, body)
+
     def hear_made(self, sender: str, made: Made) -> None:
-        """Believed of two others, or of one where this elector has accepted just that: one member alone can
-        have nobody go by what no majority has decided."""
+        """Hearsay until a majority of the electors says that it has accepted just that. Guards against a
+        member that lies about what was decided, its maker among them."""
         held = self.decided.get(made.topic)
-        if made.topic not in self.told.topics or not self.is_member(sender):
-            self.membership.drop("topic")
-            return
-        if held is not None and (made.epoch, made.version) <= (held.epoch, held.version):
+        if held is not None and made.version <= held.version:
             return
-        if self.elector is not None and (register := self.elector.registers.get(made.topic)) is not None:
-            value = register.value
-            if (value.version, value.body) == (made.version, made.body) and value.epoch >= made.epoch:
-                self.believe(made)
-                return
+        mark = crc32(made.body)
         words = self.words.setdefault(made.topic, {})
-        words.pop(sender, None)
-        if len(words) >= WORDS:
-            del words[next(iter(words))]
-        words[sender] = (made.epoch, made.version, crc32(made.body))
-        if sum(word == words[sender] for word in words.values()) >= 2:
-            self.believe(made)
+        if (made.version, mark) not in words:
+            if len(words) >= WORDS:
+                del words[next(iter(words))]
+            words[made.version, mark] = Hearsay(made)
+        if self.now - self.confirm_at.get(made.topic, -CONFIRM_EVERY) < CONFIRM_EVERY:
+            return
+        self.confirm_at[made.topic] = self.now
+        confirm = Confirm(made.topic, made.version, mark)
+        for elector in self.told.electors:
+            if elector != self.name:
+                self.orders.append(Send(elector, confirm, []))
+        if self.has_accepted(confirm):
+            self.confirmed(self.name, Confirmed(made.topic, made.version, mark))
+
+    def has_accepted(self, asked: Confirm) -> bool:
+        register = self.elector.registers.get(asked.topic) if self.elector is not None else None
+        if register is None:
+            return False
+        return (register.value.version, crc32(register.value.body)) == (asked.version, asked.mark)
+
+    def confirmed(self, elector: str, body: Confirmed) -> None:
+        hearsay = self.words.get(body.topic, {}).get((body.version, body.mark))
+        if hearsay is None:
+            return
+        hearsay.confirmed[elector] = None
+        if len(hearsay.confirmed) >= majority(len(self.told.electors)):
+            self.believe(hearsay.made)
 
     def spread(self) -> None:
         if not self.spreading or self.now < self.spread_at:
@@ -201,9 +259,9 @@
 
     def help_behind(self, sender: str, told: list[tuple[str, int, int]]) -> None:
         """Two tables were compared: who lacks a decision is told it."""
-        theirs = {topic: (epoch, version) for topic, epoch, version in told}
+        theirs = {topic: version for topic, _, version in told}
         for made in self.decided.values():
-            if theirs.get(made.topic, (0, 0)) < (made.epoch, made.version):
+            if theirs.get(made.topic, 0) < made.version:
                 self.orders.append(Send(sender, made, []))
 
     def fade(self) -> None:
@@ -218,10 +276,6 @@
 
     # For operators.
 
-    def live(self) -> int:
-        """How many sidecars are there, this one among them."""
-        return self.membership.present + (self.membership.status is Status.ALIVE)
-
     def show(self) -> dict[str, object]:
         """A plain table. Times are seconds ago."""
         m = self.membership
--- a/lupinmill/peers/view.py
+++ b/lupinmill/peers/view.py
@@ -63,7 +63,6 @@
     since: int = 0
     by: str = ""  # who told
     answered: int = -1  # its last answer to a probe of this sidecar, direct or by a helper
-    heard: int = -1  # its last datagram
     suspected: int = 0  # since when
     sharers: list[str] = field(default_factory=list)  # who suspects it, a few at most
     tellers: list[str] = field(default_factory=list)  # who told, from its own, that it is dead or left
@@ -71,8 +70,12 @@
     checking: int = 0  # serial of an own probe that decides on it
     told_as: Status = Status.DEAD  # what it is when the check fails
 
-    def note(self) -> Note:
-        return Note(self.seat.name, self.status, self.incarnation, self.by or self.seat.name)
+    def note(self, turn: int = 0) -> Note:
+        """Who shares a suspicion is told in turn: each shortens it for those that hear."""
+        by = self.by or self.seat.name
+        if self.status is Status.SUSPECT and self.sharers:
+            by = self.sharers[turn % len(self.sharers)]
+        return Note(self.seat.name, self.status, self.incarnation, by)
 
 
 # --- notes and orders of the cores ---------------------------------------------------------------
@@ -90,6 +93,12 @@
     """This sidecar goes, or is drained by an operator."""
 
 
+@dataclass(slots=True)
+class Resign:
+    """Another process of this sidecar is the member from now on: leases are given up, others hear of
+    nothing."""
+
+
 @dataclass(slots=True)
 class Return:
     """A drained one serves again."""
--- a/lupinmill/peers/wire.py
+++ b/lupinmill/peers/wire.py
@@ -157,7 +157,7 @@
 
 
 class Made(Struct, array_like=True, tag="M", frozen=True):
-    """A decision that a majority has accepted."""
+    """A decision that a majority has accepted, by the sender's word."""
 
     topic: Name
     epoch: Count
@@ -165,6 +165,22 @@
     body: Decision
 
 
+class Confirm(Struct, array_like=True, tag="C", frozen=True):
+    """Has this elector accepted decision `version` with that body?"""
+
+    topic: Name
+    version: Count
+    mark: Count  # CRC-32 of the body
+
+
+class Confirmed(Struct, array_like=True, tag="D", frozen=True):
+    """It has, and holds it now."""
+
+    topic: Name
+    version: Count
+    mark: Count
+
+
 Body = (
     Ping
     | Ack
@@ -179,6 +195,8 @@
     | Recall
     | Recalled
     | Made
+    | Confirm
+    | Confirmed
 )
 
 
--- a/lupinmill/program/operators_file.py
+++ b/lupinmill/program/operators_file.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 import msgspec
-from msgspec import Struct, field
+from msgspec import Struct
 
 from lupinmill.peers.peer import REHEARSAL, Told
 from lupinmill.peers.view import MS, SECOND, Seat, Timing
@@ -52,7 +52,6 @@
 class File(Struct, forbid_unknown_fields=True, frozen=True):
     site: str
     peers: Peers | None = None
-    text: dict[str, str] = field(default_factory=dict)  # remarks for people
 
 
 def read(path: str) -> File:
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -92,7 +92,7 @@
         name = self.told.name
         peers = Driver(operators_file.told(file, name), file.site, operators_file.bind(file, name),
                        file.peers.keep or None, self.log)
-        self.office.peers = peers.show
+        self.office.peers, self.office.rehearse = peers.show, peers.rehearse
         return peers
 
     def mode_changed(self) -> None:
--- a/lupinmill/protocol/calls.py
+++ b/lupinmill/protocol/calls.py
@@ -13,8 +13,8 @@
 LONGEST_ID = 200  # bytes
 PREFIX = b"/admin/"
 HEALTH, OUT, BACK, QUIESCE, RESUME = "health", "cordon", "uncordon", "quiesce", "resume"
-PEERS = "peers"
-METHODS = {HEALTH: (b"GET", b"HEAD"), PEERS: (b"GET",), OUT: (b"PUT",), BACK: (b"PUT",), QUIESCE: (b"PUT",), RESUME: (b"PUT",)}
+PEERS, REHEARSE = "peers", "rehearse"
+METHODS = {HEALTH: (b"GET", b"HEAD"), PEERS: (b"GET",), REHEARSE: (b"PUT",), OUT: (b"PUT",), BACK: (b"PUT",), QUIESCE: (b"PUT",), RESUME: (b"PUT",)}
 MEMBER = b"member"
 
 
