--- a/Makefile
+++ b/Makefile
@@ -11,8 +11,13 @@
 	.venv/bin/pip -q install -e '.[lab,test]'
 	touch $@
 
+# In virtual time or none, so they may share the machine; what judges processes and sockets has it for itself.
+PURE = tests/test_peers_members.py tests/test_peers_decisions.py tests/test_peers_wire.py tests/test_lab_model.py \
+	tests/test_rules.py tests/test_limits.py
+
 test: build
-	$(PYTHON) -m pytest -q
+	$(PYTHON) -m pytest -q -n 4 $(PURE)
+	$(PYTHON) -m pytest -q $(addprefix --ignore=,$(PURE))
 
 lint: build
 	.venv/bin/pip -q install 'ruff>=0.6,<1'
--- a/lupinmill/cli/lab.py
+++ b/lupinmill/cli/lab.py
@@ -120,6 +120,7 @@
 @click.argument("name", metavar="SCENARIO")
 @click.option("--seed", default=1, show_default=True, type=click.IntRange(0, 2**62))
 @click.option("--sockets", is_flag=True, help="Real processes on loopback, in real time.")
+@click.option("--peers", is_flag=True, help="With --sockets: the front sidecars know each other.")
 @click.option("--policy", default="lupinmill", show_default=True, type=click.Choice(list(POLICIES)))
 @click.option(
     "--set", "changes", multiple=True, metavar="KEY=VALUE", help="Change a setting of the scenario."
@@ -127,19 +128,28 @@
 @click.option("--json", "path", type=click.Path(dir_okay=False), help="Write the result to this file.")
 @click.option("--quiet", is_flag=True, help="No line a second.")
 def run(
-    name: str, seed: int, sockets: bool, policy: str, changes: tuple[str, ...], path: str | None, quiet: bool
+    name: str,
+    seed: int,
+    sockets: bool,
+    peers: bool,
+    policy: str,
+    changes: tuple[str, ...],
+    path: str | None,
+    quiet: bool,
 ) -> None:
     """Play one scenario. Exit code 1 where a rule was broken, 3 where the run is void."""
     from lupinmill.lab import experiments
 
     if sockets and policy != "lupinmill":
         refuse(BadScenario("--sockets runs the program itself; baselines play in virtual time only"))
+    if peers and not sockets:
+        refuse(BadScenario("--peers goes with --sockets; `lab fleet` plays them in virtual time"))
     try:
         which = experiments.variant(";".join(changes), name)
         read = which.read()
     except BadScenario as error:
         refuse(error)
-    one = experiments.play(read, name, seed, policy, sockets, None if quiet else live)
+    one = experiments.play(read, name, seed, policy, sockets, None if quiet else live, peers=peers)
     summary(one)
     if path:
         result.write(path, one)
@@ -429,7 +439,7 @@
     seconds: float,
     schedule: str,
 ) -> None:
-    """Model check of leases and decisions, over the very cores; a failing schedule is printed shortest first."""
+    """Model check of leases and decisions over the very cores; prints a failing schedule, shortest first."""
     from functools import partial
 
     from lupinmill.lab import explorer
--- a/lupinmill/lab/experiments.py
+++ b/lupinmill/lab/experiments.py
@@ -100,10 +100,11 @@
     sockets: bool = False,
     tick: Callable[[int, Any], None] | None = None,
     trace: Callable[..., None] | None = None,
+    peers: bool = False,
 ) -> Result:
     """One run; a stop by Ctrl-C leaves what there is of it, marked as not complete."""
     began = time.monotonic()
-    run: Any = SocketRun(read, seed, tick) if sockets else VirtualRun(read, seed, policy, trace, tick)
+    run: Any = SocketRun(read, seed, tick, peers) if sockets else VirtualRun(read, seed, policy, trace, tick)
     complete = True
     try:
         run.play()
--- a/lupinmill/lab/fleet_measure.py
+++ b/lupinmill/lab/fleet_measure.py
@@ -163,8 +163,8 @@
     if kind == "death":
         spread = ROUND / 2 * log(members) / log(3)
         return (
-            f"first probe {probed:.2f} + a round {ROUND:.1f} + suspicion {least:.2f} to {most:.1f} + own probe "
-            f"{ROUND:.1f}; all: {spread:.2f} more"
+            f"first probe {probed:.2f} + a round {ROUND:.1f} + suspicion {least:.2f} to {most:.1f} + own "
+            f"probe {ROUND:.1f}; all: {spread:.2f} more"
         )
     if kind == "quiet":
         return f"{2 / ROUND + 0.1 / ROUND:.1f} a second: a probe and an answer a round, a table every tenth"
--- a/lupinmill/lab/fleet_report.py
+++ b/lupinmill/lab/fleet_report.py
@@ -102,9 +102,10 @@
     return (
         f"<!doctype html><meta charset=utf-8><title>{html.escape(result.fleet.title)}</title>"
         f"<style>{STYLE}</style><h1>{html.escape(result.fleet.title)}</h1>"
-        f"<p>{result.fleet.members} sidecars, {result.driver}, seed {result.seed}. Each strip is one sidecar's own "
-        f"standing: {colours}; grey: its process does not run. The thin bar is a lease with its epoch; a red mark: "
-        f"another one holds it dead.</p>{broken}{strips(result)}<table>{figures}</table>{rows(result)}"
+        f"<p>{result.fleet.members} sidecars, {result.driver}, seed {result.seed}. Each strip is one "
+        f"sidecar's own standing: {colours}; grey: its process does not run. The thin bar is a lease with "
+        f"its epoch; a red mark: another one holds it dead.</p>"
+        f"{broken}{strips(result)}<table>{figures}</table>{rows(result)}"
     )
 
 
--- a/lupinmill/lab/fleet_sockets.py
+++ b/lupinmill/lab/fleet_sockets.py
@@ -29,8 +29,8 @@
 LARGEST = 2_048
 LEAVES = 6.0  # seconds for a member to end after SIGTERM
 LOOK = 0.05
-# Listening ports are told and below those that the system gives out: two sockets that share a port, as those of an
-# upgrade may, could otherwise be given one by chance.
+# Listening ports are told and below those that the system gives out: two sockets that share a port, as those
+# of an upgrade may, could otherwise be given one by chance.
 PORTS = range(20_000, 30_000)
 TAKEN: set[int] = set()
 WORKLOAD = {"name": "view", "repeat": "repeatable", "contract-time-s": 0.5, "hard-limit-s": 1.0}
--- a/lupinmill/lab/sockets.py
+++ b/lupinmill/lab/sockets.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import tempfile
 import time
 from collections.abc import Callable
@@ -15,6 +16,7 @@
 from lupinmill import terms as t
 from lupinmill.lab.clients import Clients, Wish
 from lupinmill.lab.endpoint import Endpoint, Job
+from lupinmill.lab.fleet_sockets import TAKEN, free_port
 from lupinmill.lab.measure import Measure
 from lupinmill.lab.processes import Process
 from lupinmill.lab.registry import Entry, Registry
@@ -22,6 +24,7 @@
 from lupinmill.lab.stands import HOST, STATUS, AskPool, DiscoveryServer, EndpointServer, Exchange
 from lupinmill.lab.timeline import MS, SECOND, Timeline
 from lupinmill.lab.world import World, chance_for, draw
+from lupinmill.peers.peer import REHEARSAL
 from lupinmill.protocol.http import Answer, Request
 
 T = TypeVar("T")
@@ -36,13 +39,29 @@
 AWAKE = 0.2  # seconds the pump sleeps at most
 
 
+def operators_file(ports: list[int]) -> str:
+    """Of the front sidecars s0, s1, ...: all members, up to five of them electors that ask for one lease."""
+    names = [f"s{at}" for at in range(len(ports))]
+    most = max((n for n in (0, 3, 5) if n <= len(ports)), default=0)
+    electors = orjson.dumps(names[:most]).decode()
+    wants = f'wants = ["{REHEARSAL}"]\n' if most else ""
+    rows = [f'[peers.members.{name}]\naddress = "{HOST}:{port}"\n' for name, port in zip(names, ports)]
+    return f'site = "lab"\n\n[peers]\nelectors = {electors}\n{wants}\n' + "\n".join(rows)
+
+
 class SocketRun:
     """One run in real time. Same surface as VirtualRun: `world`, `measure`, `clients`, `notes`, `digests`."""
 
     def __init__(
-        self, scenario: Scenario, seed: int, tick: Callable[[int, Measure], None] | None = None
+        self,
+        scenario: Scenario,
+        seed: int,
+        tick: Callable[[int, Measure], None] | None = None,
+        peers: bool = False,
     ) -> None:
         self.scenario, self.seed, self.tick = scenario, seed, tick
+        self.peers = peers  # the front sidecars know each other
+        self.peer_ports: list[int] = []
         self.timeline = Timeline(time.time_ns() // 1000)
         self.world = World(scenario, seed, self.timeline)
         self.world.referee.grace += SLACK
@@ -97,6 +116,9 @@
             for endpoint in tier:
                 await self.serve(endpoint)
         count = self.world.sidecars
+        if self.peers:
+            self.peer_ports = [free_port(os.getpid() * 97) for _ in range(count)]
+            (folder / "operator.toml").write_text(operators_file(self.peer_ports))
         for at in range(count):
             self.fronts.append(await self.make_process(f"s{at}", 0))
             self.front_names.add(f"s{at}")
@@ -133,7 +155,9 @@
         discovery = DiscoveryServer(self.world.registries[tier], name, self)
         await discovery.listen()
         self.discoveries[name] = discovery
-        process = Process(name, tier, self.folder, self.told, self.heard)
+        known = self.peers and tier == 0
+        environ = {"BALANCER_OPERATOR_FILE": str(self.folder / "operator.toml")} if known else None
+        process = Process(name, tier, self.folder, self.told, self.heard, environ)
         self.pools[name] = AskPool(lambda: process.address)
         return process
 
@@ -265,6 +289,7 @@
             pool.close()
         processes = [*self.fronts, *self.inner.values()]
         await asyncio.gather(*(process.end() for process in processes), return_exceptions=True)
+        TAKEN.difference_update(self.peer_ports)
         for server in (*self.servers.values(), *self.discoveries.values()):
             server.close()
         await asyncio.sleep(0)
