--- a/lupinmill/lab/explorer.py
+++ b/lupinmill/lab/explorer.py
@@ -14,17 +14,23 @@
 import pickle
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 import msgspec
 
 from lupinmill.peers.claims import Chosen, Claims, Lost, Took
 from lupinmill.peers.elector import Elector, Keep, Memory
-from lupinmill.peers.view import MS, SECOND, Heard, Send
+from lupinmill.peers import wire
+from lupinmill.peers.membership import Membership
+from lupinmill.peers.view import MS, SECOND, Changed, Heard, Seat, Send, Timing
+from lupinmill.peers.wire import Status
 from lupinmill.workings import Chance
 
 TOPIC = "rehearsal"
 SPAN = SECOND
 BEGIN = 1_000 * SECOND
+QUIET = 10 * SECOND
+World = Any  # an `AgreementWorld` or a `MembershipWorld`
 
 Action = tuple[str, int]  # what, and with which datagram or host
 
@@ -227,6 +233,9 @@
         else:
             assert isinstance(order, Lost)
 
+    def finish(self) -> None:
+        """Nothing is owed at the end."""
+
     def judge(self) -> None:
         holders = [
             box.name
@@ -237,6 +246,154 @@
             self.wrong = f"{' and '.join(holders)} hold one lease at the same moment"
 
 
+def nothing_decided(sender: str, told: list[wire.Height]) -> None:
+    """In place of what a whole member does about another's table; by name, so that a world can be copied."""
+
+
+class Gullible(Membership):
+    """A planted fault: hearsay of a death is believed at once, whatever the incarnation."""
+
+    def learn(self, note: wire.Note, teller: str) -> None:
+        member = self.members.get(note.name)
+        if member is not None and note.status is Status.DEAD:
+            self.hold(member, Status.DEAD, note.incarnation, note.by, "told")
+            return
+        super().learn(note, teller)
+
+
+@dataclass
+class MembershipWorld:
+    """Members that know each other already; then departures until the horizon, then a quiet network.
+
+    A refuted suspicion never ends as a death, and views agree in the end."""
+
+    size: int = 3
+    horizon: int = 400 * MS
+    gullible: bool = False
+    liar: bool = False  # old and false words of a death may be said of each, in the last member's name
+    now: int = 0
+    cores: list[Membership | None] = field(default_factory=list)
+    paused: list[bool] = field(default_factory=list)
+    flying: list[tuple[int, int, Heard]] = field(default_factory=list)
+    alive_at: dict[tuple[int, str], int] = field(default_factory=dict)  # incarnation held for alive, by whom
+    lives: int = 0
+    wrong: str = ""
+
+    def __post_init__(self) -> None:
+        self.names = [f"m{at}" for at in range(self.size)]
+        self.cores, self.paused = [None] * self.size, [False] * self.size
+        horizon, self.horizon = self.horizon, 10**12
+        for at in range(self.size):
+            self.start(at)
+        while self.now < 3 * SECOND or not self.agreed():
+            self.apply(self.actions()[0])
+        self.horizon = self.now + horizon
+
+    def start(self, at: int) -> None:
+        self.lives += 1
+        kind = Gullible if self.gullible else Membership
+        seats = [Seat(name, f"127.0.0.1:{index + 1}") for index, name in enumerate(self.names)]
+        core = kind(self.names[at], seats, Timing(), self.lives, BEGIN + self.now)
+        core.behind = nothing_decided
+        self.cores[at], self.paused[at] = core, False
+        for observer in range(self.size):
+            self.alive_at.pop((at, self.names[observer]), None)
+
+    def actions(self) -> list[Action]:
+        if self.wrong or self.now >= self.horizon:
+            return []
+        found: list[Action] = [
+            ("deliver", n) for n, (_, to, _) in enumerate(self.flying) if not self.paused[to]
+        ]
+        found.append(("wait", 0))
+        found += [("lose", n) for n in range(len(self.flying))]
+        found += [("double", n) for n in range(len(self.flying))]
+        for at in range(self.size):
+            found += [("restart", at), ("go on" if self.paused[at] else "stop", at)]
+            if self.liar and at < self.size - 1:
+                found.append(("lie about", at))
+        return found
+
+    def apply(self, action: Action) -> None:
+        what, at = action
+        if what == "deliver":
+            sender, to, heard = self.flying.pop(at)
+            self.step(to, [heard])
+        elif what == "lose":
+            self.flying.pop(at)
+        elif what == "double":
+            self.flying.append(self.flying[at])
+        elif what == "restart":
+            self.start(at)
+        elif what in ("stop", "go on"):
+            self.paused[at] = what == "stop"
+        elif what == "lie about":
+            self.lie(at)
+        else:
+            self.pass_time()
+
+    def lie(self, at: int) -> None:
+        """The last member says to all that one is dead, under the incarnation that it holds."""
+        core = self.cores[-1]
+        assert core is not None
+        incarnation = core.members[self.names[at]].incarnation
+        ping = wire.Ping(0, Status.ALIVE, core.incarnation, Status.ALIVE, 0, 0)
+        note = wire.Note(self.names[at], Status.DEAD, incarnation, self.names[-1])
+        for to in range(self.size - 1):
+            self.flying.append((self.size - 1, to, Heard(self.names[-1], ping, [note])))
+
+    def pass_time(self) -> None:
+        running = [core for at, core in enumerate(self.cores) if core is not None and not self.paused[at]]
+        due = min((core.next() - BEGIN for core in running), default=self.now + 50 * MS)
+        self.now = min(self.horizon, max(self.now + MS, due))
+        for at, core in enumerate(self.cores):
+            if core is not None and not self.paused[at] and core.next() <= BEGIN + self.now:
+                self.step(at, [])
+
+    def step(self, at: int, notes: list[Heard]) -> None:
+        core = self.cores[at]
+        assert core is not None
+        for order in core.step(BEGIN + self.now, notes):
+            if isinstance(order, Send):
+                to = self.names.index(order.to)
+                self.flying.append((at, to, Heard(self.names[at], order.body, order.notes)))
+            elif isinstance(order, Changed):
+                self.judge(at, order, core.members[order.name].incarnation)
+
+    def judge(self, at: int, order: Changed, incarnation: int) -> None:
+        key = (at, order.name)
+        if order.after is Status.ALIVE:
+            self.alive_at[key] = max(incarnation, self.alive_at.get(key, 0))
+        elif order.after is Status.DEAD and incarnation < self.alive_at.get(key, 0):
+            self.wrong = f"{self.names[at]} holds {order.name} dead that had refuted it"
+
+    def agreed(self) -> bool:
+        return all(
+            core is not None and all(one.status is Status.ALIVE for one in core.members.values())
+            for core in self.cores
+        )
+
+    def finish(self) -> None:
+        """Everyone goes on and nothing is lost any more: within some seconds all hold all for alive."""
+        if self.wrong:
+            return
+        for at in range(self.size):
+            self.paused[at] = False
+        ends = self.now + QUIET
+        self.horizon = ends
+        while self.now < ends and not self.wrong and not (self.agreed() and self.now > ends - QUIET + SECOND):
+            self.apply(self.actions()[0])
+        if not self.wrong and not self.agreed():
+            held = [
+                f"{core.name} holds {name} {one.status.name.lower()}"
+                for core in self.cores
+                if core is not None
+                for name, one in core.members.items()
+                if one.status is not Status.ALIVE
+            ]
+            self.wrong = f"no agreement {QUIET // SECOND} s after the network is quiet: {', '.join(held)}"
+
+
 @dataclass
 class Found:
     """A failing schedule: its departures, and all steps."""
@@ -257,7 +414,7 @@
     whole: bool  # else the bound on states ended it
 
 
-def explore(make: Callable[[], AgreementWorld], departures: int, states: int = 10**9) -> Outcome:
+def explore(make: Callable[[], World], departures: int, states: int = 10**9) -> Outcome:
     """Breadth first by departures, so that the first failure has the fewest."""
     seen: set[int] = set()
     level: list[tuple[bytes, Action | None, list[Action]]] = [(pickle.dumps(make()), None, [])]
@@ -278,7 +435,12 @@
                 data = pickle.dumps(world)
                 mark = hash(data)
                 actions = world.actions()
-                if mark in seen or not actions:
+                if mark in seen:
+                    break
+                if not actions:
+                    world.finish()
+                    if world.wrong:
+                        return Outcome(Found(world.wrong, deep, schedule), len(seen), deep, False)
                     break
                 seen.add(mark)
                 if len(seen) >= states:
@@ -298,7 +460,7 @@
         level[at], level[other] = level[other], level[at]
 
 
-def replay(make: Callable[[], AgreementWorld], text: str) -> str:
+def replay(make: Callable[[], World], text: str) -> str:
     """What goes wrong under a schedule as `Found.text` writes it; empty: nothing."""
     world = make()
     for part in text.split("; "):
@@ -306,10 +468,11 @@
         world.apply((what, int(at)))
         if world.wrong:
             break
+    world.finish()
     return world.wrong
 
 
-def walk(make: Callable[[], AgreementWorld], seed: int, share: float = 0.15) -> Found | None:
+def walk(make: Callable[[], World], seed: int, share: float = 0.15) -> Found | None:
     """One schedule by chance, with departures at `share` of its steps: deeper than every order can be
     tried."""
     chance, world, schedule, departures = Chance(seed), make(), [], 0
@@ -319,10 +482,11 @@
             action, departures = actions[chance.upto(len(actions) - 1)], departures + 1
         world.apply(action)
         schedule.append(action)
+    world.finish()
     return Found(world.wrong, departures, schedule) if world.wrong else None
 
 
-def shortened(make: Callable[[], AgreementWorld], found: Found) -> Found:
+def shortened(make: Callable[[], World], found: Found) -> Found:
     """Leaves out steps as long as it still goes wrong."""
     schedule = found.schedule
     size = max(1, len(schedule) // 2)
@@ -339,7 +503,7 @@
         size = max(1, size // 2)
 
 
-def played(make: Callable[[], AgreementWorld], schedule: list[Action]) -> str:
+def played(make: Callable[[], World], schedule: list[Action]) -> str:
     world = make()
     for what, at in schedule:
         bound = (
@@ -352,4 +516,5 @@
         world.apply((what, at))
         if world.wrong:
             return world.wrong
-    return ""
+    world.finish()
+    return world.wrong
--- /dev/null
+++ b/lupinmill/zones/evidence.py
@@ -0,0 +1,176 @@
+"""What each member saw of each zone's endpoints, merged: thin members add up, a lying one is bounded, and a
+zone that is down is told apart from one that can't be reached from here.
+
+Figures are sums over a member's last seconds. A member counts by at most `CLIP` times the median of those
+that saw the zone, so one that claims a million launches weighs like two; and one zone of observers never
+speaks for the others.
+
+Owns the reports, one a member, given back when they are older than `AGE` or the member is gone."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from statistics import median
+
+from lupinmill.zones.map import Map
+
+SECOND = 1_000_000
+AGE = 6 * SECOND  # a report counts less and less until then
+CLIP = 2.0
+ENOUGH = 8.0  # launches behind a word on a zone, over all who saw it from one place
+BROKEN, BACK = 0.5, 0.2  # share of launches that failed: a zone is lost above, and well again below
+SLOW = 2.0  # times its uncrowded answer time: its capacity counts for as much less
+MOST_FIGURE = 1e9
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """Of one zone, by one member."""
+
+    tried: float = 0.0  # launches that ended
+    failed: float = 0.0  # of them without an answer: unconnected, reset, timed out, error
+    refused: float = 0.0
+    pace: float = 1.0  # answer time against the uncrowded one
+    room: float = 0.0  # launches a second that its caps let it send there
+    cold: float = 0.0  # share of the endpoints there that are cold
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    member: str
+    zone: str  # where the member is
+    traffic: dict[str, float]  # submissions a second that came to it, by workload
+    seen: dict[str, Seen]
+
+
+class State(Enum):
+    WELL = "well"
+    CUT = "cut"  # reached from its own zone or others, not from here
+    DOWN = "down"  # failing from wherever it is seen
+    UNSEEN = "unseen"  # nobody has sent there of late
+
+
+@dataclass(slots=True)
+class Picture:
+    """What is held in common at a moment."""
+
+    traffic: dict[str, dict[str, float]]  # by zone and workload, a second
+    capacity: dict[str, float]  # launches a second that a zone takes, warm ones counted
+    state: dict[tuple[str, str], State]  # from zone, of zone
+    observers: dict[str, int] = field(default_factory=dict)
+
+    def reaches(self, a: str, b: str) -> bool:
+        return self.state.get((a, b), State.UNSEEN) in (State.WELL, State.UNSEEN)
+
+
+def sane(value: float) -> float:
+    """Guards against figures that are none: they count as nothing."""
+    return min(MOST_FIGURE, value) if value > 0 else 0.0
+
+
+class Evidence:
+    def __init__(self, map_: Map) -> None:
+        self.map = map_
+        self.reports: dict[str, tuple[int, Report]] = {}
+        self.lost: set[tuple[str, str]] = set()  # (from, of) that were lost at the last look: hysteresis
+
+    def hear(self, at: int, report: Report) -> None:
+        names = {zone.name for zone in self.map.zones}
+        if report.zone in names:
+            self.reports[report.member] = (at, report)
+
+    def forget(self, now: int, present: set[str] | None = None) -> None:
+        for name, (at, _) in list(self.reports.items()):
+            if now - at >= AGE or present is not None and name not in present:
+                del self.reports[name]
+
+    def picture(self, now: int, present: set[str] | None = None) -> Picture:
+        self.forget(now, present)
+        fresh = [(1 - (now - at) / AGE, report) for at, report in self.reports.values()]
+        return Picture(
+            self.traffic(fresh),
+            {zone.name: self.capacity(fresh, zone.name) for zone in self.map.zones},
+            self.states(fresh),
+            {zone.name: sum(zone.name in r.seen for _, r in fresh) for zone in self.map.zones},
+        )
+
+    def traffic(self, fresh: list[tuple[float, Report]]) -> dict[str, dict[str, float]]:
+        """A member that falls silent takes its part with it only when its report has aged: no jump."""
+        found = {z.name: {w.name: 0.0 for w in self.map.workloads} for z in self.map.zones}
+        for workload in self.map.workloads:
+            told = [sane(r.traffic.get(workload.name, 0.0)) for _, r in fresh]
+            most = CLIP * 10 * median(told) if any(told) and median(told) > 0 else MOST_FIGURE
+            for (_, report), rate in zip(fresh, told):
+                found[report.zone][workload.name] += min(rate, most)
+        return found
+
+    def weights(self, fresh: list[tuple[float, Report]], zone: str) -> list[tuple[float, Report, Seen]]:
+        """Launches of each observer, aged, and clipped by the median of those in the same zone: those that
+        only spill there are thinner than those that live there, and neither shall silence the other."""
+        found = []
+        for origin in self.map.zones:
+            rows = [
+                (age, report, report.seen[zone])
+                for age, report in fresh
+                if report.zone == origin.name and zone in report.seen and sane(report.seen[zone].tried)
+            ]
+            if rows:
+                most = CLIP * max(1.0, median(sane(seen.tried) for _, _, seen in rows))
+                found += [(age * min(most, sane(seen.tried)), report, seen) for age, report, seen in rows]
+        return found
+
+    def capacity(self, fresh: list[tuple[float, Report]], zone: str) -> float:
+        """The rooms of those that send there, added, clipped by origin as above; less what is cold or slow by
+        the observers' weighted median."""
+        rows = self.weights(fresh, zone)
+        whole = 0.0
+        for origin in self.map.zones:
+            rooms = [sane(seen.room) for _, report, seen in rows if report.zone == origin.name]
+            rooms = [room for room in rooms if room]
+            if rooms:
+                most = 2 * CLIP * median(rooms)
+                whole += sum(min(most, room) for room in rooms)
+        cold = middle([(weight, min(1.0, sane(seen.cold))) for weight, _, seen in rows])
+        pace = middle([(weight, sane(seen.pace)) for weight, _, seen in rows])
+        return whole * (1 - cold) / max(1.0, pace / SLOW)
+
+    def states(self, fresh: list[tuple[float, Report]]) -> dict[tuple[str, str], State]:
+        found: dict[tuple[str, str], State] = {}
+        for zone in self.map.zones:
+            rows = self.weights(fresh, zone.name)
+            shares: dict[str, float] = {}  # of failures, by the observers' zone
+            for origin in self.map.zones:
+                own = [(w, s) for w, report, s in rows if report.zone == origin.name]
+                tried = sum(w for w, _ in own)
+                if tried < ENOUGH:
+                    continue
+                shares[origin.name] = sum(w * min(1.0, sane(s.failed) / s.tried) for w, s in own) / tried
+            bad = {origin for origin, share in shares.items() if self.is_lost(origin, zone.name, share)}
+            for origin in self.map.zones:
+                pair = (origin.name, zone.name)
+                if origin.name not in shares:
+                    # Nobody here has tried: what all that did say is better than nothing.
+                    all_bad = bool(shares) and len(bad) == len(shares)
+                    found[pair] = State.DOWN if all_bad else State.UNSEEN
+                elif origin.name in bad:
+                    found[pair] = State.DOWN if len(bad) == len(shares) else State.CUT
+                else:
+                    found[pair] = State.WELL
+            self.lost -= {(origin, zone.name) for origin in shares}
+            self.lost |= {(origin, zone.name) for origin in bad}
+        return found
+
+    def is_lost(self, origin: str, zone: str, share: float) -> bool:
+        return share > (BACK if (origin, zone) in self.lost else BROKEN)
+
+
+def middle(rows: list[tuple[float, float]]) -> float:
+    """The weighted median of (weight, value): half of the weight on either side."""
+    rows = sorted(rows, key=lambda row: row[1])
+    half, below = sum(weight for weight, _ in rows) / 2, 0.0
+    for weight, value in rows:
+        below += weight
+        if below >= half:
+            return value
+    return 0.0
--- /dev/null
+++ b/lupinmill/zones/map.py
@@ -0,0 +1,73 @@
+"""Zones in regions, what it costs to go from one to another, and what may go. Owns nothing; values."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+class BadMap(ValueError):
+    """The text names the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Zone:
+    name: str
+    region: str = ""
+    spare: float = 0.1  # share of its capacity that no spill from others may take
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """`worth`: the more it is, the earlier it gets room. Budgets are shares of a zone's traffic of it."""
+
+    name: str
+    worth: float = 1.0
+    leave_zone: float = 1.0
+    leave_region: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Map:
+    zones: tuple[Zone, ...]
+    workloads: tuple[Workload, ...]
+    costs: dict[tuple[str, str], float] = field(default_factory=dict)  # of a launch; else by region
+    near: float = 1.0  # cost within a region
+    far: float = 10.0
+
+    def __post_init__(self) -> None:
+        names = [zone.name for zone in self.zones]
+        if not names or len(set(names)) < len(names):
+            raise BadMap("zones: wants different names, one at least")
+        for zone in self.zones:
+            if not 0 <= zone.spare < 1:
+                raise BadMap(f"zones.{zone.name}.spare: wants 0 up to 1")
+        for workload in self.workloads:
+            for key in ("leave_zone", "leave_region"):
+                if not 0 <= getattr(workload, key) <= 1:
+                    raise BadMap(f"workloads.{workload.name}.{key}: wants 0 to 1")
+            if workload.leave_region > workload.leave_zone:
+                raise BadMap(f"workloads.{workload.name}.leave_region: more than leave_zone")
+        for a, b in self.costs:
+            if a not in names or b not in names:
+                raise BadMap(f"costs.{a}.{b}: no such zone")
+
+    def zone(self, name: str) -> Zone:
+        return next(zone for zone in self.zones if zone.name == name)
+
+    def cost(self, a: str, b: str) -> float:
+        if a == b:
+            return 0.0
+        told = self.costs.get((a, b), self.costs.get((b, a)))
+        if told is not None:
+            return told
+        return self.near if self.zone(a).region == self.zone(b).region else self.far
+
+    def order(self, a: str) -> list[str]:
+        """Others, the nearest first; of equals in the map's order. Another region comes after all of the
+        own."""
+        home = self.zone(a).region
+        others = [zone for zone in self.zones if zone.name != a]
+        return [zone.name for zone in sorted(others, key=lambda z: (z.region != home, self.cost(a, z.name)))]
+
+    def by_worth(self) -> list[Workload]:
+        return sorted(self.workloads, key=lambda workload: -workload.worth)
--- /dev/null
+++ b/lupinmill/zones/plan.py
@@ -0,0 +1,344 @@
+"""The plan: which part of each zone's traffic, by workload, goes where. Pure; one member computes it under a
+lease, a majority accepts it as the next version, all go by the newest that they know.
+
+Aim, anew each second, from the picture in common: all stays at home that fits there, the worthiest first;
+what doesn't fit goes to the nearest zones whose spare carries the sum of all that would come, within the
+budgets; the rest stays at home and is denied there at once. Spare is capacity less a zone's own traffic and
+less what it keeps free.
+
+Law: from the plan in force towards the aim by bounded steps, so that the sum over all sidecars at a zone
+moves by a known part of its capacity a second: `OUT` out of a zone that is short, `BACK_HOME` on the way
+home; no wait for a zone that is lost, but no more at once than the others' spare. Home comes first as a trial
+share, and is undone at the first sign of harm. Below `DEAD_BAND` nothing moves.
+
+Owns the plan in force and, for each zone, since when it was well."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+from lupinmill.zones.evidence import SECOND, Picture, State
+from lupinmill.zones.map import Map, Workload
+
+PERIOD = SECOND
+OUT, BACK_HOME = 0.1, 0.03  # of a zone's traffic a second
+TRIAL, TRIAL_TIME = (
+    0.05,
+    5 * SECOND,
+)  # share that tries a zone which was lost, and for how long it must do well
+WAIT, MOST_RELAPSES, FORGIVEN = 2 * SECOND, 5, 120 * SECOND  # before the trial; doubled by each relapse
+DEAD_BAND = 0.02
+SMOOTH = 0.35  # of a jump in capacity, a second
+FULL = 0.95  # of its capacity: what a zone is filled to by its own
+SMALL = 1e-9
+
+Shares = dict[str, float]  # to zone: part of the traffic; sums to 1
+Rows = dict[str, dict[str, Shares]]  # from zone, workload
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    version: int = 0
+    rows: Rows = field(default_factory=dict)
+    why: str = "all at home"
+
+    def shares(self, zone: str, workload: str) -> Shares:
+        return self.rows.get(zone, {}).get(workload) or {zone: 1.0}
+
+    def crossing(self, zone: str, workload: str) -> float:
+        return 1 - self.shares(zone, workload).get(zone, 0.0)
+
+
+@dataclass(slots=True)
+class Drains:
+    """By operators' word: zones to be emptied, whatever the evidence says."""
+
+    zones: set[str] = field(default_factory=set)
+
+
+class LastGoodZone(Exception):
+    """The text is for the operator."""
+
+
+def usable(map_: Map, picture: Picture, drains: Drains) -> dict[str, float]:
+    """Launches a second that each zone may get: nothing where it is down or drained."""
+    found = {}
+    for zone in map_.zones:
+        name = zone.name
+        down = all(
+            picture.state.get((origin.name, name)) is State.DOWN
+            for origin in map_.zones
+            if (origin.name, name) in picture.state
+        ) and any((origin.name, name) in picture.state for origin in map_.zones)
+        found[name] = 0.0 if down or name in drains.zones else picture.capacity.get(name, 0.0)
+    return found
+
+
+def aim(map_: Map, picture: Picture, drains: Drains) -> Rows:
+    """Where all should go, had it time. Greedy by worth: a workload is placed whole before one worth less;
+    those that want the same room share it by what they still have to place."""
+    room = usable(map_, picture, drains)
+    left = {name: FULL * value for name, value in room.items()}  # for the own
+    rows: Rows = {zone.name: {} for zone in map_.zones}
+    rest: dict[str, dict[str, float]] = {zone.name: {} for zone in map_.zones}
+    for workload in map_.by_worth():
+        for zone in map_.zones:
+            name = zone.name
+            wanted = picture.traffic.get(name, {}).get(workload.name, 0.0)
+            at_home = min(wanted, left[name]) if picture.reaches(name, name) else 0.0
+            left[name] -= at_home
+            rows[name][workload.name] = {name: at_home}
+            rest[name][workload.name] = wanted - at_home
+    spare = {z.name: max(0.0, left[z.name] - z.spare * room[z.name]) for z in map_.zones}
+    for workload in map_.by_worth():
+        place(map_, picture, workload, rows, rest, spare)
+    return {
+        zone.name: {
+            w.name: as_shares(
+                zone.name, rows[zone.name][w.name], picture.traffic.get(zone.name, {}).get(w.name, 0.0)
+            )
+            for w in map_.workloads
+        }
+        for zone in map_.zones
+    }
+
+
+def place(
+    map_: Map,
+    picture: Picture,
+    workload: Workload,
+    rows: Rows,
+    rest: dict[str, dict[str, float]],
+    spare: dict[str, float],
+) -> None:
+    """What found no room at home: by rank of nearness, in each rank fairly among the zones that want the same
+    spare."""
+    orders = {zone.name: map_.order(zone.name) for zone in map_.zones}
+    home = {zone.name: zone.region for zone in map_.zones}
+    for rank in range(len(map_.zones) - 1):
+        asks: dict[str, dict[str, float]] = {}
+        for name, order in orders.items():
+            to = order[rank]
+            traffic = picture.traffic.get(name, {}).get(workload.name, 0.0)
+            gone = sum(rate for zone, rate in rows[name][workload.name].items() if zone != name)
+            abroad = sum(rate for z, rate in rows[name][workload.name].items() if home[z] != home[name])
+            budget = workload.leave_zone * traffic - gone
+            if home[to] != home[name]:
+                budget = min(budget, workload.leave_region * traffic - abroad)
+            amount = min(rest[name][workload.name], budget)
+            if amount > SMALL and picture.reaches(name, to):
+                asks.setdefault(to, {})[name] = amount
+        for to, wanted in asks.items():
+            part = min(1.0, spare[to] / sum(wanted.values()))
+            for name, amount in wanted.items():
+                rows[name][workload.name][to] = amount * part
+                rest[name][workload.name] -= amount * part
+                spare[to] -= amount * part
+
+
+def as_shares(home: str, rates: Shares, traffic: float) -> Shares:
+    """What finds no room anywhere stays at home, where it is denied at once."""
+    if traffic <= SMALL:
+        return {home: 1.0}
+    found = {zone: rate / traffic for zone, rate in rates.items() if zone != home and rate > SMALL}
+    found[home] = max(0.0, 1 - sum(found.values()))
+    return found
+
+
+class Planner:
+    """`step(now, picture)` gives the next plan, or None where the one in force stays."""
+
+    def __init__(self, map_: Map) -> None:
+        self.map = map_
+        self.plan = Plan()
+        self.drains = Drains()
+        self.well_since: dict[str, int] = {}  # zones that were lost and are well again: since when
+        self.lost: set[str] = set()
+        self.next = 0
+        self.moves = 0
+        self.capacity: dict[str, float] = {}  # smoothed
+        self.relapses: dict[
+            str, int
+        ] = {}  # of zones that were lost again while they came back, or soon after
+        self.back_at: dict[str, int] = {}  # when a lost one was whole again
+
+    def take_over(self, plan: Plan, now: int) -> None:
+        """A new holder goes on from the plan in force: it may have seen nothing of what led to it. Zones that
+        the plan has left are taken for lost until they have done well for a while."""
+        self.plan = plan
+        gone = {
+            z.name
+            for z in self.map.zones
+            if all(plan.shares(z.name, w.name).get(z.name, 0.0) < 1 - DEAD_BAND for w in self.map.workloads)
+            and self.map.workloads
+        }
+        self.lost |= gone
+        for name in gone:
+            self.well_since.pop(name, None)
+
+    def drain(self, zone: str, force: bool = False) -> None:
+        good = [z.name for z in self.map.zones if z.name not in self.drains.zones | self.lost]
+        if not force and set(good) <= {zone}:
+            raise LastGoodZone(
+                f"{zone} is the last good zone: nothing could be served; force it if that is meant"
+            )
+        self.drains.zones.add(zone)
+
+    def restore(self, zone: str, now: int) -> None:
+        if zone in self.drains.zones:
+            self.drains.zones.discard(zone)
+            self.lost.add(zone)  # it comes back as a lost one does: by a trial, slowly
+            self.well_since.pop(zone, None)
+
+    def step(self, now: int, picture: Picture) -> Plan | None:
+        if now < self.next:
+            return None
+        self.next = now + PERIOD
+        picture = self.smooth(picture)
+        self.look(now, picture)
+        wanted = aim(self.map, picture, self.drains)
+        rows = {
+            zone.name: {
+                w.name: self.towards(zone.name, w, wanted[zone.name][w.name], picture, now)
+                for w in self.map.workloads
+            }
+            for zone in self.map.zones
+        }
+        self.bound(rows, picture)
+        moved = max(
+            (
+                abs(share - self.plan.shares(z, w).get(to, 0.0))
+                for z, by in rows.items()
+                for w, shares in by.items()
+                for to, share in {**dict.fromkeys(self.plan.shares(z, w), 0.0), **shares}.items()
+            ),
+            default=0.0,
+        )
+        if moved < DEAD_BAND and not self.comes_home_whole(rows):
+            return None
+        self.moves += 1
+        self.plan = Plan(self.plan.version + 1, rows, self.why(rows))
+        return self.plan
+
+    def smooth(self, picture: Picture) -> Picture:
+        """Guards against a plan that turns with the noise of what thin members see: a jump in the sum of
+        their rooms is believed by parts. A zone that is down takes nothing whatever it once took
+        (`usable`)."""
+        for name, seen in picture.capacity.items():
+            known = self.capacity.get(name, seen)
+            self.capacity[name] = known + SMOOTH * (seen - known)
+        return replace(picture, capacity=dict(self.capacity))
+
+    def comes_home_whole(self, rows: Rows) -> bool:
+        """The last bit of a way home may be smaller than the dead band."""
+        return rows != {z: {w: self.plan.shares(z, w) for w in by} for z, by in rows.items()} and all(
+            abs(shares.get(z, 0.0) - 1) < SMALL for z, by in rows.items() for shares in by.values()
+        )
+
+    def look(self, now: int, picture: Picture) -> None:
+        """Which zones were lost, and since when those are well again. Harm sets the clock back."""
+        for zone in self.map.zones:
+            name = zone.name
+            states = [picture.state.get((origin.name, name), State.UNSEEN) for origin in self.map.zones]
+            if State.DOWN in states or name in self.drains.zones or not picture.reaches(name, name):
+                lately = now - self.back_at.get(name, now - FORGIVEN) < FORGIVEN
+                if name in self.well_since or name not in self.lost and lately:
+                    self.relapses[name] = min(MOST_RELAPSES, self.relapses.get(name, 0) + 1)
+                elif name not in self.lost:
+                    self.relapses.pop(name, None)
+                self.lost.add(name)
+                self.well_since.pop(name, None)
+            elif name in self.lost and State.WELL in states:
+                self.well_since.setdefault(name, now)
+
+    def towards(self, home: str, workload: Workload, wanted: Shares, picture: Picture, now: int) -> Shares:
+        """One bounded step. Out of a zone that takes nothing all moves at once: what it gets is lost
+        anyway."""
+        current = self.plan.shares(home, workload.name)
+        stays = current.get(home, 0.0)
+        target = wanted.get(home, 0.0)
+        if now - self.well_since.get(home, now) >= WAIT << self.relapses.get(home, 0):
+            target = max(target, TRIAL)  # where nothing goes nothing is seen of its room
+        gone = home in self.drains.zones or not picture.reaches(home, home)
+        if target < stays:
+            # Drains are by hand and not in a hurry; a lost zone is.
+            step = 1.0 if gone and home not in self.drains.zones else OUT
+            next_ = max(target, stays - step)
+        else:
+            next_ = min(target, stays + self.homeward(home, stays, now))
+        away = 1 - next_
+        found = {zone: share for zone, share in wanted.items() if zone != home and share > SMALL}
+        whole = sum(found.values())
+        if whole > away:
+            found = {zone: share * away / whole for zone, share in found.items()}
+        elif whole < away:
+            # What is to come home but may not yet stays where it goes now: nobody else is to carry it.
+            ways = {z: max(0.0, share - found.get(z, 0.0)) for z, share in current.items() if z != home}
+            ways = ways if sum(ways.values()) > SMALL else {z: share for z, share in found.items()}
+            width = sum(ways.values())
+            for zone, share in ways.items():
+                if width > SMALL and share > SMALL:
+                    found[zone] = found.get(zone, 0.0) + (away - whole) * share / width
+        found = {zone: share for zone, share in found.items() if share > SMALL}
+        return {**found, home: max(0.0, 1 - sum(found.values()))}
+
+    def homeward(self, home: str, stays: float, now: int) -> float:
+        """Home to a zone that was lost: a wait, a trial share, then slowly. Each relapse doubles the wait."""
+        if home not in self.lost:
+            return BACK_HOME
+        well = now - self.well_since.get(home, now)
+        wait = WAIT << self.relapses.get(home, 0)
+        if well < wait:
+            return 0.0
+        if well < wait + TRIAL_TIME:
+            return max(0.0, TRIAL - stays)
+        if stays >= 1 - DEAD_BAND:
+            self.lost.discard(home)
+            self.back_at[home] = now
+        return BACK_HOME
+
+    def bound(self, rows: Rows, picture: Picture) -> None:
+        """The sum that comes to a zone from others never exceeds what it has spare now, nor rises by more
+        than `OUT` of its capacity a second: cold endpoints there are not pushed over by all sidecars together
+        (rule 4). What may not go stays at home."""
+        room = usable(self.map, picture, self.drains)
+        traffic = picture.traffic
+        for zone in self.map.zones:
+            to = zone.name
+            own = sum(rate * rows[to][w].get(to, 0.0) for w, rate in traffic.get(to, {}).items())
+            spare = max(0.0, FULL * room[to] - own - zone.spare * room[to])
+            coming = {
+                (z, w): traffic.get(z, {}).get(w, 0.0) * shares.get(to, 0.0)
+                for z, by in rows.items()
+                if z != to
+                for w, shares in by.items()
+            }
+            before = sum(
+                traffic.get(z, {}).get(w, 0.0) * self.plan.shares(z, w).get(to, 0.0) for z, w in coming
+            )
+            whole = sum(coming.values())
+            most = min(spare, before + OUT * room[to])
+            if whole <= most + SMALL:
+                continue
+            for (z, w), rate in coming.items():
+                cut = rows[z][w].get(to, 0.0) * (1 - most / whole)
+                if rate > 0 and cut > SMALL:
+                    rows[z][w][to] -= cut
+                    rows[z][w][z] = rows[z][w].get(z, 0.0) + cut
+
+    def why(self, rows: Rows) -> str:
+        parts = []
+        for zone in self.map.zones:
+            crossing = max(
+                (1 - shares.get(zone.name, 0.0) for shares in rows[zone.name].values()), default=0.0
+            )
+            if crossing > DEAD_BAND:
+                cause = (
+                    "drained"
+                    if zone.name in self.drains.zones
+                    else "lost"
+                    if zone.name in self.lost
+                    else "short"
+                )
+                parts.append(f"{zone.name} is {cause}: up to {crossing:.0%} goes elsewhere")
+        return "; ".join(parts) or "all at home"
--- a/tests/test_peers_members.py
+++ b/tests/test_peers_members.py
@@ -1,9 +1,11 @@
 """Who is there, in virtual time: the very cores under a simulated network, from told seeds."""
 
 import random
+from functools import partial
 
 import pytest
 
+from lupinmill.lab.explorer import MembershipWorld, explore, replay, walk
 from lupinmill.lab.fleet import Fault, Fleet, Network
 from lupinmill.lab.fleet_virtual import VirtualFleet
 from lupinmill.peers import wire
@@ -157,6 +159,30 @@
     assert 8 < small < 20 and large < 1.2 * small
 
 
+# --- every order, within bounds ------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("liar", [False, True])
+def test_every_schedule_with_one_departure_refutes_and_agrees(liar):
+    """Three members, 0.4 s: loss, doubling, any order, restarts, stops, words of a liar; then a quiet network. A
+    refuted suspicion never ends as a death, and all agree in the end."""
+    outcome = explore(partial(MembershipWorld, liar=liar), 1)
+    assert outcome.found is None and outcome.whole and outcome.states > 2_000
+
+
+def test_walks_with_many_departures_refute_and_agree():
+    for seed in range(60):
+        found = walk(partial(MembershipWorld, 4, 3 * SECOND, liar=True), seed, 0.1)
+        assert found is None, f"seed {seed}: {found.wrong}"
+
+
+def test_a_core_that_believes_hearsay_is_found():
+    make = partial(MembershipWorld, liar=True, gullible=True, horizon=250_000)
+    found = explore(make, 1).found
+    assert found is not None and found.departures == 1 and "dead" in found.wrong
+    assert replay(make, found.text()) == found.wrong
+
+
 # --- one core by hand --------------------------------------------------------------------------------------
 
 
