--- a/lupinmill/cli/lab.py
+++ b/lupinmill/cli/lab.py
@@ -365,18 +365,21 @@
 def fleet_(
     name: str, seed: int | None, seeds: int, sockets: bool, page: str | None, path: str | None
 ) -> None:
-    """Sidecars that know each other, with faults between them. Exit code 1 where an invariant was broken."""
+    """Sidecars that know each other, with faults between them; `random` draws the faults by the seed. Exit
+    code 1 where an invariant was broken."""
     import asyncio
 
     from lupinmill.lab import fleet, fleet_sockets, fleet_virtual
 
     try:
-        read = fleet.load(name)
+        read = None if name == "random" else fleet.load(name)
     except fleet.BadFleet as error:
         refuse(error)
     broken = False
-    for at in range(seeds):
-        number = (read.seed if seed is None else seed) + at
+    first = seed if seed is not None else read.seed if read is not None else 1
+    for number in range(first, first + seeds):
+        read = fleet.drawn(number) if name == "random" else read
+        assert read is not None
         if sockets:
             one = asyncio.run(fleet_sockets.play(read, number))
         else:
--- a/lupinmill/lab/fleet.py
+++ b/lupinmill/lab/fleet.py
@@ -92,6 +92,52 @@
     return sorted(path.stem for path in SHIPPED.glob("*.toml"))
 
 
+def drawn(seed: int) -> Fleet:
+    """A minute of troubles by chance, overlapping, on five to nine members; alike for one seed."""
+    chance = np.random.default_rng([seed, 7])
+
+    def some(most: int) -> list[int]:
+        count = int(chance.integers(1, most + 1))
+        return sorted(int(one) for one in chance.choice(members, count, replace=False))
+
+    members = int(chance.choice([5, 6, 7, 9]))
+    faults, at = [], 6.0
+    while at < 44:
+        kind = str(chance.choice(["partition", "cut", "loss", "pause", "starve", "kill", "restart", "leave"]))
+        fault: dict[str, Any] = {"kind": kind, "at": round(at, 2)}
+        if kind != "restart":
+            fault["until"] = round(at + float(chance.uniform(0.3, 6)), 2)
+        if kind == "partition":
+            fault["groups"] = [some(members - 1)]
+        elif kind == "cut":
+            fault |= {"members": some(members - 1), "to": some(members - 1)}
+        elif kind == "loss":
+            fault["loss"] = float(chance.choice([0.1, 0.3, 0.6]))
+        else:
+            fault |= {"members": some(2), "stop_ms": float(chance.choice([100, 300, 900]))}
+        faults.append(fault)
+        at += float(chance.uniform(0.1, 5))
+    network = {
+        "loss": float(chance.choice([0, 0, 0.05, 0.15])),
+        "double": float(chance.choice([0, 0.1])),
+        "late": float(chance.choice([0, 0.1])),
+        "late_ms": [20.0, float(chance.choice([100, 900]))],
+    }
+    return understand(
+        {
+            "title": f"drawn by {seed}",
+            "seconds": 60,
+            "members": members,
+            "seed": seed,
+            "network": network,
+            "electors": int(chance.choice([3, 3, 5])),
+            "keep": bool(chance.random() < 0.7),
+            "lease_s": float(chance.choice([1.0, 2.0, 4.0])),
+            "fault": faults,
+        }
+    )
+
+
 def load(name: str) -> Fleet:
     """A shipped one by name, or a file. Raises BadFleet."""
     path = Path(name) if name.endswith(".toml") else SHIPPED / f"{name}.toml"
