--- a/lupinmill/zones/plan.py
+++ b/lupinmill/zones/plan.py
@@ -27,8 +27,11 @@
     5 * SECOND,
 )  # share that tries a zone which was lost, and for how long it must do well
 WAIT, MOST_RELAPSES, FORGIVEN = 2 * SECOND, 5, 120 * SECOND  # before the trial; doubled by each relapse
-DEAD_BAND = 0.02
-SMOOTH = 0.35  # of a jump in capacity, a second
+DEAD_BAND = 0.03
+SMOOTH, JUMP = (
+    0.35,
+    0.25,
+)  # part of a jump that is believed a second; of less, a quarter of that
 FULL = 0.95  # of its capacity: what a zone is filled to by its own
 SMALL = 1e-9
 
@@ -156,7 +159,7 @@
         self.lost: set[str] = set()
         self.next = 0
         self.moves = 0
-        self.capacity: dict[str, float] = {}  # smoothed
+        self.settled: dict[tuple[str, str], float] = {}  # capacity ("") and traffic by workload, of each zone
         self.relapses: dict[
             str, int
         ] = {}  # of zones that were lost again while they came back, or soon after
@@ -205,29 +208,41 @@
             for zone in self.map.zones
         }
         self.bound(rows, picture)
-        moved = max(
-            (
-                abs(share - self.plan.shares(z, w).get(to, 0.0))
-                for z, by in rows.items()
-                for w, shares in by.items()
-                for to, share in {**dict.fromkeys(self.plan.shares(z, w), 0.0), **shares}.items()
-            ),
-            default=0.0,
-        )
-        if moved < DEAD_BAND and not self.comes_home_whole(rows):
+        # Judged by how far the aim is as well as by the step: a slow way home is made of small steps.
+        step = self.apart(rows)
+        small = max(step, self.apart(wanted)) < DEAD_BAND and not self.comes_home_whole(rows)
+        if step < SMALL or small:
             return None
         self.moves += 1
         self.plan = Plan(self.plan.version + 1, rows, self.why(rows))
         return self.plan
 
     def smooth(self, picture: Picture) -> Picture:
-        """Guards against a plan that turns with the noise of what thin members see: a jump in the sum of
-        their rooms is believed by parts. A zone that is down takes nothing whatever it once took
-        (`usable`)."""
-        for name, seen in picture.capacity.items():
-            known = self.capacity.get(name, seen)
-            self.capacity[name] = known + SMOOTH * (seen - known)
-        return replace(picture, capacity=dict(self.capacity))
+        """Guards against a plan that turns with the noise of what thin members see: a jump in a sum over them
+        is believed by parts, a small one by smaller parts. A zone that is down takes nothing whatever it once
+        took (`usable`)."""
+        capacity = {name: self.settle(("", name), seen) for name, seen in picture.capacity.items()}
+        traffic = {
+            name: {workload: self.settle((workload, name), rate) for workload, rate in rates.items()}
+            for name, rates in picture.traffic.items()
+        }
+        return replace(picture, capacity=capacity, traffic=traffic)
+
+    def settle(self, key: tuple[str, str], seen: float) -> float:
+        known = self.settled.get(key, seen)
+        part = SMOOTH if abs(seen - known) > JUMP * max(seen, known) else SMOOTH / 4
+        self.settled[key] = known + part * (seen - known)
+        return self.settled[key]
+
+    def apart(self, rows: Rows) -> float:
+        """The largest difference of a share from the plan in force."""
+        found = 0.0
+        for zone, by in rows.items():
+            for workload, shares in by.items():
+                now = self.plan.shares(zone, workload)
+                for to in {**now, **shares}:
+                    found = max(found, abs(shares.get(to, 0.0) - now.get(to, 0.0)))
+        return found
 
     def comes_home_whole(self, rows: Rows) -> bool:
         """The last bit of a way home may be smaller than the dead band."""
