--- a/lupinmill/lab/sockets.py
+++ b/lupinmill/lab/sockets.py
@@ -261,7 +261,7 @@
             self.void = f"this machine is too slow for the asked rate: late in {share:.0%} of the seconds"
         for process in (*self.fronts, *self.inner.values()):
             self.crashes += process.crashes
-        if self.crashes and not self.void:
+        if self.crashes:  # whatever the machine was: a crash is told first
             self.void = f"a sidecar crashed: {self.crashes[0]}"
 
     def sample(self, now: int) -> None:
