--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -31,8 +31,6 @@
 BESIDE_MARKS = 2.2, 1.75  # as CROWDED and ROOMY: a thin stream of answers strays further
 UNEVEN = 0.7  # of that at the start where caps are fractions: the fullest of uneven ones jams first
 CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
-# Answers that are crowded for so long with caps at their floor are a jam: then so little, so long, so rarely.
-JAM_TIME, REST_PART, REST_TIME, REST_AGAIN = 2 * SECOND, 0.15, 5 * SECOND, 15 * SECOND
 BUSY = 0.8  # cores less busy than this by reports are not crowded, whatever few answers say
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
 SHARE_BACK = 0.05  # of the common cap, won back with each answer
@@ -172,7 +170,7 @@
         self.cap = allow.cap_start  # common to all; each endpoint takes its share of it
         self.told: deque[Seat] = deque(maxlen=TOLD_KEPT)  # the last that reported their load
         self.usual, self.sweeping, self.swept = Usual(), False, 0
-        self.luck, self.redraw, self.rest_until, self.eased = 0.0, 0, 0, 0
+        self.luck, self.redraw = 0.0, 0
         self.lanes: dict[tuple[str, bool, bool], int] = {}
         self.queue: list[Lane] = []
         self.bound: list[Submission] = []  # held, but some group of endpoints alone will do
@@ -362,8 +360,7 @@
         one from each of hundreds of sidecars would jam a few endpoints. Quick answers let it be exceeded."""
         room = self.part()
         if self.allow.beside:
-            least = 0.0 if self.mail.now < self.rest_until else 1.0
-            return int(max(least, room + (0 if self.pace_over(self.allow.roomy) else sqrt(room))) + 0.5)
+            return int(max(1.0, room + (0 if self.pace_over(self.allow.roomy) else sqrt(room))) + 0.5)
         if self.cap >= 1:
             return max(1, ceil(room))
         mean = self.launched.total(self.mail.now) * self.usual.took / SECOND
@@ -373,8 +370,8 @@
             self.luck, self.redraw = self.chance.draw(), self.mail.now + self.usual.took
         return int(room + self.luck)
 
-    def part(self) -> float:  # this sidecar's, of what all ready endpoints take; little while they rest
-        return self.cap * self.scale * self.shares * (REST_PART if self.mail.now < self.rest_until else 1.0)
+    def part(self) -> float:  # this sidecar's, of what all ready endpoints take
+        return self.cap * self.scale * self.shares
 
     def pace_over(self, mark: float) -> bool:
         """Where caps are fractions few answers make a light day look crowded: reports must bear it out."""
@@ -683,12 +680,6 @@
             self.cap = max(allow.cap_floor, self.cap * 0.93)
         elif self.waiting and not self.pace_over(self.allow.roomy):
             self.cap = min(float(CAP_TOP), self.cap + allow.cap_growth)
-        # Jammed endpoints stay slow until mostly idle: guards against a jam that outlasts its cause.
-        if self.cap >= 1 or self.cap > allow.cap_floor or not self.pace_over(self.allow.crowded):
-            self.eased = self.mail.now
-        elif self.mail.now > max(self.eased + JAM_TIME, self.rest_until + REST_AGAIN):
-            self.rest_until = self.mail.now + REST_TIME
-            self.mail.log(f"all rest: pace {self.crowding:.1f} at the floor, {self.flying} in flight")
         self.swept += 1
         self.look_over(self.swept % 5 == 0)
         for seat in list(self.busy.values()):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -642,19 +642,3 @@
     bed = Bed(deployment(tier=1), endpoints=1)
     names = [bed.arrive(ONCE) for _ in range(60)]
     assert [bed.closed.get(n) for n in names[-20:]] == ["denied"] * 20
-
-
-def test_all_rest_when_answers_stay_crowded_at_the_floor():
-    bed = Bed(deployment(instances=20), endpoints=20)
-    warm(bed, 60, took=50 * MS)
-    launches = []
-    for _ in range(300):
-        bed.arrive(IDEM)
-        bed.run(50 * MS)
-        for name in list(bed.owed):
-            for launch in bed.out(name):
-                if bed.now - bed.flights[name][launch]["sent"] >= 400 * MS:
-                    bed.end(name, launch, t.How.HANDLED)
-        if any("all rest" in line for line in bed.logs):
-            launches.append(sum(len(fs) for fs in bed.flights.values()))
-    assert launches[80] - launches[10] < 0.4 * (launches[-1] - launches[-71])  # 3.5 s of rest, and after it
