--- a/lupinmill/admin/office.py
+++ b/lupinmill/admin/office.py
@@ -30,6 +30,8 @@
         self.taking = lambda: False  # does this process take clients?
         self.peers: Callable[[], dict[str, object]] | None = None  # a plain table of who is there
         self.rehearse: Callable[[], bool] | None = None  # a decision that says nothing
+        self.zones: Callable[[], dict[str, object]] | None = None  # a plain table of the plan in force
+        self.move_zones: Callable[[str, str, bool], Awaitable[tuple[bool, str]]] | None = None
         # To the other process of an upgrade.
         self.pass_on: Callable[[calls.Call], Awaitable[None]] | None = None
 
@@ -44,11 +46,21 @@
             if self.rehearse is None:
                 return 404, "peers are off"
             return (200, "asked for") if self.rehearse() else (409, "this sidecar holds no lease on it")
+        if call.what == calls.ZONES or call.what in calls.MOVES:
+            return await self.about_zones(call)
         status, text = self.apply(call)
         if status == 200 and self.pass_on is not None:
             await self.pass_on(call)
         return status, text
 
+    async def about_zones(self, call: calls.Call) -> tuple[int, str]:
+        if self.zones is None or self.move_zones is None:
+            return 404, "zones are off"
+        if call.what == calls.ZONES:
+            return 200, orjson.dumps(self.zones()).decode()
+        done, text = await self.move_zones(calls.MOVES[call.what], call.zone, call.force)
+        return (200 if done else 409), text
+
     def apply(self, call: calls.Call, known: bool = False) -> tuple[int, str]:
         """In one go, with no pause between the set, the module and the launches on their way."""
         now = self.engine.clock.now()
--- a/lupinmill/peers/driver.py
+++ b/lupinmill/peers/driver.py
@@ -10,6 +10,7 @@
 import os
 import socket
 import time
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -18,8 +19,8 @@
 from lupinmill.peers.claims import Chosen, Lost, Took
 from lupinmill.peers.elector import Keep
 from lupinmill.peers.keep import BadKeep, Promises
-from lupinmill.peers.peer import REHEARSAL, Forgot, Known, Note, Order, Peer, Told
-from lupinmill.peers.view import SECOND, Changed, Heard, Leave, Resign, Return, Roster, Send, Stands
+from lupinmill.peers.peer import REHEARSAL, Forgot, Known, Note, Order, Peer, Said, Told
+from lupinmill.peers.view import PRESENT, SECOND, Changed, Heard, Leave, Resign, Return, Roster, Send, Stands, Standing
 from lupinmill.routing.engine import Log, defect
 from lupinmill.transport.connection import split_address
 
@@ -78,6 +79,8 @@
         self.to_keep = anyio.Event()
         self.resigns_by: int | None = None  # while another process of this sidecar waits for the address
         self.gone = False  # left, or drained
+        # Features that go by peers, by topic: each is told the orders that are about it.
+        self.features: dict[str, Callable[[Order], None]] = {}
         self.set_seats(told)
 
     def set_seats(self, told: Told) -> None:
@@ -224,7 +227,44 @@
         elif isinstance(order, Keep):
             self.keep(order)
         else:
-            self.say(order)
+            if not isinstance(order, Said):
+                self.say(order)
+            feature = self.features.get(getattr(order, "topic", ""))
+            if feature is not None:
+                feature(order)
+
+    # What features ask of it.
+
+    def carry(self, topic: str, to: str, words: bytes) -> None:
+        """One datagram to another member, or to this one itself; it may be lost."""
+        if to == self.told.name:
+            self.features[topic](Said(topic, to, words))
+        elif self.peer is not None:
+            self.send(Send(to, wire.Carried(topic, words), []))
+
+    def holds(self, topic: str) -> int:
+        """The epoch under which this process may act at this moment; 0: it may not."""
+        return self.peer.holds(topic, now()) if self.peer is not None else 0
+
+    def decide(self, topic: str, body: bytes) -> bool:
+        """False where it does not hold the topic now, or its last decision is still on its way."""
+        if self.peer is None or not self.holds(topic):
+            return False
+        self.peer.claims.now = now()
+        done = self.peer.decide(topic, body)
+        self.awake.set()
+        return done
+
+    def standing(self) -> Standing:
+        return self.peer.membership.standing if self.peer is not None else Standing.ALONE
+
+    def present(self) -> list[str]:
+        """Members that are there in this one's view, itself first; none where another process is the
+        member."""
+        if self.peer is None:
+            return []
+        members = self.peer.membership.members
+        return [self.told.name, *(name for name, one in members.items() if one.status in PRESENT)]
 
     def send(self, order: Send) -> None:
         if order.to == self.told.name:
@@ -372,10 +412,7 @@
 
     def rehearse(self) -> bool:
         """A decision that says nothing, for drills; False where this sidecar doesn't hold the topic."""
-        if self.peer is None or not self.peer.holds(REHEARSAL, now()):
-            return False
-        self.peer.claims.now = now()
-        done = self.peer.decide(REHEARSAL, f"{self.told.name} {now()}".encode())
+        done = self.decide(REHEARSAL, f"{self.told.name} {now()}".encode())
         self.tell()
         return done
 
--- a/lupinmill/peers/peer.py
+++ b/lupinmill/peers/peer.py
@@ -72,6 +72,15 @@
     confirmed: dict[str, None] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class Said:
+    """A feature's words from another member, for the same feature here."""
+
+    topic: str
+    sender: str
+    words: bytes
+
+
 @dataclass(slots=True)
 class Forgot:
     topic: str
@@ -79,7 +88,7 @@
 
 
 Note = Heard | Leave | Return | Roster | Resign
-Order = Send | Keep | Changed | Stands | Took | Lost | Chosen | Known | Forgot
+Order = Send | Keep | Changed | Stands | Took | Lost | Chosen | Known | Forgot | Said
 
 
 class Peer:
@@ -124,6 +133,8 @@
                     claims.append(note)
                 elif isinstance(body, Made | Confirm | Confirmed):
                     self.hear_of_decision(note.sender, body)
+                elif isinstance(body, wire.Carried):
+                    self.hear_words(note.sender, body)
                 else:
                     of_members.append(note)
                     continue
@@ -215,6 +226,12 @@
         elif sender in self.told.electors:
             self.confirmed(sender, body)
 
+    def hear_words(self, sender: str, body: wire.Carried) -> None:
+        if body.topic not in self.told.topics or not self.is_member(sender):
+            self.membership.drop("topic")
+        else:
+            self.orders.append(Said(body.topic, sender, body.words))
+
     def hear_made(self, sender: str, made: Made) -> None:
         """Hearsay until a majority of the electors says that it has accepted just that. Guards against a
         member that lies about what was decided, its maker among them."""
--- a/lupinmill/peers/wire.py
+++ b/lupinmill/peers/wire.py
@@ -17,10 +17,12 @@
 LARGEST = 1_200  # bytes of a datagram
 MOST_NOTES = 24  # on the members, in one datagram
 LARGEST_BODY = 700  # bytes of a decision
+LARGEST_WORDS = 1_000  # bytes that a feature says in one datagram
 ROOM = LARGEST - 60  # bytes for the notes and the body; the rest is their frame
 
 Count = Annotated[int, Meta(ge=0, le=2**53)]
 Name = Annotated[str, Meta(min_length=1, max_length=64)]
+Words = Annotated[bytes, Meta(max_length=LARGEST_WORDS)]
 Decision = Annotated[bytes, Meta(max_length=LARGEST_BODY)]
 Life = Annotated[int, Meta(ge=0, le=2**62)]
 
@@ -190,6 +192,14 @@
     mark: Count
 
 
+class Carried(Struct, array_like=True, tag="x", frozen=True):
+    """What a feature that goes by peers says to the same feature of another member. It may be lost, doubled and
+    late; the feature reads its words itself."""
+
+    topic: Name
+    words: Words
+
+
 Body = (
     Ping
     | Ack
@@ -206,6 +216,7 @@
     | Made
     | Confirm
     | Confirmed
+    | Carried
 )
 
 
--- /dev/null
+++ b/lupinmill/program/common.py
@@ -0,0 +1,51 @@
+"""What this sidecar holds in common with the others, told to the decision module once a period, in one note.
+
+Owns nothing: the count is the peers', plan and brakes are the zones'. A note counts for some periods; should this
+task end, the module is as told at the start soon after."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from lupinmill import terms as t
+from lupinmill.peers.count import LiveCount
+from lupinmill.peers.driver import Driver
+from lupinmill.peers.view import SECOND, Standing
+from lupinmill.routing.engine import Engine, Log
+
+if TYPE_CHECKING:
+    from lupinmill.zones.driver import Zoning
+
+PERIOD = 1.0  # seconds
+COUNTS = 3 * SECOND
+
+
+class Common:
+    def __init__(self, engine: Engine, peers: Driver, told: int, live: bool, zoning: Zoning | None, log: Log) -> None:
+        self.engine, self.peers, self.zoning, self.log = engine, peers, zoning, log
+        self.live = LiveCount(told, engine.clock.now()) if live else None
+        self.count = told
+
+    async def run(self) -> None:
+        while True:
+            self.look()
+            await anyio.sleep(self.zoning.period if self.zoning is not None else PERIOD)
+
+    def look(self) -> None:
+        now, sidecars = self.engine.clock.now(), 0
+        if self.live is not None:
+            together = self.peers.standing() in (Standing.TOGETHER, Standing.IN_DOUBT)
+            sidecars = self.live.step(now, together, len(self.peers.present()))
+            if sidecars != self.count:
+                self.log("mode", text=f"{sidecars} sidecars share the endpoints, {self.count} before")
+                self.count = sidecars
+        plan, brakes, until = {}, {}, now + COUNTS
+        if self.zoning is not None:
+            self.zoning.look()
+            plan, brakes, until = self.zoning.common()
+        self.engine.tell(t.Common(sidecars, plan, brakes, max(until, now + 1)))
+
+    def show(self) -> dict[str, object]:
+        return {"sidecars": self.count, "live": self.live is not None}
--- a/lupinmill/program/operators_file.py
+++ b/lupinmill/program/operators_file.py
@@ -18,12 +18,16 @@
 
 from lupinmill.peers.peer import REHEARSAL, Told
 from lupinmill.peers.view import MS, SECOND, Seat, Timing
+from lupinmill.zones.map import BadMap, Map, Workload, Zone
 
 LARGEST = 2**20  # bytes of the file
 MOST_MEMBERS = 2_000
 LONGEST_NAME = 64
 ELECTORS = (3, 5, 7)
-TOPICS = (REHEARSAL,)  # later features add theirs
+ZONES = "zones"
+TOPICS = (REHEARSAL, ZONES)
+WANTS = (REHEARSAL,)  # what may stand in `wants`; features that are on ask for their own
+MOST_ZONES = 16
 
 
 class BadFile(Exception):
@@ -47,11 +51,37 @@
     round_ms: int = 200
     lease_s: float = 6.0
     fades_s: float = 30.0
+    live_count: bool = False  # caps are shared out by how many are there, not by the figure told at the start
+
+
+class ZoneEntry(Struct, forbid_unknown_fields=True, frozen=True):
+    region: str = ""
+    spare: float = 0.1  # part of its capacity that spill from others never takes
+    costs: dict[str, float] = {}  # of a launch to another zone; else by `near` and `far`
+
+
+class WorkloadEntry(Struct, forbid_unknown_fields=True, frozen=True):
+    """`worth` 0: as the platform's settings value it. Budgets are parts of a zone's traffic of this workload."""
+
+    worth: float = 0.0
+    leave_zone: float = 1.0
+    leave_region: float = 1.0
+    breaks: bool = False  # out of a lost zone it may go beyond its budgets
+
+
+class Zones(Struct, forbid_unknown_fields=True, frozen=True):
+    """Traffic stays near, and leaves its zone as the sidecars decide in common."""
+
+    map: dict[str, ZoneEntry]  # the order matters: of equally near zones the first comes first
+    workloads: dict[str, WorkloadEntry] = {}
+    near: float = 1.0  # cost of a launch within a region, ...
+    far: float = 10.0  # ... and beyond
 
 
 class File(Struct, forbid_unknown_fields=True, frozen=True):
     site: str
     peers: Peers | None = None
+    zones: Zones | None = None
 
 
 def read(path: str) -> File:
@@ -110,6 +140,8 @@
         raise BadFile("site: wants a name of 1 to 64 characters")
     peers = file.peers
     if peers is None:
+        if file.zones is not None:
+            raise BadFile("zones: wants [peers], which decide in common")
         return
     if not 0 < len(peers.members) <= MOST_MEMBERS:
         raise BadFile(f"peers.members: wants 1 to {MOST_MEMBERS}")
@@ -131,8 +163,8 @@
     ):
         raise BadFile("peers.electors: wants 3, 5 or 7 different members")
     for topic in peers.wants:
-        if topic not in TOPICS:
-            raise BadFile(f"peers.wants: {topic} is none of {', '.join(TOPICS)}")
+        if topic not in WANTS:
+            raise BadFile(f"peers.wants: {topic} is none of {', '.join(WANTS)}")
     if peers.wants and not peers.electors:
         raise BadFile("peers.wants: there are no peers.electors")
     if peers.keep and not peers.keep.startswith("/"):
@@ -144,6 +176,58 @@
     ):
         if not least <= value <= most:
             raise BadFile(f"peers.{key}: wants {least} to {most}")
+    if file.zones is not None:
+        check_zones(file.zones, peers)
+
+
+def check_zones(zones: Zones, peers: Peers) -> None:
+    if not 0 < len(zones.map) <= MOST_ZONES:
+        raise BadFile(f"zones.map: wants 1 to {MOST_ZONES} zones")
+    if len(zones.workloads) > MOST_ZONES:
+        raise BadFile(f"zones.workloads: wants {MOST_ZONES} at most")
+    if not peers.electors:
+        raise BadFile("zones: wants peers.electors, which decide in common")
+    for name, entry in zones.map.items():
+        for other, cost in entry.costs.items():
+            if other not in zones.map:
+                raise BadFile(f"zones.map.{name}.costs.{other}: no such zone")
+            if not 0 <= cost <= 1e6:
+                raise BadFile(f"zones.map.{name}.costs.{other}: wants 0 to 1000000")
+    for key, value in (("near", zones.near), ("far", zones.far)):
+        if not 0 <= value <= 1e6:
+            raise BadFile(f"zones.{key}: wants 0 to 1000000")
+    for name, load in zones.workloads.items():
+        if not 0 <= load.worth <= 1e6:
+            raise BadFile(f"zones.workloads.{name}.worth: wants 0 to 1000000")
+    for name, member in peers.members.items():
+        if member.zone not in zones.map:
+            raise BadFile(
+                f"peers.members.{name}.zone: {member.zone or 'nothing'} is none of zones.map, which wants it"
+            )
+    zone_map(zones, {name: 1.0 for name in zones.workloads} or {"any": 1.0})
+
+
+def zone_map(zones: Zones, values: dict[str, float]) -> Map:
+    """`values`: of the workloads that the platform tells. Raises BadFile."""
+    workloads = []
+    for name, value in values.items():
+        load = zones.workloads.get(name, WorkloadEntry())
+        workloads.append(Workload(name, load.worth or value, load.leave_zone, load.leave_region, load.breaks))
+    for name in zones.workloads:
+        if name not in values:
+            raise BadFile(f"zones.workloads.{name}: the platform tells of no such workload")
+    if len(workloads) > MOST_ZONES:
+        raise BadFile(f"zones: no more than {MOST_ZONES} workloads can be planned for")
+    costs = {(a, b): cost for a, entry in zones.map.items() for b, cost in entry.costs.items()}
+    try:
+        rows = tuple(Zone(name, entry.region, entry.spare) for name, entry in zones.map.items())
+        return Map(rows, tuple(workloads), costs, zones.near, zones.far)
+    except BadMap as error:
+        text = str(error)
+        for key in ("zones.", "costs."):
+            if text.startswith(key):
+                text = "map." + text[len(key):]
+        raise BadFile(f"zones.{text}") from error
 
 
 def usable(address: str, key: str) -> None:
@@ -169,7 +253,7 @@
         seats,
         tuple(peers.electors),
         TOPICS,
-        tuple(peers.wants),
+        (*peers.wants, *((ZONES,) if file.zones is not None and name in peers.electors else ())),
         int(peers.lease_s * SECOND),
         int(peers.fades_s * SECOND),
         Timing(round=peers.round_ms * MS),
@@ -189,5 +273,9 @@
     same = {"site": old.site == new.site}
     for key in ("electors", "keep", "wants", "round_ms", "lease_s", "fades_s"):
         same[f"peers.{key}"] = getattr(old.peers, key) == getattr(new.peers, key)
+    same["peers.live_count"] = old.peers.live_count == new.peers.live_count
+    same["zones"] = old.zones == new.zones
+    homes = [file.peers.members[name].zone if name in file.peers.members else "" for file in (old, new)]
+    same["peers.members.zone of this sidecar"] = old.zones is None or homes[0] == homes[1]
     same["peers.bind"] = bind(old, name) == bind(new, name)
     return [key for key, holds in same.items() if not holds]
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -37,6 +37,8 @@
 
 if TYPE_CHECKING:
     from lupinmill.peers.driver import Driver
+    from lupinmill.program.common import Common
+    from lupinmill.program.operators_file import File
 
 LAG_EVERY, LAG_HIGH, LAG_LOW = 0.25, 0.05, 0.01  # seconds
 AGAIN = 0.1  # seconds before a task that failed goes on
@@ -78,6 +80,7 @@
         self.repeats_before = 0  # launches again of the process before this one, when it told what it knew
         self.to_close = anyio.Event()  # something may ask for idle clients to be closed or passed
         self.office.changed = self.mode_changed
+        self.common: Common | None = None  # what the module goes by of the others
         self.peers = self.know_peers()
         self.operator: str | None = None  # where operators call, once bound
 
@@ -93,8 +96,23 @@
         peers = Driver(operators_file.told(file, name), file.site, operators_file.bind(file, name),
                        file.peers.keep or None, self.log)
         self.office.peers, self.office.rehearse = peers.show, peers.rehearse
+        if file.peers.live_count or file.zones is not None:
+            self.hold_in_common(file, peers)
         return peers
 
+    def hold_in_common(self, file: File, peers: Driver) -> None:
+        from lupinmill.program import operators_file
+        from lupinmill.program.common import Common
+
+        zoning, deployment = None, self.told.deployment
+        if file.zones is not None:
+            from lupinmill.zones.driver import Zoning
+
+            map_ = operators_file.zone_map(file.zones, {w.name: w.value for w in deployment.workloads})
+            zoning = Zoning(map_, operators_file.told(file, self.told.name), peers, self.engine, self.log)
+            self.office.zones, self.office.move_zones = zoning.show, zoning.ask
+        self.common = Common(self.engine, peers, deployment.instances, file.peers.live_count, zoning, self.log)
+
     def mode_changed(self) -> None:
         self.to_close.set()
         if self.peers is not None:
@@ -149,6 +167,8 @@
                         self.operator = desk.address
                     if self.peers is not None:
                         group.start_soon(self.keep_up, self.peers.run, found is not None)
+                    if self.common is not None:
+                        group.start_soon(self.keep_up, self.common.run)
                     self.office.taking = lambda: True
                     self.log("started", tier=deployment.tier, listen=listener.address, operator=self.operator,
                              endpoints=len(self.directory.states), descriptors=self.descriptors.limit)
--- a/lupinmill/program/told.py
+++ b/lupinmill/program/told.py
@@ -56,10 +56,10 @@
         text = f"missing {error}" if isinstance(error, KeyError) else str(error)
         raise BadStart(f"{path}: {' '.join(text.split())[:200]}") from error
     path = environ.get("BALANCER_OPERATOR_FILE")
-    return replace(told, operators=operators(path, told.name)) if path else told
+    return replace(told, operators=operators(path, told.name, told.deployment)) if path else told
 
 
-def operators(path: str, name: str) -> File:
+def operators(path: str, name: str, deployment: t.Deployment) -> File:
     """What serves without such a file imports nothing for it."""
     try:
         from lupinmill.program import operators_file
@@ -71,6 +71,11 @@
         file = operators_file.read(path)
         if file.peers is not None:
             operators_file.told(file, name)
+        if file.zones is not None:
+            values = {w.name: w.value for w in deployment.workloads}
+            operators_file.zone_map(file.zones, values)
+            if deployment.beside:
+                raise operators_file.BadFile("zones: settings.family is mesh, where zones pull by their own price")
     except operators_file.BadFile as error:
         text = str(error)
         raise BadStart(text if text.startswith(path) else f"{path}: {text}") from error
--- a/lupinmill/protocol/calls.py
+++ b/lupinmill/protocol/calls.py
@@ -13,15 +13,21 @@
 LONGEST_ID = 200  # bytes
 PREFIX = b"/admin/"
 HEALTH, OUT, BACK, QUIESCE, RESUME = "health", "cordon", "uncordon", "quiesce", "resume"
-PEERS, REHEARSE = "peers", "rehearse"
-METHODS = {HEALTH: (b"GET", b"HEAD"), PEERS: (b"GET",), REHEARSE: (b"PUT",), OUT: (b"PUT",), BACK: (b"PUT",), QUIESCE: (b"PUT",), RESUME: (b"PUT",)}
-MEMBER = b"member"
+PEERS, REHEARSE, ZONES = "peers", "rehearse", "zones"
+MOVES = {f"zones/{what}": what for what in ("drain", "restore", "pin", "unpin")}
+METHODS = {
+    HEALTH: (b"GET", b"HEAD"), PEERS: (b"GET",), ZONES: (b"GET",),
+    **dict.fromkeys((REHEARSE, OUT, BACK, QUIESCE, RESUME, *MOVES), (b"PUT",)),
+}
+MEMBER, ZONE = b"member", b"zone"
 
 
 @dataclass(slots=True)
 class Call:
     what: str
     endpoint: str = ""
+    zone: str = ""
+    force: bool = False
 
 
 class CallSide:
@@ -63,22 +69,25 @@
         raise Malformed(404, "unknown path")
     if request.method not in METHODS[what]:
         raise Malformed(405, f"this wants {METHODS[what][0].decode()}")
-    return Call(what, member(query) if what in (OUT, BACK) else "")
+    if MOVES.get(what) in ("drain", "restore"):
+        return Call(what, zone=named(query, ZONE), force=b"force=1" in query.split(b"&"))
+    return Call(what, named(query, MEMBER) if what in (OUT, BACK) else "")
 
 
-def member(query: bytes) -> str:
+def named(query: bytes, key: bytes) -> str:
     """The one id that it names, however it is encoded."""
     values = [
         unquote_to_bytes(value)
         for name, _, value in (part.partition(b"=") for part in query.split(b"&"))
-        if unquote_to_bytes(name) == MEMBER
+        if unquote_to_bytes(name) == key
     ]
+    word = key.decode()
     if len(values) != 1:
-        raise Malformed(400, f"wants member=ID once, not {len(values)} times")
+        raise Malformed(400, f"wants {word}=ID once, not {len(values)} times")
     try:
         text = values[0].decode()
     except UnicodeDecodeError:
-        raise Malformed(400, "member is no UTF-8") from None
+        raise Malformed(400, f"{word} is no UTF-8") from None
     if not text or len(values[0]) > LONGEST_ID:
-        raise Malformed(400, "member is empty or too long")
+        raise Malformed(400, f"{word} is empty or too long")
     return text
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -1,9 +1,7 @@
-"""All decisions of one sidecar. `Sidecar(deployment)` once, then `step(now, notes)` for every batch: it
-returns the orders to carry out. Pure: no I/O, no clock, no state outside the instance. The types of notes
-and orders are in `lupinmill/terms.py`; the reasons are in `docs/design.md`. Parts, in the order a submission
-meets them: `Desk` (takes, holds, picks, retries, answers), `Endpoint` (one actor each: health and cap),
-`Roster` (the list, and who may be set aside). They talk only by notes, which one loop delivers (`Mail.run`).
-"""
+"""All decisions of one sidecar: `Sidecar(deployment)` once, then `step(now, notes)` a batch gives orders.
+Pure: no I/O, no clock, no state outside the instance. Types are in `terms.py`, reasons in `docs/design.md`.
+Parts, in the order a submission meets them: `Desk` (takes, holds, picks, retries, answers), `Endpoint` (one
+actor each), `Roster` (the list). They talk by notes, which one loop delivers (`Mail.run`)."""
 from __future__ import annotations
 
 from collections import deque
@@ -23,8 +21,7 @@
 RETRY_BASE, RETRY_MAX = 20 * MS, 1 * SECOND
 RETRY_SHARE, RETRY_BUCKETS = 0.1, 20  # retries under a tenth of ten seconds' submissions, in 0.5 s buckets
 CAP_START, CAP_TOP = 4, 32
-# Of all sidecars together, shared out evenly: the most an endpoint's caps start with, what they add a sweep
-# while submissions are held and answers come fast, and what they leave at the least.
+# Of all sidecars together: the most an endpoint's caps start with, add a sweep while some wait, and leave.
 FLEET_START, FLEET_GROWTH, FLEET_FLOOR = 8.0, 0.1, 4.0
 BESIDE_CAPS = 3.0, 0.02, 0.5  # start, growth and floor as multiples of what own traffic keeps in flight
 ABROAD, ABROAD_LEAST = 1.5, 0.03  # pace in the own zone from which others pull more; what they always pull
@@ -37,8 +34,7 @@
 EVIDENCE, THIN = 10, 40  # answers behind a mean; more where they are few: their least mean is too low
 BEHIND = 1.5  # multiple of the middle pace beyond which one is picked after the others
 TOLD_AGE, TOLD_KEPT = 2_500 * MS, 8  # a load report counts so long; so many of the last ones decide ties
-# Multiples of the usual answer time without an answer before an endpoint counts as silent, and more, shared
-# by the launches out there: a single one may just be long.
+# Usual answer times without an answer: it is silent; more, shared by the launches there, as one may be long.
 SILENCE, LONELY = 4.0, 6.0
 SLOW = 2.7  # multiple of the middle endpoint's pace beyond which one is judged slow
 DRAGS = 3.5  # multiple of the least pace of a workload beyond which one is slow by itself
@@ -119,6 +115,7 @@
     repeated: bool = False
     spent: bool = False  # it can't be sent once more
     mark: int = 0  # of its key
+    zone: str = ""  # where the common plan sends its first launch; none: anywhere
 
     def out(self) -> int:
         return sum(flight.out for flight in self.flights)
@@ -128,8 +125,9 @@
 
 
 @dataclass(slots=True)
-class Lane:  # held submissions of one workload and standing, first come first served
+class Lane:  # held submissions of one workload, standing and zone, first come first served
     worth: float
+    zone: str = ""
     line: deque[Submission] = field(default_factory=deque)
 
 
@@ -141,21 +139,27 @@
         self.probes, self.reports = d.probes_allowed, d.probes_allowed and d.reports_asked
         self.advice = d.longest_advice if d.advice_allowed else 0
         self.cold_share, self.cold_time = d.cold_share, max(1, d.cold_time)
-        # Where many sidecars share the endpoints even one launch from each would jam them, so caps may be
-        # fractions. Beside each client traffic is uneven: caps are multiples of what it keeps in flight.
-        even, self.evidence = (1.0, EVIDENCE) if d.instances <= FLEET_START else (UNEVEN, THIN)
-        caps = [one / d.instances for one in (even * FLEET_START, even * even * FLEET_GROWTH, FLEET_FLOOR)]
-        self.cap_start, self.cap_growth, self.cap_floor = BESIDE_CAPS if d.beside else caps
-        self.cap_start = min(CAP_START, self.cap_start)
+        self.uneven, self.beside, self.few = d.uneven, d.beside, d.few_connections
+        self.told = self.sharers = d.instances
+        self.share_out(self.told)
         # The more the goal pools all workloads, the more value counts against evenness.
         weight = d.pooled_weight + d.evenness_weight
         self.greed = d.pooled_weight / weight if weight else 1.0
         whole = sum(q.quota_per_s for q in d.tenants) or 1.0
         self.quotas = {q.name: q.quota_per_s / whole for q in d.tenants} if self.front else {}
         self.crowded, self.roomy = BESIDE_MARKS if d.beside else (CROWDED, ROOMY)
-        self.uneven, self.beside, self.few = d.uneven, d.beside, d.few_connections
         self.crossing, self.told_speed, self.zone = d.crossing_price, d.weights_tell_speed, d.zone
 
+    def share_out(self, sidecars: int) -> float:
+        """Gives what a learned cap is to be multiplied by. Of many even one launch from each would jam the
+        endpoints: caps may be fractions. Beside each client they are multiples of what it keeps in flight."""
+        before, self.sharers = self.sharers, sidecars or self.told
+        even, self.evidence = (1.0, EVIDENCE) if self.sharers <= FLEET_START else (UNEVEN, THIN)
+        caps = [one / self.sharers for one in (even * FLEET_START, even * even * FLEET_GROWTH, FLEET_FLOOR)]
+        self.cap_start, self.cap_growth, self.cap_floor = BESIDE_CAPS if self.beside else caps
+        self.cap_start = min(CAP_START, self.cap_start)
+        return 1.0 if self.beside else before / self.sharers
+
 
 class Desk(Part):
     def __init__(self, mail: Mail, allow: Allowances, chance: Chance) -> None:
@@ -171,7 +175,8 @@
         self.told: deque[Seat] = deque(maxlen=TOLD_KEPT)  # the last that reported their load
         self.usual, self.sweeping, self.swept = Usual(), False, 0
         self.luck, self.redraw = 0.0, 0
-        self.lanes: dict[tuple[str, bool, bool], int] = {}
+        self.lanes: dict[tuple[str, bool, bool, str], int] = {}
+        self.common, self.open_in = t.Common(), {}  # held in common with other sidecars; ready ones by zone
         self.queue: list[Lane] = []
         self.bound: list[Submission] = []  # held, but some group of endpoints alone will do
         self.waiting, self.shedding, self.crowding = 0, False, 1.0
@@ -185,11 +190,6 @@
         self.zones, self.abroad = [1.0, 1.0], 0.2  # pace in the own zone and in others; what others pull
         self.sent_by = {name: Ring(10, SECOND // 2) for name in allow.quotas}
         self.failed, self.answered = Ring(6, SECOND // 2), Ring(6, SECOND // 2)
-        self.handlers = {
-            t.Arrived: self.arrive, t.Ended: self.end, t.Withdrawn: self.withdraw, t.Started: self.start,
-            Standing: self.seat, GiveUp: self.give_up, RetryDue: self.retry_due, Silent: self.silent,
-            Sweep: self.sweep, t.Whole: self.complete, t.Elsewhere: self.elsewhere,
-        }
 
     def take(self, note: Any) -> None:
         super().take(note)
@@ -205,8 +205,9 @@
         if not note.repeated:
             self.taken.add(now)
         end = min(note.due, now + self.contract(w, note.due, note.repeated))
-        lane = self.lane_of(w, self.beyond_share(note.tenant), note.repeated)
-        s = Submission(note.submission, w, note.due, end, now, lane)
+        zone = self.sent_to(w)
+        lane = self.lane_of(w, self.beyond_share(note.tenant), note.repeated, zone)
+        s = Submission(note.submission, w, note.due, end, now, lane, zone=zone)
         s.whole, s.repeated = note.whole, note.repeated
         s.mark = crc32(note.key.encode()) if allow.warm_keys and note.key else 0
         self.open[s.name] = s
@@ -224,9 +225,8 @@
         return own if self.allow.front else due - self.mail.now
 
     def complete(self, note: t.Whole) -> None:
-        """An endpoint begins with its last byte, and so does its time: until then it kept none busy."""
         s, now = self.open.get(note.submission), self.mail.now
-        if s is None or s.whole:
+        if s is None or s.whole:  # endpoints begin with the last byte: until then it kept none busy
             return
         s.whole, s.due, s.arrived = True, note.due, now
         s.contract_end = min(s.due, now + self.contract(s.workload, s.due, s.repeated))
@@ -273,14 +273,31 @@
         part, sent = self.came.total(self.mail.now) * self.allow.quotas[tenant], ring.total(self.mail.now)
         return part < sent and self.chance.draw() > part / sent
 
-    def lane_of(self, w: t.Workload, beyond: bool, repeated: bool) -> int:
-        key = (w.name, beyond, repeated)
+    def agree(self, note: t.Common) -> None:
+        """What sidecars hold in common, until the next word or its end: then all is as told at the start."""
+        if note.until or self.mail.now >= self.common.until:
+            self.cap = min(float(CAP_TOP), self.cap * self.allow.share_out(note.sidecars))
+            self.common = note
+        if note.until:
+            self.mail.alarm(note.until, self, t.Common())
+
+    def sent_to(self, w: t.Workload) -> str:
+        """By the plan; where nothing is open there, by its way out. Placement goes before."""
+        zone, plans = "", () if w.zones or w.kinds else self.common.plan.get(w.name, ())
+        for shares in plans:
+            if not zone or not self.open_in.get(zone):
+                at = self.chance.draw()
+                zone = next((name for name, share in shares.items() if (at := at - share) < 0), zone)
+        return zone
+
+    def lane_of(self, w: t.Workload, beyond: bool, repeated: bool, zone: str) -> int:
+        key = (w.name, beyond, repeated, zone)
         if key not in self.lanes:
             worth = w.value ** self.allow.greed * (self.allow.beyond if beyond else 1.0)
             if self.allow.beside:
                 worth *= SECOND / max(1, w.contract)  # what takes longer costs more of the endpoints' time
             self.lanes[key] = len(self.queue)
-            self.queue.append(Lane(worth * (0.7 if repeated else 1.0)))
+            self.queue.append(Lane(worth * (0.7 if repeated else 1.0), zone))
         return self.lanes[key]
 
     def gauge(self, w: t.Workload) -> Gauge:
@@ -302,14 +319,14 @@
             self.queue[s.lane].line.append(s)
 
     def admit(self, s: Submission) -> None:
-        """Denies at once what would wait in vain; guards against queues that answer nobody in time.
-        Where caps are fractions the last launches are few and chance: what the room allows counts."""
+        """Denies at once what would wait in vain. Where caps are fractions what the room allows counts."""
         lane = self.queue[s.lane]
         ahead = sum(len(other.line) for other in self.queue if other.worth > lane.worth) + len(lane.line)
         room, limit, least = self.part(), self.patience(s), float(self.allow.beside)
         allowed = max(least, room) * SECOND / self.gauge(s.workload).usual if least or self.cap < 1 else 0.0
         rate = max(1.0, self.launched.total(self.mail.now), allowed)
-        if self.mail.now + int(ahead / rate * SECOND) <= limit:
+        open_ = not s.zone or self.open_in.get(s.zone)  # else there is nothing to wait for
+        if open_ and self.mail.now + int(ahead / rate * SECOND) <= limit:
             self.mail.alarm(limit, self, GiveUp(s, False))
             return
         if not self.shedding:
@@ -321,20 +338,24 @@
 
     def dispatch(self) -> None:
         self.bound = [s for s in self.bound if s.held and not self.try_launch(s)]
+        full: list[str] = []  # zones
         while True:
             best, urgency = None, -1.0
             for lane in self.queue:
                 line = lane.line
                 while line and not line[0].held:
                     line.popleft()
-                if line:
+                if line and lane.zone not in full:
                     head = line[0]
                     waited = (self.mail.now - head.arrived) / (head.contract_end - head.arrived + 1)
                     if lane.worth * (waited + 0.1) > urgency:
                         best, urgency = lane, lane.worth * (waited + 0.1)
-            if best is None or not self.try_launch(best.line[0]):
+            if best is not None and self.try_launch(best.line[0]):
+                best.line.popleft()
+            elif best is None or not best.zone:
                 return
-            best.line.popleft()
+            else:
+                full.append(best.zone)
 
     def may_launch(self, s: Submission) -> bool:  # (again): rule 2, and what the deployment allows
         if s.done or s.streaming or s.spent or len(s.flights) >= self.allow.most_launches:
@@ -356,8 +377,7 @@
         return bool(new.cell) and new.cell == old.cell
 
     def room(self) -> int:
-        """Launches in flight at all ready endpoints together. Fractions are rounded by chance, down to none:
-        one from each of hundreds of sidecars would jam a few endpoints. Quick answers let it be exceeded."""
+        """Launches in flight at all ready endpoints together. Fractions are rounded by chance."""
         room = self.part()
         if self.allow.beside:
             return int(max(1.0, room + (0 if self.pace_over(self.allow.roomy) else sqrt(room))) + 0.5)
@@ -425,7 +445,8 @@
     def may_take(self, seat: Seat, s: Submission, tried: list[Seat]) -> bool:
         if seat.flying and (seat.says.trial or seat.flying >= self.cap * self.scale * seat.says.share):
             return False
-        if not s.workload.open_at(seat.says.entry):  # at every launch, also when all that are open are down
+        near = not s.zone or s.flights or seat.says.entry.zone == s.zone  # launches again are few: they cross
+        if not near or not s.workload.open_at(seat.says.entry):  # at every launch, also when all are down
             return False
         if tried and (not self.group_allows(s, seat) or seat in tried and self.ready > len(tried)):
             return False
@@ -460,6 +481,7 @@
             seat.says.cold_since = None
             return True
         rate = self.launched.total(now) / max(1, self.warm if self.allow.beside else self.ready)
+        warmth *= self.common.brakes.get(seat.name, 1.0)  # all sidecars together
         seat.credit = min(1.0, seat.credit + rate * warmth * (now - seat.credited) / SECOND)
         seat.credited = now
         return seat.credit >= 1.0
@@ -509,8 +531,7 @@
         warm = self.warmth(seat.says) if self.allow.uneven else 1.0  # or cold ones make growth look crowded
         pace = note.took * warm / max(1.0, gauge.uncrowded)
         if how in (t.How.HANDLED, t.How.TIMED_OUT):
-            # Over about a second's answers, at least eight: with few a fixed share would see a jam too late.
-            gain = max(0.03, 1 / (8 + self.answered.total(now) / 3))
+            gain = max(0.03, 1 / (8 + self.answered.total(now) / 3))  # over about a second's, at least eight
             gauge.pace += 0.1 * (min(pace, 8.0) - gauge.pace)
             if gauge.pace > DRAGS * min(other.pace for other in self.gauges.values()):
                 pace = self.crowding  # slow at all endpoints while other workloads are not: it is no load
@@ -533,8 +554,7 @@
         hopeless = now + int(self.gauge(s.workload).uncrowded * 0.5) > s.contract_end
         if s.held or hopeless or not self.may_launch(s):
             return False
-        # Inner tiers pass failures up: retries at every layer would multiply. Exceptions, as passing those up
-        # redoes the work of all upper tiers: what never ran, and spoilt answers, which no load brings about.
+        # Inner tiers pass failures up, or retries would multiply: but for what never ran, and spoilt answers.
         if not self.allow.front and s.first_run() is not None and not s.spoilt:
             return False
         if self.retried.total(now) + 1 >= RETRY_SHARE * self.taken.total(now):
@@ -630,6 +650,8 @@
             self.ready += sign
             self.flying += sign * seat.flying
             self.shares += sign * seat.says.share
+            zone = seat.says.entry.zone
+            self.open_in[zone] = self.open_in.get(zone, 0) + sign
 
     def against_kind(self, seat: Seat, pace: float, uncrowded: float) -> float:
         """Guards against slow machines that stand behind the others for good, though all is well."""
@@ -673,7 +695,7 @@
             self.sweeping = True
             self.mail.alarm(self.mail.now + SWEEP, self, Sweep())
 
-    def sweep(self, _: Sweep) -> None:
+    def sweep(self, note: Sweep) -> None:
         """Looks over what is out, and learns the cap from all answers: those of one endpoint are few."""
         allow, self.sweeping = self.allow, False
         if self.pace_over(self.allow.crowded):
@@ -730,10 +752,6 @@
         self.failed, self.answered = Ring(6, SECOND // 2), Ring(6, SECOND // 2)
         self.rest, self.turn, self.good_probes, self.eased, self.blip = REST, 0, 0, 0, False
         self.cold_since: int | None = None
-        self.handlers = {
-            Sent: self.sent, Answer: self.answer, Usual: self.look, Aside: self.aside,
-            t.Listing: self.listed, t.Probed: self.probed, ProbeDue: self.probe_due,
-        }
 
     def tell(self) -> None:
         open_ = self.mode != "aside" and self.entry.state is t.State.READY
@@ -742,8 +760,8 @@
             self.told_at, self.busy, self.cold_since, self.entry,
         ))
 
-    def listed(self, entry: t.Listing) -> None:
-        fresh = entry.started and self.mail.now - entry.started < self.cold_time
+    def listed(self, note: t.Listing) -> None:
+        entry, fresh = note, note.started and self.mail.now - note.started < self.cold_time
         fresh = fresh and (entry.started != self.entry.started or self.heard == 0)
         if fresh:
             self.cold_since = entry.started
@@ -752,7 +770,7 @@
         self.entry = entry
         self.tell()
 
-    def sent(self, _: Sent) -> None:
+    def sent(self, note: Sent) -> None:
         self.heard, self.flying = self.heard if self.flying else self.mail.now, self.flying + 1
 
     def answer(self, note: Answer) -> None:
@@ -822,8 +840,7 @@
             self.mail.log(f"{self.entry.endpoint} ready again: 3 answers, pace {self.pace:.1f}")
 
     def ease(self, how: t.How) -> None:
-        """Lowers its share, at most once per few answers. Quick errors tell of no load: guards against
-        ones that come from all endpoints alike and would shut the caps of all."""
+        """Lowers its share, once per few answers; not for quick errors of all, which tell of no load."""
         load = how not in (t.How.ERROR, t.How.SPOILT) or self.usual.crowding > ROOMY
         if load and self.mail.now - self.eased >= SWEEP:
             self.eased, self.share = self.mail.now, max(0.1, self.share * 0.7)
@@ -834,7 +851,6 @@
             return
         quiet = self.mail.now - self.heard
         if self.flying and quiet > (SILENCE + LONELY / self.flying) * note.took + SWEEP:
-            # Takes work and answers nothing, while others do: hangs, or gone without a trace.
             self.plead(f"silent {quiet // MS} ms, usual {note.took // MS} ms", False)
         self.judge()
         self.tell()
@@ -906,10 +922,6 @@
         self.listed: dict[str, t.Listing] = {}
         self.out: set[str] = set()  # by hand
         self.dropped: set[str] = set()  # listed as gone, undrained: where that does not bind they serve on
-        self.handlers = {
-            t.Listed: self.update, t.Probed: self.probed, Plea: self.plea, AskDue: self.ask,
-            t.ByHand: self.by_hand,
-        }
 
     def update(self, note: t.Listed) -> None:
         if note.kind is t.ListKind.FAILED:
@@ -955,7 +967,7 @@
             self.tell(entry if note.out else replace(entry, started=max(entry.started, self.mail.now)))
         self.mail.log(f"{note.endpoint} {'out' if note.out else 'back'} by hand")
 
-    def ask(self, _: AskDue) -> None:
+    def ask(self, note: AskDue) -> None:
         self.mail.orders.append(t.Watch())
 
     def probed(self, note: t.Probed) -> None:
--- a/lupinmill/state/learned.py
+++ b/lupinmill/state/learned.py
@@ -15,7 +15,7 @@
     return {
         "beside": desk.allow.beside,
         "came": ring(desk.came), "began": desk.began, "unhurried": desk.unhurried, "kinds": desk.kinds,
-        "cap": desk.cap,
+        "cap": desk.cap * desk.allow.sharers / max(1, desk.allow.told),  # as among so many as told
         "crowding": desk.crowding,
         "gauges": {
             name: [gauge.usual, gauge.uncrowded, list(gauge.means)] for name, gauge in desk.gauges.items()
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -217,7 +217,21 @@
     retried: int = 0  # since it was last told
 
 
-Note = Listed | Arrived | Started | Ended | Withdrawn | Woke | Probed | ByHand | Whole | Elsewhere
+Shares = dict[str, float]  # to zone: part of the traffic
+
+
+@dataclass(slots=True)
+class Common:
+    """What sidecars that know each other hold in common. Each one replaces the one before it, whole; without a
+    next one it is taken back at `until`."""
+
+    sidecars: int = 0  # that share the endpoints now; 0: as told at the start
+    plan: dict[str, tuple[Shares, Shares]] = field(default_factory=dict)  # by workload; and if that is lost
+    brakes: Shares = field(default_factory=dict)  # cold endpoints that get too much: what own rate is cut to
+    until: int = 0
+
+
+Note = Listed | Arrived | Started | Ended | Withdrawn | Woke | Probed | ByHand | Whole | Elsewhere | Common
 
 # --- orders -------------------------------------------------------------------------------------
 
--- a/lupinmill/workings.py
+++ b/lupinmill/workings.py
@@ -5,8 +5,9 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import cache
 from heapq import heappop, heappush
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, get_type_hints
 
 from lupinmill import terms as t
 
@@ -57,16 +58,30 @@
 
 
 class Part:
-    """An actor: its inbox, and what it does about each type of note."""
+    """An actor: its inbox, and what it does about each type of note: the method whose one argument is `note`
+    of just that type."""
 
     def __init__(self) -> None:
         self.inbox: list[Any] = []
-        self.handlers: dict[type, Callable[[Any], None]] = {}
+        self.handlers: dict[type, Callable[[Any], None]] = {
+            kind: getattr(self, name) for kind, name in handlers(type(self))
+        }
 
     def take(self, note: Any) -> None:
         self.handlers[type(note)](note)
 
 
+@cache
+def handlers(part: type) -> tuple[tuple[type, str], ...]:
+    found: dict[type, str] = {}
+    for name, method in vars(part).items():
+        kind = get_type_hints(method).get("note", Any) if callable(method) else Any
+        if kind is not Any:
+            assert kind not in found, f"{part.__name__}: {found[kind]} and {name} take {kind.__name__}"
+            found[kind] = name
+    return tuple(found.items())
+
+
 class Mail:
     """Inboxes and the one loop that empties them; orders to the outside collect here too."""
 
--- /dev/null
+++ b/lupinmill/zones/driver.py
@@ -0,0 +1,148 @@
+"""Drives the zones' core: between the peers, the decision module and the operators.
+
+It looks at the module through one place, its `step`: notes before, orders after. Owns the core, the tally and the
+calls of operators that wait for their answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from lupinmill import terms as t
+from lupinmill.peers import claims, peer
+from lupinmill.peers.driver import Driver
+from lupinmill.routing.engine import Engine, Log
+from lupinmill.zones import member
+from lupinmill.zones.evidence import SECOND
+from lupinmill.zones.map import Map
+from lupinmill.zones.member import Member
+from lupinmill.zones.tally import Tally
+from lupinmill.zones.words import mark_of
+
+TOPIC = "zones"
+PERIOD = 1.0  # seconds
+MOST_LARGE = 250  # members, above which each tells its evidence less often
+
+
+class Zoning:
+    def __init__(self, map_: Map, told: peer.Told, peers: Driver, engine: Engine, log: Log) -> None:
+        self.map, self.peers, self.engine, self.log = map_, peers, engine, log
+        now = engine.clock.now()
+        seats = {seat.name: seat for seat in told.seats}
+        home = seats[told.name].zone
+        peopled = tuple(zone.name for zone in map_.zones if any(s.zone == zone.name for s in told.seats))
+        self.core = Member(map_, told.name, home, told.electors, peopled, now)
+        self.tally = Tally(map_, home, now)
+        self.period = PERIOD * max(1.0, len(told.seats) / MOST_LARGE)
+        self.found: member.Go | None = None  # what the module is to hear of
+        self.waiting: dict[int, Callable[[bool, str], None]] = {}
+        self.serial = now
+        self.inbox: list[member.Note] = []
+        self.stepping = False
+        peers.features[TOPIC] = self.heard
+        self.watch()
+
+    def watch(self) -> None:
+        """The module's step, with a look before and after it."""
+        sidecar, tally, step = self.engine.sidecar, self.tally, self.engine.sidecar.step
+
+        def watched(now: int, notes: list[t.Note]) -> list[t.Order]:
+            for note in notes:
+                tally.before(now, note, sidecar)
+            orders = step(now, notes)
+            tally.after(now, orders, sidecar)
+            return orders
+
+        sidecar.step = watched  # type: ignore[method-assign]
+
+    # From the peers.
+
+    def heard(self, order: peer.Order) -> None:
+        if isinstance(order, peer.Said):
+            self.tell(member.Heard(order.sender, order.words))
+        elif isinstance(order, peer.Known):
+            self.tell(member.Decided(order.version, order.body))
+        elif isinstance(order, claims.Took):
+            self.tell(member.Took(order.epoch))
+        elif isinstance(order, claims.Lost):
+            self.tell(member.Lost())
+        elif isinstance(order, peer.Forgot):
+            self.tell(member.Forgot())
+
+    # Once a period.
+
+    def look(self) -> None:
+        sidecar, now = self.engine.sidecar, self.engine.clock.now()
+        report = self.tally.report(now, self.core.name, sidecar)
+        self.tell(member.Own(report, dict(sidecar.desk.open_in)))
+
+    # Notes in, orders out.
+
+    def tell(self, *notes: member.Note) -> None:
+        self.inbox += notes
+        if self.stepping:
+            return
+        self.stepping, again = True, True
+        try:
+            while again:
+                taken, self.inbox = self.inbox, []
+                now, epoch = self.engine.clock.now(), self.peers.holds(TOPIC)
+                for order in self.core.step(now, taken, epoch, self.peers.present()):
+                    self.carry_out(order)
+                again = bool(self.inbox)
+        finally:
+            self.stepping = False
+
+    def carry_out(self, order: member.Order) -> None:
+        if isinstance(order, member.Say):
+            self.peers.carry(TOPIC, order.to, order.data)
+        elif isinstance(order, member.Decide):
+            self.peers.decide(TOPIC, order.body)  # refused or lost: the next look computes it anew
+        elif isinstance(order, member.Go):
+            self.found = order
+        elif isinstance(order, member.Moved):
+            if self.core.holding is not None:
+                self.log("zones", version=order.version, text=order.why)
+        elif (answer := self.waiting.pop(order.serial, None)) is not None:
+            answer(order.done, order.text)
+
+    def common(self) -> tuple[dict[str, tuple[t.Shares, t.Shares]], dict[str, float], int]:
+        """For the module: plan by workload, brakes by endpoint, and until when they count."""
+        if self.found is None:
+            return {}, {}, 0
+        marks = self.found.brakes
+        names = self.engine.sidecar.desk.seats if marks else ()
+        brakes = {name: marks[mark_of(name)] for name in names if mark_of(name) in marks}
+        return self.found.plan, brakes, self.found.until
+
+    # Operators.
+
+    async def ask(self, what: str, zone: str, force: bool) -> tuple[bool, str]:
+        self.serial += 1
+        serial, answered, found = self.serial, anyio.Event(), []
+
+        def answer(done: bool, text: str) -> None:
+            found.append((done, text))
+            answered.set()
+
+        self.waiting[serial] = answer
+        try:
+            self.tell(member.Asked(serial, what, zone, force))
+            with anyio.move_on_after(member.WISH_TIME / SECOND + 1):
+                while not answered.is_set():
+                    with anyio.move_on_after(member.WISH_AGAIN / SECOND):
+                        await answered.wait()
+                        break
+                    self.tell()  # a wish that waits is asked again
+        finally:
+            self.waiting.pop(serial, None)
+        return found[0] if found else (False, "no answer")
+
+    def show(self) -> dict[str, Any]:
+        table = self.core.show()
+        table["crossing"] = {
+            name: {"crossed": crossed, "launched": whole} for name, (crossed, whole) in self.tally.crossed.items()
+        }
+        return table
--- a/lupinmill/zones/evidence.py
+++ b/lupinmill/zones/evidence.py
@@ -19,9 +19,13 @@
 AGE = 6 * SECOND  # a report counts less and less until then
 CLIP = 2.0
 ENOUGH = 8.0  # launches behind a word on a zone, over all who saw it from one place
+QUICK = 1.5  # pace up to which a zone may well take more than it was seen to
+LIKE = 0.8  # of what an endpoint elsewhere was seen to take is believed of one that was not tried
 BROKEN, BACK = 0.5, 0.2  # share of launches that failed: a zone is lost above, and well again below
-SLOW = 2.0  # times its uncrowded answer time: its capacity counts for as much less
+SLOW, MOST_PRESSED = 2.0, 1.25  # times its uncrowded answer time: its capacity counts for as much less
 MOST_FIGURE = 1e9
+SPAN = 3.0  # seconds over which members count
+OVER, LEAST_BRAKE = 1.25, 0.1  # beyond the part by warmth a cold endpoint's sum is cut, never below
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +38,8 @@
     pace: float = 1.0  # answer time against the uncrowded one
     room: float = 0.0  # launches a second that its caps let it send there
     cold: float = 0.0  # share of the endpoints there that are cold
+    ready: float = 0.0  # endpoints there that it holds for able to serve, ...
+    listed: float = -1.0  # ... of so many that its list names; below 0: it doesn't say
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +48,7 @@
     zone: str  # where the member is
     traffic: dict[str, float]  # submissions a second that came to it, by workload
     seen: dict[str, Seen]
+    cold: dict[int, tuple[float, float]] = field(default_factory=dict)  # endpoint's mark: launches/s, warmth
 
 
 class State(Enum):
@@ -70,8 +77,9 @@
 
 
 class Evidence:
-    def __init__(self, map_: Map) -> None:
+    def __init__(self, map_: Map, peopled: tuple[str, ...] = ()) -> None:
         self.map = map_
+        self.peopled = peopled  # zones in which the roster has members
         self.reports: dict[str, tuple[int, Report]] = {}
         self.lost: set[tuple[str, str]] = set()  # (from, of) that were lost at the last look: hysteresis
 
@@ -88,13 +96,61 @@
     def picture(self, now: int, present: set[str] | None = None) -> Picture:
         self.forget(now, present)
         fresh = [(1 - (now - at) / AGE, report) for at, report in self.reports.values()]
+        states = self.states(fresh)
         return Picture(
             self.traffic(fresh),
-            {zone.name: self.capacity(fresh, zone.name) for zone in self.map.zones},
-            self.states(fresh),
+            self.capacities(fresh, states),
+            states,
             {zone.name: sum(zone.name in r.seen for _, r in fresh) for zone in self.map.zones},
         )
 
+    def capacities(
+        self, fresh: list[tuple[float, Report]], states: dict[tuple[str, str], State]
+    ) -> dict[str, float]:
+        """A zone that little goes to is taken for able to do, an endpoint, most of what others were seen to:
+        guards against spare that nobody ever finds because nobody is sent there."""
+        seen = {zone.name: self.capacity(fresh, zone.name) for zone in self.map.zones}
+        ready = {zone.name: self.ready(fresh, zone.name) for zone in self.map.zones}
+        each = max((seen[z] / ready[z] for z in seen if ready[z] >= 1), default=0.0)
+        for name in seen:
+            well = states.get((name, name)) in (State.WELL, State.UNSEEN)
+            if well and ready[name] >= 1 and self.pace(fresh, name) < QUICK:
+                seen[name] = max(seen[name], LIKE * each * ready[name] * (1 - self.cold(fresh, name)))
+        return seen
+
+    def ready(self, fresh: list[tuple[float, Report]], zone: str) -> float:
+        """The median of those that say, of those that live there if there are any; -1: nobody does."""
+        told = [(r, r.seen[zone]) for _, r in fresh if zone in r.seen and r.seen[zone].listed >= 0]
+        own = [(r, seen) for r, seen in told if r.zone == zone]
+        return median([sane(seen.ready) for _, seen in own or told]) if told else -1.0
+
+    def pace(self, fresh: list[tuple[float, Report]], zone: str) -> float:
+        return middle([(w, sane(seen.pace)) for w, _, seen in self.weights(fresh, zone)])
+
+    def cold(self, fresh: list[tuple[float, Report]], zone: str) -> float:
+        rows = [(age, min(1.0, sane(r.seen[zone].cold))) for age, r in fresh if zone in r.seen]
+        return middle(rows)
+
+    def brakes(self, now: int) -> dict[int, float]:
+        """By mark, what part of their launches at a cold endpoint all should go on with: those whose sum is
+        beyond the mean of all endpoints times its warmth (rule 4 for the sum of all sidecars)."""
+        fresh = [report for at, report in self.reports.values() if now - at < AGE]
+        ready = sum(max(0.0, self.ready([(1.0, r) for r in fresh], zone.name)) for zone in self.map.zones)
+        if ready < 1:
+            return {}
+        mean = sum(sane(seen.tried) for r in fresh for seen in r.seen.values()) / SPAN / ready
+        marks = sorted({mark for report in fresh for mark in report.cold})
+        found = {}
+        for mark in marks:
+            told = [report.cold[mark] for report in fresh if mark in report.cold]
+            allowed = OVER * mean * max(0.05, min(1.0, median([sane(warmth) for _, warmth in told])))
+            rates = [sane(rate) for rate, _ in told]
+            most = CLIP * 5 * max(median(rates), mean / max(1, len(fresh)))
+            whole = sum(min(most, rate) for rate in rates)
+            if whole > allowed:
+                found[mark] = max(LEAST_BRAKE, allowed / whole)
+        return found
+
     def traffic(self, fresh: list[tuple[float, Report]]) -> dict[str, dict[str, float]]:
         """A member that falls silent takes its part with it only when its report has aged: no jump."""
         found = {z.name: {w.name: 0.0 for w in self.map.workloads} for z in self.map.zones}
@@ -133,7 +189,8 @@
                 whole += sum(min(most, room) for room in rooms)
         cold = middle([(weight, min(1.0, sane(seen.cold))) for weight, _, seen in rows])
         pace = middle([(weight, sane(seen.pace)) for weight, _, seen in rows])
-        return whole * (1 - cold) / max(1.0, pace / SLOW)
+        # What is crowded shows in the rooms already; beyond that it is only pressed a little less.
+        return whole * (1 - cold) / min(MOST_PRESSED, max(1.0, pace / SLOW))
 
     def states(self, fresh: list[tuple[float, Report]]) -> dict[tuple[str, str], State]:
         found: dict[tuple[str, str], State] = {}
@@ -143,18 +200,25 @@
             for origin in self.map.zones:
                 own = [(w, s) for w, report, s in rows if report.zone == origin.name]
                 tried = sum(w for w, _ in own)
-                if tried < ENOUGH:
-                    continue
-                shares[origin.name] = sum(w * min(1.0, sane(s.failed) / s.tried) for w, s in own) / tried
+                held = self.ready([one for one in fresh if one[1].zone == origin.name], zone.name)
+                if held == 0:
+                    shares[origin.name] = 1.0  # most of them have nobody there to send to
+                elif tried >= ENOUGH:
+                    shares[origin.name] = sum(w * min(1.0, sane(s.failed) / s.tried) for w, s in own) / tried
+                elif held > 0 and origin.name == zone.name:
+                    shares[origin.name] = 0.0  # endpoints that it holds for able, untried: worth a trial
             bad = {origin for origin, share in shares.items() if self.is_lost(origin, zone.name, share)}
             for origin in self.map.zones:
                 pair = (origin.name, zone.name)
+                # Only who lives there, or nobody could, tells a zone that is down from one that is cut off: a
+                # whole side of a partition sees all of the other fail.
+                inside = zone.name in shares or zone.name not in self.peopled
+                all_bad = inside and bool(shares) and len(bad) == len(shares)
                 if origin.name not in shares:
                     # Nobody here has tried: what all that did say is better than nothing.
-                    all_bad = bool(shares) and len(bad) == len(shares)
                     found[pair] = State.DOWN if all_bad else State.UNSEEN
                 elif origin.name in bad:
-                    found[pair] = State.DOWN if len(bad) == len(shares) else State.CUT
+                    found[pair] = State.DOWN if all_bad else State.CUT
                 else:
                     found[pair] = State.WELL
             self.lost -= {(origin, zone.name) for origin in shares}
--- a/lupinmill/zones/follow.py
+++ b/lupinmill/zones/follow.py
@@ -49,6 +49,17 @@
         used = [zone for zone in order if self.plan.shares(self.home, workload).get(zone, 0.0) > 0]
         return {self.home: 1 - ALONE, (used or order)[0]: ALONE}
 
+    def way(self, now: int, workload: str) -> Shares:
+        """Where what meets a lost home goes at once, before a plan answers for it; sums to 1 at most. As long as
+        the plan counts its own ways out do, each within the spare that it saw; later the local rule's tenth."""
+        trust = self.trust(now) if self.plan.version else 0.0
+        planned, local = self.plan.ways.get(self.home, {}).get(workload, {}), self.local(workload, True)
+        found = {
+            zone: trust * planned.get(zone, 0.0) + (1 - trust) * local.get(zone, 0.0)
+            for zone in self.map.order(self.home)
+        }
+        return {zone: share for zone, share in found.items() if share > 0}
+
     def shares(self, now: int, workload: str, home_lost: bool = False) -> Shares:
         """Where this member's own traffic goes now; sums to 1."""
         trust, planned = self.trust(now), self.plan.shares(self.home, workload)
--- a/lupinmill/zones/map.py
+++ b/lupinmill/zones/map.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from zlib import crc32
 
 
 class BadMap(ValueError):
@@ -18,12 +19,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Workload:
-    """`worth`: the more it is, the earlier it gets room. Budgets are shares of a zone's traffic of it."""
+    """`worth`: the more it is, the earlier it gets room. Budgets are shares of a zone's traffic of it; `breaks`:
+    out of a lost zone it may go beyond them."""
 
     name: str
     worth: float = 1.0
     leave_zone: float = 1.0
     leave_region: float = 1.0
+    breaks: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,5 +72,10 @@
         others = [zone for zone in self.zones if zone.name != a]
         return [zone.name for zone in sorted(others, key=lambda z: (z.region != home, self.cost(a, z.name)))]
 
+    def mark(self) -> int:
+        """Of what is told by numbers between members: names and their order. Where it differs, so do files."""
+        names = [zone.name for zone in self.zones] + ["/"] + [w.name for w in self.workloads]
+        return crc32("\n".join(names).encode())
+
     def by_worth(self) -> list[Workload]:
         return sorted(self.workloads, key=lambda workload: -workload.worth)
--- a/lupinmill/zones/plan.py
+++ b/lupinmill/zones/plan.py
@@ -32,6 +32,7 @@
     0.35,
     0.25,
 )  # part of a jump that is believed a second; of less, a quarter of that
+WAYS_EVERY, WAYS_BAND = 5 * SECOND, 0.1
 FULL = 0.95  # of its capacity: what a zone is filled to by its own
 SMALL = 1e-9
 
@@ -44,6 +45,9 @@
     version: int = 0
     rows: Rows = field(default_factory=dict)
     why: str = "all at home"
+    ways: Rows = field(default_factory=dict)  # out of a zone that is lost before the next plan; may sum to less
+    drained: tuple[str, ...] = ()  # by operators
+    pinned: bool = False  # by operators: it stays as it is
 
     def shares(self, zone: str, workload: str) -> Shares:
         return self.rows.get(zone, {}).get(workload) or {zone: 1.0}
@@ -94,7 +98,7 @@
             rest[name][workload.name] = wanted - at_home
     spare = {z.name: max(0.0, left[z.name] - z.spare * room[z.name]) for z in map_.zones}
     for workload in map_.by_worth():
-        place(map_, picture, workload, rows, rest, spare)
+        place(map_, picture, workload, rows, rest, spare, room)
     return {
         zone.name: {
             w.name: as_shares(
@@ -106,6 +110,39 @@
     }
 
 
+def ways_out(map_: Map, picture: Picture, drains: Drains, rows: Rows) -> Rows:
+    """For each zone, where its traffic may go at once should it be lost, before anybody has decided anything:
+    the worthiest first, into what the others have spare now, of which each zone may take one part of as many as
+    there are others. So whichever zones are lost together, or take each other for lost from two sides of a
+    partition, what falls on another one by this rule is within its spare."""
+    room, found = usable(map_, picture, drains), {}
+    spare = {}
+    for zone in map_.zones:
+        coming = sum(
+            picture.traffic.get(name, {}).get(w, 0.0) * shares.get(zone.name, 0.0)
+            for name, by in rows.items()
+            for w, shares in by.items()
+        )
+        spare[zone.name] = max(0.0, (FULL - zone.spare) * room[zone.name] - coming) / max(1, len(map_.zones) - 1)
+    for zone in map_.zones:
+        left, abroad, found[zone.name] = dict(spare), {}, {}
+        for workload in map_.by_worth():
+            traffic = picture.traffic.get(zone.name, {}).get(workload.name, 0.0)
+            shares: Shares = {}
+            for to in map_.order(zone.name) if traffic > SMALL else []:
+                out = map_.zone(to).region != zone.region
+                budget = 1.0 if workload.breaks else workload.leave_zone - sum(shares.values())
+                if out and not workload.breaks:
+                    budget = min(budget, workload.leave_region - abroad.get(workload.name, 0.0))
+                share = max(0.0, min(1 - sum(shares.values()), budget, left[to] / traffic))
+                if share > SMALL and picture.reaches(zone.name, to):
+                    shares[to] = share
+                    left[to] -= share * traffic
+                    abroad[workload.name] = abroad.get(workload.name, 0.0) + share * out
+            found[zone.name][workload.name] = shares
+    return found
+
+
 def place(
     map_: Map,
     picture: Picture,
@@ -113,6 +150,7 @@
     rows: Rows,
     rest: dict[str, dict[str, float]],
     spare: dict[str, float],
+    room: dict[str, float],
 ) -> None:
     """What found no room at home: by rank of nearness, in each rank fairly among the zones that want the same
     spare."""
@@ -126,7 +164,9 @@
             gone = sum(rate for zone, rate in rows[name][workload.name].items() if zone != name)
             abroad = sum(rate for z, rate in rows[name][workload.name].items() if home[z] != home[name])
             budget = workload.leave_zone * traffic - gone
-            if home[to] != home[name]:
+            if workload.breaks and (room[name] <= SMALL or not picture.reaches(name, name)):
+                budget = traffic  # told as over its budget: `crossing` in `zones show`
+            elif home[to] != home[name]:
                 budget = min(budget, workload.leave_region * traffic - abroad)
             amount = min(rest[name][workload.name], budget)
             if amount > SMALL and picture.reaches(name, to):
@@ -149,12 +189,14 @@
 
 
 class Planner:
-    """`step(now, picture)` gives the next plan, or None where the one in force stays."""
+    """`step(now, picture)` gives the next plan, or None where the one in force stays. It is in force once it is
+    given back to `accept`: until a majority has it, it is nobody's."""
 
     def __init__(self, map_: Map) -> None:
         self.map = map_
         self.plan = Plan()
         self.drains = Drains()
+        self.pinned = False
         self.well_since: dict[str, int] = {}  # zones that were lost and are well again: since when
         self.lost: set[str] = set()
         self.next = 0
@@ -164,11 +206,13 @@
             str, int
         ] = {}  # of zones that were lost again while they came back, or soon after
         self.back_at: dict[str, int] = {}  # when a lost one was whole again
+        self.ways_at = 0  # before it no plan is made for ways out alone
 
     def take_over(self, plan: Plan, now: int) -> None:
         """A new holder goes on from the plan in force: it may have seen nothing of what led to it. Zones that
         the plan has left are taken for lost until they have done well for a while."""
-        self.plan = plan
+        self.plan, self.drains = plan, Drains(set(plan.drained))
+        self.pinned = plan.pinned
         gone = {
             z.name
             for z in self.map.zones
@@ -179,7 +223,15 @@
         for name in gone:
             self.well_since.pop(name, None)
 
+    def accept(self, plan: Plan) -> None:
+        """A majority has it."""
+        if plan.version > self.plan.version:
+            self.moves += 1
+            self.plan = plan
+
     def drain(self, zone: str, force: bool = False) -> None:
+        if zone in self.drains.zones:
+            return  # the same call again
         good = [z.name for z in self.map.zones if z.name not in self.drains.zones | self.lost]
         if not force and set(good) <= {zone}:
             raise LastGoodZone(
@@ -208,14 +260,45 @@
             for zone in self.map.zones
         }
         self.bound(rows, picture)
+        self.leave_unheard(rows, picture)
+        if self.pinned:
+            rows = {z.name: {w.name: self.plan.shares(z.name, w.name) for w in self.map.workloads}
+                    for z in self.map.zones}
+        ways = ways_out(self.map, picture, self.drains, rows)
         # Judged by how far the aim is as well as by the step: a slow way home is made of small steps.
         step = self.apart(rows)
         small = max(step, self.apart(wanted)) < DEAD_BAND and not self.comes_home_whole(rows)
-        if step < SMALL or small:
+        stays = step < SMALL or small
+        orders = (self.plan.drained, self.plan.pinned) != (self.drained(), self.pinned)
+        if stays and not orders and not (now >= self.ways_at and self.other_ways(ways)):
             return None
-        self.moves += 1
-        self.plan = Plan(self.plan.version + 1, rows, self.why(rows))
-        return self.plan
+        self.ways_at = now + WAYS_EVERY
+        if stays:
+            rows = {z.name: {w.name: self.plan.shares(z.name, w.name) for w in self.map.workloads}
+                    for z in self.map.zones}
+        why = self.why(rows)
+        return Plan(self.plan.version + 1, rows, why, ways, self.drained(), self.pinned)
+
+    def drained(self) -> tuple[str, ...]:
+        return tuple(sorted(self.drains.zones))
+
+    def leave_unheard(self, rows: Rows, picture: Picture) -> None:
+        """Guards against a zone that comes back from behind a cut to a plan that calls it lost: nothing is
+        decided for those of whom nothing is heard, they go by their own evidence."""
+        for zone, by in rows.items():
+            if sum(picture.traffic.get(zone, {}).values()) <= SMALL:
+                for workload in by:
+                    by[workload] = self.plan.shares(zone, workload)
+
+    def other_ways(self, ways: Rows) -> bool:
+        """They follow spare, which moves all the time: only a difference that matters is a plan."""
+        before = self.plan.ways
+        return any(
+            abs(share - before.get(zone, {}).get(workload, {}).get(to, 0.0)) > WAYS_BAND
+            for zone, by in ways.items()
+            for workload, shares in by.items()
+            for to, share in {**dict.fromkeys(before.get(zone, {}).get(workload, {}), 0.0), **shares}.items()
+        )
 
     def smooth(self, picture: Picture) -> Picture:
         """Guards against a plan that turns with the noise of what thin members see: a jump in a sum over them
--- /dev/null
+++ b/tests/test_common.py
@@ -0,0 +1,196 @@
+"""What sidecars hold in common, in the decision module: zones by plan, ways out, brakes at cold endpoints, the
+live count; placement and drains go before, and without a word all is as told."""
+
+import pytest
+from bed import IDEM, KEYED, Bed, deployment
+
+from lupinmill import terms as t
+from lupinmill.peers.count import FADES, HOLD, LiveCount
+from lupinmill.peers.view import SECOND
+from lupinmill.rules import CAP_START, FLEET_START, Sidecar
+from lupinmill.state import learned
+
+MS = 1_000
+ZONES = "abc"
+
+
+def bed_of(per_zone: int = 2, workloads=(IDEM, KEYED), **changes) -> Bed:
+    bed = Bed(deployment(workloads=list(workloads), **changes), 0)
+    entries = [
+        t.Listing(f"{zone}{n}", t.State.READY, zone, "k", f"{zone}") for zone in ZONES for n in range(per_zone)
+    ]
+    bed.step(t.Listed(t.ListKind.FULL, entries))
+    return bed
+
+
+def plan(shares: dict, way: dict | None = None, workloads=("view", "bid")) -> dict:
+    return {name: (shares, way or {}) for name in workloads}
+
+
+def agree(bed: Bed, until: int = 10 * SECOND, **common) -> None:
+    bed.step(t.Common(until=bed.now + until, **common))
+
+
+def zones_of(bed: Bed, names: list[str]) -> list[str]:
+    return [bed.flights[name][0]["endpoint"][0] if bed.flights[name] else "" for name in names]
+
+
+def one_by_one(bed: Bed, count: int, workload=IDEM) -> list[str]:
+    names = []
+    for _ in range(count):
+        names.append(bed.arrive(workload))
+        bed.now += 10 * MS
+        for launch in bed.out(names[-1]):
+            bed.end(names[-1], launch, t.How.HANDLED)
+    return names
+
+
+def test_without_a_plan_launches_go_anywhere_and_with_one_they_go_by_its_shares():
+    bed = bed_of()
+    assert len(set(zones_of(bed, one_by_one(bed, 60)))) == 3
+    agree(bed, plan=plan({"a": 1.0}))
+    assert set(zones_of(bed, one_by_one(bed, 60))) == {"a"}
+    agree(bed, plan=plan({"a": 0.75, "c": 0.25}))
+    found = zones_of(bed, one_by_one(bed, 400))
+    assert set(found) == {"a", "c"} and 0.18 < found.count("c") / 400 < 0.32
+
+
+def test_a_plan_that_is_not_confirmed_ends_by_itself():
+    bed = bed_of()
+    agree(bed, until=SECOND, plan=plan({"a": 1.0}), sidecars=4)
+    assert bed.sidecar.desk.allow.sharers == 4
+    bed.run(2 * SECOND)
+    assert bed.sidecar.desk.allow.sharers == 2 and not bed.sidecar.desk.common.plan
+    assert len(set(zones_of(bed, one_by_one(bed, 60)))) == 3
+
+
+def test_a_newer_word_outlives_the_end_of_an_older_one():
+    bed = bed_of()
+    agree(bed, until=SECOND, plan=plan({"a": 1.0}))
+    bed.run(900 * MS)
+    agree(bed, until=5 * SECOND, plan=plan({"b": 1.0}))
+    bed.run(SECOND)
+    assert set(zones_of(bed, one_by_one(bed, 20))) == {"b"}
+
+
+def drain(bed: Bed, zone: str) -> None:
+    entries = [t.Listing(f"{zone}{n}", t.State.DRAINING, zone, "k", zone) for n in range(2)]
+    bed.step(t.Listed(t.ListKind.CHANGES, entries))
+
+
+def test_a_zone_with_nothing_open_is_left_by_its_way_out_and_the_rest_is_denied_at_once():
+    """Guards against a zone that is lost in which all wait for nothing until their time is up."""
+    bed = bed_of()
+    agree(bed, plan=plan({"a": 1.0}, {"b": 0.5}))
+    drain(bed, "a")
+    names = one_by_one(bed, 200)
+    found = zones_of(bed, names)
+    assert set(found) == {"b", ""} and 0.4 < found.count("b") / 200 < 0.6
+    assert all(bed.closed[name] == "denied" for name, zone in zip(names, found) if not zone)
+    assert not bed.sidecar.desk.waiting
+
+
+def test_what_failed_in_its_zone_may_be_launched_again_in_another():
+    bed = bed_of(per_zone=1)
+    agree(bed, plan=plan({"a": 1.0}))
+    one_by_one(bed, 60)
+    name = bed.arrive(IDEM)
+    bed.end(name, 0, t.How.UNCONNECTED)
+    bed.run(100 * MS)
+    assert [flight["endpoint"][0] for flight in bed.flights[name]][0] == "a"
+    assert len(bed.flights[name]) == 2 and bed.flights[name][1]["endpoint"][0] in "bc"
+
+
+def test_a_full_zone_holds_up_no_other():
+    """Its submissions wait for it; those of another zone pass them."""
+    bed = bed_of(instances=1)
+    agree(bed, plan=plan({"a": 1.0}))
+    waiting = [bed.arrive(IDEM) for _ in range(2 * CAP_START + 3)]
+    assert sum(not bed.flights[name] for name in waiting if name in bed.owed) > 0
+    agree(bed, plan=plan({"b": 1.0}))
+    assert zones_of(bed, [bed.arrive(IDEM)]) == ["b"]
+    assert all(zone in "a" for zone in zones_of(bed, waiting))
+
+
+def test_worth_goes_before_within_a_zone():
+    bed = bed_of(per_zone=1, instances=1)
+    agree(bed, plan=plan({"a": 1.0}))
+    full = [bed.arrive(IDEM) for _ in range(CAP_START)]
+    view, bid = bed.arrive(IDEM), bed.arrive(KEYED)
+    bed.now += 20 * MS
+    bed.end(full[0], 0, t.How.HANDLED)
+    assert bed.flights[bid] and not bed.flights[view]
+
+
+@pytest.mark.parametrize("bound", [{"zones": ("c",)}, {"kinds": ("rare",)}])
+def test_placement_goes_before_any_plan(bound):
+    star = t.Workload("star", SECOND, 2 * SECOND, repeat=t.Repeat.IDEMPOTENT, **bound)
+    bed = bed_of(workloads=(IDEM, star))
+    bed.step(t.Listed(t.ListKind.CHANGES, [t.Listing("c9", t.State.READY, "c", "rare", "c")]))
+    agree(bed, plan=plan({"a": 1.0}, {"b": 1.0}, ("view", "star")))
+    found = zones_of(bed, one_by_one(bed, 30, star))
+    assert set(found) == {"c"}
+
+
+def test_a_repeat_stays_in_the_group_that_may_hold_it_whatever_the_plan_says():
+    bed = bed_of(per_zone=2)
+    agree(bed, plan=plan({"a": 1.0}, {"b": 1.0}))
+    one_by_one(bed, 60)
+    name = bed.arrive(KEYED)
+    drain(bed, "b")
+    bed.end(name, 0, t.How.RESET)
+    bed.run(SECOND)
+    assert {flight["endpoint"][0] for flight in bed.flights[name]} == {"a"}
+
+
+def test_a_cold_endpoint_gets_less_where_all_together_send_it_too_much():
+    def sent(brakes: dict) -> int:
+        bed = bed_of(per_zone=1, instances=1)
+        warm = one_by_one(bed, 100)
+        bed.step(t.Listed(t.ListKind.CHANGES, [t.Listing("a9", t.State.READY, "a", "k", "a", bed.now)]))
+        agree(bed, brakes=brakes)
+        names = one_by_one(bed, 200)
+        assert warm
+        return sum(flight["endpoint"] == "a9" for name in names for flight in bed.flights[name])
+
+    free, braked = sent({}), sent({"a9": 0.1})
+    assert free >= 8 and braked <= free / 3
+
+
+# --- the live count ------------------------------------------------------------------------------------------
+
+
+def test_caps_follow_the_live_count_and_what_was_learned_is_scaled():
+    sidecar = Sidecar(deployment(instances=4))
+    start = sidecar.desk.cap
+    assert start == FLEET_START / 4
+    sidecar.step(SECOND, [t.Common(sidecars=2, until=9 * SECOND)])
+    assert sidecar.desk.cap == 2 * start and sidecar.desk.allow.cap_start == CAP_START
+    sidecar.step(2 * SECOND, [t.Common(sidecars=8, until=9 * SECOND)])
+    assert sidecar.desk.cap == start / 2
+    sidecar.step(9 * SECOND, [t.Woke(1)])
+    assert sidecar.desk.cap == start and sidecar.desk.allow.sharers == 4
+
+
+def test_the_next_process_of_an_upgrade_learns_the_cap_as_among_those_told():
+    """Guards against a cap that is scaled by the live count twice."""
+    old, new = Sidecar(deployment(instances=4)), Sidecar(deployment(instances=4))
+    old.step(SECOND, [t.Common(sidecars=2, until=9 * SECOND)])
+    learned.recall(new, learned.learned(old), SECOND)
+    assert new.desk.cap == FLEET_START / 4
+
+
+def test_a_fall_of_the_count_waits_and_a_rise_does_not():
+    count = LiveCount(10, 0)
+    assert count.step(0, True, 10) == 10
+    assert count.step(SECOND, True, 3) == 10, "most restart, and are back before it counts"
+    assert count.step(2 * SECOND, True, 12) == 12
+    assert count.step(2 * SECOND + HOLD + 1, True, 9) == 9
+
+
+def test_who_is_cut_off_goes_back_to_the_told_figure():
+    count = LiveCount(10, 0)
+    assert count.step(0, True, 20) == 20
+    assert count.step(FADES // 2, False, 1) == 15, "never by what it sees itself: the others may be there"
+    assert count.step(FADES, False, 1) == 10
+    assert LiveCount(10, 0).step(0, False, 1) == 10
