--- a/lupinmill/cli/main.py
+++ b/lupinmill/cli/main.py
@@ -11,6 +11,7 @@
 GROUPS = {  # module, command, help, and the extra that it wants
     "check": ("lupinmill.cli.check", "check", "Check an operator's file, tell what follows.", "peers"),
     "lab": ("lupinmill.cli.lab", "lab", "Rehearse: emulator, load, experiments, reports.", "lab"),
+    "zones": ("lupinmill.cli.zones", "zones", "Traffic between zones: the plan, drains.", "peers"),
     "peers": ("lupinmill.cli.peers", "peers", "What a sidecar knows of the others.", "peers"),
 }
 
--- a/lupinmill/cli/peers.py
+++ b/lupinmill/cli/peers.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-import http.client
-import sys
 import time
-from typing import Any, NoReturn
+from typing import Any
 
 import click
 import msgspec
 
-ANSWER = 3.0  # seconds
-LARGEST = 4 * 2**20
+from lupinmill.cli import asking
+from lupinmill.cli.asking import AT, NoAnswer, refuse
+
 STANDINGS = {
     "together": "it sees most of the sidecars, and decisions in common can be made",
     "in doubt": "views differ, or it is late itself: it keeps what it holds, and asks for nothing new",
@@ -27,28 +26,9 @@
 }
 
 
-class NoAnswer(Exception):
-    """The text is the one line."""
-
-
 def ask(address: str) -> dict[str, Any]:
     """Raises NoAnswer."""
-    try:
-        connection = http.client.HTTPConnection(address, timeout=ANSWER)
-        try:
-            connection.request("GET", "/admin/peers")
-            response = connection.getresponse()
-            data = response.read(LARGEST)
-        finally:
-            connection.close()
-    except (OSError, http.client.HTTPException, ValueError) as error:
-        raise NoAnswer(f"{address}: {error or type(error).__name__}") from error
-    if response.status != 200:
-        raise NoAnswer(f"{address}: {response.status} {data[:200].decode('utf-8', 'replace').strip()}")
-    try:
-        return msgspec.json.decode(data, type=dict[str, Any])
-    except msgspec.DecodeError as error:
-        raise NoAnswer(f"{address}: {error}") from error
+    return asking.table(address, "peers")
 
 
 def in_words(table: dict[str, Any]) -> list[str]:
@@ -127,21 +107,6 @@
     return lines
 
 
-def refuse(error: Exception) -> NoReturn:
-    click.echo(f"lupinmill: {error}", err=True)
-    sys.exit(2)
-
-
-AT = click.option(
-    "--at",
-    "address",
-    envvar="BALANCER_OPERATOR",
-    required=True,
-    metavar="HOST:PORT",
-    help="The sidecar's operators' address; else $BALANCER_OPERATOR.",
-)
-
-
 @click.group()
 def peers() -> None:
     """What a sidecar knows of the others."""
--- a/lupinmill/lab/scenario.py
+++ b/lupinmill/lab/scenario.py
@@ -35,6 +35,9 @@
     "sidecar_kill",
     "sidecar_starved",
     "zone_cut",
+    "zone_apart",
+    "zone_slow",
+    "zone_link",
 ]
 
 
@@ -174,6 +177,9 @@
     cross_ms: Span = 1.0
     client_ms: Span = 0.5
     jitter: Span = 0.1
+    regions: list[str] = []  # of the zones, in their order
+    endpoints: list[float] = []  # parts of the endpoints, in the order of the zones; none: alike
+    traffic: list[float] = []  # parts of what clients send, by the sidecar's zone; none: alike
 
 
 class Sidecars(Closed):
@@ -230,6 +236,7 @@
     extra: Span = 0.0
     tier: str = ""
     tenant: str = ""
+    zone: str = ""  # of a trouble of zones: this one, else one drawn
     weight: float = 1.0  # among random troubles: how likely beside the others
     then: list[Event] = []  # random troubles: what follows, `at_s` after the end of this one
 
@@ -342,8 +349,19 @@
             found.append(f"trouble {at}: tier: {event.tier!r} is none of {', '.join(sorted(tiers))}")
         if event.tenant and event.tenant not in tenants:
             found.append(f"trouble {at}: tenant: {event.tenant!r} is not listed")
+        if event.zone and event.zone not in s.net.zones:
+            found.append(f"trouble {at}: zone: {event.zone!r} is none of {', '.join(s.net.zones)}")
         if event.kind == "tenant_burst" and not s.tenant:
             found.append(f"trouble {at}: kind: tenant_burst without any tenant")
+    for key, rows_ in (
+        ("regions", s.net.regions),
+        ("endpoints", s.net.endpoints),
+        ("traffic", s.net.traffic),
+    ):
+        if rows_ and len(rows_) != len(s.net.zones):
+            found.append(f"net.{key}: wants one for each of the {len(s.net.zones)} zones")
+        if rows_ and key != "regions" and not sum(rows_) > 0:
+            found.append(f"net.{key}: wants a part above 0")
     for workload in s.workload:
         if workload.contract_s > workload.hard_limit_s:
             found.append(f"workload {workload.name}: contract_s: beyond hard_limit_s")
--- a/lupinmill/program/common.py
+++ b/lupinmill/program/common.py
@@ -41,11 +41,12 @@
             if sidecars != self.count:
                 self.log("mode", text=f"{sidecars} sidecars share the endpoints, {self.count} before")
                 self.count = sidecars
-        plan, brakes, until = {}, {}, now + COUNTS
+        found = t.Common(until=now + COUNTS)
         if self.zoning is not None:
             self.zoning.look()
-            plan, brakes, until = self.zoning.common()
-        self.engine.tell(t.Common(sidecars, plan, brakes, max(until, now + 1)))
+            found = self.zoning.common(now)
+        found.sidecars = sidecars
+        self.engine.tell(found)
 
     def show(self) -> dict[str, object]:
         return {"sidecars": self.count, "live": self.live is not None}
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -285,11 +285,14 @@
         """By the plan; where nothing is open there, by its way out. Placement goes before."""
         zone, plans = "", () if w.zones or w.kinds else self.common.plan.get(w.name, ())
         for shares in plans:
-            if not zone or not self.open_in.get(zone):
+            if not zone or self.lost(zone):
                 at = self.chance.draw()
                 zone = next((name for name, share in shares.items() if (at := at - share) < 0), zone)
         return zone
 
+    def lost(self, zone: str) -> bool:  # as far as this sidecar finds: most there are set aside
+        return self.open_in.get(zone, 0) * 2 < self.common.listed.get(zone, 1)
+
     def lane_of(self, w: t.Workload, beyond: bool, repeated: bool, zone: str) -> int:
         key = (w.name, beyond, repeated, zone)
         if key not in self.lanes:
@@ -506,9 +509,7 @@
         return True
 
     def unhold(self, s: Submission) -> None:
-        if s.held:
-            s.held = False
-            self.waiting -= 1
+        self.waiting, s.held = self.waiting - s.held, False
 
     # Outcomes, and what follows from them.
 
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -228,6 +228,7 @@
     sidecars: int = 0  # that share the endpoints now; 0: as told at the start
     plan: dict[str, tuple[Shares, Shares]] = field(default_factory=dict)  # by workload; and if that is lost
     brakes: Shares = field(default_factory=dict)  # cold endpoints that get too much: what own rate is cut to
+    listed: dict[str, int] = field(default_factory=dict)  # endpoints by zone, as own list names them
     until: int = 0
 
 
--- a/lupinmill/zones/driver.py
+++ b/lupinmill/zones/driver.py
@@ -18,7 +18,7 @@
 from lupinmill.zones.evidence import SECOND
 from lupinmill.zones.map import Map
 from lupinmill.zones.member import Member
-from lupinmill.zones.tally import Tally
+from lupinmill.zones.tally import Tally, watch
 from lupinmill.zones.words import mark_of
 
 TOPIC = "zones"
@@ -42,20 +42,7 @@
         self.inbox: list[member.Note] = []
         self.stepping = False
         peers.features[TOPIC] = self.heard
-        self.watch()
-
-    def watch(self) -> None:
-        """The module's step, with a look before and after it."""
-        sidecar, tally, step = self.engine.sidecar, self.tally, self.engine.sidecar.step
-
-        def watched(now: int, notes: list[t.Note]) -> list[t.Order]:
-            for note in notes:
-                tally.before(now, note, sidecar)
-            orders = step(now, notes)
-            tally.after(now, orders, sidecar)
-            return orders
-
-        sidecar.step = watched  # type: ignore[method-assign]
+        watch(engine.sidecar, self.tally)
 
     # From the peers.
 
@@ -108,14 +95,15 @@
         elif (answer := self.waiting.pop(order.serial, None)) is not None:
             answer(order.done, order.text)
 
-    def common(self) -> tuple[dict[str, tuple[t.Shares, t.Shares]], dict[str, float], int]:
+    def common(self, now: int) -> t.Common:
         """For the module: plan by workload, brakes by endpoint, and until when they count."""
         if self.found is None:
-            return {}, {}, 0
+            return t.Common(until=now + 1)
         marks = self.found.brakes
         names = self.engine.sidecar.desk.seats if marks else ()
         brakes = {name: marks[mark_of(name)] for name in names if mark_of(name) in marks}
-        return self.found.plan, brakes, self.found.until
+        listed = self.tally.listed(self.engine.sidecar)
+        return t.Common(0, self.found.plan, brakes, listed, max(now + 1, self.found.until))
 
     # Operators.
 
--- a/lupinmill/zones/evidence.py
+++ b/lupinmill/zones/evidence.py
@@ -22,7 +22,7 @@
 QUICK = 1.5  # pace up to which a zone may well take more than it was seen to
 LIKE = 0.8  # of what an endpoint elsewhere was seen to take is believed of one that was not tried
 BROKEN, BACK = 0.5, 0.2  # share of launches that failed: a zone is lost above, and well again below
-SLOW, MOST_PRESSED = 2.0, 1.25  # times its uncrowded answer time: its capacity counts for as much less
+SLOW, MOST_PRESSED = 3.0, 1.25  # times its uncrowded answer time: its capacity counts for as much less
 MOST_FIGURE = 1e9
 SPAN = 3.0  # seconds over which members count
 OVER, LEAST_BRAKE = 1.25, 0.1  # beyond the part by warmth a cold endpoint's sum is cut, never below
@@ -37,7 +37,7 @@
     refused: float = 0.0
     pace: float = 1.0  # answer time against the uncrowded one
     room: float = 0.0  # launches a second that its caps let it send there
-    cold: float = 0.0  # share of the endpoints there that are cold
+    cold: float = 0.0  # what the endpoints there lack of warmth, in the mean
     ready: float = 0.0  # endpoints there that it holds for able to serve, ...
     listed: float = -1.0  # ... of so many that its list names; below 0: it doesn't say
 
@@ -111,7 +111,8 @@
         guards against spare that nobody ever finds because nobody is sent there."""
         seen = {zone.name: self.capacity(fresh, zone.name) for zone in self.map.zones}
         ready = {zone.name: self.ready(fresh, zone.name) for zone in self.map.zones}
-        each = max((seen[z] / ready[z] for z in seen if ready[z] >= 1), default=0.0)
+        found = [seen[z] / ready[z] for z in seen if ready[z] >= 1 and seen[z]]
+        each = median(found) if found else 0.0
         for name in seen:
             well = states.get((name, name)) in (State.WELL, State.UNSEEN)
             if well and ready[name] >= 1 and self.pace(fresh, name) < QUICK:
@@ -177,8 +178,8 @@
         return found
 
     def capacity(self, fresh: list[tuple[float, Report]], zone: str) -> float:
-        """The rooms of those that send there, added, clipped by origin as above; less what is cold or slow by
-        the observers' weighted median."""
+        """The rooms of those that send there, added, clipped by origin as above; what is slow by the observers'
+        weighted median is pressed a little less."""
         rows = self.weights(fresh, zone)
         whole = 0.0
         for origin in self.map.zones:
@@ -187,10 +188,8 @@
             if rooms:
                 most = 2 * CLIP * median(rooms)
                 whole += sum(min(most, room) for room in rooms)
-        cold = middle([(weight, min(1.0, sane(seen.cold))) for weight, _, seen in rows])
         pace = middle([(weight, sane(seen.pace)) for weight, _, seen in rows])
-        # What is crowded shows in the rooms already; beyond that it is only pressed a little less.
-        return whole * (1 - cold) / min(MOST_PRESSED, max(1.0, pace / SLOW))
+        return whole / min(MOST_PRESSED, max(1.0, pace / SLOW))
 
     def states(self, fresh: list[tuple[float, Report]]) -> dict[tuple[str, str], State]:
         found: dict[tuple[str, str], State] = {}
--- a/lupinmill/zones/plan.py
+++ b/lupinmill/zones/plan.py
@@ -1,10 +1,10 @@
 """The plan: which part of each zone's traffic, by workload, goes where. Pure; one member computes it under a
 lease, a majority accepts it as the next version, all go by the newest that they know.
 
-Aim, anew each second, from the picture in common: all stays at home that fits there, the worthiest first;
-what doesn't fit goes to the nearest zones whose spare carries the sum of all that would come, within the
-budgets; the rest stays at home and is denied there at once. Spare is capacity less a zone's own traffic and
-less what it keeps free.
+Aim, anew each second, from the picture in common: all stays at home that fits there at a low level, the
+worthiest first; what doesn't goes to the nearest zones that have room at that level for the sum of all that would
+come, within the budgets; then the next level, up to the last. What fits nowhere stays at home and is denied there
+at once. Spill never takes what a zone is to keep free.
 
 Law: from the plan in force towards the aim by bounded steps, so that the sum over all sidecars at a zone
 moves by a known part of its capacity a second: `OUT` out of a zone that is short, `BACK_HOME` on the way
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, field, replace
 
 from lupinmill.zones.evidence import SECOND, Picture, State
-from lupinmill.zones.map import Map, Workload
+from lupinmill.zones.map import Map, Workload, Zone
 
 PERIOD = SECOND
 OUT, BACK_HOME = 0.1, 0.03  # of a zone's traffic a second
@@ -26,6 +26,7 @@
     0.05,
     5 * SECOND,
 )  # share that tries a zone which was lost, and for how long it must do well
+NEEDED, NEEDED_TIME = 0.1, SECOND  # the same where the others can't carry all
 WAIT, MOST_RELAPSES, FORGIVEN = 2 * SECOND, 5, 120 * SECOND  # before the trial; doubled by each relapse
 DEAD_BAND = 0.03
 SMOOTH, JUMP = (
@@ -33,7 +34,9 @@
     0.25,
 )  # part of a jump that is believed a second; of less, a quarter of that
 WAYS_EVERY, WAYS_BAND = 5 * SECOND, 0.1
-FULL = 0.95  # of its capacity: what a zone is filled to by its own
+# Of its capacity: what a zone is filled to while others have less to do; beyond the last nothing fits.
+LEVELS = (0.7, 0.8, 0.9)
+FULL = LEVELS[-1]
 SMALL = 1e-9
 
 Shares = dict[str, float]  # to zone: part of the traffic; sums to 1
@@ -81,24 +84,34 @@
     return found
 
 
+def most(zone: Zone, level: float) -> float:
+    """Part of a zone's capacity up to which spill may fill it."""
+    return min(level, 1 - zone.spare)
+
+
 def aim(map_: Map, picture: Picture, drains: Drains) -> Rows:
-    """Where all should go, had it time. Greedy by worth: a workload is placed whole before one worth less;
-    those that want the same room share it by what they still have to place."""
+    """Where all should go, had it time. Level by level, so that no zone is filled up while its neighbour has
+    room to spare; in each level by worth: a workload is placed before one worth less, at home, then with the
+    nearest that have room at that level. Those that want the same room share it by what they still have to
+    place."""
     room = usable(map_, picture, drains)
-    left = {name: FULL * value for name, value in room.items()}  # for the own
-    rows: Rows = {zone.name: {} for zone in map_.zones}
-    rest: dict[str, dict[str, float]] = {zone.name: {} for zone in map_.zones}
-    for workload in map_.by_worth():
-        for zone in map_.zones:
-            name = zone.name
-            wanted = picture.traffic.get(name, {}).get(workload.name, 0.0)
-            at_home = min(wanted, left[name]) if picture.reaches(name, name) else 0.0
-            left[name] -= at_home
-            rows[name][workload.name] = {name: at_home}
-            rest[name][workload.name] = wanted - at_home
-    spare = {z.name: max(0.0, left[z.name] - z.spare * room[z.name]) for z in map_.zones}
-    for workload in map_.by_worth():
-        place(map_, picture, workload, rows, rest, spare, room)
+    rows: Rows = {zone.name: {w.name: {zone.name: 0.0} for w in map_.workloads} for zone in map_.zones}
+    rest = {
+        zone.name: {w.name: picture.traffic.get(zone.name, {}).get(w.name, 0.0) for w in map_.workloads}
+        for zone in map_.zones
+    }
+    taken = dict.fromkeys(room, 0.0)
+    for level in LEVELS:
+        for workload in map_.by_worth():
+            for zone in map_.zones:
+                name = zone.name
+                if picture.reaches(name, name):
+                    part = max(0.0, min(rest[name][workload.name], level * room[name] - taken[name]))
+                    rows[name][workload.name][name] += part
+                    rest[name][workload.name] -= part
+                    taken[name] += part
+        for workload in map_.by_worth():
+            place(map_, picture, workload, level, rows, rest, taken, room)
     return {
         zone.name: {
             w.name: as_shares(
@@ -123,7 +136,7 @@
             for name, by in rows.items()
             for w, shares in by.items()
         )
-        spare[zone.name] = max(0.0, (FULL - zone.spare) * room[zone.name] - coming) / max(1, len(map_.zones) - 1)
+        spare[zone.name] = max(0.0, most(zone, FULL) * room[zone.name] - coming) / max(1, len(map_.zones) - 1)
     for zone in map_.zones:
         left, abroad, found[zone.name] = dict(spare), {}, {}
         for workload in map_.by_worth():
@@ -147,13 +160,15 @@
     map_: Map,
     picture: Picture,
     workload: Workload,
+    level: float,
     rows: Rows,
     rest: dict[str, dict[str, float]],
-    spare: dict[str, float],
+    taken: dict[str, float],
     room: dict[str, float],
 ) -> None:
     """What found no room at home: by rank of nearness, in each rank fairly among the zones that want the same
     spare."""
+    spare = {z.name: max(0.0, most(z, level) * room[z.name] - taken[z.name]) for z in map_.zones}
     orders = {zone.name: map_.order(zone.name) for zone in map_.zones}
     home = {zone.name: zone.region for zone in map_.zones}
     for rank in range(len(map_.zones) - 1):
@@ -174,9 +189,10 @@
         for to, wanted in asks.items():
             part = min(1.0, spare[to] / sum(wanted.values()))
             for name, amount in wanted.items():
-                rows[name][workload.name][to] = amount * part
+                rows[name][workload.name][to] = rows[name][workload.name].get(to, 0.0) + amount * part
                 rest[name][workload.name] -= amount * part
                 spare[to] -= amount * part
+                taken[to] += amount * part
 
 
 def as_shares(home: str, rates: Shares, traffic: float) -> Shares:
@@ -355,7 +371,7 @@
         current = self.plan.shares(home, workload.name)
         stays = current.get(home, 0.0)
         target = wanted.get(home, 0.0)
-        if now - self.well_since.get(home, now) >= WAIT << self.relapses.get(home, 0):
+        if home in self.well_since and now - self.well_since[home] >= self.wait(home, picture):
             target = max(target, TRIAL)  # where nothing goes nothing is seen of its room
         gone = home in self.drains.zones or not picture.reaches(home, home)
         if target < stays:
@@ -363,7 +379,7 @@
             step = 1.0 if gone and home not in self.drains.zones else OUT
             next_ = max(target, stays - step)
         else:
-            next_ = min(target, stays + self.homeward(home, stays, now))
+            next_ = min(target, stays + self.homeward(home, stays, now, picture))
         away = 1 - next_
         found = {zone: share for zone, share in wanted.items() if zone != home and share > SMALL}
         whole = sum(found.values())
@@ -380,20 +396,32 @@
         found = {zone: share for zone, share in found.items() if share > SMALL}
         return {**found, home: max(0.0, 1 - sum(found.values()))}
 
-    def homeward(self, home: str, stays: float, now: int) -> float:
-        """Home to a zone that was lost: a wait, a trial share, then slowly. Each relapse doubles the wait."""
+    def needed(self, home: str, picture: Picture) -> bool:
+        """The other zones alone can't do what comes to all: what waits outside is mostly denied there."""
+        room = usable(self.map, picture, self.drains)
+        whole = sum(rate for rates in picture.traffic.values() for rate in rates.values())
+        return whole > FULL * sum(able for name, able in room.items() if name != home)
+
+    def wait(self, home: str, picture: Picture) -> int:
+        relapses = self.relapses.get(home, 0)
+        return 0 if not relapses and self.needed(home, picture) else WAIT << relapses
+
+    def homeward(self, home: str, stays: float, now: int, picture: Picture) -> float:
+        """Home to a zone that was lost: a wait, a trial share, then slowly; quicker where it is needed and nothing
+        speaks against it. Each relapse doubles the wait."""
+        needed, wait = self.needed(home, picture), self.wait(home, picture)
+        back, trial, time = (NEEDED, NEEDED, NEEDED_TIME) if needed else (BACK_HOME, TRIAL, TRIAL_TIME)
         if home not in self.lost:
-            return BACK_HOME
+            return back
         well = now - self.well_since.get(home, now)
-        wait = WAIT << self.relapses.get(home, 0)
         if well < wait:
             return 0.0
-        if well < wait + TRIAL_TIME:
-            return max(0.0, TRIAL - stays)
+        if well < wait + time:
+            return max(0.0, trial - stays)
         if stays >= 1 - DEAD_BAND:
             self.lost.discard(home)
             self.back_at[home] = now
-        return BACK_HOME
+        return back
 
     def bound(self, rows: Rows, picture: Picture) -> None:
         """The sum that comes to a zone from others never exceeds what it has spare now, nor rises by more
@@ -404,26 +432,31 @@
         for zone in self.map.zones:
             to = zone.name
             own = sum(rate * rows[to][w].get(to, 0.0) for w, rate in traffic.get(to, {}).items())
-            spare = max(0.0, FULL * room[to] - own - zone.spare * room[to])
+            spare = max(0.0, most(zone, FULL) * room[to] - own)
             coming = {
                 (z, w): traffic.get(z, {}).get(w, 0.0) * shares.get(to, 0.0)
                 for z, by in rows.items()
                 if z != to
                 for w, shares in by.items()
             }
-            before = sum(
-                traffic.get(z, {}).get(w, 0.0) * self.plan.shares(z, w).get(to, 0.0) for z, w in coming
-            )
+            before = sum(traffic.get(z, {}).get(w, 0.0) * self.goes(z, w, to) for z, w in coming)
             whole = sum(coming.values())
-            most = min(spare, before + OUT * room[to])
-            if whole <= most + SMALL:
+            limit = min(spare, before + OUT * room[to])
+            if whole <= limit + SMALL:
                 continue
             for (z, w), rate in coming.items():
-                cut = rows[z][w].get(to, 0.0) * (1 - most / whole)
+                cut = rows[z][w].get(to, 0.0) * (1 - limit / whole)
                 if rate > 0 and cut > SMALL:
                     rows[z][w][to] -= cut
                     rows[z][w][z] = rows[z][w].get(z, 0.0) + cut
 
+    def goes(self, zone: str, workload: str, to: str) -> float:
+        """The share that goes there now: out of a lost zone by its ways out, which needed no plan."""
+        planned = self.plan.shares(zone, workload).get(to, 0.0)
+        if zone not in self.lost or zone in self.drains.zones:
+            return planned
+        return max(planned, self.plan.ways.get(zone, {}).get(workload, {}).get(to, 0.0))
+
     def why(self, rows: Rows) -> str:
         parts = []
         for zone in self.map.zones:
--- a/lupinmill/zones/tally.py
+++ b/lupinmill/zones/tally.py
@@ -14,12 +14,25 @@
 from lupinmill.zones.words import MOST_COLD, mark_of
 
 BUCKETS, WIDTH = 6, int(SPAN * SECOND) // 6
-CROWDED = 1.9  # pace at which what was handled is what there is room for
-ROOMY = 1.3  # up to this pace twice as much fits
-SHORT = 0.02  # part of own traffic that was denied: a zone that denies has no more room than it used
+SHORT = 0.02  # part of own traffic that was denied: a zone that denies has little more room than it used
+MOST_SHORT = 1.05
 FAILED = (t.How.ERROR, t.How.SPOILT, t.How.TIMED_OUT, t.How.UNCONNECTED, t.How.RESET)
 
 
+def watch(sidecar: Sidecar, tally: Tally) -> None:
+    """Puts the tally around the module's step."""
+    step = sidecar.step
+
+    def watched(now: int, notes: list[t.Note]) -> list[t.Order]:
+        for note in notes:
+            tally.before(now, note, sidecar)
+        orders = step(now, notes)
+        tally.after(now, orders, sidecar)
+        return orders
+
+    sidecar.step = watched  # type: ignore[method-assign]
+
+
 class Counts:
     def __init__(self) -> None:
         self.tried, self.failed, self.refused = Ring(BUCKETS, WIDTH), Ring(BUCKETS, WIDTH), Ring(BUCKETS, WIDTH)
@@ -88,27 +101,24 @@
         span = min(SPAN, max(0.5, (now - self.began) / SECOND))
         came, denied = self.all.total(now), self.denied.total(now)
         short = denied > SHORT * max(1.0, came)
-        listed: dict[str, int] = {}
-        cold: dict[str, int] = {}
-        for entry in sidecar.roster.listed.values():
-            if entry.state is t.State.READY:
-                listed[entry.zone] = listed.get(entry.zone, 0) + 1
+        listed, cold = self.listed(sidecar), {}
         for seat in desk.seats.values():
             if seat.counts() and seat.says.cold_since is not None:
                 zone = seat.says.entry.zone
-                cold[zone] = cold.get(zone, 0) + 1
+                cold[zone] = cold.get(zone, 0.0) + 1 - desk.warmth(seat.says)
         seen = {}
         for zone, counts in self.zones.items():
             handled = counts.handled.total(now)
             pace = counts.paces.total(now) / handled if handled else 1.0
             ready = max(0, desk.open_in.get(zone, 0))
+            share = cold.get(zone, 0) / ready if ready else 0.0
             seen[zone] = Seen(
                 counts.tried.total(now),
                 counts.failed.total(now),
                 counts.refused.total(now),
                 pace,
-                handled / span * self.more(pace, short and zone == self.home),
-                cold.get(zone, 0) / ready if ready else 0.0,
+                handled / span * self.more(pace, short and zone == self.home, share),
+                share,
                 float(ready),
                 float(listed.get(zone, 0)),
             )
@@ -120,19 +130,29 @@
             self.cold_ones(now, span, sidecar),
         )
 
-    def more(self, pace: float, short: bool) -> float:
-        """How much more than it was seen to do a zone may do: by the pace of its answers, and nothing where what
-        should stay there was denied."""
+    def listed(self, sidecar: Sidecar) -> dict[str, int]:
+        """Endpoints that the list names as ready, by zone."""
+        found: dict[str, int] = {}
+        for entry in sidecar.roster.listed.values():
+            if entry.state is t.State.READY:
+                found[entry.zone] = found.get(entry.zone, 0) + 1
+        return found
+
+    def more(self, pace: float, short: bool, cold: float) -> float:
+        """How many times as much as it was seen to do a zone may do. The uncrowded answers that the pace is
+        measured against are taken to have come at half load, where servers that share a core among what they hold
+        take twice the work's time: so the share in use is 1 - 1/(2 pace). Cold ones are not counted on for more,
+        nor a zone that has to deny."""
         if short:
-            return 1.0
-        return 1.0 + min(1.0, max(0.0, (CROWDED - pace) / (CROWDED - ROOMY)))
+            return MOST_SHORT
+        return 1.0 + (1 - cold) * (1 / (1 - 1 / (2 * max(1.0, pace))) - 1)
 
     def cold_ones(self, now: int, span: float, sidecar: Sidecar) -> dict[int, tuple[float, float]]:
         found = {}
         for name in list(self.cold):
             seat = sidecar.desk.seats.get(name)
             rate = self.cold[name].total(now) / span
-            if seat is None or seat.says.cold_since is None or not rate:
+            if seat is None or not rate or sidecar.desk.warmth(seat.says) >= 1:
                 del self.cold[name]
             else:
                 found[mark_of(name)] = (rate, sidecar.desk.warmth(seat.says))
