--- a/lupinmill/cli/check.py
+++ b/lupinmill/cli/check.py
@@ -54,6 +54,9 @@
                 lines.append(f"caution: losing {place} {crowded[0]} alone takes the majority away")
     else:
         lines.append("decisions: none, there are no electors")
+    if peers.live_count:
+        lines.append("caps are shared out by how many sidecars are there, not by the figure told at the start")
+    lines += zones_in_words(file)
     if name is not None:
         told = operators_file.told(file, name)
         entry = peers.members[name]
@@ -72,6 +75,30 @@
     return lines
 
 
+def zones_in_words(file: File) -> list[str]:
+    zones = file.zones
+    if zones is None or file.peers is None:
+        return ["zones: off; launches go to any zone"]
+    map_ = operators_file.zone_map(zones, dict.fromkeys(zones.workloads, 1.0) or {"any": 1.0})
+    lines = [f"zones: {len(zones.map)}, traffic stays near, and leaves its zone as decided in common"]
+    for zone in map_.zones:
+        there = sum(member.zone == zone.name for member in file.peers.members.values())
+        order = ", ".join(map_.order(zone.name)) or "nowhere"
+        lines.append(
+            f"  {zone.name}: {there} sidecars; in trouble to {order}; from others it takes up to "
+            f"{100 * min(0.9, 1 - zone.spare):.0f}% of what it can do"
+        )
+        if not there:
+            lines.append(f"caution: nobody in {zone.name} tells of it; others spill into it only once they know it")
+    for load in (w for w in map_.workloads if w.name in zones.workloads):
+        lines.append(
+            f"  {load.name}: {100 * load.leave_zone:.0f}% of a zone's traffic may leave it, "
+            f"{100 * load.leave_region:.0f}% its region"
+            + (", more out of a lost zone" if load.breaks else "")
+        )
+    return lines
+
+
 @click.command()
 @click.argument("path", metavar="FILE")
 @click.option("--name", envvar="BALANCER_NAME", help="The sidecar that shall run by it; else $BALANCER_NAME.")
--- a/lupinmill/lab/sockets.py
+++ b/lupinmill/lab/sockets.py
@@ -180,8 +180,8 @@
             "settings": self.world.settings(process.tier, max(1, instances)),
         }
 
-    def row(self, entry: Entry) -> dict[str, Any]:
-        """An entry as discovery writes it."""
+    def row(self, entry: Entry, sidecar: str = "") -> dict[str, Any]:
+        """An entry as discovery writes it, for this sidecar."""
         return {
             "name": entry.name,
             "address": self.servers[entry.name].address,
@@ -506,6 +506,9 @@
     def sidecar_count(self) -> int:
         return len(self.fronts)
 
+    def ways_changed(self) -> None:
+        """Whoever stands in a way looks at the world itself."""
+
     def kill_sidecar(self, at: int, down_s: float) -> None:
         process = self.fronts[at]
         if not process.alive():
--- a/lupinmill/lab/stands.py
+++ b/lupinmill/lab/stands.py
@@ -300,7 +300,7 @@
                     referee.heard(now, self.sidecar, name, True)
         for entry in entries:
             referee.heard(now, self.sidecar, entry.name, entry.state is not t.State.READY)
-        rows = [self.run.row(entry) for entry in entries]
+        rows = [self.run.row(entry, self.sidecar) for entry in entries]
         body = {"index": self.registry.index, "snapshot": whole, "endpoints": rows}
         served.answer(Answer(200, [(b"Content-Type", b"application/json")], orjson.dumps(body)))
 
--- a/lupinmill/peers/conduct.py
+++ b/lupinmill/peers/conduct.py
@@ -53,3 +53,21 @@
 register(
     Row("decisions", "goes by the newest that it was told", "makes one, under a lease", "forgets it", 30.0)
 )
+register(
+    Row(
+        "zones",
+        "goes by the last plan, home and its ways out",
+        "plans, and takes an operator's drain",
+        "stays at home; out of a lost home sends a tenth",
+        60.0,
+    )
+)
+register(
+    Row(
+        "live count",
+        "goes back to the figure told at the start",
+        "shares caps out by who is there",
+        "the told figure counts",
+        30.0,
+    )
+)
--- a/lupinmill/program/operators_file.py
+++ b/lupinmill/program/operators_file.py
@@ -65,7 +65,7 @@
 
     worth: float = 0.0
     leave_zone: float = 1.0
-    leave_region: float = 1.0
+    leave_region: float | None = None  # as `leave_zone` where it isn't told
     breaks: bool = False  # out of a lost zone it may go beyond its budgets
 
 
@@ -212,7 +212,8 @@
     workloads = []
     for name, value in values.items():
         load = zones.workloads.get(name, WorkloadEntry())
-        workloads.append(Workload(name, load.worth or value, load.leave_zone, load.leave_region, load.breaks))
+        region = load.leave_zone if load.leave_region is None else load.leave_region
+        workloads.append(Workload(name, load.worth or value, load.leave_zone, region, load.breaks))
     for name in zones.workloads:
         if name not in values:
             raise BadFile(f"zones.workloads.{name}: the platform tells of no such workload")
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -220,7 +220,10 @@
         if self.peers is not None and told.operators != self.told.operators and told.operators is not None:
             from lupinmill.program import operators_file
 
-            self.peers.change(operators_file.told(told.operators, told.name))
+            peers = operators_file.told(told.operators, told.name)
+            self.peers.change(peers)
+            if self.common is not None and self.common.zoning is not None:
+                self.common.zoning.change(peers)
         self.told = told
         self.log("reloaded", discovery=told.discovery)
 
--- a/lupinmill/zones/driver.py
+++ b/lupinmill/zones/driver.py
@@ -44,6 +44,11 @@
         peers.features[TOPIC] = self.heard
         watch(engine.sidecar, self.tally)
 
+    def change(self, told: peer.Told) -> None:
+        """Another roster, from now on."""
+        zones = {seat.zone for seat in told.seats}
+        self.core.evidence.peopled = tuple(zone.name for zone in self.map.zones if zone.name in zones)
+
     # From the peers.
 
     def heard(self, order: peer.Order) -> None:
--- a/lupinmill/zones/evidence.py
+++ b/lupinmill/zones/evidence.py
@@ -113,7 +113,10 @@
         ready = {zone.name: self.ready(fresh, zone.name) for zone in self.map.zones}
         found = [seen[z] / ready[z] for z in seen if ready[z] >= 1 and seen[z]]
         each = median(found) if found else 0.0
+        heard = {report.zone for _, report in fresh}
         for name in seen:
+            if name in self.peopled and name not in heard:
+                continue
             well = states.get((name, name)) in (State.WELL, State.UNSEEN)
             if well and ready[name] >= 1 and self.pace(fresh, name) < QUICK:
                 seen[name] = max(seen[name], LIKE * each * ready[name] * (1 - self.cold(fresh, name)))
@@ -193,6 +196,7 @@
 
     def states(self, fresh: list[tuple[float, Report]]) -> dict[tuple[str, str], State]:
         found: dict[tuple[str, str], State] = {}
+        heard = {report.zone for _, report in fresh}
         for zone in self.map.zones:
             rows = self.weights(fresh, zone.name)
             shares: dict[str, float] = {}  # of failures, by the observers' zone
@@ -214,8 +218,10 @@
                 inside = zone.name in shares or zone.name not in self.peopled
                 all_bad = inside and bool(shares) and len(bad) == len(shares)
                 if origin.name not in shares:
-                    # Nobody here has tried: what all that did say is better than nothing.
-                    found[pair] = State.DOWN if all_bad else State.UNSEEN
+                    # Nobody here has tried: what all that did say is better than nothing. Of a zone whose own
+                    # members are not heard nothing is known: it is not for spill to find out.
+                    unheard = zone.name in self.peopled and zone.name not in heard and origin is not zone
+                    found[pair] = State.DOWN if all_bad else State.CUT if unheard else State.UNSEEN
                 elif origin.name in bad:
                     found[pair] = State.DOWN if all_bad else State.CUT
                 else:
--- a/tests/test_operators_file.py
+++ b/tests/test_operators_file.py
@@ -49,6 +49,16 @@
     ("peers.wants: moon is none", changed("lease_s", 'wants = ["moon"]\nlease_s')),
     ("peers: Object missing required field `members`", 'site = "x"\n[peers]\n'),
     ("site: wants a name", changed('"example"', '""')),
+    ("zones.map.coast.spare: wants 0 up to 1", changed("spare = 0.2", "spare = 1.0")),
+    ("zones.map.north.costs.moon: no such zone", changed('[zones.map.south]', 'costs = { moon = 1.0 }\n[zones.map.south]')),
+    ("zones.map.coast.sparse: unknown; the nearest known key is spare", changed("spare = 0.2", "sparse = 0.2")),
+    ("peers.members.front-1.zone: north is none of zones.map", changed("[zones.map.north]", "[zones.map.nord]")),
+    (
+        "zones.workloads.view.leave_region: more than leave_zone",
+        GOOD + "\n[zones.workloads.view]\nleave_zone = 0.1\nleave_region = 0.2\n",
+    ),
+    ("zones: wants peers.electors", changed('electors = ["front-1", "front-2", "front-3"]', "")),
+    ("zones: wants [peers]", 'site = "x"\n[zones.map.a]\n'),
     ("no UTF-8", None),
     ("Expected '=' after a key", GOOD + "\nabc"),
 ]
@@ -126,7 +136,7 @@
             old, operators_file.understand(__import__("tomllib").loads(text)), "front-1"
         )
 
-    more = '\n[peers.members.front-5]\naddress = "10.0.9.9:7400"\n'
+    more = '\n[peers.members.front-5]\naddress = "10.0.9.9:7400"\nzone = "south"\n'
     assert (
         differs(GOOD) == []
         and differs(GOOD + more) == []
@@ -136,6 +146,18 @@
     assert differs(changed('"10.0.1.11:7400"', '"10.0.1.19:7400"')) == ["peers.bind"]
     assert differs(changed('"example"', '"other"')) == ["site"]
     assert differs('site = "example"') == ["peers"]
+    assert differs(changed("spare = 0.2", "spare = 0.3")) == ["zones"]
+    moved = changed('10.0.1.11:7400"\nzone = "north"', '10.0.1.11:7400"\nzone = "south"')
+    assert differs(moved) == ["peers.members.zone of this sidecar"]
+    assert differs(changed("lease_s = 6.0", "live_count = true")) == ["peers.live_count"]
+
+
+def test_a_workload_that_the_platform_does_not_tell_of_is_refused_at_the_start(tmp_path):
+    path = written(tmp_path, GOOD + "\n[zones.workloads.moon]\nleave_zone = 0.1\n")
+    with pytest.raises(told.BadStart, match="zones.workloads.moon: the platform tells of no such workload"):
+        told.operators(path, "front-1", Deployment(seed=1))
+    with pytest.raises(told.BadStart, match="zones: settings.family is mesh"):
+        told.operators(written(tmp_path, GOOD), "front-1", Deployment(seed=1, beside=True))
 
 
 TABLE = {
