--- /dev/null
+++ b/tests/test_zones_member.py
@@ -0,0 +1,489 @@
+"""One member's whole zones' core: evidence, holding the plan, operators' wishes, liars; the words on the wire; the
+tally around the module; and whole fleets in virtual time."""
+
+import random
+
+import pytest
+from bed import IDEM, KEYED, deployment
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lupinmill import terms as t
+from lupinmill.lab import commons, scenario
+from lupinmill.lab.virtual import VirtualRun
+from lupinmill.rules import Sidecar
+from lupinmill.zones import member, words
+from lupinmill.zones.evidence import AGE, SECOND, Evidence, Report, Seen, State
+from lupinmill.zones.follow import FADED, FRESH
+from lupinmill.zones.map import Map, Workload, Zone
+from lupinmill.zones.member import Member
+from lupinmill.zones.plan import Plan
+from lupinmill.zones.tally import SHORT, Tally, watch
+from lupinmill.zones.words import LARGEST_PLAN, Strange
+
+MAP = Map((Zone("a"), Zone("b"), Zone("c")), (Workload("view", 1.0), Workload("bid", 4.0, breaks=True)))
+NAMES = [f"m{n}" for n in range(9)]
+ELECTORS = ("m0", "m1", "m2")
+
+
+def report(name: str, traffic: float = 20.0, room: float = 40.0, **seen: Seen) -> Report:
+    zone = "abc"[int(name[1:]) % 3]
+    own = {zone: Seen(30.0, 0.0, 0.0, 1.0, room, 0.0, 4.0, 4.0)}
+    rest = {z: Seen(0.0, 0.0, 0.0, 1.0, 0.0, 0.0, 4.0, 4.0) for z in "abc" if z != zone}
+    return Report(name, zone, {"view": 0.75 * traffic, "bid": 0.25 * traffic}, rest | own | seen)
+
+
+class Fleet:
+    """Nine cores without a network: every word arrives at once, decisions are made by the test's own register."""
+
+    def __init__(self) -> None:
+        self.now = 100 * SECOND
+        self.cores = {n: Member(MAP, n, "abc"[int(n[1:]) % 3], ELECTORS, ("a", "b", "c"), self.now) for n in NAMES}
+        self.holder, self.epoch, self.version = "", 0, 0
+        self.dead: set[str] = set()
+        self.reports: dict[str, Report] = {}
+        self.go: dict[str, member.Go] = {}
+        self.done: list[member.Done] = []
+        self.decide_ = True
+        self.said: list[tuple[str, member.Say]] = []
+
+    def present(self) -> list[str]:
+        return [name for name in NAMES if name not in self.dead]
+
+    def step(self, name: str, *notes: member.Note) -> None:
+        epoch = self.epoch if name == self.holder else 0
+        for order in self.cores[name].step(self.now, list(notes), epoch, self.present()):
+            if isinstance(order, member.Say):
+                self.said.append((name, order))
+                if order.to not in self.dead:
+                    self.step(order.to, member.Heard(name, order.data))
+            elif isinstance(order, member.Decide) and self.decide_:
+                self.version += 1
+                for other in self.present():
+                    self.step(other, member.Decided(self.version, order.body))
+            elif isinstance(order, member.Go):
+                self.go[name] = order
+            elif isinstance(order, member.Done):
+                self.done.append(order)
+
+    def take(self, name: str) -> None:
+        self.holder, self.epoch = name, self.epoch + 1
+        self.step(name, member.Took(self.epoch))
+
+    def second(self, count: int = 1) -> None:
+        for _ in range(count):
+            self.now += SECOND
+            for name in self.present():
+                found = self.reports.get(name) or report(name)
+                ready = {zone: int(seen.ready) for zone, seen in found.seen.items()}
+                self.step(name, member.Own(found, ready))
+
+    def lose(self, zone: str) -> None:
+        gone = Seen(0.0, 0.0, 0.0, 1.0, 0.0, 0.0, 0.0, 4.0)
+        self.reports = {name: report(name, **{zone: gone}) for name in NAMES}
+
+
+def fleet_with_holder() -> Fleet:
+    fleet = Fleet()
+    fleet.take("m0")
+    fleet.second(3)
+    return fleet
+
+
+def stays(fleet: Fleet, name: str, zone: str, workload: str = "view") -> float:
+    return fleet.cores[name].follower.plan.shares(zone, workload).get(zone, 0.0)
+
+
+# --- who may do what -----------------------------------------------------------------------------------------
+
+
+def test_only_the_holder_answers_evidence_and_plans():
+    fleet = Fleet()
+    fleet.second(3)
+    assert all(isinstance(words.hear(order.data), words.Telling) for _, order in fleet.said)
+    assert fleet.version == 0
+    fleet.take("m0")
+    fleet.second(2)
+    answers = [name for name, order in fleet.said if isinstance(words.hear(order.data), words.Summary)]
+    assert set(answers) == {"m0"} and fleet.cores["m8"].holder == "m0"
+
+
+def test_a_lost_zone_is_left_by_all_and_the_newest_plan_is_the_same_everywhere():
+    fleet = fleet_with_holder()
+    fleet.lose("b")
+    fleet.second(6)
+    assert {core.follower.plan.version for core in fleet.cores.values()} == {fleet.version}
+    assert all(stays(fleet, name, "b") < 0.4 for name in NAMES)
+    assert fleet.go["m1"].plan["view"][0].get("b", 0) < 0.4
+
+
+def test_a_holder_that_has_heard_of_few_does_not_plan():
+    """Guards against a plan by what a minority sees."""
+    fleet = fleet_with_holder()
+
+    def few(seconds: int) -> None:
+        for _ in range(seconds):
+            fleet.now += SECOND
+            for name in ("m0", "m1", "m4"):  # the others are there, but their words get lost
+                seen = fleet.reports.get(name) or report(name)
+                fleet.step(name, member.Own(seen, {zone: int(s.ready) for zone, s in seen.seen.items()}))
+
+    few(AGE // SECOND + 1)
+    before = fleet.version
+    fleet.lose("b")
+    few(10)
+    assert fleet.version == before and fleet.cores["m0"].follower.trust(fleet.now) == 1
+    fleet.second(6)
+    assert fleet.version > before
+
+
+def test_a_holder_whose_lease_is_another_s_does_nothing_more():
+    """It was stopped, and goes on: the lease's clock says so before it acts."""
+    fleet = fleet_with_holder()
+    old = fleet.cores["m0"]
+    assert old.holding is not None
+    fleet.take("m1")
+    fleet.said.clear()
+    before = fleet.version
+    fleet.lose("b")
+    fleet.now += SECOND
+    fleet.step("m0", member.Own(report("m0"), {"a": 4}))
+    assert old.holding is None and fleet.version == before
+    fleet.second(6)
+    assert fleet.cores["m5"].holder == "m1" and stays(fleet, "m0", "b") < 0.4
+
+
+def test_a_new_holder_goes_on_from_the_plan_in_force():
+    fleet = fleet_with_holder()
+    fleet.lose("b")
+    fleet.second(6)
+    before, version = stays(fleet, "m5", "b"), fleet.version
+    fleet.take("m2")
+    fleet.second()
+    assert stays(fleet, "m5", "b") <= before + 0.05 and fleet.version >= version
+    fleet.reports = {}
+    fleet.second(2)
+    assert stays(fleet, "m5", "b") < 0.2, "it is tried before it is trusted"
+
+
+def test_what_nobody_accepted_counts_for_nobody():
+    fleet = fleet_with_holder()
+    before = fleet.version
+    fleet.decide_ = False
+    fleet.lose("b")
+    fleet.second(4)
+    assert fleet.cores["m0"].follower.plan.version == before == fleet.cores["m0"].holding.planner.plan.version
+
+
+def test_a_member_that_hears_of_nobody_stays_by_its_plan_then_at_home():
+    fleet = fleet_with_holder()
+    fleet.lose("b")
+    fleet.second(6)
+    lonely = fleet.cores["m1"]
+    assert lonely.home == "b"
+    fleet.dead = set(NAMES) - {"m1"}
+    fleet.second(FRESH // SECOND - 1)
+    assert fleet.go["m1"].plan["view"][0].get("b", 0) < 0.4
+    fleet.second(FADED // SECOND)
+    shares, way = fleet.go["m1"].plan["view"]
+    assert shares["b"] == pytest.approx(0.9) and sum(way.values()) == pytest.approx(0.1), "home is lost: a tenth"
+
+
+# --- a partition ---------------------------------------------------------------------------------------------
+
+
+def test_a_zone_of_which_nobody_is_heard_gets_no_spill_and_no_decision():
+    """Found by processes: nobody had tried anything there, and untried passed for reachable."""
+    fleet = fleet_with_holder()
+    fleet.dead = {name for name in NAMES if int(name[1:]) % 3 == 2}  # all of c
+    fleet.second(AGE // SECOND + 1)
+    fleet.lose("b")
+    fleet.second(6)
+    plan = fleet.cores["m0"].follower.plan
+    assert plan.shares("b", "view").get("c", 0) == 0 and plan.shares("c", "view") == {"c": 1.0}
+    assert plan.ways.get("a", {}).get("view", {}).get("c", 0) == 0
+
+
+def test_a_side_that_sees_a_zone_fail_calls_it_cut_and_only_those_in_it_call_it_down():
+    evidence = Evidence(MAP, ("a", "b", "c"))
+    failing = Seen(30.0, 30.0, 0.0, 1.0, 0.0, 0.0, 4.0, 4.0)
+    for n in (0, 3, 6):
+        evidence.hear(0, report(f"m{n}", c=failing))
+    assert evidence.picture(0).state["a", "c"] is State.CUT
+    for n in (2, 5, 8):
+        evidence.hear(0, report(f"m{n}", c=failing))
+    assert evidence.picture(0).state["a", "c"] is State.DOWN
+
+
+# --- operators -----------------------------------------------------------------------------------------------
+
+
+def test_a_drain_is_done_when_a_majority_has_it_and_outlives_its_holder():
+    fleet = fleet_with_holder()
+    fleet.decide_ = False
+    fleet.step("m5", member.Asked(7, "drain", "b"))
+    fleet.second(2)
+    assert not fleet.done, "nobody has accepted it"
+    fleet.decide_ = True
+    fleet.second(2)
+    assert [(done.serial, done.done) for done in fleet.done] == [(7, True)]
+    fleet.take("m1")
+    fleet.second(3)
+    assert fleet.cores["m8"].follower.plan.drained == ("b",)
+    fleet.step("m1", member.Asked(8, "restore", "b"))
+    fleet.second(2)
+    assert fleet.done[-1].done and fleet.cores["m8"].follower.plan.drained == ()
+
+
+def test_the_last_good_zone_is_drained_by_force_alone_and_twice_is_once():
+    fleet = fleet_with_holder()
+    for serial, zone in enumerate("bb"):
+        fleet.step("m0", member.Asked(serial, "drain", zone))
+        fleet.second(2)
+    assert [done.done for done in fleet.done] == [True, True]
+    fleet.step("m4", member.Asked(10, "drain", "c"))
+    fleet.second(2)
+    fleet.step("m4", member.Asked(11, "drain", "a"))
+    fleet.second()
+    assert not fleet.done[-1].done and "last good zone" in fleet.done[-1].text
+    fleet.step("m4", member.Asked(12, "drain", "a", True))
+    fleet.second(2)
+    assert fleet.done[-1].done and fleet.cores["m4"].follower.plan.drained == ("a", "b", "c")
+
+
+def test_without_a_holder_a_call_is_answered_at_once_and_one_that_waits_ends():
+    fleet = Fleet()
+    fleet.step("m5", member.Asked(1, "pin"))
+    assert [(done.done, "nobody" in done.text) for done in fleet.done] == [(False, True)]
+    fleet = fleet_with_holder()
+    fleet.decide_ = False
+    fleet.step("m5", member.Asked(2, "pin"))
+    fleet.second(member.WISH_TIME // SECOND + 1)
+    assert [done.serial for done in fleet.done] == [2] and not fleet.done[0].done
+    assert not fleet.cores["m5"].wishes
+
+
+def test_pinned_it_stays_whatever_happens():
+    fleet = fleet_with_holder()
+    fleet.step("m0", member.Asked(1, "pin"))
+    fleet.second(2)
+    before = fleet.cores["m4"].follower.plan.rows
+    fleet.lose("b")
+    fleet.second(6)
+    assert fleet.cores["m4"].follower.plan.pinned and fleet.cores["m4"].follower.plan.rows == before
+    fleet.step("m0", member.Asked(2, "unpin"))
+    fleet.second(6)
+    assert stays(fleet, "m4", "b") < 0.5
+
+
+# --- liars and noise -----------------------------------------------------------------------------------------
+
+
+def test_old_and_doubled_evidence_says_nothing():
+    fleet = fleet_with_holder()
+    telling = words.telling(MAP, report("m4", 500.0), 5, 0)
+    fleet.step("m0", member.Heard("m4", words.say(telling)))
+    assert fleet.cores["m0"].dropped["old"] == 1
+    assert fleet.cores["m0"].evidence.reports["m4"][1].traffic["view"] < 20
+
+
+def test_one_that_claims_to_hold_the_plan_moves_nothing():
+    """It may be believed to stand behind a plan that a majority did decide; no plan comes of its word."""
+    fleet = fleet_with_holder()
+    core = fleet.cores["m8"]
+    before = core.follower.plan
+    lie = words.Summary(MAP.mark(), core.serial, 10**9, 99, [(1, 0)])
+    fleet.step("m8", member.Heard("m2", words.say(lie)))
+    assert core.follower.plan is before and core.brakes == {1: 0.1}, "never cut to nothing"
+    fleet.step("m8", member.Heard("m7", words.say(lie)))
+    assert core.dropped["map"] == 1, "no elector"
+    old = words.Summary(MAP.mark(), core.serial - 5, 10**9, 99, [])
+    fleet.step("m8", member.Heard("m2", words.say(old)))
+    assert core.dropped["old"] == 1
+
+
+def test_words_of_another_map_and_bytes_of_any_kind_are_counted_and_change_nothing():
+    fleet = fleet_with_holder()
+    core, chance = fleet.cores["m0"], random.Random(5)
+    other = Map((Zone("a"), Zone("b")), (Workload("view"),))
+    telling = words.telling(other, Report("m4", "a", {"view": 1.0}, {}), core.now + SECOND, 0)
+    fleet.step("m0", member.Heard("m4", words.say(telling)))
+    assert core.dropped["map"] == 1
+    good = [words.say(words.telling(MAP, report("m4"), 1, 0)), words.write_plan(MAP, core.follower.plan)]
+    version = core.follower.plan.version
+    for _ in range(20_000):
+        data = bytearray(chance.choice(good) if chance.random() < 0.8 else chance.randbytes(60))
+        for _ in range(chance.randrange(4)):
+            data[chance.randrange(len(data))] = chance.randrange(256)
+        fleet.step("m0", member.Heard("m4", bytes(data)))
+        if chance.random() < 0.2:
+            fleet.step("m0", member.Decided(0, bytes(data)))
+    assert core.follower.plan.version == version
+    assert len(core.evidence.reports) <= 9 and len(core.serials) <= 9 and len(core.wishes) == 0
+    assert len(core.dropped) <= 3
+
+
+figures = st.floats(allow_nan=True, allow_infinity=True)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(figures, min_size=8, max_size=8), figures, st.lists(st.tuples(figures, figures), max_size=40))
+def test_any_figures_pass_the_wire_and_fit_a_datagram(seen, traffic, cold):
+    told = Report("m1", "b", {"view": traffic}, {"a": Seen(*seen)}, dict(enumerate(cold)))
+    data = words.say(words.telling(MAP, told, 1, 0))
+    assert len(data) < 1000
+    back = words.report(MAP, "m1", words.hear(data))
+    assert back.zone == "b" and all(0 <= rate <= 2**40 for rate in back.traffic.values())
+    evidence = Evidence(MAP)
+    evidence.hear(0, back)
+    evidence.picture(0)
+    assert all(0.1 <= part <= 1 for part in evidence.brakes(0).values())
+
+
+shares = st.dictionaries(st.sampled_from("abc"), st.floats(0, 1), max_size=3)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(shares, min_size=6, max_size=6), st.text(max_size=300))
+def test_a_plan_passes_the_wire_whole(found, why):
+    rows = {}
+    for number, one in enumerate(found):
+        total = sum(one.values())
+        scaled = {to: share / total for to, share in one.items()} if total > 1 else dict(one)
+        zone = "abc"[number % 3]
+        scaled[zone] = 1 - sum(share for to, share in scaled.items() if to != zone)
+        rows.setdefault(zone, {})["view" if number < 3 else "bid"] = scaled
+    plan = Plan(4, rows, why, {"a": {"bid": {"b": 0.25}}}, ("c",), True)
+    data = words.write_plan(MAP, plan)
+    back = words.read_plan(MAP, 4, data)
+    assert len(data) <= LARGEST_PLAN and back.drained == ("c",) and back.pinned
+    assert back.ways == {"a": {"bid": {"b": 0.25}}}
+    for zone, by in rows.items():
+        for workload, one in by.items():
+            read = back.shares(zone, workload)
+            assert sum(read.values()) == pytest.approx(1)
+            assert all(abs(read.get(to, 0) - share) < 0.004 for to, share in one.items())
+
+
+def test_a_plan_that_is_too_large_keeps_its_largest_shares():
+    zones = [f"zone-{n}" for n in range(16)]
+    map_ = Map(tuple(Zone(z) for z in zones), tuple(Workload(f"w{n}") for n in range(16)))
+    rows = {
+        z: {f"w{n}": {z: 0.5, zones[(at + 1) % 16]: 0.3, zones[(at + 2) % 16]: 0.2} for n in range(16)}
+        for at, z in enumerate(zones)
+    }
+    data = words.write_plan(map_, Plan(1, rows, "x" * 400, rows))
+    assert len(data) <= LARGEST_PLAN
+    back = words.read_plan(map_, 1, data)
+    assert back.rows and all(0.3 in one.values() for by in back.rows.values() for one in by.values())
+    with pytest.raises(Strange):
+        words.read_plan(MAP, 1, data)
+
+
+# --- the tally -----------------------------------------------------------------------------------------------
+
+
+def tallied() -> tuple[Sidecar, Tally]:
+    sidecar = Sidecar(deployment(workloads=[IDEM, KEYED], instances=1, cold_time=5 * SECOND))
+    tally = Tally(Map((Zone("a"), Zone("b")), (Workload("view"), Workload("bid"))), "a", 0)
+    watch(sidecar, tally)
+    entries = [t.Listing(f"{z}{n}", t.State.READY, z) for z in "ab" for n in range(2)]
+    sidecar.step(0, [t.Listed(t.ListKind.FULL, entries)])
+    return sidecar, tally
+
+
+def test_the_tally_counts_by_zone_and_keeps_nothing_of_a_submission():
+    sidecar, tally = tallied()
+    now = 0
+    for number in range(200):
+        now += 10_000
+        name = f"s{number}"
+        orders = sidecar.step(now, [t.Arrived(name, "view", now + SECOND)])
+        launch = next(order for order in orders if isinstance(order, t.Launch))
+        bad = launch.endpoint == "b1"
+        how = t.How.RESET if bad and number % 2 else t.How.HANDLED
+        sidecar.step(now + 5_000, [t.Ended(name, 0, how, 5_000, how is t.How.HANDLED)])
+        if how is t.How.RESET:
+            sidecar.step(now + 5_000, [t.Withdrawn(name)])
+    told = tally.report(now, "m", sidecar)
+    assert told.traffic["view"] == pytest.approx(100, rel=0.2) and told.traffic["bid"] == 0
+    assert told.seen["a"].failed == 0 < told.seen["b"].failed
+    assert told.seen["a"].ready == 2 == told.seen["a"].listed
+    assert 1.5 < told.seen["a"].room / (told.seen["a"].tried / 2) < 2.5, "twice, at the pace of uncrowded ones"
+    assert not sidecar.desk.open and len(tally.cold) == 0
+
+
+def test_a_zone_that_denies_has_no_more_room_than_it_used():
+    sidecar, tally = tallied()
+    assert tally.more(1.0, False, 0.0) == 2 and tally.more(1.0, True, 0.0) < 1.1 and tally.more(1.0, False, 1.0) == 1
+    assert tally.more(4.0, False, 0.0) == pytest.approx(8 / 7) and SHORT < 0.1
+
+
+def test_cold_endpoints_are_told_with_their_rate_and_summed_into_a_brake():
+    sidecar, tally = tallied()
+    sidecar.step(1, [t.Listed(t.ListKind.CHANGES, [t.Listing("a9", t.State.READY, "a", started=1)])])
+    now = 1
+    for number in range(150):
+        now += 10_000
+        orders = sidecar.step(now, [t.Arrived(f"s{number}", "view", now + SECOND)])
+        if any(isinstance(order, t.Launch) for order in orders):
+            sidecar.step(now, [t.Ended(f"s{number}", 0, t.How.HANDLED, 5_000, True)])
+    told = tally.report(now, "m", sidecar)
+    ((mark, (rate, warmth)),) = told.cold.items()
+    assert mark == words.mark_of("a9") and rate > 0 and 0.3 <= warmth < 1
+    evidence = Evidence(MAP)
+    for n in range(9):
+        evidence.hear(0, Report(f"m{n}", "abc"[n % 3], {}, report(f"m{n}").seen, {mark: (30.0, 0.3)}))
+    parts = evidence.brakes(0)
+    assert 0.1 <= parts[mark] < 0.5
+    evidence.hear(0, Report("m3", "a", {}, report("m3").seen, {mark: (1e12, 0.3)}))
+    assert evidence.brakes(0)[mark] >= parts[mark] / 3, "one liar slows all by no more than that"
+
+
+# --- whole fleets in virtual time ----------------------------------------------------------------------------
+
+
+def played(name: str, seed: int, seconds: int, **changes) -> VirtualRun:
+    table = scenario.over(scenario.raw(scenario.find(name)), {"seconds": seconds, **changes})
+    run = VirtualRun(scenario.check(table, name), seed, commons=commons.of("plan"))
+    run.play()
+    return run
+
+
+def crossing(run: VirtualRun, first: int, last: int) -> float:
+    seconds = run.measure.seconds[first:last]
+    return sum(s.crossed for s in seconds) / max(1, sum(s.launches for s in seconds))
+
+
+def test_calm_and_even_less_than_three_in_a_hundred_cross():
+    run = played("zones-calm", 3, 25)
+    assert crossing(run, 3, 25) < 0.03 and not run.commons.broken
+    assert not any(run.world.referee.counts.values())
+
+
+def test_a_lost_zone_in_virtual_time_is_left_and_no_rule_is_broken():
+    run = played("zone-loss", 2, 34)
+    assert crossing(run, 3, 19) < 0.05 < 0.15 < crossing(run, 24, 33)
+    assert not any(run.world.referee.counts.values()) and not run.commons.broken
+    holders = [post for post in run.commons.posts.values() if post.member and post.member.holding]
+    assert len(holders) == 1
+
+
+def test_holders_killed_one_after_the_other_never_share_an_epoch():
+    trouble = [{"kind": "zone_cut", "at_s": 8, "lasts_s": 30, "zone": "b"}]
+    trouble += [{"kind": "sidecar_kill", "at_s": at, "lasts_s": 3, "part": 0.3} for at in (10, 15, 20)]
+    run = played("zones-calm", 4, 30, trouble=trouble)
+    assert not run.commons.broken and len(run.commons.epochs) >= 1
+    assert not any(run.world.referee.counts.values())
+    plans = {post.member.follower.plan.version for post in run.commons.posts.values() if post.member}
+    assert max(plans) == max(run.commons.versions)
+
+
+@pytest.mark.parametrize("extra", [0, 1, 2])
+def test_a_zone_apart_keeps_its_home_in_virtual_time(extra):
+    trouble = [{"kind": "zone_apart", "at_s": 8, "lasts_s": 12, "zone": "c", "extra": extra}]
+    run = played("zones-calm", 5, 26, trouble=trouble)
+    assert not run.commons.broken and not any(run.world.referee.counts.values())
+    assert crossing(run, 10, 19) < 0.06 and run.measure.worst_window() > 0.95
+    versions = {post.member.follower.plan.version for post in run.commons.posts.values()}
+    assert len(versions) == 1, "after the heal all go by one plan"
