--- a/lupinmill/cli/lab.py
+++ b/lupinmill/cli/lab.py
@@ -88,6 +88,9 @@
         f"  asked {f.asked}  handled {f.handled}, in time {f.in_time}  tries denied {f.denied}, "
         f"broken off {f.broken_off}, unreachable {f.unreachable}, unanswered {f.unanswered}"
     )
+    if len(one.scenario["net"]["zones"]) > 1:
+        crossed, launched = sum(s.crossed for s in one.seconds), sum(s.launches for s in one.seconds)
+        click.echo(f"  launches that crossed zones: {crossed / max(1, launched):.3f} of all")
     click.echo(
         f"  launches a try {f.launches_per_submission:.2f}  probes {f.probes_per_submission:.2f}  "
         f"waste {f.waste:.3f}"
@@ -398,6 +401,35 @@
     sys.exit(BROKEN if broken else 0)
 
 
+@lab.command("zones")
+@click.argument("name", metavar="SCENARIO", default="zone-loss")
+@click.option("--modes", default="off,near,alone,plan,sight", show_default=True, help="What is compared.")
+@click.option("--seeds", default=10, show_default=True, type=click.IntRange(1, 1000))
+@click.option("--set", "changes", multiple=True, metavar="KEY=VALUE", help="Change a setting of the scenario.")
+@click.option("--jobs", default=0, help="Runs at once; all cores if not told.")
+def zones_(name: str, modes: str, seeds: int, changes: tuple[str, ...], jobs: int) -> None:
+    """A scenario of zones in virtual time: today, near only, each alone, the plan in common, one that sees all.
+
+    Exit code 1 where a rule was broken or two held one epoch.
+    """
+    import os
+
+    from lupinmill.lab import commons, zones_measure
+
+    chosen = modes.split(",")
+    try:
+        scenario.load(name)
+        if wrong := [mode for mode in chosen if mode not in commons.MODES]:
+            raise ValueError(f"--modes {wrong[0]}: one of {', '.join(commons.MODES)}")
+        pairs = tuple((key.strip(), value.strip()) for key, _, value in (c.partition("=") for c in changes))
+        found = zones_measure.table(
+            name, chosen, list(range(1, seeds + 1)), pairs, jobs or os.cpu_count() or 1, click.echo
+        )
+    except (BadScenario, ValueError) as error:
+        refuse(error)
+    sys.exit(BROKEN if any(row.broken for rows in found.values() for row in rows) else 0)
+
+
 @lab.command()
 @click.option("--kind", "kinds", multiple=True, help="Rows: death, quiet, 'loss 10%', ...; all if not told.")
 @click.option("--sizes", default="10,100", show_default=True, help="Members.")
--- a/lupinmill/lab/commons.py
+++ b/lupinmill/lab/commons.py
@@ -25,7 +25,7 @@
 from lupinmill.zones.member import Member
 from lupinmill.zones.plan import Drains, aim
 from lupinmill.zones.tally import Tally, watch
-from lupinmill.zones.words import mark_of
+from lupinmill.zones.words import mark_of, read_plan
 
 TOPIC = "zones"
 COUNTS = 3 * SECOND
@@ -78,7 +78,7 @@
         self.count = LiveCount(run.instances[0], now)
         watch(self.seat.module, self.tally)
         self.wake(self.life)
-        run.timeline.after(int(self.commons.chance.integers(SECOND)), self.look, self.life)
+        run.timeline.after(1 + int(self.commons.chance.integers(SECOND // 20)), self.look, self.life)
 
     def end(self) -> None:
         self.peer = self.member = None
@@ -189,6 +189,7 @@
     at: int
     holder: str
     known: dict[str, int]
+    left: tuple[str, ...] = ()  # zones whose traffic mostly goes elsewhere by it
 
 
 class Together:
@@ -246,7 +247,15 @@
 
     def note_known(self, post: Post, order: peer.Known) -> None:
         now = self.run.timeline.now
-        force = self.versions.setdefault(order.version, Force(now, post.name, {}))
+        force = self.versions.get(order.version)
+        if force is None:
+            plan = read_plan(self.map, order.version, order.body)
+            left = tuple(
+                zone.name
+                for zone in self.map.zones
+                if all(plan.shares(zone.name, w.name).get(zone.name, 0.0) < 0.5 for w in self.map.workloads)
+            )
+            force = self.versions[order.version] = Force(now, post.name, {}, left)
         force.known.setdefault(post.name, now)
 
     def figures(self) -> dict[str, float]:
