--- a/lupinmill/cli/check.py
+++ b/lupinmill/cli/check.py
@@ -55,7 +55,9 @@
     else:
         lines.append("decisions: none, there are no electors")
     if peers.live_count:
-        lines.append("caps are shared out by how many sidecars are there, not by the figure told at the start")
+        lines.append(
+            "caps are shared out by how many sidecars are there, not by the figure told at the start"
+        )
     lines += zones_in_words(file)
     if name is not None:
         told = operators_file.told(file, name)
@@ -89,7 +91,9 @@
             f"{100 * min(0.9, 1 - zone.spare):.0f}% of what it can do"
         )
         if not there:
-            lines.append(f"caution: nobody in {zone.name} tells of it; others spill into it only once they know it")
+            lines.append(
+                f"caution: nobody in {zone.name} tells of it; others spill into it only once they know it"
+            )
     for load in (w for w in map_.workloads if w.name in zones.workloads):
         lines.append(
             f"  {load.name}: {100 * load.leave_zone:.0f}% of a zone's traffic may leave it, "
--- a/lupinmill/cli/lab.py
+++ b/lupinmill/cli/lab.py
@@ -405,10 +405,13 @@
 @click.argument("name", metavar="SCENARIO", default="zone-loss")
 @click.option("--modes", default="off,near,alone,plan,sight", show_default=True, help="What is compared.")
 @click.option("--seeds", default=10, show_default=True, type=click.IntRange(1, 1000))
-@click.option("--set", "changes", multiple=True, metavar="KEY=VALUE", help="Change a setting of the scenario.")
+@click.option(
+    "--set", "changes", multiple=True, metavar="KEY=VALUE", help="Change a setting of the scenario."
+)
 @click.option("--jobs", default=0, help="Runs at once; all cores if not told.")
 def zones_(name: str, modes: str, seeds: int, changes: tuple[str, ...], jobs: int) -> None:
-    """A scenario of zones in virtual time: today, near only, each alone, the plan in common, one that sees all.
+    """A scenario of zones in virtual time: today, near only, each alone, the plan in common, one that sees
+    all.
 
     Exit code 1 where a rule was broken or two held one epoch.
     """
--- a/lupinmill/cli/zones.py
+++ b/lupinmill/cli/zones.py
@@ -25,10 +25,12 @@
     lines = [f"Plan {table['version']}: {table['why']}."]
     if table["version"] and trust < 1:
         lines.append(
-            f"Nobody has stood behind it for {table['confirmed_s']} s, so it counts for {part(trust)}; for the rest "
+            f"Nobody has stood behind it for {table['confirmed_s']} s, so it counts for {part(trust)}; else "
             "this sidecar stays at home, and out of a lost home sends a tenth."
         )
-    lines.append(f"{holder} decides." if holder else "Nobody is known to decide now: no lease on the plan is held.")
+    lines.append(
+        f"{holder} decides." if holder else "Nobody is known to decide now: no lease on the plan is held."
+    )
     if table["pinned"]:
         lines.append("It is pinned by an operator: it changes for nobody until it is unpinned.")
     if table["drained"]:
@@ -55,7 +57,9 @@
     if "capacity" in table:
         for zone, able in table["capacity"].items():
             own = sum(table["traffic"].get(zone, {}).values())
-            lines.append(f"  {zone}: {own:.0f} a second come to it, its endpoints are held to take {able:.0f}")
+            lines.append(
+                f"  {zone}: {own:.0f} a second come to it, its endpoints are held to take {able:.0f}"
+            )
     if "applied" in table:
         behind = [name for name, version in table["applied"].items() if version != table["version"]]
         lines.append(
@@ -67,7 +71,7 @@
         if counts["launched"]:
             share = counts["crossed"] / counts["launched"]
             lines.append(
-                f"{workload}: {part(share)} of this sidecar's first launches have left the zone since its start, "
+                f"{workload}: {part(share)} of this sidecar's first launches have left its zone so far, "
                 f"{part(table['budgets'][workload]['leave_zone'])} may."
             )
     return lines
--- a/lupinmill/lab/commons.py
+++ b/lupinmill/lab/commons.py
@@ -179,7 +179,9 @@
             together = self.peer.membership.standing in (Standing.TOGETHER, Standing.IN_DOUBT)
             sidecars = self.count.step(self.commons.run.timeline.now, together, len(self.present()))
         assert self.tally is not None
-        self.seat.tell(t.Common(sidecars, order.plan, brakes, self.tally.listed(self.seat.module), order.until))
+        self.seat.tell(
+            t.Common(sidecars, order.plan, brakes, self.tally.listed(self.seat.module), order.until)
+        )
 
 
 @dataclass
@@ -195,7 +197,9 @@
 class Together:
     """All posts of a run."""
 
-    def __init__(self, run: Any, live: bool = False, lease: float = 2.0, loss: float = 0.0, **more: Any) -> None:
+    def __init__(
+        self, run: Any, live: bool = False, lease: float = 2.0, loss: float = 0.0, **more: Any
+    ) -> None:
         self.run, self.live, self.loss = run, live, loss
         self.lease = int(lease * SECOND)
         self.map = map_of(run, **more)
@@ -205,7 +209,9 @@
             Seat(seat.name, f"127.0.0.1:{at + 1}", seat.zone) for at, seat in enumerate(run.seats)
         )
         count = 5 if len(names) >= 5 else 3
-        self.electors = tuple(names[at * len(names) // count] for at in range(count)) if len(names) >= 3 else ()
+        self.electors = (
+            tuple(names[at * len(names) // count] for at in range(count)) if len(names) >= 3 else ()
+        )
         self.posts = {seat.name: Post(self, seat) for seat in run.seats}
         self.zone_of = {seat.name: seat.zone for seat in run.seats}
         self.period = int(SECOND * max(1.0, len(names) / MOST_LARGE))
@@ -307,7 +313,8 @@
         self.run.timeline.after(SECOND // 4 if self.mode == "sight" else SECOND, self.look, seat, life)
 
     def see(self) -> None:
-        """The true state at each moment: what endpoints can do, cold ones as warm as they are, and what comes."""
+        """The true state at each moment: what endpoints can do, cold ones as warm as they are, and what
+        comes."""
         run, world = self.run, self.run.world
         able = dict.fromkeys(world.zones, 0.0)
         mean = sum(w.share * w.mean for w in world.workloads) * world.tiers[0][0].shape.work
@@ -321,7 +328,9 @@
             parts[seat.zone] += weights[seat.position]
         total = sum(parts.values()) or 1.0
         rate = world.rate_now()
-        traffic = {z: {w.name: rate * parts[z] / total * w.share for w in world.workloads} for z in world.zones}
+        traffic = {
+            z: {w.name: rate * parts[z] / total * w.share for w in world.workloads} for z in world.zones
+        }
         state = {}
         for a in world.zones:
             for b in world.zones:
--- a/lupinmill/lab/world.py
+++ b/lupinmill/lab/world.py
@@ -103,7 +103,9 @@
         self.client_way = draw(chance, scenario.net.client_ms) * MS
         self.jitter = draw(chance, scenario.net.jitter)
         self.regions = dict(zip(self.zones, scenario.net.regions or [""] * len(self.zones)))
-        self.apart: dict[tuple[str, str], int] = {}  # from zone, to zone: how many troubles block that way now
+        self.apart: dict[
+            tuple[str, str], int
+        ] = {}  # from zone, to zone: how many troubles block that way now
         self.links: dict[tuple[str, str], float] = {}  # times that a way between zones takes longer
         self.net_chance = chance_for(seed, "net")
         self.tiers: list[list[Endpoint]] = []
@@ -722,7 +724,6 @@
             self.die(endpoint, True)
             self.timeline.after(lasts * SECOND, self.revive, endpoint)
 
-
     def do_zone_apart(
         self,
         stream: Any,
@@ -734,7 +735,8 @@
         why: str,
         event: Event,
     ) -> None:
-        """Nothing passes between one zone and the others; `extra` 1: nothing out of it, 2: nothing into it."""
+        """Nothing passes between one zone and the others; `extra` 1: nothing out of it, 2: nothing into
+        it."""
         zone = event.zone or self.zones[int(stream.integers(len(self.zones)))]
         others = [other for other in self.zones if other != zone]
         ways = [(zone, other) for other in others if extra != 2] + [(o, zone) for o in others if extra != 1]
@@ -748,7 +750,15 @@
             self.driver.ways_changed()
 
     def do_zone_slow(
-        self, stream: Any, tier: int, lasts: float, part: float, size: float, extra: float, why: str, event: Event
+        self,
+        stream: Any,
+        tier: int,
+        lasts: float,
+        part: float,
+        size: float,
+        extra: float,
+        why: str,
+        event: Event,
     ) -> None:
         """`part` of one zone's endpoints is `size` times slower, reached over `extra` seconds one by one; the
         list says that all is well."""
@@ -760,7 +770,15 @@
             self.timeline.after(lasts * SECOND, endpoint.slow_by, why, 1.0)
 
     def do_zone_link(
-        self, stream: Any, tier: int, lasts: float, part: float, size: float, extra: float, why: str, event: Event
+        self,
+        stream: Any,
+        tier: int,
+        lasts: float,
+        part: float,
+        size: float,
+        extra: float,
+        why: str,
+        event: Event,
     ) -> None:
         """All ways to and from one zone take `size` times as long."""
         zone = event.zone or self.zones[int(stream.integers(len(self.zones)))]
--- a/lupinmill/lab/zones_measure.py
+++ b/lupinmill/lab/zones_measure.py
@@ -1,5 +1,5 @@
-"""Zones in virtual time by the seed: the same days without a plan, by simple rules, by the plan, and by one that
-sees all. Pairs of the same seed have the same arrivals and works."""
+"""Zones in virtual time by the seed: the same days without a plan, by simple rules, by the plan, and by one
+that sees all. Pairs of the same seed have the same arrivals and works."""
 
 from __future__ import annotations
 
--- a/lupinmill/lab/zones_sockets.py
+++ b/lupinmill/lab/zones_sockets.py
@@ -1,8 +1,8 @@
-"""Real sidecars in zones, with stand-in endpoints and clients, and the network between zones in the hand of the
-rig: datagrams between sidecars and connections to endpoints pass through it one by one.
+"""Real sidecars in zones, with stand-in endpoints and clients, and the network between zones in the hand of
+the rig: datagrams between sidecars and connections to endpoints pass through it one by one.
 
-Built on `SocketRun`: same world, clients and referee. Owns, beyond its processes and stand-ins, a way for each
-sidecar to each endpoint and a relay between every two sidecars; `close` gives all of it back."""
+Built on `SocketRun`: same world, clients and referee. Owns, beyond its processes and stand-ins, a way for
+each sidecar to each endpoint and a relay between every two sidecars; `close` gives all of it back."""
 
 from __future__ import annotations
 
@@ -44,11 +44,12 @@
 
 
 class ZoneWay(Way):
-    """What a sidecar opens to an endpoint. Guards against a request that a sidecar has given up on and that is
-    delivered when a cut heals: a connection that was held up and closed meanwhile is dropped whole."""
+    """What a sidecar opens to an endpoint. Guards against a request that a sidecar has given up on and that
+    is delivered when a cut heals: a connection that was held up and closed meanwhile is dropped whole."""
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """As the kernel does where the other end never answered: who has hung up meanwhile is not connected."""
+        """As the kernel does where the other end never answered: who has hung up meanwhile is not
+        connected."""
         task = asyncio.current_task()
         assert task is not None
         if len(self.tasks) >= MOST_CONNECTIONS:
@@ -159,7 +160,9 @@
         rows = []
         for other in names:
             address = f"{HOST}:{self.peer_port[name]}" if other == name else self.relays[name, other].address
-            rows.append(f'[peers.members.{other}]\naddress = "{address}"\nzone = "{self.net.zone_of[other]}"\n')
+            rows.append(
+                f'[peers.members.{other}]\naddress = "{address}"\nzone = "{self.net.zone_of[other]}"\n'
+            )
         for zone in self.world.zones:
             rows.append(f'[zones.map.{zone}]\nregion = "{self.world.regions[zone]}"\n')
         text = (
@@ -353,7 +356,9 @@
 
     def lose_zone(self, zone: str) -> None:
         """All its endpoints fall silent; the list says nothing for a while."""
-        for endpoint in [e for tier in self.run.world.tiers for e in tier if e.shape.zone == zone and e.alive]:
+        for endpoint in [
+            e for tier in self.run.world.tiers for e in tier if e.shape.zone == zone and e.alive
+        ]:
             self.run.act(self.run.world.die, endpoint, True)
 
     def revive_zone(self, zone: str) -> None:
--- a/lupinmill/peers/count.py
+++ b/lupinmill/peers/count.py
@@ -1,9 +1,9 @@
 """How many sidecars share the endpoints now, in place of the figure told at the start. Pure.
 
-A rise counts at once: caps of all are smaller then, which harms nothing. A fall counts after `HOLD`, as one that
-restarts is back before; and only while this sidecar sees a majority. Who is cut off can't tell the dead from the
-others' side of the cut: it goes back to the told figure, by as much as what it last knew has aged. So two sides
-of a partition together never act as more than twice the fleet, and mostly as the fleet.
+A rise counts at once: caps of all are smaller then, which harms nothing. A fall counts after `HOLD`, as one
+that restarts is back before; and only while this sidecar sees a majority. Who is cut off can't tell the dead
+from the others' side of the cut: it goes back to the told figure, by as much as what it last knew has aged.
+So two sides of a partition together never act as more than twice the fleet, and mostly as the fleet.
 
 Owns the counts of the last `HOLD`, one a step at most `KEPT`."""
 
--- a/lupinmill/peers/driver.py
+++ b/lupinmill/peers/driver.py
@@ -20,7 +20,19 @@
 from lupinmill.peers.elector import Keep
 from lupinmill.peers.keep import BadKeep, Promises
 from lupinmill.peers.peer import REHEARSAL, Forgot, Known, Note, Order, Peer, Said, Told
-from lupinmill.peers.view import PRESENT, SECOND, Changed, Heard, Leave, Resign, Return, Roster, Send, Stands, Standing
+from lupinmill.peers.view import (
+    PRESENT,
+    SECOND,
+    Changed,
+    Heard,
+    Leave,
+    Resign,
+    Return,
+    Roster,
+    Send,
+    Standing,
+    Stands,
+)
 from lupinmill.routing.engine import Log, defect
 from lupinmill.transport.connection import split_address
 
--- a/lupinmill/peers/wire.py
+++ b/lupinmill/peers/wire.py
@@ -193,8 +193,8 @@
 
 
 class Carried(Struct, array_like=True, tag="x", frozen=True):
-    """What a feature that goes by peers says to the same feature of another member. It may be lost, doubled and
-    late; the feature reads its words itself."""
+    """What a feature that goes by peers says to the same feature of another member. It may be lost,
+    doubled and late; the feature reads its words itself."""
 
     topic: Name
     words: Words
--- a/lupinmill/program/common.py
+++ b/lupinmill/program/common.py
@@ -1,7 +1,7 @@
 """What this sidecar holds in common with the others, told to the decision module once a period, in one note.
 
-Owns nothing: the count is the peers', plan and brakes are the zones'. A note counts for some periods; should this
-task end, the module is as told at the start soon after."""
+Owns nothing: the count is the peers', plan and brakes are the zones'. A note counts for some periods; should
+this task end, the module is as told at the start soon after."""
 
 from __future__ import annotations
 
@@ -23,7 +23,9 @@
 
 
 class Common:
-    def __init__(self, engine: Engine, peers: Driver, told: int, live: bool, zoning: Zoning | None, log: Log) -> None:
+    def __init__(
+        self, engine: Engine, peers: Driver, told: int, live: bool, zoning: Zoning | None, log: Log
+    ) -> None:
         self.engine, self.peers, self.zoning, self.log = engine, peers, zoning, log
         self.live = LiveCount(told, engine.clock.now()) if live else None
         self.count = told
--- a/lupinmill/program/operators_file.py
+++ b/lupinmill/program/operators_file.py
@@ -61,7 +61,8 @@
 
 
 class WorkloadEntry(Struct, forbid_unknown_fields=True, frozen=True):
-    """`worth` 0: as the platform's settings value it. Budgets are parts of a zone's traffic of this workload."""
+    """`worth` 0: as the platform's settings value it. Budgets are parts of a zone's traffic of this
+    workload."""
 
     worth: float = 0.0
     leave_zone: float = 1.0
@@ -227,7 +228,7 @@
         text = str(error)
         for key in ("zones.", "costs."):
             if text.startswith(key):
-                text = "map." + text[len(key):]
+                text = "map." + text[len(key) :]
         raise BadFile(f"zones.{text}") from error
 
 
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -111,7 +111,8 @@
             map_ = operators_file.zone_map(file.zones, {w.name: w.value for w in deployment.workloads})
             zoning = Zoning(map_, operators_file.told(file, self.told.name), peers, self.engine, self.log)
             self.office.zones, self.office.move_zones = zoning.show, zoning.ask
-        self.common = Common(self.engine, peers, deployment.instances, file.peers.live_count, zoning, self.log)
+        live = file.peers.live_count
+        self.common = Common(self.engine, peers, deployment.instances, live, zoning, self.log)
 
     def mode_changed(self) -> None:
         self.to_close.set()
--- a/lupinmill/program/told.py
+++ b/lupinmill/program/told.py
@@ -75,7 +75,8 @@
             values = {w.name: w.value for w in deployment.workloads}
             operators_file.zone_map(file.zones, values)
             if deployment.beside:
-                raise operators_file.BadFile("zones: settings.family is mesh, where zones pull by their own price")
+                why = "settings.family is mesh, where zones pull by their own price"
+                raise operators_file.BadFile(f"zones: {why}")
     except operators_file.BadFile as error:
         text = str(error)
         raise BadStart(text if text.startswith(path) else f"{path}: {text}") from error
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -222,8 +222,8 @@
 
 @dataclass(slots=True)
 class Common:
-    """What sidecars that know each other hold in common. Each one replaces the one before it, whole; without a
-    next one it is taken back at `until`."""
+    """What sidecars that know each other hold in common. Each one replaces the one before it, whole; without
+    a next one it is taken back at `until`."""
 
     sidecars: int = 0  # that share the endpoints now; 0: as told at the start
     plan: dict[str, tuple[Shares, Shares]] = field(default_factory=dict)  # by workload; and if that is lost
--- a/lupinmill/zones/driver.py
+++ b/lupinmill/zones/driver.py
@@ -1,7 +1,7 @@
 """Drives the zones' core: between the peers, the decision module and the operators.
 
-It looks at the module through one place, its `step`: notes before, orders after. Owns the core, the tally and the
-calls of operators that wait for their answer."""
+It looks at the module through one place, its `step`: notes before, orders after. Owns the core, the tally and
+the calls of operators that wait for their answer."""
 
 from __future__ import annotations
 
@@ -136,6 +136,7 @@
     def show(self) -> dict[str, Any]:
         table = self.core.show()
         table["crossing"] = {
-            name: {"crossed": crossed, "launched": whole} for name, (crossed, whole) in self.tally.crossed.items()
+            name: {"crossed": crossed, "launched": whole}
+            for name, (crossed, whole) in self.tally.crossed.items()
         }
         return table
--- a/lupinmill/zones/evidence.py
+++ b/lupinmill/zones/evidence.py
@@ -181,8 +181,8 @@
         return found
 
     def capacity(self, fresh: list[tuple[float, Report]], zone: str) -> float:
-        """The rooms of those that send there, added, clipped by origin as above; what is slow by the observers'
-        weighted median is pressed a little less."""
+        """The rooms of those that send there, added, clipped by origin as above; what is slow by the
+        observers' weighted median is pressed a little less."""
         rows = self.weights(fresh, zone)
         whole = 0.0
         for origin in self.map.zones:
--- a/lupinmill/zones/follow.py
+++ b/lupinmill/zones/follow.py
@@ -50,8 +50,9 @@
         return {self.home: 1 - ALONE, (used or order)[0]: ALONE}
 
     def way(self, now: int, workload: str) -> Shares:
-        """Where what meets a lost home goes at once, before a plan answers for it; sums to 1 at most. As long as
-        the plan counts its own ways out do, each within the spare that it saw; later the local rule's tenth."""
+        """Where what meets a lost home goes at once, before a plan answers for it; sums to 1 at most. As long
+        as the plan counts its own ways out do, each within the spare that it saw; later the local rule's
+        tenth."""
         trust = self.trust(now) if self.plan.version else 0.0
         planned, local = self.plan.ways.get(self.home, {}).get(workload, {}), self.local(workload, True)
         found = {
--- a/lupinmill/zones/map.py
+++ b/lupinmill/zones/map.py
@@ -19,8 +19,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Workload:
-    """`worth`: the more it is, the earlier it gets room. Budgets are shares of a zone's traffic of it; `breaks`:
-    out of a lost zone it may go beyond them."""
+    """`worth`: the more it is, the earlier it gets room. Budgets are shares of a zone's traffic of it;
+    `breaks`: out of a lost zone it may go beyond them."""
 
     name: str
     worth: float = 1.0
@@ -73,7 +73,8 @@
         return [zone.name for zone in sorted(others, key=lambda z: (z.region != home, self.cost(a, z.name)))]
 
     def mark(self) -> int:
-        """Of what is told by numbers between members: names and their order. Where it differs, so do files."""
+        """Of what is told by numbers between members: names and their order. Where it differs, so do
+        files."""
         names = [zone.name for zone in self.zones] + ["/"] + [w.name for w in self.workloads]
         return crc32("\n".join(names).encode())
 
--- a/lupinmill/zones/member.py
+++ b/lupinmill/zones/member.py
@@ -1,13 +1,13 @@
-"""What one sidecar does about zones, whole: it tells its evidence, holds the plan if it holds the lease, goes by
-the newest plan that it knows. Pure: `step(now, notes, epoch, present)` gives orders; the driver, the lab in
-virtual time and the tests run this text.
+"""What one sidecar does about zones, whole: it tells its evidence, holds the plan if it holds the lease, goes
+by the newest plan that it knows. Pure: `step(now, notes, epoch, present)` gives orders; the driver, the lab
+in virtual time and the tests run this text.
 
-Who may do what: any member tells evidence to the electors and goes by decided plans. Only who holds the lease at
-that very moment (`epoch`) merges, plans, answers evidence and takes operators' wishes; a plan counts for nobody,
-its maker included, before a majority of the electors has it.
+Who may do what: any member tells evidence to the electors and goes by decided plans. Only who holds the lease
+at that very moment (`epoch`) merges, plans, answers evidence and takes operators' wishes; a plan counts for
+nobody, its maker included, before a majority of the electors has it.
 
-Owns the evidence of the others (`Evidence`), the last serial heard of each member (of the roster's names), and
-wishes on their way (`MOST_WISHES`, given back by their answer or after `WISH_TIME`)."""
+Owns the evidence of the others (`Evidence`), the last serial heard of each member (of the roster's names),
+and wishes on their way (`MOST_WISHES`, given back by their answer or after `WISH_TIME`)."""
 
 from __future__ import annotations
 
@@ -162,8 +162,8 @@
         self.moves = 0  # plans that this member has gone over to
 
     def step(self, now: int, notes: list[Note], epoch: int, present: list[str]) -> list[Order]:
-        """`epoch`: of the lease that this process holds at this moment, else 0. `present`: members that are there
-        in its view."""
+        """`epoch`: of the lease that this process holds at this moment, else 0. `present`: members that are
+        there in its view."""
         self.now = now
         if self.holding is not None and self.holding.epoch != epoch:
             self.holding = None  # whatever was told or not: the clock of the lease decides
@@ -212,8 +212,8 @@
         self.orders.append(Go(plan, brakes, self.now + COUNTS))
 
     def hold(self, holding: Holding, present: set[str]) -> None:
-        """Guards against a plan by a few: a holder that has heard of less than half of those that are there goes
-        on standing behind the plan in force."""
+        """Guards against a plan by a few: a holder that has heard of less than half of those that are there
+        goes on standing behind the plan in force."""
         self.evidence.forget(self.now, present)
         holding.picture = self.evidence.picture(self.now, present)
         holding.brakes = self.evidence.brakes(self.now)
@@ -263,8 +263,8 @@
             self.orders.append(Say(sender, words.say(answer)))
 
     def answered(self, sender: str, summary: Summary) -> None:
-        """By the holder, of what was told just now. One that only claims to hold it can make this member trust
-        for longer a plan that a majority did decide, and slow it down at cold endpoints: no more."""
+        """By the holder, of what was told just now. One that only claims to hold it can make this member
+        trust for longer a plan that a majority did decide, and slow it down at cold endpoints: no more."""
         if sender not in self.electors or summary.mark != self.map.mark():
             raise Strange("map")
         if summary.serial != self.serial or summary.epoch < self.holder_epoch and self.holder_known():
@@ -289,7 +289,9 @@
         if self.holding is not None:
             planner = self.holding.planner
             if planner.next == 0:
-                planner.take_over(self.follower.plan, self.now)  # found by the lease: it has done nothing so far
+                planner.take_over(
+                    self.follower.plan, self.now
+                )  # found by the lease: it has done nothing so far
             else:
                 planner.accept(self.follower.plan)
 
--- a/lupinmill/zones/plan.py
+++ b/lupinmill/zones/plan.py
@@ -2,9 +2,9 @@
 lease, a majority accepts it as the next version, all go by the newest that they know.
 
 Aim, anew each second, from the picture in common: all stays at home that fits there at a low level, the
-worthiest first; what doesn't goes to the nearest zones that have room at that level for the sum of all that would
-come, within the budgets; then the next level, up to the last. What fits nowhere stays at home and is denied there
-at once. Spill never takes what a zone is to keep free.
+worthiest first; what doesn't goes to the nearest zones that have room at that level for the sum of all that
+would come, within the budgets; then the next level, up to the last. What fits nowhere stays at home and is
+denied there at once. Spill never takes what a zone is to keep free.
 
 Law: from the plan in force towards the aim by bounded steps, so that the sum over all sidecars at a zone
 moves by a known part of its capacity a second: `OUT` out of a zone that is short, `BACK_HOME` on the way
@@ -48,7 +48,9 @@
     version: int = 0
     rows: Rows = field(default_factory=dict)
     why: str = "all at home"
-    ways: Rows = field(default_factory=dict)  # out of a zone that is lost before the next plan; may sum to less
+    ways: Rows = field(
+        default_factory=dict
+    )  # out of a zone that is lost before the next plan; may sum to less
     drained: tuple[str, ...] = ()  # by operators
     pinned: bool = False  # by operators: it stays as it is
 
@@ -125,8 +127,8 @@
 
 def ways_out(map_: Map, picture: Picture, drains: Drains, rows: Rows) -> Rows:
     """For each zone, where its traffic may go at once should it be lost, before anybody has decided anything:
-    the worthiest first, into what the others have spare now, of which each zone may take one part of as many as
-    there are others. So whichever zones are lost together, or take each other for lost from two sides of a
+    the worthiest first, into what the others have spare now, of which each zone may take one part of as many
+    as there are others. So whichever zones are lost together, or take each other for lost from two sides of a
     partition, what falls on another one by this rule is within its spare."""
     room, found = usable(map_, picture, drains), {}
     spare = {}
@@ -205,8 +207,8 @@
 
 
 class Planner:
-    """`step(now, picture)` gives the next plan, or None where the one in force stays. It is in force once it is
-    given back to `accept`: until a majority has it, it is nobody's."""
+    """`step(now, picture)` gives the next plan, or None where the one in force stays. It is in force once it
+    is given back to `accept`: until a majority has it, it is nobody's."""
 
     def __init__(self, map_: Map) -> None:
         self.map = map_
@@ -278,8 +280,10 @@
         self.bound(rows, picture)
         self.leave_unheard(rows, picture)
         if self.pinned:
-            rows = {z.name: {w.name: self.plan.shares(z.name, w.name) for w in self.map.workloads}
-                    for z in self.map.zones}
+            rows = {
+                z.name: {w.name: self.plan.shares(z.name, w.name) for w in self.map.workloads}
+                for z in self.map.zones
+            }
         ways = ways_out(self.map, picture, self.drains, rows)
         # Judged by how far the aim is as well as by the step: a slow way home is made of small steps.
         step = self.apart(rows)
@@ -290,8 +294,10 @@
             return None
         self.ways_at = now + WAYS_EVERY
         if stays:
-            rows = {z.name: {w.name: self.plan.shares(z.name, w.name) for w in self.map.workloads}
-                    for z in self.map.zones}
+            rows = {
+                z.name: {w.name: self.plan.shares(z.name, w.name) for w in self.map.workloads}
+                for z in self.map.zones
+            }
         why = self.why(rows)
         return Plan(self.plan.version + 1, rows, why, ways, self.drained(), self.pinned)
 
@@ -407,8 +413,8 @@
         return 0 if not relapses and self.needed(home, picture) else WAIT << relapses
 
     def homeward(self, home: str, stays: float, now: int, picture: Picture) -> float:
-        """Home to a zone that was lost: a wait, a trial share, then slowly; quicker where it is needed and nothing
-        speaks against it. Each relapse doubles the wait."""
+        """Home to a zone that was lost: a wait, a trial share, then slowly; quicker where it is needed and
+        nothing speaks against it. Each relapse doubles the wait."""
         needed, wait = self.needed(home, picture), self.wait(home, picture)
         back, trial, time = (NEEDED, NEEDED, NEEDED_TIME) if needed else (BACK_HOME, TRIAL, TRIAL_TIME)
         if home not in self.lost:
--- a/lupinmill/zones/tally.py
+++ b/lupinmill/zones/tally.py
@@ -1,8 +1,9 @@
-"""What one sidecar's own launches saw of each zone over the last seconds. Pure: it looks at the notes that the
-decision module gets and at the orders that come back, and asks the module for nothing that it does not hold.
+"""What one sidecar's own launches saw of each zone over the last seconds. Pure: it looks at the notes that
+the decision module gets and at the orders that come back, and asks the module for nothing that it does not
+hold.
 
-Owns rings of sums, a fixed number a zone and workload, and one ring a cold endpoint that it launches at, given
-back with the endpoint's warmth or the endpoint."""
+Owns rings of sums, a fixed number a zone and workload, and one ring a cold endpoint that it launches at,
+given back with the endpoint's warmth or the endpoint."""
 
 from __future__ import annotations
 
@@ -35,7 +36,11 @@
 
 class Counts:
     def __init__(self) -> None:
-        self.tried, self.failed, self.refused = Ring(BUCKETS, WIDTH), Ring(BUCKETS, WIDTH), Ring(BUCKETS, WIDTH)
+        self.tried, self.failed, self.refused = (
+            Ring(BUCKETS, WIDTH),
+            Ring(BUCKETS, WIDTH),
+            Ring(BUCKETS, WIDTH),
+        )
         self.handled, self.paces = Ring(BUCKETS, WIDTH), Ring(BUCKETS, WIDTH)
 
 
@@ -46,7 +51,9 @@
         self.came = {w.name: Ring(BUCKETS, WIDTH) for w in map_.workloads}
         self.all, self.denied = Ring(BUCKETS, WIDTH), Ring(BUCKETS, WIDTH)
         self.cold: dict[str, Ring] = {}
-        self.crossed = {w.name: [0, 0] for w in map_.workloads}  # first launches beyond the zone, and all, so far
+        self.crossed = {
+            w.name: [0, 0] for w in map_.workloads
+        }  # first launches beyond the zone, and all, so far
 
     # What passes.
 
@@ -140,9 +147,9 @@
 
     def more(self, pace: float, short: bool, cold: float) -> float:
         """How many times as much as it was seen to do a zone may do. The uncrowded answers that the pace is
-        measured against are taken to have come at half load, where servers that share a core among what they hold
-        take twice the work's time: so the share in use is 1 - 1/(2 pace). Cold ones are not counted on for more,
-        nor a zone that has to deny."""
+        measured against are taken to have come at half load, where servers that share a core among what they
+        hold take twice the work's time: so the share in use is 1 - 1/(2 pace). Cold ones are not counted on
+        for more, nor a zone that has to deny."""
         if short:
             return MOST_SHORT
         return 1.0 + (1 - cold) * (1 / (1 - 1 / (2 * max(1.0, pace))) - 1)
--- a/lupinmill/zones/words.py
+++ b/lupinmill/zones/words.py
@@ -1,7 +1,9 @@
-"""What members say to one another about zones, and a plan as the body of a decision: msgspec structs as msgpack.
-Pure. Zones and workloads go by their number in the map; `mark` tells whether both sides have the same one.
+"""What members say to one another about zones, and a plan as the body of a decision: msgspec structs as
+msgpack. Pure. Zones and workloads go by their number in the map; `mark` tells whether both sides have the
+same one.
 
-Every length has a bound, figures are whole numbers in small units, and what does not fit the map is refused."""
+Every length has a bound, figures are whole numbers in small units, and what does not fit the map is
+refused."""
 
 from __future__ import annotations
 
@@ -139,14 +141,25 @@
 def report(map_: Map, member: str, words: Telling) -> Report:
     """Raises Strange where it is of another map."""
     names = [zone.name for zone in map_.zones]
-    if words.mark != map_.mark() or len(words.seen) != len(names) or len(words.traffic) != len(map_.workloads):
+    if (
+        words.mark != map_.mark()
+        or len(words.seen) != len(names)
+        or len(words.traffic) != len(map_.workloads)
+    ):
         raise Strange("map")
     if words.zone >= len(names):
         raise Strange("map")
     seen = {}
     for name, (tried, failed, refused, pace, room, cold, ready, listed) in zip(names, words.seen):
         seen[name] = Seen(
-            float(tried), float(failed), float(refused), pace / 100, room / 10, cold / PART, float(ready), listed
+            float(tried),
+            float(failed),
+            float(refused),
+            pace / 100,
+            room / 10,
+            cold / PART,
+            float(ready),
+            listed,
         )
     return Report(
         member,
--- a/tests/test_common.py
+++ b/tests/test_common.py
@@ -1,5 +1,5 @@
-"""What sidecars hold in common, in the decision module: zones by plan, ways out, brakes at cold endpoints, the
-live count; placement and drains go before, and without a word all is as told."""
+"""What sidecars hold in common, in the decision module: zones by plan, ways out, brakes at cold endpoints,
+the live count; placement and drains go before, and without a word all is as told."""
 
 import pytest
 from bed import IDEM, KEYED, Bed, deployment
@@ -17,7 +17,7 @@
 def bed_of(per_zone: int = 2, workloads=(IDEM, KEYED), **changes) -> Bed:
     bed = Bed(deployment(workloads=list(workloads), **changes), 0)
     entries = [
-        t.Listing(f"{zone}{n}", t.State.READY, zone, "k", f"{zone}") for zone in ZONES for n in range(per_zone)
+        t.Listing(f"{zone}{n}", t.State.READY, zone, "k", zone) for zone in ZONES for n in range(per_zone)
     ]
     bed.step(t.Listed(t.ListKind.FULL, entries))
     return bed
@@ -157,7 +157,7 @@
     assert free >= 8 and braked <= free / 3
 
 
-# --- the live count ------------------------------------------------------------------------------------------
+# --- the live count -----------------------------------------------------------------------------------------
 
 
 def test_caps_follow_the_live_count_and_what_was_learned_is_scaled():
--- a/tests/test_operators_file.py
+++ b/tests/test_operators_file.py
@@ -50,9 +50,18 @@
     ("peers: Object missing required field `members`", 'site = "x"\n[peers]\n'),
     ("site: wants a name", changed('"example"', '""')),
     ("zones.map.coast.spare: wants 0 up to 1", changed("spare = 0.2", "spare = 1.0")),
-    ("zones.map.north.costs.moon: no such zone", changed('[zones.map.south]', 'costs = { moon = 1.0 }\n[zones.map.south]')),
-    ("zones.map.coast.sparse: unknown; the nearest known key is spare", changed("spare = 0.2", "sparse = 0.2")),
-    ("peers.members.front-1.zone: north is none of zones.map", changed("[zones.map.north]", "[zones.map.nord]")),
+    (
+        "zones.map.north.costs.moon: no such zone",
+        changed("[zones.map.south]", "costs = { moon = 1.0 }\n[zones.map.south]"),
+    ),
+    (
+        "zones.map.coast.sparse: unknown; the nearest known key is spare",
+        changed("spare = 0.2", "sparse = 0.2"),
+    ),
+    (
+        "peers.members.front-1.zone: north is none of zones.map",
+        changed("[zones.map.north]", "[zones.map.nord]"),
+    ),
     (
         "zones.workloads.view.leave_region: more than leave_zone",
         GOOD + "\n[zones.workloads.view]\nleave_zone = 0.1\nleave_region = 0.2\n",
--- a/tests/test_zones_member.py
+++ b/tests/test_zones_member.py
@@ -1,5 +1,5 @@
-"""One member's whole zones' core: evidence, holding the plan, operators' wishes, liars; the words on the wire; the
-tally around the module; and whole fleets in virtual time."""
+"""One member's whole zones' core: evidence, holding the plan, operators' wishes, liars; the words on the
+wire; the tally around the module; and whole fleets in virtual time."""
 
 import random
 
@@ -34,11 +34,14 @@
 
 
 class Fleet:
-    """Nine cores without a network: every word arrives at once, decisions are made by the test's own register."""
+    """Nine cores without a network: every word arrives at once, decisions are made by the test's own
+    register."""
 
     def __init__(self) -> None:
         self.now = 100 * SECOND
-        self.cores = {n: Member(MAP, n, "abc"[int(n[1:]) % 3], ELECTORS, ("a", "b", "c"), self.now) for n in NAMES}
+        self.cores = {
+            n: Member(MAP, n, "abc"[int(n[1:]) % 3], ELECTORS, ("a", "b", "c"), self.now) for n in NAMES
+        }
         self.holder, self.epoch, self.version = "", 0, 0
         self.dead: set[str] = set()
         self.reports: dict[str, Report] = {}
@@ -94,7 +97,7 @@
     return fleet.cores[name].follower.plan.shares(zone, workload).get(zone, 0.0)
 
 
-# --- who may do what -----------------------------------------------------------------------------------------
+# --- who may do what ----------------------------------------------------------------------------------------
 
 
 def test_only_the_holder_answers_evidence_and_plans():
@@ -186,10 +189,12 @@
     assert fleet.go["m1"].plan["view"][0].get("b", 0) < 0.4
     fleet.second(FADED // SECOND)
     shares, way = fleet.go["m1"].plan["view"]
-    assert shares["b"] == pytest.approx(0.9) and sum(way.values()) == pytest.approx(0.1), "home is lost: a tenth"
+    assert shares["b"] == pytest.approx(0.9) and sum(way.values()) == pytest.approx(0.1), (
+        "home is lost: a tenth"
+    )
 
 
-# --- a partition ---------------------------------------------------------------------------------------------
+# --- a partition --------------------------------------------------------------------------------------------
 
 
 def test_a_zone_of_which_nobody_is_heard_gets_no_spill_and_no_decision():
@@ -215,7 +220,7 @@
     assert evidence.picture(0).state["a", "c"] is State.DOWN
 
 
-# --- operators -----------------------------------------------------------------------------------------------
+# --- operators ----------------------------------------------------------------------------------------------
 
 
 def test_a_drain_is_done_when_a_majority_has_it_and_outlives_its_holder():
@@ -276,7 +281,7 @@
     assert stays(fleet, "m4", "b") < 0.5
 
 
-# --- liars and noise -----------------------------------------------------------------------------------------
+# --- liars and noise ----------------------------------------------------------------------------------------
 
 
 def test_old_and_doubled_evidence_says_nothing():
@@ -380,7 +385,7 @@
         words.read_plan(MAP, 1, data)
 
 
-# --- the tally -----------------------------------------------------------------------------------------------
+# --- the tally ----------------------------------------------------------------------------------------------
 
 
 def tallied() -> tuple[Sidecar, Tally]:
@@ -409,13 +414,19 @@
     assert told.traffic["view"] == pytest.approx(100, rel=0.2) and told.traffic["bid"] == 0
     assert told.seen["a"].failed == 0 < told.seen["b"].failed
     assert told.seen["a"].ready == 2 == told.seen["a"].listed
-    assert 1.5 < told.seen["a"].room / (told.seen["a"].tried / 2) < 2.5, "twice, at the pace of uncrowded ones"
+    assert 1.5 < told.seen["a"].room / (told.seen["a"].tried / 2) < 2.5, (
+        "twice, at the pace of uncrowded ones"
+    )
     assert not sidecar.desk.open and len(tally.cold) == 0
 
 
 def test_a_zone_that_denies_has_no_more_room_than_it_used():
     sidecar, tally = tallied()
-    assert tally.more(1.0, False, 0.0) == 2 and tally.more(1.0, True, 0.0) < 1.1 and tally.more(1.0, False, 1.0) == 1
+    assert (
+        tally.more(1.0, False, 0.0) == 2
+        and tally.more(1.0, True, 0.0) < 1.1
+        and tally.more(1.0, False, 1.0) == 1
+    )
     assert tally.more(4.0, False, 0.0) == pytest.approx(8 / 7) and SHORT < 0.1
 
 
@@ -440,7 +451,7 @@
     assert evidence.brakes(0)[mark] >= parts[mark] / 3, "one liar slows all by no more than that"
 
 
-# --- whole fleets in virtual time ----------------------------------------------------------------------------
+# --- whole fleets in virtual time ---------------------------------------------------------------------------
 
 
 def played(name: str, seed: int, seconds: int, **changes) -> VirtualRun:
--- a/tests/test_zones_processes.py
+++ b/tests/test_zones_processes.py
@@ -1,8 +1,8 @@
-"""Nine real sidecars in three zones, with stand-in endpoints, clients under load, and faults between them: zones
-lost and cut off, the plan's holder killed and stopped, restarts, operators' drains.
+"""Nine real sidecars in three zones, with stand-in endpoints, clients under load, and faults between them:
+zones lost and cut off, the plan's holder killed and stopped, restarts, operators' drains.
 
-Judges states that are reached, with generous limits, and the referee's rules; never how fast. Every process is
-ended by its rig, whatever happens."""
+Judges states that are reached, with generous limits, and the referee's rules; never how fast. Every process
+is ended by its rig, whatever happens."""
 
 import asyncio
 import os
@@ -57,7 +57,9 @@
     """All the same one, of this version or later, that its holder stands behind."""
     while True:
         tables = await rig.until(
-            f"plan {version} or later is in force", names, lambda t: t["version"] >= version and t["trust"] == 1
+            f"plan {version} or later is in force",
+            names,
+            lambda t, least=version: t["version"] >= least and t["trust"] == 1,
         )
         if len({table["version"] for table in tables}) == 1:
             return tables[0]["version"]
@@ -79,7 +81,8 @@
 
 @scenario
 async def a_zone_is_lost_and_comes_back(rig: ZoneRig):
-    """Near while all is well; out of the lost zone by the plan; home by a trial once its endpoints are back."""
+    """Near while all is well; out of the lost zone by the plan; home by a trial once its endpoints are
+    back."""
     calm = await rig.flows(3)
     assert all(away(calm, zone) < 0.25 for zone in "abc"), calm
     rig.lose_zone("b")
@@ -129,8 +132,8 @@
 
 @scenario
 async def a_zone_is_cut_off_from_the_others(rig: ZoneRig):
-    """Its sidecars can't be told from dead ones by the rest, nor the rest by them: each side stays at home, and
-    nothing is decided for the zone of which nothing is heard."""
+    """Its sidecars can't be told from dead ones by the rest, nor the rest by them: each side stays at home,
+    and nothing is decided for the zone of which nothing is heard."""
     inside, outside = rig.of_zone("c"), rig.of_zone("a", "b")
     await all_go_by_one_plan(rig, rig.alive(), 1)
     rig.cut("c", True)
@@ -139,13 +142,17 @@
     rig.lose_zone("b")
     await rig.until("the plan leaves b", outside, lambda t: home("b", t) < 0.5)
     tables = await rig.until("c is left alone", outside, lambda t: home("c", t) > 0.9)
-    assert all(shares.get("c", 0.0) == 0 for t in tables for shares in t["plan"]["b"].values()), "out of reach"
+    assert all(shares.get("c", 0.0) == 0 for t in tables for shares in t["plan"]["b"].values()), (
+        "out of reach"
+    )
     flows = await rig.flows()
     assert away(flows, "c") < 0.1 and flows.get(("c", "c"), 0) > 0, flows
     rig.cut("c", False)
     await rig.until("all know one holder", rig.alive(), lambda t: bool(t["holder"]))
     await all_go_by_one_plan(rig, rig.alive())
-    await rig.until("c takes of b", rig.alive(), lambda t: any(s.get("c", 0) > 0 for s in t["plan"]["b"].values()))
+    await rig.until(
+        "c takes of b", rig.alive(), lambda t: any(s.get("c", 0) > 0 for s in t["plan"]["b"].values())
+    )
 
 
 @scenario
@@ -162,8 +169,8 @@
 
 @scenario
 async def operators_drain_a_zone(rig: ZoneRig):
-    """Asked at any sidecar, told as done only once a majority has it; it outlives its holder, and the last good
-    zone is refused."""
+    """Asked at any sidecar, told as done only once a majority has it; it outlives its holder, and the last
+    good zone is refused."""
     holder = await rig.holds_the_plan()
     asked = next(name for name in rig.alive() if name != holder)
     status, text = await rig.call(asked, "zones/drain?zone=b", "PUT")
@@ -187,8 +194,8 @@
 
 @scenario
 async def most_sidecars_restart_while_a_zone_is_lost(rig: ZoneRig):
-    """Six of nine at once, electors among them: the plan that was told as decided is still there, and those that
-    start go by it."""
+    """Six of nine at once, electors among them: the plan that was told as decided is still there, and those
+    that start go by it."""
     rig.lose_zone("b")
     before = await b_is_left(rig, rig.alive())
     killed = [name for name in rig.alive() if int(name[1:]) % 3 != 2]
