--- /dev/null
+++ b/lupinmill/takeover/record.py
@@ -0,0 +1,138 @@
+"""What is kept of one submission in hand, and how two versions of it become one. Pure; values.
+
+A record only ever grows: intents, their outcomes, one end. Merging is the union of both, so whoever reads a
+majority of its keepers sees everything that a majority was ever told."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from enum import Enum
+
+from lupinmill import terms as t
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Ballot:
+    """Under which a process owns a record: the fencing token. No two processes ever have the same one."""
+
+    number: int = 0
+    process: str = ""  # name and life
+
+
+class Outcome(Enum):
+    NEVER_RAN = "never ran"
+    MAY_HAVE_RUN = "may have run"
+    HANDLED = "handled"
+
+
+@dataclass(frozen=True, slots=True)
+class Intent:
+    """That a launch is about to be made. `group` names those that drop each other's repeats of it."""
+
+    ballot: Ballot
+    number: int
+    endpoint: str
+    group: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """Of the submission, for its client: once told, what any later one hears who comes with its key."""
+
+    ballot: Ballot
+    what: str  # handled, denied, broken off
+    answer: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """What a launch needs, and what the rules ask."""
+
+    key: str
+    workload: str
+    repeat: t.Repeat
+    window: int = 0  # microseconds in which a group drops repeats
+    group_all: bool = False
+    digest: int = 0  # of the body: the same key with another one is another's
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    work: Work
+    intents: frozenset[Intent] = frozenset()
+    outcomes: frozenset[tuple[Intent, Outcome]] = frozenset()
+    end: End | None = None
+
+    def merged(self, other: Record) -> Record:
+        end = max((e for e in (self.end, other.end) if e is not None), key=lambda e: e.ballot, default=None)
+        return replace(
+            self,
+            intents=self.intents | other.intents,
+            outcomes=self.outcomes | other.outcomes,
+            end=end,
+        )
+
+    def may_have_run(self) -> list[Intent]:
+        """Intents that no outcome says never ran, the first one first."""
+        never = {intent for intent, how in self.outcomes if how is Outcome.NEVER_RAN}
+        return sorted(self.intents - never, key=lambda one: (one.ballot, one.number))
+
+
+def merge(records: Iterable[Record]) -> Record | None:
+    found: Record | None = None
+    for record in records:
+        found = record if found is None else found.merged(record)
+    return found
+
+
+class Next(Enum):
+    """How one goes on with a record that it has claimed."""
+
+    ENDED = "ended"  # there is an end: it is told to who asks
+    ANYWHERE = "anywhere"  # as new
+    IN_GROUP = "in group"  # again only where repeats are dropped, and only within the window
+    DENIED = "denied"  # never ran, too late to launch: trying again is safe
+    BROKEN_OFF = "broken off"  # may have run
+
+
+@dataclass(frozen=True, slots=True)
+class Onward:
+    what: Next
+    group: str = ""
+
+
+def onward(record: Record, oldest: int, left: int, margin: int) -> Onward:
+    """Rule 2 for the next owner. `oldest`: microseconds since the first intent that may have run, at least;
+    `left`: to the hard limit; `margin`: what a launch needs of both."""
+    if record.end is not None:
+        return Onward(Next.ENDED)
+    ran, work = record.may_have_run(), record.work
+    late = left <= margin
+    if not ran:
+        return Onward(Next.DENIED if late else Next.ANYWHERE)
+    if work.repeat is t.Repeat.IDEMPOTENT:
+        return Onward(Next.DENIED if late else Next.ANYWHERE)
+    groups = {one.group for one in ran}
+    if work.repeat is t.Repeat.DEDUPLICATED and len(groups) == 1 and "" not in groups:
+        if not late and oldest + margin < work.window:
+            return Onward(Next.IN_GROUP, ran[0].group)
+        if work.group_all:
+            return Onward(Next.DENIED)
+    return Onward(Next.BROKEN_OFF)
+
+
+@dataclass(slots=True)
+class Ages:
+    """Microseconds since a keeper first heard of each intent, by its own clock; the largest of several
+    counts."""
+
+    of: dict[Intent, int] = field(default_factory=dict)
+
+    def take(self, other: dict[Intent, int]) -> None:
+        for intent, age in other.items():
+            self.of[intent] = max(age, self.of.get(intent, 0))
+
+    def oldest(self, record: Record) -> int:
+        return max((self.of.get(intent, 0) for intent in record.may_have_run()), default=0)
