--- a/lupinmill/takeover/hand.py
+++ b/lupinmill/takeover/hand.py
@@ -274,8 +274,7 @@
             return
         if isinstance(body, Refused):
             hold.refused[keeper] = None
-            # One keeper that has promised another is enough to doubt; a majority can no longer be had only when so
-            # many refuse, but the owner to come reads whatever was accepted in any case.
+            # Only then can no majority be had; the owner to come reads in any case whatever was accepted.
             if len(hold.keepers) - len(hold.refused) < need:
                 self.fence(key, hold)
         elif isinstance(body, Full):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -83,7 +83,7 @@
     return [order for order in orders if isinstance(order, kind)]
 
 
-# --- once ----------------------------------------------------------------------------------------------------
+# --- once ---------------------------------------------------------------------------------------------------
 
 
 def test_a_launch_is_cleared_by_a_majority_in_one_round_and_not_by_fewer():
@@ -159,7 +159,7 @@
     assert cleared.intent.ballot == Ballot(1, "u:1")
 
 
-# --- keepers -------------------------------------------------------------------------------------------------
+# --- keepers ------------------------------------------------------------------------------------------------
 
 
 def test_a_keeper_without_room_says_so_and_counts_it():
@@ -197,7 +197,7 @@
     assert isinstance(full.step(0, Claim("x", Ballot(1, "a"))), Full)
 
 
-# --- how one goes on -----------------------------------------------------------------------------------------
+# --- how one goes on ----------------------------------------------------------------------------------------
 
 NORTH = Intent(Ballot(1, "o:1"), 0, "e1", "north")
 SOUTH = Intent(Ballot(1, "o:1"), 1, "e2", "south")
@@ -264,7 +264,7 @@
     assert ages.oldest(Record(BID, frozenset({NORTH, SOUTH}))) == 9 and ages.oldest(Record(BID)) == 0
 
 
-# --- where records are ---------------------------------------------------------------------------------------
+# --- where records are --------------------------------------------------------------------------------------
 
 
 def test_keepers_are_the_same_everywhere_in_different_zones_and_spread_alike():
@@ -287,7 +287,7 @@
     assert place.taker("k", []) is None
 
 
-# --- every order of what can happen --------------------------------------------------------------------------
+# --- every order of what can happen -------------------------------------------------------------------------
 
 
 def told(found) -> str:
--- a/tests/test_zones_processes.py
+++ b/tests/test_zones_processes.py
@@ -221,9 +221,12 @@
     flows = await rig.flows()
     others = [z for z in "abc" if z != zone]
     assert all(flows.get((z, z), 0) > 0 and flows.get((z, zone), 0) == 0 for z in others), flows
+    await rig.until_said("caps are shared out by six", rig.alive(), "6 sidecars share the endpoints")
     rig.revive_zone(zone)
     await asyncio.gather(*(rig.restart(name) for name in rig.of_zone(zone)))
     await all_go_by_one_plan(rig, rig.alive())
+    outside = [name for name in rig.alive() if name not in rig.of_zone(zone)]
+    await rig.until_said("and by nine again", outside, "9 sidecars share the endpoints")
 
 
 @pytest.mark.parametrize("name", list(SCENARIOS))
