--- a/lupinmill/program/discovery.py
+++ b/lupinmill/program/discovery.py
@@ -22,9 +22,10 @@
 STALL = 0.5  # seconds between two parts of an answer that has begun
 WHOLE = 3.0  # seconds for the whole list, which is worked out at once
 CONNECT = 2.0
-SOON = 0.3  # seconds, at most, before a watch that fell silent is opened anew; what it missed counts as told soon
-SPREAD = 0.8  # part of the wait that a call waits at least: all watches are answered at one moment, and would
-# fall due, and find out a silence, together
+SOON = 0.3  # seconds, at most, before a watch that fell silent is opened anew
+# Part of its wait that a call waits at least: watches are answered at one moment, and would fall due, and
+# find out a silence, together.
+SPREAD = 0.8
 NO_NEWS = 0.05  # seconds before the next call after an answer without any
 
 
--- a/lupinmill/protocol/settings.py
+++ b/lupinmill/protocol/settings.py
@@ -162,8 +162,8 @@
         raise ValueError("settings.locality: missing, though settings.prices.cross-zone is set")
 
 
-# What decides whether an effect may happen twice must not be guessed: another customer's word that is not known
-# would pass for some other one. Of each workload: the key, and what it may be.
+# What decides whether an effect may happen twice must not be guessed: another customer's word that is not
+# known would pass for some other one. Of each workload: the key, and what it may be.
 OF_WORKLOADS = {"repeat": ("repeatable", "by_key", "once"), "group": ("", "all", "zone", "cell")}
 SPANS = {"contract-time-s": 0.0, "hard-limit-s": 0.0, "window-s": 0.0}  # seconds; each is more than this
 
--- a/lupinmill/transport/listener.py
+++ b/lupinmill/transport/listener.py
@@ -6,7 +6,7 @@
 import socket
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 import anyio
 from anyio.abc import TaskGroup
--- a/lupinmill/transport/pool.py
+++ b/lupinmill/transport/pool.py
@@ -7,9 +7,9 @@
 from lupinmill.transport.descriptors import Descriptors, Side
 from lupinmill.transport.ring import Store
 
-# Seconds for which a connection rests after an answer. Guards against a second answer that comes some milliseconds
-# after the first, on a connection that was quiet when it was kept and when it was taken: it would pass for the
-# answer to the next request.
+# Seconds for which a connection rests after an answer. Guards against a second answer that comes some
+# milliseconds after the first, on a connection that was quiet when it was kept and when it was taken: it
+# would pass for the answer to the next request.
 REST = 0.02
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,5 +1,5 @@
-"""Two events that cross, on real sockets, in the order that was wrong or might be. Each test holds one of them
-back until the other has happened, by a barrier or a stand-in that stops at a told byte; none waits and hopes.
+"""Two events that cross, on real sockets, in the order that was wrong or might be. Each test holds one back
+until the other has happened, by a barrier or a stand-in that stops at a told byte; none waits and hopes.
 The table of them all is docs/crossings.md."""
 import socket
 
--- a/tests/test_crossings_end.py
+++ b/tests/test_crossings_end.py
@@ -1,5 +1,5 @@
-"""The end of a program that crosses what its clients do, forced by barriers; and customers' settings that it can't
-serve. The table is docs/crossings.md."""
+"""The end of a program that crosses what its clients do, forced by barriers; and customers' settings that it
+can't serve. The table is docs/crossings.md."""
 import os
 import signal
 import time
@@ -109,8 +109,8 @@
     lost, answered, told = [], set(), []
 
     async def keep_asking(number: int):
-        """New connections for 0.4 s after the signal, as the platform brings them; on each as many requests as
-        it takes."""
+        """New connections for 0.4 s after the signal, as the platform brings them; on each as many requests
+        as it takes."""
         host, port = net.address.split(":")
         at = 0
         while not told or time.monotonic() - told[0] < 0.4:
@@ -123,7 +123,7 @@
                         got = await stream.receive()
                     except (anyio.BrokenResourceError, anyio.EndOfStream):
                         if not on_it:
-                            lost.append(name)  # else it crossed the close of a connection between two requests
+                            lost.append(name)  # else it crossed the close between two requests
                         break
                     answered.add(name)
                     if b"Connection: close" in got:
@@ -175,8 +175,8 @@
     ({"limits": CUSTOMER["limits"] | {"connect-timeout-s": "inf"}}, "settings.limits.connect-timeout-s"),
 ])
 def test_a_customers_settings_that_can_not_be_served_end_the_start_in_one_line(tmp_path, change, key):
-    """Seen failing as a start: an unknown effect passed for one that may not be repeated, an unknown group for
-    a cell."""
+    """Seen failing as a start: an unknown effect passed for one that may not be repeated, an unknown group
+    for a cell."""
     table = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": CUSTOMER | change}
     process = start(tmp_path, table)
     try:
@@ -190,6 +190,7 @@
 def test_unknown_extra_keys_are_no_fault(tmp_path):
     from lupinmill.program.told import understand
 
-    more = CUSTOMER | {"tea": {"strength": "3"}, "workloads": [one | {"colour": "red"} for one in CUSTOMER["workloads"]]}
+    workloads = [one | {"colour": "red"} for one in CUSTOMER["workloads"]]
+    more = CUSTOMER | {"tea": {"strength": "3"}, "workloads": workloads}
     told = understand({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": more, "extra": 1}, {})
     assert [one.name for one in told.deployment.workloads] == ["view", "bid", "issue"]
