KNOWN-RED.txt: the run expects just the tests it names to fail, and prints them

Need: a test that fails for a real fault may land only if the run knows just that test, and fails for anything else. tests/conftest.py reads the file at each run: a fourth line, a malformed one, one that names no test, a listed test that passes each fail the run; 13 cases, each a run of its own (also with workers).

--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,78 @@
+"""KNOWN-RED.txt, at the root: tests that fail for a real fault which could not be mended yet, a line each,
+`tests/FILE.py::TEST | cause | issue NUMBER`, three at most. The run expects just these to fail and prints
+them. A line too many, a malformed one, one that names no test, or a listed test that passes fails the run."""
+from __future__ import annotations
+
+import ast
+import re
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+
+MOST = 3
+LINE = re.compile(r"(?P<file>[\w./-]+\.py)::(?P<name>\w+)(?P<of>\[.+\])? \| \S.*\S \| issue \d+")
+KEY = pytest.StashKey[list["Red"]]()
+
+
+@dataclass(frozen=True)
+class Red:
+    file: str
+    name: str
+    of: str  # of a test with parameters, those that fail; all where none are named
+    text: str
+
+    def is_of(self, nodeid: str) -> bool:
+        own = f"{self.file}::{self.name}"
+        return nodeid == own + self.of or not self.of and nodeid.startswith(own + "[")
+
+
+def read(root: Path) -> list[Red]:
+    """Raises UsageError, which ends the run, with the line that is wrong."""
+    path = root / "KNOWN-RED.txt"
+    if not path.exists():
+        raise pytest.UsageError("KNOWN-RED.txt: missing; it is there also when no test is red")
+    lines = path.read_text().splitlines()
+    if len(lines) > MOST:
+        raise pytest.UsageError(f"KNOWN-RED.txt: {len(lines)} lines, {MOST} at most")
+    return [red_of(root, text) for text in lines]
+
+
+def red_of(root: Path, text: str) -> Red:
+    found = LINE.fullmatch(text)
+    if found is None:
+        raise pytest.UsageError(f"KNOWN-RED.txt: {text!r} is not `FILE.py::TEST | cause | issue NUMBER`")
+    red = Red(found["file"], found["name"], found["of"] or "", text)
+    path = root / red.file
+    # By the text, not by what this run collects: it may be a part of the tests.
+    names = {one.name for one in ast.parse(path.read_text()).body if isinstance(one, ast.FunctionDef)} \
+        if path.is_file() else set()
+    if red.name not in names:
+        raise pytest.UsageError(f"KNOWN-RED.txt: {red.file}::{red.name} is no test")
+    return red
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    config.stash[KEY] = read(config.rootpath)
+
+
+def pytest_itemcollected(item: pytest.Item) -> None:
+    for red in item.config.stash[KEY]:
+        if red.is_of(item.nodeid):
+            item.add_marker(pytest.mark.xfail(reason=red.text, strict=True))
+
+
+def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+    """Parameters are known only here; of a test that this run collects at all one has to be the named one."""
+    for red in config.stash[KEY]:
+        same = [one for one in items if one.nodeid.startswith(f"{red.file}::{red.name}[")]
+        if red.of and same and not any(red.is_of(one.nodeid) for one in same) and not config.option.keyword:
+            raise pytest.UsageError(f"KNOWN-RED.txt: {red.name} has no {red.of}")
+
+
+def pytest_terminal_summary(terminalreporter) -> None:
+    reds = terminalreporter.config.stash[KEY]
+    if reds:
+        terminalreporter.section("known red")
+        for red in reds:
+            terminalreporter.write_line(red.text)
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,66 @@
+"""What KNOWN-RED.txt lets pass, and what it never does: each case a test run of its own in an empty folder."""
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+TESTS = """
+import pytest
+
+def test_green():
+    pass
+
+def test_red():
+    assert False
+
+@pytest.mark.parametrize("at", [1, 2])
+def test_some(at):
+    assert at == 1
+"""
+RED = "tests/test_it.py::test_red | it is not built | issue 39"
+SOME = "tests/test_it.py::test_some[2] | it is not built | issue 39"
+
+
+def run(folder: Path, lines: list[str] | None, *more: str) -> subprocess.CompletedProcess:
+    (folder / "tests").mkdir()
+    (folder / "tests" / "test_it.py").write_text(TESTS)
+    (folder / "tests" / "conftest.py").write_text((Path(__file__).parent / "conftest.py").read_text())
+    (folder / "pytest.ini").write_text("[pytest]\n")
+    if lines is not None:
+        (folder / "KNOWN-RED.txt").write_text("".join(f"{line}\n" for line in lines))
+    asked = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", *more]
+    return subprocess.run(asked, cwd=folder, capture_output=True, text=True, timeout=60)
+
+
+@pytest.mark.parametrize("more", [(), ("-n", "2")])
+def test_just_the_listed_tests_may_fail_and_are_printed(tmp_path, more):
+    done = run(tmp_path, [RED, SOME], *more)
+    assert done.returncode == 0 and RED in done.stdout and SOME in done.stdout
+    assert "2 passed, 2 xfailed" in done.stdout
+
+
+def test_one_that_is_not_listed_still_fails(tmp_path):
+    done = run(tmp_path, [RED])
+    assert done.returncode == 1 and "1 failed" in done.stdout
+
+
+def test_a_listed_test_that_passes_fails_the_run(tmp_path):
+    done = run(tmp_path, [RED, SOME, "tests/test_it.py::test_green | it was | issue 39"])
+    assert done.returncode == 1 and "1 failed" in done.stdout
+
+
+@pytest.mark.parametrize("lines, said", [
+    ([RED, RED, SOME, SOME], "4 lines"),
+    (["tests/test_it.py::test_red"], "is not"),
+    (["tests/test_it.py::test_red |  | issue 39"], "is not"),
+    (["tests/test_it.py::test_red | cause | soon"], "is not"),
+    ([""], "is not"),
+    (["tests/test_it.py::test_other | cause | issue 39"], "is no test"),
+    (["tests/test_that.py::test_red | cause | issue 39"], "is no test"),
+    (["tests/test_it.py::test_some[3] | cause | issue 39"], "has no [3]"),
+    (None, "missing"),
+])
+def test_what_can_not_be_read_or_names_nothing_fails_the_run(tmp_path, lines, said):
+    done = run(tmp_path, lines)
+    assert done.returncode not in (0, 1) and said in done.stdout + done.stderr
