--- a/tests/test_crossings_end.py
+++ b/tests/test_crossings_end.py
@@ -25,7 +25,7 @@
 
 
 def test_a_client_accepted_whose_task_has_not_begun_is_served_before_the_end(monkeypatch):
-    """Seen failing with no answer: clients counted from when their task ran, not from when they were accepted."""
+    """Seen failing with no answer: clients counted from when their task ran, not from their acceptance."""
     turn, serves, answers = anyio.Event(), TakeIn.serve, []
 
     async def held(self, client, welcome):
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -1,5 +1,5 @@
-"""Lists of endpoints that cross a move, a launch or one another, and watches that fall silent: on real sockets,
-in the order that was wrong, forced by a barrier or a stand-in that holds. The table is docs/crossings.md."""
+"""Lists of endpoints that cross a move, a launch or one another, and watches that fall silent: on real
+sockets, in the order that was wrong, forced by a barrier or a stand-in that holds. The table is docs/crossings.md."""
 import random
 
 import anyio
@@ -126,8 +126,8 @@
 
 @pytest.mark.parametrize("mode", ["ask", "push"])
 def test_a_silent_watch_is_opened_anew_without_the_pause_for_a_discovery_in_trouble(mode, monkeypatch):
-    """Seen failing where lists are asked for: the module heard of a failure, and its pause of up to 2.5 s with
-    200 sidecars ended after what the silent watch missed counted as told."""
+    """Seen failing where lists are asked for: the module heard of a failure, and its pause, up to 2.5 s with
+    200 sidecars, ended after what the silent watch missed counted as told."""
     for name, value in (("LEAST_WAIT", 0.3), ("LATE", 0.2)):
         monkeypatch.setattr(discovery, name, value)
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,4 +1,5 @@
-"""What KNOWN-RED.txt lets pass, and what it never does: each case a test run of its own in an empty folder."""
+"""What KNOWN-RED.txt lets pass, and what it never does: each case a test run of its own in an empty
+folder."""
 import subprocess
 import sys
 from pathlib import Path
