Known red: where lists are pushed a refused call is repeated later than the least grace

Found by reading the watch's times: while discovery is down calls are refused at once and repeated after 0.2 to 1.0 s (Discovery, AGAIN); what it says at its return counts as told at that moment, with a grace of 0.5 s at some customers. The test takes the longest draws: 1.0 s, where 0.3 s leaves time for the call.

--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -3,6 +3,7 @@
 import random
 
 import anyio
+import anyio.lowlevel
 import orjson
 import pytest
 from bed import DiscoveryStand, Net, Stand, on_network, settings, wanted
@@ -13,6 +14,7 @@
 from lupinmill.program import discovery
 from lupinmill.protocol import lists
 from lupinmill.protocol.http import Answer
+from lupinmill.transport.connection import Unconnected
 from lupinmill.transport.pool import REST
 
 
@@ -271,3 +273,40 @@
 
     net = on_network(check, fine)
     assert not seen(net, "s1")
+
+
+def test_a_pushed_list_is_asked_for_again_within_the_least_grace_of_any_customer(monkeypatch):
+    """While discovery is down it tells nothing, and what it gets at its return counts as told at once, where
+    lists are pushed. The longest pause between two calls that are refused has to leave time for the call."""
+    pauses = []
+
+    async def refused(*_):
+        if len(pauses) == 5:
+            scope.cancel()
+            await anyio.lowlevel.checkpoint()
+        raise Unconnected("refused")
+
+    async def sleep(seconds):
+        pauses.append(seconds)
+
+    async def main():
+        from bed import deployment
+
+        made = discovery.Discovery(
+            "127.0.0.1:1", deployment(must_ask=False), Told(), None, lambda *_, **__: None)
+        monkeypatch.setattr(discovery, "connect", refused)
+        monkeypatch.setattr(discovery.anyio, "sleep", sleep)
+        nonlocal scope
+        with anyio.CancelScope() as scope:
+            await made.run()
+
+    class Told:
+        states, index = {"e0": t.State.READY}, 7
+
+    scope = None
+    monkeypatch.setattr(discovery.random, "uniform", lambda least, most: most)  # the longest draws
+    anyio.run(main)
+    assert max(pauses) <= LEAST_GRACE - 0.2
+
+
+LEAST_GRACE = 0.5  # seconds, of the customers known (`stop-sending-within-s`)
