--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -1,5 +1,5 @@
 """Lists of endpoints that cross a move, a launch or one another, and watches that fall silent: on real
-sockets, in the order that was wrong, forced by a barrier or a stand-in that holds. The table is docs/crossings.md."""
+sockets, in the order that was wrong, forced by a barrier or a stand-in. The table is docs/crossings.md."""
 import random
 
 import anyio
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -353,6 +353,60 @@
     beside(check, fine)
 
 
+def test_clients_on_their_way_to_a_process_that_dies_are_closed_between_requests(monkeypatch):
+    """What waits to be sent when the receiver dies is the link's to close; such a client comes again, and is
+    served here."""
+    async def check(both: Pair):
+        net, old = both.net, both.programs[0]
+        host, port = net.address.split(":")
+        async with await anyio.connect_tcp(host, int(port)) as idle:
+            assert b"done-a1" in await exchange(idle, "a1")
+            put, held = Link.put, []
+
+            def full(link, data, descriptor):
+                if descriptor is not None and b'"client"' in bytes(data):
+                    held.append(descriptor)
+                    raise BlockingIOError  # the receiver reads nothing more
+                return put(link, data, descriptor)
+
+            monkeypatch.setattr(Link, "put", full)
+            await both.start()
+            await until(lambda: held and clients(old) == 0)
+            link = old.handover.newer
+            both.ends[1].cancel()
+            await until(lambda: old.handover.newer is None and old.handover.succession.accepts())
+            monkeypatch.undo()
+            assert link.broken and not link.going
+            with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                await idle.receive()
+        assert (await net.ask(wanted("a2"))).body == b"done-a2"
+        await until(lambda: clients(old) == 0)
+
+    beside(check, fine, fine)
+
+
+def test_bytes_that_come_between_the_last_look_and_the_passing_are_served_by_the_next(monkeypatch):
+    """Not a byte was read, so all that came goes along in the socket."""
+    async def check(both: Pair):
+        net, old = both.net, both.programs[0]
+        host, port = net.address.split(":")
+        async with await anyio.connect_tcp(host, int(port)) as idle:
+            assert b"done-a1" in await exchange(idle, "a1")
+            passes, raw = old.handover.pass_client, idle.extra(anyio.abc.SocketAttribute.raw_socket)
+
+            def crossed(sock):
+                with socket.socket(fileno=os.dup(raw.fileno())) as same:
+                    same.send(wanted("a2"))  # in that very step
+                return passes(sock)
+
+            monkeypatch.setattr(old.handover, "pass_client", crossed)
+            new = await both.start()
+            assert b"done-a2" in await idle.receive()
+            assert clients(old) == 0 and clients(new) == 1
+
+    beside(check, fine, fine)
+
+
 @pytest.mark.parametrize("moment", ["asked", "serving"])
 def test_a_next_process_that_dies_leaves_the_one_before_in_service(moment, monkeypatch):
     async def check(both: Pair):
