--- a/tests/test_crossings_endpoints.py
+++ b/tests/test_crossings_endpoints.py
@@ -298,3 +298,17 @@
         await all_quiet(net)
 
     on_network(check, always("silent"))
+
+
+@pytest.mark.parametrize("key", [True, False])
+def test_without_its_key_a_deduplicated_submission_that_may_have_run_is_not_launched_again(key):
+    """Endpoints drop repeats by the key: where a request brings none, nothing would be dropped."""
+    async def check(net: Net):
+        net.program.engine.sidecar.desk.taken.add(net.program.engine.clock.now(), 1000.0)
+        data = wanted("s1", "bid", "0.9")
+        answer = await net.ask(data if key else data.replace(b"Idempotency-Key: k-s1\r\n", b""))
+        assert answer.status in (400, 502)
+        await all_quiet(net)
+
+    net = on_network(check, *[always("reset")] * 4, limits=NO_PROBES)
+    assert (len(seen(net, "s1")) > 1) if key else (len(seen(net, "s1")) <= 1)
