Waits that end apart: the test now judges the program's own calls, and can fail

It drew from random by itself and never ran the watch. Now eight answered watches of a sidecar among 200 are looked at by the wait they ask for; with the spread taken out it fails (one wait, 20000).

--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -1,7 +1,5 @@
 """Lists of endpoints that cross a move, a launch or one another, and watches that fall silent: on real
 sockets, in the order that was wrong, forced by a barrier or a stand-in. The table is docs/crossings.md."""
-import random
-
 import anyio
 import anyio.lowlevel
 import orjson
@@ -142,13 +140,19 @@
     on_network(check, fine, discovery=mode)
 
 
-def test_watches_that_were_answered_together_end_apart(monkeypatch):
+def test_watches_that_were_answered_together_end_apart():
     """Else all sidecars find out a silence at one moment, and their calls wait in one line."""
-    waits = set()
-    for draw in range(20):
-        monkeypatch.setattr(discovery, "random", random.Random(draw))
-        waits.add(round(20 * discovery.random.uniform(discovery.SPREAD, 1), 3))
-    assert len(waits) == 20 and 16 <= min(waits) and max(waits) <= 20
+    waits = []
+
+    async def check(net: Net):
+        for _ in range(8):
+            before = len(net.discovery.seen)
+            net.discovery.change(net.discovery.rows[0])
+            await until(lambda: len(net.discovery.seen) > before)
+        waits.extend(int(one.target.split(b"wait=")[1]) for one in net.discovery.seen if b"wait=" in one.target)
+
+    on_network(check, fine, discovery="push", instances=200)
+    assert len(set(waits)) > 1 and 16_000 <= min(waits) and max(waits) <= 20_000
 
 
 def test_the_last_word_on_a_name_in_one_answer_holds_for_launches_and_the_module_alike():
