--- /dev/null
+++ b/lupinmill/lab/scale/measured.py
@@ -0,0 +1,78 @@
+"""What `lupinmill lab slopes` writes and `lupinmill lab capacity` reads: one JSON file, written by the run alone.
+
+A figure belongs to a role ("sidecar", "elector", "holder", "discovery", "source", "relay"), has a unit and a
+size that it grows with. Points are single runs; the fit is over all of them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+from msgspec import Struct
+
+FILE = Path(__file__).with_name("measured.json")
+
+
+class Point(Struct, forbid_unknown_fields=True):
+    size: float
+    seed: int
+    mean: float
+    peak: float = 0.0  # of the dearest second; 0 where only means are measured
+    hollow: bool = True  # else real processes
+
+
+class Fit(Struct, forbid_unknown_fields=True):
+    """`intercept + slope * size + curvature * size**2`, over sizes `first` to `last`. Where `straight` is false
+    the line (and any sum beyond `last`) must not be extended; `slope` is that of the straight fit then."""
+
+    intercept: float
+    slope: float
+    curvature: float
+    residual: float  # root mean square, in the figure's unit
+    first: float
+    last: float
+    straight: bool
+    power: float = 1.0  # exponent of the best fit a * size**power: 0 flat, 1 linear
+
+
+class Figure(Struct, forbid_unknown_fields=True):
+    role: str
+    name: str  # "cpu", "memory", "bytes out", "bytes in", "messages out", "messages in", "rows", "state", ...
+    unit: str  # "part of a core", "bytes", "bytes/s", "1/s", "s"
+    grows_with: str  # "members", "sidecars", "endpoints", "zones", "changes a second", ...
+    day: str  # "quiet", "start", "ordinary", "zone lost", "discovery away", "relays restart", ...
+    points: list[Point]
+    fit: Fit | None = None  # none where there is one size
+    note: str = ""  # where it was measured: sockets, virtual time, hollow
+    relative: float = 0.0  # CPU figures: mean at `last` as a multiple of the reference loop of the same run
+
+
+class Added(Struct, forbid_unknown_fields=True):
+    """Time added to a call: through a sidecar less straight, by turns in one run, open loop, from when due."""
+
+    calls_a_second: float
+    seed: int
+    straight_p50: float  # seconds
+    straight_p99: float
+    through_p50: float
+    through_p99: float
+
+
+class Measured(Struct, forbid_unknown_fields=True):
+    command: str
+    commit: str  # of the text measured
+    date: str
+    seeds: list[int]
+    reference_us: float  # of one turn of the reference loop on this machine
+    cores: int
+    figures: list[Figure] = []
+    added: list[Added] = []
+    partial: list[str] = []  # what was not run, or ended before its end, in words
+
+
+def read(path: Path = FILE) -> Measured:
+    return msgspec.json.decode(path.read_bytes(), type=Measured)
+
+
+def write(measured: Measured, path: Path = FILE) -> None:
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(measured), indent=1) + b"\n")
