--- a/lupinmill/cli/lab.py
+++ b/lupinmill/cli/lab.py
@@ -501,3 +501,8 @@
         click.echo(f"BROKEN: {short.wrong}\n{short.text()}")
         sys.exit(BROKEN)
     click.echo(f"nothing broken, also in {walks} walks" if walks else "nothing broken")
+
+
+from lupinmill.cli.scale import slopes  # noqa: E402
+
+lab.add_command(slopes)
--- /dev/null
+++ b/lupinmill/cli/scale.py
@@ -0,0 +1,55 @@
+"""`lupinmill lab slopes`."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+BROKEN, BAD = 1, 2
+
+
+@click.command()
+@click.option("--quick", is_flag=True, help="Small sizes; checks shapes and bounds, judges no times.")
+@click.option("--sizes", default="", help="Members, with commas; 100,300,1000,3000,20000 if not told.")
+@click.option("--seeds", default="", help="With commas; 1,2 if not told.")
+@click.option("--out", default="", metavar="FILE", help="Else the text's own, and none with --quick.")
+def slopes(quick: bool, sizes: str, seeds: str, out: str) -> None:
+    """What grows with the fleet: figures by role and size, with fits."""
+    from lupinmill.lab.scale import measured, slopes
+
+    try:
+        usual = slopes.QUICK if quick else slopes.SIZES
+        chosen = numbers(sizes, "--sizes", slopes.LEAST, slopes.MOST) or list(usual)
+        drawn = numbers(seeds, "--seeds", 0, 2**31) or [1, 2]
+        folder = Path(out).resolve().parent if out else None
+        if folder is not None and not folder.is_dir():
+            raise ValueError(f"--out {out}: no such directory")
+        slopes.refuse_too_large(slopes.plan(chosen, drawn, quick))
+    except ValueError as error:
+        click.echo(f"lupinmill: {error}", err=True)
+        sys.exit(BAD)
+    command = "lupinmill lab slopes" + "".join(
+        f" {text}"
+        for text in (quick and "--quick", sizes and f"--sizes {sizes}", seeds and f"--seeds {seeds}")
+        if text
+    )
+    found = slopes.measure(chosen, drawn, quick, command, lambda text: click.echo(text, err=True))
+    click.echo(slopes.table(found))
+    if out or not quick:
+        measured.write(found, Path(out) if out else measured.FILE)
+
+
+def numbers(text: str, key: str, least: int, most: int) -> list[int]:
+    """Raises ValueError."""
+    try:
+        found = [int(part) for part in text.split(",")] if text else []
+    except ValueError:
+        raise ValueError(f"{key} {text}: wants whole numbers with commas") from None
+    for one in found:
+        if not least <= one <= most:
+            raise ValueError(f"{key} {one}: wants {least} to {most}")
+    if len(set(found)) < len(found):
+        raise ValueError(f"{key} {text}: one is told twice")
+    return found
--- /dev/null
+++ b/lupinmill/lab/scale/holder.py
@@ -0,0 +1,223 @@
+"""The holder of the plan and the electors beside it, as the members' evidence reaches them: the very
+`Driver`, `Peer`, `Zoning` and words of a sidecar, in virtual time, without sockets and clients.
+
+The lease is given by hand, and so are the reports: each member tells of `LOOKS` zones that it sends to and of
+endpoints in all. What the peers' own probes cost is measured apart (`hollow`), so the peers' clock stands."""
+
+from __future__ import annotations
+
+import random
+import time
+import tracemalloc
+from dataclasses import dataclass
+from types import SimpleNamespace
+from typing import Any
+
+from lupinmill.lab.scale.hollow import SITE, seats
+from lupinmill.peers import wire
+from lupinmill.peers.driver import Driver
+from lupinmill.peers.peer import Told
+from lupinmill.peers.view import SECOND, Heard
+from lupinmill.peers.wire import Status
+from lupinmill.zones import member, words
+from lupinmill.zones.driver import TOPIC, Zoning
+from lupinmill.zones.evidence import Report, Seen
+from lupinmill.zones.map import Map, Workload, Zone
+
+LOOKS = 3  # zones that one member sends to
+SECONDS = 12.0  # of one run, twice the age at which evidence counts no more
+BEGAN = 1_000 * SECOND
+REGIONS = 7
+ELECTORS = 5
+
+
+class Sink:
+    """In place of the socket: the driver encodes and counts, and nothing is sent."""
+
+    def sendto(self, data: bytes, address: Any) -> int:
+        return len(data)
+
+
+class Post(Driver):
+    """A driver whose lease is given by hand."""
+
+    epoch = 0
+    decided = 0
+
+    def holds(self, topic: str) -> int:
+        return self.epoch
+
+    def decide(self, topic: str, body: bytes) -> bool:
+        self.decided += 1
+        return True
+
+
+def zone_map(zones: int) -> Map:
+    """20 zones in 7 regions, as near to equal as it goes."""
+    rows = tuple(Zone(f"z{at}", f"r{at * REGIONS // zones}") for at in range(zones))
+    return Map(rows, (Workload("view"), Workload("buy", 2.0)))
+
+
+def report(name: str, zone: str, map_: Map, chance: random.Random) -> Report:
+    """285 calls a second, most of them at home, over three seconds."""
+    names = [one.name for one in map_.zones]
+    sends = [zone, *chance.sample([one for one in names if one != zone], min(LOOKS, len(names)) - 1)]
+    seen = {one: Seen(ready=24.0 / len(names), listed=24.0 / len(names)) for one in names}
+    for at, one in enumerate(sends):
+        tried = chance.uniform(700, 900) if at == 0 else chance.uniform(10, 60)
+        seen[one] = Seen(tried, tried / 500, 0.0, chance.uniform(1.0, 1.6), tried / 2, 0.0, 8.0, 8.0)
+    return Report(name, zone, {w.name: chance.uniform(120, 160) for w in map_.workloads}, seen)
+
+
+@dataclass
+class Played:
+    """What one run of a holder or elector gave."""
+
+    cpu: float = 0.0  # part of a core, all of it
+    peak: float = 0.0  # the dearest second
+    look: float = 0.0  # seconds of one look
+    telling: float = 0.0  # seconds of one word heard and answered
+    fresh: float = 0.0  # part of the members that the looks stood on
+    bytes_in: float = 0.0
+    bytes_out: float = 0.0
+    own_bytes: float = 0.0  # of them, its own words to the other electors
+    messages_in: float = 0.0
+    messages_out: float = 0.0
+    dropped: int = 0  # words that were not understood
+    plans: int = 0
+    period: float = 0.0  # seconds between two words of a member, and between two looks
+    counts: float = 0.0  # part of the time for which what a look told the module counts
+
+
+class Holder:
+    def __init__(self, members: int, zones: int, seed: int, holds: bool = True) -> None:
+        self.clock = BEGAN
+        self.chance = random.Random(seed)
+        self.map = zone_map(zones)
+        self.seats = seats(members, zones)
+        self.names = [seat.name for seat in self.seats]
+        electors = tuple(self.names[at * members // ELECTORS] for at in range(ELECTORS))
+        self.told = Told(electors[0], self.seats, electors, (TOPIC,))
+        self.driver = Post(self.told, "hollow", "127.0.0.1:1", None, lambda *a, **k: None)
+        self.driver.peer = self.peer()
+        self.driver.sock = Sink()  # type: ignore[assignment]
+        engine: Any = SimpleNamespace(
+            clock=SimpleNamespace(now=lambda: self.clock), sidecar=SimpleNamespace(step=None)
+        )
+        self.zoning = Zoning(self.map, self.told, self.driver, engine, lambda *a, **k: None)
+        if holds:
+            self.driver.epoch = 1
+            self.zoning.tell(member.Took(1))
+
+    def peer(self) -> Any:
+        """It has heard of all; its clock stands from here on."""
+        from lupinmill.peers.peer import Peer
+
+        peer = Peer(self.told, 1, 1, BEGAN)
+        for at in range(0, len(self.names), wire.MOST_NOTES):
+            notes = [wire.Note(n, Status.ALIVE, 0, n) for n in self.names[at : at + wire.MOST_NOTES]]
+            peer.membership.hear(Heard(self.names[-1], wire.Table(False, 0, []), notes))
+        peer.membership.news.clear()
+        return peer
+
+    # Evidence.
+
+    def hear(self, sender: str, data: bytes) -> None:
+        """As the driver does: decoded, through the peers' core, to the zones."""
+        found = wire.decode(SITE, data)
+        assert self.driver.peer is not None
+        for order in self.driver.peer.step(BEGAN, [Heard(sender, found.body, found.notes)]):
+            if getattr(order, "topic", "") == TOPIC:
+                self.zoning.heard(order)
+
+    def own(self) -> member.Own:
+        seat = next(seat for seat in self.seats if seat.name == self.told.name)
+        return member.Own(report(seat.name, seat.zone, self.map, self.chance), {seat.zone: 8})
+
+    def play(self, seconds: float = SECONDS) -> Played:
+        """Each member tells once a period, at its own moment; this one looks once a period."""
+        found = Played(period=self.zoning.period)
+        period = int(self.zoning.period * SECOND)
+        events: list[tuple[int, int]] = []
+        chance = self.chance
+        span = max(int(seconds * SECOND), min(2 * period, int(2 * seconds * SECOND)))
+        for at in range(len(self.seats) - 1):
+            phase = chance.randrange(period)
+            events += [(due, at) for due in range(phase, span, period)]
+        looks = list(range(min(period, span - 1), span, period))
+        events += [(due, -1) for due in looks]
+        events.sort()
+        tellers = [seat for seat in self.seats if seat.name != self.told.name]
+        words_of = [report(s.name, s.zone, self.map, chance) for s in tellers]
+        by_second = [0] * (span // SECOND + 1)
+        look_ns, tell_ns, looked, told = 0, 0, 0, 0
+        fresh: list[float] = []
+        counts: list[float] = []
+        for due, at in events:
+            self.clock = BEGAN + due
+            if at < 0:
+                note, sent = self.own(), self.driver.bytes_out
+                began = time.thread_time_ns()
+                self.zoning.tell(note)
+                took = time.thread_time_ns() - began
+                found.own_bytes += self.driver.bytes_out - sent
+                look_ns, looked = look_ns + took, looked + 1
+                assert self.zoning.found is not None
+                lasts = (self.zoning.found.until - self.clock) / SECOND
+                counts.append(min(1.0, lasts / self.zoning.period))
+                fresh.append(len(self.zoning.core.evidence.reports) / len(self.seats))
+            else:
+                telling = words.telling(self.map, words_of[at], self.clock, 0)
+                body = wire.Carried(TOPIC, words.say(telling))
+                data = wire.encode(SITE, body, [])
+                began = time.thread_time_ns()
+                self.hear(tellers[at].name, data)
+                took = time.thread_time_ns() - began
+                tell_ns, told = tell_ns + took, told + 1
+                found.bytes_in += len(data)
+            by_second[due // SECOND] += took
+        whole = span / SECOND
+        found.look = look_ns / max(1, looked) / 1e9
+        found.telling = tell_ns / max(1, told) / 1e9
+        # By the rate at which looks are due: a run of a few looks has one more or less of them.
+        found.cpu = tell_ns / 1e9 / whole + found.look / self.zoning.period
+        found.peak = max(by_second) / 1e9
+        found.fresh = sum(fresh) / max(1, len(fresh))
+        found.counts = sum(counts) / max(1, len(counts))
+        found.bytes_in /= whole
+        found.own_bytes /= whole
+        found.messages_in = told / whole
+        found.messages_out, found.bytes_out = self.driver.sent / whole, self.driver.bytes_out / whole
+        found.dropped = sum(self.zoning.core.dropped.values())
+        found.plans = self.driver.decided
+        return found
+
+    def all_heard(self) -> tuple[float, float]:
+        """Seconds of one look, and bytes of its evidence, were all members' words fresh."""
+        core = self.zoning.core
+        reports = [report(s.name, s.zone, self.map, self.chance) for s in self.seats]
+        tracemalloc.start()
+        for one in reports:
+            again = words.report(self.map, one.member, words.telling(self.map, one, 1, 0))
+            core.evidence.hear(self.clock, again)
+        memory = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        note = self.own()
+        began = time.thread_time_ns()
+        self.zoning.tell(note)
+        return (time.thread_time_ns() - began) / 1e9, float(memory)
+
+    def look_by_hand(self, times: int = 5) -> float:
+        """Seconds of one look with all reports fresh, put in past the words and their cap on zones; the
+        median of several."""
+        core = self.zoning.core
+        took = []
+        for at in range(times):
+            self.clock = BEGAN + (at + 1) * SECOND
+            for seat in self.seats:
+                core.evidence.hear(self.clock, report(seat.name, seat.zone, self.map, self.chance))
+            note = self.own()
+            began = time.thread_time_ns()
+            self.zoning.tell(note)
+            took.append((time.thread_time_ns() - began) / 1e9)
+        return sorted(took)[times // 2]
--- /dev/null
+++ b/lupinmill/lab/scale/hollow.py
@@ -0,0 +1,279 @@
+"""Hollow members: the very cores that serve, without clients, many in one process, in virtual time.
+
+`Hollow(members, cores)`: a fleet of `members`, of which `cores` are played. Where all are, each datagram goes
+to whom it is sent. Where fewer are (a table of N in each of N cores is N squared rows), those played stand
+for the rest: what one sends to a member that is not played comes to another one that is, as from some member
+by chance, and the answer goes back as from whom was asked. So each core hears as much as a fleet of that size
+would send it, all of it made by real cores; only a member that differs from the others can't be shown so.
+
+Every datagram is encoded and decoded as the driver does it. Owns the clock, the queue and the cores."""
+
+from __future__ import annotations
+
+import heapq
+import random
+import time
+from dataclasses import dataclass, field
+
+from lupinmill.peers import wire
+from lupinmill.peers.elector import Keep
+from lupinmill.peers.peer import Peer, Told
+from lupinmill.peers.view import SECOND, Heard, Seat, Send, Timing
+from lupinmill.peers.wire import Status
+
+SITE = wire.site_of("hollow")
+EPOCH = 1_000 * SECOND
+DELAY = (200, 1_000)  # microseconds of the network
+MOST_TALKS = 200_000  # conversations whose answers may still come, where few stand for many
+MEMBER_BYTES = 600  # a row with all that hangs on it, for the look ahead at memory
+TELL_OF_ALL = wire.MOST_NOTES
+
+
+def names(members: int) -> list[str]:
+    return [f"sidecar-{at:05d}" for at in range(members)]
+
+
+def seats(members: int, zones: int = 20) -> tuple[Seat, ...]:
+    return tuple(
+        Seat(name, f"127.{1 + at // 60_000}.0.1:{1_024 + at % 60_000}", f"z{at * zones // members}", "")
+        for at, name in enumerate(names(members))
+    )
+
+
+def memory_wanted(members: int, cores: int) -> int:
+    """Bytes, more rather than less."""
+    return cores * members * MEMBER_BYTES
+
+
+@dataclass(slots=True)
+class Second:
+    """Of one played core, in one second of the fleet's time."""
+
+    cpu_ns: int = 0
+    messages_out: int = 0
+    messages_in: int = 0
+    bytes_out: int = 0
+    bytes_in: int = 0
+    tables: int = 0  # asked for
+
+
+@dataclass
+class Core:
+    name: str
+    peer: Peer
+    wakes: int = -1
+    up: bool = True
+    watched: bool = True  # its processor time is taken
+    seconds: list[Second] = field(default_factory=list)
+
+    def second(self, now: int) -> Second:
+        at = now // SECOND
+        while len(self.seconds) <= at:
+            self.seconds.append(Second())
+        return self.seconds[at]
+
+
+class Hollow:
+    def __init__(
+        self,
+        members: int,
+        seed: int,
+        cores: int = 0,
+        loss: float = 0.0,
+        electors: int = 0,
+        timing: Timing | None = None,
+        watched: int = 0,
+        absent: set[int] | None = None,
+    ) -> None:
+        """`cores`: how many are played, 0: all. `watched`: of how many the processor time is taken, 0: all.
+        `absent`: numbers of those that `lose` takes away."""
+        self.members, self.loss, self.seed = members, loss, seed
+        self.names = names(members)
+        self.all = not cores or cores >= members
+        self.chance = random.Random(seed)
+        self.seats = seats(members)
+        self.timing = timing or Timing()
+        every = 1 if self.all else members // cores
+        self.going = {self.names[at] for at in absent or ()}
+        self.gone: set[str] = set()
+        played = self.names if self.all else [self.names[at * every] for at in range(cores)]
+        if not self.all:
+            played = [name for name in played if name not in self.going]
+        self.electors = tuple(self.names[at * members // electors] for at in range(electors))
+        self.now = 0
+        self.queue: list[tuple[int, int, Core, object]] = []
+        self.serial = 0
+        self.cores: dict[str, Core] = {}
+        self.talks: dict[tuple[str, str], tuple[Core, str]] = {}
+        self.changes = 0
+        for at, name in enumerate(played):
+            watch = not watched or at % max(1, len(played) // watched) == 0
+            self.cores[name] = Core(name, self.peer(name, at + 1), watched=watch)
+        self.played = list(self.cores.values())
+        self.watched = [core for core in self.played if core.watched]
+
+    def peer(self, name: str, life: int) -> Peer:
+        told = Told(name, self.seats, self.electors, timing=self.timing)
+        return Peer(told, life, self.seed * 1_000_003 + life, EPOCH + self.now)
+
+    # Beginnings.
+
+    def start(self) -> None:
+        """All within a second, each knowing nobody: a fleet that comes up whole."""
+        for core in self.played:
+            self.wake(core, self.now + self.chance.randrange(SECOND))
+
+    def settle(self) -> None:
+        """As long after a start: each has heard of all, by the tables that it would have been sent, and its
+        news is told. Not played, as that takes minutes of a large fleet's time: news is taken away and the
+        number of rounds set."""
+        notes = [wire.Note(name, Status.ALIVE, 0, name) for name in self.names]
+        for core in self.played:
+            peer = core.peer
+            sender = self.names[0] if core.name != self.names[0] else self.names[1]
+            heard = [
+                Heard(sender, wire.Table(False, 0, []), notes[at : at + TELL_OF_ALL])
+                for at in range(0, len(notes), TELL_OF_ALL)
+            ]
+            peer.membership.now = EPOCH
+            for one in heard:
+                peer.membership.hear(one)
+            peer.membership.orders.clear()
+            peer.membership.news.clear()
+            peer.membership.round_number = 20 + len(self.names) + self.chance.randrange(10)
+            peer.membership.checks_at = EPOCH
+            self.wake(core, self.chance.randrange(self.timing.round))
+
+    # The run.
+
+    def wake(self, core: Core, at: int) -> None:
+        if core.wakes != at:
+            core.wakes = at
+            self.serial += 1
+            heapq.heappush(self.queue, (at, self.serial, core, at))
+
+    def run(self, seconds: float) -> None:
+        end = self.now + int(seconds * SECOND)
+        queue = self.queue
+        while queue and queue[0][0] <= end:
+            self.now, _, core, what = heapq.heappop(queue)
+            if not core.up:
+                continue
+            if isinstance(what, int):
+                if core.wakes == what:
+                    core.wakes = -1
+                    self.step(core, None)
+            else:
+                self.step(core, what)  # type: ignore[arg-type]
+        self.now = end
+
+    def step(self, core: Core, came: tuple[str, bytes] | None) -> None:
+        second, clock = core.second(self.now), EPOCH + self.now
+        began = time.thread_time_ns() if core.watched else 0
+        notes: list[Heard] = []
+        if came is not None:
+            found = wire.decode(SITE, came[1])
+            notes.append(Heard(came[0], found.body, found.notes))
+        out: list[tuple[str, wire.Body, bytes]] = []
+        while True:
+            own: list[Heard] = []
+            for order in core.peer.step(clock, notes):
+                if isinstance(order, Send):
+                    self.encode(core, order, out, own)
+                elif isinstance(order, Keep):
+                    for send in order.then:
+                        self.encode(core, send, out, own)
+            if not own:
+                break
+            notes = own
+        if core.watched:
+            second.cpu_ns += time.thread_time_ns() - began
+        if came is not None:
+            second.messages_in += 1
+            second.bytes_in += len(came[1])
+        for to, body, data in out:
+            second.messages_out += 1
+            second.bytes_out += len(data)
+            second.tables += isinstance(body, wire.Table) and body.wanted
+            self.pass_on(core, to, body, data)
+        self.wake(core, max(self.now + 1, core.peer.next() - EPOCH))
+
+    def encode(
+        self, core: Core, order: Send, out: list[tuple[str, wire.Body, bytes]], own: list[Heard]
+    ) -> None:
+        if order.to == core.name:
+            own.append(Heard(order.to, order.body))
+        else:
+            out.append((order.to, order.body, wire.encode(SITE, order.body, order.notes)))
+
+    # The network.
+
+    def pass_on(self, core: Core, to: str, body: wire.Body, data: bytes) -> None:
+        if to in self.gone or self.loss and self.chance.random() < self.loss:
+            return
+        if self.all:
+            hearer, sender = self.cores[to], core.name
+        else:
+            table = isinstance(body, wire.Table) and not body.wanted
+            answers = table or isinstance(body, wire.Ack | wire.Relayed)
+            talk = self.talks.get((core.name, to)) if answers else None
+            if talk is not None:
+                hearer, sender = talk
+            else:
+                hearer = self.chance.choice(self.played)
+                sender = self.chance.choice(self.names)
+                while hearer is core or sender == hearer.name or sender in self.gone:
+                    hearer, sender = self.chance.choice(self.played), self.chance.choice(self.names)
+                if len(self.talks) >= MOST_TALKS:
+                    self.talks.clear()
+                self.talks[hearer.name, sender] = core, to
+        self.serial += 1
+        at = self.now + self.chance.randint(*DELAY)
+        heapq.heappush(self.queue, (at, self.serial, hearer, (sender, data)))
+
+    # What it tells.
+
+    def lose(self) -> None:
+        """The absent ones stop at this moment."""
+        self.gone = set(self.going)
+        for core in self.played:
+            core.up = core.up and core.name not in self.gone
+
+    def bring_back(self) -> None:
+        """As new processes, within a second. Only where all are played."""
+        for at, name in enumerate(sorted(self.gone)):
+            self.restart(self.cores[name], self.members + at + 1, self.chance.randrange(SECOND))
+        self.gone = set()
+
+    def stop(self, core: Core) -> None:
+        core.up = False
+
+    def restart(self, core: Core, life: int, after: int = 1) -> None:
+        core.peer, core.up, core.wakes = self.peer(core.name, life), True, -1
+        self.wake(core, self.now + after)
+
+    def rows(self) -> float:
+        """Members that a core holds for present, in the mean, itself among them."""
+        up = [core for core in self.played if core.up]
+        return sum(core.peer.membership.present + 1 for core in up) / len(up)
+
+    def news(self) -> float:
+        return sum(len(core.peer.membership.news) for core in self.played) / len(self.played)
+
+    def figures(self, first: int, last: int) -> dict[str, tuple[float, float]]:
+        """Mean and dearest second of the mean member, over whole seconds `first` up to `last`."""
+        found: dict[str, tuple[float, float]] = {}
+        for name, key, cores, unit in (
+            ("cpu", "cpu_ns", self.watched, 1e-9),
+            ("messages out", "messages_out", self.played, 1.0),
+            ("messages in", "messages_in", self.played, 1.0),
+            ("bytes out", "bytes_out", self.played, 1.0),
+            ("bytes in", "bytes_in", self.played, 1.0),
+        ):
+            seconds = []
+            cores = [core for core in cores if core.name not in self.going]
+            for at in range(first, last):
+                whole = sum(getattr(core.seconds[at], key) for core in cores if at < len(core.seconds))
+                seconds.append(whole * unit / len(cores))
+            found[name] = sum(seconds) / max(1, len(seconds)), max(seconds, default=0.0)
+        return found
--- /dev/null
+++ b/lupinmill/lab/scale/honest.py
@@ -0,0 +1,132 @@
+"""Shown honest: real sidecars, each a process of `python -m lupinmill`, against as many hollow ones of the
+same operators' file. Messages, bytes and rows are to be within `WITHIN` of each other; processor time is told
+and not judged.
+
+Owns the processes and their folder, ended and removed whatever happens."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from lupinmill.lab.fleet_sockets import HOST, SETTINGS, TAKEN, free_port
+from lupinmill.lab.processes import Process
+from lupinmill.lab.scale.hollow import names
+from lupinmill.lab.scale.loopback import ALL_KNOWN, WINDOW, Side, fleet_text, settled_rounds
+from lupinmill.lab.scale.settings import cpu_of
+
+WITHIN = 0.10
+AT_ONCE = 4  # processes that start at a time
+COMPARED = ("messages_out", "messages_in", "bytes_out", "bytes_in", "rows")
+
+
+async def call(address: str, path: str) -> dict[str, Any]:
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(f"GET /admin/{path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+        data = await asyncio.wait_for(reader.read(), 20)
+    finally:
+        writer.close()
+    return orjson.loads(data.partition(b"\r\n\r\n")[2])
+
+
+class Real:
+    def __init__(self, members: int, round_ms: int) -> None:
+        self.members, self.round_s = members, round_ms / 1000
+        self.names = names(members)
+        self.ports = [free_port(24_000 + 17 * at) for at in range(2 * members)]
+        self.binds = [f"{HOST}:{port}" for port in self.ports[:members]]
+        self.text = fleet_text(self.binds, round_ms)
+
+    async def run(self, window: int = WINDOW) -> Side:
+        with tempfile.TemporaryDirectory(prefix="lupinmill-honest-") as folder:
+            path = Path(folder) / "operators.toml"
+            path.write_text(self.text)
+            environ = {"BALANCER_OPERATOR_FILE": str(path)}
+            processes = [
+                Process(name, 0, Path(folder), self.told, lambda process, event: None, environ)
+                for name in self.names
+            ]
+            try:
+                for at in range(0, self.members, AT_ONCE):
+                    await asyncio.gather(*(one.start() for one in processes[at : at + AT_ONCE]))
+                return await self.count(processes, window)
+            finally:
+                await asyncio.gather(*(one.end() for one in processes))
+                TAKEN.difference_update(self.ports)
+
+    def told(self, process: Process) -> dict[str, Any]:
+        at = self.names.index(process.name)
+        return {
+            "name": process.name,
+            "listen": self.binds[at],
+            "operator": f"{HOST}:{self.ports[self.members + at]}",
+            "discovery": f"{HOST}:9",
+            "seed": str(at),
+            "limits": {"sockets": 256, "memory_mb": 64},
+            "known": {"index": 1, "snapshot": True, "endpoints": []},
+            "settings": SETTINGS,
+        }
+
+    async def shows(self, processes: list[Process]) -> list[tuple[float, float, dict[str, Any]]]:
+        found = []
+        for one in processes:
+            table = await call(one.operator, "peers")
+            found.append((time.monotonic(), cpu_of(one), table))
+        return found
+
+    async def count(self, processes: list[Process], window: int) -> Side:
+        ends = time.monotonic() + ALL_KNOWN
+        while any(table.get("sees") != self.members for _, _, table in await self.shows(processes)):
+            if time.monotonic() > ends:
+                raise TimeoutError("real sidecars have not all seen all")
+            await asyncio.sleep(0.5)
+        await asyncio.sleep(settled_rounds(self.members) * self.round_s)
+        before = await self.shows(processes)
+        await asyncio.sleep(window * self.round_s)
+        after = await self.shows(processes)
+        found = Side(self.members, seconds=window * self.round_s)
+        for (at, used, early), (then, spent, late) in zip(before, after):
+            seconds, part = then - at, 1 / self.members
+            for key, name in (
+                ("messages_out", "sent"),
+                ("messages_in", "received"),
+                ("bytes_out", "bytes_out"),
+                ("bytes_in", "bytes_in"),
+            ):
+                count = late["datagrams"][name] - early["datagrams"][name]
+                setattr(found, key, getattr(found, key) + count / seconds * part)
+            found.rows += late["sees"] * part
+            found.cpu += (spent - used) / seconds * part
+            for why, count in late["datagrams"]["refused"].items():
+                found.refused[why] = found.refused.get(why, 0) + count
+        found.memory = sum(one.memory() for one in processes) / self.members * 2**20
+        return found
+
+
+def play(members: int, round_ms: int = 200) -> Side:
+    return asyncio.run(Real(members, round_ms).run())
+
+
+def differences(real: Side, hollow: Side) -> dict[str, float]:
+    """Of the hollow from the real, as a part of the real."""
+    return {
+        name: abs(getattr(hollow, name) - getattr(real, name)) / max(1e-9, getattr(real, name))
+        for name in COMPARED
+    }
+
+
+def wrong(real: Side, hollow: Side) -> list[str]:
+    """What is further apart than it may be, in words."""
+    return [
+        f"{name.replace('_', ' ')} of {hollow.members} hollow sidecars is {getattr(hollow, name):.4g}, "
+        f"of real ones {getattr(real, name):.4g}: {apart:.0%} apart, {WITHIN:.0%} allowed"
+        for name, apart in differences(real, hollow).items()
+        if not apart <= WITHIN
+    ]
--- /dev/null
+++ b/lupinmill/lab/scale/loopback.py
@@ -0,0 +1,142 @@
+"""Hollow sidecars over real loopback sockets, many in one process: the very `Driver`, `Engine`, `Zoning` and
+`Common` that `program.sidecar` puts together from the same operators' file, without listeners and clients.
+
+Owns the sockets and tasks of the fleet, given back at the end of `Fleet.run`."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import orjson
+
+from lupinmill import terms as t
+from lupinmill.lab.fleet_sockets import HOST, SETTINGS, TAKEN, free_port
+from lupinmill.lab.scale.hollow import names
+from lupinmill.peers.driver import Driver
+from lupinmill.peers.membership import JOINING, TABLE_EVERY
+from lupinmill.peers.wire import MOST_NOTES
+from lupinmill.program import operators_file
+from lupinmill.program.common import Common
+from lupinmill.protocol import settings as protocol_settings
+from lupinmill.routing.engine import Clock, Engine
+from lupinmill.zones.driver import Zoning
+
+ELECTORS = 5
+WINDOW = 40  # rounds that are counted: some whole exchanges of tables
+ALL_KNOWN = 180.0  # seconds for all to see all, at most
+LOOK = 0.2
+
+
+@dataclass
+class Side:
+    """Of the mean member over the window, by the second."""
+
+    members: int
+    messages_out: float = 0.0
+    messages_in: float = 0.0
+    bytes_out: float = 0.0
+    bytes_in: float = 0.0
+    rows: float = 0.0  # members that it holds for present, itself among them
+    cpu: float = 0.0  # part of a core
+    memory: float = 0.0  # bytes; real processes only
+    seconds: float = 0.0
+    refused: dict[str, int] = field(default_factory=dict)  # datagrams, by cause
+
+
+def fleet_text(addresses: list[str], round_ms: int, zones: int = 4) -> str:
+    """The one operators' file of a fleet, with zones on."""
+    members = len(addresses)
+    every = names(members)
+    electors = [every[at * members // ELECTORS] for at in range(ELECTORS)]
+    rows = [
+        f'[peers.members.{name}]\naddress = "{address}"\nzone = "z{at * zones // members}"\n'
+        for at, (name, address) in enumerate(zip(every, addresses))
+    ]
+    rows += [f'[zones.map.z{at}]\nregion = "r{at // 2}"\n' for at in range(zones)]
+    head = f'site = "hollow"\n\n[peers]\nelectors = {orjson.dumps(electors).decode()}\n'
+    return head + f"round_ms = {round_ms}\nlive_count = true\n\n" + "\n".join(rows)
+
+
+def settled_rounds(members: int) -> int:
+    """Rounds until tables are asked for by turns only, and some more in which news is told."""
+    return JOINING + 2 * members // MOST_NOTES + 2 * TABLE_EVERY + members // 10
+
+
+class Hollow:
+    """One sidecar without clients."""
+
+    def __init__(self, file: operators_file.File, name: str) -> None:
+        assert file.peers is not None and file.zones is not None
+        deployment = protocol_settings.deployment(protocol_settings.flatten(SETTINGS))
+        told = operators_file.told(file, name)
+        self.engine = Engine(deployment, Clock(), self.log)
+        for kind in (t.Watch, t.WakeMe):
+            self.engine.carriers[kind] = lambda order: None
+        self.driver = Driver(told, file.site, operators_file.bind(file, name), None, self.log)
+        map_ = operators_file.zone_map(file.zones, {w.name: w.value for w in deployment.workloads})
+        zoning = Zoning(map_, told, self.driver, self.engine, self.log)
+        self.common = Common(self.engine, self.driver, 1, True, zoning, self.log)
+
+    def log(self, event: str, **fields: Any) -> None:
+        if event in ("task_failed", "module_failed", "order_failed"):
+            raise RuntimeError(f"{event}: {fields}")
+
+    def rows(self) -> int:
+        return self.driver.peer.membership.present + 1 if self.driver.peer is not None else 0
+
+    def counts(self) -> tuple[int, int, int, int]:
+        driver = self.driver
+        return driver.sent, driver.received, driver.bytes_out, driver.bytes_in
+
+
+class Fleet:
+    def __init__(self, members: int, round_ms: int = 200, make: Callable[..., Hollow] = Hollow) -> None:
+        self.members, self.round_s = members, round_ms / 1000
+        self.ports = [free_port(20_000 + 31 * at) for at in range(members)]
+        text = fleet_text([f"{HOST}:{port}" for port in self.ports], round_ms)
+        import tomllib
+
+        file = operators_file.understand(tomllib.loads(text))
+        self.hollow = [make(file, name) for name in names(members)]
+
+    async def run(self, window: int = WINDOW) -> Side:
+        try:
+            async with anyio.create_task_group() as group:
+                for one in self.hollow:
+                    group.start_soon(one.driver.run, False)
+                    group.start_soon(one.common.run)
+                found = await self.count(window)
+                group.cancel_scope.cancel()
+            return found
+        finally:
+            TAKEN.difference_update(self.ports)
+
+    async def count(self, window: int) -> Side:
+        with anyio.fail_after(ALL_KNOWN):
+            while any(one.rows() < self.members for one in self.hollow):
+                await anyio.sleep(LOOK)
+        await anyio.sleep(settled_rounds(self.members) * self.round_s)
+        before, began, cpu = [one.counts() for one in self.hollow], time.monotonic(), time.process_time()
+        await anyio.sleep(window * self.round_s)
+        after, seconds = [one.counts() for one in self.hollow], time.monotonic() - began
+        found = Side(self.members, seconds=seconds)
+        found.cpu = (time.process_time() - cpu) / seconds / self.members
+        rates = [
+            sum(late[at] - early[at] for early, late in zip(before, after)) / seconds / self.members
+            for at in range(4)
+        ]
+        found.messages_out, found.messages_in, found.bytes_out, found.bytes_in = rates
+        found.rows = sum(one.rows() for one in self.hollow) / self.members
+        for one in self.hollow:
+            for why, count in one.driver.refused.items():
+                found.refused[why] = found.refused.get(why, 0) + count
+        return found
+
+
+def play(members: int, round_ms: int = 200) -> Side:
+    """In the process that calls it; its processor time is the fleet's."""
+    return anyio.run(Fleet(members, round_ms).run)
--- /dev/null
+++ b/lupinmill/lab/scale/slopes.py
@@ -0,0 +1,167 @@
+"""`lupinmill lab slopes`: all runs of all sizes and seeds, the table, the file.
+
+Owns the pool of processes, two at most: the machine is shared. What ended before its end, or is not there, is
+told in `partial` in words."""
+
+from __future__ import annotations
+
+import importlib
+import os
+import subprocess
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from datetime import date
+from pathlib import Path
+from typing import Any
+
+from lupinmill.lab.scale import hollow, runs
+from lupinmill.lab.scale.book import Book, line
+from lupinmill.lab.scale.measured import Added, Figure, Measured
+from lupinmill.lab.scale.runs import Run
+
+SIZES = (100, 300, 1_000, 3_000, 20_000)
+QUICK = (30, 100, 300)
+LEAST, MOST = 20, 50_000
+JOBS = 2
+LARGEST_START = 3_000  # members; a larger fleet's start takes more minutes than there are
+LARGEST_ORDINARY = 300
+ROSTERS = (5, 100, 1_000, 1_990)  # of real processes: the file's cap is 2,000
+LISTS = (24, 840, 5_000, 20_000)
+ZONES = (4, 8, 16, 20)
+OTHERS = ("added", "returns", "fanout")  # modules of this package with a `measure` of their own
+
+
+class TooLarge(ValueError):
+    """The text is the one line."""
+
+
+def memory_of_machine() -> int:
+    return os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+
+
+def wanted(run: Run) -> int:
+    """Bytes that a run may take, more rather than less."""
+    if run.what in ("quiet", "start", "zone lost", "ordinary"):
+        whole = run.what == "ordinary" or run.what == "zone lost" and run.size <= runs.MOST_WHOLE
+        return hollow.memory_wanted(run.size, run.size if whole else runs.cores(run.size) or run.size)
+    return run.size * 10_000
+
+
+def refuse_too_large(plan: list[Run], jobs: int = JOBS, memory: int | None = None) -> None:
+    """Before anything starts. Raises TooLarge."""
+    half = (memory or memory_of_machine()) // 2
+    most = sorted((wanted(run) for run in plan), reverse=True)[:jobs]
+    if sum(most) > half:
+        worst = max(plan, key=wanted)
+        raise TooLarge(
+            f"--sizes {worst.size}: {worst.what} may take {sum(most) // 2**20} MiB, over half of this "
+            f"machine's memory"
+        )
+
+
+def plan(sizes: list[int], seeds: list[int], quick: bool) -> list[Run]:
+    """The dearest first, so that the last ones don't leave a process idle."""
+    found = []
+    for seed in seeds:
+        for size in sorted(sizes, reverse=True):
+            found += [Run("evidence", size, seed), Run("quiet", size, seed, 10 if quick else 0)]
+            if size <= LARGEST_START:
+                found.append(Run("start", size, seed))
+            if size <= (300 if quick else 3_000):
+                found.append(Run("zone lost", size, seed))
+            if size <= LARGEST_ORDINARY and not quick:
+                found.append(Run("ordinary", size, seed))
+            found += [Run("state", size, seed), Run("file", size, seed)]
+        if not quick:
+            found += [Run("zones", zones, seed) for zones in ZONES]
+            found += [Run("lists", endpoints, seed) for endpoints in LISTS]
+            found += [Run("restart", members, seed, 8.0) for members in ROSTERS]
+    return found
+
+
+def commit_of(root: Path) -> str:
+    """Of the text measured; with a + where it was changed since."""
+    try:
+        head, dirty = (
+            subprocess.run(["git", "-C", str(root), *call], capture_output=True, text=True, check=True).stdout
+            for call in (["rev-parse", "--short=12", "HEAD"], ["status", "--porcelain", "--", "lupinmill"])
+        )
+    except (OSError, subprocess.CalledProcessError):
+        return "unknown"
+    return head.strip() + ("+" if dirty.strip() else "")
+
+
+def measure(
+    sizes: list[int], seeds: list[int], quick: bool, command: str, tell: Callable[[str], None]
+) -> Measured:
+    todo = plan(sizes, seeds, quick)
+    refuse_too_large(todo)
+    book = Book()
+    play_all(todo, book, tell)
+    measured = Measured(
+        command,
+        commit_of(Path(__file__).resolve().parents[3]),
+        date.today().isoformat(),
+        seeds,
+        round(book.reference(), 3),
+        os.cpu_count() or 1,
+        book.figures(),
+    )
+    left_out(measured, sizes)
+    measured.partial += book.partial
+    if not quick:
+        others(measured, seeds)
+    return measured
+
+
+def left_out(measured: Measured, sizes: list[int]) -> None:
+    for size in sizes:
+        if size > LARGEST_START:
+            measured.partial.append(f"start of {size} members: not run, it lasts for minutes of many cores")
+        if size > LARGEST_ORDINARY:
+            measured.partial.append(f"ordinary day of {size} members: not run")
+    measured.partial.append("days not run: a rack, a region cut off, a release, control restarted")
+
+
+def play_all(todo: list[Run], book: Book, tell: Callable[[str], None], jobs: int = JOBS) -> None:
+    with ProcessPoolExecutor(jobs) as pool:
+        waiting = {pool.submit(run.play): run for run in todo}
+        try:
+            for done in as_completed(waiting):
+                run = waiting[done]
+                try:
+                    book.add(done.result())
+                except Exception as error:  # one run costs its points, never the others
+                    text = f"{run.what} at {run.size}, seed {run.seed}: {type(error).__name__} {error}"
+                    book.partial.append(text[:200])
+                tell(f"  {run.what} at {run.size}, seed {run.seed}: done")
+        finally:
+            pool.shutdown(cancel_futures=True)
+
+
+def others(measured: Measured, seeds: list[int]) -> None:
+    """Figures of parts with files of their own; one that is not there is told."""
+    for name in OTHERS:
+        try:
+            module: Any = importlib.import_module(f"lupinmill.lab.scale.{name}")
+        except ModuleNotFoundError:
+            measured.partial.append(f"{name}: not there, not run")
+            continue
+        try:
+            found: tuple[list[Added], list[Figure]] | list[Figure]
+            found = module.measure(False, seeds)
+            if isinstance(found, tuple):
+                measured.added += found[0]
+                found = found[1]
+            measured.figures += found
+        except Exception as error:  # theirs costs theirs
+            measured.partial.append(f"{name}: ended by {type(error).__name__} {error}"[:200])
+
+
+def table(measured: Measured) -> str:
+    rows = [line(figure) for figure in measured.figures]
+    rows.append(
+        f"reference loop {measured.reference_us:.1f} us a turn, {measured.cores} cores, text {measured.commit}"
+    )
+    rows += [f"partial: {text}" for text in measured.partial]
+    return "\n".join(rows)
