lab capacity: measured slopes times a checked target; N*, order and choice of mechanisms

- target.toml into closed types; a typo, a missing key or a value out of range is one line that names the key, exit 2.
Each assumption is a key with its reason; the table tells which verdicts move if it is wrong by three.
- A value is read where it was measured.
A line is used beyond its sizes only where it fits all of them, foretells the last one from the others, and up to ten times that.
The second condition is new: by `fit.fit` alone size**0.7 to size**1.15 pass for straight from 100 to 3,000, and at 20,000 such a line is 1.9 times to 0.67 of the curve (computed here; with it 0.88 to 1.12 pass, 1.32 to 0.73).
- Rows that no run gives (caps, how long words of members count, changes as new starts) are computed from the constants of the modules that serve; a test holds the premise that SIGHUP refuses a change of settings.

--- a/lupinmill/cli/lab.py
+++ b/lupinmill/cli/lab.py
@@ -11,6 +11,7 @@
 import click
 import msgspec
 
+from lupinmill.cli.capacity import capacity
 from lupinmill.lab import result, scenario
 from lupinmill.lab.earlier import NoSuchVersion
 from lupinmill.lab.policies import POLICIES
@@ -506,3 +507,4 @@
 from lupinmill.cli.scale import slopes  # noqa: E402
 
 lab.add_command(slopes)
+lab.add_command(capacity)
--- /dev/null
+++ b/lupinmill/lab/scale/computed.py
@@ -0,0 +1,119 @@
+"""Rows that follow from the target and from the text's own constants, without a run. The constants are read
+from the modules that serve, so a row moves with them. Pure."""
+
+from __future__ import annotations
+
+from lupinmill.lab.scale import tables
+from lupinmill.lab.scale.curves import ANY, COMPUTED, NEVER, Bound, Use
+from lupinmill.lab.scale.row import Row, verdict
+from lupinmill.lab.scale.tables import CELLS, CONFIG, ROSTERS
+from lupinmill.lab.scale.target import Target
+from lupinmill.program import operators_file
+from lupinmill.zones import driver, evidence, member
+
+
+def rows(target: Target) -> list[Row]:
+    return [*settings(target), *rosters(target), *evidence_told(target), *versions(target)]
+
+
+def row(
+    key: str, role: str, what: str, unit: str, use: float, budget: float, bound: Bound, carried: str,
+    next: tuple[str, ...], fatal: bool, because: str, added: str = "", after: str = "",
+) -> Row:  # fmt: skip
+    found = Use(use, COMPUTED)
+    return Row(
+        key, role, what, unit, budget, found, bound, verdict(found, budget), carried, next, fatal,
+        added=added, after=after, because=because,
+    )  # fmt: skip
+
+
+def proportional(use: float, budget: float, fleet: int) -> Bound:
+    return Bound("at", fleet * budget / use)
+
+
+def either(use: float, budget: float) -> Bound:
+    """Of what is the same part of the budget in a fleet of any size."""
+    return ANY if use > budget else NEVER
+
+
+def settings(target: Target) -> list[Row]:
+    concerned = min(target.assumed("concerned"), target.fleet.sidecars)
+    restarts = target.goals.changes_a_day * concerned
+    return [
+        row(
+            "settings", "sidecar", "changes of settings, each a new start", "1/day", restarts,
+            target.faults.restarted_a_day, either(restarts, target.faults.restarted_a_day),
+            "lupinmill/program/told.py", (CONFIG,), True,
+            "a change of workloads, limits, shares or instances is refused by SIGHUP (`told.fixed`): "
+            "changes a day times the sidecars that each concerns, against the restarts that a day has "
+            "anyhow",
+            after="time in force",
+        ),
+    ]  # fmt: skip
+
+
+def rosters(target: Target) -> list[Row]:
+    fleet, zones = target.fleet.sidecars, target.fleet.zones
+    return [
+        row(
+            "members", "sidecar", "members that one file may have", "members", fleet,
+            operators_file.MOST_MEMBERS, Bound("at", operators_file.MOST_MEMBERS),
+            "lupinmill/program/operators_file.py", (ROSTERS, CONFIG, CELLS), True,
+            "`MOST_MEMBERS`; the next machine's file is refused",
+        ),
+        row(
+            "zones", "sidecar", "zones that one file may have", "zones", zones, operators_file.MOST_ZONES,
+            proportional(zones, operators_file.MOST_ZONES, fleet), "lupinmill/program/operators_file.py",
+            (CELLS, CONFIG), True, "`MOST_ZONES`; the plan's body has 700 bytes",
+        ),
+    ]  # fmt: skip
+
+
+def evidence_told(target: Target) -> list[Row]:
+    fleet, life = target.fleet.sidecars, evidence.AGE / 1e6
+    every = driver.PERIOD * max(1.0, fleet / driver.MOST_LARGE)
+    heard = life / member.HEARD_OF
+    size = driver.MOST_LARGE / driver.PERIOD
+    return [
+        row(
+            "words", "holder", "time between two words of a member, each of which counts for 6 s", "s", every,
+            life, Bound("at", life * size), "lupinmill/zones/evidence.py", (CELLS,), False,
+            "members tell every N/250 s (`MOST_LARGE`), each word counts for `AGE`; from there on a word "
+            "has run out before the next comes",
+        ),
+        row(
+            "half heard", "holder", "time between two words of a member, where the holder wants half of them",
+            "s", every, heard, Bound("at", heard * size), "lupinmill/zones/member.py", (CELLS,), True,
+            "`HEARD_OF`; from there on there is no plan: a lost zone is left by each sidecar's own evidence",
+        ),
+    ]  # fmt: skip
+
+
+def versions(target: Target) -> list[Row]:
+    """With the mechanism: bytes of changes alone, without the heads of calls, which are measured."""
+    changes, size = tables.changes(target), target.assumed("change_bytes")
+    fleet, concerned = target.fleet.sidecars, min(target.assumed("concerned"), target.fleet.sidecars)
+    relays = tables.relays_left(target)
+    own = changes * concerned / fleet * size
+    parts = (
+        ("changes to one", "sidecar", own, "sidecar.bytes_a_second", "scoped"),
+        ("changes to all", "sidecar", changes * size, "sidecar.bytes_a_second",
+         "if no scope kept them apart"),
+        ("changes from a relay", "relay", changes * concerned / relays * size, "control_bytes_a_second",
+         "with a zone of control machines lost"),
+        ("changes from the source", "source", changes * relays * size, "control_bytes_a_second",
+         "each relay takes each change"),
+    )  # fmt: skip
+    found = []
+    for key, role, use, budget, because in parts:
+        most = tables.BUDGETS[budget](target)
+        grows = key != "changes to one"
+        found.append(
+            row(
+                key, role, f"bytes of changes, {because}", "bytes/s", use, most,
+                proportional(use, most, fleet) if grows else either(use, most),
+                tables.MECHANISMS[CONFIG].file, (CONFIG,), False,
+                "changes in the dearest minute times `change_bytes`", added=CONFIG,
+            )
+        )  # fmt: skip
+    return found
--- /dev/null
+++ b/lupinmill/lab/scale/page.py
@@ -0,0 +1,323 @@
+"""The page's tables, in Markdown: blocks by name, each between two markers that stand on the page as well, so
+that page and command can be compared word for word. Pure but for `put`."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from pathlib import Path
+
+from lupinmill.lab.scale import capacity, machines, tables
+from lupinmill.lab.scale.curves import AT, FIRST, LAST, Bound, Use
+from lupinmill.lab.scale.measured import Measured
+from lupinmill.lab.scale.row import BREAKS, Row
+from lupinmill.lab.scale.show import amount, count, digits, headroom, table
+from lupinmill.lab.scale.target import Target
+
+BEGIN, END = "<!-- capacity {}: written by `lupinmill lab capacity --write` -->", "<!-- end of {} -->"
+
+
+class NoPlace(Exception):
+    """The text is the one line."""
+
+
+def nstar(bound: Bound) -> str:
+    size = count(round(bound.size))
+    return {
+        "any": "any size",
+        "at": f"{size}, extended" if bound.extended else size,
+        "under": f"under {size} as measured",
+        "over": f"over {size}, extended" if bound.extended else f"over {size} as measured",
+        "never": "none: flat",
+    }.get(bound.kind, "not known")
+
+
+def used(use: Use, unit: str) -> str:
+    text = amount(use.amount, unit)
+    if use.how in (LAST, FIRST):
+        return f"{text} at {count(use.size)}, measured no {'further' if use.how == LAST else 'lower'}"
+    return text if use.how in AT else f"{text} ({use.how})"
+
+
+def mean(row: Row) -> str:
+    return "" if row.mean is None else f"; {row.mean_is} {used(row.mean, row.unit)}"
+
+
+def place(role: str) -> int:
+    return tables.ROLES.index(role) if role in tables.ROLES else len(tables.ROLES)
+
+
+# --- blocks -------------------------------------------------------------------------------------
+
+
+def of_target(target: Target, _: Measured) -> str:
+    f, g, s, c, d = target.fleet, target.goals, target.sidecar, target.control, target.faults
+    found = [
+        ("endpoints, each with its sidecar", f"{f.endpoints:,} and {f.sidecars:,}"),
+        ("services", f"{f.services:,}"),
+        ("calls a second", f"{f.calls_a_second:,.0f}, up to {f.depth} deep; "
+                           f"{target.calls_a_sidecar:,.0f} a sidecar in the mean"),
+        ("time added to a call, 99 in 100", f"{g.added_p99_ms:g} ms"),
+        ("regions and zones", f"{f.regions:,} and {f.zones:,}"),
+        ("changes of configuration", f"{g.changes_a_day:,.0f} a day, in force everywhere within "
+                                     f"{g.in_force_s:g} s"),
+        ("a sidecar's control", f"{100 * s.cpu:g}% of a core, {s.memory_mb:g} MB, "
+                                f"{amount(s.bytes_a_second, 'bytes/s')}"),
+        ("control machines", f"{c.machines:,}: electors {c.electors:,}, sources {c.sources:,}, "
+                             f"discovery {c.discovery:,}, and a relay on each"),
+        ("faults a day", f"{d.failed_a_day:,.0f} machines fail, {d.restarted_a_day:,.0f} are restarted"),
+        ("faults a year", f"a rack of {d.rack:,} {d.racks_a_year:g} times, a zone {d.zones_a_year:g} times; "
+                          f"regions lose each other for {d.region_cut_s:,.0f} s"),
+    ]  # fmt: skip
+    return f"Target: {target.title}.\n\n" + table(("what", "target"), found)
+
+
+def of_run(_: Target, measured: Measured) -> str:
+    seeds = ", ".join(str(seed) for seed in measured.seeds)
+    lines = [
+        f"Measured by `{measured.command}` on text {measured.commit}, {measured.date}; seeds {seeds}; "
+        f"{measured.cores} cores, one turn of the reference loop {measured.reference_us:.3g} us.",
+    ]
+    lines += [f"- Partial: {text}" for text in measured.partial]
+    found = []
+    for figure in measured.figures:
+        sizes = sorted({point.size for point in figure.points})
+        fit = figure.fit
+        kind = "one size" if fit is None else "straight" if fit.straight else "not straight"
+        line = "" if fit is None else f"power {fit.power:.2f}"
+        if fit is not None and fit.straight:
+            line = (
+                f"{amount(fit.intercept, figure.unit)} + {amount(fit.slope, figure.unit)} each; "
+                f"off by {amount(fit.residual, figure.unit)}; {line}"
+            )
+        found.append((
+            figure.role, f"{figure.name}, {figure.day}", figure.grows_with,
+            " to ".join(count(size) for size in dict.fromkeys((sizes[0], sizes[-1]))) if sizes else "",
+            str(len({point.seed for point in figure.points})), kind, line,
+            digits(figure.relative) if figure.relative else "", figure.note,
+        ))  # fmt: skip
+    head = ("role", "figure", "grows with", "sizes", "seeds", "fit", "line", "times the reference", "where")
+    text = "\n".join(lines) + "\n\n" + (table(head, found) if found else "No figures yet.")
+    return text + "\n\n" + of_both(measured)
+
+
+def of_both(measured: Measured) -> str:
+    """Hollow members beside real processes, where both were run at one size."""
+    found = []
+    for figure in measured.figures:
+        for size in sorted({point.size for point in figure.points}):
+            two = [
+                [p.mean for p in figure.points if p.size == size and p.hollow is kind]
+                for kind in (True, False)
+            ]
+            if all(two):
+                hollow, real = (sum(one) / len(one) for one in two)
+                found.append((
+                    figure.role, f"{figure.name}, {figure.day}", count(size), amount(hollow, figure.unit),
+                    amount(real, figure.unit), f"{100 * (hollow / real - 1):+.0f}%" if real else "",
+                ))  # fmt: skip
+    if not found:
+        return "No fleet of real processes was run beside hollow ones in this run."
+    head = ("role", "figure", "size", "hollow", "real", "hollow is off by")
+    return "Hollow members beside real processes:\n\n" + table(head, found)
+
+
+def of_roles(target: Target, measured: Measured) -> str:
+    found = [
+        (row.role, row.what, amount(row.budget, row.unit), used(row.use, row.unit) + mean(row),
+         headroom(row), nstar(row.bound), row.verdict, row.carried)
+        for row in sorted(capacity.rows(target, measured), key=lambda row: place(row.role))
+    ]  # fmt: skip
+    head = ("role", "what", "budget", "use at the target", "headroom", "N*", "verdict", "carried by")
+    text = table(head, found)
+    others = [
+        (figure.role, f"{figure.name}, {figure.day}",
+         "no such size" if use is None else used(use, figure.unit), "peak" if peaks else "mean")
+        for figure, use, peaks in capacity.unbudgeted(target, measured)
+    ]  # fmt: skip
+    if others:
+        text += "\n\nMeasured, without a budget of the letter:\n\n"
+        text += table(("role", "what", "at the target", "of"), others)
+    return text
+
+
+def of_computed(target: Target, measured: Measured) -> str:
+    """How rows that no run gave are computed."""
+    found = [(row.role, row.what, row.because) for row in capacity.rows(target, measured) if row.because]
+    return table(("role", "what", "how"), found)
+
+
+def of_path(_: Target, measured: Measured) -> str:
+    """Time added to a call, and what it is made of."""
+    rates = sorted({one.calls_a_second for one in measured.added})
+    if not rates:
+        return "Not measured."
+    parts = [f for f in measured.figures if f.grows_with in tables.APART]
+    rows: list[list[str]] = []
+    for rate in rates:
+        runs = [one for one in measured.added if one.calls_a_second == rate]
+        rows.append([digits(rate), str(len(runs))])
+        for name in ("straight_p50", "straight_p99", "through_p50", "through_p99"):
+            rows[-1].append(spread([getattr(one, name) for one in runs], "s"))
+        rows[-1].append(spread([one.through_p50 - one.straight_p50 for one in runs], "s"))
+        rows[-1].append(spread([one.through_p99 - one.straight_p99 for one in runs], "s"))
+    text = table(
+        ("calls a second", "seeds", "straight p50", "p99", "through p50", "p99", "added p50", "p99"), rows
+    )
+    made = []
+    for figure in parts:
+        of = {"added": "p50", "added by a bare hop": "p50"}.get(figure.name, "mean")
+        cells = [f"{figure.name}, {of}"]
+        for rate in rates:
+            cells.append(spread([p.mean for p in figure.points if p.size == rate], figure.unit))
+        made.append(cells)
+    if made:
+        text += "\n\nWhat it is made of, by calls a second:\n\n" + table(("part", *map(digits, rates)), made)
+        text += "\n\nWhere: " + "; ".join(dict.fromkeys(f.note for f in parts)) + "."
+    return text
+
+
+def spread(values: list[float], unit: str) -> str:
+    """Mean over seeds, and how far they lie apart."""
+    if not values:
+        return ""
+    text = amount(sum(values) / len(values), unit)
+    return (
+        text if len(values) == 1 else f"{text} ({amount(min(values), unit)} to {amount(max(values), unit)})"
+    )
+
+
+def of_order(target: Target, measured: Measured) -> str:
+    rows = capacity.next_rows(target, measured, capacity.rows(target, measured))
+    found = [
+        (str(place), row.what, row.role, nstar(row.bound), row.verdict,
+         "yes" if row.fatal else "no", ", ".join(row.next))
+        for place, row in enumerate(rows, 1)
+    ]  # fmt: skip
+    text = table(("", "row", "role", "N*", "verdict", "fatal", "stands on"), found)
+    for name, row in capacity.mechanisms(rows).items():
+        one = tables.MECHANISMS[name]
+        why = f"first wanted by: {row.what} ({nstar(row.bound)})" if row else "no row above wants it first"
+        text += f"\n\n**{name}: {one.title}** ({one.file}; {why}). {' '.join(one.design)}"
+    return text
+
+
+def of_choice(target: Target, measured: Measured) -> str:
+    choice = capacity.choose(capacity.rows(target, measured))
+    if choice is None:
+        return "No row of control breaks: no mechanism is missing."
+    apart = [row for row in capacity.rows(target, measured) if not row.control and row.verdict == BREAKS]
+    equals = ", ".join(row.what for row in choice.equals)
+    stand = ", ".join(f"{name} {n}" for name, n in sorted(choice.stand.items(), key=lambda p: (-p[1], p[0])))
+    text = (
+        "Smallest N* of the rows of control whose failing makes the target impossible: "
+        f"{nstar(choice.row.bound)} ({equals}). Rows that break, by the mechanism that they stand on: "
+        f"{stand}. So the mechanism missing first is **{choice.mechanism}**: "
+        f"{tables.MECHANISMS[choice.mechanism].title}."
+    )
+    if apart:
+        text += " Not of control, and not in the choice: " + "; ".join(
+            f"{row.what} ({nstar(row.bound)})" for row in apart
+        ) + "."  # fmt: skip
+    return text
+
+
+def of_after(target: Target, measured: Measured) -> str:
+    """Use after beside before."""
+    found, rows = [], capacity.rows(target, measured)
+    for row in rows:
+        if not row.after:
+            continue
+        now = capacity.after(target, measured, row)
+        what = row.what
+        before = f"{used(row.use, row.unit)} of {amount(row.budget, row.unit)}, {row.verdict}"
+        for one in now:
+            after = f"{used(one.use, one.unit)}{mean(one)}, of {amount(one.budget, one.unit)}, {one.verdict}"
+            found.append((what, before, one.what, after, nstar(one.bound)))
+            what = before = ""
+        if not now:
+            found.append((row.what, before, "", "not measured", ""))
+    text = table(("before", "use", "with the mechanism", "use", "N*"), found)
+    added = [
+        (row.role, row.what, used(row.use, row.unit) + mean(row), amount(row.budget, row.unit), row.verdict)
+        for row in rows if row.added
+    ]  # fmt: skip
+    text += "\n\nWhat it costs:\n\n" + table(("role", "what", "use", "budget", "verdict"), added)
+    return text + "\n\n" + together(rows)
+
+
+def together(rows: list[Row]) -> str:
+    """Budgets are of all of control: membership's part of them and the mechanism's, summed."""
+    found = []
+    for name, quiet in (("cpu", "cpu, quiet"), ("bytes", "bytes, quiet"), ("memory", "state, quiet")):
+        parts = [row for row in rows if row.role == "sidecar" and (
+            row.what == quiet or row.added and row.what == f"{row.added}: {name}, ordinary"
+        )]  # fmt: skip
+        if len(parts) > 1:
+            whole, first = sum(row.use.amount for row in parts), parts[0]
+            told = " + ".join(f"{used(row.use, row.unit)} ({row.what})" for row in parts)
+            found.append(f"{name} {told} = {amount(whole, first.unit)} of {amount(first.budget, first.unit)}")
+    return "Together in a sidecar: " + ("; ".join(found) if found else "not measured") + "."
+
+
+def of_assumptions(target: Target, measured: Measured) -> str:
+    def told(one: capacity.Moved) -> str:
+        if not one.verdicts:
+            return f"{digits(one.value)}: no verdict" + (
+                f", figures of {one.figures}" if one.figures else ", no figure"
+            )
+        return f"{digits(one.value)}: " + "; ".join(f"{key} {was} → {now}" for key, was, now in one.verdicts)
+
+    found = []
+    for name, (less, more) in capacity.all_moved(target, measured).items():
+        one = getattr(target.assumptions, name)
+        found.append((f"`{name}`", digits(one.value), one.reason, told(less), told(more)))
+    return table(("assumption", "value", "what, and why so", "a third: moves", "three times: moves"), found)
+
+
+BLOCKS: dict[str, Callable[[Target, Measured], str]] = {
+    "target": of_target,
+    "choice": of_choice,
+    "before and after": of_after,
+    "roles": of_roles,
+    "computed": of_computed,
+    "path": of_path,
+    "order": of_order,
+    "assumptions": of_assumptions,
+    "machines": machines.of_machines,
+    "domains": machines.of_domains,
+    "run": of_run,
+}
+
+
+def blocks(target: Target, measured: Measured) -> dict[str, str]:
+    """With their markers."""
+    return {
+        name: f"{BEGIN.format(name)}\n\n{text(target, measured)}\n\n{END.format(name)}"
+        for name, text in BLOCKS.items()
+    }
+
+
+def pattern(name: str) -> re.Pattern[str]:
+    return re.compile(re.escape(BEGIN.format(name)) + r".*?" + re.escape(END.format(name)), re.DOTALL)
+
+
+def on_page(text: str) -> dict[str, str]:
+    """Blocks as they stand there. Raises NoPlace."""
+    found = {}
+    for name in BLOCKS:
+        stands = pattern(name).findall(text)
+        if len(stands) != 1:
+            raise NoPlace(
+                f"{BEGIN.format(name)}: stands {len(stands)} times on the page, wants to stand once"
+            )
+        found[name] = stands[0]
+    return found
+
+
+def put(path: Path, new: dict[str, str]) -> None:
+    """Raises NoPlace, and then the page stays as it was; OSError."""
+    text = path.read_text()
+    for name, old in on_page(text).items():
+        text = text.replace(old, new[name])
+    path.write_text(text)
--- /dev/null
+++ b/lupinmill/lab/scale/target.py
@@ -0,0 +1,201 @@
+"""The target of `lupinmill lab capacity`: a TOML file read into closed types. Every fault is one line that
+names the key, an unknown one together with the nearest known one.
+
+An assumption is a figure that the users' letter does not give; it has a reason, and `wrong_by` gives the
+target in which it is another."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+
+from lupinmill.program.operators_file import BadFile, known_keys
+
+FILE = Path(__file__).with_name("target.toml")
+LARGEST = 2**18  # bytes
+DAY = 86_400.0  # seconds
+
+Count = Annotated[int, Meta(ge=1, le=10_000_000)]
+Few = Annotated[int, Meta(ge=0, le=10_000)]
+Amount = Annotated[float, Meta(gt=0, le=1e12)]
+Part = Annotated[float, Meta(gt=0, le=1)]
+
+
+class BadTarget(Exception):
+    """The text is the one line."""
+
+
+class Fleet(Struct, forbid_unknown_fields=True, frozen=True):
+    endpoints: Count
+    sidecars: Count
+    services: Count
+    calls_a_second: Amount
+    depth: Annotated[int, Meta(ge=1, le=100)]
+    regions: Annotated[int, Meta(ge=1, le=1_000)]
+    zones: Annotated[int, Meta(ge=1, le=10_000)]
+
+
+class Goals(Struct, forbid_unknown_fields=True, frozen=True):
+    added_p99_ms: Amount
+    changes_a_day: Amount
+    in_force_s: Amount
+
+
+class Sidecar(Struct, forbid_unknown_fields=True, frozen=True):
+    """What one sidecar may spend on control."""
+
+    cpu: Part  # of a core
+    memory_mb: Amount  # of 10**6 bytes
+    bytes_a_second: Amount  # in and out
+
+
+class Control(Struct, forbid_unknown_fields=True, frozen=True):
+    """The machines set aside for it. Each runs a relay, and some run another role beside it."""
+
+    machines: Count
+    electors: Few
+    sources: Few
+    discovery: Few
+
+    @property
+    def relays(self) -> int:
+        return self.machines
+
+
+class Faults(Struct, forbid_unknown_fields=True, frozen=True):
+    failed_a_day: Amount
+    restarted_a_day: Amount
+    rack: Count
+    racks_a_year: Amount
+    zones_a_year: Amount
+    region_cut_s: Amount
+
+
+class Assumption(Struct, forbid_unknown_fields=True, frozen=True):
+    value: Amount
+    reason: Annotated[str, Meta(min_length=1, max_length=200)]
+
+
+class Assumptions(Struct, forbid_unknown_fields=True, frozen=True):
+    skew: Assumption
+    services_called: Assumption
+    change_bytes: Assumption
+    concerned: Assumption
+    peak_factor: Assumption
+    pace: Assumption
+    control_cores: Assumption
+    control_memory_mb: Assumption
+    control_bytes_a_second: Assumption
+    control_load: Assumption
+    list_calls_a_second: Assumption
+    back_s: Assumption
+
+
+# Least and most that an assumption may be, also where it is taken for wrong.
+RANGES: dict[str, tuple[float, float]] = {
+    "skew": (1, 10_000),
+    "services_called": (1, 10_000),
+    "change_bytes": (1, 1e7),
+    "concerned": (1, 1e7),
+    "peak_factor": (1, 100_000),
+    "pace": (0.01, 100),
+    "control_cores": (1, 1_000),
+    "control_memory_mb": (1, 1e7),
+    "control_bytes_a_second": (1, 1e12),
+    "control_load": (0.001, 1),
+    "list_calls_a_second": (0.001, 1e9),
+    "back_s": (0.001, 86_400),
+}
+
+
+class Target(Struct, forbid_unknown_fields=True, frozen=True):
+    title: Annotated[str, Meta(min_length=1, max_length=100)]
+    fleet: Fleet
+    goals: Goals
+    sidecar: Sidecar
+    control: Control
+    faults: Faults
+    assumptions: Assumptions
+
+    def assumed(self, name: str) -> float:
+        return getattr(self.assumptions, name).value
+
+    @property
+    def calls_a_sidecar(self) -> float:
+        """A second, in the mean."""
+        return self.fleet.calls_a_second / self.fleet.sidecars
+
+    @property
+    def list_endpoints(self) -> float:
+        """In one sidecar's list."""
+        whole = self.assumed("services_called") * self.fleet.endpoints / self.fleet.services
+        return min(whole, float(self.fleet.endpoints))
+
+    @property
+    def zone_sidecars(self) -> float:
+        return self.fleet.sidecars / self.fleet.zones
+
+    @property
+    def machines_a_zone(self) -> int:
+        """Control machines lost with a zone, where they stand as evenly as can be."""
+        return -(-self.control.machines // self.fleet.zones)
+
+
+def read(path: Path = FILE) -> Target:
+    """Raises BadTarget."""
+    try:
+        data = path.read_bytes()
+        if len(data) > LARGEST:
+            raise BadFile(f"over {LARGEST} bytes")
+        return understand(tomllib.loads(data.decode()))
+    except OSError as error:
+        raise BadTarget(f"{path}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise BadTarget(f"{path}: no UTF-8") from error
+    except (tomllib.TOMLDecodeError, BadFile) as error:
+        raise BadTarget(f"{path}: {error}") from error
+
+
+def understand(table: dict[str, Any]) -> Target:
+    """Raises BadFile."""
+    known_keys(table, Target, "")
+    try:
+        target = msgspec.convert(table, Target)
+    except msgspec.ValidationError as error:
+        text, _, place = str(error).partition(" - at `$")
+        place = place.rstrip("`").lstrip(".")
+        if missing := re.fullmatch(r"Object missing required field `(.+)`", text):
+            raise BadFile(f"{place}{'.' if place else ''}{missing[1]}: missing") from error
+        raise BadFile(f"{place or 'the file'}: {text}") from error
+    check(target)
+    return target
+
+
+def check(target: Target) -> None:
+    for name, (least, most) in RANGES.items():
+        if not least <= target.assumed(name) <= most:
+            raise BadFile(f"assumptions.{name}.value: wants {least:g} to {most:g}")
+    fleet = target.fleet
+    for key in ("services", "zones"):
+        if getattr(fleet, key) > fleet.sidecars:
+            raise BadFile(f"fleet.{key}: wants no more than fleet.sidecars, {fleet.sidecars}")
+    if fleet.regions > fleet.zones:
+        raise BadFile(f"fleet.regions: wants no more than fleet.zones, {fleet.zones}")
+    for key in ("electors", "sources", "discovery"):
+        if getattr(target.control, key) > target.control.machines:
+            raise BadFile(f"control.{key}: wants no more than control.machines, {target.control.machines}")
+
+
+def wrong_by(target: Target, name: str, factor: float) -> Target:
+    """The same with one assumption wrong by that factor, within its range."""
+    least, most = RANGES[name]
+    was = getattr(target.assumptions, name)
+    changed = msgspec.structs.replace(was, value=min(most, max(least, was.value * factor)))
+    return msgspec.structs.replace(
+        target, assumptions=msgspec.structs.replace(target.assumptions, **{name: changed})
+    )
