--- a/lupinmill/lab/scale/page.py
+++ b/lupinmill/lab/scale/page.py
@@ -249,10 +249,13 @@
 def together(rows: list[Row]) -> str:
     """Budgets are of all of control: membership's part of them and the mechanism's, summed."""
     found = []
-    for name, quiet in (("cpu", "cpu, quiet"), ("bytes", "bytes, quiet"), ("memory", "state, quiet")):
-        parts = [row for row in rows if row.role == "sidecar" and (
-            row.what == quiet or row.added and row.what == f"{row.added}: {name}, ordinary"
-        )]  # fmt: skip
+    wanted = {
+        "cpu": ("cpu, quiet", "config: cpu, ordinary"),
+        "bytes": ("bytes, quiet", "evidence bytes, quiet", "config: bytes, ordinary"),
+        "memory": ("state, quiet", "config: memory, ordinary"),
+    }
+    for name, names in wanted.items():
+        parts = [row for row in rows if row.role == "sidecar" and row.what in names]
         if len(parts) > 1:
             whole, first = sum(row.use.amount for row in parts), parts[0]
             told = " + ".join(f"{used(row.use, row.unit)} ({row.what})" for row in parts)
--- a/lupinmill/lab/scale/tables.py
+++ b/lupinmill/lab/scale/tables.py
@@ -259,6 +259,7 @@
     Kind("sidecar", "bytes", "ordinary", "sidecar.bytes_a_second", MEMBERS, (CELLS, ROSTERS), True),
     Kind("sidecar", "bytes", "start", "sidecar.bytes_a_second", MEMBERS, (JOINING, CELLS)),
     Kind("sidecar", "bytes", "*", "sidecar.bytes_a_second", MEMBERS, (CELLS, ROSTERS)),
+    Kind("sidecar", "evidence bytes", "*", "sidecar.bytes_a_second", ZONES, (CELLS,), True),
     Kind("sidecar", "state", "*", "sidecar.memory_mb", MEMBERS, (CELLS, ROSTERS), True),
     Kind("sidecar", "file memory", "*", "sidecar.memory_mb", FILES, (ROSTERS, CONFIG, CELLS), True),
     Kind("sidecar", "file cpu", "*", "sidecar.cpu", FILES, (ROSTERS, CONFIG, CELLS), True, files=CORE),
