--- a/lupinmill/lab/scale/capacity.py
+++ b/lupinmill/lab/scale/capacity.py
@@ -14,7 +14,7 @@
 from lupinmill.lab.scale.curves import ANY, LAST, NEAR, NEVER, Bound, Curve, Use, breaks, curve, value
 from lupinmill.lab.scale.measured import Figure, Measured, Point
 from lupinmill.lab.scale.row import BREAKS, HOLDS, Row, verdict
-from lupinmill.lab.scale.tables import ADDED, CHANGES, CORE, KINDS, ONE_RELAY, Kind
+from lupinmill.lab.scale.tables import ADDED, BESIDE, CHANGES, CORE, KINDS, ONE_RELAY, Kind
 from lupinmill.lab.scale.target import RANGES, Target, wrong_by
 
 WRONG = 3.0
@@ -32,7 +32,7 @@
 
 
 def kind_of(figure: Figure) -> Kind | None:
-    return next((kind for kind in KINDS if kind.takes(figure)), None)
+    return None if figure.day == BESIDE else next((kind for kind in KINDS if kind.takes(figure)), None)
 
 
 def fleet_run(measured: Measured) -> float:
@@ -199,7 +199,7 @@
 
 def after(target: Target, measured: Measured, row: Row) -> list[Row]:
     """What a row has become with its mechanism, from the figures measured of it."""
-    found = [figure for figure in joined(measured.figures) if row.after and figure.name.startswith(row.after)]
+    found = [figure for figure in joined(measured.figures) if row.after and row.after in figure.name]
     largest = fleet_run(measured)
     return [one for figure in found if (one := of_figure(target, figure, largest)) is not None]
 
@@ -256,7 +256,11 @@
     left out of the page; those by calls a second have a table of their own."""
     found = []
     for figure in joined(measured.figures):
-        if figure.grows_with not in tables.APART and of_figure(target, figure, 0.0) is None:
+        if (
+            figure.grows_with not in tables.APART
+            and figure.day != BESIDE
+            and of_figure(target, figure, 0.0) is None
+        ):
             size = tables.size(target, figure)
             points = hollow(figure.points)
             peaks = any(point.peak > 0 for point in points)
--- a/lupinmill/lab/scale/page.py
+++ b/lupinmill/lab/scale/page.py
@@ -250,7 +250,7 @@
     """Budgets are of all of control: membership's part of them and the mechanism's, summed."""
     found = []
     wanted = {
-        "cpu": ("cpu, quiet", "config: cpu, ordinary"),
+        "cpu": ("cpu, quiet", "config: watch cpu, ordinary"),
         "bytes": ("bytes, quiet", "evidence bytes, quiet", "config: bytes, ordinary"),
         "memory": ("state, quiet", "config: memory, ordinary"),
     }
--- a/lupinmill/lab/scale/tables.py
+++ b/lupinmill/lab/scale/tables.py
@@ -212,7 +212,7 @@
 
 def size(target: Target, figure: Figure) -> float | None:
     """Of a figure at the target; None where the target has no size that it grows with."""
-    if figure.role == "relay" and figure.name.startswith(ONE_RELAY):
+    if figure.name.startswith(ONE_RELAY):
         return target.fleet.sidecars / relays_left(target)
     sizes = {
         "members": float(target.fleet.sidecars),
@@ -226,7 +226,9 @@
     return sizes.get(figure.grows_with)
 
 
-ONE_RELAY = "core "  # figures of one relay by its own sidecars are named so; others are by the fleet's
+# Figures of one relay by its own sidecars are named so, of cores or of processes; others are by the fleet's.
+ONE_RELAY = ("core ", "process ", "watch ")
+BESIDE = "quiet, sockets"  # a day that is run to compare real members with hollow ones, and sizes nothing
 # A size that the fleet's does not move: a budget that breaks there breaks in a fleet of any size.
 APART = ("calls a second",)
 
@@ -239,6 +241,7 @@
 
 KINDS: tuple[Kind, ...] = (
     Kind("*", "time in force", "*", "in_force_s", FANNED, (CONFIG,), True, added=CONFIG, mean="p50"),
+    Kind("*", "process time in force", "*", "in_force_s", FANNED, (CONFIG,), True, added=CONFIG, mean="p50"),
     Kind("*", "time in force p99", "*", "in_force_s", FANNED, (CONFIG,), True, added=CONFIG, mean="p99"),
     Kind("*", "time until all are at the newest", "*", "back_s", FANNED, (LAYERS,), added=CONFIG),
     Kind("relay", "*cpu", "*", "control_load", FANNED, (LAYERS,), added=CONFIG),
@@ -248,6 +251,7 @@
     Kind("source", "*cpu", "*", "control_load", FANNED, (LAYERS,), added=CONFIG),
     Kind("source", "*memory", "*", "control_memory_mb", FANNED, (LAYERS,), added=CONFIG),
     Kind("source", "bytes*", "*", "control_bytes_a_second", FANNED, (LAYERS,), added=CONFIG),
+    Kind("sidecar", "watch cpu", "*", "sidecar.cpu", FANNED, (CONFIG,), added=CONFIG),
     Kind("sidecar", "cpu", "*", "sidecar.cpu", FANNED, (CONFIG,), added=CONFIG, grows=CHANGES),
     Kind("sidecar", "bytes", "*", "sidecar.bytes_a_second", FANNED, (CONFIG,), added=CONFIG, grows=CHANGES),
     Kind("sidecar", "memory", "*", "sidecar.memory_mb", FANNED, (CONFIG,), added=CONFIG, grows="sidecars"),
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -218,6 +218,32 @@
     assert sidecar.bound.size == pytest.approx(5000) and sidecar.verdict == BREAKS
 
 
+def test_figures_of_one_relay_are_by_its_own_sidecars_and_others_by_the_fleets():
+    def size(name: str, role: str = "relay") -> float:
+        return tables.size(TARGET, figure(line(1, 0), role, name, grows="sidecars"))
+
+    assert size("process cpu") == size("core memory") == size("watch cpu", "sidecar") == 20_000 / 47
+    assert size("time until all are at the newest") == size("calls, all relays") == 20_000
+
+
+def test_a_day_run_to_compare_real_members_with_hollow_ones_sizes_nothing():
+    one = figure(line(0.2, 0), day="quiet, sockets", sizes=(30,))
+    one.points += [Point(30, 0, 0.25, hollow=False)]
+    assert "sidecar cpu quiet, sockets, by members" not in by_key(run(one))
+    assert "| sidecar | cpu, quiet, sockets | 30 | 20% | 25% | -20% |" in page.of_run(TARGET, run(one))
+
+
+def test_more_changes_a_second_are_no_larger_fleet():
+    key, rates = "sidecar cpu ordinary, by changes a second", (0.36, 3.6, 36)
+    config = figure(line(0, 0.001), grows="changes a second", day="ordinary", sizes=rates)
+    restart = "time until all are at the newest"
+    fleet = figure(line(2, 0), "relay", restart, "s", "sidecars", sizes=(2000, 20_000))
+    ours = by_key(run(config, fleet))[key]
+    assert ours.verdict == HOLDS and ours.bound == Bound("over", 20_000)
+    larger = msgspec.structs.replace(TARGET, fleet=msgspec.structs.replace(TARGET.fleet, sidecars=40_000))
+    assert by_key(run(config, fleet), larger)[key].verdict == UNKNOWN
+
+
 def test_a_curved_row_is_not_known_beyond_its_sizes_and_broken_where_it_broke():
     curved = by_key(run(figure(lambda n: 1e-9 * n**2)))["sidecar cpu quiet, by members"]
     assert (curved.verdict, curved.bound) == (UNKNOWN, Bound("over", 3000))
