--- a/lupinmill/lab/scale/computed.py
+++ b/lupinmill/lab/scale/computed.py
@@ -73,8 +73,14 @@
     fleet, life = target.fleet.sidecars, evidence.AGE / 1e6
     every = driver.PERIOD * max(1.0, fleet / driver.MOST_LARGE)
     heard = life / member.HEARD_OF
-    size = driver.MOST_LARGE / driver.PERIOD
+    size, counts = driver.MOST_LARGE / driver.PERIOD, member.COUNTS / 1e6
     return [
+        row(
+            "plan counts", "sidecar", "time between two looks at the plan, each of which counts for 3 s", "s",
+            every, counts, Bound("at", counts * size), "lupinmill/zones/driver.py", (CELLS,), True,
+            "the module hears of the plan as often as the member tells, every N/250 s (`MOST_LARGE`), and goes by "
+            "it for `COUNTS`; for the rest of the time it goes as without zones",
+        ),
         row(
             "words", "holder", "time between two words of a member, each of which counts for 6 s", "s", every,
             life, Bound("at", life * size), "lupinmill/zones/evidence.py", (CELLS,), False,
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -316,6 +316,7 @@
 def test_words_of_members_run_out_from_the_size_on_that_the_text_gives():
     rows = by_key(run())
     assert rows["words"].bound == Bound("at", 1500) and rows["half heard"].bound == Bound("at", 3000)
+    assert rows["plan counts"].bound == Bound("at", 750)
 
 
 # --- order and choice ---------------------------------------------------------------------------
