--- a/lupinmill/cli/scale.py
+++ b/lupinmill/cli/scale.py
@@ -35,10 +35,13 @@
         for text in (quick and "--quick", sizes and f"--sizes {sizes}", seeds and f"--seeds {seeds}")
         if text
     )
-    found = slopes.measure(chosen, drawn, quick, command, lambda text: click.echo(text, err=True))
+    found, wrong = slopes.measure(chosen, drawn, quick, command, lambda text: click.echo(text, err=True))
     click.echo(slopes.table(found))
     if out or not quick:
         measured.write(found, Path(out) if out else measured.FILE)
+    for text in wrong:
+        click.echo(f"BROKEN: {text}")
+    sys.exit(BROKEN if wrong else 0)
 
 
 def numbers(text: str, key: str, least: int, most: int) -> list[int]:
--- a/lupinmill/lab/scale/settings.py
+++ b/lupinmill/lab/scale/settings.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import gc
+import os
 import tempfile
 import time
 import tracemalloc
@@ -139,7 +140,7 @@
 async def start(members: int, idle_s: float = 0.0) -> dict[str, float]:
     """A real sidecar with a roster of N (0: no operators' file): from its start to its `started` line, in
     processor and in wall time; then idle for so long."""
-    ports = free_port(21_000), free_port(23_000)
+    ports = free_port(os.getpid() * 97), free_port(os.getpid() * 97)
     with tempfile.TemporaryDirectory(prefix="lupinmill-slopes-") as folder:
         own = f"{HOST}:{ports[0]}"
         environ = {}
