--- a/lupinmill/lab/scale/page.py
+++ b/lupinmill/lab/scale/page.py
@@ -259,7 +259,10 @@
         if len(parts) > 1:
             whole, first = sum(row.use.amount for row in parts), parts[0]
             told = " + ".join(f"{used(row.use, row.unit)} ({row.what})" for row in parts)
-            found.append(f"{name} {told} = {amount(whole, first.unit)} of {amount(first.budget, first.unit)}")
+            less = ", as far as measured," if any(row.use.how in (LAST, FIRST) for row in parts) else ""
+            found.append(
+                f"{name} {told} = {amount(whole, first.unit)}{less} of {amount(first.budget, first.unit)}"
+            )
     return "Together in a sidecar: " + ("; ".join(found) if found else "not measured") + "."
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -11,6 +11,7 @@
 from hypothesis import settings as drawn
 from hypothesis import strategies as st
 
+from lupinmill.cli import capacity as command
 from lupinmill.cli.lab import lab
 from lupinmill.lab.scale import capacity, computed, curves, fit, measured, page, tables, target
 from lupinmill.lab.scale.curves import (
@@ -434,6 +435,22 @@
     assert done.exit_code == 2 and done.stderr.count("\n") == 1
 
 
+def test_the_page_is_what_the_command_prints_word_for_word():
+    done = CliRunner().invoke(lab, ["capacity"])
+    assert done.exit_code == 0
+    stands = page.on_page(command.PAGE.read_text())
+    assert done.stdout == "\n\n".join(stands.values()) + "\n"
+
+
+def test_no_figure_stands_in_the_pages_own_words():
+    """Figures come from the command alone."""
+    text = command.PAGE.read_text()
+    for name in page.BLOCKS:
+        text = page.pattern(name).sub("", text)
+    text = re.sub(r"`[^`]*`|\[[^\]]*\]\([^)]*\)|docs/\S+|HTTP/1\.1", "", text)
+    assert not re.search(r"\d", text), re.search(r".*\d.*", text)[0]
+
+
 def test_the_target_is_that_of_the_letter():
     table = tomllib.loads(target.FILE.read_text())
     assert table["fleet"] == {"endpoints": 20_000, "sidecars": 20_000, "services": 840, "depth": 7,
