--- a/lupinmill/config/model.py
+++ b/lupinmill/config/model.py
@@ -24,6 +24,8 @@
 SCOPES = ("fleet", "region", "zone", "service", "sidecar")
 SETTINGS, ZONES, MEMBER = "settings", "zones", "member/"
 
+LARGEST = 8 * 1024 * 1024  # bytes of an answer to a watch; no source publishes more than fits
+
 
 @dataclass(frozen=True, slots=True)
 class Version:
@@ -51,6 +53,9 @@
     in_force: Version  # the one that this process goes by
     refused: int = 0  # index of the newest version that it would not take; 0: none
     why: str = ""  # the key, and what is wrong there
+    # Of a relay: the highest version that it was asked from and never had, so that a source which came back
+    # from an older backup hears of it also through relays. The relay's driver fills it from `History.ahead`.
+    ahead: Version = field(default_factory=Version)
 
 
 # --- notes to `Follower`: a watch on relays (or sources), of a sidecar or of a relay -------------
