--- a/lupinmill/cli/asking.py
+++ b/lupinmill/cli/asking.py
@@ -25,14 +25,17 @@
     """The text is the one line."""
 
 
-def call(address: str, path: str, method: str = "GET", limit: float = ANSWER) -> tuple[int, bytes]:
-    """Status and body. Raises NoAnswer."""
+def call(
+    address: str, path: str, method: str = "GET", limit: float = ANSWER, body: bytes | None = None,
+    root: str = "/admin/", largest: int = LARGEST,
+) -> tuple[int, bytes]:
+    """Status and body, of which no more than `largest` bytes. Raises NoAnswer."""
     try:
         connection = http.client.HTTPConnection(address, timeout=limit)
         try:
-            connection.request(method, f"/admin/{path}")
+            connection.request(method, f"{root}{path}", body)
             response = connection.getresponse()
-            return response.status, response.read(LARGEST)
+            return response.status, response.read(largest)
         finally:
             connection.close()
     except (OSError, http.client.HTTPException, ValueError) as error:
--- a/lupinmill/cli/main.py
+++ b/lupinmill/cli/main.py
@@ -10,8 +10,10 @@
 
 GROUPS = {  # module, command, help, and the extra that it wants
     "check": ("lupinmill.cli.check", "check", "Check an operator's file, tell what follows.", "peers"),
+    "config": ("lupinmill.cli.config", "config", "Versioned configuration: status, pushes.", "peers"),
     "lab": ("lupinmill.cli.lab", "lab", "Rehearse: emulator, load, experiments, reports.", "lab"),
     "zones": ("lupinmill.cli.zones", "zones", "Traffic between zones: the plan, drains.", "peers"),
+    "relay": ("lupinmill.cli.relay", "relay", "Run a relay of configuration, or its source.", "peers"),
     "peers": ("lupinmill.cli.peers", "peers", "What a sidecar knows of the others.", "peers"),
 }
 
--- /dev/null
+++ b/lupinmill/config/office.py
@@ -0,0 +1,107 @@
+"""Operators' calls at a relay or a source: what they ask, carried out, and the answer. Owns nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qsl
+
+import orjson
+
+from lupinmill.config import wire
+from lupinmill.config.history import Behind
+from lupinmill.config.model import LARGEST, Version
+from lupinmill.config.push import BadPush
+from lupinmill.config.server import JSON
+from lupinmill.config.source import NotKept, Source, Unlike, Unreached
+from lupinmill.protocol.http import Answer, Garbled, Malformed, Request, plain
+
+LARGEST_PUSH = LARGEST  # bytes
+AFTER_RESTORE = (
+    "`lupinmill config restore` publishes what is here beyond all versions heard of; if what is here is too old, "
+    "push its newer content after that"
+)
+
+
+class Office:
+    def __init__(
+        self, status: Callable[[], dict[str, Any]], entries: Callable[[], bytes], source: Source | None
+    ) -> None:
+        self.status, self.entries, self.source = status, entries, source
+
+    async def carry_out(self, request: Request) -> Answer:
+        """Raises Malformed."""
+        path, _, query = request.target.partition(b"?")
+        calls = {b"/v1/push": self.push, b"/v1/rollback": self.rollback, b"/v1/restore": self.restore}
+        if path == b"/v1/status":
+            if request.method != b"GET":
+                raise Malformed(405, "status: only GET")
+            return Answer(200, JSON, orjson.dumps(self.status()))
+        if path == b"/v1/entries":
+            if request.method != b"GET":
+                raise Malformed(405, "entries: only GET")
+            return Answer(200, JSON, self.entries())
+        if path not in calls:
+            raise Malformed(404, "no such path")
+        if request.method != b"POST":
+            raise Malformed(405, f"{path.decode()}: only POST")
+        if self.source is None:
+            raise Malformed(404, "this is a relay; a source takes that")
+        try:
+            version = await calls[path](self.source, request, given(query))
+        except (BadPush, Garbled) as error:
+            return plain(400, f"{error}\n")
+        except ValueError as error:  # a value that JSON can't hold, or too much of it
+            return plain(400, f"{error}\n")
+        except Unlike as error:
+            return plain(409, f"{error}\n")
+        except Behind as error:
+            return plain(409, f"{error}; {AFTER_RESTORE}\n")
+        except Unreached as error:
+            return plain(404, f"{error}\n")
+        except NotKept as error:
+            return plain(507, f"{error}\n")
+        return Answer(200, JSON, orjson.dumps({"index": version.index, "mark": version.mark}))
+
+    async def push(self, source: Source, request: Request, told: dict[str, int]) -> Version:
+        only(told, "if_index")
+        try:
+            table = orjson.loads(request.body)
+        except orjson.JSONDecodeError as error:
+            raise BadPush(f"the body: {error}") from error
+        if not isinstance(table, dict):
+            raise BadPush("the body: not a table")
+        if_index = table.pop("if_index", told.get("if_index"))
+        if if_index is not None and (type(if_index) is not int or if_index < 0):
+            raise BadPush("if_index: wants a whole number")
+        return await source.push(wire.config_entries(table), if_index)
+
+    async def rollback(self, source: Source, request: Request, told: dict[str, int]) -> Version:
+        only(told, "to", "if_index")
+        if "to" not in told:
+            raise BadPush("to: missing; the index to go back to")
+        return await source.rollback(told["to"], told.get("if_index"))
+
+    async def restore(self, source: Source, request: Request, told: dict[str, int]) -> Version:
+        only(told)
+        return await source.restore()
+
+
+def given(query: bytes) -> dict[str, int]:
+    """Of a call's query: whole numbers by their names."""
+    told: dict[str, int] = {}
+    try:
+        pairs = parse_qsl(query.decode("ascii"), True, bool(query), max_num_fields=4)
+    except ValueError as error:
+        raise Malformed(400, "query: can't be read") from error
+    for key, value in pairs:
+        if key in told or not wire.DIGITS.fullmatch(value):
+            raise Malformed(400, f"{key[:40]!r}: wants one whole number")
+        told[key] = int(value)
+    return told
+
+
+def only(told: dict[str, int], *keys: str) -> None:
+    for key in told:
+        if key not in keys:
+            raise Malformed(400, f"{key[:40]!r}: is not known here")
