--- a/lupinmill/config/follower.py
+++ b/lupinmill/config/follower.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -29,8 +28,10 @@
     Version,
     WakeMe,
 )
+from lupinmill.workings import Chance
 
 MS, SECOND = 1_000, 1_000_000
+LONGEST_WAIT = 60 * SECOND  # what a watch allows
 MARGIN = 2 * SECOND  # beyond the wait before a relay counts as silent
 PART = 0.8  # of the wait that a call waits at least: calls that began together shall not end together
 PACE = 10 * MS  # between two calls at the least: bounds what a relay that always has news can cost
@@ -64,8 +65,8 @@
     ) -> None:
         """`version` and `entries` are in force already. The spread is the fleet's, until relays tell theirs:
         over so long all of it comes anew."""
-        self.name, self.wait, self.spread = name, wait_us, spread_us
-        self.chance = random.Random(seed)
+        self.name, self.wait, self.spread = name, min(LONGEST_WAIT, wait_us), spread_us
+        self.chance = Chance(seed)
         self.version, self.entries = version, dict(entries)  # the newest heard
         self.in_force, self.refused, self.why = version, 0, ""
         self.offered: Version | None = None
@@ -86,8 +87,9 @@
         """In force with the next step. A call at one that is gone is given up; the others keep their
         standing."""
         others = [at for at in dict.fromkeys(relays) if at not in self.standings]
-        self.chance.shuffle(others)
-        self.relays = [at for at in self.relays if at in relays] + others
+        self.relays = [at for at in self.relays if at in relays]
+        while others:
+            self.relays.append(others.pop(self.chance.upto(len(others) - 1)))
         self.standings = {at: self.standings.get(at, Standing()) for at in self.relays}
         if self.out is not None and self.out.at not in self.standings:
             self.out, self.due, self.whole = None, None, False
@@ -124,11 +126,11 @@
 
     def ask(self, now: int) -> None:
         if self.due is None:
-            self.due = now + self.chance.randint(0, self.spread)
+            self.due = now + self.chance.upto(self.spread)
         if self.out is not None or not self.relays or now < self.next_call():
             return
         self.choose(now)
-        wait = int(self.wait * self.chance.uniform(PART, 1))
+        wait = int(self.wait * (PART + (1 - PART) * self.chance.draw()))
         since = Version() if self.whole else self.version
         self.out = Ask(self.relays[0], since, wait, now + wait + MARGIN)
         self.asked_at = now
@@ -159,7 +161,9 @@
         if reply.spread_ms > 0:
             standing.spread = min(LONGEST_SPREAD, reply.spread_ms * MS)
         held, version = self.version, reply.version
-        if version.index < held.index or version.index == 0:
+        if version.index == 0:
+            self.distrust(now, "it knows of no version yet")
+        elif version.index < held.index:
             self.distrust(now, f"it is at version {version.index}, this one at {held.index}")
         elif version.index == held.index and version != held:
             self.distrust(now, f"its version {version.index} is another than the one here")
@@ -229,7 +233,7 @@
         self.failures += 1
         spread = max(LEAST_SPREAD, self.standings[at].spread or self.spread)
         first = self.failures == 1
-        delay = self.chance.randint(0, spread) if first else spread + self.chance.randint(0, spread // 4)
+        delay = self.chance.upto(spread) if first else spread + self.chance.upto(spread // 4)
         self.due = now + delay
         self.say(now, kind, f"{at}: {why[:LONGEST_WHY]}; another is asked in {delay // MS} ms")
 
--- a/lupinmill/config/history.py
+++ b/lupinmill/config/history.py
@@ -69,7 +69,8 @@
     number: int  # counts those of this history
     version: Version
     entries: Entries
-    size: int
+    before: Entries  # what stood there; None: nothing
+    size: int  # bytes of both
 
 
 class History:
@@ -132,20 +133,18 @@
         self.advance(version, difference(self.entries, entries))
 
     def advance(self, version: Version, changes: Entries) -> Version:
-        grown = sum(
-            (0 if value is None else row_size(key, value))
-            - (row_size(key, self.entries[key]) if key in self.entries else 0)
-            for key, value in changes.items()
-        )
-        if self.bytes + grown > MOST_BYTES:
+        before = {key: self.entries.get(key) for key in changes}
+        more = sum(row_size(key, value) for key, value in changes.items() if value is not None)
+        less = sum(row_size(key, value) for key, value in before.items() if value is not None)
+        if self.bytes + more - less > MOST_BYTES:
             raise TooLarge(f"all entries together would be over {MOST_BYTES} bytes")
-        self.bytes += grown
+        self.bytes += more - less
         self.entries = merged(self.entries, changes)
         for key, value in changes.items():
             self.put(key, value)
         self.count += 1
-        size = 64 + sum(row_size(key, value) for key, value in changes.items())
-        self.changes.append(Change(self.count, version, changes, size))
+        size = more + less + 64 * (1 + len(changes))
+        self.changes.append(Change(self.count, version, changes, before, size))
         self.size += size
         self.version = version
         self.numbers[version], self.marks[version.index] = self.count, version.mark
@@ -180,10 +179,22 @@
     def knows(self, version: Version) -> bool:
         return version in self.numbers
 
+    def content(self, version: Version) -> Entries | None:
+        """All entries as of a version kept, for a rollback: `push(difference(history.entries, content))`."""
+        number = self.numbers.get(version)
+        if number is None:
+            return None
+        entries = self.entries
+        for change in reversed(self.changes):
+            if change.number <= number:
+                break
+            entries = merged(entries, change.before)
+        return dict(entries)
+
     def heard_of(self, version: Version) -> None:
         """Someone has this version. One that never was here is remembered, as `ahead`."""
         index = version.index
-        if index <= self.settled or index > self.version.index + MOST_AHEAD or self.knows(version):
+        if index < self.settled or index > self.version.index + MOST_AHEAD or self.knows(version):
             return
         foreign = index > self.version.index or index in self.marks
         if foreign and (self.ahead is None or index > self.ahead.index):
