--- a/lupinmill/config/relay.py
+++ b/lupinmill/config/relay.py
@@ -14,13 +14,12 @@
 import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 from anyio import to_thread
 
 from lupinmill.config import keep, wire
-from lupinmill.config.driver import ConfigWatch
 from lupinmill.config.fanout import Fanout, Had
 from lupinmill.config.follower import Follower
 from lupinmill.config.history import History
@@ -32,6 +31,9 @@
 from lupinmill.routing.engine import Clock, Log, defect
 from lupinmill.transport.ring import Store
 
+if TYPE_CHECKING:
+    from lupinmill.config.driver import ConfigWatch
+
 WAIT, SPREAD = 20_000_000, 1_000_000  # microseconds: of the watch upstream; of relays that come anew
 KEEP_AGAIN = 5.0  # seconds before a disk that refused is tried again
 LEAVES = 3.0  # seconds at most in which watchers are sent away
@@ -163,6 +165,8 @@
         return Calls(self.file.operator, self.office.carry_out, LARGEST_PUSH, self.log)
 
     def upstream(self) -> ConfigWatch:
+        from lupinmill.config.driver import ConfigWatch
+
         seed = random.SystemRandom().getrandbits(63)
         follower = Upstream(
             self.file.name, tuple(self.file.upstreams), seed, WAIT, SPREAD, self.history.version,
@@ -237,7 +241,7 @@
                         self.log("leaving", signal=signum.name, watchers=len(self.fanout.waiting))
                         break
                     await self.watches.leave(min(LEAVES, self.file.spread_ms / 1000), random.Random())
-                    await anyio.sleep(LAST_ANSWERS if self.watches.descriptors.open else 0)
+                    await anyio.sleep(LAST_ANSWERS if any(self.watches.descriptors.open.values()) else 0)
                     group.cancel_scope.cancel()
         finally:
             self.close()
--- a/lupinmill/config/relay_file.py
+++ b/lupinmill/config/relay_file.py
@@ -90,7 +90,7 @@
         ("sidecars", file.sidecars, 1, 100_000),
         ("calls_per_s", file.calls_per_s, 1, 100_000),
         ("most_watchers", file.most_watchers, 1, 20_000),
-        ("memory_mb", file.memory_mb, 1, 4_096),
+        ("memory_mb", file.memory_mb, 32, 4_096),
     ):
         if not least <= value <= most:
             raise BadFile(f"{key}: wants {least} to {most}")
--- a/lupinmill/config/source.py
+++ b/lupinmill/config/source.py
@@ -2,11 +2,10 @@
 
 Two histories: `made` has a version as soon as it is pushed, `served`, which watches are answered from, once it
 is kept. A source that lost a version which was in force somewhere would have to make another of the same index.
-Owns `made` and what rolls back; one push at a time."""
+Owns `made`; one push at a time."""
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -18,8 +17,6 @@
 from lupinmill.config.history import History, difference
 from lupinmill.config.model import Entries, Version
 
-MOST_UNDO, MOST_UNDO_BYTES = 1_000, 8 * 2**20  # changes that can be rolled back
-
 
 class Unlike(Exception):
     """The push was meant for another version than the present one."""
@@ -33,37 +30,10 @@
     """The disk did not take the version: nobody was told of it, and all is as before."""
 
 
-class Undo:
-    """What leads back: of each version kept, the entries that the next one changed, as they were."""
-
-    def __init__(self) -> None:
-        self.steps: deque[tuple[int, Entries, int]] = deque()  # index led back to, entries, bytes
-        self.size = 0
-
-    def add(self, before: Version, entries: Entries, changes: Entries) -> None:
-        old = {key: entries.get(key) for key in changes}
-        size = 64 + sum(len(repr(value)) for value in old.values())
-        self.steps.append((before.index, old, size))
-        self.size += size
-        while self.steps and (len(self.steps) > MOST_UNDO or self.size > MOST_UNDO_BYTES):
-            self.size -= self.steps.popleft()[2]
-
-    def back_to(self, index: int, entries: Entries) -> Entries:
-        """All entries as of that version. Raises Unreached."""
-        found = dict(entries)
-        for at, old, _ in reversed(self.steps):
-            found.update(old)
-            if at == index:
-                return {key: value for key, value in found.items() if value is not None}
-        least = f"; the oldest is {self.steps[0][0]}" if self.steps else ""
-        raise Unreached(f"version {index} is none that this source can lead back to{least}; push its content")
-
-
 class Source:
     def __init__(self, path: str, served: History, had: Callable[[Version, frozenset[str]], None]) -> None:
         self.path, self.served, self.had = Path(path), served, had
         self.made = History(served.version, served.entries)
-        self.undo = Undo()
         self.lock = anyio.Lock()
 
     async def push(self, changes: Entries, if_index: int | None = None) -> Version:
@@ -77,15 +47,20 @@
         """The content of that version as a new one."""
         async with self.lock:
             self.expect(if_index)
-            if to == self.made.version.index:
-                return self.made.version
-            changes = difference(self.made.entries, self.undo.back_to(to, self.made.entries))
+            changes = difference(self.made.entries, self.content(to))  # accepted once, so not checked again
             return await self.publish(partial(self.made.push, changes))
 
     async def restore(self) -> Version:
         async with self.lock:
             return await self.publish(self.made.restore)
 
+    def content(self, index: int) -> Entries:
+        marks = self.served.marks
+        entries = self.served.content(Version(index, marks[index])) if index in marks else None
+        if entries is None:
+            raise Unreached(f"version {index} is not kept here; the oldest is {min(marks)}: push its file instead")
+        return entries
+
     def expect(self, if_index: int | None) -> None:
         present = self.made.version.index
         if if_index is not None and if_index != present:
@@ -103,10 +78,9 @@
         try:
             await to_thread.run_sync(keep.save, self.path, version, made.entries)
         except OSError as error:
-            self.made = History(served.version, served.entries)
+            self.made = History(served.version, served.entries)  # what rolls back is in `served`
             self.made.settled = served.settled
             raise NotKept(f"{self.path}: {error.strerror}; the version was not published") from error
-        self.undo.add(before, entries, changes)
         if made.settled > served.settled:
             served.ahead, served.settled = None, made.settled
         served.advance(version, changes)
--- a/tests/test_config_relay.py
+++ b/tests/test_config_relay.py
@@ -17,6 +17,7 @@
 from lupinmill.config.history import History
 from lupinmill.config.model import Answered, Ask, Failed, Key, Reply, Status, Version
 from lupinmill.config.push import BadPush
+from lupinmill.config.relay import BadStart, Relay
 from lupinmill.config.relay_file import RelayFile
 from lupinmill.program.operators_file import BadFile
 from lupinmill.protocol.http import Answer, ClientSide, Request
@@ -327,3 +328,474 @@
     assert len(came) == 400 and max(came) <= spread + 10_000
     for start in range(0, 2 * SECOND, SECOND // 4):  # a quarter of a second: 50 in the mean
         assert sum(start < one <= start + SECOND // 4 for one in came) <= 2 * 50
+
+
+# --- files and pushes ----------------------------------------------------------------------------
+
+RELAY = {"name": "r", "listen": "127.0.0.1:7500", "keep": "/k/r", "upstreams": ["127.0.0.1:7501"]}
+
+
+@pytest.mark.parametrize(
+    "change, text",
+    [
+        ({"nam": "x"}, "nam: unknown; the nearest known key is name"),
+        ({"name": ""}, "name: wants 1 to 64"),
+        ({"listen": "here:1"}, "listen: wants an IPv4 address and port"),
+        ({"listen": None}, "listen"),
+        ({"keep": "k"}, "keep: wants a whole path"),
+        ({"upstreams": []}, "operator: missing; without it nobody can push"),
+        ({"operator": "127.0.0.1:7500"}, "operator: is `listen`"),
+        ({"upstreams": ["127.0.0.1:7500"]}, "upstreams.0: is `listen`"),
+        ({"upstreams": ["127.0.0.1:1", "127.0.0.1:1"]}, "upstreams.1: 127.0.0.1:1 is named twice"),
+        ({"upstreams": "127.0.0.1:1"}, "upstreams: Expected `array`"),
+        ({"sidecars": 0}, "sidecars: wants 1 to"),
+        ({"sidecars": 1.5}, "sidecars: Expected `int`"),
+        ({"calls_per_s": 0.0}, "calls_per_s: wants 1 to"),
+        ({"most_watchers": 10**6}, "most_watchers: wants 1 to"),
+        ({"memory_mb": 0}, "memory_mb: wants 32 to"),
+    ],
+)
+def test_a_fault_in_a_relays_file_is_one_line_that_names_the_key(change, text):
+    table = {key: value for key, value in {**RELAY, **change}.items() if value is not None}
+    with pytest.raises(BadFile) as caught:
+        relay_file.understand(table)
+    assert text in str(caught.value) and "\n" not in str(caught.value)
+
+
+def test_the_example_file_is_a_relays_and_tells_its_spread():
+    file = relay_file.read("deploy/relay.toml")
+    assert not file.source and file.spread_ms == 2_000
+    assert relay_file.understand({**RELAY, "sidecars": 401}).spread_ms == 2_005
+    assert any("400 sidecars are expected" in line for line in relay_file.follows(file))
+
+
+def test_a_pushed_file_names_its_entries_by_where_they_stand():
+    table = {
+        "fleet": {"settings": {"a": 1}, "members": {"m1": {"address": "10.0.0.1:1"}}},
+        "service": {"tender": {"settings": {"b": 2}}},
+        "zone": {"north": {"zones": None}},
+        "remove": ["service/old settings", "fleet member/m2"],
+    }
+    assert push.entries_of(table) == {
+        FLEET: {"a": 1},
+        Key("fleet", "member/m1"): {"address": "10.0.0.1:1"},
+        of_service("tender"): {"b": 2},
+        Key("zone/north", "zones"): None,
+        of_service("old"): None,
+        Key("fleet", "member/m2"): None,
+    }
+
+
+@pytest.mark.parametrize(
+    "table, text",
+    [
+        ({}, "the file: changes nothing"),
+        ({"flet": {}}, "flet: is none of fleet, region"),
+        ({"service": {"a b": {"settings": {}}}}, "service/a b: not a name"),
+        ({"service": {"a": {"setings": {}}}}, "service.a.setings: is none of the tables"),
+        ({"service": {"a": 1}}, "service.a: wants tables"),
+        ({"service": 1}, "service: wants a table by name"),
+        ({"fleet": {"members": {"a b": {}}}}, "fleet.members.a b: not a name"),
+        ({"remove": "x"}, "remove: wants a list"),
+        ({"remove": ["service/x"]}, "remove: 'service/x' is not"),
+        ({"fleet": {"settings": {}}, "remove": ["fleet settings"]}, "remove: fleet settings stands in this file"),
+    ],
+)
+def test_a_fault_in_a_pushed_file_names_its_place(table, text):
+    with pytest.raises(BadPush, match=text):
+        push.entries_of(table)
+
+
+WORKLOAD = {"name": "view", "contract-time-s": 0.5, "hard-limit-s": 1.0, "repeat": "repeatable"}
+REFUSED = [
+    (FLEET, {"family": "meshed"}, "fleet settings: settings.family: 'meshed'"),
+    (FLEET, {"limits": {"most-launches": 0}}, "settings.limits.most-launches: '0' is under 1"),
+    (FLEET, {"limits": {"conn-idle-s": "x"}}, "settings.limits.conn-idle-s"),
+    (of_service("s"), {"workloads": [WORKLOAD | {"repeat": "often"}]}, "service/s settings: settings.workloads.0.repeat"),
+    (of_service("s"), {"workloads": [WORKLOAD | {"hard-limit-s": -1}]}, "settings.workloads.0.hard-limit-s"),
+    (FLEET, {"prices": {"cross-zone": -1}}, "settings.prices.cross-zone"),
+    (FLEET, {"instances": "many"}, "fleet settings: "),
+    (FLEET, ["a"], "fleet settings: wants a table"),
+    (Key("fleet", "zones"), {"map": {}}, "fleet zones: map: wants 1 to"),
+    (Key("fleet", "zones"), {"map": {"a": {"costs": {"b": 1}}}}, "fleet zones: map.a.costs.b: no such zone"),
+    (Key("fleet", "zones"), {"mapp": {}}, "fleet zones: mapp: unknown"),
+    (Key("fleet", "member/m"), {"address": "host:1"}, "fleet member/m: address: wants an IPv4"),
+    (Key("fleet", "member/m"), {"adress": "10.0.0.1:1"}, "adress: unknown; the nearest known key is address"),
+    (Key("fleet", "member/m"), {"address": "10.0.0.9:1"}, "fleet member/m: address: there has it already"),
+    (Key("fleet", "fleet"), {}, "fleet fleet: no such kind"),
+]
+THERE = {FLEET: {"tier": 0}, Key("zone/z", "member/there"): {"address": "10.0.0.9:1"}}
+
+
+@pytest.mark.parametrize("key, value, text", REFUSED)
+def test_a_push_that_no_sidecar_could_take_is_refused_with_its_key(key, value, text):
+    with pytest.raises(BadPush) as caught:
+        push.check(THERE, {key: value})
+    assert text in str(caught.value) and "\n" not in str(caught.value)
+
+
+def test_good_pushes_pass():
+    push.check(THERE, {
+        FLEET: {"limits": {"most-launches": 3}, "instances": 4},
+        of_service("s"): {"workloads": [WORKLOAD]},
+        Key("fleet", "zones"): {"map": {"a": {"region": "r"}, "b": {"costs": {"a": 2.0}}}},
+        Key("fleet", "member/m"): {"address": "10.0.0.2:1", "zone": "a"},
+        Key("zone/z", "member/there"): None,
+        Key("fleet", "member/there"): {"address": "10.0.0.9:1"},
+    })
+
+
+# --- whole relays and sources on loopback --------------------------------------------------------
+
+LIMIT = 30  # seconds after which a test has failed
+
+
+def source_file(folder, **more) -> RelayFile:
+    return RelayFile("source", "127.0.0.1:0", str(folder / "keep" / "source"), "127.0.0.1:0", **more)
+
+
+class Run:
+    def __init__(self, group, relay: Relay, logs) -> None:
+        self.group, self.relay, self.logs = group, relay, logs
+
+    async def operate(self, method: str, path: str, body=None) -> tuple[int, str]:
+        data = b"" if body is None else orjson.dumps(body)
+        answer = await call(self.relay.calls.address, Request(method.encode(), path.encode(), [(b"Host", b"x")], data))
+        return answer.status, answer.body.decode().strip()
+
+    async def push(self, entries, **more) -> tuple[int, str]:
+        return await self.operate("POST", "/v1/push", {"entries": wire.rows(entries), **more})
+
+    def said(self, event: str) -> list[dict]:
+        return [fields for name, fields in self.logs if name == event]
+
+
+@asynccontextmanager
+async def running(file: RelayFile):
+    logs = []
+    async with anyio.create_task_group() as group:
+        relay = Relay(file, lambda event, **fields: logs.append((event, fields)))
+        try:
+            await group.start(relay.run)
+            yield Run(group, relay, logs)
+        finally:
+            group.cancel_scope.cancel()
+    assert not [one for one in logs if one[0] == "task_failed"], logs
+    for part in (relay.watches, relay.calls):
+        assert part is None or part.store.leased == 0 and set(part.descriptors.open.values()) == {0}
+    assert not relay.watches.watchers and relay.watches.shelf.leased == 0 and not relay.watches.sending
+
+
+async def call(address: str, request: Request, stream=None) -> Answer:
+    """One call; with a stream of its own, or on one that is kept."""
+    if stream is None:
+        host, port = address.split(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            return await call(address, request, stream)
+    side = ClientSide(wire.LARGEST, wire.LARGEST)
+    await stream.send(side.ask(request))
+    while (answer := side.next_answer()) is None:
+        side.feed(await stream.receive())
+    return answer
+
+
+def watch(since=Version(), wait_ms: int = 20_000, scopes=("fleet",), name: str = "x") -> Request:
+    return wire.call(since, wait_ms, tuple(scopes), Status(name, since))
+
+
+async def until(what) -> None:
+    while not what():
+        await anyio.sleep(0.01)
+
+
+def on_loopback(check) -> None:
+    async def main() -> None:
+        with anyio.fail_after(LIMIT):
+            await check()
+
+    anyio.run(main)
+
+
+def test_a_source_serves_what_is_pushed_and_keeps_it_over_its_restart(tmp_path):
+    async def check():
+        async with running(source_file(tmp_path)) as run:
+            assert run.relay.history.version.index == 1
+            held = run.relay.history.version
+            answers = []
+
+            async def wait() -> None:
+                answers.append(wire.decode(await call(run.relay.watches.address, watch(held))))
+
+            run.group.start_soon(wait)
+            await until(lambda: run.relay.fanout.waiting)
+            status, text = await run.push({FLEET: {"instances": 2}})
+            assert status == 200 and orjson.loads(text)["index"] == 2
+            await until(lambda: answers)
+            assert answers[0].entries == {FLEET: {"instances": 2}} and answers[0].spread_ms == 2_000
+            assert keep.load(tmp_path / "keep" / "source") == (run.relay.history.version, {FLEET: {"instances": 2}})
+            assert (await run.push({FLEET: {"instances": 2}})) == (status, text)  # changes nothing
+            with pytest.raises(BadStart, match="another process has it"):
+                Relay(source_file(tmp_path), print)
+            version = run.relay.history.version
+        async with running(source_file(tmp_path)) as run:
+            assert run.relay.history.version == version
+            reply = wire.decode(await call(run.relay.watches.address, watch()))
+            assert reply.whole and reply.entries == {FLEET: {"instances": 2}}
+
+    on_loopback(check)
+
+
+def test_a_push_is_refused_whole_with_its_key_or_where_another_came_between(tmp_path):
+    async def check():
+        async with running(source_file(tmp_path)) as run:
+            bad = {of_service("a"): {"instances": 1}, of_service("b"): {"family": "meshed"}}
+            status, text = await run.push(bad)
+            assert status == 400 and text.startswith("service/b settings: settings.family: ")
+            assert run.relay.history.version.index == 1 and not run.relay.history.entries
+            assert (await run.push({FLEET: {"a": 1}}, if_index=1))[0] == 200
+            status, text = await run.push({FLEET: {"a": 2}}, if_index=1)
+            assert (status, text.partition(";")[0]) == (409, "the version is 2, not 1")
+            for body, key in (
+                ({"entries": 1}, "entries"),
+                ({"entries": [], "extra": 1}, "'extra'"),
+                ({"entries": []}, "entries: none"),
+                ({"entries": [{"scope": "moon", "kind": "settings", "value": {}}]}, "scope"),
+                ({"entries": [{"scope": "fleet", "kind": "moon", "value": {}}]}, "moon"),
+                ({"entries": [{"scope": "fleet", "kind": "settings", "value": {}}], "if_index": "1"}, "if_index"),
+                ([], "the body"),
+            ):
+                status, text = await run.operate("POST", "/v1/push", body)
+                assert status == 400 and key in text and "\n" not in text, text
+            raw = Request(b"POST", b"/v1/push", [(b"Host", b"x")], b"{")
+            assert (await call(run.relay.calls.address, raw)).status == 400
+            huge = Request(b"POST", b"/v1/push", [(b"Host", b"x"), (b"Content-Length", b"99999999")])
+            host, port = run.relay.calls.address.split(":")
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(b"POST /v1/push HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n")
+                assert (await stream.receive()).startswith(b"HTTP/1.1 413 ")
+            for method, path, expected in (
+                ("GET", "/v1/push", 405), ("POST", "/v1/status", 405), ("GET", "/v2", 404),
+                ("POST", "/v1/rollback", 400), ("POST", "/v1/rollback?to=x", 400),
+                ("POST", "/v1/rollback?to=1&to=2", 400), ("POST", "/v1/restore?to=1", 400),
+                ("POST", "/v1/rollback?to=40", 404),
+            ):
+                assert (await run.operate(method, path))[0] == expected, path
+            assert run.relay.history.entries == {FLEET: {"a": 1}} and huge
+
+    on_loopback(check)
+
+
+def test_a_rollback_is_a_new_version_with_the_old_content(tmp_path):
+    async def check():
+        async with running(source_file(tmp_path)) as run:
+            contents = {1: {}}
+            for changes in ({FLEET: {"a": 1}}, {of_service("s"): {"b": 1}}, {FLEET: None, of_service("s"): {"b": 2}}):
+                assert (await run.push(changes))[0] == 200
+                contents[run.relay.history.version.index] = dict(run.relay.history.entries)
+            for to in (2, 4, 3, 1):
+                before = run.relay.history.version.index
+                assert (await run.operate("POST", f"/v1/rollback?to={to}"))[0] == 200
+                assert run.relay.history.version.index == before + 1
+                assert run.relay.history.entries == contents[to]
+            assert (await run.operate("POST", "/v1/rollback?to=1&if_index=3"))[0] == 409
+            assert keep.load(tmp_path / "keep" / "source") == (run.relay.history.version, {})
+
+    on_loopback(check)
+
+
+def test_a_source_from_an_older_backup_takes_no_push_until_it_is_restored_beyond_what_is_about(tmp_path):
+    async def check():
+        async with running(source_file(tmp_path)) as run:
+            assert (await run.push({FLEET: {"a": 1}}))[0] == 200
+            ahead = Version(9, "made-later")
+            answer = wire.decode(await call(run.relay.watches.address, watch(ahead, 10)))
+            assert answer.version.index == 2 and not answer.entries
+            status, text = await run.push({FLEET: {"a": 2}})
+            assert status == 409 and "version 9" in text and "lupinmill config restore" in text
+            assert orjson.loads((await run.operate("GET", "/v1/status"))[1])["ahead"] == 9
+            assert (await run.operate("POST", "/v1/restore"))[0] == 200
+            version = run.relay.history.version
+            assert version.index == 10 and run.relay.history.entries == {FLEET: {"a": 1}}
+            answer = wire.decode(await call(run.relay.watches.address, watch(ahead, 10)))
+            assert answer.whole and answer.version == version and answer.entries == {FLEET: {"a": 1}}
+            assert (await run.push({FLEET: {"a": 2}}))[0] == 200
+            assert keep.load(tmp_path / "keep" / "source")[0].index == 11
+
+    on_loopback(check)
+
+
+def test_a_source_whose_disk_is_full_publishes_nothing_and_goes_on_when_it_has_room(tmp_path, monkeypatch):
+    full = []
+
+    def write(path, data) -> None:
+        if full:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        whole_write(path, data)
+
+    whole_write = keep.write
+    monkeypatch.setattr(keep, "write", write)
+
+    async def check():
+        async with running(source_file(tmp_path)) as run:
+            assert (await run.push({FLEET: {"a": 1}}))[0] == 200
+            before = run.relay.history.version, dict(run.relay.history.entries)
+            full.append(True)
+            for path in ("/v1/rollback?to=1", "/v1/restore"):
+                assert (await run.operate("POST", path))[0] == 507
+            status, text = await run.push({FLEET: {"a": 2}})
+            assert status == 507 and "No space left" in text
+            assert (run.relay.history.version, run.relay.history.entries) == before
+            assert keep.load(tmp_path / "keep" / "source") == before
+            reply = wire.decode(await call(run.relay.watches.address, watch()))
+            assert (reply.version, reply.entries) == before
+            full.clear()
+            assert (await run.push({FLEET: {"a": 3}}))[0] == 200
+            assert run.relay.history.version.index == before[0].index + 1
+            assert (await run.operate("POST", "/v1/rollback?to=1"))[0] == 200
+
+    on_loopback(check)
+
+
+def test_a_source_does_not_start_with_a_file_that_is_cut_or_damaged(tmp_path):
+    file = source_file(tmp_path)
+
+    async def write():
+        async with running(file) as run:
+            assert (await run.push({FLEET: {"instances": 3}}))[0] == 200
+
+    on_loopback(write)
+    path = tmp_path / "keep" / "source"
+    data = path.read_bytes()
+
+    async def check():
+        for at in range(len(data)):
+            for spoilt in (data[:at], data[:at] + bytes([data[at] ^ 1]) + data[at + 1 :]):
+                path.write_bytes(spoilt)
+                with pytest.raises(BadStart, match="^keep: "):
+                    Relay(file, print)
+        assert path.read_bytes() == spoilt  # left as it is
+        path.write_bytes(data)
+        async with running(file) as run:
+            assert run.relay.history.version.index == 2
+
+    on_loopback(check)
+
+
+def test_calls_that_can_not_be_read_get_a_clear_answer(tmp_path):
+    async def check():
+        async with running(source_file(tmp_path)) as run:
+            address = run.relay.watches.address
+            for target, status in (
+                (b"/v1/config", 400), (b"/v1/config?name=x&index=-1", 400), (b"/v1/config?name=x&wait=1&wait=2", 400),
+                (b"/v1/config?name=x&scope=moon", 400), (b"/v1/config?name=x&else=1", 400), (b"/v1/other", 404),
+            ):
+                answer = await call(address, Request(b"GET", target, [(b"Host", b"x")]))
+                assert answer.status == status and b"\n" not in answer.body.rstrip(), target
+            assert (await call(address, Request(b"POST", b"/v1/config?name=x", [(b"Host", b"x")]))).status == 405
+            host, port = address.split(":")
+            for junk in (b"\x00\x01\r\n\r\n", b"GET / HTTP/9.9\r\n\r\n", b"GET /" + b"x" * 40_000):
+                async with await anyio.connect_tcp(host, int(port)) as stream:
+                    await stream.send(junk)
+                    assert (await stream.receive()).startswith(b"HTTP/1.1 400 ")
+            assert run.relay.fanout.answered == 0
+
+    on_loopback(check)
+
+
+def test_a_connection_is_kept_from_watch_to_watch_and_a_watcher_that_closes_is_forgotten(tmp_path):
+    async def check():
+        async with running(source_file(tmp_path)) as run:
+            assert (await run.push({FLEET: {"a": 1}}))[0] == 200
+            address = run.relay.watches.address
+            host, port = address.split(":")
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                reply = wire.decode(await call(address, watch(), stream))
+                reply = wire.decode(await call(address, watch(reply.version, 10), stream))
+                assert not reply.entries and not reply.whole
+                await stream.send(ClientSide().ask(watch(reply.version)))
+                await until(lambda: run.relay.fanout.waiting)
+            await until(lambda: not run.relay.fanout.waiting and not run.relay.watches.watchers)
+            await until(lambda: set(run.relay.watches.descriptors.open.values()) == {0})
+
+    on_loopback(check)
+
+
+def test_one_watcher_too_many_is_told_to_come_again(tmp_path):
+    async def check():
+        async with running(source_file(tmp_path, most_watchers=3, sidecars=900, calls_per_s=200)) as run:
+            held = run.relay.history.version
+            host, port = run.relay.watches.address.split(":")
+            streams = [await anyio.connect_tcp(host, int(port)) for _ in range(3)]
+            for at, stream in enumerate(streams):
+                await stream.send(ClientSide().ask(watch(held, name=f"x{at}")))
+            await until(lambda: len(run.relay.fanout.waiting) == 3)
+            answer = await call(run.relay.watches.address, watch(held))
+            assert answer.status == 503 and answer.header(b"retry-after") == "5"
+            for stream in streams:
+                await stream.aclose()
+
+    on_loopback(check)
+
+
+def test_slow_readers_hold_one_copy_are_cut_off_and_hold_nobody_back(tmp_path, monkeypatch):
+    monkeypatch.setattr(server, "WRITE", 1.0)
+    readers = 8
+
+    async def check():
+        async with running(source_file(tmp_path, memory_mb=32)) as run:
+            entries = {of_service(f"s{at}"): {"x": "y" * 60_000} for at in range(100)}  # 6 MB
+            assert (await run.push(entries))[0] == 200
+            watches = run.relay.watches
+            host, port = watches.address.split(":")
+            slow = [await anyio.connect_tcp(host, int(port)) for _ in range(readers)]
+            for at, stream in enumerate(slow):
+                await stream.send(ClientSide().ask(watch(scopes=(), name=f"slow{at}")))
+            await until(lambda: sum(watches.sending.values()) == readers)
+            # One copy for all of them, and a block each.
+            assert len(watches.sending) == 1 and watches.shelf.leased < 7 * 2**20
+            assert watches.store.leased <= readers + 1
+            reply = wire.decode(await call(watches.address, watch(scopes=("service/s1",), name="quick")))
+            assert set(reply.entries) == {of_service("s1")}
+            await until(lambda: watches.cut_off == readers)
+            await until(lambda: not watches.sending and watches.shelf.leased == 0)
+            with pytest.raises((anyio.BrokenResourceError, anyio.EndOfStream)):
+                while True:
+                    await slow[0].receive(2**20)
+            for stream in slow:
+                await stream.aclose()
+
+    on_loopback(check)
+
+
+def test_answers_on_their_way_are_bounded_and_who_finds_no_room_is_sent_away(tmp_path):
+    async def check():
+        async with running(source_file(tmp_path)) as run:
+            assert (await run.push({FLEET: {"x": "y" * 50_000}}))[0] == 200
+            run.relay.watches.shelf.limit = 40_000
+            answer = await call(run.relay.watches.address, watch())
+            assert answer.status == 503 and answer.header(b"retry-after") == "2"
+            assert (await call(run.relay.watches.address, watch(scopes=("zone/z",)))).status == 200
+
+    on_loopback(check)
+
+
+def test_at_its_end_a_relay_sends_its_watchers_away_one_after_the_other(tmp_path):
+    async def check():
+        async with running(source_file(tmp_path, sidecars=100, calls_per_s=100)) as run:
+            held, ends = run.relay.history.version, []
+
+            async def wait(name: str) -> None:
+                answer = await call(run.relay.watches.address, watch(held, name=name))
+                assert answer.status == 503
+                ends.append(anyio.current_time())
+
+            for at in range(20):
+                run.group.start_soon(wait, f"x{at}")
+            await until(lambda: len(run.relay.fanout.waiting) == 20)
+            await run.relay.watches.leave(1.0, random.Random(5))
+            await until(lambda: len(ends) == 20)
+            assert len({round(at, 3) for at in ends}) > 10  # not all at one moment
+            with pytest.raises(OSError):
+                await anyio.connect_tcp("127.0.0.1", int(run.relay.watches.address.split(":")[1]))
+
+    on_loopback(check)
