The module takes another deployment alive; work in hand keeps the terms it was taken under

A Submission holds the Allowances it was taken under (most launches, copies, call-offs) beside its workload; lanes are objects, so that worths follow and what no work uses is forgotten.

--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -103,7 +103,8 @@
     due: int
     contract_end: int
     arrived: int
-    lane: int
+    lane: Lane
+    allow: Allowances  # under which it was taken
     flights: list[Flight] = field(default_factory=list)
     held: bool = False
     retrying: bool = False
@@ -138,9 +139,10 @@
         self.copies, self.cancel, self.beyond = d.copies_allowed, d.cancel_allowed, d.beyond_share_value
         self.probes, self.reports = d.probes_allowed, d.probes_allowed and d.reports_asked
         self.advice = d.longest_advice if d.advice_allowed else 0
-        self.cold_share, self.cold_time = d.cold_share, max(1, d.cold_time)
+        self.cold_share, self.cold_time, self.gone_binds = d.cold_share, max(1, d.cold_time), d.gone_binds
         self.uneven, self.beside, self.few = d.uneven, d.beside, d.few_connections
         self.told = self.sharers = d.instances
+        self.ask_span = max(SECOND, min(d.ask_within, 10 * SECOND)) * 2 // 5 if d.must_ask else 0
         self.share_out(self.told)
         # The more the goal pools all workloads, the more value counts against evenness.
         weight = d.pooled_weight + d.evenness_weight
@@ -173,17 +175,14 @@
         self.busy: dict[str, Seat] = {}  # with launches in flight
         self.cap = allow.cap_start  # common to all; each endpoint takes its share of it
         self.told: deque[Seat] = deque(maxlen=TOLD_KEPT)  # the last that reported their load
-        self.usual, self.sweeping, self.swept = Usual(), False, 0
-        self.luck, self.redraw = 0.0, 0
-        self.lanes: dict[tuple[str, bool, bool, str], int] = {}
+        self.usual, self.sweeping, self.swept, self.luck, self.redraw = Usual(), False, 0, 0.0, 0
+        self.lanes: dict[tuple[str, bool, bool, str], Lane] = {}
         self.common, self.open_in = t.Common(), {}  # held in common with other sidecars; ready ones by zone
-        self.queue: list[Lane] = []
         self.bound: list[Submission] = []  # held, but some group of endpoints alone will do
         self.waiting, self.shedding, self.crowding = 0, False, 1.0
         self.gauges: dict[str, Gauge] = {}
         self.taken, self.retried = Ring(RETRY_BUCKETS, SECOND // 2), Ring(RETRY_BUCKETS, SECOND // 2)
-        self.launched = Ring(10, SECOND // 10)
-        self.came, self.began = Ring(10, SECOND // 2), -1
+        self.launched, self.came, self.began = Ring(10, SECOND // 10), Ring(10, SECOND // 2), -1
         # Uncrowded answer time over all; what a cap is a multiple of; how warm the ready ones are together.
         self.unhurried, self.scale, self.warm = 0.0, 1.0, 0.0
         self.kinds: dict[str, float] = {}  # usual pace of each kind of endpoint
@@ -202,12 +201,11 @@
         now, allow = self.mail.now, self.allow
         w = allow.workloads.get(note.workload) or t.Workload(note.workload, note.due - now, note.due - now)
         self.came.add(now)
-        if not note.repeated:
-            self.taken.add(now)
+        self.taken.add(now, not note.repeated)
         end = min(note.due, now + self.contract(w, note.due, note.repeated))
         zone = self.sent_to(w)
         lane = self.lane_of(w, self.beyond_share(note.tenant), note.repeated, zone)
-        s = Submission(note.submission, w, note.due, end, now, lane, zone=zone)
+        s = Submission(note.submission, w, note.due, end, now, lane, allow, zone=zone)
         s.whole, s.repeated = note.whole, note.repeated
         s.mark = crc32(note.key.encode()) if allow.warm_keys and note.key else 0
         self.open[s.name] = s
@@ -231,10 +229,9 @@
         s.whole, s.due, s.arrived = True, note.due, now
         s.contract_end = min(s.due, now + self.contract(s.workload, s.due, s.repeated))
         self.mail.alarm(self.end_of(s), self, GiveUp(s, True))
-        for flight in s.flights:
-            if flight.out:
-                flight.sent = now
-                self.count_in(flight)
+        for flight in (flight for flight in s.flights if flight.out):
+            flight.sent = now
+            self.count_in(flight)
 
     def end_of(self, s: Submission) -> int:
         """Guards against alarms that outlast by minutes what came sooner than it was guessed."""
@@ -293,15 +290,29 @@
     def lost(self, zone: str) -> bool:  # as far as this sidecar finds: most there are set aside
         return self.open_in.get(zone, 0) * 2 < self.common.listed.get(zone, 1)
 
-    def lane_of(self, w: t.Workload, beyond: bool, repeated: bool, zone: str) -> int:
+    def lane_of(self, w: t.Workload, beyond: bool, repeated: bool, zone: str) -> Lane:
         key = (w.name, beyond, repeated, zone)
-        if key not in self.lanes:
-            worth = w.value ** self.allow.greed * (self.allow.beyond if beyond else 1.0)
-            if self.allow.beside:
-                worth *= SECOND / max(1, w.contract)  # what takes longer costs more of the endpoints' time
-            self.lanes[key] = len(self.queue)
-            self.queue.append(Lane(worth * (0.7 if repeated else 1.0), zone))
-        return self.lanes[key]
+        lane = self.lanes.get(key) or Lane(self.worth(w, beyond, repeated), zone)
+        return self.lanes.setdefault(key, lane)
+
+    def worth(self, w: t.Workload, beyond: bool, repeated: bool) -> float:
+        worth = w.value ** self.allow.greed * (self.allow.beyond if beyond else 1.0)
+        if self.allow.beside:
+            worth *= SECOND / max(1, w.contract)  # what takes longer costs more of the endpoints' time
+        return worth * (0.7 if repeated else 1.0)
+
+    def deploy(self, note: t.Deployed) -> None:
+        """For what comes from now on; work in hand keeps its terms, what was learned stays."""
+        before, self.allow, in_hand = self.allow, Allowances(note.deployment), self.open.values()
+        self.allow.sharers, known = before.sharers, self.allow.workloads
+        self.cap = min(float(CAP_TOP), self.cap * self.allow.share_out(self.common.sidecars))
+        self.sent_by = {name: self.sent_by.get(name) or Ring(10, SECOND // 2) for name in self.allow.quotas}
+        # Guards memory against names that come and go: what no work in hand uses is made anew when wanted.
+        names, lanes = {s.workload.name for s in in_hand} | known.keys(), {id(s.lane) for s in in_hand}
+        self.gauges = {name: gauge for name, gauge in self.gauges.items() if name in names}
+        self.lanes = {key: lane for key, lane in self.lanes.items() if id(lane) in lanes}
+        for (name, beyond, repeated, _), lane in self.lanes.items():
+            lane.worth = self.worth(known[name], beyond, repeated) if name in known else lane.worth
 
     def gauge(self, w: t.Workload) -> Gauge:
         if w.name not in self.gauges:
@@ -319,12 +330,12 @@
         if w.zones or w.kinds or s.first_run() is not None and w.repeat is t.Repeat.DEDUPLICATED:
             self.bound.append(s)
         else:
-            self.queue[s.lane].line.append(s)
+            s.lane.line.append(s)
 
     def admit(self, s: Submission) -> None:
         """Denies at once what would wait in vain. Where caps are fractions what the room allows counts."""
-        lane = self.queue[s.lane]
-        ahead = sum(len(other.line) for other in self.queue if other.worth > lane.worth) + len(lane.line)
+        lane, lanes = s.lane, self.lanes.values()
+        ahead = sum(len(other.line) for other in lanes if other.worth > lane.worth) + len(lane.line)
         room, limit, least = self.part(), self.patience(s), float(self.allow.beside)
         allowed = max(least, room) * SECOND / self.gauge(s.workload).usual if least or self.cap < 1 else 0.0
         rate = max(1.0, self.launched.total(self.mail.now), allowed)
@@ -344,7 +355,7 @@
         full: list[str] = []  # zones
         while True:
             best, urgency = None, -1.0
-            for lane in self.queue:
+            for lane in self.lanes.values():
                 line = lane.line
                 while line and not line[0].held:
                     line.popleft()
@@ -361,10 +372,10 @@
                 full.append(best.zone)
 
     def may_launch(self, s: Submission) -> bool:  # (again): rule 2, and what the deployment allows
-        if s.done or s.streaming or s.spent or len(s.flights) >= self.allow.most_launches:
+        if s.done or s.streaming or s.spent or len(s.flights) >= s.allow.most_launches:
             return False
         first = s.first_run()
-        if first is None or s.out() and not self.allow.copies:
+        if first is None or s.out() and not s.allow.copies:
             return first is None
         if s.workload.repeat is t.Repeat.DEDUPLICATED:
             return self.mail.now < first.sent + s.workload.window - self.allow.margin
@@ -374,10 +385,9 @@
         first, group = s.first_run(), s.workload.group
         if first is None or s.workload.repeat is not t.Repeat.DEDUPLICATED or group is t.Group.ALL:
             return True
-        old, new = first.seat.says.entry, seat.says.entry
-        if group is t.Group.ZONE:
-            return bool(new.zone) and new.zone == old.zone
-        return bool(new.cell) and new.cell == old.cell
+        entries = first.seat.says.entry, seat.says.entry
+        old, new = (entry.zone if group is t.Group.ZONE else entry.cell for entry in entries)
+        return bool(new) and new == old
 
     def room(self) -> int:
         """Launches in flight at all ready endpoints together. Fractions are rounded by chance."""
@@ -409,8 +419,7 @@
         for behind in (0, CAP_TOP):
             for load in range(min(CAP_TOP, max(1, ceil(self.cap * self.scale)))):
                 shelf = self.shelves[behind + load]
-                told = None if behind else self.told_least(load, s, tried)
-                if told is not None:
+                if not behind and (told := self.told_least(load, s, tried)) is not None:
                     return told
                 if self.allow.uneven:
                     line = sorted(shelf, key=lambda seat: self.race(seat, s))
@@ -611,9 +620,8 @@
             return
         self.unhold(s)
         s.done, s.retrying = True, False
-        for number, flight in enumerate(s.flights):
-            if flight.out and self.allow.cancel:
-                self.mail.orders.append(t.CallOff(s.name, number))
+        called_off = (number for number, flight in enumerate(s.flights) if flight.out and s.allow.cancel)
+        self.mail.orders += [t.CallOff(s.name, number) for number in called_off]
         if not s.out():
             self.open.pop(s.name, None)
 
@@ -738,11 +746,9 @@
 class Endpoint(Part):
     """Judges one endpoint: its share of the cap, and whether it is ready, set aside or on trial."""
 
-    def __init__(self, mail: Mail, allow: Allowances, desk: Desk, roster: Roster, chance: Chance,
-                 entry: t.Listing) -> None:
+    def __init__(self, mail: Mail, desk: Desk, roster: Roster, chance: Chance, entry: t.Listing) -> None:
         super().__init__()
         self.mail, self.desk, self.roster, self.chance, self.entry = mail, desk, roster, chance, entry
-        self.probes, self.cold_time = allow.probes, allow.cold_time
         self.usual, self.share = Usual(), 1.0  # what is usual in the fleet; its part of the common cap
         self.told: float | None = None
         self.told_at, self.busy, self.crowded = 0, 1.0, False
@@ -762,7 +768,7 @@
         ))
 
     def listed(self, note: t.Listing) -> None:
-        entry, fresh = note, note.started and self.mail.now - note.started < self.cold_time
+        entry, fresh = note, note.started and self.mail.now - note.started < self.desk.allow.cold_time
         fresh = fresh and (entry.started != self.entry.started or self.heard == 0)
         if fresh:
             self.cold_since = entry.started
@@ -778,8 +784,7 @@
         self.flying, self.usual = self.flying - 1, note.usual
         if not note.overtaken:
             self.answered.add(self.mail.now)
-            if note.how is not t.How.TIMED_OUT:
-                self.heard = self.mail.now
+            self.heard = self.heard if note.how is t.How.TIMED_OUT else self.mail.now
             if note.how is t.How.HANDLED:
                 self.handled(note.pace)
             else:
@@ -869,7 +874,7 @@
         if self.flying and note.why.startswith("silent"):
             self.mail.post(self.desk, Silent(self.entry.endpoint))
         rest = self.rest - self.chance.upto(self.rest // 4)
-        self.schedule_probe(SECOND // 10 if self.broken >= 2 and self.probes else rest)
+        self.schedule_probe(SECOND // 10 if self.broken >= 2 and self.desk.allow.probes else rest)
         self.tell()
 
     def schedule_probe(self, delay: int) -> None:
@@ -879,7 +884,7 @@
     def probe_due(self, note: ProbeDue) -> None:
         if note.turn != self.turn or self.mode != "aside" or self.entry.state is not t.State.READY:
             return
-        if self.probes:
+        if self.desk.allow.probes:
             self.mail.orders.append(t.Probe(self.entry.endpoint))
         else:
             self.back()
@@ -907,34 +912,31 @@
             return self.tell()
         self.mode, self.answers, self.pace, self.broken = "trial", 0, None, 0
         self.failed, self.answered = Ring(6, SECOND // 2), Ring(6, SECOND // 2)
-        self.heard = self.mail.now
-        self.cold_since = self.cold_since or self.mail.now
+        self.heard, self.cold_since = self.mail.now, self.cold_since or self.mail.now
         self.mail.log(f"{self.entry.endpoint} on trial")
         self.tell()
 
 
 class Roster(Part):  # follows the list, and grants setting aside
-    def __init__(self, mail: Mail, allow: Allowances, desk: Desk, chance: Chance, d: t.Deployment) -> None:
+    def __init__(self, mail: Mail, desk: Desk, chance: Chance) -> None:
         super().__init__()
-        self.mail, self.allow, self.desk, self.chance = mail, allow, desk, chance
-        self.ask_span = max(SECOND, min(d.ask_within, 10 * SECOND)) * 2 // 5 if d.must_ask else 0
-        self.asks, self.ask_base, self.gone_binds = 0, min(SECOND, d.instances * ASK_APART), d.gone_binds
+        self.mail, self.desk, self.chance, self.asks = mail, desk, chance, 0
         self.endpoints = desk.endpoints
         self.listed: dict[str, t.Listing] = {}
         self.out: set[str] = set()  # by hand
         self.dropped: set[str] = set()  # listed as gone, undrained: where that does not bind they serve on
 
     def update(self, note: t.Listed) -> None:
+        longest = self.desk.allow.ask_span
         if note.kind is t.ListKind.FAILED:
             self.asks += 1  # overloaded, or the watch broke: asked again, later each time, jittered
-            span = min(self.ask_span, self.ask_base << min(self.asks, 4))
+            span = min(longest, min(SECOND, self.desk.allow.told * ASK_APART) << min(self.asks, 4))
             if span:
                 self.mail.alarm(self.mail.now + span // 4 + self.chance.upto(span), self, AskDue())
             return
-        if note.kind is t.ListKind.CACHED and self.ask_span:
-            self.mail.alarm(self.mail.now + self.chance.upto(self.ask_span), self, AskDue())  # spread
-        if note.kind is not t.ListKind.CACHED:
-            self.asks = 0
+        if note.kind is t.ListKind.CACHED and longest:
+            self.mail.alarm(self.mail.now + self.chance.upto(longest), self, AskDue())  # spread
+        self.asks = self.asks if note.kind is t.ListKind.CACHED else 0
         if note.kind is not t.ListKind.CHANGES:
             named = {entry.endpoint for entry in note.entries}
             for entry in [entry for name, entry in self.listed.items() if name not in named]:
@@ -943,13 +945,13 @@
             self.tell(entry)  # those that leave first: what is held goes out as soon as a new one is there
 
     def tell(self, entry: t.Listing) -> None:
-        name, allow, was = entry.endpoint, self.allow, self.listed.get(entry.endpoint)
+        name, was = entry.endpoint, self.listed.get(entry.endpoint)
         self.dropped.discard(name)
         gone = entry.state is t.State.GONE and was is not None and was.state is t.State.READY
-        if gone and not self.gone_binds and self.endpoints[name].mode != "aside":
+        if gone and not self.desk.allow.gone_binds and self.endpoints[name].mode != "aside":
             return self.dropped.add(name)  # the list may be wrong: believed once the endpoint fails as well
         if name not in self.endpoints:
-            self.endpoints[name] = Endpoint(self.mail, allow, self.desk, self, self.chance, entry)
+            self.endpoints[name] = Endpoint(self.mail, self.desk, self, self.chance, entry)
         if entry.state is t.State.GONE:
             self.listed.pop(name, None)
         else:
@@ -990,9 +992,9 @@
     """One instance: routes outside notes to the parts and keeps one wake-up pending."""
 
     def __init__(self, d: t.Deployment) -> None:
-        self.mail, chance, allow = Mail(), Chance(d.seed), Allowances(d)
-        self.desk = Desk(self.mail, allow, chance)
-        self.roster = Roster(self.mail, allow, self.desk, chance, d)
+        self.mail, chance = Mail(), Chance(d.seed)
+        self.desk = Desk(self.mail, Allowances(d), chance)
+        self.roster = Roster(self.mail, self.desk, chance)
         self.armed: int | None = None
 
     def step(self, now: int, notes: list[t.Note]) -> list[t.Order]:
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -232,7 +232,18 @@
     until: int = 0
 
 
-Note = Listed | Arrived | Started | Ended | Withdrawn | Woke | Probed | ByHand | Whole | Elsewhere | Common
+@dataclass(slots=True)
+class Deployed:
+    """Another deployment, whole, for all that arrives from now on. What the first one said of tier, family,
+    place, lists and seed holds on."""
+
+    deployment: Deployment
+
+
+Note = (
+    Listed | Arrived | Started | Ended | Withdrawn | Woke | Probed | ByHand | Whole | Elsewhere | Common
+    | Deployed
+)
 
 # --- orders -------------------------------------------------------------------------------------
 
