--- a/lupinmill/cli/config.py
+++ b/lupinmill/cli/config.py
@@ -1,8 +1,8 @@
-"""`lupinmill config`: versioned configuration, asked and changed at the operators' addresses of relays and the
-source.
+"""`lupinmill config`: versioned configuration, asked and changed at the operators' addresses of relays and of
+the source.
 
-Exit codes: 0 done, or in force everywhere; 1 refused, or not in force everywhere; 2 no answer, or a file or an
-argument that can't be used."""
+Exit codes: 0 done, or in force everywhere; 1 refused, or not in force everywhere; 2 no answer, or a file or
+an argument that can't be used."""
 
 from __future__ import annotations
 
@@ -17,19 +17,27 @@
 from lupinmill.cli import asking
 from lupinmill.cli.asking import NoAnswer, refuse
 from lupinmill.config import push as pushes
-from lupinmill.config.fanout import Times
 from lupinmill.config.model import LARGEST
 from lupinmill.config.push import BadPush
+from lupinmill.config.standing import Times
 
 ROOT = "/v1/"
 PUBLISHED = 20.0  # seconds for a version to be checked and kept
 MOST = 4 * LARGEST  # bytes of an answer
 NAMED = 12  # of those that lag, at most, in words
 AT = click.option(
-    "--at", "address", required=True, metavar="HOST:PORT", help="The operators' address of a relay or the source."
+    "--at",
+    "address",
+    required=True,
+    metavar="HOST:PORT",
+    help="The operators' address of a relay or the source.",
 )
 ALL = click.option(
-    "--at", "addresses", required=True, multiple=True, metavar="HOST:PORT",
+    "--at",
+    "addresses",
+    required=True,
+    multiple=True,
+    metavar="HOST:PORT",
     help="The operators' address of a relay or the source; once for each of them.",
 )
 IF_INDEX = click.option("--if-index", type=click.IntRange(0), help="Only if this is the present version.")
@@ -82,7 +90,9 @@
         found[state].append(row)
     found["of"] = sum(len(found[state]) for state in ("in_force", "lags", "refuses", "away"))
     found["time_in_force"] = times.show()
-    found["relays"] = [{key: one[key] for key in one if key not in ("watchers", "in_force")} for one in tables]
+    found["relays"] = [
+        {key: one[key] for key in one if key not in ("watchers", "in_force")} for one in tables
+    ]
     return found
 
 
@@ -96,8 +106,8 @@
     times = found["time_in_force"]
     if times["count"]:
         lines.append(
-            f"time in force: p50 {times['p50_ms']:g} ms, p99 {times['p99_ms']:g} ms, last {times['last_ms']:g} ms, "
-            f"of {times['count']}"
+            f"time in force: p50 {times['p50_ms']:g} ms, p99 {times['p99_ms']:g} ms, "
+            f"last {times['last_ms']:g} ms, of {times['count']}"
         )
     for row in found["refuses"][:NAMED]:
         lines.append(f"  {row['name']} refuses {row['refused']}, stays at {row['index']}: {row['why']}")
@@ -105,7 +115,8 @@
         for row in found[state][:NAMED]:
             due = max(row["due"], row["relay_index"])
             lines.append(
-                f"  {row['name']} {words}: at {row['index']} of {due}, heard {row['heard_s']} s ago by {row['at']}"
+                f"  {row['name']} {words}: at {row['index']} of {due}, "
+                f"heard {row['heard_s']} s ago by {row['at']}"
             )
     for state in ("refuses", "lags", "away"):
         if len(found[state]) > NAMED:
@@ -118,8 +129,8 @@
         )
         if one["ahead"]:
             lines.append(
-                f"caution: {one['name']} has heard of version {one['ahead']}, which it never had: a source came "
-                "back from an older backup, or there are two; `lupinmill config restore` at the source"
+                f"caution: {one['name']} has heard of version {one['ahead']}, which it never had: a source "
+                "came back from an older backup, or there are two; `lupinmill config restore` at the source"
             )
     return lines
 
@@ -136,7 +147,7 @@
 @ALL
 @click.option("--json", "as_json", is_flag=True, help="All figures and names, for programs.")
 def status(addresses: tuple[str, ...], as_json: bool) -> None:
-    """Version in force at how many of how many, who lags, who refuses and why. Ask all relays and the source."""
+    """Version in force at how many of how many, who lags, who refuses and why. Ask relays and the source."""
     tables, silent = [], []
     for address in dict.fromkeys(addresses):
         try:
--- a/lupinmill/config/fanout.py
+++ b/lupinmill/config/fanout.py
@@ -9,26 +9,17 @@
 from __future__ import annotations
 
 import heapq
-from bisect import bisect_left
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from lupinmill.config.history import History
 from lupinmill.config.model import Log, Reply, Status, Version, WakeMe
+from lupinmill.config.standing import ALL, Standing, leave
 
 MOST_CACHED = 512  # encoded replies
-ALL = ""  # in tables by scope: of one that watches all scopes
 PATIENCE = 2_000_000  # for which one that is ahead of this relay waits for it to catch up
-MOST_PENDING = 64  # versions whose coming into force is awaited of one watcher
-MOST_TIMES = 4_096  # versions whose time here is remembered
-AWAY_AFTER = 3  # waits without a word
-LEAST_AWAY = 5_000_000  # microseconds
-FORGOTTEN = 3_600_000_000  # microseconds after its last word
-MOST_WHY = 200  # characters
-# Upper edges of the time in force's classes: a tenth apart, from a millisecond to half an hour.
-EDGES = tuple(round(1_000 * 1.1**at) for at in range(152))
 
 
 @dataclass(slots=True)
@@ -81,60 +72,6 @@
 Order = Say | Away | WakeMe | Log
 
 
-class Times:
-    """How long versions took to be in force: counts by class, the longest exact. Microseconds."""
-
-    def __init__(self) -> None:
-        self.counts: dict[int, int] = {}
-        self.count, self.longest = 0, 0
-
-    def add(self, took: int) -> None:
-        at = min(len(EDGES) - 1, bisect_left(EDGES, took))
-        self.counts[at] = self.counts.get(at, 0) + 1
-        self.count += 1
-        self.longest = max(self.longest, took)
-
-    def merge(self, counts: dict[int, int], longest: int) -> None:
-        for at, count in counts.items():
-            self.counts[at] = self.counts.get(at, 0) + count
-            self.count += count
-        self.longest = max(self.longest, longest)
-
-    def part(self, share: float) -> int | None:
-        """By which this share of them was in force, a tenth too late at most; None where there are none."""
-        left = share * self.count
-        for at in sorted(self.counts):
-            left -= self.counts[at]
-            if left <= 0:
-                return min(EDGES[at], self.longest)
-        return None
-
-    def show(self) -> dict[str, Any]:
-        def ms(micros: int | None) -> float | None:
-            return None if micros is None else round(micros / 1000, 1)
-
-        return {
-            "count": self.count,
-            "p50_ms": ms(self.part(0.5)),
-            "p99_ms": ms(self.part(0.99)),
-            "last_ms": ms(self.longest if self.count else None),
-            "classes": {str(at): count for at, count in sorted(self.counts.items())},
-        }
-
-
-@dataclass(slots=True)
-class Row:
-    """What one that watches, by its name, has said."""
-
-    scopes: tuple[str, ...]
-    status: Status
-    heard: int
-    wait: int
-    due: int  # index of the newest version that concerns it
-    pending: deque[int] = field(default_factory=deque)  # those that concern it and are not in force there
-    waiting: int = 0  # the token of its watch, while it waits
-
-
 @dataclass(slots=True)
 class Waiting:
     name: str
@@ -145,13 +82,6 @@
 CacheKey = tuple[tuple[str, ...] | None, Version | None, Version]
 
 
-def leave(table: dict[str, set[Any]], scope: str, one: Any) -> None:
-    if (there := table.get(scope)) is not None:
-        there.discard(one)
-        if not there:
-            del table[scope]
-
-
 class Fanout:
     def __init__(
         self,
@@ -166,18 +96,15 @@
         self.waiting: dict[int, Waiting] = {}
         self.by_scope: dict[str, set[int]] = {}  # tokens
         self.strangers: set[int] = set()  # tokens of those who hold a version that is not known here
-        self.untils: list[tuple[int, int]] = []  # heap of ends and tokens; those answered meanwhile stay in it
-        self.rows: OrderedDict[str, Row] = OrderedDict()  # the one heard longest ago first
-        self.rows_by_scope: dict[str, set[str]] = {}
-        self.latest = dict.fromkeys(history.scopes, history.version.index)  # by scope: its newest change
-        # By index: when each version came, and the scopes of what it changed.
-        self.had: OrderedDict[int, tuple[int, frozenset[str]]] = OrderedDict()
+        self.untils: list[
+            tuple[int, int]
+        ] = []  # heap of ends and tokens; those answered meanwhile stay in it
         self.cache: OrderedDict[CacheKey, bytes] = OrderedDict()
         self.cached, self.cached_bytes = 0, cached_bytes
         self.encoded = 0  # replies so far, ...
         self.answered = 0  # ... and watches answered
         self.turned_away = 0
-        self.times = Times()
+        self.standing = Standing(history, 2 * most)
         self.wakes: int | None = None
 
     # Notes.
@@ -197,7 +124,7 @@
     def asked(self, now: int, note: Asked, orders: list[Order]) -> None:
         self.history.heard_of(note.since)
         self.history.heard_of(note.status.ahead)
-        self.hear(now, note)
+        self.standing.hear(now, note.status, note.scopes, max(0, note.until - now))
         ahead = self.ahead(note.since)
         until = min(note.until, now + PATIENCE) if ahead else note.until
         if until <= now or not ahead and self.history.news(note.since, note.scopes):
@@ -214,7 +141,7 @@
         if not self.history.knows(note.since):
             self.strangers.add(token)
         heapq.heappush(self.untils, (until, token))
-        self.rows[note.status.name].waiting = token
+        self.standing.rows[note.status.name].waiting = token
 
     def ahead(self, since: Version) -> bool:
         """One that this relay could only take back, or that it has nothing for yet."""
@@ -224,21 +151,10 @@
         index = note.version.index
         self.cache.clear()  # every key names the version before
         self.cached = 0
-        self.had[index] = now, note.scopes
-        if len(self.had) > MOST_TIMES:
-            self.had.popitem(last=False)
+        self.standing.have(now, index, note.scopes)
         concerned = set(self.strangers)
         for scope in (ALL, *note.scopes):
             concerned |= self.by_scope.get(scope, set())
-            for name in self.rows_by_scope.get(scope, ()):
-                row = self.rows[name]
-                if row.due < index:
-                    row.due = index
-                    if len(row.pending) < MOST_PENDING:
-                        row.pending.append(index)
-        self.latest.update(dict.fromkeys(note.scopes, index))
-        if len(self.latest) > 2 * len(self.history.scopes) + 1_000:  # of scopes long empty
-            self.latest = {one: at for one, at in self.latest.items() if one in self.history.scopes}
         for token in sorted(concerned):
             waiting = self.waiting[token]
             if waiting.since.index <= index and self.history.news(waiting.since, waiting.scopes):
@@ -265,8 +181,7 @@
         self.strangers.discard(token)
         for scope in waiting.scopes or (ALL,):
             leave(self.by_scope, scope, token)
-        if (row := self.rows.get(waiting.name)) is not None and row.waiting == token:
-            row.waiting = 0
+        self.standing.left(waiting.name, token)
 
     # Answers.
 
@@ -309,73 +224,8 @@
         while len(self.cache) > MOST_CACHED or self.cached > self.cached_bytes:
             self.cached -= len(self.cache.popitem(last=False)[1])
 
-    # What they say.
-
-    def hear(self, now: int, note: Asked) -> None:
-        status, name = note.status, note.status.name
-        row = self.rows.get(name)
-        if row is None:
-            if len(self.rows) >= 2 * self.most:
-                self.forget(next(iter(self.rows)))
-            row = self.rows[name] = Row(note.scopes, status, now, 0, 0)
-            self.index_row(name, row, note.scopes)
-        elif row.scopes != note.scopes:
-            self.index_row(name, row, note.scopes)
-        row.status = Status(name, status.in_force, status.refused, status.why[:MOST_WHY])
-        row.heard, row.wait = now, max(0, note.until - now)
-        self.rows.move_to_end(name)
-        while row.pending and row.pending[0] <= max(status.in_force.index, status.refused):
-            index = row.pending.popleft()
-            if index <= status.in_force.index and index > status.refused and index in self.had:
-                self.times.add(now - self.had[index][0])
-
-    def index_row(self, name: str, row: Row, scopes: tuple[str, ...]) -> None:
-        for scope in row.scopes or (ALL,):
-            leave(self.rows_by_scope, scope, name)
-        row.scopes = scopes
-        for scope in scopes or (ALL,):
-            self.rows_by_scope.setdefault(scope, set()).add(name)
-        row.due = max((self.latest.get(one, 0) for one in scopes), default=0)
-        if not scopes:
-            row.due = self.history.version.index
-        row.pending = deque()
-        held = row.status.in_force.index
-        if held:  # it may come from another relay: what it missed on its way counts as well
-            for index, (_, changed) in reversed(self.had.items()):
-                if index <= held or len(row.pending) >= MOST_PENDING:
-                    break
-                if not scopes or not changed.isdisjoint(scopes):
-                    row.pending.appendleft(index)
-
-    def forget(self, name: str) -> None:
-        row = self.rows.pop(name)
-        for scope in row.scopes or (ALL,):
-            leave(self.rows_by_scope, scope, name)
-
-    def away(self, now: int, row: Row) -> bool:
-        return not row.waiting and now - row.heard > max(LEAST_AWAY, AWAY_AFTER * row.wait)
-
     def show(self, now: int) -> dict[str, Any]:
-        """The status of all that watch here, for operators."""
-        while self.rows and now - next(iter(self.rows.values())).heard > FORGOTTEN:
-            name, row = next(iter(self.rows.items()))
-            if row.waiting:
-                break
-            self.forget(name)
-        rows = []
-        for name, row in self.rows.items():
-            rows.append(
-                {
-                    "name": name,
-                    "relay": not row.scopes,
-                    "index": row.status.in_force.index,
-                    "due": row.due,
-                    "refused": row.status.refused,
-                    "why": row.status.why,
-                    "heard_s": round((now - row.heard) / 1_000_000, 1),
-                    "away": self.away(now, row),
-                }
-            )
+        """For operators: what is here, and the standing of all that watch it."""
         return {
             "index": self.history.version.index,
             "mark": self.history.version.mark,
@@ -383,6 +233,6 @@
             "encoded": self.encoded,
             "answered": self.answered,
             "turned_away": self.turned_away,
-            "in_force": self.times.show(),
-            "watchers": rows,
+            "in_force": self.standing.times.show(),
+            "watchers": self.standing.show(now),
         }
--- a/lupinmill/config/office.py
+++ b/lupinmill/config/office.py
@@ -18,8 +18,8 @@
 
 LARGEST_PUSH = LARGEST  # bytes
 AFTER_RESTORE = (
-    "`lupinmill config restore` publishes what is here beyond all versions heard of; if what is here is too old, "
-    "push its newer content after that"
+    "`lupinmill config restore` publishes what is here beyond all versions heard of; if what is here is too "
+    "old, push its newer content after that"
 )
 
 
--- a/lupinmill/config/push.py
+++ b/lupinmill/config/push.py
@@ -1,8 +1,8 @@
 """What is pushed to a source, read and checked before it is accepted. Pure.
 
-A file for `lupinmill config push`, TOML or JSON, names entries by where they stand: `[service.tender.settings]`,
-`[fleet.zones]`, `[zone.north.members.front-1]`; what a JSON file sets to null, and what `remove` lists as
-"SCOPE KIND", is taken away. On the wire it is rows. Every fault names the key."""
+A file for `lupinmill config push`, TOML or JSON, names entries by where they stand:
+`[service.tender.settings]`, `[fleet.zones]`, `[zone.north.members.front-1]`; what a JSON file sets to null, and
+what `remove` lists as [SCOPE, KIND], is taken away. On the wire it is rows. Every fault names the key."""
 
 from __future__ import annotations
 
@@ -38,19 +38,23 @@
             raise BadPush(f"{level}: is none of {', '.join((*SCOPES, REMOVE))}")
         for scope, kinds in {level: part}.items() if level == SCOPES[0] else below(level, part):
             if not wire.good_scope(scope):
-                raise BadPush(f"{scope}: not a name")
+                raise BadPush(f"{scope!r}: not a scope with a name")
             for kind, value in below_kinds(scope, kinds):
                 entries[Key(scope, kind)] = value
     removed = table.get(REMOVE, [])
     if not isinstance(removed, list):
-        raise BadPush(f"{REMOVE}: wants a list of \"SCOPE KIND\"")
-    for text in removed:
-        scope, _, kind = text.partition(" ") if isinstance(text, str) else ("", "", "")
-        if not wire.good_scope(scope) or not wire.good_kind(kind):
-            raise BadPush(f"{REMOVE}: {text!r:.80} is not \"SCOPE KIND\", as \"service/tender settings\"")
-        if Key(scope, kind) in entries:
-            raise BadPush(f"{REMOVE}: {text} stands in this file too")
-        entries[Key(scope, kind)] = None
+        raise BadPush(f"{REMOVE}: wants a list of [SCOPE, KIND]")
+    for pair in removed:
+        match pair:
+            case [str(scope), str(kind)] if wire.good_scope(scope) and wire.good_kind(kind):
+                key = Key(scope, kind)
+            case _:
+                raise BadPush(
+                    f'{REMOVE}: {pair!r:.80} is no [SCOPE, KIND], as ["service/tender", "settings"]'
+                )
+        if key in entries:
+            raise BadPush(f"{REMOVE}: {key.scope} {key.kind} stands in this file too")
+        entries[key] = None
     if not entries:
         raise BadPush("the file: changes nothing")
     return entries
@@ -73,7 +77,7 @@
         elif kind == MEMBERS and isinstance(value, dict):
             for name, member in value.items():
                 if not wire.good_name(name):
-                    raise BadPush(f"{place}.{MEMBERS}.{name}: not a name")
+                    raise BadPush(f"{place}.{MEMBERS}.{name!r}: not a name")
                 found.append((MEMBER + name, member))
         else:
             raise BadPush(f"{place}.{kind}: is none of the tables {SETTINGS}, {ZONES}, {MEMBERS}")
@@ -84,8 +88,8 @@
 
 
 def check(entries: Entries, changes: Entries) -> None:
-    """What these changes make of the entries. Raises BadPush. Guards against a version that each sidecar would
-    refuse; what stands only in a sidecar's own file is for the sidecar to say."""
+    """What these changes make of the entries. Raises BadPush. Guards against a version that each sidecar
+    would refuse; what stands only in a sidecar's own file is for the sidecar to say."""
     if not changes:
         raise BadPush("entries: none")
     if len(changes) > MOST_ENTRIES:
--- a/lupinmill/config/relay.py
+++ b/lupinmill/config/relay.py
@@ -1,8 +1,8 @@
 """A running relay, or the source: its parts put together, its signals, its end.
 
 A relay serves a version as soon as it has it, and keeps it beside that: a full disk must not hold the fleet
-back, and what is lost with the process comes again from upstream. A source keeps a version before it serves it,
-and does not start with a file that can't be read: nothing may fall back. Owns the kept file's lock."""
+back, and what is lost with the process comes again from upstream. A source keeps a version before it serves
+it, and does not start with a file that can't be read: nothing may fall back. Owns the kept file's lock."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 from lupinmill.config.fanout import Fanout, Had
 from lupinmill.config.follower import Follower
 from lupinmill.config.history import History
-from lupinmill.config.model import Entries, Refused, Reply, Status, Took, Version
+from lupinmill.config.model import Entries, Reply, Status, Version
 from lupinmill.config.office import LARGEST_PUSH, Office
 from lupinmill.config.relay_file import RelayFile
 from lupinmill.config.server import Calls, Watches
@@ -47,7 +47,7 @@
 
 
 class Kept:
-    """The last version on disk, written by a thread, the newest one first; this process alone has the file."""
+    """The last version on disk, written by a thread, the newest first; this process alone has the file."""
 
     def __init__(self, path: str, log: Log) -> None:
         """Raises BadStart."""
@@ -145,7 +145,7 @@
         except keep.BadKeep as error:
             if self.file.source:
                 raise BadStart(
-                    f"keep: {error}; a source begins with what it published last: restore the file from a backup"
+                    f"keep: {error}; a source begins with what it published last: restore it from a backup"
                 ) from error
             self.log("keep_damaged", error=str(error), begins="with nothing, and asks upstream")
             return Version(), {}
@@ -169,7 +169,12 @@
 
         seed = random.SystemRandom().getrandbits(63)
         follower = Upstream(
-            self.file.name, tuple(self.file.upstreams), seed, WAIT, SPREAD, self.history.version,
+            self.file.name,
+            tuple(self.file.upstreams),
+            seed,
+            WAIT,
+            SPREAD,
+            self.history.version,
             self.history.entries,
         )
         follower.history = self.history
@@ -177,18 +182,18 @@
 
     # What is new.
 
-    async def take(self, version: Version, entries: Entries) -> Took | Refused:
+    def take(self, version: Version, entries: Entries) -> str | None:
         """From upstream: each one is taken, served at once, kept as soon as the disk has time."""
         try:
             self.history.replace(version, entries)
         except ValueError as error:
-            return Refused(version, str(error))
+            return str(error)
         changes = self.history.changes
         whole = not changes or changes[-1].version != version  # too large a change to be kept as one
         changed = self.history.scopes if whole else {key.scope for key in changes[-1].entries}
         self.had(version, frozenset(changed))
         self.kept.put(version, self.history.entries)
-        return Took(version)
+        return None
 
     def had(self, version: Version, scopes: frozenset[str]) -> None:
         if self.source is not None:
@@ -228,8 +233,11 @@
                         group.start_soon(self.keep_up, self.kept.run)
                         group.start_soon(self.keep_up, self.watch.run)
                     self.log(
-                        "started", listen=self.watches.address, operator=self.calls and self.calls.address,
-                        role="source" if self.file.source else "relay", index=self.history.version.index,
+                        "started",
+                        listen=self.watches.address,
+                        operator=self.calls and self.calls.address,
+                        role="source" if self.file.source else "relay",
+                        index=self.history.version.index,
                     )
                     gc.collect()
                     gc.freeze()
@@ -269,5 +277,7 @@
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft != resource.RLIM_INFINITY and soft < want:
         if hard != resource.RLIM_INFINITY and hard < want:
-            raise BadStart(f"most_watchers: {watchers} want {want} descriptors, the system lets it have {hard}")
+            raise BadStart(
+                f"most_watchers: {watchers} want {want} descriptors, the system lets it have {hard}"
+            )
         resource.setrlimit(resource.RLIMIT_NOFILE, (want, hard))
--- a/lupinmill/config/relay_file.py
+++ b/lupinmill/config/relay_file.py
@@ -1,7 +1,7 @@
 """The file of one relay, or of the source: TOML, read into a closed type.
 
-What has no `upstreams` is the source: it alone takes pushes, and all others follow it. Every fault is one line
-that names the key."""
+What has no `upstreams` is the source: it alone takes pushes, and all others follow it. Every fault is one
+line that names the key."""
 
 from __future__ import annotations
 
@@ -23,7 +23,9 @@
     listen: str  # where sidecars and other relays watch
     keep: str  # the file of the last state; beside it a new one is written before it takes its place
     operator: str = ""  # where operators ask and, at the source, push
-    upstreams: list[str] = []  # sources or relays, another one asked when one is silent; none: this is the source
+    upstreams: list[
+        str
+    ] = []  # sources or relays, another one asked when one is silent; none: this is the source
     sidecars: int = 400  # that are expected to watch here
     calls_per_s: float = 200.0  # that it takes after a restart, when all of them come again
     most_watchers: int = 1_000  # at a time; one more is told to come again
@@ -105,8 +107,8 @@
         if len(file.upstreams) == 1:
             lines.append("caution: one upstream; while that is away nothing new comes here")
     lines.append(
-        f"{file.sidecars} sidecars are expected at {file.listen}, {file.most_watchers} watchers are taken; after a "
-        f"restart they come again over {file.spread_ms / 1000:g} s, {file.calls_per_s:g} calls a second"
+        f"{file.sidecars} sidecars are expected at {file.listen}, {file.most_watchers} watchers are taken; after "
+        f"a restart they come again over {file.spread_ms / 1000:g} s, {file.calls_per_s:g} calls a second"
     )
     if file.most_watchers < file.sidecars:
         lines.append("caution: most_watchers is under sidecars: some will be sent away")
--- a/lupinmill/config/server.py
+++ b/lupinmill/config/server.py
@@ -135,9 +135,7 @@
 class Watches(Served):
     """Drives the fan-out: calls to notes, orders to answers, one timer."""
 
-    def __init__(
-        self, address: str, fanout: Fanout, most: int, memory: int, clock: Clock, log: Log
-    ) -> None:
+    def __init__(self, address: str, fanout: Fanout, most: int, memory: int, clock: Clock, log: Log) -> None:
         super().__init__(address, most + SPARE, log)
         self.fanout, self.clock = fanout, clock
         self.tokens = itertools.count(1)
--- a/lupinmill/config/source.py
+++ b/lupinmill/config/source.py
@@ -1,7 +1,7 @@
 """The source's own part: each new version is on its disk before anyone is told of it.
 
-Two histories: `made` has a version as soon as it is pushed, `served`, which watches are answered from, once it
-is kept. A source that lost a version which was in force somewhere would have to make another of the same index.
+Two histories: `made` has a version as soon as it is pushed, `served`, which watches are answered from, once
+it is kept. A source that lost a version which was in force somewhere would make another of the same index.
 Owns `made`; one push at a time."""
 
 from __future__ import annotations
@@ -58,13 +58,17 @@
         marks = self.served.marks
         entries = self.served.content(Version(index, marks[index])) if index in marks else None
         if entries is None:
-            raise Unreached(f"version {index} is not kept here; the oldest is {min(marks)}: push its file instead")
+            raise Unreached(
+                f"version {index} is not kept here; the oldest is {min(marks)}: push its file instead"
+            )
         return entries
 
     def expect(self, if_index: int | None) -> None:
         present = self.made.version.index
         if if_index is not None and if_index != present:
-            raise Unlike(f"the version is {present}, not {if_index}; look at what came between, then push again")
+            raise Unlike(
+                f"the version is {present}, not {if_index}; look at what came between, then push again"
+            )
 
     async def publish(self, make: Callable[[], Version]) -> Version:
         """Made, kept, told; where the disk refuses, taken back."""
