--- a/lupinmill/config/push.py
+++ b/lupinmill/config/push.py
@@ -1,8 +1,8 @@
 """What is pushed to a source, read and checked before it is accepted. Pure.
 
 A file for `lupinmill config push`, TOML or JSON, names entries by where they stand:
-`[service.tender.settings]`, `[fleet.zones]`, `[zone.north.members.front-1]`; what a JSON file sets to null, and
-what `remove` lists as [SCOPE, KIND], is taken away. On the wire it is rows. Every fault names the key."""
+`[service.tender.settings]`, `[fleet.zones]`, `[zone.north.members.front-1]`; what a JSON file sets to null,
+and what `remove` lists as [SCOPE, KIND], is taken away. On the wire it is rows. Every fault names the key."""
 
 from __future__ import annotations
 
--- a/lupinmill/config/relay_file.py
+++ b/lupinmill/config/relay_file.py
@@ -107,8 +107,8 @@
         if len(file.upstreams) == 1:
             lines.append("caution: one upstream; while that is away nothing new comes here")
     lines.append(
-        f"{file.sidecars} sidecars are expected at {file.listen}, {file.most_watchers} watchers are taken; after "
-        f"a restart they come again over {file.spread_ms / 1000:g} s, {file.calls_per_s:g} calls a second"
+        f"{file.sidecars} sidecars are expected at {file.listen}, {file.most_watchers} watchers are taken; "
+        f"after a restart they come again over {file.spread_ms / 1000:g} s, {file.calls_per_s:g} a second"
     )
     if file.most_watchers < file.sidecars:
         lines.append("caution: most_watchers is under sidecars: some will be sent away")
--- a/tests/test_config_relay.py
+++ b/tests/test_config_relay.py
@@ -3,7 +3,7 @@
 
 import errno
 import random
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import anyio
 import orjson
@@ -11,7 +11,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lupinmill.config import keep, push, relay_file, server, wire
+from lupinmill.config import keep, model, push, relay_file, server, wire
+from lupinmill.config.driver import ConfigWatch
 from lupinmill.config.fanout import PATIENCE, Asked, Away, Fanout, Gone, Had, Say, Woke
 from lupinmill.config.follower import Follower
 from lupinmill.config.history import History
@@ -22,6 +23,7 @@
 from lupinmill.config.standing import MOST_PENDING, Times
 from lupinmill.program.operators_file import BadFile
 from lupinmill.protocol.http import Answer, ClientSide, Request
+from lupinmill.transport.ring import Store
 
 SECOND = 1_000_000
 FLEET = Key("fleet", "settings")
@@ -834,3 +836,273 @@
                 await anyio.connect_tcp("127.0.0.1", int(run.relay.watches.address.split(":")[1]))
 
     on_loopback(check)
+
+
+# --- relays behind a source, and behind liars ----------------------------------------------------
+
+
+def relay_of(folder, *upstreams: str, name: str = "relay", **more) -> RelayFile:
+    return RelayFile(
+        name, "127.0.0.1:0", str(folder / "keep" / name), "127.0.0.1:0", upstreams=list(upstreams), **more
+    )
+
+
+@pytest.fixture
+def soon(monkeypatch):
+    """Relays come again within a tenth of a second; nothing else is quicker."""
+    monkeypatch.setattr("lupinmill.config.relay.SPREAD", 100_000)
+
+
+def test_a_version_goes_from_the_source_through_two_relays_to_a_watcher(tmp_path, soon):
+    async def check():
+        async with running(source_file(tmp_path, calls_per_s=4_000)) as source:
+            first = relay_of(tmp_path, source.relay.watches.address, name="first", calls_per_s=4_000)
+            async with running(first) as first:
+                second = relay_of(tmp_path, first.relay.watches.address, name="second")
+                async with running(second) as second:
+                    await until(lambda: second.relay.history.version == source.relay.history.version)
+                    held = second.relay.history.version
+                    stream = await anyio.connect_tcp(*address_of(second))
+                    for at in range(5):
+                        assert (await source.push({FLEET: {"instances": at + 1}}))[0] == 200
+                        reply = wire.decode(await call("", watch(held), stream))
+                        assert reply.entries == {FLEET: {"instances": at + 1}} and reply.since == held
+                        held = reply.version
+                    await stream.aclose()
+                    assert held == source.relay.history.version
+                    await until(lambda: first.relay.fanout.standing.times.count >= 5)
+                    rows = orjson.loads((await first.operate("GET", "/v1/status"))[1])["watchers"]
+                    assert [(row["name"], row["relay"], row["index"]) for row in rows] == [
+                        ("second", True, held.index)
+                    ]
+                    assert (await second.push({FLEET: {"a": 1}}))[0] == 404
+                    # Also the relays have kept it.
+                    path = tmp_path / "keep" / "second"
+                    await until(lambda: (keep.load(path) or (None,))[0] == held)
+                    assert keep.load(path)[1] == {FLEET: {"instances": 5}}
+
+    on_loopback(check)
+
+
+def address_of(run: Run) -> tuple[str, int]:
+    host, port = run.relay.watches.address.split(":")
+    return host, int(port)
+
+
+def test_a_relay_starts_and_serves_from_what_it_kept_with_its_source_away(tmp_path, soon):
+    async def check():
+        async with running(source_file(tmp_path)) as source:
+            assert (await source.push({FLEET: {"instances": 7}}))[0] == 200
+            upstream = source.relay.watches.address
+            async with running(relay_of(tmp_path, upstream)) as run:
+                await until(lambda: run.relay.kept.index == 2)
+        async with running(relay_of(tmp_path, upstream)) as run:
+            assert run.relay.history.version.index == 2
+            reply = wire.decode(await call(run.relay.watches.address, watch()))
+            assert reply.whole and reply.entries == {FLEET: {"instances": 7}}
+
+    on_loopback(check)
+
+
+def test_a_relay_with_a_damaged_file_says_so_once_and_begins_with_nothing(tmp_path, soon):
+    async def check():
+        async with running(source_file(tmp_path)) as source:
+            assert (await source.push({FLEET: {"instances": 7}}))[0] == 200
+            upstream = source.relay.watches.address
+            async with running(relay_of(tmp_path, upstream)) as run:
+                await until(lambda: run.relay.kept.index == 2)
+            path = tmp_path / "keep" / "relay"
+            data = path.read_bytes()
+            for spoilt in (b"", data[:4], data[:-1], data[:20] + b"x" + data[21:]):
+                path.write_bytes(spoilt)
+                async with running(relay_of(tmp_path, upstream)) as run:
+                    assert len(run.said("keep_damaged")) == 1
+                    await until(lambda: run.relay.history.version == source.relay.history.version)
+                    await until(lambda: run.relay.kept.index == 2)
+                assert path.read_bytes() == data
+
+    on_loopback(check)
+
+
+def test_a_relay_whose_disk_is_full_serves_on_from_memory_and_says_so_once(tmp_path, soon, monkeypatch):
+    full, whole_write = [True], keep.write
+
+    def write(path, data) -> None:
+        if full and path.name == ".relay.new":
+            raise OSError(errno.ENOSPC, "No space left on device")
+        whole_write(path, data)
+
+    monkeypatch.setattr(keep, "write", write)
+    monkeypatch.setattr("lupinmill.config.relay.KEEP_AGAIN", 0.05)
+
+    async def check():
+        async with running(source_file(tmp_path)) as source:
+            async with running(relay_of(tmp_path, source.relay.watches.address)) as run:
+                for at in range(3):
+                    assert (await source.push({FLEET: {"instances": at + 1}}))[0] == 200
+                    await until(lambda: run.relay.history.version == source.relay.history.version)
+                    reply = wire.decode(await call(run.relay.watches.address, watch()))
+                    assert reply.entries == {FLEET: {"instances": at + 1}}
+                await until(lambda: run.relay.kept.failing)
+                shown = orjson.loads((await run.operate("GET", "/v1/status"))[1])
+                assert shown["keep_failing"] == "No space left on device" and shown["kept"] == 0
+                assert len(run.said("keep_failed")) == 1 and not (tmp_path / "keep" / "relay").exists()
+                full.clear()
+                await until(lambda: run.relay.kept.index == source.relay.history.version.index)
+                assert len(run.said("keep_failed")) == len(run.said("keep_again")) == 1
+
+    on_loopback(check)
+
+
+def test_a_relay_moves_on_from_an_upstream_that_dies_and_hears_of_what_came_meanwhile(tmp_path, soon):
+    async def check():
+        async with AsyncExitStack() as stack:
+
+            async def start(file) -> Run:
+                return await stack.enter_async_context(running(file))
+
+            async def run_dying(*, task_status) -> None:
+                relay = Relay(relay_of(tmp_path, top, name="a", calls_per_s=4_000), lambda *a, **k: None)
+                with anyio.CancelScope() as scope:
+                    task_status.started((relay, scope))
+                    await relay.run()
+
+            source = await start(source_file(tmp_path, calls_per_s=4_000))
+            top = source.relay.watches.address
+            b = await start(relay_of(tmp_path, top, name="b", calls_per_s=4_000))
+            dying, scope = await b.group.start(run_dying)
+            upstreams = dying.watches.address, b.relay.watches.address
+            lows = [await start(relay_of(tmp_path, *upstreams, name=f"low{at}")) for at in range(3)]
+            for low in lows:
+                low.relay.watch.follower.relays = list(upstreams)
+            await until(lambda: len(dying.fanout.waiting) == 3)
+            scope.cancel()
+            assert (await source.push({FLEET: {"instances": 9}}))[0] == 200
+            await until(lambda: all(low.relay.history.version.index == 2 for low in lows))
+            assert {low.relay.watch.at for low in lows} == {upstreams[1]}
+
+    on_loopback(check)
+
+
+def head(length: int) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length
+
+
+def answer_of(version: Version, entries, whole=True, since=NOTHING, **more) -> bytes:
+    body = wire.encode(Reply(version, whole, entries, since))
+    if more:
+        body = orjson.dumps(orjson.loads(body) | more)
+    return head(len(body)) + body
+
+
+LIES = {
+    "garbage": [b"\x16\x03\x01 what is this\r\n\r\n"],
+    "no json": [head(9) + b'{"index":'],
+    "no table": [head(2) + b"[]"],
+    "a wrong type": [answer_of(Version(50, "l"), {FLEET: {"lie": 1}}, index="50")],
+    "a scope that is none": [answer_of(Version(50, "l"), {Key("moon", "settings"): {"lie": 1}})],
+    "changes from nowhere": [answer_of(Version(50, "l"), {FLEET: {"lie": 1}}, False, Version(49, "q"))],
+    "cut in the middle": [answer_of(Version(50, "l"), {FLEET: {"lie": 1}})[:-9]],
+    "too long by its length": [head(10**10)],
+    "endless": [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"]
+    + [b"10000\r\n" + b"x" * 65_536 + b"\r\n"] * 400,
+    "an old version": [answer_of(Version(1, "l"), {FLEET: {"lie": 1}})],
+    "another of the same index": [answer_of(Version(2, "l"), {FLEET: {"lie": 1}})],
+    "none at all": [answer_of(NOTHING, {})],
+    "an error": [b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"],
+    "a closed door": [],
+}
+
+
+@pytest.mark.parametrize("lie", LIES)
+def test_a_lying_relay_is_dropped_bounded_and_another_asked(tmp_path, soon, lie):
+    """The relay below has the version already, and comes to the liar first."""
+
+    async def check():
+        async with running(source_file(tmp_path, calls_per_s=4_000)) as source:
+            assert (await source.push({FLEET: {"instances": 1}}))[0] == 200
+            async with running(relay_of(tmp_path, source.relay.watches.address)) as run:
+                await until(lambda: run.relay.kept.index == 2)
+            asked, sent = [], []
+
+            async def attend(stream) -> None:
+                async with stream:
+                    asked.append(await stream.receive())
+                    try:
+                        for piece in LIES[lie]:
+                            await stream.send(piece)
+                            sent.append(len(piece))
+                        await anyio.sleep(0.05)
+                    except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                        pass
+
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            liar = "127.0.0.1:%d" % listener.extra(anyio.abc.SocketAttribute.local_port)
+            async with anyio.create_task_group() as group:
+                group.start_soon(listener.serve, attend)
+                file = relay_of(tmp_path, liar, source.relay.watches.address)
+                async with running(file) as run:
+                    run.relay.watch.follower.relays = [liar, source.relay.watches.address]
+                    await until(lambda: asked)
+                    assert (await source.push({FLEET: {"instances": 2}}))[0] == 200
+                    await until(lambda: run.relay.history.version == source.relay.history.version)
+                    assert run.relay.history.entries == {FLEET: {"instances": 2}}
+                    assert sum(sent) <= wire.LARGEST + 2**22, "it was read beyond what an answer may have"
+                    text = " ".join(one["text"] for one in run.said("config"))
+                    assert liar in text, text
+                group.cancel_scope.cancel()
+            await listener.aclose()
+
+    on_loopback(check)
+
+
+def test_a_relay_killed_in_the_middle_of_its_answer_leaves_nothing_half_in_force(tmp_path, soon):
+    """Every cut of a real answer: what is below holds the old version or the new one, whole."""
+
+    async def check():
+        async with running(source_file(tmp_path, calls_per_s=4_000)) as source:
+            assert (await source.push({FLEET: {"instances": 1}}))[0] == 200
+            first = source.relay.history.version, dict(source.relay.history.entries)
+            changes = {FLEET: {"instances": 2}, of_service("s"): {"instances": 3}}
+            assert (await source.push(changes))[0] == 200
+            second = source.relay.history.version, changes
+            whole = answer_of(second[0], changes, False, first[0])
+            rng, cuts = random.Random(41), []
+            cuts = sorted(rng.sample(range(1, len(whole)), 25))
+            served = []
+
+            async def attend(stream) -> None:
+                async with stream:
+                    await stream.receive()
+                    if cuts:
+                        cut = cuts.pop()
+                        await stream.send(whole[:cut])
+                        served.append(cut)
+
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            dying = "127.0.0.1:%d" % listener.extra(anyio.abc.SocketAttribute.local_port)
+            async with anyio.create_task_group() as group:
+                group.start_soon(listener.serve, attend)
+                seen = []
+
+                def take(version, entries):
+                    seen.append((version, entries))
+
+                follower = Follower("x", (dying,), 5, 20 * SECOND, 1, *first)
+                driver = ConfigWatch(follower, (), Store(), take, lambda *a, **k: None)
+                group.start_soon(driver.run)
+                while cuts:
+                    follower.due = 0  # at once, however often it was cut
+                    follower.standings[dying].behind_until = follower.standings[dying].penalty = 0
+                    driver.tell(model.Woke())
+                    await anyio.sleep(0.005)
+                    assert (follower.version, follower.entries) == first and not seen
+                whole_again = source.relay.watches.address
+                driver.change_relays((whole_again,))
+                await until(lambda: seen)
+                assert seen == [second] and follower.in_force == second[0]
+                group.cancel_scope.cancel()
+            await listener.aclose()
+            assert len(served) == 25
+
+    on_loopback(check)
