--- /dev/null
+++ b/lupinmill/lab/config_rig.py
@@ -0,0 +1,210 @@
+"""Versioned configuration between real processes: a source, relays, and sidecars that watch them. Owns the
+processes and the folder of their files; `close` gives all of it back, whatever ended the run."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import orjson
+
+from lupinmill.config.model import Entries
+from lupinmill.config.wire import rows
+from lupinmill.lab.fleet_sockets import TAKEN, free_port
+from lupinmill.lab.processes import Process
+from lupinmill.protocol.http import Answer, ClientSide, Request
+
+HOST = "127.0.0.1"
+ANSWER = 20.0  # seconds for an operator's call
+LOOK = 0.1
+AT_ONCE = 3  # processes that start side by side: a start takes a core
+
+
+async def ask(address: str, request: Request, limit: float = ANSWER) -> Answer:
+    """One call on a connection of its own. Raises OSError, TimeoutError or Garbled where it has no answer."""
+    host, _, port = address.rpartition(":")
+    async with asyncio.timeout(limit):
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            side = ClientSide(32 * 2**20, 32 * 2**20)
+            writer.write(side.ask(request))
+            while (answer := side.next_answer()) is None:
+                side.feed(await reader.read(64 * 1024))
+            return answer
+        finally:
+            writer.close()
+
+
+class ConfigRig:
+    """`async with ConfigRig(told, relays, sidecars) as rig:` starts all. `told`: of a sidecar, by its name:
+    what the platform tells it, without its addresses. `more`: keys of the relays' and the source's files."""
+
+    def __init__(
+        self, told: Callable[[str], dict[str, Any]], relays: int, sidecars: int, more: dict[str, Any]
+    ) -> None:
+        self.told, self.more = told, more
+        self.relays = [f"relay-{at}" for at in range(relays)]
+        self.sidecars = [f"sidecar-{at}" for at in range(sidecars)]
+        self.listens: dict[str, str] = {}
+        self.operators: dict[str, str] = {}
+        self.processes: dict[str, Process] = {}
+        self.ports: list[int] = []
+
+    async def __aenter__(self) -> ConfigRig:
+        self.holder = tempfile.TemporaryDirectory(prefix="lupinmill-config-")
+        self.folder = Path(self.holder.name)
+        try:
+            await self.set_up()
+        except BaseException:
+            await self.close()
+            raise
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        await self.close()
+
+    async def set_up(self) -> None:
+        names = ["source", *self.relays, *self.sidecars]
+        for name in names:
+            self.listens[name], self.operators[name] = self.address(), self.address()
+        for name in names:
+            self.processes[name] = self.made(name)
+        places = asyncio.Semaphore(AT_ONCE)
+
+        async def start(name: str) -> None:
+            async with places:
+                await self.processes[name].start()
+
+        await start("source")
+        for group in (self.relays, self.sidecars):
+            outcomes = await asyncio.gather(*map(start, group), return_exceptions=True)
+            for outcome in outcomes:
+                if isinstance(outcome, BaseException):
+                    raise outcome
+
+    def address(self) -> str:
+        port = free_port(os.getpid() * 97)
+        self.ports.append(port)
+        return f"{HOST}:{port}"
+
+    def made(self, name: str) -> Process:
+        file = self.folder / f"{name}.toml"
+        if name in self.sidecars:
+            table = {
+                "relays": [self.listens[one] for one in self.relays],
+                "service": "tender",
+                "keep": str(self.folder / "kept" / name),
+            }
+            lines = [f"{key} = {orjson.dumps(value).decode()}" for key, value in table.items()]
+            file.write_text("\n".join(['site = "rig"', "[config]", *lines, ""]))
+            (self.folder / "kept").mkdir(exist_ok=True)
+            return Process(
+                name, 0, self.folder, self.sidecar, self.heard, {"BALANCER_OPERATOR_FILE": str(file)}
+            )
+        table = {
+            "name": name,
+            "listen": self.listens[name],
+            "operator": self.operators[name],
+            "keep": str(self.folder / "kept" / name),
+            "upstreams": [] if name == "source" else [self.listens["source"]],
+            **self.more,
+        }
+        file.write_text("".join(f"{key} = {orjson.dumps(value).decode()}\n" for key, value in table.items()))
+        process = Process(name, 0, self.folder, lambda _: {}, self.heard)
+        process.arguments = ["relay", str(file)]
+        return process
+
+    def sidecar(self, process: Process) -> dict[str, Any]:
+        name = process.name
+        return {
+            **self.told(name), "name": name, "listen": self.listens[name], "operator": self.operators[name],
+        }
+
+    def heard(self, process: Process, event: dict[str, Any]) -> None:
+        pass  # the last lines are kept by the process
+
+    # What is asked of it.
+
+    async def call(self, name: str, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        """Status, and the answer read as JSON, or its text."""
+        data = b"" if body is None else orjson.dumps(body)
+        request = Request(method.encode(), path.encode(), [(b"Host", b"rig")], data)
+        answer = await ask(self.operators[name], request)
+        try:
+            return answer.status, orjson.loads(answer.body)
+        except orjson.JSONDecodeError:
+            return answer.status, answer.body.decode("utf-8", "replace").strip()
+
+    async def push(self, changes: Entries) -> int:
+        """The new version's index. Raises RuntimeError where the source refuses."""
+        status, found = await self.call("source", "POST", "/v1/push", {"entries": rows(changes)})
+        if status != 200:
+            raise RuntimeError(f"push: {status} {found}")
+        return found["index"]
+
+    async def standing(self) -> dict[str, dict[str, Any]]:
+        """Of each sidecar, as the relay says that heard it last; `at`: which one."""
+        found: dict[str, dict[str, Any]] = {}
+        for name in self.relays:
+            if not self.processes[name].alive():
+                continue
+            try:
+                _, table = await self.call(name, "GET", "/v1/status")
+            except (OSError, TimeoutError):
+                continue
+            for row in table["watchers"]:
+                known = found.get(row["name"])
+                if known is None or row["heard_s"] < known["heard_s"]:
+                    found[row["name"]] = row | {"at": name, "relay_index": table["index"]}
+        return found
+
+    async def until(
+        self, what: str, holds: Callable[[dict[str, dict[str, Any]]], bool], limit: float = 60.0
+    ) -> dict[str, dict[str, Any]]:
+        """Waits for a state of `standing`. Raises AssertionError with it where it is not reached."""
+        ends = time.monotonic() + limit
+        while not holds(found := await self.standing()):
+            if time.monotonic() > ends:
+                raise AssertionError(f"{what}: not within {limit:g} s; {found}")
+            await asyncio.sleep(LOOK)
+        return found
+
+    async def at_version(self, index: int) -> None:
+        """All sidecars go by it, or by a later one."""
+        await self.until(
+            f"all at version {index}",
+            lambda found: all(found.get(name, {"index": 0})["index"] >= index for name in self.sidecars),
+        )
+
+    async def kill(self, name: str) -> None:
+        """SIGKILL, and until it is gone."""
+        process = self.processes[name]
+        process.kill()
+        if process.process is not None:
+            await process.process.wait()
+
+
+    def crashes(self) -> list[str]:
+        return [crash for process in self.processes.values() for crash in process.crashes]
+
+    def last_lines(self, count: int = 8) -> str:
+        """Of each process's log."""
+        lines = []
+        for name, process in self.processes.items():
+            lines.append(f"-- {name}, life {process.lives}")
+            lines += [orjson.dumps(event).decode()[:400] for event in list(process.last)[-count:]]
+            lines += list(process.errors)[-count:]
+        return "\n".join(lines)
+
+    async def close(self) -> None:
+        await asyncio.gather(*(process.end() for process in self.processes.values()), return_exceptions=True)
+        TAKEN.difference_update(self.ports)
+        self.holder.cleanup()
--- a/lupinmill/lab/processes.py
+++ b/lupinmill/lab/processes.py
@@ -1,5 +1,5 @@
-"""Sidecars as real processes of `python -m lupinmill`. Owns each process and its files; `end` leaves none
-behind."""
+"""Sidecars, and commands that serve, as real processes of `python -m lupinmill`. Owns each process and its
+files; `end` leaves none behind."""
 
 from __future__ import annotations
 
@@ -34,6 +34,7 @@
         self.name, self.tier, self.told, self.heard = name, tier, told, heard
         self.config = folder / f"{name}.json"
         self.environ = environ or {}
+        self.arguments: list[str] = []  # of a command; none: it serves as a sidecar
         self.address = self.operator = ""
         self.last: deque[dict[str, Any]] = deque(maxlen=KEPT_LINES)  # of its log
         self.process: asyncio.subprocess.Process | None = None
@@ -59,6 +60,7 @@
             sys.executable,
             "-m",
             "lupinmill",
+            *self.arguments,
             env=environ,
             stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.PIPE,
