--- a/lupinmill/admin/office.py
+++ b/lupinmill/admin/office.py
@@ -31,6 +31,7 @@
         self.peers: Callable[[], dict[str, object]] | None = None  # a plain table of who is there
         self.rehearse: Callable[[], bool] | None = None  # a decision that says nothing
         self.zones: Callable[[], dict[str, object]] | None = None  # a plain table of the plan in force
+        self.config: Callable[[], dict[str, object]] | None = None  # a plain table of the version in force
         self.move_zones: Callable[[str, str, bool], Awaitable[tuple[bool, str]]] | None = None
         # To the other process of an upgrade.
         self.pass_on: Callable[[calls.Call], Awaitable[None]] | None = None
@@ -42,6 +43,10 @@
             if self.peers is None:
                 return 404, "peers are off"
             return 200, orjson.dumps(self.peers()).decode()
+        if call.what == calls.CONFIG:
+            if self.config is None:
+                return 404, "config is off"
+            return 200, orjson.dumps(self.config()).decode()
         if call.what == calls.REHEARSE:
             if self.rehearse is None:
                 return 404, "peers are off"
--- a/lupinmill/cli/check.py
+++ b/lupinmill/cli/check.py
@@ -6,6 +6,7 @@
 
 import click
 
+from lupinmill.config import merge
 from lupinmill.peers.conduct import TABLE
 from lupinmill.peers.elector import majority
 from lupinmill.program import operators_file
@@ -16,7 +17,8 @@
     lines = [f"site {file.site}"]
     peers = file.peers
     if peers is None:
-        return [*lines, "peers: off; each sidecar goes by its own evidence, as ever"]
+        lines.append("peers: off; each sidecar goes by its own evidence, as ever")
+        return lines + config_in_words(file, name)
     zones = sorted({entry.zone for entry in peers.members.values() if entry.zone})
     regions = sorted({entry.region for entry in peers.members.values() if entry.region})
     lines.append(
@@ -74,6 +76,27 @@
             f"{row.feature}: alone it {row.alone}; only with a majority it {row.majority}; "
             f"without it {row.falls_back}"
         )
+    return lines + config_in_words(file, name)
+
+
+def config_in_words(file: File, name: str | None) -> list[str]:
+    config = file.config
+    if config is None:
+        return ["config: off; other settings want a new start"]
+    zone, region = operators_file.place(file, name or "", "")
+    lines = [
+        f"config: settings and the roster also come from {len(config.relays)} relays "
+        f"({', '.join(config.relays)}), in force without a new start; all that ask anew come within "
+        f"{config.spread_s:g} s, until relays tell their own",
+        "this sidecar watches " + ", ".join(merge.scopes_of(name or "NAME", zone, region, config.service)),
+        f"the last version in force is kept in {config.keep}, which a start goes by before a relay answers"
+        if config.keep
+        else "no version is kept: until a relay answers, a start goes by the platform's file",
+    ]
+    if len(config.relays) < 2:
+        lines.append("caution: while its only relay is away no change comes in force here")
+    if not config.service:
+        lines.append("caution: no config.service is named: no entry of a service concerns it")
     return lines
 
 
--- /dev/null
+++ b/lupinmill/config/checks.py
@@ -0,0 +1,96 @@
+"""Settings that people push are judged more closely than what the platform tells: a key that is misspelt
+would be silently without effect, a number out of its range would be found only by what it does. Pure."""
+
+from __future__ import annotations
+
+from difflib import get_close_matches
+from typing import Any
+
+from lupinmill.protocol.settings import Fields, number_at
+
+# All that `protocol.settings` reads. What the platform's file holds beyond it says nothing to this program.
+KEYS = frozenset((
+    "random-seed", "tier", "instances", "workloads", "accounts", "beyond-share-value", "blend.whole",
+    "blend.worst-window", "blend.worst-class", "blend.kept-promises", "discovery", "invariants.ask-within-s",
+    "invariants.cold-share", "invariants.cold-s", "invariants.dropped-stay-open", "round-s",
+    "limits.most-launches", "limits.may-duplicate", "limits.cancel", "limits.probes", "limits.retry-after",
+    "limits.max-retry-after-s", "limits.conn-idle-s", "limits.connect-timeout-s", "limits.streams-per-conn",
+    "load-report.how", "family", "family-info.warm-keys", "locality", "areas", "kinds", "weights",
+    "prices.cross-zone", "prices.connection",
+))
+KEYS_OF = {
+    "workloads": frozenset((
+        "name", "contract-time-s", "hard-limit-s", "value", "overdue-value", "repeat", "group", "window-s",
+        "confined-to", "bound-to",
+    )),
+    "accounts": frozenset(("name", "quota-per-s")),
+}
+MOST_ROWS = 256  # workloads, or tenants
+LONGEST_SPAN = 86_400.0  # seconds
+# Numbers: the least and the most of each.
+RANGES = {
+    "instances": (1, 1e6), "beyond-share-value": (0, 1e6), "blend.whole": (0, 1e6),
+    "blend.worst-window": (0, 1e6), "blend.worst-class": (0, 1e6), "blend.kept-promises": (0, 1e6),
+    "invariants.ask-within-s": (0, LONGEST_SPAN), "invariants.cold-share": (0, 1),
+    "invariants.cold-s": (0, LONGEST_SPAN), "round-s": (0, LONGEST_SPAN), "tier": (0, 100),
+    "limits.most-launches": (1, 1_000), "limits.max-retry-after-s": (0, LONGEST_SPAN),
+    "limits.conn-idle-s": (0, LONGEST_SPAN), "limits.connect-timeout-s": (0, LONGEST_SPAN),
+    "limits.streams-per-conn": (1, 1e6), "prices.cross-zone": (0, 1e6), "prices.connection": (0, 1e6),
+}
+RANGES_OF = {
+    "workloads": {
+        "contract-time-s": (0, LONGEST_SPAN), "hard-limit-s": (0, LONGEST_SPAN), "value": (0, 1e6),
+        "overdue-value": (0, 1e6), "window-s": (0, LONGEST_SPAN),
+    },
+    "accounts": {"quota-per-s": (0, 1e9)},
+}
+FLAGS = (
+    "limits.may-duplicate", "limits.cancel", "limits.probes", "limits.retry-after",
+    "invariants.dropped-stay-open", "family-info.warm-keys",
+)
+
+
+def check_closely(fields: Fields) -> None:
+    """What people push is judged more closely than what the platform tells: each number and switch, names
+    once each. Raises ValueError, its text the key and what is wrong there."""
+    for key, (least, most) in RANGES.items():
+        check_range(fields, key, least, most)
+    for key in FLAGS:
+        if fields.get(key, "") not in ("", "true", "false", "1", "0"):
+            raise ValueError(f"settings.{key}: {fields[key]!r} is neither true nor false")
+    for kind, ranges in RANGES_OF.items():
+        count = int(number_at(fields, f"{kind}.count", "0"))
+        if not 0 <= count <= MOST_ROWS:
+            raise ValueError(f"settings.{kind}: {count} are more than {MOST_ROWS}")
+        names = [fields.get(f"{kind}.{at}.name", "") for at in range(count)]
+        for at, name in enumerate(names):
+            if not name or name in names[:at]:
+                raise ValueError(f"settings.{kind}.{at}.name: {name!r} is none, or there already")
+            for key, (least, most) in ranges.items():
+                check_range(fields, f"{kind}.{at}.{key}", least, most)
+
+
+def check_range(fields: Fields, key: str, least: float, most: float) -> None:
+    if fields.get(key) and not least <= number_at(fields, key, "0") <= most:
+        raise ValueError(f"settings.{key}: {fields[key]!r} is not within {least:g} to {most:g}")
+
+
+def check_keys(table: dict[str, Any]) -> None:
+    """Of settings that somebody sets, as `merge.settings` takes them. Raises ValueError."""
+    for key, value in table.items():
+        if key in KEYS_OF:
+            rows = value.values() if isinstance(value, dict) else value if isinstance(value, list) else ()
+            for row in rows:
+                for inner in row if isinstance(row, dict) else ():
+                    known(inner, KEYS_OF[key], f"settings.{key}.")
+        elif isinstance(value, dict):
+            for inner in value:
+                known(f"{key}.{inner}", KEYS, "settings.")
+        else:
+            known(key, KEYS, "settings.")
+
+
+def known(key: str, keys: frozenset[str], path: str) -> None:
+    if key not in keys:
+        near = get_close_matches(key, sorted(keys), 1, 0.0)
+        raise ValueError(f"{path}{key}: unknown; the nearest known key is {near[0]}")
--- a/lupinmill/config/driver.py
+++ b/lupinmill/config/driver.py
@@ -22,6 +22,7 @@
     Failed,
     FollowerNote,
     FollowerOrder,
+    Key,
     Log,
     Refused,
     Reply,
@@ -51,6 +52,8 @@
 
 
 class ConfigWatch:
+    WATCHED = Key("fleet", "watched")  # in the kept file alone: the scopes whose entries it has
+
     def __init__(
         self, follower: Follower, scopes: tuple[str, ...], store: Store, take: Take, log: Logs,
         keep: str | Path | None = None,
@@ -69,6 +72,8 @@
         self.stepping = False
         self.to_keep: tuple[Version, Entries] | None = None
         self.kept = anyio.Event()
+        self.kept_index = 0  # of the version on disk
+        self.keeping = True  # else another process of this sidecar has the file
 
     async def run(self) -> None:
         """Until it is cancelled; after a failure it may be run again, and goes on from what it holds."""
@@ -90,6 +95,11 @@
             self.calling.cancel()
         self.tell(Woke())
 
+    def offer_again(self) -> None:
+        """What was refused may fit by now."""
+        self.follower.refused, self.follower.why = 0, ""
+        self.tell(Woke())
+
     def hang_up(self) -> None:
         if self.connection is not None:
             self.connection.close()
@@ -135,8 +145,9 @@
             self.inbox.append(Refused(order.version, why[:LONGEST_WHY]))
             return
         self.inbox.append(Took(order.version))
-        if self.path is not None:
-            self.to_keep = order.version, order.entries
+        if self.path is not None and self.keeping:
+            watched = {self.WATCHED: list(self.scopes)} if self.scopes else {}
+            self.to_keep = order.version, order.entries | watched
             self.kept.set()
 
     async def keep_time(self) -> None:
@@ -219,6 +230,7 @@
                 failing, self.to_keep = True, self.to_keep or (version, entries)
                 await anyio.sleep(DISK_AGAIN)
                 continue
+            self.kept_index = version.index
             if failing:
                 failing = False
                 self.log("config", text="what is in force is kept again")
--- a/lupinmill/limits/gate.py
+++ b/lupinmill/limits/gate.py
@@ -71,6 +71,10 @@
     patience: float = PATIENCE
 
 
+def worth(w: t.Workload, repeated: bool) -> float:
+    return w.value * (REPEATED if repeated else 1.0)
+
+
 class Gate:
     def __init__(self, d: t.Deployment) -> None:
         self.workloads = {w.name: w for w in d.workloads}
@@ -88,6 +92,20 @@
         self.log: list[str] = []  # changes of mode, to be taken by the driver
         self.counts = {fate: 0 for fate in Fate}
 
+    def deploy(self, d: t.Deployment) -> None:
+        """Other workloads, from now on. Those that wait of one that is gone have their turn, and are judged
+        behind the gate."""
+        self.workloads = {w.name: w for w in d.workloads}
+        self.advice = d.longest_advice if d.advice_allowed else 0
+        # Guards memory against names that come and go.
+        self.lines = {
+            key: line for key, line in self.lines.items() if line.waiting or key[0] in self.workloads
+        }
+        for (name, repeated), line in self.lines.items():
+            if (w := self.workloads.get(name)) is not None:
+                line.worth, line.contract = worth(w, repeated), w.contract
+        self.order = sorted(self.lines.values(), key=lambda one: -one.worth)
+
     # What happens.
 
     def offer(self, now: int, offer: Offer) -> Fate:
@@ -207,7 +225,7 @@
         key = (offer.workload, offer.repeated)
         if key not in self.lines:
             w = self.workloads[offer.workload]
-            line = Line(w.value * (REPEATED if offer.repeated else 1.0), w.contract)
+            line = Line(worth(w, offer.repeated), w.contract)
             self.lines[key] = line
             self.order = sorted(self.lines.values(), key=lambda one: -one.worth)
         return self.lines[key]
--- a/lupinmill/program/common.py
+++ b/lupinmill/program/common.py
@@ -50,5 +50,12 @@
         found.sidecars = sidecars
         self.engine.tell(found)
 
+    def change(self, told: int) -> None:
+        """Another figure told of how many share the endpoints."""
+        if self.live is not None:
+            self.live.told = max(1, told)
+        else:
+            self.count = told
+
     def show(self) -> dict[str, object]:
         return {"sidecars": self.count, "live": self.live is not None}
--- /dev/null
+++ b/lupinmill/program/in_force.py
@@ -0,0 +1,221 @@
+"""What this process goes by: settings as the platform told them, entries of the configuration over them, put
+in force while it runs, whole or not at all.
+
+All is checked before anything changes; then all parts change in one go, with no pause between them. Work in
+hand keeps the terms under which it was taken. Owns the base (as told last), the version in force with its
+entries, and the newest version that was refused."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+from zlib import crc32
+
+from lupinmill import terms as t
+from lupinmill.config import checks, keep, merge
+from lupinmill.config.driver import ConfigWatch
+from lupinmill.config.follower import Follower
+from lupinmill.config.model import SETTINGS, Entries, Version
+from lupinmill.program import operators_file
+from lupinmill.program.discovery import CALLS, LEAST_WAIT, LONGEST_WAIT
+from lupinmill.program.told import Told
+from lupinmill.protocol import settings
+from lupinmill.routing.engine import Log
+from lupinmill.rules import Allowances
+
+if TYPE_CHECKING:
+    from lupinmill.program.sidecar import Program
+
+WAIT = 20_000_000  # microseconds that a relay may hold a watch
+LONGEST_LINE = 200
+
+# What can't change alive: parts are built by it once, or others count on it. By field of `Deployment`, the
+# key; beside these what `operators_file.fixed` names.
+FIXED = (
+    ("tier", "tier"),
+    ("must_ask", "discovery"),
+    ("round", "round-s"),
+    ("reports_asked", "load-report.how"),
+    ("beside", "family"),
+    ("zone", "locality"),
+    ("gone_binds", "invariants.dropped-stay-open"),
+    ("few_connections", "limits.streams-per-conn or settings.prices.connection"),
+)
+
+
+class Unfit(Exception):
+    """The text is one line: the key, and what is wrong there."""
+
+
+@dataclass(slots=True)
+class Offered:
+    version: Version
+    entries: Entries
+    why: str = ""
+
+
+def combine(base: Told, entries: Entries) -> Told:
+    """What is told with the entries over it. Raises Unfit."""
+    found, file = base, base.operators
+    assert file is not None
+    try:
+        if any(key.kind == SETTINGS for key in entries):
+            for key, value in entries.items():
+                if key.kind == SETTINGS and isinstance(value, dict):
+                    checks.check_keys(value)
+            fields = settings.flatten(merge.settings(base.settings, entries))
+            settings.check(fields)
+            checks.check_closely(fields)
+            deployment = replace(settings.deployment(fields), seed=base.deployment.seed)
+            if not deployment.workloads:
+                raise ValueError("settings.workloads: none would be left")
+            Allowances(deployment)  # the module's own reading of it: what fails there fails here
+            found = replace(
+                base, deployment=deployment, idle_limit=settings.idle_limit(fields),
+                connect_limit=settings.connect_limit(fields),
+            )
+        file = operators_file.with_entries(file, merge.members(entries), merge.zones(entries))
+        operators_file.fits(file, base.name, found.deployment)
+    except (operators_file.BadFile, ValueError, TypeError, OverflowError, ArithmeticError) as error:
+        raise Unfit(" ".join(str(error).split())[:LONGEST_LINE]) from error
+    return replace(found, operators=file)
+
+
+def stays(running: Told, new: Told) -> None:
+    """Raises Unfit, with the key, where this would change what can't change alive."""
+    for field, key in FIXED:
+        if getattr(running.deployment, field) != getattr(new.deployment, field):
+            raise Unfit(f"settings.{key}: wants a new start")
+    if others := operators_file.fixed(running.operators, new.operators, running.name):
+        raise Unfit(f"{others[0]}: wants a new start")
+    file = new.operators
+    if file is not None and file.zones is not None:
+        values = [{w.name: w.value for w in told.deployment.workloads} for told in (running, new)]
+        maps = [operators_file.zone_map(file.zones, names) for names in values]
+        if maps[0] != maps[1]:
+            raise Unfit("settings.workloads: names and values want a new start where [zones] plans by them")
+
+
+def scopes(told: Told) -> tuple[str, ...]:
+    file = told.operators
+    assert file is not None and file.config is not None
+    zone, region = operators_file.place(file, told.name, told.deployment.zone)
+    return merge.scopes_of(told.name, zone, region, file.config.service)
+
+
+def begin(base: Told, log: Log) -> tuple[Told, Offered]:
+    """At the start, before any relay answers: the version kept by the process before this one, where it can
+    be read and still fits; else as told."""
+    assert base.operators is not None and base.operators.config is not None
+    path = base.operators.config.keep
+    try:
+        found = keep.load(path) if path else None
+        if found is None:
+            return base, Offered(Version(), {})
+        version, entries = found
+        if entries.pop(ConfigWatch.WATCHED, None) != list(scopes(base)):
+            raise Unfit("kept for other scopes")
+        told = combine(base, entries)
+        stays(base, told)
+    except (keep.BadKeep, Unfit) as error:
+        log("config", text="what was kept is not gone by", error=str(error))
+        return base, Offered(Version(), {})
+    return told, Offered(version, entries)
+
+
+class InForce:
+    def __init__(self, program: Program, base: Told, kept: Offered, log: Log) -> None:
+        self.program, self.base, self.log = program, base, log
+        self.now, self.source = kept, "kept file" if kept.version.index else "as told"
+        self.refused: Offered | None = None
+        self.since = time.time()
+        file = base.operators
+        assert file is not None and file.config is not None
+        config = file.config
+        self.follower = Follower(
+            base.name, tuple(config.relays), base.deployment.seed ^ crc32(base.name.encode()), WAIT,
+            int(config.spread_s * 1_000_000), kept.version, kept.entries,
+        )
+        self.watch = ConfigWatch(
+            self.follower, scopes(base), program.store, self.take, log, config.keep or None
+        )
+        self.run = self.watch.run
+
+    def judge(self, base: Told, entries: Entries) -> Told:
+        new = combine(base, entries)
+        stays(self.program.told, new)
+        return new
+
+    def take(self, version: Version, entries: Entries) -> str | None:
+        """A version from the relays; why not, where it can't be."""
+        try:
+            new = self.judge(self.base, entries)
+        except Unfit as error:
+            self.refused = Offered(version, entries, str(error))
+            return str(error)
+        self.put(new)
+        self.now, self.refused = Offered(version, entries), None
+        self.since, self.source = time.time(), self.watch.at
+        self.log("config", text=f"version {version.index} in force", source=self.source)
+        return None
+
+    def rebase(self, base: Told) -> str | None:
+        """The platform's file anew; the newest entries that fit lie over it. Why not, where none do."""
+        why = None
+        for offered in (self.refused, self.now):
+            if offered is None:
+                continue
+            try:
+                new = self.judge(base, offered.entries)
+            except Unfit as error:
+                why = str(error)
+                continue
+            self.base = base
+            self.put(new)
+            if self.refused is not None:
+                self.watch.offer_again()
+            return None
+        return why
+
+    def put(self, new: Told) -> None:
+        """In one go; nothing here waits or raises."""
+        program, old = self.program, self.program.told
+        program.told = new
+        if new.deployment != old.deployment:
+            self.deploy(new.deployment)
+        program.pool.limit(new.idle_limit, new.connect_limit)
+        if new.operators != old.operators:
+            program.change_peers(new)
+        relays = self.relays(new)
+        if relays != self.relays(old):
+            self.watch.change_relays(relays)
+
+    def relays(self, told: Told) -> tuple[str, ...]:
+        file = told.operators
+        return tuple(file.config.relays) if file is not None and file.config is not None else ()
+
+    def deploy(self, d: t.Deployment) -> None:
+        program = self.program
+        program.engine.tell(t.Deployed(d))
+        advice = d.longest_advice // 2 if d.advice_allowed else 0
+        program.admit.deploy({w.name for w in d.workloads}, advice)
+        program.door.deploy(d)
+        program.take_in.advice = advice
+        program.discovery.wait = min(LONGEST_WAIT, max(LEAST_WAIT, d.instances / CALLS))
+        if program.common is not None:
+            program.common.change(d.instances)
+
+    def show(self) -> dict[str, object]:
+        version, refused = self.now.version, self.refused
+        return {
+            "version": version.index,
+            "mark": version.mark,
+            "since": round(self.since, 3),
+            "source": self.source,
+            "scopes": list(self.watch.scopes),
+            "heard": self.follower.version.index,
+            "refused": None if refused is None else {"version": refused.version.index, "why": refused.why},
+            "relays": list(self.follower.relays),
+            "kept": self.watch.kept_index,
+        }
--- a/lupinmill/program/operators_file.py
+++ b/lupinmill/program/operators_file.py
@@ -18,6 +18,7 @@
 
 from lupinmill.peers.peer import REHEARSAL, Told
 from lupinmill.peers.view import MS, SECOND, Seat, Timing
+from lupinmill.terms import Deployment
 from lupinmill.zones.map import BadMap, Map, Workload, Zone
 
 LARGEST = 2**20  # bytes of the file
@@ -28,6 +29,7 @@
 TOPICS = (REHEARSAL, ZONES)
 WANTS = (REHEARSAL,)  # what may stand in `wants`; features that are on ask for their own
 MOST_ZONES = 16
+MOST_RELAYS = 16
 
 
 class BadFile(Exception):
@@ -79,10 +81,20 @@
     far: float = 10.0  # ... and beyond
 
 
+class Config(Struct, forbid_unknown_fields=True, frozen=True):
+    """Settings and the roster come from relays too, and are in force without a new start."""
+
+    relays: list[str]
+    service: str = ""  # that this sidecar serves: the scope service/NAME concerns it
+    keep: str = ""  # file of the last version in force, which a start goes by before a relay answers
+    spread_s: float = 2.0  # over which all sidecars come to a relay anew, until relays tell their own
+
+
 class File(Struct, forbid_unknown_fields=True, frozen=True):
     site: str
     peers: Peers | None = None
     zones: Zones | None = None
+    config: Config | None = None
 
 
 def read(path: str) -> File:
@@ -139,6 +151,8 @@
 def check(file: File) -> None:
     if not 0 < len(file.site) <= LONGEST_NAME:
         raise BadFile("site: wants a name of 1 to 64 characters")
+    if file.config is not None:
+        check_config(file.config)
     peers = file.peers
     if peers is None:
         if file.zones is not None:
@@ -181,6 +195,24 @@
         check_zones(file.zones, peers)
 
 
+def check_config(config: Config) -> None:
+    if not 0 < len(config.relays) <= MOST_RELAYS or len(set(config.relays)) < len(config.relays):
+        raise BadFile(f"config.relays: wants 1 to {MOST_RELAYS} different addresses")
+    for address in config.relays:
+        usable(address, "config.relays")
+    if not good_place(config.service):
+        raise BadFile(f"config.service: a name has up to {LONGEST_NAME} bytes, and all can be shown")
+    if config.keep and not config.keep.startswith("/"):
+        raise BadFile("config.keep: wants a whole path")
+    if not 0.1 <= config.spread_s <= 600:
+        raise BadFile("config.spread_s: wants 0.1 to 600")
+
+
+def good_place(name: str) -> bool:
+    """May it stand in a scope, as the name of one sidecar, zone, region or service? None at all may."""
+    return not name or name.isprintable() and len(name.encode()) <= LONGEST_NAME
+
+
 def check_zones(zones: Zones, peers: Peers) -> None:
     if not 0 < len(zones.map) <= MOST_ZONES:
         raise BadFile(f"zones.map: wants 1 to {MOST_ZONES} zones")
@@ -262,13 +294,74 @@
     )
 
 
+def fits(file: File, name: str, deployment: Deployment) -> None:
+    """Beside what the platform tells. Raises BadFile."""
+    if file.peers is not None:
+        told(file, name)
+    if file.zones is not None:
+        zone_map(file.zones, {w.name: w.value for w in deployment.workloads})
+        if deployment.beside:
+            raise BadFile("zones: settings.family is mesh, where zones pull by their own price")
+    if file.config is not None:
+        if not name or not all(map(good_place, (name, *place(file, name, deployment.zone)))):
+            raise BadFile("config: wants names of this sidecar, its zone and region that can be shown")
+
+
+def place(file: File, name: str, zone: str) -> tuple[str, str]:
+    """Zone and region of that sidecar; `zone`: as the platform tells it, where no member's row does."""
+    entry = file.peers.members.get(name) if file.peers is not None else None
+    return (entry.zone, entry.region) if entry is not None and entry.zone else (zone, "")
+
+
+def with_entries(file: File, members: dict[str, Any], zones: Any) -> File:
+    """The file with these members' rows in the place of its own, none for one that is away, and `zones` in
+    the place of [zones]. Raises BadFile."""
+    if file.peers is None or not members and zones is None:
+        return file
+    rows, map_ = dict(file.peers.members), file.zones
+    key = ""
+    try:
+        for name, row in members.items():
+            key = f"member/{name}"
+            if row is None:
+                rows.pop(name, None)
+            else:
+                known_keys(row, MemberEntry, f"{key}.")
+                rows[name] = msgspec.convert(row, MemberEntry)
+        if zones is not None:
+            key = "zones"
+            known_keys(zones, Zones, "zones.")
+            map_ = msgspec.convert(zones, Zones)
+    except msgspec.ValidationError as error:
+        raise BadFile(f"{key}: {error}") from error
+    peers = msgspec.structs.replace(file.peers, members=rows)
+    found = msgspec.structs.replace(file, peers=peers, zones=map_)
+    check(found)
+    return found
+
+
 def bind(file: File, name: str) -> str:
     assert file.peers is not None
     return file.peers.bind or file.peers.members[name].address
 
 
 def fixed(old: File | None, new: File | None, name: str) -> list[str]:
-    """What differs and can't be changed without a new start; members may come, go and move."""
+    """What differs and can't be changed without a new start; members and relays may come, go and move."""
+    return fixed_peers(old, new, name) + fixed_config(old, new, name)
+
+
+def fixed_config(old: File | None, new: File | None, name: str) -> list[str]:
+    ones = [file.config if file is not None else None for file in (old, new)]
+    if ones[0] is None or ones[1] is None:
+        return [] if ones[0] is ones[1] else ["config"]
+    assert old is not None and new is not None
+    same = {f"config.{key}": getattr(ones[0], key) == getattr(ones[1], key)
+            for key in ("service", "keep", "spread_s")}
+    same["peers.members: zone or region of this sidecar"] = place(old, name, "") == place(new, name, "")
+    return [key for key, holds in same.items() if not holds]
+
+
+def fixed_peers(old: File | None, new: File | None, name: str) -> list[str]:
     if old is None or new is None or old.peers is None or new.peers is None:
         on = [file is not None and file.peers is not None for file in (old, new)]
         return [] if on[0] == on[1] else ["peers"]
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -38,6 +38,7 @@
 if TYPE_CHECKING:
     from lupinmill.peers.driver import Driver
     from lupinmill.program.common import Common
+    from lupinmill.program.in_force import InForce
     from lupinmill.program.operators_file import File
 
 LAG_EVERY, LAG_HIGH, LAG_LOW = 0.25, 0.05, 0.01  # seconds
@@ -47,6 +48,7 @@
 KILLED_AFTER, LONGEST_WAIT = 0.7, 3.0
 CLOSING, SPARE = 500_000, 0.2  # before that for the last answers (microseconds), and for what comes late
 PEERS_OWN = 3  # descriptors that the peers have: socket, lock, file
+CONFIG_OWN = 3  # the watch on configuration: connection, file, its directory
 CLOSE_EVERY = 0.02  # seconds between two looks at idle clients while connections are to be closed
 
 
@@ -62,8 +64,14 @@
 
 class Program:
     def __init__(self, told: Told, log: Log, read_again: Callable[[], Told]) -> None:
+        base = told
+        if watched := told.operators is not None and told.operators.config is not None:
+            from lupinmill.program import in_force
+
+            told, kept = in_force.begin(base, log)
         self.told, self.log, self.read_again = told, log, read_again
         own = (PLACES if told.operator is not None else 0) + (PEERS_OWN if told.operators is not None else 0)
+        own += CONFIG_OWN if watched else 0
         self.store, self.descriptors = Store(), Descriptors(allowed(told.descriptors) - own, told.memory)
         self.shelf = Shelf(shelf_of(told.memory))
         self.pool = Pool(self.descriptors, self.store, told.idle_limit, told.connect_limit)
@@ -83,6 +91,10 @@
         self.common: Common | None = None  # what the module goes by of the others
         self.peers = self.know_peers()
         self.operator: str | None = None  # where operators call, once bound
+        self.in_force: InForce | None = None  # the watch on configuration, where the operator's file has one
+        if watched:
+            self.in_force = in_force.InForce(self, base, kept, log)
+            self.office.config = self.in_force.show
 
     def know_peers(self) -> Driver | None:
         """Only where the operator's file says so; nothing is imported for it otherwise."""
@@ -149,7 +161,9 @@
             desk = self.bound(AdminDesk, self.told.operator, self.office.carry_out, self.log)
         advice = deployment.longest_advice // 2 if deployment.advice_allowed else 0
         self.door = door = listener.door = Door(Gate(deployment), self.book, self.log)
-        take_in = TakeIn(listener, self.admit, Relay(self.book, self.log), door, advice, self.log, self.shelf)
+        self.take_in = take_in = TakeIn(
+            listener, self.admit, Relay(self.book, self.log), door, advice, self.log, self.shelf
+        )
         take_in.closing = lambda: not listener.passing and self.standing.closing(self.engine.clock.now())
         try:
             # The receiver comes first and goes last: without it a signal ends the program.
@@ -170,6 +184,8 @@
                         group.start_soon(self.keep_up, self.peers.run, found is not None)
                     if self.common is not None:
                         group.start_soon(self.keep_up, self.common.run)
+                    if self.in_force is not None:
+                        group.start_soon(self.keep_up, self.in_force.run)
                     self.office.taking = lambda: True
                     self.log("started", tier=deployment.tier, listen=listener.address, operator=self.operator,
                              endpoints=len(self.directory.states), descriptors=self.descriptors.limit)
@@ -213,21 +229,33 @@
         except BadStart as error:
             self.log("reload_refused", error=str(error))
             return
-        if others := fixed(self.told, told):
+        before = self.in_force.base if self.in_force is not None else self.told
+        if others := fixed(before, told, self.in_force is not None):
             self.log("reload_refused", error="these want a new start", fields=others)
             return
-        if told.discovery != self.told.discovery:
+        if self.in_force is not None:
+            if (why := self.in_force.rebase(told)) is not None:
+                self.log("reload_refused", error=why)
+                return
+        else:
+            if told.operators != before.operators:
+                self.change_peers(told)
+            self.told = told
+        if told.discovery != before.discovery:
             self.discovery.move(told.discovery)
-        if self.peers is not None and told.operators != self.told.operators and told.operators is not None:
-            from lupinmill.program import operators_file
-
-            peers = operators_file.told(told.operators, told.name)
-            self.peers.change(peers)
-            if self.common is not None and self.common.zoning is not None:
-                self.common.zoning.change(peers)
-        self.told = told
         self.log("reloaded", discovery=told.discovery)
 
+    def change_peers(self, told: Told) -> None:
+        """Another roster, from now on."""
+        if self.peers is None or told.operators is None:
+            return
+        from lupinmill.program import operators_file
+
+        peers = operators_file.told(told.operators, told.name)
+        self.peers.change(peers)
+        if self.common is not None and self.common.zoning is not None:
+            self.common.zoning.change(peers)
+
     async def leave(self, listener: Listener, take_in: TakeIn) -> None:
         """Clients go on using the connections that they have, and where this is their only sidecar they have
         no other: they are served until little time is left, and only then sent away."""
@@ -287,12 +315,16 @@
             listener.dismiss_all()
             if self.peers is not None:
                 self.peers.yield_()
+            if self.in_force is not None:
+                self.in_force.watch.keeping = False
 
         def take_up() -> None:
             take_in.pass_on, listener.passing = None, False
             listener.resume()
             if self.peers is not None:
                 self.peers.take_up()
+            if self.in_force is not None:
+                self.in_force.watch.keeping = True
 
         def adopt(sock: socket.socket) -> None:
             descriptors.elsewhere = max(0, descriptors.elsewhere - 1)
--- a/lupinmill/program/told.py
+++ b/lupinmill/program/told.py
@@ -2,7 +2,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -35,6 +35,7 @@
     operator: str | None = None  # where operators call
     directory: str | None = None  # common to the processes of an upgrade
     operators: File | None = None  # the operator's own file, where one is named
+    settings: dict[str, Any] = field(default_factory=dict)  # as the platform's file has them
 
 
 def read(environ: Mapping[str, str], again: bool = False) -> Told:
@@ -69,14 +70,7 @@
         raise BadStart(f"{path}: wants {error.name}: pip install 'lupinmill[peers]'") from error
     try:
         file = operators_file.read(path)
-        if file.peers is not None:
-            operators_file.told(file, name)
-        if file.zones is not None:
-            values = {w.name: w.value for w in deployment.workloads}
-            operators_file.zone_map(file.zones, values)
-            if deployment.beside:
-                why = "settings.family is mesh, where zones pull by their own price"
-                raise operators_file.BadFile(f"zones: {why}")
+        operators_file.fits(file, name, deployment)
     except operators_file.BadFile as error:
         text = str(error)
         raise BadStart(text if text.startswith(path) else f"{path}: {text}") from error
@@ -110,11 +104,13 @@
         connect_limit=settings.connect_limit(fields),
         operator=operator,
         directory=environ.get("TMPDIR") or None,
+        settings=table["settings"],
     )
 
 
-def fixed(old: Told, new: Told) -> list[str]:
-    """What differs and can't be changed without a new start."""
+def fixed(old: Told, new: Told, alive: bool = False) -> list[str]:
+    """What differs and can't be changed without a new start. `alive`: settings are judged key by key, where
+    they are put in force."""
     def settings_of(told: Told) -> t.Deployment:
         return replace(told.deployment, seed=0)
 
@@ -122,7 +118,7 @@
         "name": old.name == new.name,
         "listen": old.listen == new.listen,
         "limits": (old.descriptors, old.memory) == (new.descriptors, new.memory),
-        "settings": settings_of(old) == settings_of(new),
+        "settings": alive or settings_of(old) == settings_of(new),
     }
     others = [name for name, holds in same.items() if not holds]
     if old.operators is not None or new.operators is not None:
--- a/lupinmill/protocol/calls.py
+++ b/lupinmill/protocol/calls.py
@@ -13,10 +13,10 @@
 LONGEST_ID = 200  # bytes
 PREFIX = b"/admin/"
 HEALTH, OUT, BACK, QUIESCE, RESUME = "health", "cordon", "uncordon", "quiesce", "resume"
-PEERS, REHEARSE, ZONES = "peers", "rehearse", "zones"
+PEERS, REHEARSE, ZONES, CONFIG = "peers", "rehearse", "zones", "config"
 MOVES = {f"zones/{what}": what for what in ("drain", "restore", "pin", "unpin")}
 METHODS = {
-    HEALTH: (b"GET", b"HEAD"), PEERS: (b"GET",), ZONES: (b"GET",),
+    HEALTH: (b"GET", b"HEAD"), PEERS: (b"GET",), ZONES: (b"GET",), CONFIG: (b"GET",),
     **dict.fromkeys((REHEARSE, OUT, BACK, QUIESCE, RESUME, *MOVES), (b"PUT",)),
 }
 MEMBER, ZONE = b"member", b"zone"
--- a/lupinmill/routing/admit.py
+++ b/lupinmill/routing/admit.py
@@ -10,9 +10,24 @@
 from lupinmill.transport.client import Client
 
 
+MOST_GONE = 1_000  # names of workloads that were taken away; the oldest is forgotten, and unknown again
+
+
 class Admit:
     def __init__(self, book: Book, directory: Directory, workloads: set[str], standing: Standing) -> None:
         self.book, self.directory, self.workloads, self.standing = book, directory, workloads, standing
+        self.gone: dict[str, None] = {}  # taken away while this process ran, the last one last
+        self.known = workloads  # with those that are gone
+        self.advice = 0  # microseconds, to clients of a workload that is gone
+
+    def deploy(self, workloads: set[str], advice: int) -> None:
+        """Of a workload that was taken away what comes from now on is denied: it was launched nowhere, and
+        the workload may come back."""
+        self.gone |= dict.fromkeys(sorted(self.workloads - workloads))
+        self.gone = {name: None for name in self.gone if name not in workloads}
+        for name in list(self.gone)[:-MOST_GONE]:
+            del self.gone[name]
+        self.workloads, self.known, self.advice = workloads, workloads | self.gone.keys(), advice
 
     def request(self, request: Request, client: Client, body: Body | None = None,
                 to_come: float = 0.0) -> Journey | Answer:
@@ -20,12 +35,14 @@
         if request.target.split(b"?", 1)[0] == submission.READY and request.method in (b"GET", b"HEAD"):
             return plain(200, "ready\n") if self.ready() else plain(503, "not ready\n")
         try:
-            asked = submission.read(request, self.workloads)
+            asked = submission.read(request, self.known)
             if self.book.is_open(asked.submission):
                 # Under one name the module would take both for one, and one client would get no answer.
                 raise Malformed(400, "this Req-Id is still open", True)
         except Malformed as error:
             return plain(error.status, f"{error}\n")
+        if asked.workload in self.gone:
+            return submission.denied(self.advice)
         waited = client.waited()
         due = self.due(asked.left, waited)
         if body is not None and not body.whole:
--- a/lupinmill/routing/door.py
+++ b/lupinmill/routing/door.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from lupinmill import terms as t
 from lupinmill.limits.gate import Fate, Gate, Offer
 from lupinmill.protocol import quick
 from lupinmill.routing.book import Book
@@ -42,6 +43,10 @@
         self.denying = 0.0  # seconds since the last beat that went into denials, ...
         self.this_pass = 0.0  # ... and since the loop's present pass began
 
+    def deploy(self, d: t.Deployment) -> None:
+        self.gate.deploy(d)
+        self.workloads = set(self.gate.workloads)
+
     @property
     def active(self) -> bool:
         return self.gate.active
--- a/lupinmill/transport/pool.py
+++ b/lupinmill/transport/pool.py
@@ -17,13 +17,18 @@
     """Owns idle connections to endpoints, and opens new ones. One out on a launch is the launch's."""
 
     def __init__(self, descriptors: Descriptors, store: Store, idle_limit: float, time_out: float) -> None:
-        self.descriptors, self.store, self.time_out = descriptors, store, time_out
-        # What is written to a connection from its idle limit on ends as a reset: stay well clear of it.
-        self.fresh = max(0.0, min(idle_limit * 0.8, idle_limit - 1.0))
+        self.descriptors, self.store = descriptors, store
+        self.limit(idle_limit, time_out)
         # By endpoint, not by address: at an address just freed another may listen. The last used at the end.
         self.idle: dict[str, list[Connection]] = {}
         descriptors.close_idle_endpoint = self.close_oldest
 
+    def limit(self, idle_limit: float, time_out: float) -> None:
+        """Seconds; from now on."""
+        self.time_out = time_out
+        # What is written to a connection from its idle limit on ends as a reset: stay well clear of it.
+        self.fresh = max(0.0, min(idle_limit * 0.8, idle_limit - 1.0))
+
     def reuse(self, endpoint: str) -> Connection | None:
         """The last used of the idle connections that are still open at both ends and have rested."""
         kept, now = self.idle.get(endpoint, []), time.monotonic()
