--- a/tests/test_config_relay.py
+++ b/tests/test_config_relay.py
@@ -8,9 +8,12 @@
 import anyio
 import orjson
 import pytest
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lupinmill.cli import main
+from lupinmill.cli.config import summed
 from lupinmill.config import keep, model, push, relay_file, server, wire
 from lupinmill.config.driver import ConfigWatch
 from lupinmill.config.fanout import PATIENCE, Asked, Away, Fanout, Gone, Had, Say, Woke
@@ -1145,3 +1148,105 @@
             assert len(served) == 25
 
     on_loopback(check)
+
+
+# --- commands ------------------------------------------------------------------------------------
+
+
+def command(*arguments: str) -> tuple[int, str]:
+    """Exit code and all that was printed."""
+    result = CliRunner().invoke(main.root, arguments)
+    assert result.exception is None or isinstance(result.exception, SystemExit), result.exception
+    return result.exit_code, result.output
+
+
+def test_commands_say_what_is_wrong_in_one_line_and_exit_2(tmp_path):
+    bad = tmp_path / "bad.toml"
+    bad.write_text('name = "r"\nlisten = "127.0.0.1:7500"\nkeep = "/k"\nupstreem = []\n')
+    code, text = command("relay", str(bad))
+    assert code == 2 and text.count("\n") == 1
+    assert "upstreem: unknown; the nearest known key is upstreams" in text
+    assert command("relay", str(tmp_path / "none.toml"))[0] == 2
+    bad.write_text("[servise.tender.settings]\n")
+    code, text = command("config", "push", str(bad), "--at", "127.0.0.1:9")
+    assert code == 2 and text.count("\n") == 1 and "servise: is none of fleet, region, zone" in text
+    bad.write_text("[fleet.settings]\ninstances = 1\n")
+    for arguments in (
+        ("push", str(bad)), ("status",), ("show",), ("rollback", "3"), ("restore",),
+    ):  # fmt: skip
+        code, text = command("config", *arguments, "--at", "127.0.0.1:9")
+        assert code == 2 and text.count("\n") == 1, (arguments, text)
+    assert command("relay", "--check", "deploy/relay.toml")[0] == 0
+
+
+def test_commands_push_show_roll_back_and_sum_up(tmp_path, soon):
+    toml, table = tmp_path / "a.toml", tmp_path / "b.json"
+    toml.write_text('[fleet.settings]\ninstances = 3\n[service.tender.settings.limits]\nmost-launches = 2\n')
+    table.write_text('{"service": {"tender": {"settings": null}}}')
+
+    async def check():
+        async with running(source_file(tmp_path, calls_per_s=4_000)) as source:
+            async with running(relay_of(tmp_path, source.relay.watches.address)) as relay:
+                top, low = source.relay.calls.address, relay.relay.calls.address
+                first = source.relay.history.version
+                await until(lambda: relay.relay.history.version == first)
+
+                async def config(*arguments: str) -> tuple[int, str]:
+                    return await anyio.to_thread.run_sync(lambda: command("config", *arguments))
+
+                assert await config("push", str(toml), "--at", top) == (0, "version 2\n")
+                assert await config("push", str(table), "--at", top, "--if-index", "1") == (
+                    1, "lupinmill: the version is 2, not 1; look at what came between, then push again\n",
+                )  # fmt: skip
+                assert await config("push", str(table), "--at", top, "--if-index", "2") == (0, "version 3\n")
+                assert await config("push", str(table), "--at", low) == (
+                    1, "lupinmill: this is a relay; a source takes that\n",
+                )  # fmt: skip
+                await until(lambda: relay.relay.history.version.index == 3)
+                assert (await config("show", "--at", low))[1] == (
+                    'version 3, 1 entries\nfleet settings {"instances":3}\n'
+                )
+                assert await config("rollback", "2", "--at", top) == (0, "version 4\n")
+                await until(lambda: relay.relay.history.version.index == 4)
+                code, text = await config("show", "--at", low, "--scope", "service/tender", "--json")
+                assert code == 0 and orjson.loads(text)["entries"] == [
+                    {"scope": "service/tender", "kind": "settings", "value": {"limits": {"most-launches": 2}}}
+                ]
+                held = relay.relay.history.version
+                for name, since in (("good", held), ("late", first)):
+                    await call(relay.relay.watches.address, watch(since, 10, name=name))
+                code, text = await config("status", "--at", top, "--at", low)
+                assert code == 1 and text.startswith("version 4: in force at 1 of 2 sidecars\n")
+                assert "\n  late lags: at 1 of 4, heard " in text and "relay relay: version 4, " in text
+                await call(relay.relay.watches.address, watch(held, 10, name="late"))
+                code, text = await config("status", "--at", top, "--at", low)
+                assert code == 0 and text.startswith("version 4: in force at 2 of 2 sidecars\n"), text
+                code, text = await config("status", "--at", top, "--at", "127.0.0.1:9")
+                assert code == 2 and "\nno answer: 127.0.0.1:9" in text
+                assert (await config("restore", "--at", top)) == (0, "version 5\n")
+
+    on_loopback(check)
+
+
+def test_of_several_relays_each_sidecar_counts_once_as_the_one_says_that_heard_it_last():
+    def row(name: str, index: int, heard: float, **more) -> dict:
+        usual = {"relay": False, "due": index, "refused": 0, "why": "", "away": False}
+        return {"name": name, "index": index, "heard_s": heard, **usual, **more}
+
+    def of(name: str, index: int, rows: list[dict], longest: int) -> dict:
+        times = Times()
+        times.add(longest)
+        return {
+            "name": name, "role": "relay", "index": index, "ahead": 0, "kept": index, "keep_failing": "",
+            "waiting": 0, "cut_off": 0, "turned_away": 0, "in_force": times.show(), "watchers": rows,
+        }  # fmt: skip
+
+    one = of("one", 7, [row("a", 7, 0.1), row("b", 6, 90.0, away=True), row("c", 5, 1, due=7)], 5_000)
+    two = of("two", 7, [row("b", 7, 0.2), row("d", 6, 1, refused=7, why="key: no"), row("one", 7, 0)], 9_000)
+    old = of("old", 6, [row("e", 6, 0.3)], 1_000)
+    found = summed([one, two, old])
+    states = ("in_force", "lags", "refuses", "away")
+    names = {state: [row["name"] for row in found[state]] for state in states}
+    assert names == {"in_force": ["a", "b"], "lags": ["c", "e"], "refuses": ["d"], "away": []}
+    assert found["of"] == 5 and found["index"] == 7 and found["time_in_force"]["last_ms"] == 9.0
+    assert found["time_in_force"]["count"] == 3
