--- a/tests/test_operators_file.py
+++ b/tests/test_operators_file.py
@@ -29,6 +29,12 @@
     return GOOD.replace(old, new, 1)
 
 
+CONFIG = """
+[config]
+relays = ["10.0.1.5:7500", "10.0.2.5:7500"]
+"""
+
+
 FAULTS = [
     ("peers.leases_s: unknown; the nearest known key is lease_s", changed("lease_s", "leases_s")),
     (
@@ -68,6 +74,14 @@
     ),
     ("zones: wants peers.electors", changed('electors = ["front-1", "front-2", "front-3"]', "")),
     ("zones: wants [peers]", 'site = "x"\n[zones.map.a]\n'),
+    ("config.relay: unknown; the nearest known key is relays", GOOD + CONFIG.replace("relays", "relay")),
+    ("config: Object missing required field `relays`", GOOD + "\n[config]\n"),
+    ("config.relays: wants 1 to 16 different addresses", GOOD + "\n[config]\nrelays = []\n"),
+    ("config.relays: wants 1 to 16 different addresses", GOOD + CONFIG.replace("10.0.2.5", "10.0.1.5")),
+    ("config.relays: wants an IPv4 address", GOOD + CONFIG.replace("10.0.2.5", "relay.local")),
+    ("config.keep: wants a whole path", GOOD + CONFIG + 'keep = "kept"\n'),
+    ("config.spread_s: wants 0.1 to 600", GOOD + CONFIG + "spread_s = 0\n"),
+    ("config.service: a name has up to 64", GOOD + CONFIG + f'service = "{"x" * 65}"\n'),
     ("no UTF-8", None),
     ("Expected '=' after a key", GOOD + "\nabc"),
 ]
@@ -114,7 +128,8 @@
     code = (
         "import sys, lupinmill.program.sidecar, lupinmill.__main__;"
         "print([m for m in sys.modules if m.split('.')[0] in ('msgspec', 'xxhash', 'click')"
-        " or 'lupinmill.peers' in m or 'operators_file' in m])"
+        " or 'lupinmill.peers' in m or 'operators_file' in m"
+        " or 'lupinmill.config' in m or 'in_force' in m])"
     )
     shown = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert shown.stdout.strip() == "[]"
@@ -137,6 +152,54 @@
     assert "gives no vote for 6.1 s" in single.output
 
 
+def test_with_a_file_that_does_not_switch_it_on_nothing_of_configuration_is_imported(tmp_path):
+    path = written(tmp_path, GOOD)
+    code = (
+        "import sys; from lupinmill.program import told, sidecar; from lupinmill.terms import Deployment;"
+        f"file = told.operators({path!r}, 'front-1', Deployment(seed=1)); assert file.config is None;"
+        "print([m for m in sys.modules if 'lupinmill.config' in m or 'in_force' in m])"
+    )
+    shown = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert shown.stdout.strip() == "[]"
+
+
+def test_check_tells_what_configuration_a_sidecar_watches(tmp_path):
+    def lines(text: str, *more: str) -> str:
+        shown = CliRunner().invoke(root, ["check", written(tmp_path, text), *more])
+        assert shown.exit_code == 0, shown.output
+        return shown.output
+
+    assert "config: off" in lines(GOOD) and "config: off" in lines('site = "x"\n')
+    both = lines(GOOD + CONFIG + 'service = "portal"\nkeep = "/var/kept"\n', "--name", "front-1")
+    for part in (
+        "2 relays (10.0.1.5:7500, 10.0.2.5:7500)",
+        "watches fleet, region/west, zone/north, service/portal, sidecar/front-1",
+        "kept in /var/kept",
+    ):
+        assert part in both, both
+    assert "caution: no config.service" not in both and "only relay" not in both
+    alone = lines('site = "x"\n' + CONFIG.replace(', "10.0.2.5:7500"', ""))
+    for part in ("peers: off", "only relay", "no config.service", "no version is kept", "sidecar/NAME"):
+        assert part in alone, alone
+
+
+def test_relays_may_change_while_it_runs_and_what_a_sidecar_watches_may_not():
+    def differs(old: str, new: str) -> list[str]:
+        files = [operators_file.understand(__import__("tomllib").loads(text)) for text in (old, new)]
+        return operators_file.fixed(*files, "front-1")
+
+    on = GOOD + CONFIG
+    assert differs(on, on.replace("10.0.2.5", "10.0.2.6")) == []
+    assert differs(GOOD, on) == ["config"] == differs(on, GOOD)
+    assert differs(on, on + 'service = "portal"\n') == ["config.service"]
+    assert differs(on, on + 'keep = "/var/kept"\n') == ["config.keep"]
+    moved = on.replace('10.0.1.11:7400"\nzone = "north"', '10.0.1.11:7400"\nzone = "south"')
+    assert "peers.members: zone or region of this sidecar" in differs(on, moved)
+    with pytest.raises(operators_file.BadFile, match="config: wants names of this sidecar"):
+        file = operators_file.understand(__import__("tomllib").loads('site = "x"' + CONFIG))
+        operators_file.fits(file, "", Deployment(seed=1))
+
+
 def test_members_may_change_while_it_runs_and_little_else():
     old = operators_file.understand(__import__("tomllib").loads(GOOD))
 
