A client that left in the kernel's queue is looked for before its first launch

They had waited in the kernel's queue while no descriptor was free, and no stamp tells for how long, so Send.look_back, which looked at what was 0.1 s old, did not look; on a kept connection the launch is written in the pass in which the request was read.

Change: on a connection none of whose requests was answered yet each launch is preceded by a look, so too where the loop is 25 ms late, or 50 ms after the request (100 before). One system call for the first submission of a connection; none more on kept ones.

Tests force it on sockets: descriptors full, a client sends and goes, then a place comes free; and a client that leaves under its first launch, for further launches. Three cases seen failing on the code before.

--- a/lupinmill/routing/send.py
+++ b/lupinmill/routing/send.py
@@ -16,7 +16,9 @@
 
 
 PAUSE = 0.25  # seconds between two parts of an answer of up to 64 KiB
-WAITED = 100_000  # microseconds after which a client may have left and nobody has seen it yet
+# Microseconds after which a client may have left and nobody has seen it yet: since its request came, ...
+WAITED = 50_000
+LAGS = 25_000  # ... or by which wake-ups of this loop come late
 
 
 class Unsent(Exception):
@@ -102,9 +104,11 @@
 
     def look_back(self, journey: Journey) -> None:
         """Guards against launches for a client that has left, where its end lies unread still: in a loop
-        that lags the launch may have its turn before the task that waits for that end."""
-        waited = self.book.engine.clock.now() - journey.came > WAITED
-        if waited and not journey.settled:
+        that lags, and of a connection just accepted, the launch may have its turn before the task that waits
+        for that end."""
+        engine = self.book.engine
+        unseen = journey.client.new or engine.late > LAGS or engine.clock.now() - journey.came > WAITED
+        if unseen and not journey.settled:
             comes = journey.body is not None and not journey.body.whole
             if journey.client.ended() if comes else journey.client.look():
                 self.book.withdraw(journey)
--- a/lupinmill/routing/take_in.py
+++ b/lupinmill/routing/take_in.py
@@ -66,6 +66,7 @@
                         return
                 finally:
                     self.answering -= 1
+                client.new = False
             except Malformed as error:
                 await self.relay.pass_back(client, side, plain(error.status, f"{error}\n"), True)
                 return
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,6 +2,7 @@
 until the other has happened, by a barrier or a stand-in that stops at a told byte; none waits and hopes.
 The table of them all is docs/crossings.md."""
 import socket
+from contextlib import AsyncExitStack
 
 import anyio
 import pytest
@@ -10,7 +11,10 @@
 
 from lupinmill import terms as t
 from lupinmill.protocol.http import Answer
+from lupinmill.routing import take_in
+from lupinmill.transport.descriptors import OWN, Side
 from lupinmill.transport.listener import Client
+from lupinmill.transport.pool import REST
 
 
 async def connect(net: Net) -> anyio.abc.SocketStream:
@@ -42,6 +46,13 @@
         self.table["known"]["endpoints"] = []
 
 
+class Unhurried(Net):
+    """Whose workloads have long limits."""
+
+    def __init__(self, acts, **more) -> None:
+        super().__init__(acts, workloads=PATIENT, **more)
+
+
 def list_all(net: Unlisted) -> None:
     net.discovery.rows = net.rows
     for row in net.rows:
@@ -184,6 +195,91 @@
     assert net.ended() == [t.How.UNSENT] and not seen(net, "s1")
 
 
+def by_age_or_lag_alone_never(monkeypatch):
+    """So that what is looked for is judged by the connection itself, however long this run takes."""
+    for name in ("WAITED", "LAGS"):
+        monkeypatch.setattr(f"lupinmill.routing.send.{name}", 10**12, raising=False)
+
+
+def test_a_client_that_left_in_the_kernels_queue_while_no_place_was_free_is_launched_nowhere(monkeypatch):
+    """Descriptors are full, a client sends and goes, then a place comes free: its request and its end are read
+    in one pass, and by the stamps it came just now. Seen failing as a request at the endpoint, on the kept
+    connection that wants no pass of its own."""
+    by_age_or_lag_alone_never(monkeypatch)
+    monkeypatch.setattr(take_in, "CROWDED_OUT", 60.0)  # those that are turned away keep their places
+    there, go_on = anyio.Event(), anyio.Event()
+
+    async def act(request):
+        if request.header(b"req-id") == "hog":
+            there.set()
+            await go_on.wait()
+        return await fine(request)
+
+    async def check(net: Net):
+        assert (await net.ask(wanted("s0"))).status == 200
+        (kept,) = net.program.pool.idle["e0"]
+        kept.idle_since -= REST
+        await until(lambda: net.program.descriptors.open[Side.CLIENT] == 0)
+        listener = net.program.descriptors.close_idle_client.__self__
+        net.program.descriptors.client_limit = 1
+        async with AsyncExitStack() as crowd:
+            hog = await connect(net)
+            await hog.send(wanted("hog", deadline="8"))
+            await there.wait()
+            for _ in range(OWN // 2):
+                await crowd.enter_async_context(await connect(net))
+            await until(lambda: listener.turning_away == OWN // 2)
+            async with await connect(net) as stream:
+                await stream.send(wanted("s1", deadline="8"))
+            go_on.set()
+            await hog.receive()
+            (kept,) = net.program.pool.idle["e0"]
+            kept.idle_since -= REST
+            await hog.aclose()
+            await arrived(net, "s1")
+            await all_quiet(net)
+
+    net = on_network(check, act, net_of=Unhurried)
+    assert seen(net, "hog") and not seen(net, "s1")
+
+
+@pytest.mark.parametrize("before", [0, 1])
+def test_a_client_that_leaves_under_its_first_launch_gets_no_further_one(before, monkeypatch):
+    """Its end lies unread when the launch again is due: nobody has looked, and it is not 0.1 s old. `before`:
+    requests that this connection has had answered; on one that was watched the loop's lag tells."""
+    by_age_or_lag_alone_never(monkeypatch)
+
+    async def never(client):
+        await anyio.sleep_forever()
+
+    turned, left = anyio.Event(), anyio.Event()
+
+    async def act(request):
+        if request.header(b"req-id") == "s1":
+            turned.set()
+            await left.wait()
+            return DECLINED
+        return await fine(request)
+
+    async def check(net: Net):
+        net.program.engine.sidecar.desk.taken.add(net.program.engine.clock.now(), 1000.0)
+        async with await connect(net) as stream:
+            for at in range(before):
+                await stream.send(wanted(f"b{at}"))
+                await stream.receive()
+            monkeypatch.setattr(Client, "gone", never)
+            if before:
+                monkeypatch.setattr("lupinmill.routing.send.LAGS", -1)
+            await stream.send(wanted("s1", deadline="8"))
+            await turned.wait()
+        left.set()
+        await until(lambda: len(net.ended()) >= 1 + before)
+        await all_quiet(net)
+
+    net = on_network(check, act, act, limits=settings()["limits"] | {"probes": False}, net_of=Unhurried)
+    assert len(seen(net, "s1")) == 1
+
+
 def test_a_client_that_left_while_its_body_waited_for_room_is_noticed_at_the_launch(monkeypatch):
     """Nothing is read of a body that there is no room for, so its end lies behind unread bytes."""
     monkeypatch.setattr("lupinmill.routing.send.WAITED", 0, raising=False)
