--- a/lupinmill/config/follower.py
+++ b/lupinmill/config/follower.py
@@ -1,8 +1,8 @@
-"""One watch on configuration, of a sidecar or a relay: which relay is asked, what is taken, what is offered to
-the process. Pure: `step(now, notes) -> orders`.
+"""One watch on configuration, of a sidecar or a relay: which relay is asked, what is taken, what is offered
+to the process. Pure: `step(now, notes) -> orders`.
 
-What is held only moves forward: by changes that lead on from exactly the version held, or by a snapshot with a
-higher index; whole, or not at all. What the process goes by follows what it took.
+What is held only moves forward: by changes that lead on from exactly the version held, or by a snapshot with
+a higher index; whole, or not at all. What the process goes by follows what it took.
 
 Owns the newest version heard with its entries, and how each relay has behaved."""
 
@@ -173,7 +173,8 @@
             if ask.since.index == 0:
                 self.distrust(now, "changes where the snapshot was asked for")
             else:
-                self.say(now, "gap", f"{ask.at}: changes that don't lead on from version {held.index}; snapshot")
+                text = f"{ask.at}: changes that don't lead on from version {held.index}; asks for a snapshot"
+                self.say(now, "gap", text)
                 self.whole, self.due = True, now
         elif version == held and reply.entries:
             self.distrust(now, "changes without a new version")
@@ -224,9 +225,9 @@
             self.lost(now, "failed", note.why)
 
     def lost(self, now: int, kind: str, why: str) -> None:
-        """On to another relay. All that lost this one come spread over its time; who finds none either goes on
-        coming once in that time, so that calls a second stay below fleet over spread also when all relays
-        come back."""
+        """On to another relay. All that lost this one come spread over its time; who finds no other goes on
+        coming once in that time at most, so that calls a second stay below fleet over spread also when all
+        relays come back."""
         at = self.relays.pop(0)
         self.relays.append(at)
         self.out, self.whole, self.early = None, False, 0
--- a/lupinmill/config/keep.py
+++ b/lupinmill/config/keep.py
@@ -1,8 +1,8 @@
 """The last version and its entries on disk: one file, replaced whole. Blocks for the disk: not for an event
 loop.
 
-A file holds the format, an 8-byte xxhash of the rest, then a JSON table. What is cut or damaged is said, never
-half believed."""
+A file holds the format, an 8-byte xxhash of the rest, then a JSON table. What is cut or damaged is said,
+never half believed."""
 
 from __future__ import annotations
 
--- a/lupinmill/config/wire.py
+++ b/lupinmill/config/wire.py
@@ -1,6 +1,6 @@
-"""The watch on configuration on HTTP/1.1, in the published form of discovery's: `index`, `wait`, a snapshot or
-changes. Pure: requests and answers to and from what `model` says. Whatever the bytes, one error a direction:
-`Malformed` for requests, `Garbled` for answers."""
+"""The watch on configuration on HTTP/1.1, in the published form of discovery's: `index`, `wait`, a snapshot
+or changes. Pure: requests and answers to and from what `model` says. Whatever the bytes, one error a
+direction: `Malformed` for requests, `Garbled` for answers."""
 
 from __future__ import annotations
 
@@ -10,7 +10,18 @@
 
 import orjson
 
-from lupinmill.config.model import LARGEST, MEMBER, SCOPES, SETTINGS, ZONES, Entries, Key, Reply, Status, Version
+from lupinmill.config.model import (
+    LARGEST,
+    MEMBER,
+    SCOPES,
+    SETTINGS,
+    ZONES,
+    Entries,
+    Key,
+    Reply,
+    Status,
+    Version,
+)
 from lupinmill.protocol.http import Answer, Garbled, Malformed, Request
 
 PATH = b"/v1/config"
--- a/lupinmill/lab/explore_config.py
+++ b/lupinmill/lab/explore_config.py
@@ -6,9 +6,9 @@
 state) or a sidecar, cuts a link or heals it, brings the source back from an older backup. Where a node has
 something to put in force that is a step of its own, so that a restart can come between.
 
-Checked with each step: what is in force is exactly what the source published under that version, of the scopes
-watched; it never falls back, nor what a relay serves while it keeps its state. In the end, once the network is
-quiet: all go by the source's newest.
+Checked with each step: what is in force is exactly what the source published under that version, of the
+scopes watched; it never falls back, nor what a relay serves while it keeps its state. In the end, once the
+network is quiet: all go by the source's newest.
 
 Owns nothing: worlds are values, copied as pickles."""
 
@@ -109,6 +109,7 @@
     parked: list[Call] = field(default_factory=list)
     cut: set[tuple[str, str]] = field(default_factory=set)
     keeping: dict[str, tuple[Version, Entries]] = field(default_factory=dict)  # by the planted fault
+    reached: dict[str, int] = field(default_factory=dict)  # highest index that was in force at each
     published: dict[Version, Entries] = field(default_factory=lambda: {Version(): {}})
     wrong: str = ""
 
@@ -120,11 +121,12 @@
     def start(self, name: str, kept: tuple[Version, Entries], life: int) -> None:
         version, entries = kept
         relay = name in RELAYS
-        follower = self.follower(
-            name, (SOURCE,) if relay else RELAYS, len(name) * life + sum(name.encode()), WAIT, SPREAD, version, entries
-        )
+        servers, seed = (SOURCE,) if relay else RELAYS, life * 1000 + sum(name.encode())
+        follower = self.follower(name, servers, seed, WAIT, SPREAD, version, entries)
         history = self.history(version, entries, most_changes=3) if relay else None
-        self.nodes[name] = Node(name, follower, version, dict(entries), kept, history, lives=life, calls=life * 1000)
+        self.nodes[name] = Node(
+            name, follower, version, dict(entries), kept, history, lives=life, calls=life * 1000
+        )
         self.step(name, [])
 
     # --- what can happen ---
@@ -173,6 +175,8 @@
     def restart(self, name: str, empty: bool) -> None:
         node = self.nodes[name]
         self.keeping.pop(name, None)
+        if empty:
+            self.reached.pop(name, None)
         self.flying = [one for one in self.flying if self.call_of(one).client != name]
         self.parked = [one for one in self.parked if one.client != name]
         # Its place in `nodes` stays; what it asks first comes before its callers notice.
@@ -248,6 +252,7 @@
             self.wrong = f"{node.name} falls back from {node.in_force.index} to {order.version.index}"
             return
         node.in_force, node.entries = order.version, order.entries
+        self.reached[node.name] = order.version.index
         if self.serves_first and node.history is not None:
             self.keeping[node.name] = (order.version, order.entries)
         else:
@@ -300,14 +305,15 @@
         for node in self.nodes.values():
             if self.wrong:
                 return
+            index = node.in_force.index
             if node.entries != self.part(node.in_force, node.name):
-                self.wrong = f"{node.name}: what is in force is not version {node.in_force.index}"
-            elif node.follower.in_force != node.in_force:
-                self.wrong = f"{node.name} says that {node.follower.in_force.index} is in force, not {node.in_force.index}"
-            elif node.kept[0].index < node.in_force.index and node.name not in self.keeping:
-                self.wrong = f"{node.name} came back with {node.kept[0].index}, it had {node.in_force.index}"
-            elif node.history is not None and node.history.entries != self.published.get(node.history.version):
-                self.wrong = f"{node.name} serves what is not version {node.history.version.index}"
+                self.wrong = f"{node.name}: what is in force is not version {index}"
+            elif node.follower.status().in_force != node.in_force:
+                self.wrong = f"{node.name} says that {node.follower.in_force.index} is in force, not {index}"
+            elif node.in_force.index < self.reached.get(node.name, 0):
+                self.wrong = f"{node.name} came back with {index} after {self.reached[node.name]}"
+            elif (served := node.history) and served.entries != self.published.get(served.version):
+                self.wrong = f"{node.name} serves what is not version {served.version.index}"
 
     def part(self, version: Version, name: str) -> Entries | None:
         whole = self.published.get(version)
