Configuration's cores: tests by property and case; a relay that is no use stays behind beyond the next call

A penalty of 1 s ended before the next call where the spread is longer: it now begins at twice the spread.

--- a/lupinmill/config/follower.py
+++ b/lupinmill/config/follower.py
@@ -192,7 +192,7 @@
                 now, "snapshot",
                 f"{ask.at}: snapshot of version {reply.version.index} in place of {self.version.index}",
             )
-        self.take(now, reply.version, dict(reply.entries))
+        self.take(now, reply.version, merged({}, reply.entries))
 
     def take(self, now: int, version: Version, entries: Entries) -> None:
         self.version, self.entries = version, entries
@@ -214,7 +214,8 @@
     def distrust(self, now: int, why: str) -> None:
         """It answered, but nothing that can be taken: for a while the others go before it."""
         standing = self.standings[self.relays[0]]
-        standing.penalty = min(LONGEST_PENALTY, max(LEAST_PENALTY, 2 * standing.penalty))
+        least = max(LEAST_PENALTY, 2 * (standing.spread or self.spread))  # beyond when the next is asked
+        standing.penalty = min(LONGEST_PENALTY, max(least, 2 * standing.penalty))
         standing.behind_until = now + standing.penalty
         self.lost(now, "distrusted", why)
 
--- /dev/null
+++ b/tests/test_config_core.py
@@ -0,0 +1,887 @@
+"""The pure cores of `config/`: history, follower, the watch on the wire, the kept file."""
+
+from __future__ import annotations
+
+import errno
+import os
+import random
+from collections import Counter
+
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lupinmill.config import follower as following
+from lupinmill.config import keep, wire
+from lupinmill.config.follower import MS, SECOND, Follower
+from lupinmill.config.history import MOST_AHEAD, Behind, History, TooLarge, difference, merged
+from lupinmill.config.model import (
+    Answered,
+    Apply,
+    Ask,
+    Entries,
+    Failed,
+    Key,
+    Log,
+    Refused,
+    Reply,
+    Status,
+    Took,
+    Version,
+    WakeMe,
+    Woke,
+)
+from lupinmill.protocol.http import Answer, Garbled, Malformed, Request
+
+FLEET, ONE, TWO = Key("fleet", "settings"), Key("service/one", "settings"), Key("service/two", "settings")
+KEYS = [FLEET, ONE, TWO, Key("service/one", "member/a"), Key("zone/x", "zones"), Key("sidecar/s", "settings")]
+SCOPES = sorted({key.scope for key in KEYS})
+
+examples = settings(derandomize=True, deadline=None, max_examples=200)
+leaves = st.none() | st.booleans() | st.integers(-3, 3) | st.floats(allow_nan=False, allow_infinity=False)
+leaves |= st.text(max_size=4)
+values = st.recursive(
+    leaves,
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=3), inner, max_size=3),
+    max_leaves=6,
+)
+changes = st.dictionaries(st.sampled_from(KEYS), values, max_size=4)
+scopes = st.lists(st.sampled_from(SCOPES), unique=True).map(tuple)
+versions = st.builds(Version, st.integers(0, wire.HIGHEST), st.text("0123456789abcdef", max_size=32))
+
+
+def part(entries: Entries, watched: tuple[str, ...]) -> Entries:
+    return {key: value for key, value in entries.items() if not watched or key.scope in watched}
+
+
+def taken(entries: Entries, reply: Reply) -> Entries:
+    return reply.entries if reply.whole else merged(entries, reply.entries)
+
+
+def exactly(entries: Entries) -> bytes:
+    """Apart where Python's equality is not: 1, 1.0 and True."""
+    return orjson.dumps(sorted([*key, orjson.dumps(value).decode()] for key, value in entries.items()))
+
+
+# --- history -------------------------------------------------------------------------------------
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
+@given(st.lists(changes | st.none(), max_size=8), scopes, st.integers(0, 6), st.integers(100, 2000))
+def test_a_snapshot_and_changes_are_the_later_snapshot(pushes, watched, most_changes, most_bytes):
+    """From every version that ever was, for any scopes, however little is kept; also through a relay that was
+    told of some versions only. None among the pushes is a restore."""
+    source = History(Version(), {}, most_changes, most_bytes)
+    relay = History(Version(), {}, most_changes, most_bytes)
+    states = {source.version: source.entries}
+    for number, entries in enumerate(pushes):
+        before = source.version
+        if entries is None:
+            source.restore()
+        else:
+            source.push(entries)
+        unchanged = entries is not None and exactly(states[before]) == exactly(source.entries)
+        assert (source.version == before) == unchanged
+        states[source.version] = source.entries
+        if number % 3:
+            relay.replace(source.version, source.entries)
+        for history in (source, relay):
+            assert len(history.changes) <= most_changes and history.size <= most_bytes
+            assert len(history.numbers) == len(history.marks) == len(history.changes) + 1
+            assert sum(one.size for one in history.changes) == history.size
+            assert len(history.newest) <= len(SCOPES)
+            for since, entries_then in states.items():
+                reply = history.reply(since, watched)
+                got = taken(part(entries_then, watched), reply)
+                assert exactly(got) == exactly(part(states[history.version], watched))
+                assert reply.version == history.version and reply.since == since
+                assert reply.whole == (since.index == 0 or not history.knows(since))
+                newer = since != history.version
+                told = newer and (reply.whole or not watched or bool(reply.entries))
+                assert history.news(since, watched) == told
+                if history.knows(since):
+                    assert exactly(history.content(since)) == exactly(entries_then)
+    assert source.ahead is None
+    assert (relay.ahead is not None) == (relay.version != source.version)
+
+
+@examples
+@given(st.lists(changes, min_size=1, max_size=6))
+def test_marks_are_the_same_for_the_same_changes_and_else_not(pushes):
+    one, other, third = (History(Version(), {}) for _ in range(3))
+    third.push({FLEET: "else"})
+    for entries in pushes:
+        one.push(entries)
+        other.push(dict(reversed(entries.items())))
+        third.push(entries)
+        assert one.version == other.version
+        assert third.version.mark != one.version.mark
+
+
+def test_what_changes_nothing_makes_no_version_and_json_types_are_apart():
+    history = History(Version(), {})
+    first = history.push({FLEET: {"a": 1, "b": 2}})
+    assert history.push({FLEET: {"b": 2, "a": 1}, ONE: None}) == first == history.version
+    assert history.push({FLEET: {"a": True, "b": 2}}).index == 2
+    assert history.push({FLEET: {"a": 1.0, "b": 2}}).index == 3
+    assert history.reply(first, ()).entries == {FLEET: {"a": 1.0, "b": 2}}  # of a key the last
+
+
+@pytest.mark.parametrize(
+    "value", [float("nan"), float("inf"), (1, 2), {1: 2}, b"x", {"a": {1}}, 2**70, "\ud800"]
+)
+def test_what_json_would_change_or_lose_is_refused_and_nothing_of_that_push_stays(value):
+    history = History(Version(), {})
+    before = history.push({FLEET: 1})
+    with pytest.raises(ValueError, match="service/one settings: not a JSON value"):
+        history.push({FLEET: 2, ONE: value})
+    assert history.version == before and history.entries == {FLEET: 1}
+    assert history.reply(before, ()).entries == {}
+
+
+def test_no_version_is_published_that_would_not_fit_in_an_answer():
+    history = History(Version(), {}, most_bytes=1000)
+    half = "x" * (wire.LARGEST // 2 - 40 * 1024)
+    version = history.push({FLEET: half, ONE: half})
+    with pytest.raises(TooLarge):
+        history.push({TWO: half})
+    assert history.version == version and TWO not in history.entries
+    answer = wire.encode(history.reply(Version(), ()))
+    assert len(answer) <= wire.LARGEST and wire.decode(Answer(200, [], answer)).entries == history.entries
+    history.push({FLEET: None})
+    history.push({TWO: half})  # there is room again
+
+
+def test_a_relay_never_goes_back():
+    history = History(Version(5, "a"), {FLEET: 1})
+    for version in (Version(4, "z"), Version(5, "b"), Version()):
+        with pytest.raises(ValueError):
+            history.replace(version, {FLEET: 2})
+    assert history.version == Version(5, "a") and history.entries == {FLEET: 1}
+
+
+def sources(count: int = 5) -> tuple[History, list[tuple[Version, Entries]]]:
+    source = History(Version(), {})
+    return source, [(source.push({FLEET: at, ONE: at // 2}), source.entries) for at in range(count)]
+
+
+def test_a_source_back_from_an_older_backup_pushes_nothing_until_it_is_restored():
+    _, states = sources()
+    source = History(*states[1])
+    reply = source.reply(states[4][0], ())
+    assert reply.whole and reply.version == states[1][0] and source.ahead == states[4][0]
+    source.reply(states[3][0], ())
+    assert source.ahead == states[4][0]  # the highest
+    with pytest.raises(Behind, match="version 5 is about, which this source never made .its own: 2."):
+        source.push({FLEET: "new"})
+    assert source.version == states[1][0]
+    restored = source.restore()
+    assert restored.index == 6 and source.entries == states[1][1] and source.ahead is None
+    assert source.reply(states[4][0], ()).entries == states[1][1]  # a snapshot, which they can take
+    assert source.ahead is None  # who comes late with the overruled ones does not stop it anew
+    assert source.push({FLEET: "new"}).index == 7
+
+
+def test_a_fork_is_noticed_at_the_same_index_within_what_is_kept_and_at_the_index_of_a_restore():
+    for index in (5, 3):
+        source, _ = sources()
+        source.heard_of(Version(index, "else"))
+        assert source.ahead == Version(index, "else")
+        assert source.restore().index == 6 and source.ahead is None
+        source.heard_of(Version(index, "else"))
+        assert source.ahead is None  # overruled
+        source.heard_of(Version(6, "else"))  # another source restored to the same index
+        assert source.ahead == Version(6, "else") and source.restore().index == 7
+
+
+def test_what_says_nothing_of_a_fork_is_not_taken_for_one():
+    source = History(Version(), {}, most_changes=2)
+    states = [source.push({FLEET: at}) for at in range(5)]
+    for version in (*states, Version(1, "else"), Version(5 + MOST_AHEAD + 1, "liar")):
+        source.heard_of(version)
+    assert source.ahead is None and source.push({FLEET: "goes on"}).index == 6
+
+
+def test_a_relay_that_catches_up_forgets_what_it_was_behind():
+    _, states = sources()
+    relay = History(*states[1])
+    relay.reply(states[3][0], ())
+    assert relay.ahead == states[3][0]
+    relay.replace(*states[3])
+    assert relay.ahead is None and relay.knows(states[3][0])
+
+
+def test_a_change_costs_a_watch_of_other_scopes_nothing():
+    source, states = sources()
+    version = source.push({TWO: 1})
+    since = states[-1][0]
+    assert not source.news(since, ("fleet", "service/one"))
+    assert source.news(since, ("service/two",)) and source.news(since, ())
+    reply = source.reply(since, ("fleet",))
+    assert reply.version == version and not reply.whole and reply.entries == {}
+
+
+# --- follower ------------------------------------------------------------------------------------
+
+
+def made(relays: tuple[str, ...] = ("a", "b", "c"), seed: int = 1, spread: int = 4 * SECOND) -> Follower:
+    return Follower("s", relays, seed, 20 * SECOND, spread, Version(), {})
+
+
+class Run:
+    """A follower and the clock; what it orders by kinds."""
+
+    def __init__(self, core: Follower) -> None:
+        self.core, self.now = core, 0
+        self.seen: Ask | None = None  # the call that was looked at last
+        self.asks: list[Ask] = []
+        self.applies: list[Apply] = []
+        self.logs: list[str] = []
+        self.wake = 0
+        self.step()
+
+    def step(self, *notes) -> None:
+        for order in self.core.step(self.now, list(notes)):
+            if isinstance(order, Ask):
+                self.asks.append(order)
+            elif isinstance(order, Apply):
+                self.applies.append(order)
+            elif isinstance(order, Log):
+                self.logs.append(order.text)
+            else:
+                assert isinstance(order, WakeMe)
+                self.wake = order.at
+
+    def until_asked(self) -> Ask:
+        """The next call; time passes until it goes out."""
+        for _ in range(10):
+            if self.core.out is not None and self.core.out is not self.seen:
+                self.seen = self.core.out
+                return self.seen
+            assert self.wake > self.now
+            self.now = max(self.now, self.wake)
+            self.step(Woke())
+        raise AssertionError("no call goes out")
+
+    def answer(self, reply: Reply, after: int = MS) -> None:
+        self.now += after
+        self.step(Answered(self.asks[-1].at, reply))
+
+    def took(self) -> None:
+        self.now += MS
+        self.step(Took(self.applies[-1].version))
+
+
+def in_step(source: History) -> Run:
+    """One that holds the source's newest version, with its next call out."""
+    run = Run(made())
+    run.until_asked()
+    run.answer(source.reply(Version(), ()))
+    run.took()
+    run.until_asked()
+    return run
+
+
+def test_the_snapshot_first_then_changes_and_the_next_call_at_once_with_the_new_status():
+    source, _ = sources(1)
+    run = Run(made())
+    first = run.until_asked()
+    assert first.since == Version() and run.now <= 4 * SECOND
+    run.answer(source.reply(first.since, ()))
+    assert run.applies[-1] == Apply(source.version, source.entries)
+    assert len(run.asks) == 1  # until the word comes, so that the call can carry it
+    run.took()
+    second = run.until_asked()
+    assert second.since == source.version == run.core.status().in_force
+    assert run.now - first.until < 0 and second.at == first.at
+    before = source.version
+    run.now += SECOND
+    source.push({TWO: 1})
+    run.answer(source.reply(before, ()))
+    run.took()
+    assert run.applies[-1] == Apply(source.version, source.entries)
+    assert run.until_asked().since == source.version and not run.logs
+
+
+def test_a_word_that_does_not_come_does_not_stop_the_watch():
+    source, _ = sources(1)
+    run = Run(made())
+    run.answer(source.reply(run.until_asked().since, ()))
+    came = run.now
+    run.until_asked()
+    assert run.now == came + following.HOLD and run.core.status().in_force == Version()
+
+
+def test_two_changes_in_one_pass_are_one_offer_of_the_newest():
+    source, states = sources(3)
+    run = Run(made())
+    run.answer(source.reply(run.until_asked().since, ()))
+    for _ in range(2):  # while the first is offered, two more come
+        source.push({TWO: source.version.index})
+        run.until_asked()
+        run.answer(source.reply(run.asks[-1].since, ()))
+    assert [one.version for one in run.applies] == [states[2][0]]
+    run.took()
+    assert run.applies[-1] == Apply(source.version, source.entries) and len(run.applies) == 2
+
+
+def test_a_refused_version_stays_refused_until_a_newer_comes_and_goes_up():
+    source, _ = sources(2)
+    run = in_step(source)
+    old = source.version
+    source.push({ONE: "bad"})
+    run.answer(source.reply(old, ()))
+    run.now += MS
+    run.step(Refused(source.version, "service/one: bad " + "x" * 300))
+    status = run.core.status()
+    assert status.in_force == old and status.refused == source.version.index
+    assert status.why.startswith("service/one: bad") and len(status.why) == wire.LONGEST_WHY
+    count = len(run.applies)
+    for _ in range(3):
+        run.until_asked()
+        run.answer(source.reply(run.asks[-1].since, ()), 15 * SECOND)
+    assert len(run.applies) == count  # nothing new: not offered again
+    source.push({ONE: "good"})
+    run.until_asked()
+    run.answer(source.reply(run.asks[-1].since, ()))
+    run.step(Took(Version(99, "not offered")))
+    assert run.core.status().refused
+    run.took()
+    assert run.core.status() == Status("s", source.version) and run.applies[-1].entries == source.entries
+
+
+def test_changes_over_a_gap_are_not_applied_and_the_snapshot_is_asked_for_once():
+    source, states = sources()
+    run = in_step(source)
+    held = source.version
+    source.push({TWO: 1})
+    between = source.version
+    source.push({TWO: 2})
+    gap = source.reply(between, ())
+    run.answer(gap)
+    assert run.core.version == held and "don't lead on from version 5" in run.logs[-1]
+    at = run.asks[-1].at
+    ask = run.until_asked()
+    assert ask.since == Version() and ask.at == at
+    run.answer(gap)  # once more: this relay is then no use
+    assert run.core.version == held and "changes where the snapshot was asked for" in run.logs[-1]
+    ask = run.until_asked()
+    assert ask.at != at and ask.since == held
+    run.answer(source.reply(held, ()))
+    assert run.applies[-1] == Apply(source.version, source.entries)
+
+
+def test_a_gap_is_closed_by_the_snapshot_and_said():
+    source, _ = sources()
+    run = in_step(source)
+    source.push({TWO: 1})
+    between = source.version
+    source.push({TWO: 2})
+    run.answer(source.reply(between, ()))
+    run.answer(source.reply(run.until_asked().since, ()))
+    assert run.applies[-1] == Apply(source.version, source.entries)
+    assert "snapshot of version 7 in place of 5" in run.logs[-1]
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_an_older_version_is_not_taken_and_its_relay_is_put_behind(whole):
+    source, states = sources()
+    run = in_step(source)
+    bad = run.asks[-1].at
+    run.answer(Reply(states[2][0], whole, states[2][1], states[1][0]))
+    assert run.core.version == source.version and "it is at version 3, this one at 5" in run.logs[-1]
+    assert len(run.applies) == 1
+    run.until_asked()
+    assert run.asks[-1].at != bad and run.core.standings[bad].behind_until > run.now
+
+
+def test_a_fork_is_not_taken_and_is_said():
+    source, _ = sources()
+    run = in_step(source)
+    bad = run.asks[-1].at
+    run.answer(Reply(Version(5, "else"), True, {FLEET: "else"}))
+    assert run.core.version == source.version and "its version 5 is another than the one here" in run.logs[-1]
+    assert run.until_asked().at != bad and len(run.applies) == 1
+    run.answer(Reply(Version(6, "else"), True, {FLEET: "newer"}))  # beyond: that one goes on
+    assert run.applies[-1] == Apply(Version(6, "else"), {FLEET: "newer"})
+
+
+def test_an_hour_cut_off_ends_with_changes_and_the_log_stays_short():
+    source, _ = sources()
+    run = in_step(source)
+    begun = run.now
+    while run.now < begun + 3600 * SECOND:
+        if run.core.out is not None and len(run.asks) % 2:
+            run.now += MS
+            run.step(Failed(run.asks[-1].at, "refused"))
+        else:
+            run.now = run.wake
+            run.step(Woke())
+    assert run.core.status().in_force == source.version and len(run.asks) > 200
+    assert 2 <= len(run.logs) <= 10
+    before = source.version
+    source.push({TWO: "while away"})
+    run.until_asked()
+    run.answer(source.reply(before, ()))
+    assert run.applies[-1] == Apply(source.version, source.entries) and "answers, after" in run.logs[-1]
+
+
+def test_a_silent_relay_is_left_at_its_time():
+    source, _ = sources()
+    run = in_step(source)
+    ask = run.asks[-1]
+    assert 0.8 * 20 * SECOND <= ask.wait <= 20 * SECOND and ask.until == run.now + ask.wait + following.MARGIN
+    run.now = ask.until - 1
+    run.step(Woke())
+    assert run.core.out is not None
+    run.now = run.wake
+    run.step(Woke())
+    assert run.core.out is None and "silent" in run.logs[-1]
+    run.step(Answered(ask.at, source.reply(Version(), ())))  # too late: nobody waits for it
+    assert run.until_asked().at != ask.at and run.now - ask.until <= 4 * SECOND
+
+
+def test_garbage_doubles_the_time_that_a_relay_is_behind_and_the_only_one_is_still_asked():
+    run = Run(made(("a",), spread=SECOND))
+    penalties = []
+    for _ in range(12):
+        run.until_asked()
+        run.now += MS
+        run.step(Failed("a", "{", garbled=True))
+        penalties.append(run.core.standings["a"].penalty)
+    assert penalties == [min(following.LONGEST_PENALTY, 2 * SECOND << at) for at in range(12)]
+    assert run.now <= 12 * 1.26 * SECOND  # asked all the while
+    source, _ = sources()
+    run.until_asked()
+    run.answer(source.reply(Version(), ()))
+    assert run.core.standings["a"].penalty == 0 and run.applies
+
+
+def test_a_relay_that_lies_is_asked_seldom_while_another_is_there():
+    """It answers with nothing that can be taken; the other breaks now and then, so that each has turns."""
+    source, _ = sources()
+    run, counts = Run(made(("good", "liar"), spread=SECOND)), Counter()
+    while run.now < 600 * SECOND:
+        ask = run.until_asked()
+        counts[ask.at] += 1
+        if ask.at == "liar":
+            run.answer(Reply(Version(1 if run.core.version.index else 0, ""), True, {}))
+        elif counts["good"] % 10 == 0:
+            run.now += MS
+            run.step(Failed("good", "broke"))
+        else:
+            run.answer(source.reply(ask.since, ()), 5 * SECOND)
+            if run.core.offered:
+                run.took()
+    assert run.core.in_force == source.version and 0 < counts["liar"] <= 20 < counts["good"]
+
+
+def test_what_answers_without_end_is_called_at_a_bounded_pace():
+    """News each time (a hundred a second), and never any though the wait is not over (one a second)."""
+    run = Run(made(("a",), spread=0))
+    run.until_asked()
+    begun, index = run.now, 0
+    while run.now < begun + SECOND:
+        index += 1
+        run.answer(Reply(Version(index, "m"), True, {}), 0)
+        run.step(Took(Version(index, "m")))
+        run.until_asked()
+    assert 50 <= index <= 101
+    begun, count = run.now, 0
+    while run.now < begun + 60 * SECOND:
+        run.answer(Reply(Version(index, "m"), False, {}, Version(index, "m")), 0)
+        run.until_asked()
+        count += 1
+    assert count <= 70
+    run.answer(Reply(Version(index, "m"), False, {}, Version(index, "m")), 20 * SECOND)
+    came = run.now
+    run.until_asked()
+    assert run.now - came == following.NO_NEWS  # it waited: the pause is short again
+
+
+def test_other_relays_are_asked_where_the_one_asked_is_taken_away():
+    source, _ = sources()
+    run = in_step(source)
+    old = run.asks[-1]
+    run.core.change_relays(tuple({"a", "b", "c"} - {old.at}) + ("d",))
+    run.now += MS
+    run.step()
+    run.step(Answered(old.at, Reply(Version(9, "x"), True, {})))  # given up
+    assert run.core.version == source.version
+    new = run.until_asked()
+    assert new.at != old.at and new.since == source.version
+    run.core.change_relays((new.at,))
+    run.step()
+    assert run.core.out is not None and list(run.core.standings) == [new.at]  # it stays out
+    run.core.change_relays(())
+    run.step(Woke())
+    assert run.core.out is None and run.core.step(run.now + SECOND, []) == []
+
+
+def test_a_fleet_begins_spread_and_evenly_over_relays():
+    runs = [Run(made(tuple(f"r{at}" for at in range(10)), seed, 10 * SECOND)) for seed in range(4000)]
+    firsts = Counter(run.until_asked().at for run in runs)
+    assert set(firsts) == {f"r{at}" for at in range(10)} and max(firsts.values()) <= 480
+    seconds = Counter(run.now // SECOND for run in runs)
+    assert max(seconds.values()) <= 480 and sum(seconds[at] for at in range(10)) >= 3999
+    # By relay and second together: what one relay meets.
+    assert max(Counter((run.asks[0].at, run.now // SECOND) for run in runs).values()) <= 80
+
+
+def test_those_of_a_relay_that_dies_go_evenly_to_the_others_within_its_told_spread():
+    source, _ = sources()
+    names = tuple(f"r{at}" for at in range(9))
+    runs = []
+    for seed in range(2000):
+        run = Run(made(names, seed, 60 * SECOND))
+        run.until_asked()
+        run.answer(source.reply(Version(), (), spread_ms=8_000))
+        run.took()
+        run.until_asked()
+        runs.append(run)
+    lost = [run for run in runs if run.asks[-1].at == "r0"]
+    moved, seconds = Counter(), Counter()
+    for run in lost:
+        begun = run.now
+        run.step(Failed("r0", "reset"))
+        run.until_asked()
+        moved[run.asks[-1].at] += 1
+        seconds[(run.now - begun) // SECOND] += 1
+    assert "r0" not in moved and len(moved) == 8 and max(moved.values()) <= 2 * len(lost) / 8
+    assert set(seconds) <= set(range(9)) and max(seconds.values()) <= 2 * len(lost) / 8
+
+
+def test_after_all_relays_were_away_the_fleet_comes_back_at_its_spread():
+    """Ten minutes of refused calls, then all relays are there: no second sees more calls than fleet over
+    spread and what chance adds, and within a spread and a quarter each has an answer."""
+    source, _ = sources()
+    fleet, spread, away = 1000, 5 * SECOND, 600 * SECOND
+    calls, returned = Counter(), []
+    for seed in range(fleet):
+        run = Run(made(("a", "b", "c"), seed, spread))
+        run.until_asked()
+        run.answer(source.reply(Version(), ()))
+        run.took()
+        run.until_asked()
+        run.now = 10 * SECOND  # all lose theirs at one moment
+        run.step(Failed(run.asks[-1].at, "reset"))
+        while run.now < 10 * SECOND + away:
+            run.until_asked()
+            calls[run.now // SECOND] += 1
+            if run.now < 10 * SECOND + away:
+                run.now += MS
+                run.step(Failed(run.asks[-1].at, "refused"))
+        returned.append(run.now - 10 * SECOND - away)
+    assert max(calls.values()) <= 1.3 * fleet * SECOND / spread
+    assert max(returned) <= 1.25 * spread + 2 * MS
+
+
+notes = st.one_of(
+    st.builds(
+        Answered, st.sampled_from("abz"),
+        st.builds(
+            Reply, st.builds(Version, st.integers(0, 8), st.sampled_from("xy")), st.booleans(), changes,
+            st.builds(Version, st.integers(0, 8), st.sampled_from("xy")), st.integers(0, 600_000),
+        ),
+    ),
+    st.builds(Failed, st.sampled_from("abz"), st.text(max_size=400), st.booleans()),
+    st.builds(Took, st.builds(Version, st.integers(0, 8), st.sampled_from("xy"))),
+    st.builds(Refused, st.builds(Version, st.integers(0, 8), st.sampled_from("xy")), st.text(max_size=400)),
+    st.just(Woke()),
+)
+pauses = st.sampled_from([0, 1, 10 * MS, SECOND, 30 * SECOND])
+moves = st.tuples(pauses, st.lists(notes, max_size=3), st.booleans())
+
+
+@settings(derandomize=True, deadline=None, max_examples=500)
+@given(st.lists(moves, max_size=40), st.integers(0, 2**63), st.sampled_from([0, MS, 10 * SECOND]))
+def test_any_notes_in_any_order_raise_nothing_and_nothing_falls_back(steps, seed, spread):
+    core = Follower("s", ("a", "b"), seed, 20 * SECOND, spread, Version(), {})
+    now, held, in_force, offered, out = 0, 0, 0, {}, None
+    for after, several, honest in steps:
+        now += after
+        if honest and core.offered is not None:
+            several = [*several, Took(core.offered)]
+        orders = core.step(now, several)
+        asks = [one for one in orders if isinstance(one, Ask)]
+        applies = [one for one in orders if isinstance(one, Apply)]
+        assert len(asks) <= 1 and len(applies) <= 1 and len(orders) <= 8 + len(several)
+        if asks:
+            assert asks[0].since in (core.version, Version()) and asks[0].until > now
+            out = asks[0]
+        assert core.out is None or core.out is out
+        for one in applies:
+            assert one.version.index > max(offered, default=0) and None not in one.entries.values()
+            offered[one.version.index] = one
+        assert core.version.index >= held and core.status().in_force.index >= in_force
+        assert core.status().in_force.index in (0, *offered)
+        held, in_force = core.version.index, core.status().in_force.index
+        assert len(core.status().why) <= 200 and sorted(core.relays) == ["a", "b"] == sorted(core.standings)
+        assert len(core.said) <= 6 and all(len(one.text) < 400 for one in orders if isinstance(one, Log))
+        wakes = [one.at for one in orders if isinstance(one, WakeMe)]
+        assert len(wakes) == 1 and wakes[0] > now
+
+
+# --- the watch on the wire -----------------------------------------------------------------------
+
+names = st.text(min_size=1, max_size=16).filter(wire.good_name)
+all_scopes = st.just("fleet") | st.builds("{}/{}".format, st.sampled_from(["zone", "sidecar"]), names)
+
+
+@examples
+@given(versions, st.integers(0, 60_000), st.lists(all_scopes, unique=True, max_size=64), names, versions,
+       st.integers(0, wire.HIGHEST), st.text(max_size=300), versions)
+def test_what_a_call_asks_is_what_is_read(since, wait, watched, name, in_force, refused, why, ahead):
+    ahead = ahead if ahead.index else Version()
+    request = wire.call(since, wait, tuple(watched), Status(name, in_force, refused, why, ahead))
+    assert request.target.isascii() and not set(request.target) & set(b" \r\n#")
+    watch = wire.asked(request)
+    shown = why[:200].encode("utf-8", "replace").decode() if refused else ""
+    assert (watch.since, watch.wait_ms, watch.scopes) == (since, wait, tuple(watched))
+    assert watch.status == Status(name, in_force, refused, shown, ahead)
+
+
+@pytest.mark.parametrize(
+    ("query", "says"),
+    [
+        ("", "name"), ("name=", "name"), ("name=%00", "name"), ("name=" + "x" * 65, "name"),
+        ("name=%ff", "query"),
+        ("name=s&index=-1", "index"), ("name=s&index=1e3", "index"), ("name=s&index=" + "9" * 400, "index"),
+        ("name=s&index=9007199254740992", "index"), ("name=s&index=%D9%A1", "index"),
+        ("name=s&wait=x", "wait"),
+        ("name=s&mark=%20", "mark"), ("name=s&mark=" + "a" * 33, "mark"), ("name=s&scope=", "scope"),
+        ("name=s&scope=fleet/x", "scope"), ("name=s&scope=zone", "scope"), ("name=s&scope=planet/x", "scope"),
+        ("name=s&name=t", "name: given twice"), ("name=s&other=1", "query"), ("name=s&&", "query"),
+        ("name", "query"), ("name=s&why=" + "x" * 201, "why"), ("name=s&refused=1.0", "refused"),
+        ("name=s" + "&scope=fleet" * 80, "query"),
+        ("name=s" + "".join(f"&scope=zone/{at}" for at in range(65)), "scope"),
+        ("name=s&in_force=x", "in_force"), ("name=s&ahead=x", "ahead"),
+    ],
+)
+def test_an_odd_watch_is_told_what_is_wrong(query, says):
+    with pytest.raises(Malformed) as raised:
+        wire.asked(Request(b"GET", b"/v1/config?" + query.encode()))
+    assert raised.value.status == 400 and says in str(raised.value) and len(str(raised.value)) < 100
+
+
+def test_another_method_path_or_a_body_is_refused_and_a_long_wait_is_cut():
+    for request, status in [
+        (Request(b"POST", b"/v1/config?name=s"), 405), (Request(b"GET", b"/v1/configs?name=s"), 404),
+        (Request(b"GET", b"/v1/config?name=s", [], b"x"), 400),
+    ]:
+        with pytest.raises(Malformed) as raised:
+            wire.asked(request)
+        assert raised.value.status == status
+    assert wire.asked(Request(b"GET", b"/v1/config?name=s&wait=99999999")).wait_ms == 60_000
+
+
+@settings(derandomize=True, deadline=None, max_examples=500)
+@given(st.binary(max_size=200) | st.text("&=%+/?0123abcdefnamescopeindex", max_size=60).map(str.encode))
+def test_any_query_is_read_or_refused(query):
+    try:
+        wire.asked(Request(b"GET", b"/v1/config?" + query))
+        wire.asked(Request(b"GET", b"/v1/config?name=s&" + query))
+    except Malformed as error:
+        assert 400 <= error.status < 500
+
+
+@examples
+@given(st.builds(Reply, versions, st.booleans(), changes, versions, st.integers(0, 600_000)))
+def test_what_a_reply_says_is_what_is_read(reply):
+    if reply.whole:
+        reply.entries = {key: value for key, value in reply.entries.items() if value is not None}
+    got = wire.decode(Answer(200, [], wire.encode(reply)))
+    assert got == reply and exactly(got.entries) == exactly(reply.entries)
+
+
+GOOD = {"index": 3, "mark": "ab", "snapshot": False, "since": 2, "since_mark": "", "spread_ms": 0,
+        "entries": [{"scope": "fleet", "kind": "settings", "value": 1}]}
+
+
+def deep(levels: int):
+    value = 1
+    for _ in range(levels):
+        value = [value]
+    return value
+
+
+def row(scope="fleet", kind="settings", value=1):
+    return {"scope": scope, "kind": kind, "value": value}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        *({key: None} for key in GOOD), {"index": -1}, {"index": True}, {"index": 1.0}, {"index": 2**53},
+        {"mark": "a" * 33}, {"mark": "a b"}, {"mark": 1}, {"snapshot": 1}, {"since": "2"},
+        {"spread_ms": 600_001},
+        {"entries": {}}, {"entries": [1]}, {"entries": [row(scope="x/y")]}, {"entries": [row(scope=1)]},
+        {"entries": [row(scope="zone/" + "x" * 65)]}, {"entries": [row(kind="")]},
+        {"entries": [row(kind="A")]}, {"entries": [row(kind="member/")]}, {"entries": [row(), row()]},
+        {"entries": [{"scope": "fleet"}]},
+        {"entries": [row(value=deep(33))]}, {"snapshot": True, "entries": [row(value=None)]},
+    ],
+)
+def test_an_odd_answer_is_garbled(change):
+    assert wire.decode(Answer(200, [], orjson.dumps(GOOD))).version == Version(3, "ab")
+    with pytest.raises(Garbled) as raised:
+        wire.decode(Answer(200, [], orjson.dumps(GOOD | change)))
+    assert "\n" not in str(raised.value)
+
+
+def test_other_statuses_sizes_and_depths_are_garbled_and_a_later_release_is_read():
+    good = orjson.dumps(GOOD)
+    bodies = [b"", b"{", b"[]", b"null", b'"x"', b"[" * 100_000, good[:-1], b"\xff" + good]
+    bodies.append(b" " * wire.LARGEST + good)
+    for answer in [Answer(503, [], good), Answer(404, [], good), *(Answer(200, [], body) for body in bodies)]:
+        with pytest.raises(Garbled):
+            wire.decode(answer)
+    entries = [row(value=deep(32)), row(kind="quota"), row(kind="quota/x")]
+    later = wire.decode(Answer(200, [], orjson.dumps(GOOD | {"entries": entries, "new": 1})))
+    assert len(later.entries) == 3 and wire.encode(later)
+    with pytest.raises(Garbled, match="no such kind"):  # but this release's source publishes no such thing
+        wire.config_entries({"entries": entries})
+
+
+@settings(derandomize=True, deadline=None, max_examples=500)
+@given(st.binary(max_size=300), st.integers(0, 400), st.integers(0, 255))
+def test_any_bytes_are_read_or_garbled(data, at, byte):
+    entries = {ONE: {"a": [1, 2.5]}, TWO: None}
+    good = bytearray(wire.encode(Reply(Version(3, "ab"), False, entries, Version(2, "c"))))
+    good[at % len(good)] = byte
+    for body in (data, bytes(good)):
+        try:
+            reply = wire.decode(Answer(200, [], body))
+        except Garbled:
+            continue
+        assert wire.decode(Answer(200, [], wire.encode(reply))) == reply
+
+
+@pytest.mark.parametrize(
+    ("table", "says"),
+    [
+        ([], "not a table"), ({}, "entries"), ({"entries": [], "x": 1}, "'x' is not known"),
+        ({"entries": [row(kind="setings")]}, "fleet setings: no such kind"),
+        ({"entries": [row(scope="servce/x")]}, "scope"), ({"entries": [row(), row()]}, "comes twice"),
+    ],
+)
+def test_an_odd_push_is_told_what_is_wrong(table, says):
+    with pytest.raises(Garbled, match=says):
+        wire.config_entries(table)
+
+
+def test_a_push_is_read():
+    table = {"entries": [row(), row("zone/a", "zones", {}), row("zone/a", "member/m 1", None)]}
+    assert wire.config_entries(table) == {
+        FLEET: 1, Key("zone/a", "zones"): {}, Key("zone/a", "member/m 1"): None,
+    }
+
+
+# --- the kept file -------------------------------------------------------------------------------
+
+KEPT = (Version(7, "ab12"), {FLEET: {"limit": [1, 2.5, None, "x"]}, ONE: "y"})
+
+
+def left(folder) -> list[str]:
+    return sorted(one.name for one in folder.iterdir())
+
+
+def test_what_is_kept_comes_back_and_only_the_owner_reads_it(tmp_path):
+    path = tmp_path / "config"
+    assert keep.load(path) is None
+    previous = os.umask(0)
+    try:
+        keep.save(path, *KEPT)
+    finally:
+        os.umask(previous)
+    assert keep.load(path) == KEPT and path.stat().st_mode & 0o777 == 0o600 and left(tmp_path) == ["config"]
+    keep.save(path, Version(8, "cd"), {})
+    assert keep.load(path) == (Version(8, "cd"), {})
+
+
+def test_a_file_cut_at_any_byte_or_with_any_byte_changed_is_refused(tmp_path):
+    path = tmp_path / "config"
+    keep.save(path, *KEPT)
+    whole = path.read_bytes()
+    damaged = [whole[:at] for at in range(len(whole))] + [whole + b"\0", whole * 2]
+    for at in range(len(whole)):
+        damaged += [whole[:at] + bytes([whole[at] ^ flip]) + whole[at + 1 :] for flip in (1, 0x80, 0xFF)]
+    for data in damaged:
+        path.write_bytes(data)
+        with pytest.raises(keep.BadKeep) as raised:
+            keep.load(path)
+        assert str(raised.value).startswith(str(path)) and "\n" not in str(raised.value)
+        assert path.read_bytes() == data
+
+
+def test_a_later_format_is_said_and_left_as_it_is(tmp_path):
+    path = tmp_path / "config"
+    path.write_bytes(b"lmc2 whatever")
+    with pytest.raises(keep.BadKeep, match="does not know"):
+        keep.load(path)
+    assert path.read_bytes() == b"lmc2 whatever"
+    path.write_bytes(b"\0" * (keep.MOST_BYTES + 1))
+    with pytest.raises(keep.BadKeep, match="too large"):
+        keep.load(path)
+    with pytest.raises(keep.BadKeep, match="directory"):
+        keep.load(tmp_path)
+
+
+@pytest.mark.parametrize("room", [0, 1, 5, 40, 10**6])
+@pytest.mark.parametrize("call", ["write", "fsync", "rename"])
+def test_a_full_disk_leaves_the_old_file_whole_and_nothing_beside_it(tmp_path, monkeypatch, call, room):
+    path = tmp_path / "config"
+    keep.save(path, *KEPT)
+    real, used = os.write, [0]
+
+    def full(*_):
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    def some(descriptor, data):
+        if used[0] >= room:
+            full()
+        used[0] += (count := real(descriptor, bytes(data[: max(1, min(len(data), room - used[0]))])))
+        return count
+
+    monkeypatch.setattr(os, call, some if call == "write" else full)
+    if call == "write" and room > 1000:
+        keep.save(path, Version(8, "new"), {FLEET: "n" * 500})  # all fits, in parts
+        monkeypatch.undo()
+        assert keep.load(path) == (Version(8, "new"), {FLEET: "n" * 500})
+        return
+    with pytest.raises(OSError, match="No space"):
+        keep.save(path, Version(8, "new"), {FLEET: "n" * 500})
+    monkeypatch.undo()
+    assert keep.load(path) == KEPT and left(tmp_path) == ["config"]
+
+
+def test_what_a_killed_process_left_half_written_does_not_stand_in_the_way(tmp_path):
+    path, fresh = tmp_path / "config", tmp_path / ".config.new"
+    keep.save(path, *KEPT)
+    fresh.write_bytes(b"half")
+    fresh.chmod(0o644)
+    assert keep.load(path) == KEPT
+    keep.save(path, Version(8, "cd"), {})
+    assert keep.load(path) == (Version(8, "cd"), {}) and path.stat().st_mode & 0o777 == 0o600
+    assert left(tmp_path) == ["config"]
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(changes, versions)
+def test_any_entries_are_kept_as_they_are(tmp_path_factory, entries, version):
+    entries = {key: value for key, value in entries.items() if value is not None}
+    path = tmp_path_factory.mktemp("kept") / "config"
+    keep.save(path, version, entries)
+    got = keep.load(path)
+    assert got is not None and got[0] == version and exactly(got[1]) == exactly(entries)
+
+
+def test_difference_is_what_leads_from_one_to_the_other():
+    chance = random.Random(1)
+    for _ in range(300):
+        old, new = (
+            {key: chance.choice([1, 1.0, True, "x"]) for key in KEYS if chance.random() < 0.6} for _ in "ab"
+        )
+        assert exactly(merged(old, difference(old, new))) == exactly(new)
+        assert difference(new, new) == {}
