--- a/lupinmill/program/in_force.py
+++ b/lupinmill/program/in_force.py
@@ -35,6 +35,7 @@
 FIXED = (
     ("tier", "tier"),
     ("must_ask", "discovery"),
+    ("grace", "invariants.stop-sending-within-s"),
     ("round", "round-s"),
     ("reports_asked", "load-report.how"),
     ("beside", "family"),
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -38,7 +38,7 @@
 SILENCE, LONELY = 4.0, 6.0
 SLOW = 2.7  # multiple of the middle endpoint's pace beyond which one is judged slow
 DRAGS = 3.5  # multiple of the least pace of a workload beyond which one is slow by itself
-ASK_APART = 30 * MS  # between two sidecars that ask for the list anew, when all lost it together
+ASK_APART, ASK_AGAIN = 30 * MS, 1_600 * MS  # between sidecars that all lost the list; before one asks anew
 ASIDE_SHARE = 0.34  # on soft evidence no more than this share of the endpoints is set aside
 
 
@@ -201,6 +201,8 @@
         now, allow = self.mail.now, self.allow
         w = allow.workloads.get(note.workload) or t.Workload(note.workload, note.due - now, note.due - now)
         self.came.add(now)
+        if not note.keyed and w.repeat is t.Repeat.DEDUPLICATED:
+            w = replace(w, repeat=t.Repeat.UNREPEATABLE)  # no endpoint would drop its repeats
         self.taken.add(now, not note.repeated)
         end = min(note.due, now + self.contract(w, note.due, note.repeated))
         zone = self.sent_to(w)
@@ -297,9 +299,8 @@
 
     def worth(self, w: t.Workload, beyond: bool, repeated: bool) -> float:
         worth = w.value ** self.allow.greed * (self.allow.beyond if beyond else 1.0)
-        if self.allow.beside:
-            worth *= SECOND / max(1, w.contract)  # what takes longer costs more of the endpoints' time
-        return worth * (0.7 if repeated else 1.0)
+        spent = max(1, w.contract) if self.allow.beside else SECOND  # of the endpoints' time
+        return worth * (SECOND / spent) * (0.7 if repeated else 1.0)
 
     def deploy(self, note: t.Deployed) -> None:
         """For what comes from now on; work in hand keeps its terms, what was learned stays."""
@@ -927,16 +928,15 @@
         self.dropped: set[str] = set()  # listed as gone, undrained: where that does not bind they serve on
 
     def update(self, note: t.Listed) -> None:
-        longest = self.desk.allow.ask_span
+        allow, base = self.desk.allow, min(SECOND, self.desk.allow.told * ASK_APART)
         if note.kind is t.ListKind.FAILED:
             self.asks += 1  # overloaded, or the watch broke: asked again, later each time, jittered
-            span = min(longest, min(SECOND, self.desk.allow.told * ASK_APART) << min(self.asks, 4))
-            if span:
+            if span := min(allow.ask_span, ASK_AGAIN, base << min(self.asks, 4)):
                 self.mail.alarm(self.mail.now + span // 4 + self.chance.upto(span), self, AskDue())
             return
-        if note.kind is t.ListKind.CACHED and longest:
-            self.mail.alarm(self.mail.now + self.chance.upto(longest), self, AskDue())  # spread
-        self.asks = self.asks if note.kind is t.ListKind.CACHED else 0
+        if note.kind is t.ListKind.CACHED and allow.ask_span:
+            self.mail.alarm(self.mail.now + self.chance.upto(allow.ask_span), self, AskDue())  # spread
+        self.asks = 0
         if note.kind is not t.ListKind.CHANGES:
             named = {entry.endpoint for entry in note.entries}
             for entry in [entry for name, entry in self.listed.items() if name not in named]:
