--- a/tests/test_config_relay.py
+++ b/tests/test_config_relay.py
@@ -3,7 +3,11 @@
 
 import errno
 import random
+import re
+import tomllib
+from collections import Counter
 from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
 
 import anyio
 import orjson
@@ -337,6 +341,38 @@
         assert sum(start < one <= start + SECOND // 4 for one in came) <= 2 * 50
 
 
+def test_after_all_relays_were_away_no_more_calls_a_second_come_than_they_take():
+    """400 followers of relays that take 200 calls a second: while they are away, and when they come back."""
+    version, rate = Version(1, "m"), 200
+    followers = [
+        Follower(f"x{seed}", ("a", "b", "c"), seed, 20 * SECOND, 60 * SECOND, version, {FLEET: {"a": 1}})
+        for seed in range(400)
+    ]
+    for follower in followers:  # each has been told the spread, and is at one of them
+        for standing in follower.standings.values():
+            standing.spread = 2 * SECOND
+    calls: Counter = Counter()
+    out: dict[int, int] = {}
+    back, ends = 30 * SECOND, 50 * SECOND
+    for follower in followers:
+        follower.due = 0
+        follower.step(0, [])
+        follower.step(SECOND // 100, [Failed(follower.out.at, "reset")])
+    for now in range(SECOND // 50, ends, SECOND // 50):
+        for at, follower in enumerate(followers):
+            notes = []
+            if follower.out is not None and at not in out:
+                notes = [Failed(follower.out.at, "refused")]
+            for order in follower.step(now, notes):
+                if isinstance(order, Ask):
+                    calls[now * 4 // SECOND] += 1
+                    if now >= back:
+                        out[at] = now
+    assert len(out) == 400 and max(out.values()) <= back + 3 * SECOND
+    # In each quarter of a second; half as many more again is what chance does to 50.
+    assert max(calls.values()) <= 1.5 * rate / 4 + 25, calls.most_common(3)
+
+
 # --- files and pushes ----------------------------------------------------------------------------
 
 RELAY = {"name": "r", "listen": "127.0.0.1:7500", "keep": "/k/r", "upstreams": ["127.0.0.1:7501"]}
@@ -486,6 +522,14 @@
         )
 
 
+def test_the_pages_example_passes():
+    text = Path("docs/config.md").read_text()
+    example = tomllib.loads(re.search(r"```toml\n(.*?)```", text, re.S)[1])
+    entries = push.entries_of(example)
+    assert len(entries) == 3
+    push.check({}, entries)
+
+
 def test_good_pushes_pass():
     push.check(
         THERE,
