--- a/lupinmill/cli/config.py
+++ b/lupinmill/cli/config.py
@@ -67,11 +67,7 @@
     """Of several relays: each that watches counts once, as the relay says that heard it last."""
     newest = max(one["index"] for one in tables)
     rows: dict[str, dict[str, Any]] = {}
-    times = Times()
     for one in tables:
-        told = one["in_force"]
-        classes = {int(at): count for at, count in told["classes"].items()}
-        times.merge(classes, round((told["last_ms"] or 0) * 1000))
         for row in one["watchers"]:
             known = rows.get(row["name"])
             if known is None or (row["away"], row["heard_s"]) < (known["away"], known["heard_s"]):
@@ -89,13 +85,22 @@
             state = "in_force" if row["index"] >= row["due"] and row["relay_index"] == newest else "lags"
         found[state].append(row)
     found["of"] = sum(len(found[state]) for state in ("in_force", "lags", "refuses", "away"))
-    found["time_in_force"] = times.show()
-    found["relays"] = [
-        {key: one[key] for key in one if key not in ("watchers", "in_force")} for one in tables
-    ]
+    found["time_in_force"] = merged([one["in_force"] for one in tables])
+    found["time_at_relays"] = merged([one["at_relays"] for one in tables])
+    apart = ("watchers", "in_force", "at_relays")
+    found["relays"] = [{key: one[key] for key in one if key not in apart} for one in tables]
     return found
 
 
+def merged(shown: list[dict[str, Any]]) -> dict[str, Any]:
+    """Times of several relays as one, by their classes."""
+    times = Times()
+    for one in shown:
+        classes = {int(at): count for at, count in one["classes"].items()}
+        times.merge(classes, round((one["last_ms"] or 0) * 1000))
+    return times.show()
+
+
 def whole(found: dict[str, Any]) -> bool:
     behind = any(one["index"] < found["index"] or one["ahead"] for one in found["relays"])
     return not (found["lags"] or found["refuses"] or found["away"] or behind)
@@ -103,12 +108,12 @@
 
 def in_words(found: dict[str, Any]) -> list[str]:
     lines = [f"version {found['index']}: in force at {len(found['in_force'])} of {found['of']} sidecars"]
-    times = found["time_in_force"]
-    if times["count"]:
-        lines.append(
-            f"time in force: p50 {times['p50_ms']:g} ms, p99 {times['p99_ms']:g} ms, "
-            f"last {times['last_ms']:g} ms, of {times['count']}"
-        )
+    for what, key in (("time in force", "time_in_force"), ("time to the relays", "time_at_relays")):
+        if (times := found[key])["count"]:
+            lines.append(
+                f"{what}: p50 {times['p50_ms']:g} ms, p99 {times['p99_ms']:g} ms, "
+                f"last {times['last_ms']:g} ms, of {times['count']}"
+            )
     for row in found["refuses"][:NAMED]:
         lines.append(f"  {row['name']} refuses {row['refused']}, stays at {row['index']}: {row['why']}")
     for state, words in (("lags", "lags"), ("away", "is away")):
--- a/lupinmill/config/fanout.py
+++ b/lupinmill/config/fanout.py
@@ -234,5 +234,6 @@
             "answered": self.answered,
             "turned_away": self.turned_away,
             "in_force": self.standing.times.show(),
+            "at_relays": self.standing.relay_times.show(),
             "watchers": self.standing.show(now),
         }
