--- a/lupinmill/config/merge.py
+++ b/lupinmill/config/merge.py
@@ -18,10 +18,11 @@
     return ("fleet", *(f"{level}/{place}" for level, place in places.items() if place))
 
 
-def in_order(entries: Entries) -> list[tuple[str, str, Any]]:
-    """Scope, kind, value; the widest first."""
-    rows = [(key.scope, key.kind, value) for key, value in entries.items() if value is not None]
-    return sorted(rows, key=lambda row: (SCOPES.index(row[0].partition("/")[0]), row[0], row[1]))
+def in_order(entries: Entries, kind: str) -> list[tuple[str, str, Any]]:
+    """Scope, kind, value of those whose kind begins like this; the widest first."""
+    rows = [(key.scope, key.kind, entries[key]) for key in entries if key.kind.startswith(kind)]
+    ranks = {scope: (SCOPES.index(scope.partition("/")[0]), scope) for scope in {row[0] for row in rows}}
+    return sorted(rows, key=lambda row: ranks[row[0]])
 
 
 def settings(base: dict[str, Any], entries: Entries) -> dict[str, Any]:
@@ -29,9 +30,7 @@
     `accounts` row by row where an entry has a table `{NAME: {...} | null}`, null for one that is taken away,
     and whole where it has a list. Raises ValueError: the scope, the key, and what is wrong there."""
     found = base
-    for scope, kind, value in in_order(entries):
-        if kind != SETTINGS:
-            continue
+    for scope, _, value in in_order(entries, SETTINGS):
         try:
             found = laid_over(found, value, "settings")
         except ValueError as error:
@@ -81,12 +80,11 @@
 def members(entries: Entries) -> dict[str, Any]:
     """By name, the row that goes before the operators' file's; none where it is away."""
     found: dict[str, Any] = {}
-    for _, kind, value in in_order(entries):
-        if kind.startswith(MEMBER):
-            found[kind[len(MEMBER) :]] = None if value == GONE else value
+    for _, kind, value in in_order(entries, MEMBER):
+        found[kind[len(MEMBER) :]] = None if value == GONE else value
     return found
 
 
 def zones(entries: Entries) -> Any:
     """The table that goes before the operators' file's; none: nothing does."""
-    return next((value for _, kind, value in reversed(in_order(entries)) if kind == ZONES), None)
+    return next((value for _, _, value in reversed(in_order(entries, ZONES))), None)
--- a/lupinmill/program/operators_file.py
+++ b/lupinmill/program/operators_file.py
@@ -10,6 +10,7 @@
 import ipaddress
 import tomllib
 import typing
+from functools import cache, lru_cache
 from pathlib import Path
 from typing import Any
 
@@ -124,6 +125,11 @@
     return file
 
 
+@cache
+def hints_of(kind: type) -> dict[str, Any]:
+    return typing.get_type_hints(kind)
+
+
 def known_keys(table: Any, kind: Any, place: str) -> None:
     """Guards against a switch that was misspelt and is silently off."""
     for part in typing.get_args(kind):
@@ -135,7 +141,7 @@
         return
     if not (isinstance(kind, type) and issubclass(kind, Struct) and isinstance(table, dict)):
         return
-    hints = typing.get_type_hints(kind)
+    hints = hints_of(kind)
     for key, value in table.items():
         if key not in hints:
             near = difflib.get_close_matches(key, list(hints), 1, 0.0)
@@ -266,13 +272,18 @@
 
 def usable(address: str, key: str) -> None:
     """Numbers, no names: who sent a datagram is known by its address."""
+    if not numbers(address):
+        raise BadFile(f"{key}: wants an IPv4 address and port, as 10.0.0.7:7400")
+
+
+@lru_cache(2 * MOST_MEMBERS)  # a roster of thousands is judged anew with each change of one
+def numbers(address: str) -> bool:
     host, _, port = address.rpartition(":")
     try:
         ipaddress.IPv4Address(host)
-        if not 0 < int(port) < 65_536:
-            raise ValueError
+        return 0 < int(port) < 65_536
     except ValueError:
-        raise BadFile(f"{key}: wants an IPv4 address and port, as 10.0.0.7:7400") from None
+        return False
 
 
 def told(file: File, name: str) -> Told:
@@ -319,14 +330,15 @@
     if file.peers is None or not members and zones is None:
         return file
     rows, map_ = dict(file.peers.members), file.zones
-    key = ""
+    key, keys = "", hints_of(MemberEntry).keys()
     try:
         for name, row in members.items():
             key = f"member/{name}"
             if row is None:
                 rows.pop(name, None)
             else:
-                known_keys(row, MemberEntry, f"{key}.")
+                if not (isinstance(row, dict) and row.keys() <= keys):  # slower: a roster has thousands
+                    known_keys(row, MemberEntry, f"{key}.")
                 rows[name] = msgspec.convert(row, MemberEntry)
         if zones is not None:
             key = "zones"
