--- a/lupinmill/config/relay.py
+++ b/lupinmill/config/relay.py
@@ -34,7 +34,8 @@
 if TYPE_CHECKING:
     from lupinmill.config.driver import ConfigWatch
 
-WAIT, SPREAD = 20_000_000, 1_000_000  # microseconds: of the watch upstream; of relays that come anew
+# Microseconds. A silent upstream is noticed two seconds after the wait: short, as all below wait with it.
+WAIT, SPREAD = 6_000_000, 1_000_000  # of the watch upstream; of relays that come anew
 KEEP_AGAIN = 5.0  # seconds before a disk that refused is tried again
 LEAVES = 3.0  # seconds at most in which watchers are sent away
 LAST_ANSWERS = 0.5  # seconds for those to be read
--- a/tests/test_config_relay.py
+++ b/tests/test_config_relay.py
@@ -142,7 +142,7 @@
     assert token not in post.answers and post.history.ahead == ahead
     post.step(Woke(), after=PATIENCE)
     assert post.answers[token].version == post.history.version and not post.answers[token].entries
-    # A version beyond its own comes while it waits: it is told at once, also where nothing of its scopes changed.
+    # A version beyond its own comes while it waits: it is told at once, though nothing of its scopes changed.
     token = post.ask("x", ("fleet", "service/s"), ahead)
     version = post.history.restore()
     post.step(Had(version, frozenset()))
