--- a/lupinmill/program/in_force.py
+++ b/lupinmill/program/in_force.py
@@ -180,11 +180,11 @@
         return why
 
     def put(self, new: Told) -> None:
-        """In one go; nothing here waits or raises."""
+        """In one go, with no wait. The module, which alone can fail, comes first."""
         program, old = self.program, self.program.told
-        program.told = new
         if new.deployment != old.deployment:
             self.deploy(new.deployment)
+        program.told = new
         program.pool.limit(new.idle_limit, new.connect_limit)
         if new.operators != old.operators:
             program.change_peers(new)
@@ -197,8 +197,11 @@
         return tuple(file.config.relays) if file is not None and file.config is not None else ()
 
     def deploy(self, d: t.Deployment) -> None:
-        program = self.program
+        program, desk = self.program, self.program.engine.sidecar.desk
+        before = desk.allow
         program.engine.tell(t.Deployed(d))
+        if desk.allow is before:
+            raise RuntimeError("the module did not take it")  # its own line is in the log
         advice = d.longest_advice // 2 if d.advice_allowed else 0
         program.admit.deploy({w.name for w in d.workloads}, advice)
         program.door.deploy(d)
