--- a/tests/test_config_sidecar.py
+++ b/tests/test_config_sidecar.py
@@ -1171,3 +1171,27 @@
         assert names() == {"n1", "n2", "n3"}
 
     network(check, fine, file=PEERS.format(ports=ports))
+
+
+def test_a_roster_changed_in_the_file_and_by_entries_is_that_of_both():
+    ports = free_ports(5)
+
+    async def check(net):
+        def names() -> set[str]:
+            return {seat.name for seat in net.program.peers.told.seats}
+
+        await net.in_force({Key("fleet", "member/n5"): {"address": f"127.0.0.1:{ports[4]}"}})
+        net.file += f'[peers.members.n4]\naddress = "127.0.0.1:{ports[3]}"\n'
+        net.program.reload()
+        assert net.logs[-1][0] == "reloaded" and names() == {"n1", "n2", "n3", "n4", "n5"}
+        net.file = net.file.replace(str(ports[3]), str(ports[4]))  # the entry has that address
+        net.program.reload()
+        assert net.logs[-1][0] == "reload_refused" and "n4 has it already" in net.logs[-1][1]["error"]
+        assert net.program.peers.addresses["n4"] == ("127.0.0.1", ports[3])
+        net.file = net.file.replace("[peers]", "[peers]\nlease_s = 7.0")
+        net.program.reload()
+        assert net.logs[-1] == (
+            "reload_refused", {"error": "these want a new start", "fields": ["peers.lease_s"]}
+        )
+
+    network(check, fine, file=PEERS.format(ports=ports))
--- /dev/null
+++ b/tests/test_zz_draw.py
@@ -0,0 +1,1173 @@
+"""Configuration in force in a running sidecar: whole or not at all, and work in hand keeps its terms."""
+
+import os
+import pickle
+import random
+import re
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import anyio
+import orjson
+import pytest
+from bed import IDEM, KEYED, ONCE, SECOND, Bed, Net, deployment, listing, on_network, settings, wanted
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from test_admin import call, said
+from test_sidecar import always, until
+
+from lupinmill import terms as t
+from lupinmill.config import checks, keep, merge, wire
+from lupinmill.config.driver import ConfigWatch
+from lupinmill.config.follower import Follower
+from lupinmill.config.history import History
+from lupinmill.config.model import Entries, Key, Version
+from lupinmill.limits.gate import Fate, Gate, Offer
+from lupinmill.program import in_force, operators_file
+from lupinmill.program.sidecar import Program
+from lupinmill.program.told import understand
+from lupinmill.protocol import settings as protocol_settings
+from lupinmill.protocol.http import Answer
+from lupinmill.routing.admit import Admit
+from lupinmill.rules import Sidecar
+from lupinmill.transport.ring import Store
+
+FLEET, MINE = Key("fleet", "settings"), Key("sidecar/n1", "settings")
+
+
+# --- stand-ins -----------------------------------------------------------------------------------
+
+
+class Relay:
+    """Serves a `History` as the wire says. `fault`: raw bytes instead of an answer, or "silent"."""
+
+    def __init__(self) -> None:
+        self.history = History(Version(), {})
+        self.news, self.fault, self.calls, self.statuses = anyio.Event(), None, 0, []
+        self.address, self.scope = "", None
+
+    def push(self, entries: Entries) -> Version:
+        version = self.history.push(entries)
+        self.news.set()
+        self.news = anyio.Event()
+        return version
+
+    async def run(self, port: int = 0, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
+        with anyio.CancelScope() as self.scope:
+            async with await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port) as listener:
+                self.address = "127.0.0.1:%d" % listener.extra(anyio.abc.SocketAttribute.local_port)
+                task_status.started()
+                await listener.serve(self.attend)
+
+    async def attend(self, stream) -> None:
+        from lupinmill.protocol.http import ServerSide
+
+        async with stream:
+            side = ServerSide()
+            try:
+                while True:
+                    while (request := side.next_request()) is None:
+                        side.feed(await stream.receive())
+                    self.calls += 1
+                    if self.fault == "silent":
+                        await stream.receive()
+                        return
+                    if self.fault is not None:
+                        await stream.send(self.fault)
+                        await stream.receive()
+                        return
+                    watch = wire.asked(request)
+                    self.statuses.append(watch.status)
+                    with anyio.move_on_after(min(0.3, watch.wait_ms / 1000)):
+                        while not self.history.news(watch.since, watch.scopes):
+                            await self.news.wait()
+                    reply = self.history.reply(watch.since, watch.scopes, 100)
+                    await stream.send(side.answer(Answer(200, [], wire.encode(reply)), False))
+                    side.goes_on()
+            except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
+                pass
+
+
+class ConfigNet(Net):
+    """A whole program that watches a stand-in relay."""
+
+    def __init__(self, acts, keep: str = "", before=lambda relay: None, file: str = "", **more) -> None:
+        super().__init__(acts, operator=True, **more)
+        self.relay, self.keep, self.before, self.file = Relay(), keep, before, file
+
+    def told(self):
+        relays = f'["{self.relay.address}"]'
+        text = f'[config]\nrelays = {relays}\nkeep = "{self.keep}"\nservice = "portal"\nspread_s = 0.1\n'
+        found = operators_file.understand(__import__("tomllib").loads(f'site = "x"\n{self.file}\n{text}'))
+        told = understand(self.table, {})
+        operators_file.fits(found, told.name, told.deployment)
+        return in_force.replace(told, operators=found)
+
+    async def start_program(self, group) -> None:
+        await group.start(self.relay.run)
+        self.before(self.relay)
+        self.table["operator"] = "127.0.0.1:0"
+        self.program = Program(self.told(), lambda event, **f: self.logs.append((event, f)), self.told)
+        tell = self.program.engine.tell
+        self.program.engine.tell = lambda note: (self.notes.append(note), tell(note))
+        self.address = await group.start(self.program.run)
+
+    def version(self) -> int:
+        return self.program.in_force.now.version.index
+
+    async def in_force(self, entries: Entries) -> None:
+        version = self.relay.push(entries)
+        await until(lambda: self.version() == version.index)
+
+    async def refused(self, entries: Entries) -> str:
+        version, held = self.relay.push(entries), self.program.in_force
+        await until(lambda: held.refused is not None and held.refused.version == version)
+        return held.refused.why
+
+    async def shown(self) -> dict:
+        status, text = await said(self, call("GET", "/admin/config"))
+        assert status == 200
+        return orjson.loads(text.partition(b"\r\n\r\n")[2])
+
+
+def network(check, *acts, **more) -> ConfigNet:
+    return on_network(check, *acts, net_of=ConfigNet, **more)
+
+
+async def fine(_):
+    return Answer(200, [], b"ok")
+
+
+def workload(**more) -> dict:
+    return {"contract-time-s": 0.5, "hard-limit-s": 1.0, "repeat": "repeatable"} | more
+
+
+# --- settings laid over what is told -------------------------------------------------------------
+
+
+def test_the_narrower_scope_goes_before_the_wider_and_tables_are_laid_over_key_by_key():
+    base = settings()
+    found = merge.settings(base, {
+        MINE: {"limits": {"most-launches": 7}},
+        Key("service/portal", "settings"): {"limits": {"most-launches": 6, "cancel": False}},
+        FLEET: {"limits": {"most-launches": 5, "retry-after": None}, "instances": 9},
+        Key("fleet", "zones"): {"map": {}},
+    })
+    assert found["limits"] == base["limits"] | {"most-launches": 7, "cancel": False, "retry-after": None}
+    assert found["instances"] == 9 and base == settings()
+    d = protocol_settings.deployment(protocol_settings.flatten(found))
+    assert (d.most_launches, d.cancel_allowed, d.advice_allowed, d.instances) == (7, False, False, 9)
+
+
+def test_workloads_change_row_by_row_by_name_or_whole():
+    base = settings()
+    found = merge.settings(base, {
+        FLEET: {"workloads": {"view": {"hard-limit-s": 3.0}, "bid": None, "quick": workload()}},
+        MINE: {"workloads": {"quick": {"value": 2.0}}, "accounts": {"a": {"quota-per-s": 5}}},
+    })
+    assert [row["name"] for row in found["workloads"]] == ["view", "issue", "quick"]
+    assert found["workloads"][0] == base["workloads"][0] | {"hard-limit-s": 3.0}
+    assert found["workloads"][2] == {"name": "quick", "value": 2.0} | workload()
+    assert found["accounts"] == [{"name": "a", "quota-per-s": 5}]
+    whole = merge.settings(base, {FLEET: {"workloads": [{"name": "only"} | workload()]}})
+    assert [row["name"] for row in whole["workloads"]] == ["only"]
+    assert base == settings()
+
+
+@pytest.mark.parametrize("value, key", [
+    (3, "fleet: settings: wants a table"),
+    ({"workloads": 3}, "settings.workloads: wants a list"),
+    ({"workloads": [{"value": 1}]}, "settings.workloads.0: wants a table with a name"),
+    ({"workloads": {"view": 3}}, "settings.workloads.view: wants a table"),
+    ({"workloads": {"view": {"name": "other"}}}, "settings.workloads.view.name: 'other'"),
+    ({"limits.cancel": True}, "settings.limits.cancel: wants a table"),
+])
+def test_a_value_of_the_wrong_shape_is_named_by_scope_and_key(value, key):
+    with pytest.raises(ValueError, match=re.escape(key)):
+        merge.settings(settings(), {FLEET: value})
+
+
+def test_what_is_told_in_pairs_is_not_half_covered():
+    flat = protocol_settings.flatten(settings())
+    with pytest.raises(ValueError, match="told as a pair"):
+        merge.settings(flat, {FLEET: {"limits": {"most-launches": 2}}})
+
+
+def test_scopes_from_the_widest_and_none_for_what_is_not_known():
+    scopes = merge.scopes_of("n1", "z", "r", "portal")
+    assert scopes == ("fleet", "region/r", "zone/z", "service/portal", "sidecar/n1")
+    assert merge.scopes_of("n1", "", "", "") == ("fleet", "sidecar/n1")
+
+
+def test_members_of_the_narrower_scope_go_first_and_may_be_gone():
+    found = merge.members({
+        Key("fleet", "member/a"): {"address": "10.0.0.1:1"}, Key("zone/z", "member/a"): {"gone": True},
+        Key("fleet", "member/b"): {"address": "10.0.0.2:1"}, FLEET: {},
+    })
+    assert found == {"a": None, "b": {"address": "10.0.0.2:1"}}
+
+
+class Read(dict):
+    """Which keys somebody looks at."""
+
+    def __init__(self, fields) -> None:
+        super().__init__(fields)
+        self.read = set()
+
+    def get(self, key, default=None):
+        self.read.add(key)
+        return super().get(key, default)
+
+
+def test_the_known_keys_are_just_those_that_are_read():
+    table = settings() | {"accounts": [{"name": "a", "quota-per-s": 1}]}
+    fields = Read(protocol_settings.flatten(table))
+    rows = {}
+
+    class Row(protocol_settings.Settings):
+        def items(self, key):
+            found = [Row(Read(one.fields)) for one in super().items(key)]
+            rows.setdefault(key, []).extend(one.fields for one in found)
+            return found
+
+    usual, protocol_settings.Settings = protocol_settings.Settings, Row
+    try:
+        protocol_settings.deployment(fields)
+        protocol_settings.idle_limit(fields)
+        protocol_settings.connect_limit(fields)
+    finally:
+        protocol_settings.Settings = usual
+    protocol_settings.check(fields)
+    read = {key.removesuffix(".count") for key in fields.read if not re.search(r"\.\d+\.", key)}
+    assert read == checks.KEYS
+    for kind, keys in checks.KEYS_OF.items():
+        assert set().union(*(row.read for row in rows[kind])) == keys
+
+
+@pytest.mark.parametrize("more, key", [
+    ({"limits": {"most-lunches": 3}}, "limits.most-lunches: unknown; the nearest known key is limits."),
+    ({"workloads": {"view": {"hard-limit": 3}}}, "settings.workloads.hard-limit: unknown; the nearest known"),
+    ({"instance": 3}, "settings.instance: unknown; the nearest known key is instances"),
+    ({"instances": 0}, "settings.instances: '0' is not within 1"),
+    ({"instances": "many"}, "settings.instances: 'many' is no number"),
+    ({"limits": {"cancel": "perhaps"}}, "settings.limits.cancel: 'perhaps' is neither"),
+    ({"workloads": {"view": {"value": -1}}}, "settings.workloads.0.value: '-1' is not within 0"),
+    ({"workloads": {"view": {"hard-limit-s": 0}}}, "settings.workloads.0.hard-limit-s: '0' is not over 0"),
+    ({"workloads": {"new": {"repeat": "once"}}}, "settings.workloads.3.contract-time-s: missing"),
+    ({"workloads": {"view": None, "bid": None, "issue": None}}, "settings.workloads: none would be left"),
+    ({"workloads": [{"name": "a"} | workload()] * 2}, "settings.workloads.1.name: 'a' is none, or there"),
+    ({"accounts": {"a": {"quota-per-s": "x"}}}, "settings.accounts.0.quota-per-s: 'x' is no number"),
+    ({"tier": 1}, "settings.tier: wants a new start"),
+    ({"discovery": "push"}, "settings.discovery: wants a new start"),
+    ({"round-s": 1.0}, "settings.round-s: wants a new start"),
+    ({"load-report": {"how": "off"}}, "settings.load-report.how: wants a new start"),
+    ({"locality": "z"}, "settings.locality: wants a new start"),
+    ({"invariants": {"dropped-stay-open": True}}, "settings.invariants.dropped-stay-open: wants a new start"),
+])
+def test_what_does_not_fit_is_refused_whole_with_its_key_and_the_old_version_stays(more, key):
+    async def check(net):
+        await net.in_force({FLEET: {"limits": {"most-launches": 3}}})
+        before, told = net.program.engine.sidecar.desk.allow, net.program.told
+        why = await net.refused({MINE: {"beyond-share-value": 0.5} | more})
+        assert key in why, why
+        assert net.program.engine.sidecar.desk.allow is before and net.program.told is told
+        assert net.version() == 1 and (await net.ask(wanted("s1"))).status == 200
+        await until(lambda: net.relay.statuses[-1].refused == 2)
+        assert net.relay.statuses[-1].in_force.index == 1 and key[:60] in net.relay.statuses[-1].why
+        shown = await net.shown()
+        assert shown["version"] == 1 and shown["refused"]["version"] == 2 and key in shown["refused"]["why"]
+        await net.in_force({MINE: None})
+        assert (await net.shown())["refused"] is None
+
+    network(check, fine)
+
+
+def test_every_field_of_a_deployment_either_changes_alive_or_is_fixed():
+    fixed = {field for field, _ in in_force.FIXED}
+    assert fixed < set(t.Deployment.__dataclass_fields__)
+    usual = understand({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": settings()}, {})
+    for field in fixed:
+        value = getattr(usual.deployment, field)
+        other = (not value) if isinstance(value, bool) else "other" if isinstance(value, str) else value + 1
+        changed = in_force.replace(usual.deployment, **{field: other})
+        with pytest.raises(in_force.Unfit, match="wants a new start"):
+            in_force.stays(usual, in_force.replace(usual, deployment=changed))
+
+
+ZONED = Path(__file__).parent.parent / "deploy" / "operator.toml"
+
+
+def zoned(**more):
+    text = ZONED.read_text() + '\n[config]\nrelays = ["10.0.0.1:7500"]\n'
+    table = {"name": "front-1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2"}
+    told = understand(table | {"settings": settings(**more)}, {})
+    return in_force.replace(told, operators=operators_file.understand(__import__("tomllib").loads(text)))
+
+
+def test_where_zones_plan_by_workloads_their_names_and_values_stay_and_limits_change():
+    running = zoned()
+
+    def judged(entries: Entries) -> t.Deployment:
+        new = in_force.combine(running, entries)
+        in_force.stays(running, new)
+        return new.deployment
+
+    view = judged({FLEET: {"workloads": {"view": {"hard-limit-s": 9.0}}, "instances": 7}})
+    assert view.workloads[0].hard_limit == 9 * SECOND and view.instances == 7
+    for more in ({"view": {"value": 2.0}}, {"view": None}, {"quick": workload()}):
+        with pytest.raises(in_force.Unfit, match="settings.workloads: names and values want a new start"):
+            judged({FLEET: {"workloads": more}})
+    table = {"map": {name: {} for name in ("north", "south", "coast")}}
+    with pytest.raises(in_force.Unfit, match="zones: wants a new start"):
+        judged({Key("fleet", "zones"): table})
+    with pytest.raises(in_force.Unfit, match="zones.map.north.sparse: unknown; the nearest known key is"):
+        judged({Key("fleet", "zones"): {"map": {"north": {"sparse": 1}}}})
+    moved = {"address": "10.0.1.11:7400", "zone": "south", "region": "west"}
+    with pytest.raises(in_force.Unfit, match="wants a new start"):
+        judged({Key("fleet", "member/front-1"): moved})
+
+
+def test_those_that_wait_at_the_door_of_a_workload_that_goes_have_their_turn():
+    gate = Gate(deployment(workloads=[IDEM, KEYED]))
+    gate.active, gate.window, gate.carries, now = True, 0.0, 1_000.0, 100 * SECOND
+    offers = {name: Offer(name, 3 * SECOND) for name in ("view", "bid")}
+    assert {gate.offer(now, offer) for offer in offers.values()} == {Fate.HELD}
+    gate.deploy(deployment(workloads=[in_force.replace(IDEM, value=9.0, contract=2 * SECOND)]))
+    assert [line.worth for line in gate.order] == [9.0, KEYED.value]
+    assert gate.lines["view", False].contract == 2 * SECOND and set(gate.workloads) == {"view"}
+    gate.window = 2.0
+    assert [(offer.workload, fate) for offer, fate in gate.release(now + 1)] == [
+        ("view", Fate.TAKEN), ("bid", Fate.TAKEN),
+    ]
+    gate.deploy(deployment(workloads=[IDEM]))
+    assert set(gate.lines) == {("view", False)}
+
+
+# --- in a running program ------------------------------------------------------------------------
+
+
+def test_a_new_limit_a_workload_that_comes_and_one_that_goes_are_in_force_without_a_restart():
+    async def check(net):
+        program = net.program
+        assert (await net.ask(wanted("s0", "quick"))).status == 404
+        await net.in_force({FLEET: {
+            "workloads": {"quick": workload(value=3.0), "bid": None},
+            "limits": {"connect-timeout-s": 0.7, "conn-idle-s": 11.0, "max-retry-after-s": 0.5},
+            "instances": 2,
+        }})
+        assert (await net.ask(wanted("s1", "quick"))).status == 200
+        denied = await net.ask(wanted("s2", "bid"))
+        assert denied.status == 503 and denied.header(b"retry-after") == "0.250"
+        assert (await net.ask(wanted("s3", "view"))).status == 200
+        assert not any(isinstance(note, t.Arrived) and note.workload == "bid" for note in net.notes)
+        assert program.pool.time_out == 0.7 and program.pool.fresh == 11.0 * 0.8
+        assert program.take_in.advice == 250_000
+        assert program.door.workloads == {"view", "issue", "quick"} == program.admit.workloads
+        assert program.engine.sidecar.desk.allow.sharers == 2
+        await net.in_force({FLEET: {"workloads": {"quick": None}}})
+        assert (await net.ask(wanted("s4", "quick"))).status == 503
+        assert (await net.ask(wanted("s5", "bid"))).status == 200
+        assert program.engine.sidecar.desk.allow.sharers == 1
+        cap = program.engine.sidecar.desk.cap
+        await net.in_force({FLEET: {"instances": 100}})
+        assert program.discovery.wait == 10.0 and program.engine.sidecar.desk.cap == cap / 100
+
+    network(check, fine)
+
+
+def test_a_shorter_contract_denies_the_next_and_work_in_hand_ends_by_its_own():
+    """Endpoints hold everything: under the old terms 1.0 s, under the new 0.2 s."""
+    async def check(net):
+        times = {}
+
+        async def ask(name):
+            began = anyio.current_time()
+            times[name] = (await net.ask(wanted(name, "view", "1.0"))).status, anyio.current_time() - began
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask, "old")
+            await until(lambda: net.stands[0].seen)
+            open_ = net.program.engine.sidecar.desk.open["old"]
+            await net.in_force({FLEET: {"workloads": {"view": {"repeat": "once", "contract-time-s": 0.2}}}})
+            group.start_soon(ask, "new")
+            await until(lambda: "new" in net.program.engine.sidecar.desk.open)
+            newer = net.program.engine.sidecar.desk.open["new"]
+            assert open_.workload.repeat is t.Repeat.IDEMPOTENT and open_.workload.contract == 500_000
+            assert newer.workload.repeat is t.Repeat.UNREPEATABLE and newer.workload.contract == 200_000
+        assert times["old"][0] in (502, 503) and times["new"][0] == 502
+
+    network(check, always("silent"))
+
+
+def test_two_changes_in_one_pass_leave_the_last_one_whole():
+    async def check(net):
+        net.relay.push({FLEET: {"instances": 3}})
+        await net.in_force({FLEET: {"instances": 4, "limits": {"most-launches": 2}}})
+        assert net.program.told.deployment.instances == 4 and net.program.told.deployment.most_launches == 2
+        deployed = [note.deployment for note in net.notes if isinstance(note, t.Deployed)]
+        assert {(d.instances, d.most_launches) for d in deployed} <= {(3, 4), (4, 2)}
+
+    network(check, fine)
+
+
+@pytest.mark.parametrize("first", ["file", "version"])
+def test_a_sighup_and_a_version_that_cross_leave_the_newest_of_both(first):
+    async def check(net):
+        # It fits with the newer file alone: of "extra" the version tells no more than a value.
+        change = {FLEET: {"workloads": {"extra": {"value": 5.0}}, "instances": 7}}
+        more = settings()["workloads"] + [{"name": "extra"} | workload()]
+        if first == "version":
+            assert "settings.workloads.3" in await net.refused(change)
+        net.table["settings"] = settings(workloads=more)
+        net.program.reload()
+        if first == "file":
+            assert (await net.ask(wanted("s0", "extra"))).status == 200
+            await net.in_force(change)
+        await until(lambda: net.version() == 1)
+        deployment_ = net.program.told.deployment
+        assert deployment_.instances == 7 and deployment_.workloads[-1].value == 5.0
+        assert (await net.ask(wanted("s1", "extra"))).status == 200
+        await until(lambda: net.relay.statuses[-1].in_force.index == 1 and not net.relay.statuses[-1].refused)
+        # A file that does not fit is refused with its key; what was in force stays.
+        net.table["settings"] = settings(workloads=more, tier=1)
+        net.program.reload()
+        assert ("reload_refused", {"error": "settings.tier: wants a new start"}) in net.logs
+        net.table["settings"] = settings()
+        net.program.reload()
+        assert "settings.workloads.3" in net.logs[-1][1]["error"]
+        assert net.program.told.deployment is deployment_ and net.program.in_force.base.settings != settings()
+
+    network(check, fine)
+
+
+def test_without_the_table_a_sighup_refuses_other_settings_as_ever():
+    async def check(net):
+        net.table["settings"] = settings(instances=5)
+        told = understand(net.table, {})
+        net.program.read_again = lambda: told
+        net.program.reload()
+        assert net.logs[-1] == (
+            "reload_refused", {"error": "these want a new start", "fields": ["settings"]}
+        )
+        assert net.program.in_force is None
+
+    on_network(check, fine)
+
+
+def test_relays_of_the_file_change_with_a_sighup():
+    async def check(net):
+        other = Relay()
+        async with anyio.create_task_group() as group:
+            await group.start(other.run)
+            first, net.relay = net.relay, other
+            net.program.reload()
+            assert net.logs[-1][0] == "reloaded"
+            await net.in_force({FLEET: {"instances": 6}})
+            assert net.program.in_force.source == other.address
+            calls = first.calls
+            await net.in_force({FLEET: {"instances": 8}})
+            assert first.calls == calls
+            net.relay = first
+            group.cancel_scope.cancel()
+
+    network(check, fine)
+
+
+# --- the module: work in hand keeps the terms under which it was taken ------------------------------
+
+
+class Live(Bed):
+    """Judges each submission by the deployment under which it came."""
+
+    def __init__(self, d: t.Deployment, endpoints: int = 4) -> None:
+        self.newest, self.terms = d, {}
+        super().__init__(d, endpoints)
+
+    def book(self, note: t.Note) -> None:
+        if isinstance(note, t.Deployed):
+            self.newest = note.deployment
+        elif isinstance(note, t.Arrived):
+            self.terms[note.submission] = self.newest
+        super().book(note)
+
+    def check(self, order: t.Order) -> None:
+        name = getattr(order, "submission", None)
+        if name is not None:
+            self.d = self.terms[name]
+            self.workloads = {w.name: w for w in self.d.workloads}
+        if isinstance(order, t.CallOff):
+            assert self.d.cancel_allowed, f"{name}: called off, which its terms forbid"
+        super().check(order)
+
+    def end(self, name: str, launch: int, how: t.How, load=None, after: int = 0) -> list[t.Order]:
+        self.now += after  # it took so long
+        return super().end(name, launch, how, load)
+
+    def deploy(self, **changes) -> t.Deployment:
+        d = deployment(**changes)
+        self.step(t.Deployed(d), after=1)
+        return d
+
+
+def as_(workload: t.Workload, **changes) -> t.Workload:
+    return in_force.replace(workload, **changes)
+
+
+def busy(bed: Bed, count: int = 30) -> None:
+    """Handled ones, so that retries have a budget."""
+    for _ in range(count):
+        name = bed.arrive(IDEM)
+        bed.end(name, 0, t.How.HANDLED, after=20_000)
+
+
+def waits_for_a_retry(bed: Bed, workload: t.Workload, how: t.How) -> str:
+    name = bed.arrive(workload)
+    bed.end(name, 0, how, after=10_000)
+    assert bed.sidecar.desk.open[name].retrying and not bed.out(name)
+    return name
+
+
+def test_what_waits_for_a_retry_while_its_workload_becomes_unrepeatable_is_launched_by_its_own_terms():
+    bed = Live(deployment())
+    busy(bed)
+    name = waits_for_a_retry(bed, IDEM, t.How.ERROR)
+    bed.deploy(workloads=[as_(IDEM, repeat=t.Repeat.UNREPEATABLE), KEYED, ONCE])
+    bed.run(SECOND)
+    assert len(bed.flights[name]) >= 2
+    new = bed.arrive(IDEM)
+    bed.end(new, 0, t.How.ERROR, after=10_000)
+    assert bed.closed[new] == "broken off" and len(bed.flights[new]) == 1
+
+
+def test_what_waits_for_a_retry_while_its_workload_becomes_repeatable_never_runs_twice():
+    bed = Live(deployment())
+    busy(bed)
+    name = waits_for_a_retry(bed, ONCE, t.How.REFUSED)  # it never ran: it may be launched again
+    bed.deploy(workloads=[IDEM, KEYED, as_(ONCE, repeat=t.Repeat.IDEMPOTENT)])
+    bed.run(SECOND)
+    assert len(bed.flights[name]) == 2
+    bed.end(name, 1, t.How.ERROR, after=10_000)  # now it may have run, and by its own terms that is all
+    assert bed.closed[name] == "broken off"
+    bed.run(2 * SECOND)
+    assert len(bed.flights[name]) == 2
+    new = bed.arrive(as_(ONCE, repeat=t.Repeat.IDEMPOTENT))
+    bed.end(new, 0, t.How.ERROR, after=10_000)
+    bed.run(SECOND)
+    assert len(bed.flights[new]) >= 2
+
+
+def test_a_window_and_a_group_stay_those_under_which_a_keyed_one_was_taken():
+    bed = Live(deployment())
+    busy(bed)
+    name = waits_for_a_retry(bed, KEYED, t.How.RESET)
+    bed.deploy(workloads=[IDEM, as_(KEYED, window=1, group=t.Group.ALL), ONCE])
+    bed.run(SECOND)
+    assert len(bed.flights[name]) >= 2, "its own window was open"
+    wide = as_(KEYED, window=60 * SECOND, group=t.Group.ALL)
+    bed.deploy(workloads=[IDEM, wide, ONCE])
+    bed.run(3 * SECOND)
+    assert name in bed.closed
+
+
+def test_most_launches_and_copies_stay_those_under_which_it_was_taken():
+    bed = Live(deployment(most_launches=2))
+    busy(bed)
+    name = waits_for_a_retry(bed, IDEM, t.How.ERROR)
+    bed.deploy(most_launches=9, cancel_allowed=False)
+    bed.run(SECOND)
+    bed.end(name, 1, t.How.ERROR, after=10_000)
+    bed.run(SECOND)
+    assert len(bed.flights[name]) == 2 and bed.closed[name] == "denied"
+    late = bed.arrive(IDEM)  # called off at its end by the terms in force before, not by these
+    bed.run(3 * SECOND)
+    assert bed.closed[late] == "denied"
+
+
+def test_a_workload_taken_away_ends_its_last_ones_by_their_own_terms():
+    bed = Live(deployment())
+    busy(bed)
+    held = [bed.arrive(IDEM) for _ in range(40)]
+    bed.deploy(workloads=[ONCE])
+    assert set(bed.sidecar.desk.allow.workloads) == {"issue"}
+    for name in held:
+        if name not in bed.closed and bed.out(name):
+            bed.end(name, 0, t.How.HANDLED, after=5_000)
+    bed.run(3 * SECOND)
+    assert all(name in bed.closed for name in held)
+    assert sum(bed.closed[name] == "handled" for name in held) >= 8
+    bed.deploy(workloads=[ONCE])
+    assert set(bed.sidecar.desk.gauges) <= {"issue"} and not bed.sidecar.desk.lanes
+
+
+def test_worths_follow_and_what_was_learned_stays():
+    bed = Live(deployment(workloads=[IDEM, KEYED]), endpoints=1)
+    busy(bed)
+    desk = bed.sidecar.desk
+    held = [bed.arrive(one) for one in (IDEM, KEYED) for _ in range(6)]
+    cap, gauge, lanes = desk.cap, desk.gauges["view"], dict(desk.lanes)
+    usual = (gauge.usual, gauge.uncrowded)
+    assert {key[0] for key, lane in lanes.items() if lane.line} == {"view", "bid"}
+    bed.deploy(workloads=[as_(IDEM, value=9.0), KEYED])
+    assert desk.cap == cap and desk.gauges["view"] is gauge and (gauge.usual, gauge.uncrowded) == usual
+    assert {key: lane.worth for key, lane in desk.lanes.items()} == {
+        key: 9.0 if key[0] == "view" else KEYED.value for key in desk.lanes
+    }
+    view = next(lane for key, lane in desk.lanes.items() if key[0] == "view")
+    assert view is lanes["view", False, False, ""]
+    launched = [order.submission for order in bed.end(held[0], 0, t.How.HANDLED, after=5_000)
+                if isinstance(order, t.Launch)]
+    assert launched and all(bed.sidecar.desk.open[name].workload.name == "view" for name in launched)
+
+
+def test_instances_share_out_the_learned_cap():
+    bed = Live(deployment(instances=2))
+    busy(bed)
+    desk = bed.sidecar.desk
+    cap = desk.cap
+    bed.deploy(instances=8)
+    assert desk.cap == cap / 4 and desk.allow.sharers == 8 and desk.allow.told == 8
+    bed.step(t.Common(sidecars=4, until=bed.now + SECOND), after=1)
+    assert desk.cap == cap / 2
+    bed.deploy(instances=16)  # the live count goes before it while it counts
+    assert desk.cap == cap / 2 and desk.allow.sharers == 4 and desk.allow.told == 16
+    bed.run(2 * SECOND)
+    assert desk.cap == pytest.approx(cap / 8) and desk.allow.sharers == 16
+
+
+def test_the_same_deployment_again_changes_no_decision():
+    """Two sidecars fed alike, one of which is told its own deployment again and again."""
+    def play(again: bool) -> list:
+        sidecar, rng, now, orders = Sidecar(deployment()), random.Random(5), 100 * SECOND, []
+        orders += sidecar.step(now, [t.Listed(t.ListKind.CACHED, [listing(i) for i in range(3)])])
+        out = []
+        for at in range(1500):
+            now += rng.randrange(20_000)
+            told = [t.Deployed(deployment())] if again and at % 7 == 0 else []
+            arrived = t.Arrived(f"s{at}", rng.choice(("view", "bid", "issue")), now + 2 * SECOND)
+            new = sidecar.step(now, [t.Woke(1), *told, arrived])
+            if out and rng.random() < 0.8:
+                name, number = out.pop(rng.randrange(len(out)))
+                how = rng.choice((t.How.HANDLED, t.How.HANDLED, t.How.ERROR, t.How.REFUSED))
+                new += sidecar.step(now, [t.Ended(name, number, how, 30_000, how is t.How.HANDLED)])
+            launched = [one.submission for one in orders if isinstance(one, t.Launch)]
+            for order in new:
+                if isinstance(order, t.Launch):
+                    out.append((order.submission, launched.count(order.submission)))
+                    launched.append(order.submission)
+            orders += [one for one in new if not isinstance(one, t.WakeMe)]
+        return [repr(one) for one in orders]
+
+    assert play(True) == play(False)
+
+
+REPEATS = st.sampled_from(list(t.Repeat))
+WORKLOADS = st.builds(
+    t.Workload, name=st.just(""), contract=st.integers(100_000, 2 * SECOND),
+    hard_limit=st.integers(200_000, 4 * SECOND), value=st.floats(0, 9), overdue_value=st.floats(0, 1),
+    repeat=REPEATS, group=st.sampled_from(list(t.Group)), window=st.integers(0, 3 * SECOND),
+)
+DEPLOYMENTS = st.builds(
+    lambda names, rows, more: deployment(
+        workloads=[in_force.replace(row, name=name) for name, row in zip(sorted(names), rows)], **more
+    ),
+    st.sets(st.sampled_from("abcde"), min_size=1), st.lists(WORKLOADS, min_size=5, max_size=5),
+    st.fixed_dictionaries({
+        "instances": st.integers(1, 40), "most_launches": st.integers(1, 5), "copies_allowed": st.booleans(),
+        "cancel_allowed": st.booleans(), "probes_allowed": st.booleans(), "cold_time": st.integers(0, SECOND),
+        "crossing_price": st.sampled_from((0.0, 0.2)), "uneven": st.booleans(), "warm_keys": st.booleans(),
+        "tenants": st.lists(st.builds(t.Tenant, st.sampled_from("xyz"), st.floats(0, 9)), max_size=3),
+    }),
+)
+HOWS = st.sampled_from([t.How.HANDLED, t.How.HANDLED, t.How.HANDLED, t.How.ERROR, t.How.REFUSED, t.How.RESET,
+                        t.How.UNCONNECTED, t.How.SPOILT, t.How.TIMED_OUT])
+STEPS = st.lists(st.one_of(
+    st.tuples(st.just("deploy"), DEPLOYMENTS), st.tuples(st.just("arrive"), st.integers(0, 9)),
+    st.tuples(st.just("end"), st.tuples(st.integers(0, 99), HOWS)),
+    st.tuples(st.just("run"), st.integers(1, 200)),
+    st.tuples(st.just("list"), st.tuples(st.integers(0, 3), st.booleans())),
+), min_size=5, max_size=60)
+
+
+@hypothesis_settings(deadline=None, max_examples=1500)
+@given(DEPLOYMENTS, STEPS)
+def test_no_drawn_sequence_of_changes_breaks_a_rule(first, steps):
+    bed = Live(first)
+    busy_ = [w for w in first.workloads][0]
+    for _ in range(15):  # a budget for retries
+        name = bed.arrive(busy_)
+        if bed.out(name):
+            bed.end(name, 0, t.How.HANDLED, after=2_000)
+    for what, value in steps:
+        if what == "deploy":
+            bed.step(t.Deployed(value), after=1)
+        elif what == "arrive":
+            bed.arrive(bed.newest.workloads[value % len(bed.newest.workloads)], tenant="xyz"[value % 3])
+        elif what == "end":
+            out = [(name, at) for name in bed.flights for at in bed.out(name)]
+            if out:
+                name, at = out[value[0] % len(out)]
+                bed.end(name, at, value[1], after=3_000)
+        elif what == "run":
+            bed.run(value * 5_000)
+        else:
+            state = t.State.READY if value[1] else t.State.DRAINING
+            bed.step(t.Listed(t.ListKind.CHANGES, [listing(value[0], state)]), after=1)
+    bed.run(5 * SECOND)
+    assert not bed.owed, "each is answered once, before its own hard limit"
+    for name in list(bed.flights):
+        for at in bed.out(name):
+            bed.end(name, at, t.How.CALLED_OFF)
+    bed.run(SECOND)
+    desk = bed.sidecar.desk
+    assert not desk.open and not desk.waiting and not desk.flying
+
+
+def test_two_thousand_changes_leave_memory_and_tables_bounded():
+    """Names come and go, and none comes back: a day's changes of a service that names its releases."""
+    bed, rng, names = Live(deployment(workloads=[IDEM])), random.Random(11), iter(range(10**6))
+    gate, desk = Gate(deployment(workloads=[IDEM])), bed.sidecar.desk
+    gate.active, gate.window, gate.carries = True, 0.0, 1_000.0
+    admit = Admit(None, None, {"view"}, None)
+    row = in_force.replace(IDEM)
+    sizes = []
+    for at in range(2_000):
+        workloads = [in_force.replace(row, name=f"w{next(names)}") for _ in range(rng.randrange(1, 6))]
+        tenants = [t.Tenant(f"t{next(names)}", 1.0)]
+        d = deployment(workloads=workloads, tenants=tenants, instances=rng.randrange(1, 5))
+        bed.step(t.Deployed(d), after=1_000)
+        gate.deploy(d)
+        admit.deploy({w.name for w in workloads}, 0)
+        for w in workloads:
+            name = bed.arrive(w, tenant=tenants[0].name)
+            offer = Offer(w.name, w.hard_limit)
+            if gate.offer(bed.now, offer) is Fate.HELD:
+                gate.forget(offer)
+            if bed.out(name):
+                bed.end(name, 0, t.How.HANDLED, after=5_000)
+        gate.release(bed.now)
+        if at % 500 == 499:
+            bed.run(5 * SECOND)
+            for name in list(bed.flights):
+                for number in bed.out(name):
+                    bed.end(name, number, t.How.CALLED_OFF)
+            bed.step(t.Deployed(d))
+            gate.deploy(d)
+            for book in (bed.flights, bed.terms, bed.closed, bed.answers, bed.logs, bed.wakes, bed.probes):
+                book.clear()
+            sizes.append(len(pickle.dumps(bed.sidecar)))
+        assert len(desk.lanes) <= 5 + len(desk.open) and len(desk.gauges) <= 5 + len(desk.open)
+        assert len(desk.sent_by) == 1 and len(gate.lines) <= 5
+        assert len(admit.gone) <= 1_000 and len(admit.known) <= 1_005
+    assert not desk.open and len(desk.lanes) == 0
+    assert max(sizes[1:]) < 1.2 * sizes[0], sizes
+
+
+# --- start, end, upgrade -------------------------------------------------------------------------
+
+CHANGED = {FLEET: {"workloads": {"quick": workload()}, "limits": {"most-launches": 3}}}
+SCOPES = ["fleet", "service/portal", "sidecar/n1"]
+
+
+def kept_file(tmp_path, entries: Entries = CHANGED, scopes=SCOPES) -> str:
+    path = tmp_path / "kept"
+    keep.save(path, Version(7, "mark"), entries | {ConfigWatch.WATCHED: scopes})
+    return str(path)
+
+
+def silent(relay: Relay) -> None:
+    relay.fault = "silent"
+
+
+def test_a_start_goes_by_the_kept_version_before_any_relay_answers(tmp_path):
+    async def check(net):
+        assert (await net.ask(wanted("s1", "quick"))).status == 200
+        assert net.program.told.deployment.most_launches == 3
+        shown = await net.shown()
+        assert (shown["version"], shown["source"], shown["scopes"]) == (7, "kept file", SCOPES)
+
+    network(check, fine, keep=kept_file(tmp_path), before=silent)
+
+
+def test_a_start_without_a_kept_version_goes_by_what_is_told_and_takes_the_first_answer(tmp_path):
+    async def check(net):
+        assert (await net.ask(wanted("s1", "quick"))).status == 404
+        assert (await net.ask(wanted("s2", "view"))).status == 200
+        assert (await net.shown())["source"] == "as told"
+        net.relay.fault = None
+        await net.in_force(CHANGED)
+        assert (await net.ask(wanted("s3", "quick"))).status == 200
+        await until(lambda: net.program.in_force.watch.kept_index == 1)
+        version, entries = keep.load(tmp_path / "kept")
+        assert version == net.relay.history.version
+        assert entries == CHANGED | {ConfigWatch.WATCHED: SCOPES}
+
+    def away(relay):
+        relay.fault = b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+
+    network(check, fine, keep=str(tmp_path / "kept"), before=away)
+
+
+@pytest.mark.parametrize("spoil", ["cut", "other scopes", "unfit", "fixed"])
+def test_a_kept_version_that_can_not_be_gone_by_is_said_and_the_start_goes_by_what_is_told(tmp_path, spoil):
+    path = kept_file(
+        tmp_path,
+        {FLEET: {"workloads": {"quick": {}}}} if spoil == "unfit"
+        else {FLEET: {"tier": 1}} if spoil == "fixed" else CHANGED,
+        ["fleet"] if spoil == "other scopes" else SCOPES,
+    )
+
+    async def check(net):
+        assert (await net.ask(wanted("s1", "quick"))).status == 404
+        assert (await net.ask(wanted("s2", "view"))).status == 200
+        lines = [fields for event, fields in net.logs if event == "config" and "error" in fields]
+        said_ = {"cut": "cut or damaged", "other scopes": "other scopes", "unfit": "settings.workloads.3",
+                 "fixed": "settings.tier: wants a new start"}
+        assert len(lines) == 1 and said_[spoil] in lines[0]["error"]
+        assert net.version() == 0 and net.program.in_force.follower.version.index == 0
+        net.relay.fault = None
+        await net.in_force(CHANGED)
+
+    whole = Path(path).read_bytes()
+    cuts = range(0, len(whole), 29) if spoil == "cut" else [None]
+    for at in cuts:
+        if at is not None:
+            Path(path).write_bytes(whole[:at])
+            with pytest.raises(keep.BadKeep):
+                keep.load(path)
+    network(check, fine, keep=path, before=silent_for_a_while)
+
+
+def silent_for_a_while(relay: Relay) -> None:
+    relay.fault = b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+
+
+def test_a_disk_that_fails_holds_nothing_up_and_is_said_once(tmp_path, monkeypatch):
+    from lupinmill.config import driver
+
+    monkeypatch.setattr(driver, "DISK_AGAIN", 0.01)
+    full, save = [True], keep.save
+
+    def failing(path, version, entries):
+        if full[0]:
+            raise OSError(28, "No space left on device")
+        save(path, version, entries)
+
+    monkeypatch.setattr(driver.keep, "save", failing)
+
+    async def check(net):
+        for at in range(3):
+            await net.in_force({FLEET: {"instances": at + 2}})
+        await anyio.sleep(0.1)
+        lines = [more for event, more in net.logs if event == "config" and "can't be kept" in more["text"]]
+        assert len(lines) == 1 and "No space left" in lines[0]["error"]
+        full[0] = False
+        await until(lambda: net.program.in_force.watch.kept_index == 3)
+        assert any("kept again" in fields["text"] for event, fields in net.logs if event == "config")
+        assert keep.load(tmp_path / "kept")[0].index == 3
+
+    network(check, fine, keep=str(tmp_path / "kept"))
+
+
+def test_cut_off_it_goes_on_with_what_it_has_and_catches_up(tmp_path):
+    """Relay away with its address; then back at it with a history that went on without this sidecar."""
+    async def check(net):
+        await net.in_force(CHANGED)
+        port = int(net.relay.address.split(":")[1])
+        net.relay.scope.cancel()
+        for at in range(5):
+            net.relay.history.push({MINE: {"instances": at + 1}})
+        await until(lambda: net.program.in_force.follower.failures >= 3)
+        assert (await net.ask(wanted("s1", "quick"))).status == 200 and net.version() == 1
+        async with anyio.create_task_group() as group:
+            await group.start(net.relay.run, port)
+            await until(lambda: net.version() == 6)
+            assert net.program.told.deployment.instances == 5
+            assert net.program.told.deployment.most_launches == 3
+            group.cancel_scope.cancel()
+
+    network(check, fine)
+
+
+LIES = {
+    "garbage": b"what is this\r\n\r\n",
+    "no JSON": b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{[)",
+    "an older version": b'HTTP/1.1 200 OK\r\nContent-Length: 113\r\n\r\n{"index":0,"mark":"","snapshot":true,'
+                        b'"since":0,"since_mark":"","spread_ms":0,"entries":[]}                             ',
+    "too large": b"HTTP/1.1 200 OK\r\nContent-Length: 900000000\r\n\r\n",
+    "endless": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+               + 200 * (b"10000\r\n" + b"x" * 65536 + b"\r\n"),
+    "cut": b"HTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n{",
+    "no end of the head": b"HTTP/1.1 200 OK\r\nX-Pad: " + b"y" * 40_000,
+}
+
+
+@pytest.mark.parametrize("lie", LIES)
+def test_a_relay_that_lies_is_dropped_and_another_is_asked(lie, monkeypatch):
+    from lupinmill.config import driver
+
+    monkeypatch.setattr(driver, "STALL", 0.2)
+
+    async def main():
+        with anyio.fail_after(15):
+            good, bad, taken, lines = Relay(), Relay(), [], []
+            bad.fault = LIES[lie]
+            async with anyio.create_task_group() as group:
+                await group.start(good.run)
+                await group.start(bad.run)
+                good.push({FLEET: {"instances": 4}})
+                follower = Follower("n1", (bad.address, good.address), 1, 2_000_000, 100_000, Version(), {})
+                follower.relays = [bad.address, good.address]
+                store = Store()
+                watch = ConfigWatch(
+                    follower, ("fleet",), store, lambda v, entries: taken.append((v, entries)),
+                    lambda event, **fields: lines.append(fields["text"]),
+                )
+                group.start_soon(watch.run)
+                await until(lambda: taken)
+                assert taken == [(good.history.version, {FLEET: {"instances": 4}})]
+                assert bad.calls == 1 and any(bad.address in text for text in lines)
+                await until(lambda: good.statuses[-1].in_force == good.history.version)
+                group.cancel_scope.cancel()
+            assert store.leased == 0
+
+    anyio.run(main)
+
+
+def test_one_that_dribbles_is_cut_at_the_end_of_the_call_and_a_new_ask_gives_the_old_one_up():
+    async def main():
+        with anyio.fail_after(15):
+            relay, lines = Relay(), []
+
+            async def dribble(stream):
+                async with stream:
+                    try:
+                        await stream.receive()
+                        relay.calls += 1
+                        await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n")
+                        while True:
+                            await stream.send(b" ")
+                            await anyio.sleep(0.02)
+                    except (OSError, anyio.BrokenResourceError, anyio.EndOfStream):
+                        pass
+
+            relay.attend = dribble
+            async with anyio.create_task_group() as group:
+                await group.start(relay.run)
+                follower = Follower("n1", (relay.address,), 1, 0, 100_000, Version(), {})
+                store = Store()
+                watch = ConfigWatch(
+                    follower, (), store, lambda v, e: None, lambda event, **f: lines.append(f)
+                )
+                group.start_soon(watch.run)
+                await until(lambda: relay.calls >= 2)
+                assert follower.failures >= 1 and "silent" in lines[0]["text"]
+                group.cancel_scope.cancel()
+            assert store.leased == 0
+
+    anyio.run(main)
+
+
+def test_a_defect_in_taking_is_a_refusal_and_the_watch_goes_on():
+    async def main():
+        with anyio.fail_after(15):
+            relay, lines, calls = Relay(), [], []
+
+            def take(version, entries):
+                calls.append(version.index)
+                if version.index == 1:
+                    raise RuntimeError("planted")
+
+            async with anyio.create_task_group() as group:
+                await group.start(relay.run)
+                relay.push({FLEET: {"instances": 4}})
+                follower = Follower("n1", (relay.address,), 1, 2_000_000, 100_000, Version(), {})
+                watch = ConfigWatch(follower, (), Store(), take, lambda event, **f: lines.append((event, f)))
+                group.start_soon(watch.run)
+                await until(lambda: follower.refused == 1)
+                assert "RuntimeError" in follower.why and any(event == "task_failed" for event, _ in lines)
+                relay.push({FLEET: {"instances": 5}})
+                await until(lambda: follower.in_force.index == 2)
+                group.cancel_scope.cancel()
+            assert calls == [1, 2]
+
+    anyio.run(main)
+
+
+# --- processes -----------------------------------------------------------------------------------
+
+
+class Process:
+    """One process of a sidecar with the operators' file; its log lines as they come."""
+
+    def __init__(self, tmp_path, table: dict, relay: str, number: int = 1) -> None:
+        (tmp_path / "told.json").write_bytes(orjson.dumps(table))
+        (tmp_path / "operator.toml").write_text(
+            f'site = "x"\n[config]\nrelays = ["{relay}"]\nkeep = "{tmp_path}/kept"\nspread_s = 0.1\n'
+        )
+        self.path = tmp_path / f"log{number}"
+        environ = {key: value for key, value in os.environ.items() if not key.startswith("BALANCER_")}
+        environ |= {"BALANCER_CONFIG": str(tmp_path / "told.json"), "TMPDIR": str(tmp_path),
+                    "BALANCER_OPERATOR_FILE": str(tmp_path / "operator.toml")}
+        with self.path.open("wb") as out:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", "lupinmill"], env=environ, stdout=out, stderr=out
+            )
+
+    def lines(self) -> list[dict]:
+        return [orjson.loads(line) for line in self.path.read_bytes().splitlines() if line.startswith(b"{")]
+
+    def event(self, name: str) -> dict | None:
+        return next((line for line in self.lines() if line["event"] == name), None)
+
+    def in_force(self, index: int) -> bool:
+        return any(line.get("text") == f"version {index} in force" for line in self.lines())
+
+
+def processes(tmp_path, check, *acts) -> None:
+    """`check(net, relay, begin)`; whatever was begun is ended with the test."""
+    net, begun = Net(list(acts)), []
+
+    async def main() -> None:
+        relay = Relay()
+        with anyio.fail_after(25):
+            async with anyio.create_task_group() as group:
+                await net.start(group)
+                await group.start(relay.run)
+
+                async def begin() -> Process:
+                    begun.append(Process(tmp_path, net.table, relay.address, len(begun) + 1))
+                    await until(lambda: begun[-1].event("started"))
+                    net.address = begun[-1].event("started")["listen"]
+                    return begun[-1]
+
+                await check(net, relay, begin)
+                group.cancel_scope.cancel()
+
+    try:
+        anyio.run(main)
+    except BaseException:
+        for one in begun:
+            print("\n".join(str(line) for line in one.lines()[-10:]))
+        raise
+    finally:
+        for one in begun:
+            one.popen.kill()
+            one.popen.wait()
+
+
+def test_a_version_that_crosses_the_drain_loses_nothing(tmp_path):
+    """SIGTERM while one is out; then a version with other terms and without its workload."""
+    async def check(net, relay, begin):
+        process, answers = await begin(), {}
+
+        async def ask(name, workload_):
+            answers[name] = await net.ask(wanted(name, workload_, "1.0"))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask, "old", "view")
+            await until(lambda: net.stands[0].seen)
+            process.popen.send_signal(signal.SIGTERM)
+            await until(lambda: process.event("leaving"))
+            relay.push({FLEET: {"workloads": {"view": None, "quick": workload()}}})
+            await until(lambda: process.in_force(1))
+            group.start_soon(ask, "new", "quick")
+            group.start_soon(ask, "gone", "view")
+        assert (answers["old"].status, answers["new"].status, answers["gone"].status) == (200, 200, 503)
+        assert await anyio.to_thread.run_sync(process.popen.wait) == 0
+        assert process.lines()[-1]["event"] == "stopped"
+
+    processes(tmp_path, check, always(Answer(200, [], b"late"), 0.7))
+
+
+def test_a_sighup_in_a_process_takes_other_settings_and_keeps_the_version(tmp_path):
+    async def check(net, relay, begin):
+        process = await begin()
+        relay.push({FLEET: {"workloads": {"quick": workload()}}})
+        await until(lambda: process.in_force(1))
+        net.table["settings"] = settings(workloads=settings()["workloads"][:1])
+        (tmp_path / "told.json").write_bytes(orjson.dumps(net.table))
+        process.popen.send_signal(signal.SIGHUP)
+        await until(lambda: process.event("reloaded"))
+        assert (await net.ask(wanted("s1", "bid"))).status == 503
+        assert (await net.ask(wanted("s2", "quick"))).status == 200
+        assert (await net.ask(wanted("s3", "view"))).status == 200
+
+    processes(tmp_path, check, fine)
+
+
+def test_the_next_process_of_an_upgrade_goes_by_the_kept_version_with_the_relay_silent(tmp_path):
+    async def check(net, relay, begin):
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            net.table["listen"] = "127.0.0.1:%d" % sock.getsockname()[1]
+        old = await begin()
+        relay.push(CHANGED)
+        await until(lambda: old.in_force(1) and (tmp_path / "kept").exists())
+        relay.fault = "silent"
+        new = await begin()
+        assert (await net.ask(wanted("s1", "quick"))).status == 200
+        assert not new.in_force(1), "it was in force from the start"
+        old.popen.send_signal(signal.SIGTERM)
+        assert await anyio.to_thread.run_sync(old.popen.wait) == 0
+        assert (await net.ask(wanted("s2", "quick"))).status == 200
+
+    processes(tmp_path, check, fine)
+
+
+# --- the roster ----------------------------------------------------------------------------------
+
+PEERS = """
+[peers]
+electors = ["n1", "n2", "n3"]
+[peers.members.n1]
+address = "127.0.0.1:{ports[0]}"
+[peers.members.n2]
+address = "127.0.0.1:{ports[1]}"
+[peers.members.n3]
+address = "127.0.0.1:{ports[2]}"
+"""
+
+
+def free_ports(count: int) -> list[int]:
+    socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def test_the_roster_follows_the_version_in_force_and_its_electors_stay():
+    ports = free_ports(5)
+
+    async def check(net):
+        def names() -> set[str]:
+            return {seat.name for seat in net.program.peers.told.seats}
+
+        await until(lambda: net.program.peers.peer is not None)
+        row = {"address": f"127.0.0.1:{ports[3]}", "zone": "z"}
+        await net.in_force({Key("fleet", "member/n4"): row})
+        assert names() == {"n1", "n2", "n3", "n4"}
+        await net.in_force({Key("fleet", "member/n4"): row | {"address": f"127.0.0.1:{ports[4]}"}})
+        assert net.program.peers.addresses["n4"] == ("127.0.0.1", ports[4])
+        key = Key("fleet", "member/n2")
+        assert "peers.electors: n2 is none" in await net.refused({key: {"gone": True}})
+        assert names() == {"n1", "n2", "n3", "n4"} and net.version() == 2
+        for value, why in (
+            (row | {"zones": "z"}, "member/n5.zones: unknown; the nearest known key is zone"),
+            ({"zone": "z"}, "member/n5: Object missing required field `address`"),
+            ({"address": f"127.0.0.1:{ports[0]}"}, "peers.members.n5.address: n1 has it already"),
+        ):
+            assert why in await net.refused({key: None, Key("fleet", "member/n5"): value})
+        assert "zones" in await net.refused({
+            Key("fleet", "member/n5"): None, Key("fleet", "zones"): {"map": {"z": {}}},
+        })
+        await net.in_force({Key("fleet", "zones"): None, Key("fleet", "member/n4"): None})
+        assert names() == {"n1", "n2", "n3"}
+
+    network(check, fine, file=PEERS.format(ports=ports))
