--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -930,7 +930,7 @@
 
     def update(self, note: t.Listed) -> None:
         longest, failed = self.desk.allow.ask_span, note.kind is t.ListKind.FAILED
-        self.asks = self.asks + 1 if failed else 0  # overloaded, or the watch broke: asked again, later each time
+        self.asks = self.asks + 1 if failed else 0  # overloaded, or the watch broke: later each time
         base = min(SECOND, self.desk.allow.told * ASK_APART) << min(self.asks, 4)
         span = min(longest, ASK_AGAIN, base) if failed else longest * (note.kind is t.ListKind.CACHED)
         if span:  # jittered, or spread
