Readiness is told as it is also where no place is free; crowds while discovery is down tested

Cause: take_in.turn_away answered 503 to all that came on a connection that there was no descriptor for, GET /ready too: while clients in use hold every place, a front never takes in a ready process (nine in ten restarted ones are to be ready within 10 s). Lines at fault: turn_away's last two. Change: Admit.readiness says it, for both ways in. Measured: tests/test_crowd.py, one of its seven tests fails on the code before (503 for 200) and passes after; the six on a list that was out of reach (reset, silent, 503; asked and pushed) got through 100 idle clients of a limit of 100 passed before already: ruled out there, discovery's connection has its descriptor in OWN.

--- a/lupinmill/routing/admit.py
+++ b/lupinmill/routing/admit.py
@@ -17,8 +17,8 @@
     def request(self, request: Request, client: Client, body: Body | None = None,
                 to_come: float = 0.0) -> Journey | Answer:
         """`to_come`: seconds that the rest of a body may take which isn't whole yet."""
-        if request.target.split(b"?", 1)[0] == submission.READY and request.method in (b"GET", b"HEAD"):
-            return plain(200, "ready\n") if self.ready() else plain(503, "not ready\n")
+        if (told := self.readiness(request)) is not None:
+            return told
         try:
             asked = submission.read(request, self.workloads)
             if self.book.is_open(asked.submission):
@@ -34,6 +34,12 @@
         self.book.begin(journey)
         return journey
 
+    def readiness(self, request: Request) -> Answer | None:
+        """None where it asks for something else."""
+        if request.target.split(b"?", 1)[0] != submission.READY or request.method not in (b"GET", b"HEAD"):
+            return None
+        return plain(200, "ready\n") if self.ready() else plain(503, "not ready\n")
+
     def due(self, left: int, waited: int) -> int:
         """The hard limit of what came whole so long ago."""
         engine = self.book.engine
--- a/lupinmill/routing/take_in.py
+++ b/lupinmill/routing/take_in.py
@@ -220,7 +220,8 @@
         return self.pass_on(client)
 
     async def turn_away(self, client: Client) -> None:
-        """No descriptor to serve it with: what it asks is denied at once, and nothing was launched."""
+        """No descriptor to serve it with: what it asks is denied at once, and nothing was launched. Whether
+        this sidecar is ready is told as it is: by a front that hears 503 it would not be taken in."""
         side = ServerSide(SMALL)
         with anyio.fail_after(CROWDED_OUT):
             try:
@@ -231,4 +232,5 @@
                 await self.relay.pass_back(client, side, plain(error.status, f"{error}\n"), True)
                 return
         if request is not None:
-            await self.relay.pass_back(client, side, denied(self.advice), True)
+            told = self.admit.readiness(request)
+            await self.relay.pass_back(client, side, denied(self.advice) if told is None else told, True)
--- /dev/null
+++ b/tests/test_crowd.py
@@ -0,0 +1,91 @@
+"""Idle clients fill the descriptors while discovery is down: the process still gets its list, tells the truth
+about its readiness, serves, and stays within its limit."""
+import os
+import signal
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import anyio
+import pytest
+from bed import Net, on_network, wanted
+from test_handover import free_address, spawn
+from test_sidecar import fine, until
+
+from lupinmill import terms as t
+from lupinmill.protocol.http import Answer, ClientSide, Request
+from lupinmill.routing import take_in
+from lupinmill.transport.descriptors import Side
+
+READY = b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+async def status(stream) -> int | None:
+    """Of the next answer on this connection; None where it ended."""
+    side = ClientSide()
+    side.ask(Request(b"GET", b"/", [(b"Host", b"a")]))
+    try:
+        while (answer := side.next_answer()) is None:
+            side.feed(await stream.receive())
+    except (anyio.EndOfStream, anyio.BrokenResourceError, ConnectionError):
+        return None
+    return answer.status
+
+
+@asynccontextmanager
+async def crowd(address: str, silent: int, used: int):
+    """Idle clients that stay: such as never said a word, and such as asked once and kept their connection."""
+    host, port = address.split(":")
+    async with AsyncExitStack() as stack:
+        async def one():
+            return await stack.enter_async_context(await anyio.connect_tcp(host, int(port)))
+        for _ in range(used):
+            stream = await one()
+            await stream.send(READY)
+            await status(stream)
+        for _ in range(silent):
+            await one()
+        yield
+
+
+def test_where_no_place_is_free_readiness_is_told_as_it_is_and_all_else_denied(monkeypatch):
+    """A front that asked for /ready while every place was taken was told 503 by a ready sidecar."""
+    monkeypatch.setattr(take_in, "WHOLE", 60)  # seconds that a place is held by half a request
+
+    async def check(net: Net):
+        host, port = net.address.split(":")
+        descriptors = net.program.descriptors
+        async with AsyncExitStack() as stack:
+            for _ in range(descriptors.client_limit):
+                stuck = await stack.enter_async_context(await anyio.connect_tcp(host, int(port)))
+                await stuck.send(b"POST /view HTTP/1.1\r\n")
+            await until(lambda: descriptors.open[Side.CLIENT] == descriptors.client_limit)
+            await until(lambda: not descriptors.close_idle_client.__self__.idle)
+            assert (await net.ask(READY)).status == 200
+            assert (await net.ask(wanted("late"))).status == 503
+            net.program.standing.quiesce(0)
+            assert (await net.ask(READY)).status == 503
+        assert not net.program.book.journeys
+
+    net = on_network(check, fine, sockets=48)
+    assert not net.ended()
+
+
+@pytest.mark.parametrize("pushed", [False, True])
+@pytest.mark.parametrize("fault", ["reset", "silent", Answer(503)])
+def test_a_list_that_was_out_of_reach_is_got_through_a_crowd_of_idle_clients(fault, pushed):
+    async def check(net: Net):
+        async with crowd(net.address, 60, 40):
+            assert (await net.ask(READY)).status == 503
+            net.discovery.fault = None
+            await until(lambda: not net.program.directory.empty())
+            assert (await net.ask(READY)).status == 200
+            for at in range(5):
+                assert (await net.ask(wanted(f"s{at}"))).body == b"done-s%d" % at
+
+    class Down(Net):
+        async def start(self, group) -> None:
+            await super().start(group)
+            self.discovery.fault = fault
+
+    net = on_network(check, fine, fine, sockets=100, known=False, net_of=Down,
+                     discovery="push" if pushed else "ask")
+    assert t.Listed in map(type, net.notes) and not [log for log in net.logs if log[0] == "task_failed"]
