Follower.refresh: other scopes are asked for whole and taken at the version held

A kept file may be of other scopes than those watched now; changes alone would leave the new ones out for good. The explorer refreshes sidecars at each start, and found (walk 762) that one which asks from index 0 never tells the version it holds, so that a source behind it is never restored: every other call that fails now tells it.

--- a/lupinmill/config/follower.py
+++ b/lupinmill/config/follower.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from lupinmill.config.history import merged
+from lupinmill.config.history import difference, merged
 from lupinmill.config.model import (
     Answered,
     Apply,
@@ -74,7 +74,9 @@
         self.out: Ask | None = None
         self.asked_at = -PACE
         self.due: int | None = None  # when the next call goes out; None: not drawn yet
-        self.whole = False  # the next call asks for the snapshot
+        self.whole = False  # the next call asks for the snapshot: what came did not lead on
+        self.renew = False  # so does each call until one came: the scopes may be others than what is held
+        self.again = False  # what is held has changed within its version, and is offered again
         self.early = 0  # answers without news in a row, each long before its wait was over
         self.failures = 0  # calls without a good answer in a row
         self.relays: list[str] = []  # in this follower's own order, the one that it asks first
@@ -94,6 +96,13 @@
         if self.out is not None and self.out.at not in self.standings:
             self.out, self.due, self.whole = None, None, False
 
+    def refresh(self) -> None:
+        """The snapshot is asked for, and taken also at the version held. For drivers to call where the scopes
+        have changed, and at a start with kept entries, which may be of other scopes."""
+        self.renew = True
+        if self.out is not None:
+            self.out, self.due = None, self.asked_at
+
     def status(self) -> Status:
         return Status(self.name, self.in_force, self.refused, self.why)
 
@@ -131,7 +140,9 @@
             return
         self.choose(now)
         wait = int(self.wait * (PART + (1 - PART) * self.chance.draw()))
-        since = Version() if self.whole else self.version
+        # Every other one that fails tells the version held: else nobody hears that a source is behind it.
+        renew = self.renew and self.failures % 2 == 0
+        since = Version() if self.whole or renew else self.version
         self.out = Ask(self.relays[0], since, wait, now + wait + MARGIN)
         self.asked_at = now
         self.orders.append(self.out)
@@ -139,7 +150,9 @@
     # --- what is offered to the process ---
 
     def offer(self, now: int) -> None:
-        if self.offered is None and self.version.index > max(self.in_force.index, self.refused):
+        newer = self.version.index > max(self.in_force.index, self.refused)
+        if self.offered is None and (newer or self.again):
+            self.again = False
             self.offered, self.offered_at = self.version, now
             self.orders.append(Apply(self.version, dict(self.entries)))
 
@@ -185,6 +198,9 @@
 
     def take_snapshot(self, now: int, ask: Ask, reply: Reply) -> None:
         if reply.version == self.version:
+            if self.renew and difference(self.entries, reply.entries):
+                self.entries, self.again = merged({}, reply.entries), True
+            self.renew = False
             self.no_news(now, ask)
             return
         if self.version.index:
@@ -192,6 +208,7 @@
                 now, "snapshot",
                 f"{ask.at}: snapshot of version {reply.version.index} in place of {self.version.index}",
             )
+        self.renew = False
         self.take(now, reply.version, merged({}, reply.entries))
 
     def take(self, now: int, version: Version, entries: Entries) -> None:
--- a/lupinmill/lab/explore_config.py
+++ b/lupinmill/lab/explore_config.py
@@ -127,6 +127,8 @@
         servers, seed = (SOURCE,) if relay else RELAYS, life * 1000 + sum(name.encode())
         follower = self.follower(name, servers, seed, WAIT, SPREAD, version, entries)
         history = self.history(version, entries, most_changes=3) if relay else None
+        if not relay:
+            follower.refresh()  # as the sidecar's driver does at a start
         self.nodes[name] = Node(
             name, follower, version, dict(entries), kept, history, lives=life, calls=life * 1000
         )
--- a/tests/test_config_core.py
+++ b/tests/test_config_core.py
@@ -500,6 +500,43 @@
     assert run.now - came == following.NO_NEWS  # it waited: the pause is short again
 
 
+def test_other_scopes_are_asked_for_whole_and_taken_at_the_version_held():
+    source, _ = sources()
+    kept = {FLEET: source.entries[FLEET]}  # of the scopes that were watched before
+    run = Run(Follower("s", ("a", "b"), 1, 20 * SECOND, 4 * SECOND, source.version, kept))
+    run.core.refresh()
+    ask = run.until_asked()
+    assert ask.since == Version()
+    run.now += MS
+    run.step(Failed(ask.at, "broke"))
+    assert run.until_asked().since == source.version  # so that a source behind it hears of it
+    run.now += MS
+    run.step(Failed(run.asks[-1].at, "broke"))
+    ask = run.until_asked()
+    assert ask.since == Version()  # until one came
+    run.answer(source.reply(ask.since, ()))
+    assert run.applies == [Apply(source.version, source.entries)]
+    run.took()
+    assert run.core.status() == Status("s", source.version)
+    assert run.until_asked().since == source.version
+    run.core.refresh()  # while a call is out: that one is given up
+    run.now += MS
+    run.step()
+    assert run.until_asked().since == Version()
+    run.answer(source.reply(Version(), ()))
+    assert len(run.applies) == 1  # it brought nothing new
+    assert run.until_asked().since == source.version
+    before = source.version
+    source.push({TWO: 1})
+    run.core.refresh()
+    run.now += SECOND
+    run.step()
+    run.answer(Reply(before, False, {}, before))
+    assert run.core.version == before  # no snapshot came: it is not news that the scopes have nothing
+    run.answer(source.reply(run.until_asked().since, ()))
+    assert run.applies[-1] == Apply(source.version, source.entries) and len(run.applies) == 2
+
+
 def test_other_relays_are_asked_where_the_one_asked_is_taken_away():
     source, _ = sources()
     run = in_step(source)
