--- a/lupinmill/program/in_force.py
+++ b/lupinmill/program/in_force.py
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from lupinmill.program.sidecar import Program
 
-WAIT = 20_000_000  # microseconds that a relay may hold a watch
+WAIT = 8_000_000  # microseconds that a relay may hold a watch; one that hangs is left within 12 s
 LONGEST_LINE = 200
 
 # What can't change alive: parts are built by it once, or others count on it. By field of `Deployment`, the
