Capacity: new files for machines that come back, and what entries of the configuration make of them

Rows may name the computed row that takes their place with the mechanism; the cap on members stays, as entries are judged by it too (`with_entries`). tests/test_capacity.py: 62 passed in 8 s.

--- a/lupinmill/lab/scale/capacity.py
+++ b/lupinmill/lab/scale/capacity.py
@@ -71,7 +71,7 @@
     return Row(
         f"{figure.role} {figure.name} {figure.day}, by {figure.grows_with}", figure.role, what(figure, kind),
         unit, budget, use, bound, verdict(use, budget), kind.carried, kind.next, kind.fatal,
-        added=kind.added, mean=mean, mean_is=kind.mean,
+        added=kind.added, mean=mean, mean_is=kind.mean, after=kind.after,
     )  # fmt: skip
 
 
@@ -201,7 +201,8 @@
     """What a row has become with its mechanism, from the figures measured of it."""
     found = [figure for figure in joined(measured.figures) if row.after and row.after in figure.name]
     largest = fleet_run(measured)
-    return [one for figure in found if (one := of_figure(target, figure, largest)) is not None]
+    there = [one for one in computed.rows(target) if one.key == row.after]
+    return there + [one for figure in found if (one := of_figure(target, figure, largest)) is not None]
 
 
 def next_rows(target: Target, measured: Measured, found: list[Row]) -> list[Row]:
--- a/lupinmill/lab/scale/computed.py
+++ b/lupinmill/lab/scale/computed.py
@@ -59,7 +59,7 @@
             "members", "sidecar", "members that one file may have", "members", fleet,
             operators_file.MOST_MEMBERS, Bound("at", operators_file.MOST_MEMBERS),
             "lupinmill/program/operators_file.py", (ROSTERS, CONFIG, CELLS), True,
-            "`MOST_MEMBERS`; the next machine's file is refused",
+            "`MOST_MEMBERS`; one more is refused, from the file or as an entry",
         ),
         row(
             "zones", "sidecar", "zones that one file may have", "zones", zones, operators_file.MOST_ZONES,
@@ -78,7 +78,8 @@
         row(
             "plan counts", "sidecar", "time between two looks at the plan, each of which counts for 3 s", "s",
             every, counts, Bound("at", counts * size), "lupinmill/zones/driver.py", (CELLS,), True,
-            "the module hears of the plan as often as the member tells, every N/250 s (`MOST_LARGE`), and goes by "
+            "the module hears of the plan as often as the member tells, every N/250 s (`MOST_LARGE`), and"
+            " goes by "
             "it for `COUNTS`; for the rest of the time it goes as without zones",
         ),
         row(
@@ -100,9 +101,11 @@
     changes, size = tables.changes(target), target.assumed("change_bytes")
     fleet, concerned = target.fleet.sidecars, min(target.assumed("concerned"), target.fleet.sidecars)
     relays = tables.relays_left(target)
-    own = changes * concerned / fleet * size
+    own, comes = changes * concerned / fleet * size, tables.new_files(target, fleet) * size
     parts = (
         ("changes to one", "sidecar", own, "sidecar.bytes_a_second", "scoped"),
+        (tables.ENTRIES, "sidecar", comes, "sidecar.bytes_a_second",
+         "an entry for each machine that comes back, to all"),
         ("changes to all", "sidecar", changes * size, "sidecar.bytes_a_second",
          "if no scope kept them apart"),
         ("changes from a relay", "relay", changes * concerned / relays * size, "control_bytes_a_second",
@@ -119,7 +122,7 @@
                 key, role, f"bytes of changes, {because}", "bytes/s", use, most,
                 proportional(use, most, fleet) if grows else either(use, most),
                 tables.MECHANISMS[CONFIG].file, (CONFIG,), False,
-                "changes in the dearest minute times `change_bytes`", added=CONFIG,
+                "changes (or machines) in the dearest minute times `change_bytes`", added=CONFIG,
             )
         )  # fmt: skip
     return found
--- a/lupinmill/lab/scale/row.py
+++ b/lupinmill/lab/scale/row.py
@@ -31,7 +31,7 @@
     mean: Use | None = None  # beside a peak
     mean_is: str = "mean"
     because: str = ""  # how it is computed, where nothing was measured
-    after: str = ""  # figures of that name say what it is once its mechanism is there
+    after: str = ""  # figures of that name, or the row of that key, say what it is with its mechanism
 
 
 def verdict(use: Use, budget: float) -> str:
--- a/lupinmill/lab/scale/tables.py
+++ b/lupinmill/lab/scale/tables.py
@@ -42,9 +42,12 @@
         "scoped rosters",
         MISSING,
         (
-            "A member's row becomes an entry of the configuration under the scope of its cell, so that a new "
-            "machine is a change for some hundred sidecars and no new file for all.",
-            "The operators' file keeps the electors and the relays alone, which change by hand and seldom.",
+            "A member's row can be an entry of the configuration today; it comes to stand under the scope"
+            " of its "
+            "cell, so that a new machine is a change for some hundred sidecars and nobody holds all rows.",
+            "The operators' file keeps the electors and the relays alone, which change by hand and seldom,"
+            " and "
+            "the cap on members counts a cell.",
             "Membership takes rows in and out while it runs, as SIGHUP does today, and the mark of the "
             "scope's version tells two members apart whose rosters differ for a while.",
         ),
@@ -177,6 +180,7 @@
     fatal: bool = False
     added: str = ""  # there only with this mechanism
     grows: str = "*"
+    after: str = ""  # see `Row`
     mean: str = "mean"  # what stands in a point's `mean`
     files: str = ""  # the figure is of one new operators' file; of those that come a second it has this unit
 
@@ -228,6 +232,7 @@
 
 # Figures of one relay by its own sidecars are named so, of cores or of processes; others are by the fleet's.
 ONE_RELAY = ("core ", "process ", "watch ")
+ENTRIES = "members' entries"  # key of the computed row that takes the place of new files
 BESIDE = "quiet, sockets"  # a day that is run to compare real members with hollow ones, and sizes nothing
 # A size that the fleet's does not move: a budget that breaks there breaks in a fleet of any size.
 APART = ("calls a second",)
@@ -265,10 +270,11 @@
     Kind("sidecar", "bytes", "*", "sidecar.bytes_a_second", MEMBERS, (CELLS, ROSTERS)),
     Kind("sidecar", "evidence bytes", "*", "sidecar.bytes_a_second", ZONES, (CELLS,), True),
     Kind("sidecar", "state", "*", "sidecar.memory_mb", MEMBERS, (CELLS, ROSTERS), True),
-    Kind("sidecar", "file memory", "*", "sidecar.memory_mb", FILES, (ROSTERS, CONFIG, CELLS), True),
-    Kind("sidecar", "file cpu", "*", "sidecar.cpu", FILES, (ROSTERS, CONFIG, CELLS), True, files=CORE),
-    Kind("sidecar", "file bytes", "*", "sidecar.bytes_a_second", FILES, (ROSTERS, CONFIG, CELLS), True,
-         files="bytes/s"),
+    Kind("sidecar", "file memory", "*", "sidecar.memory_mb", FILES, (ROSTERS, CELLS), True),
+    Kind("sidecar", "file cpu", "*", "sidecar.cpu", FILES, (CONFIG, ROSTERS), True, files=CORE,
+         after=ENTRIES),
+    Kind("sidecar", "file bytes", "*", "sidecar.bytes_a_second", FILES, (CONFIG, ROSTERS), True,
+         files="bytes/s", after=ENTRIES),
     Kind("sidecar", "list memory", "*", "sidecar.memory_mb", LIST, (LISTS,), True),
     Kind("sidecar", "list bytes", "*", "largest_list", LIST, (LISTS,), True),
     Kind("elector", "evidence cpu", "*", "control_load", ZONES, (CELLS,), True),
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -365,6 +365,16 @@
     assert "sidecar time in force ordinary, by sidecars" in left
 
 
+def test_a_row_may_have_become_a_computed_one():
+    sizes = (1000, 3000, 20_000)
+    one = run(figure(line(0, 87.0), name="file bytes", unit="bytes", day="change", sizes=sizes))
+    rows = by_key(one)
+    file, entries = rows["sidecar file bytes change, by members"], rows[tables.ENTRIES]
+    assert file.verdict == BREAKS and entries.verdict == HOLDS and entries.added == "config"
+    assert capacity.after(TARGET, one, file) == [entries]
+    assert file not in capacity.next_rows(TARGET, one, list(rows.values()))
+
+
 def test_the_table_of_mechanisms_is_whole():
     named = {name for kind in tables.KINDS for name in kind.next}
     named |= {name for row in computed.rows(TARGET) for name in row.next}
