--- a/lupinmill/lab/scale/page.py
+++ b/lupinmill/lab/scale/page.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from lupinmill.lab.scale import capacity, machines, tables
+from lupinmill.lab.scale import fit as fits
 from lupinmill.lab.scale.curves import AT, FIRST, LAST, Bound, Use
 from lupinmill.lab.scale.measured import Measured
 from lupinmill.lab.scale.row import BREAKS, Row
@@ -82,7 +83,7 @@
     found = []
     for figure in measured.figures:
         sizes = sorted({point.size for point in figure.points})
-        fit = figure.fit
+        fit = figure.fit or fits.fit(figure.points)  # not all runs write it
         kind = "one size" if fit is None else "straight" if fit.straight else "not straight"
         line = "" if fit is None else f"power {fit.power:.2f}"
         if fit is not None and fit.straight:
