--- a/lupinmill/lab/scale/slopes.py
+++ b/lupinmill/lab/scale/slopes.py
@@ -9,8 +9,9 @@
 import multiprocessing
 import os
 import subprocess
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from concurrent.futures import ProcessPoolExecutor, as_completed
+from contextlib import contextmanager
 from datetime import date
 from pathlib import Path
 from typing import Any
@@ -109,14 +110,14 @@
     """Raises TooLarge."""
     todo = plan(sizes, seeds, quick)
     refuse_too_large(todo)
-    book = Book()
+    book, commit = Book(), commit_of(Path(__file__).resolve().parents[3])
     found = beside(*(QUICK_BESIDE if quick else BESIDE), book, tell)
     if not quick:
         over_sockets(book, tell)
     play_all(todo, book, tell)
     measured = Measured(
         command,
-        commit_of(Path(__file__).resolve().parents[3]),
+        commit,
         date.today().isoformat(),
         seeds,
         round(book.reference(), 3),
@@ -142,13 +143,31 @@
     measured.partial.append("days not run: a rack, a region cut off, a release, control restarted")
 
 
+@contextmanager
+def processes(count: int) -> Iterator[ProcessPoolExecutor]:
+    """None of them outlives it, nor what they have started: they end it when they are told to end."""
+    pool = ProcessPoolExecutor(count)
+    try:
+        yield pool
+    except BaseException:
+        end_children()
+        raise
+    finally:
+        pool.shutdown(cancel_futures=True)
+
+
+def end_children() -> None:
+    for child in multiprocessing.active_children():
+        child.terminate()
+
+
 def beside(members: int, round_ms: int, window: int, book: Book, tell: Callable[[str], None]) -> list[str]:
     """Real sidecars and hollow ones at the same time, so that both have the machine alike; what is further
     apart than it may be in the last of `TRIES`, in words."""
     found: list[str] = []
     notes: list[str] = []
     for _ in range(TRIES):
-        with ProcessPoolExecutor(2) as pool:
+        with processes(2) as pool:
             waiting = [pool.submit(play, members, round_ms, window) for play in (honest.play, loopback.play)]
             try:
                 real, hollow_ones = (one.result() for one in waiting)
@@ -169,7 +188,7 @@
 def over_sockets(book: Book, tell: Callable[[str], None]) -> None:
     for members in SOCKETS:
         try:
-            with ProcessPoolExecutor(1) as pool:
+            with processes(1) as pool:
                 book.add(of_side(pool.submit(loopback.play, members).result(), True, ""))
         except Exception as error:
             book.partial.append(f"{members} hollow ones over sockets: {type(error).__name__} {error}"[:200])
@@ -200,7 +219,7 @@
 
 
 def play_all(todo: list[Run], book: Book, tell: Callable[[str], None], jobs: int = JOBS) -> None:
-    with ProcessPoolExecutor(jobs) as pool:
+    with processes(jobs) as pool:
         waiting = {pool.submit(run.play): run for run in todo}
         try:
             for done in as_completed(waiting):
@@ -216,10 +235,7 @@
             for done, run in waiting.items():
                 if not done.done():
                     book.partial.append(f"{run.what} at {run.size}, seed {run.seed}: stopped before its end")
-            for child in multiprocessing.active_children():
-                child.terminate()
-        finally:
-            pool.shutdown(cancel_futures=True)
+            end_children()
 
 
 def others(measured: Measured, seeds: list[int]) -> None:
