--- /dev/null
+++ b/tests/test_scale_added.py
@@ -0,0 +1,202 @@
+"""What the measurements of `lab/scale` are made of: percentiles, the open load, turns by one real sidecar, and
+discovery asked by all in virtual time. No time is judged, but lower bounds that the load itself sets."""
+import asyncio
+import os
+from pathlib import Path
+
+import pytest
+
+from lupinmill.lab.scale import added, load, returns
+from lupinmill.program import discovery
+
+
+def test_percentiles_are_by_the_nearest_rank():
+    values = [float(n) for n in range(1, 101)]
+    assert load.percentile(values[::-1], 0.5) == 50 and load.percentile(values, 0.99) == 99
+    assert load.percentile([7.0], 0.99) == 7 and load.percentile([], 0.5) == 0
+    assert load.percentile(values[:10], 0.99) == 10
+
+
+# --- the load ------------------------------------------------------------------------------------
+
+
+class Server(asyncio.Protocol):
+    """Answers by `answer(serial)`: a status, after so many seconds; None: never; -1: hangs up."""
+
+    def __init__(self, answer):
+        self.answer, self.got = answer, bytearray()
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.got += data
+        while (end := self.got.find(b"\r\n\r\n")) >= 0:
+            serial = int(bytes(self.got[:end]).split(b"Req-Id: a")[1].split(b"\r\n")[0])
+            del self.got[: end + 4]
+            status, after = self.answer(serial)
+            if status == -1:
+                self.transport.close()
+            elif status is not None:
+                asyncio.get_running_loop().call_later(after, self.say, status)
+
+    def say(self, status):
+        self.transport.write(b"HTTP/1.1 %d x\r\nContent-Length: 2\r\n\r\nok" % status)
+
+
+def blocks(answer, *orders):
+    """Told, and the loads' lists of times taken."""
+    found = []
+
+    async def main():
+        server = await asyncio.get_running_loop().create_server(lambda: Server(answer), "127.0.0.1", 0)
+        address = "%s:%d" % server.sockets[0].getsockname()[:2]
+        one = load.Load()
+        for rate, seconds, seed in orders:
+            found.append((await one.block(load.Block([address], rate, seconds, seed)), list(one.took)))
+        for wires in one.idle.values():
+            for wire in wires:
+                wire.transport.abort()
+        server.close()
+        await server.wait_closed()
+        await asyncio.sleep(0)
+
+    asyncio.run(main())
+    return found
+
+
+def test_a_load_asks_what_its_seed_says_and_counts_each_call_once():
+    def answer(serial):
+        return {0: 503, 1: 429, 2: -1, 3: 500}.get(serial % 8, 200), 0.0
+
+    (one, took), (again, _), (other, _) = blocks(answer, (200, 0.5, 3), (200, 0.5, 3), (200, 0.5, 4))
+    assert one.asked == again.asked != other.asked
+    for told in (one, again, other):
+        assert told.asked == told.handled + told.denied + told.broken + told.unanswered + told.not_sent
+        assert told.denied and told.broken and told.handled > told.denied and not told.unanswered
+    assert len(took) == one.handled
+
+
+def test_a_call_without_an_answer_is_told_as_such(monkeypatch):
+    monkeypatch.setattr(load, "LONGEST", 0.3)
+    ((told, _),) = blocks(lambda serial: (200 if serial % 2 else None, 0.0), (60, 0.5, 1))
+    assert told.unanswered and told.handled and told.asked == told.handled + told.unanswered
+
+
+def test_all_calls_that_a_stall_delays_are_late_from_when_they_were_due():
+    """A load that waited for its answers would show one late call."""
+    loop_time = {}
+
+    def answer(serial):
+        now = asyncio.get_running_loop().time()
+        ends = loop_time.setdefault("ends", now + 0.5)
+        return 200, max(0.0, ends - now)
+
+    ((told, took),) = blocks(answer, (100, 1.0, 5))
+    assert told.handled == told.asked
+    assert sum(one > 0.25 for one in took) >= 10  # of some 25 due in the first half of the stall
+    assert max(took) >= 0.45 and told.p99 == load.percentile(took, 0.99)
+
+
+# --- figures of turns ----------------------------------------------------------------------------
+
+
+def turn(arm, p50, p99, asked=100, handled=100, user=0.0, waited=0.0):
+    told = load.Told(asked=asked, handled=handled, denied=asked - handled, p50=p50, p99=p99, sent_late=0.001)
+    return added.Turn(285.0, arm, told, added.Spent(user, user / 2, waited), 4.0)
+
+
+def test_medians_over_blocks_bear_one_that_was_disturbed_and_show_how_far_blocks_lie_apart():
+    found = [turn(arm, 0.001, 0.002) for arm in added.ARMS for _ in range(2)]
+    found += [turn("through", 0.5, 0.9, handled=50, user=1.0, waited=2.5), turn("straight", 0.001, 0.002),
+              turn("bare", 0.0015, 0.002)]  # fmt: skip
+    arms = added.arms_of(found, 285.0)
+    through = arms["through"]
+    assert (through.p50, through.p99, through.least, through.most) == (0.001, 0.002, 0.002, 0.9)
+    assert through.handled == pytest.approx(250 / 300)
+    assert through.cpu.user == pytest.approx(1.0 / 250) and through.cpu.waited == pytest.approx(2.5 / 250)
+    by_name = {figure.name: figure for figure in added.figures({(285.0, 1): arms})}
+    assert by_name["cpu a call"].points[0].mean == pytest.approx(1.5 / 250)
+    assert by_name["handled"].points[0].mean == pytest.approx(250 / 300)
+    assert by_name["added"].points[0].mean == 0 and "load average 4.0" in by_name["added"].note
+
+
+def test_one_real_sidecar_is_measured_by_turns_and_nothing_outlives_it():
+    async def main():
+        async with added.Rig(3, endpoints=3) as rig:
+            folder, pids = Path(rig.folder.name), [rig.sidecar.process.pid]
+            pids += [child.process.pid for child in (rig.endpoints, rig.bare, rig.load)]
+            came = {arm: await rig.turn(arm, 60, 0.5, 9) for arm in added.ARMS}
+            before = added.spent(rig.sidecar.process.pid)
+            assert before.user + before.system > 0
+        return came, folder, pids
+
+    came, folder, pids = asyncio.run(main())
+    assert len({turn.told.asked for turn in came.values()}) == 1 and came["through"].told.asked > 10
+    for arm, turn in came.items():
+        told = turn.told
+        assert told.asked == told.handled + told.denied + told.broken + told.unanswered + told.not_sent, arm
+    assert came["straight"].told.handled == came["bare"].told.handled == came["bare"].told.asked
+    assert came["through"].told.handled and came["through"].told.p50 > 0
+    assert not folder.exists()
+    for pid in pids:
+        with pytest.raises(ProcessLookupError):
+            os.kill(pid, 0)
+
+
+# --- discovery asked by all ----------------------------------------------------------------------
+
+
+def test_the_dearest_second_is_found_wherever_it_begins():
+    assert returns.dearest([(0.9, 1), (1.1, 1), (1.8, 1), (1.95, 1)]) == 3
+    assert returns.dearest([(1.0, 2.0), (2.0, 3.0)]) == 3 and returns.dearest([]) == 0
+
+
+def test_a_quiet_fleet_calls_once_a_wait_in_both_modes():
+    """Waits of 100 sidecars are 8 to 10 s, with a short pause before the next call."""
+    asked, pushed = (returns.fleet(100, mode, 1, 5000.0, "quiet") for mode in (True, False))
+    for day in (asked, pushed):
+        assert len(day.calls) / day.window == pytest.approx(100 / 9.05, rel=0.1)
+        assert len(day.bytes_out) == pytest.approx(len(day.calls), rel=0.1) and day.wholes == 0
+
+
+def test_a_fleet_is_the_same_for_one_seed_and_another_for_the_next():
+    one, same, other = (returns.points(returns.fleet(40, True, seed, 5000.0, "older")) for seed in (1, 1, 2))
+    assert one == same != other
+    assert discovery.connect.__module__ == "lupinmill.transport.connection" and discovery.random.__name__ == "random"
+
+
+@pytest.mark.parametrize("asked", [True, False])
+@pytest.mark.parametrize("day", ["away", "older", "moved"])
+def test_after_a_return_each_sidecar_has_its_list_and_asks_for_it_whole_where_it_must(asked, day):
+    came = returns.fleet(60, asked, 1, 1000.0, day)
+    assert came.left == 0 and len(came.waits) == 60
+    assert came.wholes == (0 if day == "away" else 60)
+    assert bool(came.refused) == (day != "moved")
+
+
+@pytest.mark.parametrize("asked", [True, False])
+def test_a_short_absence_is_as_dear_as_ten_minutes(asked):
+    short, long = (returns.fleet(20, asked, 1, 1000.0, "away", away) for away in (0.0, 600.0))
+    since = returns.AWAY["asked" if asked else "pushed"] / 2
+    rates = [
+        sum(at > since for at in day.refused) / (max(day.refused) - since) for day in (short, long)
+    ]
+    assert rates[0] == pytest.approx(rates[1], rel=0.25)
+    assert max(short.waits) == pytest.approx(max(long.waits), rel=0.5)
+
+
+def test_a_discovery_that_can_not_keep_up_is_seen():
+    """60 lists at 10 a second are worked out in 6 s, and none may take over 3: callers give up and ask again."""
+    came = returns.fleet(60, False, 1, 10.0, "moved")
+    assert came.wholes > 60 and (came.left or max(came.waits) > 3.0)
+
+
+def test_watches_that_end_together_would_be_seen(monkeypatch):
+    def second_round():
+        day = returns.fleet(200, False, 1, 5000.0, "moved")
+        return returns.dearest([(at, 1.0) for at in day.calls if at > 3.0])
+
+    apart = second_round()
+    monkeypatch.setattr(discovery, "SPREAD", 1.0)
+    assert second_round() > 2 * apart
