--- /dev/null
+++ b/lupinmill/lab/scale/fanout_world.py
@@ -0,0 +1,507 @@
+"""A source, its relays and a fleet of hollow sidecars in virtual time: the very cores that serve (`History`,
+`Fanout`, `Follower`) and the very bytes on the wire, on one heap of events, from a told seed.
+
+Stand-ins are the network (a told time each way, nothing lost), the relays' one core (each call and reply takes
+its told time, in turn) and the process that puts a version in force (a told time). A sidecar in so many does
+all of a real one's work on each call, h11 and JSON included, for the processor time; the others share what is
+read of one answer. Times are whole microseconds."""
+
+from __future__ import annotations
+
+import heapq
+import random
+import time
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from lupinmill.config import fanout, wire
+from lupinmill.config.fanout import Asked, Away, Fanout, Gone, Had, Say
+from lupinmill.config.follower import Follower
+from lupinmill.config.history import History
+from lupinmill.config.model import (
+    Answered,
+    Apply,
+    Ask,
+    Entries,
+    Failed,
+    FollowerNote,
+    Key,
+    Reply,
+    Took,
+    Version,
+    WakeMe,
+    Woke,
+)
+from lupinmill.protocol.http import Answer, ClientSide
+
+SECOND = 1_000_000
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+MOST_READ = 4096  # answers whose reading is shared
+SAMPLED = 50  # one sidecar in so many does all of its work itself
+
+
+@dataclass(frozen=True, slots=True)
+class Costs:
+    """Microseconds of the serial work of a relay or the source, and of a sidecar that takes a version."""
+
+    call: int = 300  # to read a watch and let it wait
+    reply: int = 300  # to write one
+    replace: int = 20_000  # for a relay to take a version
+    keep: int = 50_000  # for the source to have a version on its disk
+    force: int = 5_000  # from offered to in force in a sidecar
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """The fleet. Times in microseconds."""
+
+    sidecars: int = 20_000
+    watching: int = 0  # of them, so many are there; 0: all
+    services: int = 840
+    zones: int = 20
+    regions: int = 7
+    relays: int = 50
+    wait: int = 20 * SECOND  # of a sidecar's watch
+    spread: int = 2 * SECOND  # of the fleet, until a relay tells its own
+    most_watchers: int = 1_000
+    calls_per_s: float = 200.0  # that a relay is told it takes after a restart
+    near: int = 1_000  # each way: in a zone, ...
+    region: int = 2_000  # ... between zones of a region, ...
+    far: int = 40_000  # ... between regions
+    down: int = 2 * SECOND  # a relay or the source restarts for so long
+
+    @property
+    def spread_ms(self) -> int:
+        """As `RelayFile.spread_ms` says it of sidecars expected and calls a second."""
+        return max(1, int(1000 * self.sidecars / self.relays / self.calls_per_s))
+
+    def region_of(self, zone: int) -> int:
+        return zone % self.regions
+
+    def way(self, one: int, other: int) -> int:
+        if one == other:
+            return self.near
+        return self.region if self.region_of(one) == self.region_of(other) else self.far
+
+
+def settings(chance: random.Random) -> dict[str, Any]:
+    """What a change of a service's settings tells: some 400 bytes."""
+    return {
+        "workloads": [
+            {
+                "name": name, "contract-time-s": chance.randint(100, 900) / 1000, "hard-limit-s": 1.5, "value": 2.0,
+                "overdue-value": 0.25, "window-s": 5.0, "repeat": "repeatable", "group": "cell",
+            }
+            for name in ("view", "bid")
+        ],
+        "instances": 24,
+    }  # fmt: skip
+
+
+def member(at: int, chance: random.Random) -> dict[str, Any]:
+    return {"address": f"10.{at >> 16 & 255}.{at >> 8 & 255}.{at & 255}:{chance.randint(18_000, 18_999)}",
+            "zone": f"z{at % 20}"}  # fmt: skip
+
+
+def state(shape: Shape, chance: random.Random) -> Entries:
+    """All entries of the target's fleet."""
+    entries: Entries = {Key("fleet", "settings"): {"limits": {"most-launches": 4, "retry-after": True}}}
+    entries[Key("fleet", "zones")] = {f"z{z}": {"region": f"r{shape.region_of(z)}"} for z in range(shape.zones)}
+    for zone in range(shape.zones):
+        entries[Key(f"zone/z{zone}", "settings")] = {"crossing-price": chance.random()}
+    for region in range(shape.regions):
+        entries[Key(f"region/r{region}", "settings")] = {"instances": 100}
+    for service in range(shape.services):
+        entries[Key(f"service/s{service}", "settings")] = settings(chance)
+    for at in range(shape.sidecars):
+        service = at * shape.services // shape.sidecars
+        entries[Key(f"service/s{service}", f"member/m{at}")] = member(at, chance)
+    return entries
+
+
+def change(shape: Shape, chance: random.Random) -> Entries:
+    """One of the day's changes: most of one service, some of one sidecar, few of a zone, rare for all."""
+    drawn = chance.random()
+    if drawn < 0.70:
+        return {Key(f"service/s{chance.randrange(shape.services)}", "settings"): settings(chance)}
+    if drawn < 0.74:  # a machine restarted or replaced
+        at = chance.randrange(shape.sidecars)
+        return {Key(f"service/s{at * shape.services // shape.sidecars}", f"member/m{at}"): member(at, chance)}
+    if drawn < 0.95:
+        return {Key(f"sidecar/m{chance.randrange(shape.sidecars)}", "settings"): {"cost": chance.random()}}
+    if drawn < 0.99:
+        return {Key(f"zone/z{chance.randrange(shape.zones)}", "settings"): {"crossing-price": chance.random()}}
+    if drawn < 0.998:
+        return {Key(f"region/r{chance.randrange(shape.regions)}", "settings"): {"instances": chance.randint(50, 150)}}
+    return {Key("fleet", "settings"): {"limits": {"most-launches": chance.randint(2, 4), "retry-after": True}}}
+
+
+@dataclass(slots=True)
+class Count:
+    """Calls that came to one role, and what went each way with them."""
+
+    calls: list[int] = field(default_factory=list)  # when
+    bytes_in: int = 0
+    bytes_out: int = 0
+    wholes: int = 0
+    turned_away: int = 0
+    cpu: float = 0.0  # seconds of this process's, in the core
+
+
+class Watching:
+    """Drives one `Follower`: its calls, one at a time, and what it is offered."""
+
+    def __init__(self, world: World, follower: Follower, scopes: tuple[str, ...], zone: int, whole: bool) -> None:
+        self.world, self.follower, self.scopes, self.zone, self.whole = world, follower, scopes, zone, whole
+        self.token, self.wakes, self.cpu = 0, -1, 0.0
+        self.bytes_in = self.bytes_out = self.calls = 0
+        self.side: ClientSide | None = None
+        self.on = True
+
+    def tell(self, *notes: FollowerNote) -> None:
+        if not self.on:
+            return
+        world, began = self.world, time.process_time()
+        orders = self.follower.step(world.now, notes)
+        self.cpu += time.process_time() - began
+        for order in orders:
+            if isinstance(order, Ask):
+                self.ask(order)
+            elif isinstance(order, Apply):
+                self.apply(order)
+            elif isinstance(order, WakeMe) and order.at != self.wakes:
+                self.wakes = order.at
+                world.at(max(order.at, world.now + 1), self.wake, order.at)
+
+    def wake(self, at: int) -> None:
+        if at == self.wakes:
+            self.wakes = -1
+            self.tell(Woke())
+
+    def ask(self, order: Ask) -> None:
+        world = self.world
+        if self.token:
+            world.give_up(self.token)
+        self.token, self.calls = world.next_token(), self.calls + 1
+        began = time.process_time()
+        request = wire.call(order.since, order.wait // 1000, self.scopes, self.follower.status())
+        if self.whole:
+            self.side = ClientSide(wire.LARGEST, wire.LARGEST)
+            size = len(self.side.ask(request))
+            self.cpu += time.process_time() - began
+        else:
+            size = len(b"GET  HTTP/1.1\r\nHost: config\r\n\r\n") + len(request.target)
+        self.bytes_out += size
+        world.call(self, order, size)
+
+    def answered(self, token: int, at: str, data: bytes) -> None:
+        self.world.calls_out.pop(token, None)
+        if token != self.token:
+            return
+        self.token = 0
+        head = HEAD % len(data)
+        self.bytes_in += len(head) + len(data)
+        began = time.process_time()
+        if self.whole:
+            self.side.feed(head + data)
+            reply = wire.decode(self.side.next_answer())
+            self.cpu += time.process_time() - began
+        else:
+            reply = self.world.read(data)
+        self.tell(Answered(at, reply))
+
+    def failed(self, token: int, at: str, why: str) -> None:
+        self.world.calls_out.pop(token, None)
+        if token == self.token:
+            self.token = 0
+            self.tell(Failed(at, why))
+
+    def apply(self, order: Apply) -> None:
+        self.world.at(self.world.now + self.world.costs.force, self.took, order.version)
+
+    def took(self, version: Version) -> None:
+        self.world.in_force(self, version)
+        self.tell(Took(version))
+
+
+class Place:
+    """A source or relay: its history and fan-out, and one core that does one thing after the other."""
+
+    def __init__(self, world: World, name: str, zone: int, version: Version, entries: Entries) -> None:
+        self.world, self.name, self.zone, self.up = world, name, zone, True
+        self.count, self.free, self.wakes = Count(), 0, -1
+        self.out: dict[int, tuple[Watching, str]] = {}
+        self.begin(version, entries)
+
+    def begin(self, version: Version, entries: Entries) -> None:
+        shape = self.world.shape
+        self.history = History(version, entries)
+        self.fanout = Fanout(self.history, wire.encode, self.world.now, shape.most_watchers, shape.spread_ms)
+
+    def work(self, cost: int) -> int:
+        self.free = max(self.world.now, self.free) + cost
+        return self.free
+
+    def arrive(self, token: int, caller: Watching, order: Ask, size: int) -> None:
+        way = self.world.shape.way(self.zone, caller.zone)
+        self.count.calls.append(self.world.now)
+        self.count.bytes_in += size
+        if not self.up:
+            self.world.at(self.world.now + way, caller.failed, token, self.name, "refused")
+            return
+        self.out[token] = caller, self.name
+        note = Asked(token, caller.scopes, order.since, 0, caller.follower.status())
+        self.world.at(self.work(self.world.costs.call), self.asked, note, order.wait)
+
+    def asked(self, note: Asked, wait: int) -> None:
+        if note.token in self.out:
+            note.until = self.world.now + wait
+            self.step(note)
+
+    def gone(self, token: int) -> None:
+        if self.out.pop(token, None) is not None:
+            self.step(Gone(token))
+
+    def step(self, *notes: fanout.Note) -> None:
+        began = time.process_time()
+        orders = self.fanout.step(self.world.now, notes)
+        self.count.cpu += time.process_time() - began
+        for order in orders:
+            if isinstance(order, Say):
+                self.say(order)
+            elif isinstance(order, Away):
+                self.count.turned_away += 1
+                caller, name = self.out.pop(order.token)
+                way = self.world.shape.way(self.zone, caller.zone)
+                self.world.at(self.work(self.world.costs.reply) + way, caller.failed, order.token, name, "503")
+            elif isinstance(order, WakeMe) and order.at != self.wakes:
+                self.wakes = order.at
+                self.world.at(max(order.at, self.world.now + 1), self.wake, order.at)
+
+    def wake(self, at: int) -> None:
+        if at == self.wakes and self.up:
+            self.wakes = -1
+            self.step(fanout.Woke())
+
+    def say(self, order: Say) -> None:
+        caller, name = self.out.pop(order.token)
+        self.count.bytes_out += len(order.data) + len(HEAD % len(order.data))
+        self.count.wholes += b'"snapshot":true' in order.data[:200]
+        at = self.work(self.world.costs.reply) + self.world.shape.way(self.zone, caller.zone)
+        self.world.at(at, caller.answered, order.token, name, order.data)
+
+    def have(self, version: Version, scopes: frozenset[str]) -> None:
+        self.step(Had(version, scopes))
+
+    def go_down(self) -> None:
+        """Its process ends, and with it all connections."""
+        self.up = False
+        for token, (caller, name) in self.out.items():
+            self.world.at(self.world.now + self.world.shape.way(self.zone, caller.zone), caller.failed, token, name, "reset")
+        self.out.clear()
+        self.free, self.wakes = 0, -1
+
+    def come_up(self, kept: bool = True) -> None:
+        """A new process, which begins with what was kept."""
+        self.up = True
+        self.begin(*(self.history.version, self.history.entries) if kept else (Version(), {}))
+
+
+class RelayPlace(Place):
+    def __init__(self, world: World, at: int, zone: int, version: Version, entries: Entries) -> None:
+        self.at, self.lives = at, 0
+        super().__init__(world, f"relay-{at}", zone, version, entries)
+
+    def begin(self, version: Version, entries: Entries) -> None:
+        super().begin(version, entries)
+        self.lives += 1
+        seed = self.at * 1_000 + self.lives
+        follower = Follower(self.name, ("source",), seed, 20 * SECOND, SECOND, version, entries)
+        self.watch = RelayWatch(self.world, follower, (), self.zone, False)
+        self.watch.place = self
+
+    def go_down(self) -> None:
+        super().go_down()
+        self.watch.on = False
+        if self.watch.token:
+            self.world.give_up(self.watch.token)
+
+    def come_up(self, kept: bool = True) -> None:
+        super().come_up(kept)
+        self.watch.tell(Woke())
+
+
+class RelayWatch(Watching):
+    place: RelayPlace
+
+    def apply(self, order: Apply) -> None:
+        self.world.at(self.place.work(self.world.costs.replace), self.take, order)
+
+    def take(self, order: Apply) -> None:
+        """As `config.relay.Relay.take`."""
+        if not self.on:
+            return
+        place = self.place
+        began = time.process_time()
+        place.history.replace(order.version, order.entries)
+        place.count.cpu += time.process_time() - began
+        changes = place.history.changes
+        whole = not changes or changes[-1].version != order.version
+        changed = place.history.scopes if whole else {key.scope for key in changes[-1].entries}
+        place.have(order.version, frozenset(changed))
+        self.tell(Took(order.version))
+
+
+class World:
+    def __init__(self, shape: Shape, seed: int, costs: Costs = Costs()) -> None:
+        self.shape, self.costs, self.chance = shape, costs, random.Random(f"fan-out {seed}")
+        self.now, self.serial, self.tokens = SECOND, 0, 0
+        self.heap: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.reads: OrderedDict[bytes, Reply] = OrderedDict()
+        self.calls_out: dict[int, Place] = {}
+        first = History(Version(), {})
+        first.push(state(shape, self.chance))
+        version, entries = first.version, first.entries
+        self.source = Place(self, "source", 0, version, entries)
+        self.relays = [RelayPlace(self, at, at % shape.zones, version, entries) for at in range(shape.relays)]
+        self.places: dict[str, Place] = {place.name: place for place in (self.source, *self.relays)}
+        there = range(shape.sidecars)
+        if shape.watching:
+            there = self.chance.sample(there, shape.watching)
+        self.sidecars = [self.sidecar(at, version, first) for at in there]
+        self.by_scope: dict[str, list[Watching]] = {}
+        for sidecar in self.sidecars:
+            for scope in sidecar.scopes:
+                self.by_scope.setdefault(scope, []).append(sidecar)
+        self.pending: dict[Watching, deque[tuple[int, int]]] = {one: deque() for one in self.sidecars}
+        self.took: list[int] = []  # microseconds from pushed to in force, for each sidecar that a change concerns
+        self.pushed = 0
+        for place in self.relays:
+            place.watch.tell(Woke())
+        for sidecar in self.sidecars:  # a fleet that has long run: watches began at any time
+            self.at(self.now + self.chance.randrange(shape.wait), sidecar.tell, Woke())
+
+    def sidecar(self, at: int, version: Version, first: History) -> Watching:
+        shape, zone = self.shape, at % self.shape.zones
+        scopes = (
+            "fleet", f"region/r{shape.region_of(zone)}", f"zone/z{zone}",
+            f"service/s{at * shape.services // shape.sidecars}", f"sidecar/m{at}",
+        )  # fmt: skip
+        follower = Follower(
+            f"m{at}", self.relays_of(at, zone), self.chance.getrandbits(60), shape.wait, shape.spread, version,
+            first.snapshot(scopes),
+        )  # fmt: skip
+        return Watching(self, follower, scopes, zone, at % SAMPLED == 0)
+
+    def relays_of(self, at: int, zone: int) -> tuple[str, ...]:
+        """Two of its zone, or of any where the zone has fewer, and one in another zone."""
+        shape = self.shape
+        near = [k for k in range(shape.relays) if k % shape.zones == zone]
+        others = [k for k in range(shape.relays) if k not in near]
+        turn = at // shape.zones
+        found = [near[(turn + n) % len(near)] for n in range(min(2, len(near)))]
+        while others and len(found) < 3:
+            found.append(others.pop((turn * 7 + at) % len(others)))
+        return tuple(f"relay-{k}" for k in found)
+
+    # Events.
+
+    def at(self, when: int, do: Callable[..., None], *args: Any) -> None:
+        self.serial += 1
+        heapq.heappush(self.heap, (when, self.serial, do, args))
+
+    def run(self, until: int) -> None:
+        while self.heap and self.heap[0][0] <= until:
+            self.now, _, do, args = heapq.heappop(self.heap)
+            do(*args)
+        self.now = until
+
+    def next_token(self) -> int:
+        self.tokens += 1
+        return self.tokens
+
+    def call(self, caller: Watching, order: Ask, size: int) -> None:
+        place = self.places[order.at]
+        self.calls_out[caller.token] = place
+        way = self.shape.way(place.zone, caller.zone)
+        self.at(self.now + way, place.arrive, caller.token, caller, order, size)
+
+    def give_up(self, token: int) -> None:
+        place = self.calls_out.pop(token, None)
+        if place is not None:
+            self.at(self.now + self.shape.near, place.gone, token)
+
+    def read(self, data: bytes) -> Reply:
+        reply = self.reads.get(data)
+        if reply is None:
+            reply = self.reads[data] = wire.decode(Answer(200, [], data))
+            if len(self.reads) > MOST_READ:
+                self.reads.popitem(last=False)
+        return reply
+
+    # The day.
+
+    def push(self, changes: Entries) -> None:
+        """As `config.source.Source`: made, kept, then served."""
+        pushed = self.now
+        self.at(self.source.work(self.costs.keep), self.publish, changes, pushed)
+
+    def publish(self, changes: Entries, pushed: int) -> None:
+        history = self.source.history
+        before = history.version
+        version = history.push(changes)
+        if version == before:
+            return
+        self.pushed += 1
+        scopes = frozenset(key.scope for key in changes)
+        for scope in scopes:
+            for sidecar in self.by_scope.get(scope, ()):
+                self.pending[sidecar].append((version.index, pushed))
+        self.source.have(version, scopes)
+
+    def changes(self, rate: float, seconds: float) -> None:
+        """Poisson arrivals of drawn changes from now on."""
+        at, end = float(self.now), self.now + seconds * SECOND
+        while (at := at + self.chance.expovariate(rate) * SECOND) < end:
+            self.at(int(at), self.push, change(self.shape, self.chance))
+
+    def in_force(self, sidecar: Watching, version: Version) -> None:
+        waiting = self.pending.get(sidecar)
+        while waiting and waiting[0][0] <= version.index:
+            self.took.append(self.now - waiting.popleft()[1])
+
+    def count_anew(self) -> None:
+        """Figures count from now on."""
+        self.took.clear()
+        self.pushed = 0
+        for place in self.places.values():
+            place.count = Count()
+        for watching in (*self.sidecars, *(place.watch for place in self.relays)):
+            watching.cpu, watching.calls, watching.bytes_in, watching.bytes_out = 0.0, 0, 0, 0
+
+    def lagging(self) -> int:
+        """Changes that concern a sidecar and are not in force there."""
+        return sum(len(waiting) for waiting in self.pending.values())
+
+    def behind(self, index: int) -> int:
+        """Sidecars that hold an older version than this."""
+        return sum(one.follower.version.index < index for one in self.sidecars)
+
+    def equal(self) -> bool:
+        """Does each sidecar hold just what the source has for its scopes?"""
+        history = self.source.history
+        return all(one.follower.entries == history.snapshot(one.scopes) for one in self.sidecars)
+
+
+def total(counts: Iterable[Count]) -> Count:
+    found = Count()
+    for one in counts:
+        found.calls += one.calls
+        found.bytes_in += one.bytes_in
+        found.bytes_out += one.bytes_out
+        found.wholes += one.wholes
+        found.turned_away += one.turned_away
+        found.cpu += one.cpu
+    return found
