--- a/lupinmill/lab/scale/fanout.py
+++ b/lupinmill/lab/scale/fanout.py
@@ -193,6 +193,7 @@
     for name, unit, mean, most in (
         ("calls, all relays", "1/s", peak, peak),
         ("calls", "1/s", one, one),
+        ("refused while down, all relays", "calls", float(relays.refused), 0.0),
         ("whole snapshots", "calls", float(relays.wholes), 0.0),
         ("bytes out, all relays", "bytes", float(relays.bytes_out), 0.0),
         ("time until all are at the newest", "s", last, last),
@@ -201,7 +202,8 @@
         sheet.add("relay", name, unit, "sidecars", day, size, seed, mean, most, note + "; calls: of the dearest second")
     return (
         f"{shape_name(shape)}, {day}, seed {seed}: dearest second {peak:.0f} calls at all, {one:.0f} at one of"
-        f" {shape.relays} relays; {relays.wholes} whole snapshots, {relays.bytes_out} bytes out, {relays.turned_away}"
+        f" {shape.relays} relays, which say they take {shape.calls_per_s:g}; {relays.refused} refused while down;"
+        f" {relays.wholes} whole snapshots, {relays.bytes_out} bytes out, {relays.turned_away}"
         f" turned away; all at the newest after {last:.2f} s, {left} never; all equal: {world.equal()}"
     )
 
@@ -211,7 +213,7 @@
     began = world.now
     world.source.go_down()
     world.run(began + int(AWAY * SECOND))
-    tries = len(world.source.count.calls) / AWAY
+    tries = world.source.count.refused / AWAY
     calm = len(total(place.count for place in world.relays).calls) / AWAY
     world.count_anew()
     world.source.come_up()
--- a/lupinmill/lab/scale/fanout_world.py
+++ b/lupinmill/lab/scale/fanout_world.py
@@ -29,11 +29,13 @@
     FollowerNote,
     Key,
     Reply,
+    Status,
     Took,
     Version,
     WakeMe,
     Woke,
 )
+from lupinmill.config.relay import SPREAD, WAIT, Relay, Upstream
 from lupinmill.protocol.http import Answer, ClientSide
 
 SECOND = 1_000_000
@@ -86,6 +88,15 @@
         return self.region if self.region_of(one) == self.region_of(other) else self.far
 
 
+def scopes_of(shape: Shape, at: int) -> tuple[str, ...]:
+    """What sidecar number `at` watches."""
+    zone = at % shape.zones
+    return (
+        "fleet", f"region/r{shape.region_of(zone)}", f"zone/z{zone}",
+        f"service/s{at * shape.services // shape.sidecars}", f"sidecar/m{at}",
+    )  # fmt: skip
+
+
 def settings(chance: random.Random) -> dict[str, Any]:
     """What a change of a service's settings tells: some 400 bytes."""
     return {
@@ -108,7 +119,8 @@
 def state(shape: Shape, chance: random.Random) -> Entries:
     """All entries of the target's fleet."""
     entries: Entries = {Key("fleet", "settings"): {"limits": {"most-launches": 4, "retry-after": True}}}
-    entries[Key("fleet", "zones")] = {f"z{z}": {"region": f"r{shape.region_of(z)}"} for z in range(shape.zones)}
+    zones = {f"z{zone}": {"region": f"r{shape.region_of(zone)}"} for zone in range(shape.zones)}
+    entries[Key("fleet", "zones")] = {"map": zones}
     for zone in range(shape.zones):
         entries[Key(f"zone/z{zone}", "settings")] = {"crossing-price": chance.random()}
     for region in range(shape.regions):
@@ -143,6 +155,7 @@
     """Calls that came to one role, and what went each way with them."""
 
     calls: list[int] = field(default_factory=list)  # when
+    refused: int = 0  # that found no process there
     bytes_in: int = 0
     bytes_out: int = 0
     wholes: int = 0
@@ -186,7 +199,8 @@
             world.give_up(self.token)
         self.token, self.calls = world.next_token(), self.calls + 1
         began = time.process_time()
-        request = wire.call(order.since, order.wait // 1000, self.scopes, self.follower.status())
+        status = self.follower.status()
+        request = wire.call(order.since, order.wait // 1000, self.scopes, status)
         if self.whole:
             self.side = ClientSide(wire.LARGEST, wire.LARGEST)
             size = len(self.side.ask(request))
@@ -194,7 +208,7 @@
         else:
             size = len(b"GET  HTTP/1.1\r\nHost: config\r\n\r\n") + len(request.target)
         self.bytes_out += size
-        world.call(self, order, size)
+        world.call(self, order, status, size)
 
     def answered(self, token: int, at: str, data: bytes) -> None:
         self.world.calls_out.pop(token, None)
@@ -232,6 +246,7 @@
     def __init__(self, world: World, name: str, zone: int, version: Version, entries: Entries) -> None:
         self.world, self.name, self.zone, self.up = world, name, zone, True
         self.count, self.free, self.wakes = Count(), 0, -1
+        self.kept = self
         self.out: dict[int, tuple[Watching, str]] = {}
         self.begin(version, entries)
 
@@ -244,15 +259,16 @@
         self.free = max(self.world.now, self.free) + cost
         return self.free
 
-    def arrive(self, token: int, caller: Watching, order: Ask, size: int) -> None:
+    def arrive(self, token: int, caller: Watching, order: Ask, status: Status, size: int) -> None:
         way = self.world.shape.way(self.zone, caller.zone)
-        self.count.calls.append(self.world.now)
-        self.count.bytes_in += size
         if not self.up:
+            self.count.refused += 1
             self.world.at(self.world.now + way, caller.failed, token, self.name, "refused")
             return
+        self.count.calls.append(self.world.now)
+        self.count.bytes_in += size
         self.out[token] = caller, self.name
-        note = Asked(token, caller.scopes, order.since, 0, caller.follower.status())
+        note = Asked(token, caller.scopes, order.since, 0, status)
         self.world.at(self.work(self.world.costs.call), self.asked, note, order.wait)
 
     def asked(self, note: Asked, wait: int) -> None:
@@ -292,9 +308,12 @@
         at = self.work(self.world.costs.reply) + self.world.shape.way(self.zone, caller.zone)
         self.world.at(at, caller.answered, order.token, name, order.data)
 
-    def have(self, version: Version, scopes: frozenset[str]) -> None:
+    def had(self, version: Version, scopes: frozenset[str]) -> None:
         self.step(Had(version, scopes))
 
+    def put(self, version: Version, entries: Entries) -> None:
+        """The relay's disk, which takes it by a thread beside the core."""
+
     def go_down(self) -> None:
         """Its process ends, and with it all connections."""
         self.up = False
@@ -318,7 +337,8 @@
         super().begin(version, entries)
         self.lives += 1
         seed = self.at * 1_000 + self.lives
-        follower = Follower(self.name, ("source",), seed, 20 * SECOND, SECOND, version, entries)
+        follower = Upstream(self.name, ("source",), seed, WAIT, SPREAD, version, entries)
+        follower.history = self.history
         self.watch = RelayWatch(self.world, follower, (), self.zone, False)
         self.watch.place = self
 
@@ -340,17 +360,13 @@
         self.world.at(self.place.work(self.world.costs.replace), self.take, order)
 
     def take(self, order: Apply) -> None:
-        """As `config.relay.Relay.take`."""
         if not self.on:
             return
-        place = self.place
-        began = time.process_time()
-        place.history.replace(order.version, order.entries)
-        place.count.cpu += time.process_time() - began
-        changes = place.history.changes
-        whole = not changes or changes[-1].version != order.version
-        changed = place.history.scopes if whole else {key.scope for key in changes[-1].entries}
-        place.have(order.version, frozenset(changed))
+        count, began = self.place.count, time.process_time()
+        before = count.cpu
+        why = Relay.take(self.place, order.version, order.entries)  # type: ignore[arg-type]
+        count.cpu = before + time.process_time() - began  # in which the steps that it led to lie
+        assert why is None, why
         self.tell(Took(order.version))
 
 
@@ -384,11 +400,7 @@
             self.at(self.now + self.chance.randrange(shape.wait), sidecar.tell, Woke())
 
     def sidecar(self, at: int, version: Version, first: History) -> Watching:
-        shape, zone = self.shape, at % self.shape.zones
-        scopes = (
-            "fleet", f"region/r{shape.region_of(zone)}", f"zone/z{zone}",
-            f"service/s{at * shape.services // shape.sidecars}", f"sidecar/m{at}",
-        )  # fmt: skip
+        shape, zone, scopes = self.shape, at % self.shape.zones, scopes_of(self.shape, at)
         follower = Follower(
             f"m{at}", self.relays_of(at, zone), self.chance.getrandbits(60), shape.wait, shape.spread, version,
             first.snapshot(scopes),
@@ -422,11 +434,11 @@
         self.tokens += 1
         return self.tokens
 
-    def call(self, caller: Watching, order: Ask, size: int) -> None:
+    def call(self, caller: Watching, order: Ask, status: Status, size: int) -> None:
         place = self.places[order.at]
         self.calls_out[caller.token] = place
         way = self.shape.way(place.zone, caller.zone)
-        self.at(self.now + way, place.arrive, caller.token, caller, order, size)
+        self.at(self.now + way, place.arrive, caller.token, caller, order, status, size)
 
     def give_up(self, token: int) -> None:
         place = self.calls_out.pop(token, None)
@@ -459,7 +471,7 @@
         for scope in scopes:
             for sidecar in self.by_scope.get(scope, ()):
                 self.pending[sidecar].append((version.index, pushed))
-        self.source.have(version, scopes)
+        self.source.had(version, scopes)
 
     def changes(self, rate: float, seconds: float) -> None:
         """Poisson arrivals of drawn changes from now on."""
@@ -499,6 +511,7 @@
     found = Count()
     for one in counts:
         found.calls += one.calls
+        found.refused += one.refused
         found.bytes_in += one.bytes_in
         found.bytes_out += one.bytes_out
         found.wholes += one.wholes
