--- a/lupinmill/config/follower.py
+++ b/lupinmill/config/follower.py
@@ -1,8 +1,8 @@
-"""One watch on configuration, of a sidecar or a relay: which relay is asked, what is taken, what is offered to
-the process. Pure: `step(now, notes) -> orders`.
+"""One watch on configuration, of a sidecar or a relay: which relay is asked, what is taken, what is offered
+to the process. Pure: `step(now, notes) -> orders`.
 
-What is held only moves forward: by changes that lead on from exactly the version held, or by a snapshot with a
-higher index; whole, or not at all. What the process goes by follows what it took.
+What is held only moves forward: by changes that lead on from exactly the version held, or by a snapshot with
+a higher index; whole, or not at all. What the process goes by follows what it took.
 
 Owns the newest version heard with its entries, and how each relay has behaved."""
 
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from lupinmill.config.history import merged
+from lupinmill.config.history import difference, merged
 from lupinmill.config.model import (
     Answered,
     Apply,
@@ -74,7 +74,9 @@
         self.out: Ask | None = None
         self.asked_at = -PACE
         self.due: int | None = None  # when the next call goes out; None: not drawn yet
-        self.whole = False  # the next call asks for the snapshot
+        self.whole = False  # the next call asks for the snapshot: what came did not lead on
+        self.renew = False  # so does each call until one came: the scopes may be others than what is held
+        self.again = False  # what is held has changed within its version, and is offered again
         self.early = 0  # answers without news in a row, each long before its wait was over
         self.failures = 0  # calls without a good answer in a row
         self.relays: list[str] = []  # in this follower's own order, the one that it asks first
@@ -94,6 +96,13 @@
         if self.out is not None and self.out.at not in self.standings:
             self.out, self.due, self.whole = None, None, False
 
+    def refresh(self) -> None:
+        """The snapshot is asked for, and taken also at the version held. For drivers to call where the scopes
+        have changed, and at a start with kept entries, which may be of other scopes."""
+        self.renew = True
+        if self.out is not None:
+            self.out, self.due = None, self.asked_at
+
     def status(self) -> Status:
         return Status(self.name, self.in_force, self.refused, self.why)
 
@@ -131,7 +140,9 @@
             return
         self.choose(now)
         wait = int(self.wait * (PART + (1 - PART) * self.chance.draw()))
-        since = Version() if self.whole else self.version
+        # Every other one that fails tells the version held: else nobody hears that a source is behind it.
+        renew = self.renew and self.failures % 2 == 0
+        since = Version() if self.whole or renew else self.version
         self.out = Ask(self.relays[0], since, wait, now + wait + MARGIN)
         self.asked_at = now
         self.orders.append(self.out)
@@ -139,7 +150,9 @@
     # --- what is offered to the process ---
 
     def offer(self, now: int) -> None:
-        if self.offered is None and self.version.index > max(self.in_force.index, self.refused):
+        newer = self.version.index > max(self.in_force.index, self.refused)
+        if self.offered is None and (newer or self.again):
+            self.again = False
             self.offered, self.offered_at = self.version, now
             self.orders.append(Apply(self.version, dict(self.entries)))
 
@@ -173,7 +186,8 @@
             if ask.since.index == 0:
                 self.distrust(now, "changes where the snapshot was asked for")
             else:
-                self.say(now, "gap", f"{ask.at}: changes that don't lead on from version {held.index}; snapshot")
+                text = f"{ask.at}: changes that don't lead on from version {held.index}; asks for a snapshot"
+                self.say(now, "gap", text)
                 self.whole, self.due = True, now
         elif version == held and reply.entries:
             self.distrust(now, "changes without a new version")
@@ -184,6 +198,9 @@
 
     def take_snapshot(self, now: int, ask: Ask, reply: Reply) -> None:
         if reply.version == self.version:
+            if self.renew and difference(self.entries, reply.entries):
+                self.entries, self.again = merged({}, reply.entries), True
+            self.renew = False
             self.no_news(now, ask)
             return
         if self.version.index:
@@ -191,7 +208,8 @@
                 now, "snapshot",
                 f"{ask.at}: snapshot of version {reply.version.index} in place of {self.version.index}",
             )
-        self.take(now, reply.version, dict(reply.entries))
+        self.renew = False
+        self.take(now, reply.version, merged({}, reply.entries))
 
     def take(self, now: int, version: Version, entries: Entries) -> None:
         self.version, self.entries = version, entries
@@ -213,7 +231,8 @@
     def distrust(self, now: int, why: str) -> None:
         """It answered, but nothing that can be taken: for a while the others go before it."""
         standing = self.standings[self.relays[0]]
-        standing.penalty = min(LONGEST_PENALTY, max(LEAST_PENALTY, 2 * standing.penalty))
+        least = max(LEAST_PENALTY, 2 * (standing.spread or self.spread))  # beyond when the next is asked
+        standing.penalty = min(LONGEST_PENALTY, max(least, 2 * standing.penalty))
         standing.behind_until = now + standing.penalty
         self.lost(now, "distrusted", why)
 
@@ -224,9 +243,9 @@
             self.lost(now, "failed", note.why)
 
     def lost(self, now: int, kind: str, why: str) -> None:
-        """On to another relay. All that lost this one come spread over its time; who finds none either goes on
-        coming once in that time, so that calls a second stay below fleet over spread also when all relays
-        come back."""
+        """On to another relay. All that lost this one come spread over its time; who finds no other goes on
+        coming once in that time at most, so that calls a second stay below fleet over spread also when all
+        relays come back."""
         at = self.relays.pop(0)
         self.relays.append(at)
         self.out, self.whole, self.early = None, False, 0
--- a/lupinmill/program/in_force.py
+++ b/lupinmill/program/in_force.py
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from lupinmill.program.sidecar import Program
 
-WAIT = 20_000_000  # microseconds that a relay may hold a watch
+WAIT = 8_000_000  # microseconds that a relay may hold a watch; one that hangs is left within 12 s
 LONGEST_LINE = 200
 
 # What can't change alive: parts are built by it once, or others count on it. By field of `Deployment`, the
@@ -35,6 +35,7 @@
 FIXED = (
     ("tier", "tier"),
     ("must_ask", "discovery"),
+    ("grace", "invariants.stop-sending-within-s"),
     ("round", "round-s"),
     ("reports_asked", "load-report.how"),
     ("beside", "family"),
@@ -179,11 +180,11 @@
         return why
 
     def put(self, new: Told) -> None:
-        """In one go; nothing here waits or raises."""
+        """In one go, with no wait. The module, which alone can fail, comes first."""
         program, old = self.program, self.program.told
-        program.told = new
         if new.deployment != old.deployment:
             self.deploy(new.deployment)
+        program.told = new
         program.pool.limit(new.idle_limit, new.connect_limit)
         if new.operators != old.operators:
             program.change_peers(new)
@@ -196,8 +197,11 @@
         return tuple(file.config.relays) if file is not None and file.config is not None else ()
 
     def deploy(self, d: t.Deployment) -> None:
-        program = self.program
+        program, desk = self.program, self.program.engine.sidecar.desk
+        before = desk.allow
         program.engine.tell(t.Deployed(d))
+        if desk.allow is before:
+            raise RuntimeError("the module did not take it")  # its own line is in the log
         advice = d.longest_advice // 2 if d.advice_allowed else 0
         program.admit.deploy({w.name for w in d.workloads}, advice)
         program.door.deploy(d)
