--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -13,7 +13,7 @@
 
 from lupinmill.cli import capacity as command
 from lupinmill.cli.lab import lab
-from lupinmill.lab.scale import capacity, computed, curves, fit, measured, page, tables, target
+from lupinmill.lab.scale import capacity, computed, curves, fit, measured, page, page_run, tables, target
 from lupinmill.lab.scale.curves import (
     ANY, BETWEEN, COMPUTED, EXTENDED, FIRST, LAST, MEASURED, NEVER, Bound, Use,
 )
@@ -231,7 +231,7 @@
     one = figure(line(0.2, 0), day="quiet, sockets", sizes=(30,))
     one.points += [Point(30, 0, 0.25, hollow=False)]
     assert "sidecar cpu quiet, sockets, by members" not in by_key(run(one))
-    assert "| sidecar | cpu, quiet, sockets | 30 | 20% | 25% | -20% |" in page.of_run(TARGET, run(one))
+    assert "| sidecar | cpu, quiet, sockets | 30 | 20% | 25% | -20% |" in page_run.of_run(TARGET, run(one))
 
 
 def test_more_changes_a_second_are_no_larger_fleet():
