--- a/lupinmill/lab/scale/page_run.py
+++ b/lupinmill/lab/scale/page_run.py
@@ -1,5 +1,5 @@
-"""The page's tables of the run itself: what was measured and how it was fitted, hollow members beside real ones, and
-the ordinary path. Pure."""
+"""The page's tables of the run itself: what was measured and how it was fitted, hollow members beside real
+ones, and the ordinary path. Pure."""
 
 from __future__ import annotations
 
