--- a/lupinmill/program/in_force.py
+++ b/lupinmill/program/in_force.py
@@ -141,6 +141,7 @@
         self.watch = ConfigWatch(
             self.follower, scopes(base), program.store, self.take, log, config.keep or None
         )
+        self.watch.kept_index = kept.version.index
         self.run = self.watch.run
 
     def judge(self, base: Told, entries: Entries) -> Told:
--- a/tests/test_config_sidecar.py
+++ b/tests/test_config_sidecar.py
@@ -788,6 +788,7 @@
         assert net.program.told.deployment.most_launches == 3
         shown = await net.shown()
         assert (shown["version"], shown["source"], shown["scopes"]) == (7, "kept file", SCOPES)
+        assert (shown["mark"], shown["kept"], shown["heard"]) == ("mark", 7, 7)
 
     network(check, fine, keep=kept_file(tmp_path), before=silent)
 
