--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -1,7 +1,7 @@
 """Idle clients fill the descriptors while discovery is down: the process still gets its list, tells the truth
 about its readiness, serves, and stays within its limit."""
+import errno
 import os
-import signal
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import anyio
@@ -13,6 +13,7 @@
 from lupinmill import terms as t
 from lupinmill.protocol.http import Answer, ClientSide, Request
 from lupinmill.routing import take_in
+from lupinmill.transport import connection
 from lupinmill.transport.descriptors import Side
 
 READY = b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -89,3 +90,64 @@
     net = on_network(check, fine, fine, sockets=100, known=False, net_of=Down,
                      discovery="push" if pushed else "ask")
     assert t.Listed in map(type, net.notes) and not [log for log in net.logs if log[0] == "task_failed"]
+
+
+def test_a_call_for_the_list_that_found_no_descriptor_is_made_again(monkeypatch):
+    whole, made = connection.stream_socket, []
+
+    def short(host: str):
+        made.append(host)  # the first is the listener's
+        if len(made) in (2, 3):
+            raise OSError(errno.EMFILE, "Too many open files")
+        return whole(host)
+
+    monkeypatch.setattr(connection, "stream_socket", short)
+
+    async def check(net: Net):
+        await until(lambda: not net.program.directory.empty())
+        assert (await net.ask(READY)).status == 200
+
+    net = on_network(check, fine, known=False, discovery="push")
+    failed = [fields["error"] for event, fields in net.logs if event == "watch_failed"]
+    assert len(failed) == 2 and all("NoDescriptor" in error for error in failed)
+
+
+def test_a_process_started_anew_in_a_crowd_while_discovery_is_down_is_ready_and_keeps_its_limit(tmp_path):
+    sockets, began = 96, []
+
+    async def started(net: Net, serial: int) -> int:
+        """Gives its process id once it listens, the crowd's calls refused until then."""
+        process = spawn(tmp_path, net.table, serial)
+        began.append(process)
+        while True:
+            try:
+                async with crowd(net.table["listen"], 1, 0):
+                    return process.pid
+            except OSError:
+                assert process.poll() is None
+                await anyio.sleep(0.02)
+
+    def held(pid: int) -> int:
+        return len(os.listdir(f"/proc/{pid}/fd"))
+
+    async def main() -> None:
+        net = Net([fine], sockets=sockets)
+        async with anyio.create_task_group() as group:
+            await net.start(group)
+            net.discovery.fault = "reset"
+            net.address = net.table["listen"] = free_address()
+            for serial in range(2):
+                pid = await started(net, serial)
+                async with crowd(net.address, 50, 100):
+                    assert (await net.ask(READY)).status == 200 and held(pid) <= sockets
+                    assert (await net.ask(wanted(f"s{serial}"))).status == 200 and held(pid) <= sockets
+                    began[serial].kill()
+                    began[serial].wait()
+            group.cancel_scope.cancel()
+
+    try:
+        anyio.run(main)
+    finally:
+        for process in began:
+            process.kill()
+            process.wait()
