--- a/lupinmill/cli/scale.py
+++ b/lupinmill/cli/scale.py
@@ -15,7 +15,8 @@
 @click.option("--sizes", default="", help="Members, with commas; 100,300,1000,3000,20000 if not told.")
 @click.option("--seeds", default="", help="With commas; 1,2 if not told.")
 @click.option("--out", default="", metavar="FILE", help="Else the text's own, and none with --quick.")
-def slopes(quick: bool, sizes: str, seeds: str, out: str) -> None:
+@click.option("--only", default="", metavar="PARTS", help="Of members,added,returns,fanout; into the file.")
+def slopes(quick: bool, sizes: str, seeds: str, out: str, only: str) -> None:
     """What grows with the fleet: figures by role and size, with fits."""
     from lupinmill.lab.scale import measured, slopes
 
@@ -23,6 +24,12 @@
         usual = slopes.QUICK if quick else slopes.SIZES
         chosen = numbers(sizes, "--sizes", slopes.LEAST, slopes.MOST) or list(usual)
         drawn = numbers(seeds, "--seeds", 0, 2**31) or [1, 2]
+        parts = (slopes.MEMBERS,) if quick else (slopes.MEMBERS, *slopes.OTHERS)
+        if only:
+            if wrong := [part for part in only.split(",") if part not in (slopes.MEMBERS, *slopes.OTHERS)]:
+                every = ", ".join((slopes.MEMBERS, *slopes.OTHERS))
+                raise ValueError(f"--only {wrong[0] or only}: wants some of {every}")
+            parts = tuple(only.split(","))
         folder = Path(out).resolve().parent if out else None
         if folder is not None and not folder.is_dir():
             raise ValueError(f"--out {out}: no such directory")
@@ -32,13 +39,21 @@
         sys.exit(BAD)
     command = "lupinmill lab slopes" + "".join(
         f" {text}"
-        for text in (quick and "--quick", sizes and f"--sizes {sizes}", seeds and f"--seeds {seeds}")
+        for text in (
+            quick and "--quick",
+            sizes and f"--sizes {sizes}",
+            seeds and f"--seeds {seeds}",
+            only and f"--only {only}",
+        )
         if text
     )
-    found, wrong = slopes.measure(chosen, drawn, quick, command, lambda text: click.echo(text, err=True))
+    found, wrong = slopes.measure(chosen, drawn, quick, command, lambda text: click.echo(text, err=True), parts)
     click.echo(slopes.table(found))
+    path = Path(out) if out else measured.FILE
     if out or not quick:
-        measured.write(found, Path(out) if out else measured.FILE)
+        if only and path.exists():
+            found = slopes.merged(measured.read(path), found, parts)
+        measured.write(found, path)
     for text in wrong:
         click.echo(f"BROKEN: {text}")
     sys.exit(BROKEN if wrong else 0)
--- a/lupinmill/lab/scale/measured.py
+++ b/lupinmill/lab/scale/measured.py
@@ -68,6 +68,7 @@
     figures: list[Figure] = []
     added: list[Added] = []
     partial: list[str] = []  # what was not run, or ended before its end, in words
+    parts: dict[str, str] = {}  # of what was measured by a run of its own: command, commit and date
 
 
 def read(path: Path = FILE) -> Measured:
--- a/lupinmill/lab/scale/slopes.py
+++ b/lupinmill/lab/scale/slopes.py
@@ -20,6 +20,7 @@
 from lupinmill.lab.scale.book import Book, Key, Row, line
 from lupinmill.lab.scale.loopback import Side
 from lupinmill.lab.scale.measured import FILE, Added, Figure, Measured, Point
+from lupinmill.lab.scale.reference import microseconds
 from lupinmill.lab.scale.runs import Run
 
 SIZES = (100, 300, 1_000, 3_000, 20_000)
@@ -37,6 +38,7 @@
 BESIDE, QUICK_BESIDE = (30, 200, 100), (8, 400, 30)
 TRIES = 2  # a machine that stalls disturbs one; a member that differs fails all
 SOCKETS = (100,)  # hollow ones over sockets in one process; more want more than a core
+MEMBERS = "members"  # the part that is measured here
 OTHERS = ("added", "returns", "fanout")  # modules of this package with a `measure` of their own
 
 
@@ -105,31 +107,51 @@
 
 
 def measure(
-    sizes: list[int], seeds: list[int], quick: bool, command: str, tell: Callable[[str], None]
+    sizes: list[int],
+    seeds: list[int],
+    quick: bool,
+    command: str,
+    tell: Callable[[str], None],
+    parts: tuple[str, ...] = (MEMBERS, *OTHERS),
 ) -> tuple[Measured, list[str]]:
-    """Raises TooLarge."""
-    todo = plan(sizes, seeds, quick)
-    refuse_too_large(todo)
-    book, commit = Book(), commit_of(Path(__file__).resolve().parents[3])
-    found = beside(*(QUICK_BESIDE if quick else BESIDE), book, tell)
-    if not quick:
-        over_sockets(book, tell)
-    play_all(todo, book, tell)
-    measured = Measured(
-        command,
-        commit,
-        date.today().isoformat(),
-        seeds,
-        round(book.reference(), 3),
-        os.cpu_count() or 1,
-        book.figures(),
-    )
-    if not quick:
-        left_out(measured, sizes)
-    measured.partial += book.partial
-    if not quick:
-        others(measured, seeds)
-    return measured, found + checks.wrong(measured.figures)
+    """Raises TooLarge. What `parts` leaves out is told."""
+    commit = commit_of(Path(__file__).resolve().parents[3])
+    measured = Measured(command, commit, date.today().isoformat(), seeds, 0.0, os.cpu_count() or 1)
+    found: list[str] = []
+    if MEMBERS in parts:
+        book = Book()
+        todo = plan(sizes, seeds, quick)
+        refuse_too_large(todo)
+        found = beside(*(QUICK_BESIDE if quick else BESIDE), book, tell)
+        if not quick:
+            over_sockets(book, tell)
+        play_all(todo, book, tell)
+        measured.figures, measured.reference_us = book.figures(), round(book.reference(), 3)
+        if not quick:
+            left_out(measured, sizes)
+        measured.partial += book.partial
+        found += checks.wrong(measured.figures)
+    else:
+        measured.reference_us = round(microseconds(), 3)
+    others(measured, seeds, [name for name in OTHERS if name in parts], tell, quick)
+    measured.partial += [f"{name}: not run" for name in (MEMBERS, *OTHERS) if name not in parts]
+    return measured, found
+
+
+def merged(old: Measured, new: Measured, parts: tuple[str, ...]) -> Measured:
+    """The file as it was, with what one run of some parts measured anew in place of the same figures."""
+
+    def key(figure: Figure) -> tuple[str, str, str, str]:
+        return figure.role, figure.name, figure.day, figure.grows_with
+
+    anew = {key(figure) for figure in new.figures}
+    old.figures = [figure for figure in old.figures if key(figure) not in anew] + new.figures
+    old.added = new.added or old.added
+    told = tuple(f"{part}:" for part in parts)
+    old.partial = [text for text in old.partial if not text.startswith(told)]
+    old.partial += [text for text in new.partial if text.startswith(told)]
+    old.parts |= {part: f"{new.command}, text {new.commit}, {new.date}" for part in parts}
+    return old
 
 
 def left_out(measured: Measured, sizes: list[int]) -> None:
@@ -238,9 +260,11 @@
             end_children()
 
 
-def others(measured: Measured, seeds: list[int]) -> None:
+def others(
+    measured: Measured, seeds: list[int], parts: list[str], tell: Callable[[str], None], quick: bool = False
+) -> None:
     """Figures of parts with files of their own; one that is not there is told."""
-    for name in OTHERS:
+    for name in parts:
         try:
             module: Any = importlib.import_module(f"lupinmill.lab.scale.{name}")
         except ModuleNotFoundError:
@@ -248,7 +272,7 @@
             continue
         try:
             found: tuple[list[Added], list[Figure]] | list[Figure]
-            found = module.measure(False, seeds)
+            found = module.measure(quick, seeds, tell)
             if isinstance(found, tuple):
                 measured.added += found[0]
                 found = found[1]
--- a/tests/test_scale_slopes.py
+++ b/tests/test_scale_slopes.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import functools
+import multiprocessing
 import random
 from concurrent.futures import ProcessPoolExecutor
 
@@ -90,6 +91,7 @@
         (["--seeds", "-1"], "--seeds -1"),
         (["--seeds", "1,,2"], "--seeds 1,,2"),
         (["--out", "/no/such/place/m.json"], "--out"),
+        (["--only", "members,all"], "--only all"),
     ],
 )
 def test_a_bad_option_is_one_line_and_exit_2(told, word):
@@ -309,10 +311,32 @@
     assert {key.day for key in book.rows} == {"quiet"} and book.reference() > 0
 
 
-def test_parts_that_are_not_there_are_told(monkeypatch):
-    monkeypatch.setattr(slopes, "OTHERS", ("no_such_part",))
+def test_a_run_that_is_stopped_keeps_what_is_there_and_leaves_no_process():
+    def stop(text: str) -> None:
+        raise KeyboardInterrupt
+
+    book = Book()
+    todo = [runs.Run("quiet", 30, 1, 2), *(runs.Run("quiet", 300, seed, 100) for seed in (1, 2, 3))]
+    slopes.play_all(todo, book, stop, jobs=1)
+    assert {row.point.size for rows in book.rows.values() for row in rows} == {30}
+    assert len(book.partial) == 3 and all("stopped before its end" in text for text in book.partial)
+    assert multiprocessing.active_children() == []
+
+
+def test_parts_measured_apart_go_into_the_file_and_leave_the_others():
+    def one(name: str, mean: float) -> Figure:
+        return Figure("sidecar", name, "s", "members", "quiet", [Point(1, 1, mean)])
+
+    old = Measured("a", "1", "d", [1], 1.0, 8, [one("x", 1.0), one("y", 1.0)], partial=["returns: not run", "z"])
+    new = Measured("b", "2", "e", [1], 2.0, 8, [one("y", 2.0)], partial=["members: not run"])
+    found = slopes.merged(old, new, ("returns",))
+    assert [(figure.name, figure.points[0].mean) for figure in found.figures] == [("x", 1.0), ("y", 2.0)]
+    assert found.partial == ["z"] and found.parts == {"returns": "b, text 2, e"}
+
+
+def test_parts_that_are_not_there_are_told():
     found = Measured("c", "t", "d", [1], 1.0, 1)
-    slopes.others(found, [1])
+    slopes.others(found, [1], ["no_such_part"], print)
     assert found.partial == ["no_such_part: not there, not run"]
 
 
