--- a/lupinmill/cli/scale.py
+++ b/lupinmill/cli/scale.py
@@ -4,8 +4,13 @@
 
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
+import msgspec
+
+if TYPE_CHECKING:
+    from lupinmill.lab.scale.measured import Measured
 
 BROKEN, BAD = 1, 2
 
@@ -30,9 +35,10 @@
                 every = ", ".join((slopes.MEMBERS, *slopes.OTHERS))
                 raise ValueError(f"--only {wrong[0] or only}: wants some of {every}")
             parts = tuple(only.split(","))
-        folder = Path(out).resolve().parent if out else None
-        if folder is not None and not folder.is_dir():
-            raise ValueError(f"--out {out}: no such directory")
+        path = Path(out) if out else measured.FILE
+        if not path.resolve().parent.is_dir() or path.is_dir():
+            raise ValueError(f"--out {out}: no such directory, or it is one itself")
+        before = earlier(path) if only else None
         slopes.refuse_too_large(slopes.plan(chosen, drawn, quick))
     except ValueError as error:
         click.echo(f"lupinmill: {error}", err=True)
@@ -47,18 +53,27 @@
         )
         if text
     )
-    found, wrong = slopes.measure(chosen, drawn, quick, command, lambda text: click.echo(text, err=True), parts)
+    found, wrong = slopes.measure(
+        chosen, drawn, quick, command, lambda text: click.echo(text, err=True), parts
+    )
     click.echo(slopes.table(found))
-    path = Path(out) if out else measured.FILE
     if out or not quick:
-        if only and path.exists():
-            found = slopes.merged(measured.read(path), found, parts)
-        measured.write(found, path)
+        measured.write(slopes.merged(before, found, parts) if before is not None else found, path)
     for text in wrong:
         click.echo(f"BROKEN: {text}")
     sys.exit(BROKEN if wrong else 0)
 
 
+def earlier(path: Path) -> Measured | None:
+    """What a run of some parts goes into. Raises ValueError."""
+    from lupinmill.lab.scale import measured
+
+    try:
+        return measured.read(path) if path.exists() else None
+    except (OSError, msgspec.DecodeError) as error:
+        raise ValueError(f"--out {path}: no file of an earlier run: {error}") from error
+
+
 def numbers(text: str, key: str, least: int, most: int) -> list[int]:
     """Raises ValueError."""
     try:
--- a/lupinmill/lab/scale/checks.py
+++ b/lupinmill/lab/scale/checks.py
@@ -3,8 +3,6 @@
 
 from __future__ import annotations
 
-from statistics import mean
-
 from lupinmill.lab.scale import honest
 from lupinmill.lab.scale.loopback import Side
 from lupinmill.lab.scale.measured import Figure
--- a/lupinmill/lab/scale/measured.py
+++ b/lupinmill/lab/scale/measured.py
@@ -1,4 +1,5 @@
-"""What `lupinmill lab slopes` writes and `lupinmill lab capacity` reads: one JSON file, written by the run alone.
+"""What `lupinmill lab slopes` writes and `lupinmill lab capacity` reads: one JSON file, written by the run
+alone.
 
 A figure belongs to a role ("sidecar", "elector", "holder", "discovery", "source", "relay"), has a unit and a
 size that it grows with. Points are single runs; the fit is over all of them."""
@@ -22,8 +23,9 @@
 
 
 class Fit(Struct, forbid_unknown_fields=True):
-    """`intercept + slope * size + curvature * size**2`, over sizes `first` to `last`. Where `straight` is false
-    the line (and any sum beyond `last`) must not be extended; `slope` is that of the straight fit then."""
+    """`intercept + slope * size`, over sizes `first` to `last`; where `straight`, `curvature` is 0. Where not,
+    the line (and any sum beyond `last`) must not be extended: intercept and slope are those of the line that
+    misses, `curvature` that of the best parabola."""
 
     intercept: float
     slope: float
@@ -48,7 +50,8 @@
 
 
 class Added(Struct, forbid_unknown_fields=True):
-    """Time added to a call: through a sidecar less straight, by turns in one run, open loop, from when due."""
+    """Time added to a call: through a sidecar less straight, by turns in one run, open loop, from when it was
+    due."""
 
     calls_a_second: float
     seed: int
--- a/lupinmill/lab/scale/slopes.py
+++ b/lupinmill/lab/scale/slopes.py
@@ -284,7 +284,8 @@
 def table(measured: Measured) -> str:
     rows = [line(figure) for figure in measured.figures]
     rows.append(
-        f"reference loop {measured.reference_us:.1f} us a turn, {measured.cores} cores, text {measured.commit}"
+        f"reference loop {measured.reference_us:.1f} us a turn, {measured.cores} cores, "
+        f"text {measured.commit}"
     )
     rows += [f"partial: {text}" for text in measured.partial]
     return "\n".join(rows)
--- a/tests/test_scale_slopes.py
+++ b/tests/test_scale_slopes.py
@@ -14,7 +14,8 @@
 from lupinmill.cli.scale import slopes as command
 from lupinmill.lab.fleet import Fleet
 from lupinmill.lab.fleet_virtual import VirtualFleet
-from lupinmill.lab.scale import checks, days, holder, honest, hollow, loopback, measured, runs, settings, slopes
+from lupinmill.lab.scale import checks, days, holder, honest, hollow, loopback, measured, runs, slopes
+from lupinmill.lab.scale import settings as costs
 from lupinmill.lab.scale.book import Book, Key, Row
 from lupinmill.lab.scale.fit import fit
 from lupinmill.lab.scale.loopback import Side
@@ -99,6 +100,13 @@
     assert done.exit_code == 2 and done.output.count("\n") == 1 and word in done.output
 
 
+def test_a_file_that_is_none_of_an_earlier_run_is_refused_before_anything_starts(tmp_path):
+    bad = tmp_path / "m.json"
+    bad.write_text("{}")
+    done = CliRunner().invoke(command, ["--only", "returns", "--out", str(bad)])
+    assert done.exit_code == 2 and done.output.count("\n") == 1 and str(bad) in done.output
+
+
 def test_a_size_that_would_pass_half_of_the_memory_is_refused_before_it_starts(monkeypatch):
     monkeypatch.setattr(slopes, "memory_of_machine", lambda: 2**28)
     monkeypatch.setattr(slopes, "play_all", lambda *a, **k: pytest.fail("it started"))
@@ -109,7 +117,7 @@
 
 
 def test_the_look_ahead_at_memory_is_more_than_the_state():
-    assert hollow.memory_wanted(1_000, 1) > settings.state(1_000)
+    assert hollow.memory_wanted(1_000, 1) > costs.state(1_000)
 
 
 # --- hollow members --------------------------------------------------------------------------------
@@ -202,7 +210,7 @@
 def test_a_file_over_its_cap_is_refused_and_read_by_a_trial_alone():
     kept = operators_file.MOST_MEMBERS, operators_file.LARGEST
     with pytest.raises(operators_file.BadFile, match="2000"):
-        settings.read_file(2_100)
+        costs.read_file(2_100)
     rows = runs.file(runs.Run("file", 2_100, 1))
     assert all("trial with the caps lifted" in row.note for row in rows)
     assert (operators_file.MOST_MEMBERS, operators_file.LARGEST) == kept
@@ -210,9 +218,9 @@
 
 
 def test_lists_and_state_grow_by_endpoint_and_member():
-    _, memory, size = settings.read_lists(2_000)
+    _, memory, size = costs.read_lists(2_000)
     assert 100 < size / 2_000 < 200 and memory > size
-    assert settings.state(2_000) > 1.5 * settings.state(1_000)
+    assert costs.state(2_000) > 1.5 * costs.state(1_000)
 
 
 # --- checks that can fail --------------------------------------------------------------------------
@@ -290,7 +298,8 @@
 
 def test_a_quiet_fleet_keeps_its_bounds_and_planted_faults_break_them():
     assert checks.wrong(quiet_figures()) == []
-    assert any("messages out" in text and "wants up to" in text for text in checks.wrong(quiet_figures(Double)))
+    doubled = checks.wrong(quiet_figures(Double))
+    assert any("messages out" in text and "wants up to" in text for text in doubled)
     assert any("rows" in text for text in checks.wrong(quiet_figures(Deaf)))
 
 
@@ -327,7 +336,8 @@
     def one(name: str, mean: float) -> Figure:
         return Figure("sidecar", name, "s", "members", "quiet", [Point(1, 1, mean)])
 
-    old = Measured("a", "1", "d", [1], 1.0, 8, [one("x", 1.0), one("y", 1.0)], partial=["returns: not run", "z"])
+    told = ["returns: not run", "z"]
+    old = Measured("a", "1", "d", [1], 1.0, 8, [one("x", 1.0), one("y", 1.0)], partial=told)
     new = Measured("b", "2", "e", [1], 2.0, 8, [one("y", 2.0)], partial=["members: not run"])
     found = slopes.merged(old, new, ("returns",))
     assert [(figure.name, figure.points[0].mean) for figure in found.figures] == [("x", 1.0), ("y", 2.0)]
