--- a/lupinmill/lab/scale/measured.py
+++ b/lupinmill/lab/scale/measured.py
@@ -23,7 +23,7 @@
 
 
 class Fit(Struct, forbid_unknown_fields=True):
-    """`intercept + slope * size`, over sizes `first` to `last`; where `straight`, `curvature` is 0. Where not,
+    """`intercept + slope * size`, over sizes `first` to `last`; where `straight`, `curvature` is 0. Else
     the line (and any sum beyond `last`) must not be extended: intercept and slope are those of the line that
     misses, `curvature` that of the best parabola."""
 
