--- a/lupinmill/lab/scale/returns.py
+++ b/lupinmill/lab/scale/returns.py
@@ -169,8 +169,8 @@
             note = (
                 f"virtual time, the very Discovery and asking; {what}; lists {mode}; discovery works through"
                 f" {capacity:g} calls a second in turn, {ENDPOINTS} endpoints a list, {AWAY[mode]:g} s"
-                " away for ten minutes (pauses are at their longest by then); peak is the dearest second (of waits:"
-                f" the longest; {MOST:g} s where some never had one)"
+                " away for ten minutes (pauses are at their longest by then); peak is the dearest second"
+                f" (of waits: the longest; {MOST:g} s where some never had one)"
             )
             key = (f"{figure}, {told}", name)
             unit = UNITS[figure]
