--- a/tests/test_scale_slopes.py
+++ b/tests/test_scale_slopes.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import functools
+import multiprocessing
 import random
 from concurrent.futures import ProcessPoolExecutor
 
@@ -13,7 +14,8 @@
 from lupinmill.cli.scale import slopes as command
 from lupinmill.lab.fleet import Fleet
 from lupinmill.lab.fleet_virtual import VirtualFleet
-from lupinmill.lab.scale import checks, days, holder, honest, hollow, loopback, measured, runs, settings, slopes
+from lupinmill.lab.scale import checks, days, holder, honest, hollow, loopback, measured, runs, slopes
+from lupinmill.lab.scale import settings as costs
 from lupinmill.lab.scale.book import Book, Key, Row
 from lupinmill.lab.scale.fit import fit
 from lupinmill.lab.scale.loopback import Side
@@ -90,6 +92,7 @@
         (["--seeds", "-1"], "--seeds -1"),
         (["--seeds", "1,,2"], "--seeds 1,,2"),
         (["--out", "/no/such/place/m.json"], "--out"),
+        (["--only", "members,all"], "--only all"),
     ],
 )
 def test_a_bad_option_is_one_line_and_exit_2(told, word):
@@ -97,6 +100,13 @@
     assert done.exit_code == 2 and done.output.count("\n") == 1 and word in done.output
 
 
+def test_a_file_that_is_none_of_an_earlier_run_is_refused_before_anything_starts(tmp_path):
+    bad = tmp_path / "m.json"
+    bad.write_text("{}")
+    done = CliRunner().invoke(command, ["--only", "returns", "--out", str(bad)])
+    assert done.exit_code == 2 and done.output.count("\n") == 1 and str(bad) in done.output
+
+
 def test_a_size_that_would_pass_half_of_the_memory_is_refused_before_it_starts(monkeypatch):
     monkeypatch.setattr(slopes, "memory_of_machine", lambda: 2**28)
     monkeypatch.setattr(slopes, "play_all", lambda *a, **k: pytest.fail("it started"))
@@ -107,7 +117,7 @@
 
 
 def test_the_look_ahead_at_memory_is_more_than_the_state():
-    assert hollow.memory_wanted(1_000, 1) > settings.state(1_000)
+    assert hollow.memory_wanted(1_000, 1) > costs.state(1_000)
 
 
 # --- hollow members --------------------------------------------------------------------------------
@@ -200,7 +210,7 @@
 def test_a_file_over_its_cap_is_refused_and_read_by_a_trial_alone():
     kept = operators_file.MOST_MEMBERS, operators_file.LARGEST
     with pytest.raises(operators_file.BadFile, match="2000"):
-        settings.read_file(2_100)
+        costs.read_file(2_100)
     rows = runs.file(runs.Run("file", 2_100, 1))
     assert all("trial with the caps lifted" in row.note for row in rows)
     assert (operators_file.MOST_MEMBERS, operators_file.LARGEST) == kept
@@ -208,9 +218,9 @@
 
 
 def test_lists_and_state_grow_by_endpoint_and_member():
-    _, memory, size = settings.read_lists(2_000)
+    _, memory, size = costs.read_lists(2_000)
     assert 100 < size / 2_000 < 200 and memory > size
-    assert settings.state(2_000) > 1.5 * settings.state(1_000)
+    assert costs.state(2_000) > 1.5 * costs.state(1_000)
 
 
 # --- checks that can fail --------------------------------------------------------------------------
@@ -288,7 +298,8 @@
 
 def test_a_quiet_fleet_keeps_its_bounds_and_planted_faults_break_them():
     assert checks.wrong(quiet_figures()) == []
-    assert any("messages out" in text and "wants up to" in text for text in checks.wrong(quiet_figures(Double)))
+    doubled = checks.wrong(quiet_figures(Double))
+    assert any("messages out" in text and "wants up to" in text for text in doubled)
     assert any("rows" in text for text in checks.wrong(quiet_figures(Deaf)))
 
 
@@ -309,10 +320,33 @@
     assert {key.day for key in book.rows} == {"quiet"} and book.reference() > 0
 
 
-def test_parts_that_are_not_there_are_told(monkeypatch):
-    monkeypatch.setattr(slopes, "OTHERS", ("no_such_part",))
+def test_a_run_that_is_stopped_keeps_what_is_there_and_leaves_no_process():
+    def stop(text: str) -> None:
+        raise KeyboardInterrupt
+
+    book = Book()
+    todo = [runs.Run("quiet", 30, 1, 2), *(runs.Run("quiet", 300, seed, 100) for seed in (1, 2, 3))]
+    slopes.play_all(todo, book, stop, jobs=1)
+    assert {row.point.size for rows in book.rows.values() for row in rows} == {30}
+    assert len(book.partial) == 3 and all("stopped before its end" in text for text in book.partial)
+    assert multiprocessing.active_children() == []
+
+
+def test_parts_measured_apart_go_into_the_file_and_leave_the_others():
+    def one(name: str, mean: float) -> Figure:
+        return Figure("sidecar", name, "s", "members", "quiet", [Point(1, 1, mean)])
+
+    told = ["returns: not run", "z"]
+    old = Measured("a", "1", "d", [1], 1.0, 8, [one("x", 1.0), one("y", 1.0)], partial=told)
+    new = Measured("b", "2", "e", [1], 2.0, 8, [one("y", 2.0)], partial=["members: not run"])
+    found = slopes.merged(old, new, ("returns",))
+    assert [(figure.name, figure.points[0].mean) for figure in found.figures] == [("x", 1.0), ("y", 2.0)]
+    assert found.partial == ["z"] and found.parts == {"returns": "b, text 2, e"}
+
+
+def test_parts_that_are_not_there_are_told():
     found = Measured("c", "t", "d", [1], 1.0, 1)
-    slopes.others(found, [1])
+    slopes.others(found, [1], ["no_such_part"], print)
     assert found.partial == ["no_such_part: not there, not run"]
 
 
