--- a/lupinmill/lab/scale/added.py
+++ b/lupinmill/lab/scale/added.py
@@ -14,6 +14,7 @@
 import statistics
 import sys
 import tempfile
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -22,6 +23,7 @@
 import msgspec
 
 from lupinmill.lab.processes import ROOT, Process
+from lupinmill.lab.scale import reference
 from lupinmill.lab.scale.load import Block, Told
 from lupinmill.lab.scale.measured import Added, Figure, Point
 
@@ -30,6 +32,7 @@
 ENDPOINTS = 24  # of a service of the target: 20,000 by 840
 BLOCK, PAIRS, WARM = 2.0, 8, 2.0  # seconds, turns at each rate, seconds before them
 QUICK_BLOCK, QUICK_PAIRS, QUICK_WARM = 0.5, 2, 0.3
+REFERENCE = 100  # turns of the reference loop between two blocks
 WAITED = 0.1  # waiting for a core, by its own time on it, from which on a figure counts as disturbed
 CARRIED = 0.99  # part of the calls handled from which on a rate counts as carried
 LIMIT = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
@@ -131,6 +134,7 @@
     told: Told
     spent: Spent
     loadavg: float
+    reference: float = 0.0  # seconds of processor time for a turn of the reference loop, just before
     round: int = 0  # those of one round came one after the other, with the same arrivals
 
 
@@ -175,10 +179,19 @@
     async def turn(self, arm: str, rate: float, seconds: float, seed: int) -> Turn:
         assert self.sidecar is not None and self.sidecar.process is not None
         pid = self.sidecar.process.pid
+        turn = reference_turn()
         before, load = spent(pid), os.getloadavg()[0]
         self.load.say(msgspec.json.encode(Block(self.addresses[arm], rate, seconds, seed)))
         came = msgspec.json.decode(await self.load.hear(), type=Told)
-        return Turn(rate, arm, came, spent(pid).less(before), load)
+        return Turn(rate, arm, came, spent(pid).less(before), load, turn)
+
+
+def reference_turn() -> float:
+    """What one turn takes just now: this machine is up to three times slower where it is full."""
+    began = time.thread_time()
+    for _ in range(REFERENCE):
+        reference.turn()
+    return (time.thread_time() - began) / REFERENCE
 
 
 async def turns(seed: int, rates: tuple[float, ...], seconds: float, pairs: int, warm: float) -> list[Turn]:
@@ -211,6 +224,12 @@
     cpu: Spent  # a call of those handled
     late: float  # median of the load's own lateness, p99
     loadavg: float
+    reference: float  # seconds, median of turns of the reference loop between the blocks
+
+    @property
+    def relative(self) -> float:
+        """Processor time of a call in turns of the reference loop."""
+        return (self.cpu.user + self.cpu.system) / self.reference if self.reference else 0.0
 
 
 def sum_up(blocks: list[Turn]) -> Sum:
@@ -228,6 +247,7 @@
         Spent(whole.user / calls, whole.system / calls, whole.waited / calls),
         statistics.median(b.told.sent_late for b in blocks),
         statistics.mean(b.loadavg for b in blocks),
+        statistics.median(b.reference for b in blocks),
     )
 
 
@@ -262,7 +282,8 @@
         f" {b.p50 * 1e3:6.2f}"
         f" {b.p99 * 1e3:7.2f} ms; added p50 {(t.p50 - s.p50) * 1e3:6.2f} p99 {(t.p99 - s.p99) * 1e3:7.2f};"
         f" handled {t.handled:.4f}; cpu a call {(t.cpu.user + t.cpu.system) * 1e6:4.0f} us"
-        f" ({t.cpu.system * 1e6:.0f} system), core waited for {t.cpu.waited * 1e6:4.0f} us a call;"
+        f" ({t.cpu.system * 1e6:.0f} system; {t.relative:.0f} turns of the reference loop), core waited for"
+        f" {t.cpu.waited * 1e6:4.0f} us a call;"
         f" load sent late p99 {t.late * 1e3:.2f} ms; loadavg {t.loadavg:.1f} on {os.cpu_count()} cores"
         + ("; DISTURBED by other load" if disturbed(arms) else "")
     )
@@ -289,6 +310,8 @@
     return [
         figure("cpu a call", "s", lambda a: (a["through"].cpu.user + a["through"].cpu.system, 0.0),
                f"user and system of the process by calls handled; {where}"),
+        figure("cpu a call, turns of the reference loop", "turns", lambda a: (a["through"].relative, 0.0),
+               f"so that machines, and a busy one and a quiet one, can be compared; {where}"),
         figure("system cpu a call", "s", lambda a: (a["through"].cpu.system, 0.0),
                f"part of cpu a call; {where}"),
         figure("core waited for a call", "s", lambda a: (a["through"].cpu.waited, 0.0),
--- a/tests/test_scale_added.py
+++ b/tests/test_scale_added.py
@@ -104,7 +104,7 @@
 
 def turn(arm, p50, p99, asked=100, handled=100, user=0.0, waited=0.0, at=0):
     told = load.Told(asked=asked, handled=handled, denied=asked - handled, p50=p50, p99=p99, sent_late=0.001)
-    return added.Turn(285.0, arm, told, added.Spent(user, user / 2, waited), 4.0, at)
+    return added.Turn(285.0, arm, told, added.Spent(user, user / 2, waited), 4.0, 0.001, at)
 
 
 def test_medians_over_blocks_bear_one_that_was_disturbed_and_show_how_far_blocks_lie_apart():
@@ -118,6 +118,8 @@
     assert through.cpu.user == pytest.approx(1.0 / 250) and through.cpu.waited == pytest.approx(2.5 / 250)
     by_name = {figure.name: figure for figure in added.figures({(285.0, 1): arms}, {(285.0, 1): arms})}
     assert by_name["cpu a call"].points[0].mean == pytest.approx(1.5 / 250)
+    turns = by_name["cpu a call, turns of the reference loop"].points[0].mean
+    assert turns == pytest.approx(1.5 / 250 / 0.001)
     assert by_name["handled"].points[0].mean == pytest.approx(250 / 300)
     assert by_name["added"].points[0].mean == 0 and "load average 4.0" in by_name["added"].note
 
