--- a/lupinmill/lab/scale/page.py
+++ b/lupinmill/lab/scale/page.py
@@ -81,13 +81,13 @@
     head = ("role", "what", "budget", "use at the target", "headroom", "N*", "verdict", "carried by")
     text = table(head, found)
     others = [
-        (figure.role, f"{figure.name}, {figure.day}",
+        (figure.role, f"{figure.name}, {figure.day}", figure.grows_with,
          "no such size" if use is None else used(use, figure.unit), "peak" if peaks else "mean")
         for figure, use, peaks in capacity.unbudgeted(target, measured)
     ]  # fmt: skip
     if others:
         text += "\n\nMeasured, without a budget of the letter:\n\n"
-        text += table(("role", "what", "at the target", "of"), others)
+        text += table(("role", "what", "grows with", "at the target", "of"), others)
     return text
 
 
