Where no kernel tells, a request may have waited for as long as the queue was not empty

Change: the listener looks whether its queue is empty before it waits (one poll a turn of accepting) and tells each connection since when it was not; where no stamp is there, the first request is taken to have waited so long, seven eighths of its time at most. With stamps nothing changes.

The test holds the accepting back and was seen failing without stamps.

--- a/lupinmill/routing/admit.py
+++ b/lupinmill/routing/admit.py
@@ -43,7 +43,7 @@
             return plain(error.status, f"{error}\n")
         if asked.workload in self.gone:
             return submission.denied(self.advice)
-        waited = client.waited()
+        waited = client.waited_for(asked.left)
         due = self.due(asked.left, waited)
         if body is not None and not body.whole:
             due += int(to_come * 1_000_000)
--- a/lupinmill/transport/client.py
+++ b/lupinmill/transport/client.py
@@ -30,6 +30,7 @@
         # None of its requests was answered by this process: it may have waited in the kernel's queue, where
         # nobody saw it leave, and no stamp tells for how long.
         self.new = True
+        self.queued = 0  # microseconds that it may have waited there at the most
         self.inside = False  # a request of its is being worked on
         self.broken = False  # it takes no answers
         self.offer: Any = None  # a request of its that waits before the program
@@ -74,6 +75,16 @@
                 self.overrun = True
         return self.left or self.closed
 
+    def waited_for(self, left: int) -> int:
+        """As `waited`, of a request with so much time left. Where no kernel tells, the first one of a
+        connection may have lain in the kernel's queue for as long as that was not seen empty: guards against
+        launches that are told more time than their client has, and answers after its hard limit. An eighth of
+        the time is left in any case, or a queue that never empties would have all of it denied."""
+        waited = self.waited()
+        if self.arrived or not self.new:
+            return waited
+        return max(waited, min(self.queued, left - left // 8))
+
     async def gone(self) -> None:
         """Waits until its client has left."""
         while True:
--- a/lupinmill/transport/listener.py
+++ b/lupinmill/transport/listener.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import errno
+import select
 import socket
 import time
 from collections.abc import Awaitable, Callable
@@ -47,6 +48,9 @@
         self.turn: anyio.CancelScope | None = None  # of accepting
         self.resumed: anyio.Event | None = None  # while it does not accept
         self.sock = listen_at(address, BACKLOG) if sock is None else sock
+        self.poll = select.poll()
+        self.poll.register(self.sock, select.POLLIN)
+        self.waiting_since = time.monotonic()  # since when the kernel's queue has not been seen empty
         self.address = "%s:%d" % self.sock.getsockname()[:2]
         descriptors.close_idle_client = self.make_room
 
@@ -56,7 +60,9 @@
             if self.resumed is not None:
                 await self.resumed.wait()
             with anyio.CancelScope() as self.turn:
-                await anyio.wait_readable(self.sock)
+                if not self.poll.poll(0):
+                    await anyio.wait_readable(self.sock)
+                    self.waiting_since = time.monotonic()  # it came in this pass
                 try:
                     await self.accept_all(group, serve)
                 except OSError as error:
@@ -85,6 +91,8 @@
         if place:
             client = Client(sock, self.store, lambda: self.descriptors.give_back(Side.CLIENT))
             client.asked = asked
+            if not asked:
+                client.queued = int((time.monotonic() - self.waiting_since) * 1_000_000)
             group.start_soon(serve, client, True)
         else:
             self.turning_away += 1
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -203,8 +203,8 @@
 
 def test_a_client_that_left_in_the_kernels_queue_while_no_place_was_free_is_launched_nowhere(monkeypatch):
     """Descriptors are full, a client sends and goes, then a place comes free: its request and its end are
-    read in one pass, and by the stamps it came just now. Seen failing as a request at the endpoint, on the kept
-    connection that wants no pass of its own."""
+    read in one pass, and by the stamps it came just now. Seen failing as a request at the endpoint, on the
+    kept connection that wants no pass of its own."""
     by_age_or_lag_alone_never(monkeypatch)
     monkeypatch.setattr(take_in, "CROWDED_OUT", 60.0)  # those that are turned away keep their places
     there, go_on = anyio.Event(), anyio.Event()
@@ -311,6 +311,51 @@
     on_network(check, act, net_of=Unhurried)
 
 
+@pytest.mark.parametrize("stamped", [True, False])
+def test_the_time_of_a_request_runs_while_it_waits_in_the_kernels_queue(stamped, monkeypatch):
+    """Nothing is accepted while two clients send. Seen failing where no kernel tells when bytes came: launches
+    told all 8 s. What comes to an empty queue has all of its time."""
+    if not stamped:
+        monkeypatch.setattr("lupinmill.transport.connection.STAMP_ROOM", 0)
+        monkeypatch.setattr("lupinmill.transport.connection.LAST_DATA", 10_000)
+    told = {}
+
+    async def act(request):
+        told[request.header(b"req-id")] = float(request.header(b"req-deadline"))
+        return await fine(request)
+
+    async def check(net: Net):
+        listener = net.program.descriptors.close_idle_client.__self__
+        accept_all = listener.accept_all
+        held, go_on = anyio.Event(), anyio.Event()
+
+        async def later(group, serve):
+            held.set()
+            await go_on.wait()
+            await accept_all(group, serve)
+
+        listener.accept_all = later
+        async with await connect(net) as first, await connect(net) as second:
+            await held.wait()
+            await first.send(wanted("s1", deadline="8"))
+            await second.send(wanted("s2", deadline="8"))
+            began = anyio.current_time()
+            await anyio.sleep(0.3)
+            waited = anyio.current_time() - began
+            go_on.set()
+            await until(lambda: len(told) == 2)
+            assert max(told.values()) <= 8.0 - waited
+            listener.accept_all = accept_all
+        await until(lambda: net.program.descriptors.open[Side.CLIENT] == 0)
+        async with await connect(net) as third:
+            await third.send(wanted("s3", deadline="8"))
+            await until(lambda: len(told) == 3)
+            assert told["s3"] > 8.0 - waited
+        await all_quiet(net)
+
+    on_network(check, act, net_of=Unhurried)
+
+
 def test_a_client_that_left_while_its_body_waited_for_room_is_noticed_at_the_launch(monkeypatch):
     """Nothing is read of a body that there is no room for, so its end lies behind unread bytes."""
     monkeypatch.setattr("lupinmill.routing.send.WAITED", 0, raising=False)
