--- a/tests/test_config_core.py
+++ b/tests/test_config_core.py
@@ -47,6 +47,7 @@
     max_leaves=6,
 )
 changes = st.dictionaries(st.sampled_from(KEYS), values, max_size=4)
+few_changes = st.dictionaries(st.sampled_from(KEYS[:3]), st.none() | st.integers(0, 3), min_size=1)
 scopes = st.lists(st.sampled_from(SCOPES), unique=True).map(tuple)
 versions = st.builds(Version, st.integers(0, wire.HIGHEST), st.text("0123456789abcdef", max_size=32))
 
@@ -68,7 +69,10 @@
 
 
 @settings(derandomize=True, deadline=None, max_examples=100)
-@given(st.lists(changes | st.none(), max_size=8), scopes, st.integers(0, 6), st.integers(100, 2000))
+@given(
+    st.lists(few_changes | changes | st.none(), max_size=8), scopes, st.integers(0, 8),
+    st.sampled_from([100, 700, 100_000]),
+)
 def test_a_snapshot_and_changes_are_the_later_snapshot(pushes, watched, most_changes, most_bytes):
     """From every version that ever was, for any scopes, however little is kept; also through a relay that was
     told of some versions only. None among the pushes is a restore."""
@@ -119,6 +123,23 @@
         assert third.version.mark != one.version.mark
 
 
+def test_a_mark_stands_for_all_changes_before_it_too():
+    one, other = History(Version(), {}), History(Version(), {})
+    one.push({FLEET: 1})
+    other.push({FLEET: 2})
+    assert one.push({ONE: 1}).index == other.push({ONE: 1}).index
+    assert one.version.mark != other.version.mark
+
+
+def test_of_several_changes_of_a_key_the_last_is_told():
+    history = History(Version(), {})
+    since = history.push({FLEET: 0, ONE: 0})
+    for value in (1, 2, 3):
+        history.push({FLEET: value})
+    history.push({ONE: None})
+    assert history.reply(since, ()).entries == {FLEET: 3, ONE: None}
+
+
 def test_what_changes_nothing_makes_no_version_and_json_types_are_apart():
     history = History(Version(), {})
     first = history.push({FLEET: {"a": 1, "b": 2}})
