--- a/tests/test_config_core.py
+++ b/tests/test_config_core.py
@@ -5,6 +5,7 @@
 import errno
 import os
 import random
+import stat
 from collections import Counter
 
 import orjson
@@ -403,6 +404,8 @@
     run.answer(source.reply(run.until_asked().since, ()))
     assert run.applies[-1] == Apply(source.version, source.entries)
     assert "snapshot of version 7 in place of 5" in run.logs[-1]
+    run.took()
+    assert run.until_asked().since == source.version  # changes again
 
 
 @pytest.mark.parametrize("whole", [True, False])
@@ -503,14 +506,14 @@
     run = Run(made(("a",), spread=0))
     run.until_asked()
     begun, index = run.now, 0
-    while run.now < begun + SECOND:
+    while run.now < begun + SECOND and index < 1000:
         index += 1
         run.answer(Reply(Version(index, "m"), True, {}), 0)
         run.step(Took(Version(index, "m")))
         run.until_asked()
     assert 50 <= index <= 101
     begun, count = run.now, 0
-    while run.now < begun + 60 * SECOND:
+    while run.now < begun + 60 * SECOND and count < 1000:
         run.answer(Reply(Version(index, "m"), False, {}, Version(index, "m")), 0)
         run.until_asked()
         count += 1
@@ -914,6 +917,15 @@
     assert keep.load(path) == KEPT and left(tmp_path) == ["config"]
 
 
+def test_file_and_directory_are_on_disk_before_it_counts_as_kept(tmp_path, monkeypatch):
+    real, order = os.fsync, []
+    rename = os.rename
+    monkeypatch.setattr(os, "fsync", lambda fd: (order.append(stat.S_ISDIR(os.fstat(fd).st_mode)), real(fd)))
+    monkeypatch.setattr(os, "rename", lambda *paths: (order.append("renamed"), rename(*paths)))
+    keep.save(tmp_path / "config", *KEPT)
+    assert order == [False, "renamed", True]
+
+
 def test_what_a_killed_process_left_half_written_does_not_stand_in_the_way(tmp_path):
     path, fresh = tmp_path / "config", tmp_path / ".config.new"
     keep.save(path, *KEPT)
