--- a/lupinmill/cli/lab.py
+++ b/lupinmill/cli/lab.py
@@ -459,6 +459,21 @@
     fleet_measure.table(chosen, counts, seeds, seconds, jobs or os.cpu_count() or 1, click.echo)
 
 
+def explore_versions(departures: int, states: int, walks: int) -> None:
+    from lupinmill.lab import explore_config
+
+    outcome = explore_config.check(departures, states)
+    how = "all" if outcome.whole else "not all"
+    click.echo(f"{outcome.states} states, {how} schedules with up to {outcome.departures} departures")
+    wrong = f"{outcome.found.wrong}: {outcome.found.text()}" if outcome.found is not None else ""
+    if not wrong:
+        count, wrong = explore_config.walks(range(walks))
+        click.echo(f"{count} walks")
+    click.echo(wrong or "nothing goes wrong")
+    if wrong:
+        sys.exit(BROKEN)
+
+
 @lab.command()
 @click.option("--members", "size", default=3, show_default=True, type=click.Choice([3, 5]))
 @click.option("--wanting", default=2, show_default=True, help="How many of them ask for the lease.")
@@ -468,6 +483,7 @@
 @click.option("--walks", default=0, show_default=True, help="Schedules by chance, after them.")
 @click.option("--seconds", default=3.0, show_default=True, help="Of the small world's time.")
 @click.option("--replay", "schedule", default="", help="Play this schedule instead.")
+@click.option("--config", is_flag=True, help="Of versioned configuration: source, relays and sidecars.")
 def explore(
     size: int,
     wanting: int,
@@ -477,8 +493,12 @@
     walks: int,
     seconds: float,
     schedule: str,
+    config: bool,
 ) -> None:
     """Model check of leases and decisions over the very cores; prints a failing schedule, shortest first."""
+    if config:
+        explore_versions(departures, states, walks)
+        return
     from functools import partial
 
     from lupinmill.lab import explorer
