--- a/lupinmill/lab/scale/page_run.py
+++ b/lupinmill/lab/scale/page_run.py
@@ -16,6 +16,9 @@
         f"Measured by `{measured.command}` on text {measured.commit}, {measured.date}; seeds {seeds}; "
         f"{measured.cores} cores, one turn of the reference loop {measured.reference_us:.3g} us.",
     ]
+    if measured.parts or measured.partial:
+        lines.append("")
+    lines += [f"- In a run of its own, {part}: {text}" for part, text in measured.parts.items()]
     lines += [f"- Partial: {text}" for text in measured.partial]
     found = []
     for figure in measured.figures:
