--- a/lupinmill/lab/scale/page_run.py
+++ b/lupinmill/lab/scale/page_run.py
@@ -3,8 +3,8 @@
 
 from __future__ import annotations
 
+from lupinmill.lab.scale import capacity, tables
 from lupinmill.lab.scale import fit as fits
-from lupinmill.lab.scale import tables
 from lupinmill.lab.scale.measured import Measured
 from lupinmill.lab.scale.show import amount, count, digits, table
 from lupinmill.lab.scale.target import Target
@@ -80,6 +80,12 @@
     text = table(
         ("calls a second", "seeds", "straight p50", "p99", "through p50", "p99", "added p50", "p99"), rows
     )
+    late = [digits(rate) for rate in rates if capacity.disturbed(measured, rate)]
+    if late:
+        text = (
+            f"**Disturbed** at {', '.join(late)} calls a second: the sidecar waited for a core that other runs "
+            "had. Its times there are of that load too and judge nothing; to be run anew on a quiet machine.\n\n"
+        ) + text
     made = []
     for figure in parts:
         of = {"added": "p50", "added by a bare hop": "p50"}.get(figure.name, "mean")
--- a/lupinmill/lab/scale/tables.py
+++ b/lupinmill/lab/scale/tables.py
@@ -234,6 +234,8 @@
 ONE_RELAY = ("core ", "process ", "watch ")
 ENTRIES = "members' entries"  # key of the computed row that takes the place of new files
 BESIDE = "quiet, sockets"  # a day that is run to compare real members with hollow ones, and sizes nothing
+# Of its time on a core that a call waited for one, as `added.WAITED`: then the run judges nothing.
+DISTURBED = 0.1
 # A size that the fleet's does not move: a budget that breaks there breaks in a fleet of any size.
 APART = ("calls a second",)
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -296,6 +296,16 @@
     assert rows["added mean"].use.amount == pytest.approx(0.001) and not rows["added mean"].control
 
 
+def test_a_run_in_which_the_sidecar_waited_for_a_core_judges_no_time_added():
+    def part(name: str, mean: float) -> Figure:
+        return Figure("sidecar", name, "s", "calls a second", "ordinary", [Point(285, 1, mean)])
+
+    for waited, said in ((0.00001, BREAKS), (0.0005, UNKNOWN)):
+        parts = (part("cpu a call", 0.002), part("core waited for a call", waited))
+        found = by_key(run(*parts, added=[calls(285, 1, 0.4)]))["added mean"]
+        assert found.verdict == said and ("disturbed" in found.what) == (said == UNKNOWN)
+
+
 def test_rows_of_the_text_follow_its_constants(monkeypatch):
     assert by_key(run())["members"].bound == Bound("at", operators_file.MOST_MEMBERS)
     monkeypatch.setattr(operators_file, "MOST_MEMBERS", 50_000)
