--- a/lupinmill/lab/scale/page_run.py
+++ b/lupinmill/lab/scale/page_run.py
@@ -83,8 +83,9 @@
     late = [digits(rate) for rate in rates if capacity.disturbed(measured, rate)]
     if late:
         text = (
-            f"**Disturbed** at {', '.join(late)} calls a second: the sidecar waited for a core that other runs "
-            "had. Its times there are of that load too and judge nothing; to be run anew on a quiet machine.\n\n"
+            f"**Disturbed** at {', '.join(late)} calls a second: the sidecar waited for a core that other "
+            "runs had. Its times there are of that load too and judge nothing; to be run anew on a quiet "
+            "machine.\n\n"
         ) + text
     made = []
     for figure in parts:
