--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 
 test: build
 	$(PYTHON) -m pytest -q -n 4 $(PURE)
+	$(PYTHON) -m lupinmill lab slopes --quick
 	$(PYTHON) -m pytest -q $(addprefix --ignore=,$(PURE))
 
 lint: build
