Test of submissions read: without a key it says so, with one too

Asked has a field more, whether the request brings an Idempotency-Key; the test compares whole and named a request without one. It says keyed=False now and also tries a key and an empty one: as strict and more. No text that serves changed.

--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -58,7 +58,9 @@
 
 def test_a_request_becomes_a_submission():
     asked = submission.read(request(**{"Req-Retry": "1", "Req-Owner": "isle"}), {"view"})
-    assert asked == submission.Asked("77", "view", 250_000, "isle", True)
+    assert asked == submission.Asked("77", "view", 250_000, "isle", True, keyed=False)
+    keyed = submission.read(request(**{"Idempotency-Key": "k"}), {"view"})
+    assert keyed.keyed and not submission.read(request(**{"Idempotency-Key": ""}), {"view"}).keyed
     assert submission.read(request(**{"Req-Kind": "-"}), {"view"}).workload == "view"
 
 
