--- a/lupinmill/__main__.py
+++ b/lupinmill/__main__.py
@@ -1,4 +1,5 @@
 """`python -m lupinmill`: one sidecar, told by its environment; with arguments, the command."""
+
 from __future__ import annotations
 
 import os
@@ -36,7 +37,10 @@
     except ModuleNotFoundError as error:
         if error.name != "click":
             raise
-        print("lupinmill: commands want click: pip install 'lupinmill[peers]' or 'lupinmill[lab]'", file=sys.stderr)
+        print(
+            "lupinmill: commands want click: pip install 'lupinmill[peers]' or 'lupinmill[lab]'",
+            file=sys.stderr,
+        )
         return 2
     return command(sys.argv[1:])
 
--- a/lupinmill/admin/desk.py
+++ b/lupinmill/admin/desk.py
@@ -2,6 +2,7 @@
 
 Owns the second listening socket and its callers, each a task that closes its own connection. They hold PLACES
 descriptors of their own at most: neither clients nor launches can take these, nor they theirs."""
+
 from __future__ import annotations
 
 import socket
@@ -104,7 +105,7 @@
         rest = memoryview(data)
         while rest:
             try:
-                rest = rest[caller.sock.send(rest):]
+                rest = rest[caller.sock.send(rest) :]
             except BlockingIOError:
                 await anyio.wait_writable(caller.sock)
         caller.sock.shutdown(socket.SHUT_WR)
--- a/lupinmill/admin/office.py
+++ b/lupinmill/admin/office.py
@@ -2,6 +2,7 @@
 is said.
 
 Owns nothing but the order of these steps: a yes holds already when it is read."""
+
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
@@ -89,4 +90,3 @@
             for name in self.standing.forget(self.engine.clock.now(), self.directory.states):
                 self.directory.by_hand(name, False)
                 self.log("mode", text=f"{name} was out by hand and is forgotten: no list names it")
-
--- a/lupinmill/admin/standing.py
+++ b/lupinmill/admin/standing.py
@@ -3,6 +3,7 @@
 
 Owns the set of endpoints out by hand; an entry is given back by `back`, or by `forget` long after its
 endpoint went."""
+
 from __future__ import annotations
 
 from enum import Enum
--- a/lupinmill/benchlink/codec.py
+++ b/lupinmill/benchlink/codec.py
@@ -1,4 +1,5 @@
 """Wire text to notes, orders to wire text."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -9,8 +10,14 @@
 from lupinmill.protocol.settings import Fields
 
 HOW = {
-    "S": t.How.HANDLED, "E": t.How.ERROR, "F": t.How.REFUSED, "T": t.How.TIMED_OUT,
-    "C": t.How.UNCONNECTED, "R": t.How.RESET, "X": t.How.CALLED_OFF, "N": t.How.UNSENT,
+    "S": t.How.HANDLED,
+    "E": t.How.ERROR,
+    "F": t.How.REFUSED,
+    "T": t.How.TIMED_OUT,
+    "C": t.How.UNCONNECTED,
+    "R": t.How.RESET,
+    "X": t.How.CALLED_OFF,
+    "N": t.How.UNSENT,
 }
 STATES = {"1": t.State.READY, "2": t.State.DRAINING, "0": t.State.GONE}
 LIST_KINDS = {"1": t.ListKind.FULL, "2": t.ListKind.CACHED, "3": t.ListKind.FAILED, "4": t.ListKind.CHANGES}
--- a/lupinmill/benchlink/host.py
+++ b/lupinmill/benchlink/host.py
@@ -1,4 +1,5 @@
 """Hosts many isolated instances of the decision module on one pair of streams."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
--- a/lupinmill/cli/asking.py
+++ b/lupinmill/cli/asking.py
@@ -26,8 +26,13 @@
 
 
 def call(
-    address: str, path: str, method: str = "GET", limit: float = ANSWER, body: bytes | None = None,
-    root: str = "/admin/", largest: int = LARGEST,
+    address: str,
+    path: str,
+    method: str = "GET",
+    limit: float = ANSWER,
+    body: bytes | None = None,
+    root: str = "/admin/",
+    largest: int = LARGEST,
 ) -> tuple[int, bytes]:
     """Status and body, of which no more than `largest` bytes. Raises NoAnswer."""
     try:
--- a/lupinmill/config/checks.py
+++ b/lupinmill/config/checks.py
@@ -9,46 +9,103 @@
 from lupinmill.protocol.settings import Fields, number_at
 
 # All that `protocol.settings` reads. What the platform's file holds beyond it says nothing to this program.
-KEYS = frozenset((
-    "random-seed", "tier", "instances", "workloads", "accounts", "beyond-share-value", "blend.whole",
-    "blend.worst-window", "blend.worst-class", "blend.kept-promises", "discovery", "invariants.ask-within-s",
-    "invariants.cold-share", "invariants.cold-s", "invariants.dropped-stay-open",
-    "invariants.stop-sending-within-s", "round-s",
-    "limits.most-launches", "limits.may-duplicate", "limits.cancel", "limits.probes", "limits.retry-after",
-    "limits.max-retry-after-s", "limits.conn-idle-s", "limits.connect-timeout-s", "limits.streams-per-conn",
-    "load-report.how", "family", "family-info.warm-keys", "locality", "areas", "kinds", "weights",
-    "prices.cross-zone", "prices.connection",
-))
+KEYS = frozenset(
+    (
+        "random-seed",
+        "tier",
+        "instances",
+        "workloads",
+        "accounts",
+        "beyond-share-value",
+        "blend.whole",
+        "blend.worst-window",
+        "blend.worst-class",
+        "blend.kept-promises",
+        "discovery",
+        "invariants.ask-within-s",
+        "invariants.cold-share",
+        "invariants.cold-s",
+        "invariants.dropped-stay-open",
+        "invariants.stop-sending-within-s",
+        "round-s",
+        "limits.most-launches",
+        "limits.may-duplicate",
+        "limits.cancel",
+        "limits.probes",
+        "limits.retry-after",
+        "limits.max-retry-after-s",
+        "limits.conn-idle-s",
+        "limits.connect-timeout-s",
+        "limits.streams-per-conn",
+        "load-report.how",
+        "family",
+        "family-info.warm-keys",
+        "locality",
+        "areas",
+        "kinds",
+        "weights",
+        "prices.cross-zone",
+        "prices.connection",
+    )
+)
 KEYS_OF = {
-    "workloads": frozenset((
-        "name", "contract-time-s", "hard-limit-s", "value", "overdue-value", "repeat", "group", "window-s",
-        "confined-to", "bound-to",
-    )),
+    "workloads": frozenset(
+        (
+            "name",
+            "contract-time-s",
+            "hard-limit-s",
+            "value",
+            "overdue-value",
+            "repeat",
+            "group",
+            "window-s",
+            "confined-to",
+            "bound-to",
+        )
+    ),
     "accounts": frozenset(("name", "quota-per-s")),
 }
 MOST_ROWS = 256  # workloads, or tenants
 LONGEST_SPAN = 86_400.0  # seconds
 # Numbers: the least and the most of each.
 RANGES = {
-    "instances": (1, 1e6), "beyond-share-value": (0, 1e6), "blend.whole": (0, 1e6),
-    "blend.worst-window": (0, 1e6), "blend.worst-class": (0, 1e6), "blend.kept-promises": (0, 1e6),
-    "invariants.ask-within-s": (0, LONGEST_SPAN), "invariants.cold-share": (0, 1),
-    "invariants.cold-s": (0, LONGEST_SPAN), "invariants.stop-sending-within-s": (0, LONGEST_SPAN),
-    "round-s": (0, LONGEST_SPAN), "tier": (0, 100),
-    "limits.most-launches": (1, 1_000), "limits.max-retry-after-s": (0, LONGEST_SPAN),
-    "limits.conn-idle-s": (0, LONGEST_SPAN), "limits.connect-timeout-s": (0, LONGEST_SPAN),
-    "limits.streams-per-conn": (1, 1e6), "prices.cross-zone": (0, 1e6), "prices.connection": (0, 1e6),
+    "instances": (1, 1e6),
+    "beyond-share-value": (0, 1e6),
+    "blend.whole": (0, 1e6),
+    "blend.worst-window": (0, 1e6),
+    "blend.worst-class": (0, 1e6),
+    "blend.kept-promises": (0, 1e6),
+    "invariants.ask-within-s": (0, LONGEST_SPAN),
+    "invariants.cold-share": (0, 1),
+    "invariants.cold-s": (0, LONGEST_SPAN),
+    "invariants.stop-sending-within-s": (0, LONGEST_SPAN),
+    "round-s": (0, LONGEST_SPAN),
+    "tier": (0, 100),
+    "limits.most-launches": (1, 1_000),
+    "limits.max-retry-after-s": (0, LONGEST_SPAN),
+    "limits.conn-idle-s": (0, LONGEST_SPAN),
+    "limits.connect-timeout-s": (0, LONGEST_SPAN),
+    "limits.streams-per-conn": (1, 1e6),
+    "prices.cross-zone": (0, 1e6),
+    "prices.connection": (0, 1e6),
 }
 RANGES_OF = {
     "workloads": {
-        "contract-time-s": (0, LONGEST_SPAN), "hard-limit-s": (0, LONGEST_SPAN), "value": (0, 1e6),
-        "overdue-value": (0, 1e6), "window-s": (0, LONGEST_SPAN),
+        "contract-time-s": (0, LONGEST_SPAN),
+        "hard-limit-s": (0, LONGEST_SPAN),
+        "value": (0, 1e6),
+        "overdue-value": (0, 1e6),
+        "window-s": (0, LONGEST_SPAN),
     },
     "accounts": {"quota-per-s": (0, 1e9)},
 }
 FLAGS = (
-    "limits.may-duplicate", "limits.cancel", "limits.probes", "limits.retry-after",
-    "invariants.dropped-stay-open", "family-info.warm-keys",
+    "limits.may-duplicate",
+    "limits.cancel",
+    "limits.probes",
+    "limits.retry-after",
+    "invariants.dropped-stay-open",
+    "family-info.warm-keys",
 )
 
 
--- a/lupinmill/config/driver.py
+++ b/lupinmill/config/driver.py
@@ -55,7 +55,12 @@
     WATCHED = Key("fleet", "watched")  # in the kept file alone: the scopes whose entries it has
 
     def __init__(
-        self, follower: Follower, scopes: tuple[str, ...], store: Store, take: Take, log: Logs,
+        self,
+        follower: Follower,
+        scopes: tuple[str, ...],
+        store: Store,
+        take: Take,
+        log: Logs,
         keep: str | Path | None = None,
     ) -> None:
         """`scopes`: those watched; none: all. `keep`: the file for the last version in force."""
--- a/lupinmill/config/follower.py
+++ b/lupinmill/config/follower.py
@@ -60,8 +60,14 @@
 
 class Follower:
     def __init__(
-        self, name: str, relays: tuple[str, ...], seed: int, wait_us: int, spread_us: int,
-        version: Version, entries: Entries,
+        self,
+        name: str,
+        relays: tuple[str, ...],
+        seed: int,
+        wait_us: int,
+        spread_us: int,
+        version: Version,
+        entries: Entries,
     ) -> None:
         """`version` and `entries` are in force already. The spread is the fleet's, until relays tell theirs:
         over so long all of it comes anew."""
@@ -205,7 +211,8 @@
             return
         if self.version.index:
             self.say(
-                now, "snapshot",
+                now,
+                "snapshot",
                 f"{ask.at}: snapshot of version {reply.version.index} in place of {self.version.index}",
             )
         self.renew = False
--- a/lupinmill/config/wire.py
+++ b/lupinmill/config/wire.py
@@ -118,7 +118,10 @@
 def fields(query: bytes) -> tuple[dict[str, str], tuple[str, ...]]:
     try:
         pairs = parse_qsl(
-            query.decode("ascii"), keep_blank_values=True, strict_parsing=bool(query), errors="strict",
+            query.decode("ascii"),
+            keep_blank_values=True,
+            strict_parsing=bool(query),
+            errors="strict",
             max_num_fields=MOST_SCOPES + len(ONCE),
         )
     except ValueError as error:  # also bytes that are no ASCII, escapes that are no UTF-8
@@ -162,15 +165,17 @@
 
 
 def encode(reply: Reply) -> bytes:
-    return orjson.dumps({
-        "index": reply.version.index,
-        "mark": reply.version.mark,
-        "snapshot": reply.whole,
-        "since": reply.since.index,
-        "since_mark": reply.since.mark,
-        "spread_ms": reply.spread_ms,
-        "entries": rows(reply.entries),
-    })
+    return orjson.dumps(
+        {
+            "index": reply.version.index,
+            "mark": reply.version.mark,
+            "snapshot": reply.whole,
+            "since": reply.since.index,
+            "since_mark": reply.since.mark,
+            "spread_ms": reply.spread_ms,
+            "entries": rows(reply.entries),
+        }
+    )
 
 
 def decode(answer: Answer) -> Reply:
@@ -245,7 +250,8 @@
     for _ in range(DEEPEST):
         level = [
             one
-            for part in level if isinstance(part, dict | list)
+            for part in level
+            if isinstance(part, dict | list)
             for one in (part.values() if isinstance(part, dict) else part)
         ]
         if not level:
--- a/lupinmill/handover/driver.py
+++ b/lupinmill/handover/driver.py
@@ -3,6 +3,7 @@
 
 Owns that socket and both links; a link's end gives back all that waits on it. What passes when is
 `Succession`'s."""
+
 from __future__ import annotations
 
 import os
--- a/lupinmill/handover/papers.py
+++ b/lupinmill/handover/papers.py
@@ -1,5 +1,6 @@
 """What passes at an upgrade beside sockets, as a plain table. Pure. The taker reads it whole or refuses it
 whole."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -27,18 +28,33 @@
     repeats: int  # launches beyond a submission's first that it has made so far
 
 
-def write(listed: dict[str, t.Listing], addresses: dict[str, str], index: int | None, standing: Standing,
-          learned: Table, held: int) -> Table:
+def write(
+    listed: dict[str, t.Listing],
+    addresses: dict[str, str],
+    index: int | None,
+    standing: Standing,
+    learned: Table,
+    held: int,
+) -> Table:
     rows = [
         {
-            "name": one.endpoint, "address": addresses[one.endpoint], "zone": one.zone, "type": one.kind,
-            "group": one.cell, "status": STATUS[one.state], "since_ms": one.started // 1000,
+            "name": one.endpoint,
+            "address": addresses[one.endpoint],
+            "zone": one.zone,
+            "type": one.kind,
+            "group": one.cell,
+            "status": STATUS[one.state],
+            "since_ms": one.started // 1000,
             "weight": one.weight,
         }
-        for one in listed.values() if one.endpoint in addresses
+        for one in listed.values()
+        if one.endpoint in addresses
     ]
     return {
-        "say": "state", "version": VERSION, "held": held, "learned": learned,
+        "say": "state",
+        "version": VERSION,
+        "held": held,
+        "learned": learned,
         "list": {"index": index or 0, "snapshot": True, "endpoints": rows},
         "out": [[name, named] for name, named in standing.out.items()],
         "mode": [standing.mode.value, standing.since],
--- a/lupinmill/handover/succession.py
+++ b/lupinmill/handover/succession.py
@@ -2,6 +2,7 @@
 
 A process that serves may have one successor. `Succession` is its side; the successor's own side is short: it
 asks before it starts, and says `serving` once."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
--- a/lupinmill/lab/config_rig.py
+++ b/lupinmill/lab/config_rig.py
@@ -125,7 +125,10 @@
     def sidecar(self, process: Process) -> dict[str, Any]:
         name = process.name
         return {
-            **self.told(name), "name": name, "listen": self.listens[name], "operator": self.operators[name],
+            **self.told(name),
+            "name": name,
+            "listen": self.listens[name],
+            "operator": self.operators[name],
         }
 
     def heard(self, process: Process, event: dict[str, Any]) -> None:
@@ -198,7 +201,6 @@
         if process.process is not None:
             await process.process.wait()
 
-
     def crashes(self) -> list[str]:
         return [crash for process in self.processes.values() for crash in process.crashes]
 
--- a/lupinmill/lab/scale/days.py
+++ b/lupinmill/lab/scale/days.py
@@ -86,6 +86,4 @@
         hollow.restart(core, members + at + 1)
         hollow.run(EVERY - AWAY)
     rate = (FAILURES + RESTARTS) / DAY * members / FLEET
-    return Ordinary(
-        hollow.figures(1, began), hollow.figures(began, hollow.now // SECOND), 1 / EVERY, rate
-    )
+    return Ordinary(hollow.figures(1, began), hollow.figures(began, hollow.now // SECOND), 1 / EVERY, rate)
--- a/lupinmill/lab/scale/load.py
+++ b/lupinmill/lab/scale/load.py
@@ -134,8 +134,7 @@
         self.under_way.add(wire)
         wire.transport.write(
             b"GET /view HTTP/1.1\r\nHost: site\r\nReq-Id: a%d\r\n"
-            b"Req-Kind: view\r\nReq-Deadline: 1.500000\r\n\r\n"
-            % self.serial
+            b"Req-Kind: view\r\nReq-Deadline: 1.500000\r\n\r\n" % self.serial
         )
 
     async def connect(self, address: str, due: float) -> None:
--- a/lupinmill/lab/zones_sockets.py
+++ b/lupinmill/lab/zones_sockets.py
@@ -388,9 +388,9 @@
             if not ("hard limit" in b.text and self.sidecar_of(b.what) in self.stopped)
         ]
         crashes = [crash for process in self.run.fronts for crash in process.crashes]
-        assert not broken and not self.run.broken and not crashes, (
-            f"seed {self.seed}: {broken[:5]} {self.run.broken} {crashes}\n{self.last_lines()}"
-        )
+        assert (
+            not broken and not self.run.broken and not crashes
+        ), f"seed {self.seed}: {broken[:5]} {self.run.broken} {crashes}\n{self.last_lines()}"
 
     def sidecar_of(self, submission: str) -> str:
         found = self.run.wanted.get(submission)
--- a/lupinmill/program/discovery.py
+++ b/lupinmill/program/discovery.py
@@ -1,4 +1,5 @@
 """The watch on the list of endpoints."""
+
 from __future__ import annotations
 
 import random
@@ -41,8 +42,9 @@
     Where the settings say that changes are pushed, the module never asks: then it watches from the start.
     """
 
-    def __init__(self, address: str, deployment: t.Deployment, directory: Directory, store: Store,
-                 log: Log) -> None:
+    def __init__(
+        self, address: str, deployment: t.Deployment, directory: Directory, store: Store, log: Log
+    ) -> None:
         self.pushed = not deployment.must_ask
         self.again = max(LEAST_AGAIN, min(AGAIN, GRACE_PART * deployment.grace / 1_000_000))
         self.wait = min(LONGEST_WAIT, max(LEAST_WAIT, deployment.instances / CALLS))
--- a/lupinmill/program/in_force.py
+++ b/lupinmill/program/in_force.py
@@ -73,7 +73,9 @@
                 raise ValueError("settings.workloads: none would be left")
             Allowances(deployment)  # the module's own reading of it: what fails there fails here
             found = replace(
-                base, deployment=deployment, idle_limit=settings.idle_limit(fields),
+                base,
+                deployment=deployment,
+                idle_limit=settings.idle_limit(fields),
                 connect_limit=settings.connect_limit(fields),
             )
         file = operators_file.with_entries(file, merge.members(entries), merge.zones(entries))
@@ -135,8 +137,13 @@
         assert file is not None and file.config is not None
         config = file.config
         self.follower = Follower(
-            base.name, tuple(config.relays), base.deployment.seed ^ crc32(base.name.encode()), WAIT,
-            int(config.spread_s * 1_000_000), kept.version, kept.entries,
+            base.name,
+            tuple(config.relays),
+            base.deployment.seed ^ crc32(base.name.encode()),
+            WAIT,
+            int(config.spread_s * 1_000_000),
+            kept.version,
+            kept.entries,
         )
         self.watch = ConfigWatch(
             self.follower, scopes(base), program.store, self.take, log, config.keep or None
--- a/lupinmill/program/logs.py
+++ b/lupinmill/program/logs.py
@@ -1,4 +1,5 @@
 """The log: one JSON line an event on standard output, written by a thread so that the loop never waits."""
+
 from __future__ import annotations
 
 import os
@@ -34,7 +35,7 @@
         while (line := self.lines.get()) is not None:
             try:
                 while line:
-                    line = line[os.write(self.descriptor, line):]
+                    line = line[os.write(self.descriptor, line) :]
             except OSError:
                 continue  # nobody reads it any more
 
--- a/lupinmill/program/operators_file.py
+++ b/lupinmill/program/operators_file.py
@@ -367,8 +367,10 @@
     if ones[0] is None or ones[1] is None:
         return [] if ones[0] is ones[1] else ["config"]
     assert old is not None and new is not None
-    same = {f"config.{key}": getattr(ones[0], key) == getattr(ones[1], key)
-            for key in ("service", "keep", "spread_s")}
+    same = {
+        f"config.{key}": getattr(ones[0], key) == getattr(ones[1], key)
+        for key in ("service", "keep", "spread_s")
+    }
     same["peers.members: zone or region of this sidecar"] = place(old, name, "") == place(new, name, "")
     return [key for key, holds in same.items() if not holds]
 
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -1,4 +1,5 @@
 """One running sidecar: its parts put together, its signals, its end."""
+
 from __future__ import annotations
 
 import gc
@@ -105,8 +106,13 @@
         from lupinmill.program import operators_file
 
         name = self.told.name
-        peers = Driver(operators_file.told(file, name), file.site, operators_file.bind(file, name),
-                       file.peers.keep or None, self.log)
+        peers = Driver(
+            operators_file.told(file, name),
+            file.site,
+            operators_file.bind(file, name),
+            file.peers.keep or None,
+            self.log,
+        )
         self.office.peers, self.office.rehearse = peers.show, peers.rehearse
         if file.peers.live_count or file.zones is not None:
             self.hold_in_common(file, peers)
@@ -171,8 +177,13 @@
                 async with anyio.create_task_group() as group:
                     Route(self.engine, self.book, send, group)
                     self.begin_list(papers_taken)
-                    for task in (self.engine.keep_time, self.discovery.run, self.sweep, self.measure_lag,
-                                 self.office.sweep):
+                    for task in (
+                        self.engine.keep_time,
+                        self.discovery.run,
+                        self.sweep,
+                        self.measure_lag,
+                        self.office.sweep,
+                    ):
                         group.start_soon(self.keep_up, task)
                     group.start_soon(self.keep_up, listener.run, group, take_in.serve)
                     self.hand_over(listener, take_in, group)
@@ -187,8 +198,14 @@
                     if self.in_force is not None:
                         group.start_soon(self.keep_up, self.in_force.run)
                     self.office.taking = lambda: True
-                    self.log("started", tier=deployment.tier, listen=listener.address, operator=self.operator,
-                             endpoints=len(self.directory.states), descriptors=self.descriptors.limit)
+                    self.log(
+                        "started",
+                        tier=deployment.tier,
+                        listen=listener.address,
+                        operator=self.operator,
+                        endpoints=len(self.directory.states),
+                        descriptors=self.descriptors.limit,
+                    )
                     gc.collect()
                     gc.freeze()
                     gc.set_threshold(20_000, 20, 20)
--- a/lupinmill/program/told.py
+++ b/lupinmill/program/told.py
@@ -1,4 +1,5 @@
 """What this sidecar is told at its start, from the environment and the file that it names."""
+
 from __future__ import annotations
 
 from collections.abc import Mapping
@@ -111,6 +112,7 @@
 def fixed(old: Told, new: Told, alive: bool = False) -> list[str]:
     """What differs and can't be changed without a new start. `alive`: settings are judged key by key, where
     they are put in force."""
+
     def settings_of(told: Told) -> t.Deployment:
         return replace(told.deployment, seed=0)
 
--- a/lupinmill/protocol/calls.py
+++ b/lupinmill/protocol/calls.py
@@ -1,5 +1,6 @@
 """Operators' calls: one HTTP/1.1 request on a connection becomes a `Call`, or the status that says why not.
 Pure."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -16,7 +17,10 @@
 PEERS, REHEARSE, ZONES, CONFIG = "peers", "rehearse", "zones", "config"
 MOVES = {f"zones/{what}": what for what in ("drain", "restore", "pin", "unpin")}
 METHODS = {
-    HEALTH: (b"GET", b"HEAD"), PEERS: (b"GET",), ZONES: (b"GET",), CONFIG: (b"GET",),
+    HEALTH: (b"GET", b"HEAD"),
+    PEERS: (b"GET",),
+    ZONES: (b"GET",),
+    CONFIG: (b"GET",),
     **dict.fromkeys((REHEARSE, OUT, BACK, QUIESCE, RESUME, *MOVES), (b"PUT",)),
 }
 MEMBER, ZONE = b"member", b"zone"
@@ -64,7 +68,7 @@
         target = b"/" + target.partition(b"://")[2].partition(b"/")[2]
     path, _, query = target.partition(b"?")
     path = unquote_to_bytes(path)
-    what = path[len(PREFIX):].decode("latin-1") if path.startswith(PREFIX) else ""
+    what = path[len(PREFIX) :].decode("latin-1") if path.startswith(PREFIX) else ""
     if what not in METHODS:
         raise Malformed(404, "unknown path")
     if request.method not in METHODS[what]:
--- a/lupinmill/protocol/http.py
+++ b/lupinmill/protocol/http.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 by h11: bytes in; requests and answers out, whole where they are small, in parts where not. No
 I/O."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -16,8 +17,17 @@
 LARGEST_HEAD = 16 * 1024
 # Those of one connection only; the rest goes on from end to end.
 HOP_BY_HOP = {
-    b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"proxy-connection", b"te",
-    b"trailer", b"transfer-encoding", b"upgrade", b"content-length", b"expect",
+    b"connection",
+    b"keep-alive",
+    b"proxy-authenticate",
+    b"proxy-authorization",
+    b"proxy-connection",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+    b"content-length",
+    b"expect",
 }
 
 
@@ -87,7 +97,9 @@
     """By any `Connection` header, in any case and among other tokens."""
     return any(
         part.strip().lower() == b"close"
-        for key, value in headers if key.lower() == b"connection" for part in value.split(b",")
+        for key, value in headers
+        if key.lower() == b"connection"
+        for part in value.split(b",")
     )
 
 
@@ -105,7 +117,7 @@
         return target
     path = target.partition(b"://")[2]
     cut = min((at for at in (path.find(b"/"), path.find(b"?")) if at >= 0), default=len(path))
-    return path[cut:] if path[cut:cut + 1] == b"/" else b"/" + path[cut:]
+    return path[cut:] if path[cut : cut + 1] == b"/" else b"/" + path[cut:]
 
 
 def phrase(answer: Answer) -> str:
@@ -206,9 +218,10 @@
             headers.append((b"Content-Length", b"%d" % length))
         if close:
             headers.append((b"Connection", b"close"))
-        return self.http.send(
-            h11.Response(status_code=answer.status, headers=headers, reason=phrase(answer))
-        ) or b""
+        return (
+            self.http.send(h11.Response(status_code=answer.status, headers=headers, reason=phrase(answer)))
+            or b""
+        )
 
     def part(self, data: bytes) -> bytes:
         if self.method == b"HEAD":
@@ -268,9 +281,10 @@
         elif length is not None:
             headers.append((b"Content-Length", b"%d" % length))
         try:
-            return self.http.send(
-                h11.Request(method=request.method, target=request.target, headers=headers)
-            ) or b""
+            return (
+                self.http.send(h11.Request(method=request.method, target=request.target, headers=headers))
+                or b""
+            )
         except h11.LocalProtocolError as error:
             raise Garbled(str(error)) from error
 
--- a/lupinmill/protocol/lists.py
+++ b/lupinmill/protocol/lists.py
@@ -1,4 +1,5 @@
 """Lists of endpoints as discovery writes them, and the calls that ask for them."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
--- a/lupinmill/protocol/reports.py
+++ b/lupinmill/protocol/reports.py
@@ -1,4 +1,5 @@
 """Load reports: one set of fields, by either of the names that they go by."""
+
 from __future__ import annotations
 
 import re
@@ -9,11 +10,18 @@
 
 # Report fields by wire name: the name in Load and the factor to our unit.
 REPORT = {
-    "waiting": ("queued", 1.0), "active": ("held", 1.0), "cpu": ("busy", 1.0),
-    "avg_ms": ("service", 1000.0), "rps": ("rate", 1.0),
+    "waiting": ("queued", 1.0),
+    "active": ("held", 1.0),
+    "cpu": ("busy", 1.0),
+    "avg_ms": ("service", 1000.0),
+    "rps": ("rate", 1.0),
 }
 ON_SOCKETS = {
-    "queue": "waiting", "inflight": "active", "util": "cpu", "latency_ms": "avg_ms", "qps": "rps",
+    "queue": "waiting",
+    "inflight": "active",
+    "util": "cpu",
+    "latency_ms": "avg_ms",
+    "qps": "rps",
 }
 
 
--- a/lupinmill/protocol/settings.py
+++ b/lupinmill/protocol/settings.py
@@ -1,4 +1,5 @@
 """The settings that a sidecar is told, as name=value pairs or as nested JSON, turned into a `Deployment`."""
+
 from __future__ import annotations
 
 from math import isfinite
@@ -58,7 +59,7 @@
     def items(self, key: str) -> list[Settings]:
         prefixes = [f"{key}.{i}." for i in range(int(self.number(f"{key}.count")))]
         return [
-            Settings({k[len(p):]: v for k, v in self.fields.items() if k.startswith(p)}) for p in prefixes
+            Settings({k[len(p) :]: v for k, v in self.fields.items() if k.startswith(p)}) for p in prefixes
         ]
 
 
@@ -114,15 +115,20 @@
 
 # What only one shape of deployment has, and the values that it may have in the other.
 BESIDE_ONLY = {
-    "limits.streams-per-conn": ("", "1", "1.0"), "family-info.warm-keys": ("", "false", "0"),
-    "prices.connection": ("", "0", "0.0"), "weights": ("", "off"),
+    "limits.streams-per-conn": ("", "1", "1.0"),
+    "family-info.warm-keys": ("", "false", "0"),
+    "prices.connection": ("", "0", "0.0"),
+    "weights": ("", "off"),
 }
 POOL_ONLY = {
-    "tier": ("", "0", "0.0"), "limits.may-duplicate": ("", "false", "0"), "limits.probes": ("", "false", "0"),
+    "tier": ("", "0", "0.0"),
+    "limits.may-duplicate": ("", "false", "0"),
+    "limits.probes": ("", "false", "0"),
     "load-report.how": ("", "off"),
 }
 CHOICES = {
-    "family": ("", "proxy", "chain", "mesh"), "weights": ("", "off", "nominal", "rough", "live"),
+    "family": ("", "proxy", "chain", "mesh"),
+    "weights": ("", "off", "nominal", "rough", "live"),
     "family-info.warm-keys": ("", "true", "false", "1", "0"),
     "invariants.dropped-stay-open": ("", "true", "false", "1", "0"),
 }
--- a/lupinmill/protocol/submission.py
+++ b/lupinmill/protocol/submission.py
@@ -1,4 +1,5 @@
 """A client's request as a submission, a launch of it as an endpoint's request, an answer as an outcome."""
+
 from __future__ import annotations
 
 import re
--- a/lupinmill/routing/admit.py
+++ b/lupinmill/routing/admit.py
@@ -1,4 +1,5 @@
 """Admit: a request that came whole becomes a submission, or gets the answer that says why not."""
+
 from __future__ import annotations
 
 from lupinmill.admin.standing import Standing
@@ -29,8 +30,9 @@
             del self.gone[name]
         self.workloads, self.known, self.advice = workloads, workloads | self.gone.keys(), advice
 
-    def request(self, request: Request, client: Client, body: Body | None = None,
-                to_come: float = 0.0) -> Journey | Answer:
+    def request(
+        self, request: Request, client: Client, body: Body | None = None, to_come: float = 0.0
+    ) -> Journey | Answer:
         """`to_come`: seconds that the rest of a body may take which isn't whole yet."""
         if (told := self.readiness(request)) is not None:
             return told
--- a/lupinmill/routing/body.py
+++ b/lupinmill/routing/body.py
@@ -2,6 +2,7 @@
 send it, and what of its beginning the shelf has room for stays, so that another launch can start anew.
 
 Owns its part of the shelf, which `drop` gives back."""
+
 from __future__ import annotations
 
 from collections import deque
--- a/lupinmill/routing/book.py
+++ b/lupinmill/routing/book.py
@@ -1,4 +1,5 @@
 """Book: every open submission, its launches and its one final answer."""
+
 from __future__ import annotations
 
 import math
@@ -66,8 +67,9 @@
         self.unlaunched += 1
         whole = journey.body is None or journey.body.whole
         name, again = asked.submission, asked.repeated
-        self.engine.tell(t.Arrived(
-            name, asked.workload, journey.due, asked.tenant, again, whole, asked.key, asked.keyed))
+        self.engine.tell(
+            t.Arrived(name, asked.workload, journey.due, asked.tenant, again, whole, asked.key, asked.keyed)
+        )
 
     def whole(self, journey: Journey, due: int) -> None:
         """Its last byte has come; the hard limit is known from here on."""
@@ -78,8 +80,9 @@
                 launch.until, launch.scope.deadline = due, clock + (due - now) / 1_000_000
         self.engine.tell(t.Whole(journey.asked.submission, due))
 
-    def begin_stream(self, journey: Journey, launch: Launch, answer: Answer, stream: Stream,
-                     load: t.Load | None) -> None:
+    def begin_stream(
+        self, journey: Journey, launch: Launch, answer: Answer, stream: Stream, load: t.Load | None
+    ) -> None:
         """A large answer passes on as it comes: nothing of ours ends it any more."""
         launch.scope.deadline, journey.stream = math.inf, stream
         self.settle(journey, answer)
@@ -115,8 +118,9 @@
         if self.settle(journey, None):
             self.engine.tell(t.Withdrawn(journey.asked.submission))
 
-    def ended(self, journey: Journey, launch: Launch, how: t.How, answer: Answer | None,
-              load: t.Load | None) -> None:
+    def ended(
+        self, journey: Journey, launch: Launch, how: t.How, answer: Answer | None, load: t.Load | None
+    ) -> None:
         if not launch.out:
             return
         launch.out = False
--- a/lupinmill/routing/directory.py
+++ b/lupinmill/routing/directory.py
@@ -1,4 +1,5 @@
 """What the list of endpoints says now: where each listens, and whether it still takes launches."""
+
 from __future__ import annotations
 
 from collections.abc import Container
--- a/lupinmill/routing/door.py
+++ b/lupinmill/routing/door.py
@@ -1,6 +1,7 @@
 """The door: the driver of `limits.Gate`. Owns the heartbeat that tells how late the loop is, which beats only
 while something is inside or waits, and the requests that wait before the program with their clients'
 tasks."""
+
 from __future__ import annotations
 
 import asyncio
--- a/lupinmill/routing/engine.py
+++ b/lupinmill/routing/engine.py
@@ -1,4 +1,5 @@
 """Drives the decision module: notes in, orders out, one clock and one timer."""
+
 from __future__ import annotations
 
 import os
@@ -48,7 +49,8 @@
         self.late = 0  # microseconds by which wake-ups came late of late
         self.rearmed = anyio.Event()
         self.carriers: dict[type, Callable[[Any], None]] = {
-            t.WakeMe: self.wake_me, t.Log: lambda order: log("mode", text=order.text),
+            t.WakeMe: self.wake_me,
+            t.Log: lambda order: log("mode", text=order.text),
         }
 
     def tell(self, note: t.Note) -> None:
--- a/lupinmill/routing/relay.py
+++ b/lupinmill/routing/relay.py
@@ -1,4 +1,5 @@
 """Relay: waits for a submission's final answer beside its client, and passes it back."""
+
 from __future__ import annotations
 
 import anyio
@@ -26,7 +27,7 @@
         """None where the client has gone away.
 
         Settling the journey cancels the wait; a task that waited beside this one would cost a tenth of what a
-        submission costs in all. """
+        submission costs in all."""
         left = journey.due + BACKSTOP - self.book.engine.clock.now()
         try:
             with anyio.move_on_after(left / 1_000_000) as journey.waiting:
@@ -41,8 +42,9 @@
                 self.log("backstop", submission=journey.asked.submission)
         return journey.answer
 
-    async def pass_stream(self, client: Client, side: ServerSide, answer: Answer, stream: Stream,
-                          close: bool) -> bool:
+    async def pass_stream(
+        self, client: Client, side: ServerSide, answer: Answer, stream: Stream, close: bool
+    ) -> bool:
         """As `pass_back`, of a large answer, part by part; only then is the connection the launch's again.
 
         A client that can't tell an early end from the true one is shown a reset."""
@@ -72,8 +74,9 @@
             with anyio.fail_after(SLOW):
                 await client.send(data)
 
-    async def pass_back(self, client: Client, side: ServerSide, answer: Answer, close: bool,
-                        most: int = LINGERING) -> bool:
+    async def pass_back(
+        self, client: Client, side: ServerSide, answer: Answer, close: bool, most: int = LINGERING
+    ) -> bool:
         """True when the connection can serve another submission. Of what a client goes on sending so many
         bytes are read and dropped."""
         with anyio.move_on_after(STUCK) as scope:
--- a/lupinmill/routing/route.py
+++ b/lupinmill/routing/route.py
@@ -1,4 +1,5 @@
 """Route: the module's orders become launches, call-offs, probes and final answers."""
+
 from __future__ import annotations
 
 import anyio
@@ -15,7 +16,10 @@
     def __init__(self, engine: Engine, book: Book, send: Send, group: TaskGroup) -> None:
         self.clock, self.book, self.send, self.group = engine.clock, book, send, group
         engine.carriers |= {
-            t.Launch: self.launch, t.CallOff: self.call_off, t.Deny: self.deny, t.BreakOff: self.break_off,
+            t.Launch: self.launch,
+            t.CallOff: self.call_off,
+            t.Deny: self.deny,
+            t.BreakOff: self.break_off,
             t.Probe: self.probe,
         }
 
--- a/lupinmill/routing/send.py
+++ b/lupinmill/routing/send.py
@@ -1,4 +1,5 @@
 """Send: one launch, or one probe, on a connection to an endpoint, up to its outcome."""
+
 from __future__ import annotations
 
 import anyio
@@ -113,8 +114,9 @@
             if journey.client.ended() if comes else journey.client.look():
                 self.book.withdraw(journey)
 
-    async def pass_large(self, journey: Journey, launch: Launch, answer: Answer, connection: Connection,
-                         side: ClientSide) -> None:
+    async def pass_large(
+        self, journey: Journey, launch: Launch, answer: Answer, connection: Connection, side: ClientSide
+    ) -> None:
         """Lends the connection to the client's task, where this answer is large and the client's. Of any
         other large one nothing is wanted."""
         if not side.large or answer.status != 200 or journey.settled:
@@ -124,8 +126,9 @@
         self.book.begin_stream(journey, launch, submission.passed_on(answer), stream, load)
         await stream.done.wait()
 
-    async def exchange_large(self, connection: Connection, side: ClientSide, journey: Journey,
-                             launch: Launch, request: Request) -> Answer:
+    async def exchange_large(
+        self, connection: Connection, side: ClientSide, journey: Journey, launch: Launch, request: Request
+    ) -> Answer:
         """Sends a body as it comes, and listens meanwhile: an answer ahead of its end ends the sending."""
         failed: Exception | None = None
         answer: Answer | None = None
@@ -154,8 +157,9 @@
             raise failed or ConnectionResetError("broke while it was sent")
         return answer
 
-    async def send_large(self, connection: Connection, side: ClientSide, body: Body,
-                         request: Request) -> None:
+    async def send_large(
+        self, connection: Connection, side: ClientSide, body: Body, request: Request
+    ) -> None:
         length = body.end if body.whole else body.length
         if not body.anew():
             raise Gone
--- a/lupinmill/routing/stream.py
+++ b/lupinmill/routing/stream.py
@@ -1,6 +1,7 @@
 """A large answer on its way: the launch that got it lends its connection to the client's task, which takes
 part after part, and waits until that is done. One part is in memory at a time: a slow reader holds up its own
 stream alone."""
+
 from __future__ import annotations
 
 import anyio
--- a/lupinmill/routing/take_in.py
+++ b/lupinmill/routing/take_in.py
@@ -1,4 +1,5 @@
 """Take in: one client connection, submission after submission."""
+
 from __future__ import annotations
 
 import math
@@ -7,7 +8,15 @@
 import anyio
 
 from lupinmill.protocol.http import (
-    END, LARGEST_BODY, SMALL, Answer, Malformed, Request, ServerSide, length_of, plain,
+    END,
+    LARGEST_BODY,
+    SMALL,
+    Answer,
+    Malformed,
+    Request,
+    ServerSide,
+    length_of,
+    plain,
 )
 from lupinmill.protocol.submission import denied
 from lupinmill.routing.admit import Admit
@@ -26,8 +35,9 @@
 
 
 class TakeIn:
-    def __init__(self, listener: Listener, admit: Admit, relay: Relay, door: Door, advice: int, log: Log,
-                 shelf: Shelf) -> None:
+    def __init__(
+        self, listener: Listener, admit: Admit, relay: Relay, door: Door, advice: int, log: Log, shelf: Shelf
+    ) -> None:
         self.listener, self.admit, self.relay, self.door, self.log = listener, admit, relay, door, log
         self.shelf = shelf
         self.advice = advice  # microseconds after which those may come back that there is no place for
@@ -150,8 +160,9 @@
         assert request is not None and part is request
         return await self.read_body(client, side, request)
 
-    async def read_body(self, client: Client, side: ServerSide,
-                        request: Request) -> tuple[Request, Body | None] | None:
+    async def read_body(
+        self, client: Client, side: ServerSide, request: Request
+    ) -> tuple[Request, Body | None] | None:
         """Whole up to 64 KiB, and up to 1 MiB while the shelf has room."""
         small = bytearray()
         while isinstance(part := side.next_part(), (bytes, bytearray)):
--- a/lupinmill/state/learned.py
+++ b/lupinmill/state/learned.py
@@ -1,5 +1,6 @@
 """What the decision module has learned, as a plain table, and back. Pure. It decides nothing: figures that
 can't be read, or are of what no list names, are left out, and the module starts there as it would anyway."""
+
 from __future__ import annotations
 
 from typing import Any
@@ -14,7 +15,10 @@
     desk = sidecar.desk
     return {
         "beside": desk.allow.beside,
-        "came": ring(desk.came), "began": desk.began, "unhurried": desk.unhurried, "kinds": desk.kinds,
+        "came": ring(desk.came),
+        "began": desk.began,
+        "unhurried": desk.unhurried,
+        "kinds": desk.kinds,
         "cap": desk.cap * desk.allow.sharers / max(1, desk.allow.told),  # as among so many as told
         "crowding": desk.crowding,
         "gauges": {
@@ -25,8 +29,14 @@
         "launched": ring(desk.launched),
         "endpoints": {
             name: {
-                "mode": one.mode, "share": one.share, "pace": one.pace, "answers": one.answers,
-                "broken": one.broken, "rest": one.rest, "cold_since": one.cold_since, "heard": one.heard,
+                "mode": one.mode,
+                "share": one.share,
+                "pace": one.pace,
+                "answers": one.answers,
+                "broken": one.broken,
+                "rest": one.rest,
+                "cold_since": one.cold_since,
+                "heard": one.heard,
             }
             for name, one in desk.endpoints.items()
         },
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -2,7 +2,8 @@
 
 All times are whole microseconds of the caller's clock; ids are opaque and returned as received. A protocol
 adapter turns its messages into notes, calls `rules.Sidecar.step(now, notes)` and carries out the orders that
-come back, in their order. """
+come back, in their order."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -243,7 +244,17 @@
 
 
 Note = (
-    Listed | Arrived | Started | Ended | Withdrawn | Woke | Probed | ByHand | Whole | Elsewhere | Common
+    Listed
+    | Arrived
+    | Started
+    | Ended
+    | Withdrawn
+    | Woke
+    | Probed
+    | ByHand
+    | Whole
+    | Elsewhere
+    | Common
     | Deployed
 )
 
--- a/lupinmill/transport/client.py
+++ b/lupinmill/transport/client.py
@@ -1,6 +1,7 @@
 """A client's connection: as any other, and it is watched for its client's end while a submission waits.
 
 Owns what its client sent ahead of its turn, which `receive` hands out first and `close` gives back."""
+
 from __future__ import annotations
 
 import socket
@@ -102,4 +103,3 @@
             return struct.unpack("B", info)[0] in ENDED
         except (AttributeError, OSError, struct.error):
             return False  # not on this system
-
--- a/lupinmill/transport/connection.py
+++ b/lupinmill/transport/connection.py
@@ -1,4 +1,5 @@
 """One TCP connection: a non-blocking socket with a ring buffer a direction."""
+
 from __future__ import annotations
 
 import ipaddress
@@ -106,7 +107,7 @@
         """Returns once the last byte is written; whatever it raises, that has not happened."""
         rest = memoryview(data)
         while rest or self.outgoing.size:
-            rest = rest[self.outgoing.put(rest):]
+            rest = rest[self.outgoing.put(rest) :]
             try:
                 self.outgoing.took(self.sock.send(self.outgoing.stretch()))
             except BlockingIOError:
--- a/lupinmill/transport/descriptors.py
+++ b/lupinmill/transport/descriptors.py
@@ -1,4 +1,5 @@
 """The one owner of the budget of file descriptors."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
--- a/lupinmill/transport/link.py
+++ b/lupinmill/transport/link.py
@@ -2,6 +2,7 @@
 
 Owns its socket and the descriptors that wait to be sent, which are given back by `close` or once they are
 sent. A message is four bytes of length and JSON; its descriptors come with its first byte at the latest."""
+
 from __future__ import annotations
 
 import array
@@ -50,10 +51,10 @@
         if len(self.came) < HEAD.size + length:
             return None
         try:
-            message = orjson.loads(bytes(self.came[HEAD.size:HEAD.size + length]))
+            message = orjson.loads(bytes(self.came[HEAD.size : HEAD.size + length]))
         except orjson.JSONDecodeError as error:
             raise BrokenLink(str(error)) from error
-        del self.came[:HEAD.size + length]
+        del self.came[: HEAD.size + length]
         if not isinstance(message, dict):
             raise BrokenLink("no message")
         return message
@@ -70,7 +71,7 @@
         for level, kind, found in notes:
             if level == socket.SOL_SOCKET and kind == socket.SCM_RIGHTS:
                 passed = array.array("i")
-                passed.frombytes(found[:len(found) - len(found) % passed.itemsize])
+                passed.frombytes(found[: len(found) - len(found) % passed.itemsize])
                 for number in passed:
                     os.set_inheritable(number, False)
                     self.descriptors.append(number)
@@ -85,7 +86,7 @@
             rest = memoryview(self.encode(message))
             while rest:
                 try:
-                    rest = rest[self.sock.send(rest):]
+                    rest = rest[self.sock.send(rest) :]
                 except BlockingIOError:
                     await anyio.wait_writable(self.sock)
             return await self.hear_one()
@@ -121,7 +122,7 @@
             rest = memoryview(data)
             while rest:
                 try:
-                    rest = rest[self.put(rest, descriptor):]
+                    rest = rest[self.put(rest, descriptor) :]
                     if descriptor is not None:
                         self.going[0] = (data, None)
                         os.close(descriptor)
--- a/lupinmill/transport/listener.py
+++ b/lupinmill/transport/listener.py
@@ -1,4 +1,5 @@
 """The listening socket and the connections that clients keep."""
+
 from __future__ import annotations
 
 import asyncio
@@ -38,8 +39,9 @@
 class Listener:
     """Owns the listening socket and the set of idle client connections."""
 
-    def __init__(self, address: str, descriptors: Descriptors, store: Store,
-                 sock: socket.socket | None = None) -> None:
+    def __init__(
+        self, address: str, descriptors: Descriptors, store: Store, sock: socket.socket | None = None
+    ) -> None:
         self.descriptors, self.store = descriptors, store
         self.idle: dict[Client, None] = {}  # the one idle for longest first
         self.turning_away = 0
--- a/lupinmill/transport/pool.py
+++ b/lupinmill/transport/pool.py
@@ -1,4 +1,5 @@
 """Connections to endpoints, kept for the next launch while they are fresh."""
+
 from __future__ import annotations
 
 import time
--- a/lupinmill/transport/ring.py
+++ b/lupinmill/transport/ring.py
@@ -1,4 +1,5 @@
 """Storage for bytes on their way: blocks from one store, and a ring buffer that leases one while in use."""
+
 from __future__ import annotations
 
 BLOCK = 16 * 1024
@@ -56,7 +57,7 @@
         if self.size == whole:
             return self.block[:0]
         end = (self.start + self.size) % whole
-        return self.block[end:self.start] if end < self.start else self.block[end:]
+        return self.block[end : self.start] if end < self.start else self.block[end:]
 
     def filled(self, count: int) -> None:
         self.size += count
@@ -67,7 +68,7 @@
         """The next stretch of bytes that lie side by side; `took` says how many were used."""
         if self.block is None:
             return memoryview(b"")
-        return self.block[self.start:min(self.start + self.size, len(self.block))]
+        return self.block[self.start : min(self.start + self.size, len(self.block))]
 
     def took(self, count: int) -> None:
         self.size -= count
@@ -81,7 +82,7 @@
         done = 0
         while done < len(data) and len(space := self.space()):
             count = min(len(space), len(data) - done)
-            space[:count] = data[done:done + count]
+            space[:count] = data[done : done + count]
             self.filled(count)
             done += count
         return done
--- a/lupinmill/workings.py
+++ b/lupinmill/workings.py
@@ -1,5 +1,6 @@
 """The workings that the decisions stand on, without any of their own: chance, rings of buckets, the mail
 between the parts of `rules`, and the notes that the parts send one another."""
+
 from __future__ import annotations
 
 from collections import deque
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -1,5 +1,6 @@
 """Test beds. `Bed` drives `rules.Sidecar` without any bench and checks the rules after every step; `Net` puts
 a whole program among stand-ins on loopback."""
+
 from __future__ import annotations
 
 import re
@@ -26,8 +27,16 @@
 
 def deployment(**changes) -> t.Deployment:
     usual = dict(
-        seed=7, instances=2, workloads=[IDEM, KEYED, KEYED_ALL, ONCE], cold_share=0.3, cold_time=5 * SECOND,
-        round=5000, most_launches=4, copies_allowed=True, cancel_allowed=True, probes_allowed=True,
+        seed=7,
+        instances=2,
+        workloads=[IDEM, KEYED, KEYED_ALL, ONCE],
+        cold_share=0.3,
+        cold_time=5 * SECOND,
+        round=5000,
+        most_launches=4,
+        copies_allowed=True,
+        cancel_allowed=True,
+        probes_allowed=True,
     )
     return t.Deployment(**(usual | changes))
 
@@ -260,19 +269,36 @@
 
 def settings(**more) -> dict:
     limits = {
-        "most-launches": 4, "may-duplicate": True, "cancel": True, "probes": True, "retry-after": True,
-        "max-retry-after-s": 1.0, "conn-idle-s": 30.0, "connect-timeout-s": 0.2,
+        "most-launches": 4,
+        "may-duplicate": True,
+        "cancel": True,
+        "probes": True,
+        "retry-after": True,
+        "max-retry-after-s": 1.0,
+        "conn-idle-s": 30.0,
+        "connect-timeout-s": 0.2,
     }
     workloads = [
         {"name": "view", "contract-time-s": 0.5, "hard-limit-s": 1.0, "repeat": "repeatable"},
-        {"name": "bid", "contract-time-s": 0.5, "hard-limit-s": 1.0, "repeat": "by_key", "group": "cell",
-         "window-s": 1.0},
+        {
+            "name": "bid",
+            "contract-time-s": 0.5,
+            "hard-limit-s": 1.0,
+            "repeat": "by_key",
+            "group": "cell",
+            "window-s": 1.0,
+        },
         {"name": "issue", "contract-time-s": 0.5, "hard-limit-s": 1.0, "repeat": "once"},
     ]
     usual = {
-        "tier": 0, "instances": 1, "discovery": "ask", "round-s": 0.005, "workloads": workloads,
+        "tier": 0,
+        "instances": 1,
+        "discovery": "ask",
+        "round-s": 0.005,
+        "workloads": workloads,
         "limits": limits,
-        "load-report": {"how": "on_probe", "fields": ["waiting", "cpu"]}, "invariants": {"ask-within-s": 1.0},
+        "load-report": {"how": "on_probe", "fields": ["waiting", "cpu"]},
+        "invariants": {"ask-within-s": 1.0},
     }
     return usual | more
 
@@ -290,14 +316,26 @@
         for stand in (*self.stands, self.discovery):
             await group.start(stand.run)
         self.discovery.rows = [
-            {"name": f"e{at}", "address": stand.address, "zone": "z", "type": "k", "group": at % 2,
-             "status": "SERVING", "weight": 1.0, "since_ms": 0}
+            {
+                "name": f"e{at}",
+                "address": stand.address,
+                "zone": "z",
+                "type": "k",
+                "group": at % 2,
+                "status": "SERVING",
+                "weight": 1.0,
+                "since_ms": 0,
+            }
             for at, stand in enumerate(self.stands)
         ]
         rows = [dict(row) for row in self.discovery.rows] if self.known else []
         self.table = {
-            "name": "n1", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "1f",
-            "limits": {"sockets": self.sockets}, "known": {"index": 1, "snapshot": True, "endpoints": rows},
+            "name": "n1",
+            "listen": "127.0.0.1:0",
+            "discovery": self.discovery.address,
+            "seed": "1f",
+            "limits": {"sockets": self.sockets},
+            "known": {"index": 1, "snapshot": True, "endpoints": rows},
             "settings": settings(**self.more),
         }
 
@@ -332,8 +370,9 @@
         return None
 
 
-def wanted(name: str, workload: str = "view", deadline: str = "1.0", body: bytes = b"",
-           more: str = "") -> bytes:
+def wanted(
+    name: str, workload: str = "view", deadline: str = "1.0", body: bytes = b"", more: str = ""
+) -> bytes:
     head = (
         f"POST /{workload}?q=1 HTTP/1.1\r\nHost: app.svc\r\nReq-Id: {name}\r\nReq-Kind: {workload}\r\n"
         f"Req-Deadline: {deadline}\r\nIdempotency-Key: k-{name}\r\n{more}Content-Length: {len(body)}\r\n\r\n"
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """KNOWN-RED.txt, at the root: tests that fail for a real fault which could not be mended yet, a line each,
 `tests/FILE.py::TEST | cause | issue NUMBER`, three at most. The run expects just these to fail and prints
 them. A line too many, a malformed one, one that names no test, or a listed test that passes fails the run."""
+
 from __future__ import annotations
 
 import ast
@@ -45,8 +46,11 @@
     red = Red(found["file"], found["name"], found["of"] or "", text)
     path = root / red.file
     # By the text, not by what this run collects: it may be a part of the tests.
-    names = {one.name for one in ast.parse(path.read_text()).body if isinstance(one, ast.FunctionDef)} \
-        if path.is_file() else set()
+    names = (
+        {one.name for one in ast.parse(path.read_text()).body if isinstance(one, ast.FunctionDef)}
+        if path.is_file()
+        else set()
+    )
     if red.name not in names:
         raise pytest.UsageError(f"KNOWN-RED.txt: {red.file}::{red.name} is no test")
     return red
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,4 +1,5 @@
 """Operators' calls: endpoints out by hand, drain and resume, at an address that no crowd can hold."""
+
 import random
 import socket
 import time
@@ -42,20 +43,29 @@
 # --- the calls ----------------------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("data, found", [
-    (call("GET", "/admin/health"), ("health", "")),
-    (call("PUT", "/admin/quiesce", "Content-Length: 0\r\n"), ("quiesce", "")),
-    (call("PUT", "/admin/cordon?member=e1"), ("cordon", "e1")),
-    (call("PUT", "/admin/cordon?x=1&member=%65%2D1%2b&y"), ("cordon", "e-1+")),
-    (call("PUT", "http://any.host:1/admin/uncordon?%6dember=%C3%A9"), ("uncordon", "é")),
-    (call("GET", "/admin/nothing"), 404), (call("GET", "/health"), 404), (call("GET", "/"), 404),
-    (call("POST", "/admin/cordon?member=e1"), 405), (call("PUT", "/admin/health"), 405),
-    (call("PUT", "/admin/cordon"), 400), (call("PUT", "/admin/cordon?member="), 400),
-    (call("PUT", "/admin/cordon?member=a&member=a"), 400), (call("PUT", "/admin/cordon?member=%ff"), 400),
-    (call("PUT", "/admin/cordon?member=" + "a" * 300), 400),
-    (b"what is this\r\n\r\n", 400), (b"\x16\x03\x01\x02\x00" * 20 + b"\r\n\r\n", 400),
-    (call("GET", "/admin/health", "X: " + "a" * 6_000 + "\r\n"), 431),
-])
+@pytest.mark.parametrize(
+    "data, found",
+    [
+        (call("GET", "/admin/health"), ("health", "")),
+        (call("PUT", "/admin/quiesce", "Content-Length: 0\r\n"), ("quiesce", "")),
+        (call("PUT", "/admin/cordon?member=e1"), ("cordon", "e1")),
+        (call("PUT", "/admin/cordon?x=1&member=%65%2D1%2b&y"), ("cordon", "e-1+")),
+        (call("PUT", "http://any.host:1/admin/uncordon?%6dember=%C3%A9"), ("uncordon", "é")),
+        (call("GET", "/admin/nothing"), 404),
+        (call("GET", "/health"), 404),
+        (call("GET", "/"), 404),
+        (call("POST", "/admin/cordon?member=e1"), 405),
+        (call("PUT", "/admin/health"), 405),
+        (call("PUT", "/admin/cordon"), 400),
+        (call("PUT", "/admin/cordon?member="), 400),
+        (call("PUT", "/admin/cordon?member=a&member=a"), 400),
+        (call("PUT", "/admin/cordon?member=%ff"), 400),
+        (call("PUT", "/admin/cordon?member=" + "a" * 300), 400),
+        (b"what is this\r\n\r\n", 400),
+        (b"\x16\x03\x01\x02\x00" * 20 + b"\r\n\r\n", 400),
+        (call("GET", "/admin/health", "X: " + "a" * 6_000 + "\r\n"), 431),
+    ],
+)
 def test_calls_are_read_however_they_are_cut(data, found):
     rng = random.Random(5)
     for step in (1, 7, len(data), 0):
@@ -111,16 +121,22 @@
                 assert (await net.ask(wanted(f"{tag}{number}"))).status == 200
 
         def found(tag):
-            return sum(len(seen(net, f"{tag}{number}")) for number in range(40)
-                       if 0 in seen(net, f"{tag}{number}"))
+            return sum(
+                len(seen(net, f"{tag}{number}")) for number in range(40) if 0 in seen(net, f"{tag}{number}")
+            )
 
         await many("a")
         assert found("a")
         assert await operate(net, "PUT", "/admin/cordon?member=e0") == 200
         assert not net.program.pool.idle.get("e0")
         row, update = net.discovery.rows[0], net.program.directory.update
-        for fields in ({}, {"status": "DRAINING"}, {"status": "SERVING"}, {"status": "DELETED"},
-                       {"status": "SERVING", "since_ms": int(time.time() * 1000)}):
+        for fields in (
+            {},
+            {"status": "DRAINING"},
+            {"status": "SERVING"},
+            {"status": "DELETED"},
+            {"status": "SERVING", "since_ms": int(time.time() * 1000)},
+        ):
             update(lists.known({"index": 9, "endpoints": [row | fields]}), t.ListKind.CHANGES)
             await many("b" + str(len(fields)) + fields.get("status", ""), 5)
         assert not any(found(tag) for tag in ("b0", "b1DRAINING", "b1SERVING", "b1DELETED", "b2SERVING"))
@@ -195,10 +211,15 @@
 # --- the modes ----------------------------------------------------------------------------------
 
 
-STEPS = strategies.lists(strategies.tuples(
-    strategies.sampled_from(["out", "back", "quiesce", "resume", "leave", "forget"]),
-    strategies.integers(0, 3), strategies.integers(0, 2_000_000_000), strategies.booleans(),
-), max_size=40)
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["out", "back", "quiesce", "resume", "leave", "forget"]),
+        strategies.integers(0, 3),
+        strategies.integers(0, 2_000_000_000),
+        strategies.booleans(),
+    ),
+    max_size=40,
+)
 
 
 @settings(derandomize=True, max_examples=300)
@@ -279,6 +300,7 @@
 
 def desk_side():
     from lupinmill.transport.descriptors import Side
+
     return Side.CLIENT
 
 
@@ -333,6 +355,7 @@
 def test_an_operators_address_that_cant_be_used_is_one_plain_line_and_exit_2(tmp_path):
     from bed import Net
     from test_sidecar import start
+
     net = Net([])
 
     async def main() -> None:
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -1,4 +1,5 @@
 """The wire: whole batches in and out, and what happens on bad input."""
+
 import io
 
 import pytest
@@ -45,14 +46,17 @@
     assert code == 0 and "endpoint=10.0.0.2:80" in out
 
 
-@pytest.mark.parametrize("bad", [
-    "JOB_IN handle=h profile=view due-s=2\n",
-    START + "JOB_IN handle=h profile=view due-s=soon\n",
-    START + "JOB_IN profile=view due-s=2\n",
-    START + "UPDATE roster-id=0 mode=9\n",
-    START + "JOB_IN handle\n",
-    "LEDGER roster-id=0 hosts=2\nROW endpoint=10.0.0.1:80 readiness=1\n",
-])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        "JOB_IN handle=h profile=view due-s=2\n",
+        START + "JOB_IN handle=h profile=view due-s=soon\n",
+        START + "JOB_IN profile=view due-s=2\n",
+        START + "UPDATE roster-id=0 mode=9\n",
+        START + "JOB_IN handle\n",
+        "LEDGER roster-id=0 hosts=2\nROW endpoint=10.0.0.1:80 readiness=1\n",
+    ],
+)
 def test_bad_input_ends_with_one_plain_message(bad):
     code, out, errors = play(bad)
     assert code == 2 and out == "" and errors.startswith("benchlink: ") and errors.count("\n") == 1
--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -1,4 +1,5 @@
 """A sidecar beside each client: a test for each assumption about the shape of a deployment that fell."""
+
 import random
 
 import orjson
@@ -26,8 +27,9 @@
     return t.Listing(name, t.State.READY, zone, kind, "0", started, weight)
 
 
-def serve(bed: Bed, count: int, apart: int, took=lambda endpoint: 50 * MS, key=lambda at: "",
-          tenant=lambda at: ""):
+def serve(
+    bed: Bed, count: int, apart: int, took=lambda endpoint: 50 * MS, key=lambda at: "", tenant=lambda at: ""
+):
     """`count` submissions, one each `apart`, answered after their endpoint's time. Gives where they went."""
     out, picks = [], []
     for at in range(count + IDEM.hard_limit // apart):
@@ -108,8 +110,11 @@
 def test_slow_machines_do_not_stand_behind_the_others_for_good():
     """Seen: endpoints of the slow kind on the shelf of the crowded all day, though all was well with them."""
     bed = Bed(beside(), endpoints=0)
-    fleet(bed, *[entry(f"fast{at}", kind="fast") for at in range(4)],
-          *[entry(f"slow{at}", kind="slow") for at in range(4)])
+    fleet(
+        bed,
+        *[entry(f"fast{at}", kind="fast") for at in range(4)],
+        *[entry(f"slow{at}", kind="slow") for at in range(4)],
+    )
     picks = serve(bed, 600, 20 * MS, lambda name: (120 if name.startswith("slow") else 50) * MS)
     seats = bed.sidecar.desk.seats
     assert not any(seats[f"slow{at}"].says.crowded for at in range(4))
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,5 +1,6 @@
 """Measured slopes times the target: what may be extended, N*, order and choice of rows, assumptions that are
 wrong, files that can't be used. Measured figures are made up here; the page's own are compared at the end."""
+
 import re
 import tomllib
 from dataclasses import replace
@@ -15,7 +16,16 @@
 from lupinmill.cli.lab import lab
 from lupinmill.lab.scale import capacity, computed, curves, fit, measured, page, page_run, tables, target
 from lupinmill.lab.scale.curves import (
-    ANY, BETWEEN, COMPUTED, EXTENDED, FIRST, LAST, MEASURED, NEVER, Bound, Use,
+    ANY,
+    BETWEEN,
+    COMPUTED,
+    EXTENDED,
+    FIRST,
+    LAST,
+    MEASURED,
+    NEVER,
+    Bound,
+    Use,
 )
 from lupinmill.lab.scale.measured import Added, Figure, Measured, Point
 from lupinmill.lab.scale.row import BREAKS, HOLDS, UNKNOWN, Row
@@ -25,8 +35,17 @@
 SIZES = (100, 300, 1000, 3000)
 
 
-def figure(of, role="sidecar", name="cpu", unit="part of a core", grows="members", day="quiet", sizes=SIZES,
-           peak=None, seeds=(1, 2)) -> Figure:
+def figure(
+    of,
+    role="sidecar",
+    name="cpu",
+    unit="part of a core",
+    grows="members",
+    day="quiet",
+    sizes=SIZES,
+    peak=None,
+    seeds=(1, 2),
+) -> Figure:
     """`of`: a size's mean; `peak`: a size's peak."""
     points = [Point(size, seed, of(size), peak(size) if peak else 0.0) for size in sizes for seed in seeds]
     return Figure(role, name, unit, grows, day, points, fit.fit(points))
@@ -86,8 +105,15 @@
     assert done.stderr.startswith(f"lupinmill: {path}: ")
 
 
-@pytest.mark.parametrize("data, said", [(None, "No such file"), (b"\xff", "no UTF-8"),
-                                        (b"a = ", "Invalid value"), (b"#" * (target.LARGEST + 1), "over")])
+@pytest.mark.parametrize(
+    "data, said",
+    [
+        (None, "No such file"),
+        (b"\xff", "no UTF-8"),
+        (b"a = ", "Invalid value"),
+        (b"#" * (target.LARGEST + 1), "over"),
+    ],
+)
 def test_a_file_that_is_none_is_one_line(tmp_path, data, said):
     path = tmp_path / "t.toml"
     if data is not None:
@@ -96,8 +122,15 @@
     assert done.exit_code == 2 and done.stderr.count("\n") == 1 and said in done.stderr
 
 
-@pytest.mark.parametrize("data, said", [(None, "No such file"), (b"{", "truncated"),
-                                        (b"{}", "missing required"), (b'{"comand": 1}', "unknown field")])
+@pytest.mark.parametrize(
+    "data, said",
+    [
+        (None, "No such file"),
+        (b"{", "truncated"),
+        (b"{}", "missing required"),
+        (b'{"comand": 1}', "unknown field"),
+    ],
+)
 def test_measured_figures_that_can_not_be_used_are_one_line(tmp_path, data, said):
     path = tmp_path / "m.json"
     if data is not None:
@@ -280,7 +313,9 @@
 def test_a_figure_without_budget_or_size_is_still_on_the_page():
     one = run(figure(line(5, 0), name="rows"), figure(line(5, 0), grows="moons"))
     assert {(f.name, f.grows_with) for f, _, _ in capacity.unbudgeted(TARGET, one)} == {
-        ("rows", "members"), ("cpu", "moons")}
+        ("rows", "members"),
+        ("cpu", "moons"),
+    }
     assert "rows, quiet" in page.of_roles(TARGET, one) and "no such size" in page.of_roles(TARGET, one)
 
 
@@ -343,17 +378,26 @@
 
 
 def test_the_choice_is_the_smallest_n_star_of_controls_fatal_rows():
-    rows = [row("early", Bound("at", 10), "cells", fatal=False), row("path", ANY, "added", control=False),
-            row("holds", Bound("at", 5), "lists", verdict=HOLDS), row("later", ANY, "layers", added="config"),
-            row("first", Bound("at", 100), "rosters"), row("second", Bound("at", 200), "cells")]
+    rows = [
+        row("early", Bound("at", 10), "cells", fatal=False),
+        row("path", ANY, "added", control=False),
+        row("holds", Bound("at", 5), "lists", verdict=HOLDS),
+        row("later", ANY, "layers", added="config"),
+        row("first", Bound("at", 100), "rosters"),
+        row("second", Bound("at", 200), "cells"),
+    ]
     choice = capacity.choose(rows)
     assert choice.row.key == "first" and choice.mechanism == "rosters"
     assert capacity.choose([one for one in rows if not one.fatal or not one.control or one.added]) is None
 
 
 def test_of_equals_the_one_that_more_rows_stand_on_is_chosen():
-    rows = [row("a", ANY, "config"), row("b", ANY, "cells"), row("c", Bound("at", 9), "lists", "cells"),
-            row("d", Bound("at", 9), "config", verdict=HOLDS)]
+    rows = [
+        row("a", ANY, "config"),
+        row("b", ANY, "cells"),
+        row("c", Bound("at", 9), "lists", "cells"),
+        row("d", Bound("at", 9), "config", verdict=HOLDS),
+    ]
     choice = capacity.choose(rows)
     assert choice.mechanism == "cells" and choice.stand == {"cells": 2, "config": 1, "lists": 1}
     assert {one.key for one in choice.equals} == {"a", "b"}
@@ -473,8 +517,15 @@
 
 def test_the_target_is_that_of_the_letter():
     table = tomllib.loads(target.FILE.read_text())
-    assert table["fleet"] == {"endpoints": 20_000, "sidecars": 20_000, "services": 840, "depth": 7,
-                              "calls_a_second": 5_700_000, "regions": 7, "zones": 20}
+    assert table["fleet"] == {
+        "endpoints": 20_000,
+        "sidecars": 20_000,
+        "services": 840,
+        "depth": 7,
+        "calls_a_second": 5_700_000,
+        "regions": 7,
+        "zones": 20,
+    }
     assert table["goals"] == {"added_p99_ms": 1.1, "changes_a_day": 31_000, "in_force_s": 12.0}
     assert table["sidecar"] == {"cpu": 0.044, "memory_mb": 64.0, "bytes_a_second": 8000.0}
     assert table["control"]["machines"] == 50
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -1,5 +1,6 @@
 """What all sidecars together send to an endpoint that starts cold, in virtual time, against the budget: in any
 window of the time told, no more than N + 2 x root of N + 2, N being what it may be sent then."""
+
 import heapq
 import random
 from dataclasses import dataclass, field
@@ -15,7 +16,12 @@
 ENDPOINTS, CORES, SERVICE = 10, 4, 50 * MS
 CAPACITY = CORES * SECOND / SERVICE  # of a warm endpoint, submissions a second
 FAULT, END = 6 * SECOND, 11 * SECOND  # after the begin; those that start cold do so at FAULT
-SHARE, TIME, MULTIPLE, SPAN = 0.17, 20 * SECOND, 2.5, SECOND  # cold share and time, overload factor, fall time
+SHARE, TIME, MULTIPLE, SPAN = (
+    0.17,
+    20 * SECOND,
+    2.5,
+    SECOND,
+)  # cold share and time, overload factor, fall time
 POOL = dict(cold_share=SHARE, cold_time=TIME)
 BESIDE = POOL | dict(beside=True, uneven=True, copies_allowed=False, probes_allowed=False, zone="z")
 FEW = BESIDE | dict(few_connections=True)
@@ -40,10 +46,13 @@
 class Fleet:
     """Sidecars of one tier, their clients and their endpoints. All events in one heap."""
 
-    def __init__(self, seed: int, sidecars: int, load: float, skew: float = 0.0, clump: int = 1, **told) -> None:
+    def __init__(
+        self, seed: int, sidecars: int, load: float, skew: float = 0.0, clump: int = 1, **told
+    ) -> None:
         self.rng, self.now, self.serial, self.begin = random.Random(seed), 100 * SECOND, 0, 100 * SECOND
-        self.told = [deployment(seed=self.rng.getrandbits(40), instances=sidecars, **told)
-                     for _ in range(sidecars)]
+        self.told = [
+            deployment(seed=self.rng.getrandbits(40), instances=sidecars, **told) for _ in range(sidecars)
+        ]
         self.sidecars = [Sidecar(one) for one in self.told]
         self.weights = [self.rng.lognormvariate(0, skew) for _ in self.sidecars]
         self.servers = {f"e{at}": Server(f"e{at}") for at in range(ENDPOINTS)}
@@ -165,6 +174,7 @@
 def bursts(fleet: Fleet) -> None:
     def more() -> None:
         fleet.rate *= 1.5
+
     fleet.at(fleet.begin + FAULT - SECOND // 10, more)
     joins(fleet)
 
@@ -173,8 +183,10 @@
     """Of ten endpoints one stays; then a cold one joins."""
     gone = [f"e{at}" for at in range(1, ENDPOINTS)]
     fleet.at(fleet.begin + FAULT - SECOND // 2, fleet.die, *gone)
-    fleet.at(fleet.begin + FAULT - SECOND // 2 + 1,
-             lambda: fleet.tell(t.ListKind.CHANGES, *gone, state=t.State.GONE))
+    fleet.at(
+        fleet.begin + FAULT - SECOND // 2 + 1,
+        lambda: fleet.tell(t.ListKind.CHANGES, *gone, state=t.State.GONE),
+    )
     joins(fleet)
 
 
@@ -187,8 +199,11 @@
     fleet.at(fleet.begin + FAULT + 1, fleet.anew)
 
 
-CASES = [(told, case, sidecars) for told in (POOL, BESIDE, FEW)
-         for case, sidecars in ((joins, 1), (joins, 5), (bursts, 12), (few_left, 30), (half_and_all_processes, 30))]
+CASES = [
+    (told, case, sidecars)
+    for told in (POOL, BESIDE, FEW)
+    for case, sidecars in ((joins, 1), (joins, 5), (bursts, 12), (few_left, 30), (half_and_all_processes, 30))
+]
 
 
 @pytest.mark.parametrize("told, case, sidecars", [*CASES, (FEW, few_left, 200), (POOL, bursts, 200)])
--- a/tests/test_config_core.py
+++ b/tests/test_config_core.py
@@ -71,7 +71,9 @@
 
 @settings(derandomize=True, deadline=None, max_examples=100)
 @given(
-    st.lists(few_changes | changes | st.none(), max_size=8), scopes, st.integers(0, 8),
+    st.lists(few_changes | changes | st.none(), max_size=8),
+    scopes,
+    st.integers(0, 8),
     st.sampled_from([100, 700, 100_000]),
 )
 def test_a_snapshot_and_changes_are_the_later_snapshot(pushes, watched, most_changes, most_bytes):
@@ -640,10 +642,15 @@
 
 notes = st.one_of(
     st.builds(
-        Answered, st.sampled_from("abz"),
+        Answered,
+        st.sampled_from("abz"),
         st.builds(
-            Reply, st.builds(Version, st.integers(0, 8), st.sampled_from("xy")), st.booleans(), changes,
-            st.builds(Version, st.integers(0, 8), st.sampled_from("xy")), st.integers(0, 600_000),
+            Reply,
+            st.builds(Version, st.integers(0, 8), st.sampled_from("xy")),
+            st.booleans(),
+            changes,
+            st.builds(Version, st.integers(0, 8), st.sampled_from("xy")),
+            st.integers(0, 600_000),
         ),
     ),
     st.builds(Failed, st.sampled_from("abz"), st.text(max_size=400), st.booleans()),
@@ -691,8 +698,16 @@
 
 
 @examples
-@given(versions, st.integers(0, 60_000), st.lists(all_scopes, unique=True, max_size=64), names, versions,
-       st.integers(0, wire.HIGHEST), st.text(max_size=300), versions)
+@given(
+    versions,
+    st.integers(0, 60_000),
+    st.lists(all_scopes, unique=True, max_size=64),
+    names,
+    versions,
+    st.integers(0, wire.HIGHEST),
+    st.text(max_size=300),
+    versions,
+)
 def test_what_a_call_asks_is_what_is_read(since, wait, watched, name, in_force, refused, why, ahead):
     ahead = ahead if ahead.index else Version()
     request = wire.call(since, wait, tuple(watched), Status(name, in_force, refused, why, ahead))
@@ -706,18 +721,33 @@
 @pytest.mark.parametrize(
     ("query", "says"),
     [
-        ("", "name"), ("name=", "name"), ("name=%00", "name"), ("name=" + "x" * 65, "name"),
+        ("", "name"),
+        ("name=", "name"),
+        ("name=%00", "name"),
+        ("name=" + "x" * 65, "name"),
         ("name=%ff", "query"),
-        ("name=s&index=-1", "index"), ("name=s&index=1e3", "index"), ("name=s&index=" + "9" * 400, "index"),
-        ("name=s&index=9007199254740992", "index"), ("name=s&index=%D9%A1", "index"),
+        ("name=s&index=-1", "index"),
+        ("name=s&index=1e3", "index"),
+        ("name=s&index=" + "9" * 400, "index"),
+        ("name=s&index=9007199254740992", "index"),
+        ("name=s&index=%D9%A1", "index"),
         ("name=s&wait=x", "wait"),
-        ("name=s&mark=%20", "mark"), ("name=s&mark=" + "a" * 33, "mark"), ("name=s&scope=", "scope"),
-        ("name=s&scope=fleet/x", "scope"), ("name=s&scope=zone", "scope"), ("name=s&scope=planet/x", "scope"),
-        ("name=s&name=t", "name: given twice"), ("name=s&other=1", "query"), ("name=s&&", "query"),
-        ("name", "query"), ("name=s&why=" + "x" * 201, "why"), ("name=s&refused=1.0", "refused"),
+        ("name=s&mark=%20", "mark"),
+        ("name=s&mark=" + "a" * 33, "mark"),
+        ("name=s&scope=", "scope"),
+        ("name=s&scope=fleet/x", "scope"),
+        ("name=s&scope=zone", "scope"),
+        ("name=s&scope=planet/x", "scope"),
+        ("name=s&name=t", "name: given twice"),
+        ("name=s&other=1", "query"),
+        ("name=s&&", "query"),
+        ("name", "query"),
+        ("name=s&why=" + "x" * 201, "why"),
+        ("name=s&refused=1.0", "refused"),
         ("name=s" + "&scope=fleet" * 80, "query"),
         ("name=s" + "".join(f"&scope=zone/{at}" for at in range(65)), "scope"),
-        ("name=s&in_force=x", "in_force"), ("name=s&ahead=x", "ahead"),
+        ("name=s&in_force=x", "in_force"),
+        ("name=s&ahead=x", "ahead"),
     ],
 )
 def test_an_odd_watch_is_told_what_is_wrong(query, says):
@@ -728,7 +758,8 @@
 
 def test_another_method_path_or_a_body_is_refused_and_a_long_wait_is_cut():
     for request, status in [
-        (Request(b"POST", b"/v1/config?name=s"), 405), (Request(b"GET", b"/v1/configs?name=s"), 404),
+        (Request(b"POST", b"/v1/config?name=s"), 405),
+        (Request(b"GET", b"/v1/configs?name=s"), 404),
         (Request(b"GET", b"/v1/config?name=s", [], b"x"), 400),
     ]:
         with pytest.raises(Malformed) as raised:
@@ -756,8 +787,15 @@
     assert got == reply and exactly(got.entries) == exactly(reply.entries)
 
 
-GOOD = {"index": 3, "mark": "ab", "snapshot": False, "since": 2, "since_mark": "", "spread_ms": 0,
-        "entries": [{"scope": "fleet", "kind": "settings", "value": 1}]}
+GOOD = {
+    "index": 3,
+    "mark": "ab",
+    "snapshot": False,
+    "since": 2,
+    "since_mark": "",
+    "spread_ms": 0,
+    "entries": [{"scope": "fleet", "kind": "settings", "value": 1}],
+}
 
 
 def deep(levels: int):
@@ -774,14 +812,29 @@
 @pytest.mark.parametrize(
     "change",
     [
-        *({key: None} for key in GOOD), {"index": -1}, {"index": True}, {"index": 1.0}, {"index": 2**53},
-        {"mark": "a" * 33}, {"mark": "a b"}, {"mark": 1}, {"snapshot": 1}, {"since": "2"},
+        *({key: None} for key in GOOD),
+        {"index": -1},
+        {"index": True},
+        {"index": 1.0},
+        {"index": 2**53},
+        {"mark": "a" * 33},
+        {"mark": "a b"},
+        {"mark": 1},
+        {"snapshot": 1},
+        {"since": "2"},
         {"spread_ms": 600_001},
-        {"entries": {}}, {"entries": [1]}, {"entries": [row(scope="x/y")]}, {"entries": [row(scope=1)]},
-        {"entries": [row(scope="zone/" + "x" * 65)]}, {"entries": [row(kind="")]},
-        {"entries": [row(kind="A")]}, {"entries": [row(kind="member/")]}, {"entries": [row(), row()]},
+        {"entries": {}},
+        {"entries": [1]},
+        {"entries": [row(scope="x/y")]},
+        {"entries": [row(scope=1)]},
+        {"entries": [row(scope="zone/" + "x" * 65)]},
+        {"entries": [row(kind="")]},
+        {"entries": [row(kind="A")]},
+        {"entries": [row(kind="member/")]},
+        {"entries": [row(), row()]},
         {"entries": [{"scope": "fleet"}]},
-        {"entries": [row(value=deep(33))]}, {"snapshot": True, "entries": [row(value=None)]},
+        {"entries": [row(value=deep(33))]},
+        {"snapshot": True, "entries": [row(value=None)]},
     ],
 )
 def test_an_odd_answer_is_garbled(change):
@@ -822,9 +875,12 @@
 @pytest.mark.parametrize(
     ("table", "says"),
     [
-        ([], "not a table"), ({}, "entries"), ({"entries": [], "x": 1}, "'x' is not known"),
+        ([], "not a table"),
+        ({}, "entries"),
+        ({"entries": [], "x": 1}, "'x' is not known"),
         ({"entries": [row(kind="setings")]}, "fleet setings: no such kind"),
-        ({"entries": [row(scope="servce/x")]}, "scope"), ({"entries": [row(), row()]}, "comes twice"),
+        ({"entries": [row(scope="servce/x")]}, "scope"),
+        ({"entries": [row(), row()]}, "comes twice"),
     ],
 )
 def test_an_odd_push_is_told_what_is_wrong(table, says):
@@ -835,7 +891,9 @@
 def test_a_push_is_read():
     table = {"entries": [row(), row("zone/a", "zones", {}), row("zone/a", "member/m 1", None)]}
     assert wire.config_entries(table) == {
-        FLEET: 1, Key("zone/a", "zones"): {}, Key("zone/a", "member/m 1"): None,
+        FLEET: 1,
+        Key("zone/a", "zones"): {},
+        Key("zone/a", "member/m 1"): None,
     }
 
 
--- a/tests/test_config_explorer.py
+++ b/tests/test_config_explorer.py
@@ -136,8 +136,13 @@
         (partial(ConfigWorld, follower=TakesRefusals), "says that 2 is in force, not 1"),
     ],
     ids=[
-        "older snapshot", "half a version", "served before kept", "change left out", "over a gap",
-        "deaf source", "refusal taken",
+        "older snapshot",
+        "half a version",
+        "served before kept",
+        "change left out",
+        "over a gap",
+        "deaf source",
+        "refusal taken",
     ],
 )
 def test_a_planted_fault_is_found(planted, says):
--- a/tests/test_config_relay.py
+++ b/tests/test_config_relay.py
@@ -1265,7 +1265,7 @@
 
 def test_commands_push_show_roll_back_and_sum_up(tmp_path, soon):
     toml, table = tmp_path / "a.toml", tmp_path / "b.json"
-    toml.write_text('[fleet.settings]\ninstances = 3\n[service.tender.settings.limits]\nmost-launches = 2\n')
+    toml.write_text("[fleet.settings]\ninstances = 3\n[service.tender.settings.limits]\nmost-launches = 2\n")
     table.write_text('{"service": {"tender": {"settings": null}}}')
 
     async def check():
--- a/tests/test_config_sidecar.py
+++ b/tests/test_config_sidecar.py
@@ -151,12 +151,15 @@
 
 def test_the_narrower_scope_goes_before_the_wider_and_tables_are_laid_over_key_by_key():
     base = settings()
-    found = merge.settings(base, {
-        MINE: {"limits": {"most-launches": 7}},
-        Key("service/portal", "settings"): {"limits": {"most-launches": 6, "cancel": False}},
-        FLEET: {"limits": {"most-launches": 5, "retry-after": None}, "instances": 9},
-        Key("fleet", "zones"): {"map": {}},
-    })
+    found = merge.settings(
+        base,
+        {
+            MINE: {"limits": {"most-launches": 7}},
+            Key("service/portal", "settings"): {"limits": {"most-launches": 6, "cancel": False}},
+            FLEET: {"limits": {"most-launches": 5, "retry-after": None}, "instances": 9},
+            Key("fleet", "zones"): {"map": {}},
+        },
+    )
     assert found["limits"] == base["limits"] | {"most-launches": 7, "cancel": False, "retry-after": None}
     assert found["instances"] == 9 and base == settings()
     d = protocol_settings.deployment(protocol_settings.flatten(found))
@@ -165,10 +168,13 @@
 
 def test_workloads_change_row_by_row_by_name_or_whole():
     base = settings()
-    found = merge.settings(base, {
-        FLEET: {"workloads": {"view": {"hard-limit-s": 3.0}, "bid": None, "quick": workload()}},
-        MINE: {"workloads": {"quick": {"value": 2.0}}, "accounts": {"a": {"quota-per-s": 5}}},
-    })
+    found = merge.settings(
+        base,
+        {
+            FLEET: {"workloads": {"view": {"hard-limit-s": 3.0}, "bid": None, "quick": workload()}},
+            MINE: {"workloads": {"quick": {"value": 2.0}}, "accounts": {"a": {"quota-per-s": 5}}},
+        },
+    )
     assert [row["name"] for row in found["workloads"]] == ["view", "issue", "quick"]
     assert found["workloads"][0] == base["workloads"][0] | {"hard-limit-s": 3.0}
     assert found["workloads"][2] == {"name": "quick", "value": 2.0} | workload()
@@ -178,14 +184,17 @@
     assert base == settings()
 
 
-@pytest.mark.parametrize("value, key", [
-    (3, "fleet: settings: wants a table"),
-    ({"workloads": 3}, "settings.workloads: wants a list"),
-    ({"workloads": [{"value": 1}]}, "settings.workloads.0: wants a table with a name"),
-    ({"workloads": {"view": 3}}, "settings.workloads.view: wants a table"),
-    ({"workloads": {"view": {"name": "other"}}}, "settings.workloads.view.name: 'other'"),
-    ({"limits.cancel": True}, "settings.limits.cancel: wants a table"),
-])
+@pytest.mark.parametrize(
+    "value, key",
+    [
+        (3, "fleet: settings: wants a table"),
+        ({"workloads": 3}, "settings.workloads: wants a list"),
+        ({"workloads": [{"value": 1}]}, "settings.workloads.0: wants a table with a name"),
+        ({"workloads": {"view": 3}}, "settings.workloads.view: wants a table"),
+        ({"workloads": {"view": {"name": "other"}}}, "settings.workloads.view.name: 'other'"),
+        ({"limits.cancel": True}, "settings.limits.cancel: wants a table"),
+    ],
+)
 def test_a_value_of_the_wrong_shape_is_named_by_scope_and_key(value, key):
     with pytest.raises(ValueError, match=re.escape(key)):
         merge.settings(settings(), {FLEET: value})
@@ -204,10 +213,14 @@
 
 
 def test_members_of_the_narrower_scope_go_first_and_may_be_gone():
-    found = merge.members({
-        Key("fleet", "member/a"): {"address": "10.0.0.1:1"}, Key("zone/z", "member/a"): {"gone": True},
-        Key("fleet", "member/b"): {"address": "10.0.0.2:1"}, FLEET: {},
-    })
+    found = merge.members(
+        {
+            Key("fleet", "member/a"): {"address": "10.0.0.1:1"},
+            Key("zone/z", "member/a"): {"gone": True},
+            Key("fleet", "member/b"): {"address": "10.0.0.2:1"},
+            FLEET: {},
+        }
+    )
     assert found == {"a": None, "b": {"address": "10.0.0.2:1"}}
 
 
@@ -248,26 +261,38 @@
         assert set().union(*(row.read for row in rows[kind])) == keys
 
 
-@pytest.mark.parametrize("more, key", [
-    ({"limits": {"most-lunches": 3}}, "limits.most-lunches: unknown; the nearest known key is limits."),
-    ({"workloads": {"view": {"hard-limit": 3}}}, "settings.workloads.hard-limit: unknown; the nearest known"),
-    ({"instance": 3}, "settings.instance: unknown; the nearest known key is instances"),
-    ({"instances": 0}, "settings.instances: '0' is not within 1"),
-    ({"instances": "many"}, "settings.instances: 'many' is no number"),
-    ({"limits": {"cancel": "perhaps"}}, "settings.limits.cancel: 'perhaps' is neither"),
-    ({"workloads": {"view": {"value": -1}}}, "settings.workloads.0.value: '-1' is not within 0"),
-    ({"workloads": {"view": {"hard-limit-s": 0}}}, "settings.workloads.0.hard-limit-s: '0' is not over 0"),
-    ({"workloads": {"new": {"repeat": "once"}}}, "settings.workloads.3.contract-time-s: missing"),
-    ({"workloads": {"view": None, "bid": None, "issue": None}}, "settings.workloads: none would be left"),
-    ({"workloads": [{"name": "a"} | workload()] * 2}, "settings.workloads.1.name: 'a' is none, or there"),
-    ({"accounts": {"a": {"quota-per-s": "x"}}}, "settings.accounts.0.quota-per-s: 'x' is no number"),
-    ({"tier": 1}, "settings.tier: wants a new start"),
-    ({"discovery": "push"}, "settings.discovery: wants a new start"),
-    ({"round-s": 1.0}, "settings.round-s: wants a new start"),
-    ({"load-report": {"how": "off"}}, "settings.load-report.how: wants a new start"),
-    ({"locality": "z"}, "settings.locality: wants a new start"),
-    ({"invariants": {"dropped-stay-open": True}}, "settings.invariants.dropped-stay-open: wants a new start"),
-])
+@pytest.mark.parametrize(
+    "more, key",
+    [
+        ({"limits": {"most-lunches": 3}}, "limits.most-lunches: unknown; the nearest known key is limits."),
+        (
+            {"workloads": {"view": {"hard-limit": 3}}},
+            "settings.workloads.hard-limit: unknown; the nearest known",
+        ),
+        ({"instance": 3}, "settings.instance: unknown; the nearest known key is instances"),
+        ({"instances": 0}, "settings.instances: '0' is not within 1"),
+        ({"instances": "many"}, "settings.instances: 'many' is no number"),
+        ({"limits": {"cancel": "perhaps"}}, "settings.limits.cancel: 'perhaps' is neither"),
+        ({"workloads": {"view": {"value": -1}}}, "settings.workloads.0.value: '-1' is not within 0"),
+        (
+            {"workloads": {"view": {"hard-limit-s": 0}}},
+            "settings.workloads.0.hard-limit-s: '0' is not over 0",
+        ),
+        ({"workloads": {"new": {"repeat": "once"}}}, "settings.workloads.3.contract-time-s: missing"),
+        ({"workloads": {"view": None, "bid": None, "issue": None}}, "settings.workloads: none would be left"),
+        ({"workloads": [{"name": "a"} | workload()] * 2}, "settings.workloads.1.name: 'a' is none, or there"),
+        ({"accounts": {"a": {"quota-per-s": "x"}}}, "settings.accounts.0.quota-per-s: 'x' is no number"),
+        ({"tier": 1}, "settings.tier: wants a new start"),
+        ({"discovery": "push"}, "settings.discovery: wants a new start"),
+        ({"round-s": 1.0}, "settings.round-s: wants a new start"),
+        ({"load-report": {"how": "off"}}, "settings.load-report.how: wants a new start"),
+        ({"locality": "z"}, "settings.locality: wants a new start"),
+        (
+            {"invariants": {"dropped-stay-open": True}},
+            "settings.invariants.dropped-stay-open: wants a new start",
+        ),
+    ],
+)
 def test_what_does_not_fit_is_refused_whole_with_its_key_and_the_old_version_stays(more, key):
     async def check(net):
         await net.in_force({FLEET: {"limits": {"most-launches": 3}}})
@@ -341,7 +366,8 @@
     assert gate.lines["view", False].contract == 2 * SECOND and set(gate.workloads) == {"view"}
     gate.window = 2.0
     assert [(offer.workload, fate) for offer, fate in gate.release(now + 1)] == [
-        ("view", Fate.TAKEN), ("bid", Fate.TAKEN),
+        ("view", Fate.TAKEN),
+        ("bid", Fate.TAKEN),
     ]
     gate.deploy(deployment(workloads=[IDEM]))
     assert set(gate.lines) == {("view", False)}
@@ -354,11 +380,15 @@
     async def check(net):
         program = net.program
         assert (await net.ask(wanted("s0", "quick"))).status == 404
-        await net.in_force({FLEET: {
-            "workloads": {"quick": workload(value=3.0), "bid": None},
-            "limits": {"connect-timeout-s": 0.7, "conn-idle-s": 11.0, "max-retry-after-s": 0.5},
-            "instances": 2,
-        }})
+        await net.in_force(
+            {
+                FLEET: {
+                    "workloads": {"quick": workload(value=3.0), "bid": None},
+                    "limits": {"connect-timeout-s": 0.7, "conn-idle-s": 11.0, "max-retry-after-s": 0.5},
+                    "instances": 2,
+                }
+            }
+        )
         assert (await net.ask(wanted("s1", "quick"))).status == 200
         denied = await net.ask(wanted("s2", "bid"))
         assert denied.status == 503 and denied.header(b"retry-after") == "0.250"
@@ -381,6 +411,7 @@
 
 def test_a_shorter_contract_denies_the_next_and_work_in_hand_ends_by_its_own():
     """Endpoints hold everything: under the old terms 1.0 s, under the new 0.2 s."""
+
     async def check(net):
         times = {}
 
@@ -450,9 +481,7 @@
         told = understand(net.table, {})
         net.program.read_again = lambda: told
         net.program.reload()
-        assert net.logs[-1] == (
-            "reload_refused", {"error": "these want a new start", "fields": ["settings"]}
-        )
+        assert net.logs[-1] == ("reload_refused", {"error": "these want a new start", "fields": ["settings"]})
         assert net.program.in_force is None
 
     on_network(check, fine)
@@ -618,8 +647,11 @@
     }
     view = next(lane for key, lane in desk.lanes.items() if key[0] == "view")
     assert view is lanes["view", False, False, ""]
-    launched = [order.submission for order in bed.end(held[0], 0, t.How.HANDLED, after=5_000)
-                if isinstance(order, t.Launch)]
+    launched = [
+        order.submission
+        for order in bed.end(held[0], 0, t.How.HANDLED, after=5_000)
+        if isinstance(order, t.Launch)
+    ]
     assert launched and all(bed.sidecar.desk.open[name].workload.name == "view" for name in launched)
 
 
@@ -640,6 +672,7 @@
 
 def test_the_same_deployment_again_changes_no_decision():
     """Two sidecars fed alike, one of which is told its own deployment again and again."""
+
     def play(again: bool) -> list:
         sidecar, rng, now, orders = Sidecar(deployment()), random.Random(5), 100 * SECOND, []
         orders += sidecar.step(now, [t.Listed(t.ListKind.CACHED, [listing(i) for i in range(3)])])
@@ -666,30 +699,61 @@
 
 REPEATS = st.sampled_from(list(t.Repeat))
 WORKLOADS = st.builds(
-    t.Workload, name=st.just(""), contract=st.integers(100_000, 2 * SECOND),
-    hard_limit=st.integers(200_000, 4 * SECOND), value=st.floats(0, 9), overdue_value=st.floats(0, 1),
-    repeat=REPEATS, group=st.sampled_from(list(t.Group)), window=st.integers(0, 3 * SECOND),
+    t.Workload,
+    name=st.just(""),
+    contract=st.integers(100_000, 2 * SECOND),
+    hard_limit=st.integers(200_000, 4 * SECOND),
+    value=st.floats(0, 9),
+    overdue_value=st.floats(0, 1),
+    repeat=REPEATS,
+    group=st.sampled_from(list(t.Group)),
+    window=st.integers(0, 3 * SECOND),
 )
 DEPLOYMENTS = st.builds(
     lambda names, rows, more: deployment(
         workloads=[in_force.replace(row, name=name) for name, row in zip(sorted(names), rows)], **more
     ),
-    st.sets(st.sampled_from("abcde"), min_size=1), st.lists(WORKLOADS, min_size=5, max_size=5),
-    st.fixed_dictionaries({
-        "instances": st.integers(1, 40), "most_launches": st.integers(1, 5), "copies_allowed": st.booleans(),
-        "cancel_allowed": st.booleans(), "probes_allowed": st.booleans(), "cold_time": st.integers(0, SECOND),
-        "crossing_price": st.sampled_from((0.0, 0.2)), "uneven": st.booleans(), "warm_keys": st.booleans(),
-        "tenants": st.lists(st.builds(t.Tenant, st.sampled_from("xyz"), st.floats(0, 9)), max_size=3),
-    }),
+    st.sets(st.sampled_from("abcde"), min_size=1),
+    st.lists(WORKLOADS, min_size=5, max_size=5),
+    st.fixed_dictionaries(
+        {
+            "instances": st.integers(1, 40),
+            "most_launches": st.integers(1, 5),
+            "copies_allowed": st.booleans(),
+            "cancel_allowed": st.booleans(),
+            "probes_allowed": st.booleans(),
+            "cold_time": st.integers(0, SECOND),
+            "crossing_price": st.sampled_from((0.0, 0.2)),
+            "uneven": st.booleans(),
+            "warm_keys": st.booleans(),
+            "tenants": st.lists(st.builds(t.Tenant, st.sampled_from("xyz"), st.floats(0, 9)), max_size=3),
+        }
+    ),
+)
+HOWS = st.sampled_from(
+    [
+        t.How.HANDLED,
+        t.How.HANDLED,
+        t.How.HANDLED,
+        t.How.ERROR,
+        t.How.REFUSED,
+        t.How.RESET,
+        t.How.UNCONNECTED,
+        t.How.SPOILT,
+        t.How.TIMED_OUT,
+    ]
+)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("deploy"), DEPLOYMENTS),
+        st.tuples(st.just("arrive"), st.integers(0, 9)),
+        st.tuples(st.just("end"), st.tuples(st.integers(0, 99), HOWS)),
+        st.tuples(st.just("run"), st.integers(1, 200)),
+        st.tuples(st.just("list"), st.tuples(st.integers(0, 3), st.booleans())),
+    ),
+    min_size=5,
+    max_size=60,
 )
-HOWS = st.sampled_from([t.How.HANDLED, t.How.HANDLED, t.How.HANDLED, t.How.ERROR, t.How.REFUSED, t.How.RESET,
-                        t.How.UNCONNECTED, t.How.SPOILT, t.How.TIMED_OUT])
-STEPS = st.lists(st.one_of(
-    st.tuples(st.just("deploy"), DEPLOYMENTS), st.tuples(st.just("arrive"), st.integers(0, 9)),
-    st.tuples(st.just("end"), st.tuples(st.integers(0, 99), HOWS)),
-    st.tuples(st.just("run"), st.integers(1, 200)),
-    st.tuples(st.just("list"), st.tuples(st.integers(0, 3), st.booleans())),
-), min_size=5, max_size=60)
 
 
 @hypothesis_settings(derandomize=True, deadline=None, max_examples=150)
@@ -816,8 +880,11 @@
 def test_a_kept_version_that_can_not_be_gone_by_is_said_and_the_start_goes_by_what_is_told(tmp_path, spoil):
     path = kept_file(
         tmp_path,
-        {FLEET: {"workloads": {"quick": {}}}} if spoil == "unfit"
-        else {FLEET: {"tier": 1}} if spoil == "fixed" else CHANGED,
+        {FLEET: {"workloads": {"quick": {}}}}
+        if spoil == "unfit"
+        else {FLEET: {"tier": 1}}
+        if spoil == "fixed"
+        else CHANGED,
         ["fleet"] if spoil == "other scopes" else SCOPES,
     )
 
@@ -825,8 +892,12 @@
         assert (await net.ask(wanted("s1", "quick"))).status == 404
         assert (await net.ask(wanted("s2", "view"))).status == 200
         lines = [fields for event, fields in net.logs if event == "config" and "error" in fields]
-        said_ = {"cut": "cut or damaged", "other scopes": "other scopes", "unfit": "settings.workloads.3",
-                 "fixed": "settings.tier: wants a new start"}
+        said_ = {
+            "cut": "cut or damaged",
+            "other scopes": "other scopes",
+            "unfit": "settings.workloads.3",
+            "fixed": "settings.tier: wants a new start",
+        }
         assert len(lines) == 1 and said_[spoil] in lines[0]["error"]
         assert net.version() == 0 and net.program.in_force.follower.version.index == 0
         net.relay.fault = None
@@ -875,6 +946,7 @@
 
 def test_cut_off_it_goes_on_with_what_it_has_and_catches_up(tmp_path):
     """Relay away with its address; then back at it with a history that went on without this sidecar."""
+
     async def check(net):
         await net.in_force(CHANGED)
         port = int(net.relay.address.split(":")[1])
@@ -897,10 +969,10 @@
     "garbage": b"what is this\r\n\r\n",
     "no JSON": b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{[)",
     "an older version": b'HTTP/1.1 200 OK\r\nContent-Length: 113\r\n\r\n{"index":0,"mark":"","snapshot":true,'
-                        b'"since":0,"since_mark":"","spread_ms":0,"entries":[]}                             ',
+    b'"since":0,"since_mark":"","spread_ms":0,"entries":[]}                             ',
     "too large": b"HTTP/1.1 200 OK\r\nContent-Length: 900000000\r\n\r\n",
     "endless": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-               + 200 * (b"10000\r\n" + b"x" * 65536 + b"\r\n"),
+    + 200 * (b"10000\r\n" + b"x" * 65536 + b"\r\n"),
     "cut": b"HTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n{",
     "no end of the head": b"HTTP/1.1 200 OK\r\nX-Pad: " + b"y" * 40_000,
 }
@@ -924,7 +996,10 @@
                 follower.relays = [bad.address, good.address]
                 store = Store()
                 watch = ConfigWatch(
-                    follower, ("fleet",), store, lambda v, entries: taken.append((v, entries)),
+                    follower,
+                    ("fleet",),
+                    store,
+                    lambda v, entries: taken.append((v, entries)),
                     lambda event, **fields: lines.append(fields["text"]),
                 )
                 group.start_soon(watch.run)
@@ -1011,8 +1086,11 @@
         )
         self.path = tmp_path / f"log{number}"
         environ = {key: value for key, value in os.environ.items() if not key.startswith("BALANCER_")}
-        environ |= {"BALANCER_CONFIG": str(tmp_path / "told.json"), "TMPDIR": str(tmp_path),
-                    "BALANCER_OPERATOR_FILE": str(tmp_path / "operator.toml")}
+        environ |= {
+            "BALANCER_CONFIG": str(tmp_path / "told.json"),
+            "TMPDIR": str(tmp_path),
+            "BALANCER_OPERATOR_FILE": str(tmp_path / "operator.toml"),
+        }
         with self.path.open("wb") as out:
             self.popen = subprocess.Popen(
                 [sys.executable, "-m", "lupinmill"], env=environ, stdout=out, stderr=out
@@ -1062,6 +1140,7 @@
 
 def test_a_version_that_crosses_the_drain_loses_nothing(tmp_path):
     """SIGTERM while one is out; then a version with other terms and without its workload."""
+
     async def check(net, relay, begin):
         process, answers = await begin(), {}
 
@@ -1165,9 +1244,12 @@
             ({"address": f"127.0.0.1:{ports[0]}"}, "peers.members.n5.address: n1 has it already"),
         ):
             assert why in await net.refused({key: None, Key("fleet", "member/n5"): value})
-        assert "zones" in await net.refused({
-            Key("fleet", "member/n5"): None, Key("fleet", "zones"): {"map": {"z": {}}},
-        })
+        assert "zones" in await net.refused(
+            {
+                Key("fleet", "member/n5"): None,
+                Key("fleet", "zones"): {"map": {"z": {}}},
+            }
+        )
         await net.in_force({Key("fleet", "zones"): None, Key("fleet", "member/n4"): None})
         assert names() == {"n1", "n2", "n3"}
 
@@ -1192,7 +1274,8 @@
         net.file = net.file.replace("[peers]", "[peers]\nlease_s = 7.0")
         net.program.reload()
         assert net.logs[-1] == (
-            "reload_refused", {"error": "these want a new start", "fields": ["peers.lease_s"]}
+            "reload_refused",
+            {"error": "these want a new start", "fields": ["peers.lease_s"]},
         )
 
     network(check, fine, file=PEERS.format(ports=ports))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,6 +1,7 @@
 """Two events that cross, on real sockets, in the order that was wrong or might be. Each test holds one back
 until the other has happened, by a barrier or a stand-in that stops at a told byte; none waits and hopes.
 The table of them all is docs/crossings.md."""
+
 import socket
 from contextlib import AsyncExitStack
 
@@ -72,6 +73,7 @@
 @pytest.mark.parametrize("behind", [b"\r\n", b"junk", wanted("s2"), b"x" * 300_000])
 def test_a_client_that_sent_more_and_left_is_noticed_while_its_submission_waits(behind):
     """Seen failing with no Withdrawn: once bytes had come instead of an end nothing looked for the end."""
+
     async def check(net: Net):
         async with await connect(net) as stream:
             await stream.send(wanted("s1", deadline="8"))
@@ -113,6 +115,7 @@
 
 def test_a_client_that_sends_on_without_end_is_answered_and_its_connection_closed():
     """More than is kept of what came ahead of its turn is dropped, so the connection can't go on."""
+
     async def check(net: Net):
         async with await connect(net) as stream:
             await stream.send(wanted("s1", deadline="8"))
@@ -131,6 +134,7 @@
 
 def test_a_client_that_left_while_it_was_held_at_the_door_is_not_taken_up():
     """Seen failing as a launch: nobody looked at a connection while its request was held at the door."""
+
     async def check(net: Net):
         gate = net.program.door.gate
         gate.active, gate.window = True, 0.0
@@ -153,6 +157,7 @@
 
 def test_a_turn_at_the_door_that_crosses_the_clients_end_takes_nothing_up():
     """The end lies unread in the very pass of the loop in which the request's turn comes."""
+
     async def check(net: Net):
         door, gate = net.program.door, net.program.door.gate
         gate.active, gate.window = True, 0.0
@@ -177,6 +182,7 @@
 def test_a_launch_in_the_pass_in_which_the_client_left_is_not_written(monkeypatch):
     """Guards a loop that lags: the end lies unread while the launch is on its way. Seen failing as a
     request at the endpoint."""
+
     async def never(client):
         await anyio.sleep_forever()
 
@@ -426,7 +432,6 @@
     assert len(seen(net, "s1")) == (held_by == "a retry delay")
 
 
-
 def test_an_answer_still_comes_to_a_client_that_sent_more_and_stays():
     async def check(net: Net):
         async with await connect(net) as stream:
--- a/tests/test_crossings_end.py
+++ b/tests/test_crossings_end.py
@@ -1,5 +1,6 @@
 """The end of a program that crosses what its clients do, forced by barriers; and customers' settings that it
 can't serve. The table is docs/crossings.md."""
+
 import os
 import signal
 import time
@@ -105,8 +106,12 @@
 def test_all_that_is_sent_up_to_the_kill_is_answered_with_hanging_endpoints(tmp_path, hard):
     """Clients go on sending on what stays open; endpoints hang; nothing taken is without an answer at the
     earliest moment of the kill: the hard limit and 0.7 s."""
-    net = Net([always("silent")], workloads=[
-        one | {"contract-time-s": hard / 2, "hard-limit-s": hard} for one in settings()["workloads"]])
+    net = Net(
+        [always("silent")],
+        workloads=[
+            one | {"contract-time-s": hard / 2, "hard-limit-s": hard} for one in settings()["workloads"]
+        ],
+    )
     lost, answered, told = [], set(), []
 
     async def keep_asking(number: int):
@@ -162,19 +167,22 @@
     return {"workloads": [CUSTOMER["workloads"][1] | more]}
 
 
-@pytest.mark.parametrize("change, key", [
-    (of_workload(repeat="sometimes"), "settings.workloads.0.repeat"),
-    (of_workload(repeat=""), "settings.workloads.0.repeat"),
-    (of_workload(group="rack"), "settings.workloads.0.group"),
-    (of_workload(**{"hard-limit-s": -1}), "settings.workloads.0.hard-limit-s"),
-    (of_workload(**{"hard-limit-s": None}), "settings.workloads.0.hard-limit-s"),
-    (of_workload(**{"contract-time-s": "soon"}), "settings.workloads.0.contract-time-s"),
-    (of_workload(**{"window-s": 0}), "settings.workloads.0.window-s"),
-    ({"discovery": "gossip"}, "settings.discovery"),
-    ({"limits": CUSTOMER["limits"] | {"most-launches": 0}}, "settings.limits.most-launches"),
-    ({"limits": CUSTOMER["limits"] | {"conn-idle-s": -1}}, "settings.limits.conn-idle-s"),
-    ({"limits": CUSTOMER["limits"] | {"connect-timeout-s": "inf"}}, "settings.limits.connect-timeout-s"),
-])
+@pytest.mark.parametrize(
+    "change, key",
+    [
+        (of_workload(repeat="sometimes"), "settings.workloads.0.repeat"),
+        (of_workload(repeat=""), "settings.workloads.0.repeat"),
+        (of_workload(group="rack"), "settings.workloads.0.group"),
+        (of_workload(**{"hard-limit-s": -1}), "settings.workloads.0.hard-limit-s"),
+        (of_workload(**{"hard-limit-s": None}), "settings.workloads.0.hard-limit-s"),
+        (of_workload(**{"contract-time-s": "soon"}), "settings.workloads.0.contract-time-s"),
+        (of_workload(**{"window-s": 0}), "settings.workloads.0.window-s"),
+        ({"discovery": "gossip"}, "settings.discovery"),
+        ({"limits": CUSTOMER["limits"] | {"most-launches": 0}}, "settings.limits.most-launches"),
+        ({"limits": CUSTOMER["limits"] | {"conn-idle-s": -1}}, "settings.limits.conn-idle-s"),
+        ({"limits": CUSTOMER["limits"] | {"connect-timeout-s": "inf"}}, "settings.limits.connect-timeout-s"),
+    ],
+)
 def test_a_customers_settings_that_can_not_be_served_end_the_start_in_one_line(tmp_path, change, key):
     """Seen failing as a start: an unknown effect passed for one that may not be repeated, an unknown group
     for a cell."""
--- a/tests/test_crossings_endpoints.py
+++ b/tests/test_crossings_endpoints.py
@@ -1,5 +1,6 @@
 """Endpoints that end, stop or speak out of turn just then, and outcomes that meet in one pass of the loop;
 drawn sequences of all of it, judged by a referee of its own. The table is docs/crossings.md."""
+
 import itertools
 import random
 import socket
@@ -123,6 +124,7 @@
 
 def test_an_answer_in_drops_is_given_up_before_the_hard_limit_and_leaves_nothing():
     """Each drop less than a pause apart: it never stops, and it never ends."""
+
     async def endpoint(stream):
         async with stream:
             await until_end_of(stream, b"\r\n\r\n")
@@ -154,6 +156,7 @@
 @pytest.mark.parametrize("moves", list(meetings()), ids=" then ".join)
 def test_of_outcomes_in_one_pass_one_is_told_and_one_answer_given(moves):
     """In each order, with no pass of the loop between them."""
+
     async def main():
         told = []
         table = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": settings()}
@@ -285,6 +288,7 @@
 
 def test_a_client_in_every_state_leaves_nothing_when_the_program_ends():
     """All at once: idle, half a request, held, launched, answered unread."""
+
     async def check(net: Net):
         streams = [await connect(net) for _ in range(4)]
         await streams[1].send(wanted("s1")[:30])
@@ -293,8 +297,10 @@
         await until(lambda: seen(net, "s2") and seen(net, "s3"))
         for stream in streams:
             await stream.aclose()
-        await until(lambda: net.program.descriptors.open == dict.fromkeys(net.program.descriptors.open, 0)
-                    or not net.program.book.journeys)
+        await until(
+            lambda: net.program.descriptors.open == dict.fromkeys(net.program.descriptors.open, 0)
+            or not net.program.book.journeys
+        )
         await all_quiet(net)
 
     on_network(check, always("silent"))
@@ -303,6 +309,7 @@
 @pytest.mark.parametrize("key", [True, False])
 def test_without_its_key_a_deduplicated_submission_that_may_have_run_is_not_launched_again(key):
     """Endpoints drop repeats by the key: where a request brings none, nothing would be dropped."""
+
     async def check(net: Net):
         net.program.engine.sidecar.desk.taken.add(net.program.engine.clock.now(), 1000.0)
         data = wanted("s1", "bid", "0.9")
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -1,5 +1,6 @@
 """Lists of endpoints that cross a move, a launch or one another, and watches that fall silent: on real
 sockets, in the order that was wrong, forced by a barrier or a stand-in. The table is docs/crossings.md."""
+
 import anyio
 import anyio.lowlevel
 import orjson
@@ -116,6 +117,7 @@
             await made.run()
 
     from bed import deployment as usual
+
     deployment = usual(instances=instances, must_ask=asked)
     monkeypatch.setattr(discovery.random, "uniform", lambda least, most: most)  # the longest draws
     anyio.run(main)
@@ -149,7 +151,9 @@
             before = len(net.discovery.seen)
             net.discovery.change(net.discovery.rows[0])
             await until(lambda: len(net.discovery.seen) > before)
-        waits.extend(int(one.target.split(b"wait=")[1]) for one in net.discovery.seen if b"wait=" in one.target)
+        waits.extend(
+            int(one.target.split(b"wait=")[1]) for one in net.discovery.seen if b"wait=" in one.target
+        )
 
     on_network(check, fine, discovery="push", instances=200)
     assert len(set(waits)) > 1 and 16_000 <= min(waits) and max(waits) <= 20_000
@@ -157,14 +161,14 @@
 
 def test_the_last_word_on_a_name_in_one_answer_holds_for_launches_and_the_module_alike():
     """Seen failing: the module went by the start in such an answer, launches by the end behind it."""
+
     async def check(net: Net):
         await until(lambda: len(net.discovery.seen) > 1)
         row = net.discovery.rows[0]
 
         async def both(order):
             rows = [row | {"status": status} for status in order]
-            net.program.directory.update(
-                lists.known({"index": 9, "endpoints": rows}), t.ListKind.CHANGES)
+            net.program.directory.update(lists.known({"index": 9, "endpoints": rows}), t.ListKind.CHANGES)
             return net.program.engine.sidecar.roster.listed.get("e0")
 
         assert await both(["SERVING", "DELETED"]) is None and "e0" not in net.program.directory.states
@@ -187,7 +191,8 @@
                 connection = await opens(address)
                 if address == strange.address:
                     net.program.directory.update(
-                        lists.known({"index": 9, "endpoints": [old]}), t.ListKind.CHANGES)
+                        lists.known({"index": 9, "endpoints": [old]}), t.ListKind.CHANGES
+                    )
                 return connection
 
             net.program.pool.open = crossed
@@ -209,7 +214,8 @@
         async def crossed(address):
             connection = await opens(address)
             net.program.directory.update(
-                lists.known({"index": 9, "snapshot": True, "endpoints": []}), t.ListKind.FULL)
+                lists.known({"index": 9, "snapshot": True, "endpoints": []}), t.ListKind.FULL
+            )
             return connection
 
         net.program.pool.open = crossed
@@ -222,6 +228,7 @@
 
 def test_a_drain_told_between_a_kept_connections_end_and_the_second_try_stops_that_try():
     """The kept connection breaks under the request's bytes; the list crosses before the new one is up."""
+
     async def check(net: Net):
         assert (await net.ask(wanted("s0"))).status == 200
         (kept,) = net.program.pool.idle["e0"]
@@ -231,7 +238,8 @@
         async def broken(data):
             net.program.directory.update(
                 lists.known({"index": 9, "endpoints": [net.discovery.rows[0] | {"status": "DRAINING"}]}),
-                t.ListKind.CHANGES)
+                t.ListKind.CHANGES,
+            )
             await sends(data[:10])
             raise ConnectionResetError
 
@@ -297,7 +305,8 @@
         from bed import deployment
 
         made = discovery.Discovery(
-            "127.0.0.1:1", deployment(must_ask=False), Told(), None, lambda *_, **__: None)
+            "127.0.0.1:1", deployment(must_ask=False), Told(), None, lambda *_, **__: None
+        )
         monkeypatch.setattr(discovery, "connect", refused)
         monkeypatch.setattr(discovery.anyio, "sleep", sleep)
         nonlocal scope
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -1,5 +1,6 @@
 """Idle clients fill the descriptors while discovery is down: the process still gets its list, tells the truth
 about its readiness, serves, and stays within its limit."""
+
 import errno
 import os
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -36,8 +37,10 @@
     """Idle clients that stay: such as never said a word, and such as asked once and kept their connection."""
     host, port = address.split(":")
     async with AsyncExitStack() as stack:
+
         async def one():
             return await stack.enter_async_context(await anyio.connect_tcp(host, int(port)))
+
         for _ in range(used):
             stream = await one()
             await stream.send(READY)
@@ -87,8 +90,9 @@
             await super().start(group)
             self.discovery.fault = fault
 
-    net = on_network(check, fine, fine, sockets=100, known=False, net_of=Down,
-                     discovery="push" if pushed else "ask")
+    net = on_network(
+        check, fine, fine, sockets=100, known=False, net_of=Down, discovery="push" if pushed else "ask"
+    )
     assert t.Listed in map(type, net.notes) and not [log for log in net.logs if log[0] == "task_failed"]
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,4 +1,5 @@
 """The watch during a release: lists cut off, stalled, older than what is known."""
+
 import itertools
 
 import anyio
@@ -15,15 +16,23 @@
 from lupinmill.transport.ring import Store
 
 ROWS = [
-    {"name": f"e{at}", "address": f"127.0.0.1:{at + 1}", "zone": "z", "type": "k", "group": at,
-     "status": status, "weight": 1.0, "since_ms": 0}
+    {
+        "name": f"e{at}",
+        "address": f"127.0.0.1:{at + 1}",
+        "zone": "z",
+        "type": "k",
+        "group": at,
+        "status": status,
+        "weight": 1.0,
+        "since_ms": 0,
+    }
     for at, status in enumerate(("SERVING", "DRAINING"))
 ]
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 FORMS = {
     "length": lambda body: b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body),
-    "chunked": lambda body: CHUNKED + b"%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n" % (
-        len(body[:50]), body[:50], len(body[50:]), body[50:]),
+    "chunked": lambda body: CHUNKED
+    + b"%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n" % (len(body[:50]), body[:50], len(body[50:]), body[50:]),
     "close": lambda body: b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body,
 }
 
@@ -51,7 +60,7 @@
     async def serve(stream) -> None:
         async with stream:
             await stream.receive()
-            await stream.send(data[:next(cut)])
+            await stream.send(data[: next(cut)])
 
     async def main() -> None:
         with anyio.fail_after(30):
@@ -79,8 +88,11 @@
 
     async def act(request):
         calls.append(request)
-        return "unfinished" if len(calls) == 1 else Answer(
-            200, [], orjson.dumps({"index": 9, "snapshot": True, "endpoints": []}))
+        return (
+            "unfinished"
+            if len(calls) == 1
+            else Answer(200, [], orjson.dumps({"index": 9, "snapshot": True, "endpoints": []}))
+        )
 
     async def check(net: Net):
         net.discovery.act = act
@@ -92,6 +104,7 @@
 
 def test_a_discovery_that_comes_back_older_is_asked_for_the_whole_list():
     """Seen failing: its changes were taken for news, and what had changed since was never heard of."""
+
     async def check(net: Net):
         await until(lambda: net.discovery.seen)
         net.discovery.change(net.discovery.rows[0], status="DRAINING")
@@ -101,8 +114,11 @@
 
         async def older(request):
             whole = b"index=" not in request.target
-            return Answer(200, [], orjson.dumps(
-                {"index": before - 1, "snapshot": whole, "endpoints": rows if whole else []}))
+            return Answer(
+                200,
+                [],
+                orjson.dumps({"index": before - 1, "snapshot": whole, "endpoints": rows if whole else []}),
+            )
 
         net.discovery.act = older
         await until(lambda: net.program.directory.takes("e0"))
@@ -115,6 +131,7 @@
 @pytest.mark.parametrize("instances, least, most", [(2, 0.01, 0.2), (9, 0.1, 0.7), (400, 0.4, 2.6)])
 def test_the_next_call_comes_sooner_the_fewer_sidecars_there_are_and_later_each_time(instances, least, most):
     from bed import SECOND, Bed
+
     spans = []
     for seed in range(30):
         bed = Bed(deployment(seed=seed, instances=instances, must_ask=True, ask_within=10 * SECOND))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,4 +1,5 @@
 """Upgrades: one process of a sidecar takes over from another, and nobody outside can tell."""
+
 import os
 import random
 import signal
@@ -96,9 +97,12 @@
 # --- who accepts, as a model --------------------------------------------------------------------
 
 
-NOTES = strategies.lists(strategies.tuples(
-    strategies.sampled_from(["hello", "foreign", "stranger", "serving", "lost", "leave"]),
-), max_size=30)
+NOTES = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["hello", "foreign", "stranger", "serving", "lost", "leave"]),
+    ),
+    max_size=30,
+)
 
 
 @settings(derandomize=True, max_examples=300)
@@ -144,7 +148,12 @@
     assert taken.known.index == 41 and taken.known.entries == list(listed.values()) and taken.held == 9
     assert new.mode is Mode.DRAINING and new.since == 77 and list(new.out) == ["e1"]
     for spoilt in (
-        {"version": 99}, {"list": None}, {"out": [1]}, {"mode": ["x", 1]}, {"learned": 3}, {"held": "x"},
+        {"version": 99},
+        {"list": None},
+        {"out": [1]},
+        {"mode": ["x", 1]},
+        {"learned": 3},
+        {"held": "x"},
     ):
         untouched = Standing()
         with pytest.raises(papers.BadPapers):
@@ -228,11 +237,13 @@
     def operator(self, number: int):
         class Where:
             program = self.programs[number]
+
         return Where
 
 
 def beside(check, *acts) -> None:
     import tempfile
+
     net = Net(acts)
 
     async def main(directory) -> None:
@@ -263,8 +274,10 @@
     async def check(both: Pair):
         net, old = both.net, both.programs[0]
         host, port = net.address.split(":")
-        async with await anyio.connect_tcp(host, int(port)) as idle, \
-                await anyio.connect_tcp(host, int(port)) as busy:
+        async with (
+            await anyio.connect_tcp(host, int(port)) as idle,
+            await anyio.connect_tcp(host, int(port)) as busy,
+        ):
             assert b"done-a1" in await exchange(idle, "a1")
             await busy.send(wanted("slow"))
             await until(lambda: "slow" in old.book.journeys)
@@ -313,6 +326,7 @@
 
 def test_what_can_not_be_read_is_declined_and_the_process_before_goes_on(monkeypatch):
     """Seen failing: the new one listened by itself, and the old one yielded to it all the same."""
+
     async def check(both: Pair):
         old = both.programs[0]
 
@@ -356,6 +370,7 @@
 def test_clients_on_their_way_to_a_process_that_dies_are_closed_between_requests(monkeypatch):
     """What waits to be sent when the receiver dies is the link's to close; such a client comes again, and is
     served here."""
+
     async def check(both: Pair):
         net, old = both.net, both.programs[0]
         host, port = net.address.split(":")
@@ -387,6 +402,7 @@
 
 def test_bytes_that_come_between_the_last_look_and_the_passing_are_served_by_the_next(monkeypatch):
     """Not a byte was read, so all that came goes along in the socket."""
+
     async def check(both: Pair):
         net, old = both.net, both.programs[0]
         host, port = net.address.split(":")
@@ -430,6 +446,7 @@
 
 def test_a_file_of_a_dead_process_and_one_that_says_nothing_mean_an_ordinary_start(tmp_path, monkeypatch):
     from lupinmill.handover import driver
+
     monkeypatch.setattr(driver, "ANSWER", 0.2)
     logs: list[str] = []
 
@@ -467,6 +484,7 @@
     class Where:
         class program:
             operator = address
+
     while True:
         try:
             if await operate(Where, "GET", "/admin/health") == 200:
@@ -501,6 +519,7 @@
 
 def among_processes(check, net: Net, folder, limit: float = 30) -> None:
     """Runs `check(processes, group)` beside the stand-ins; what it starts in the group ends with it."""
+
     async def main() -> None:
         processes = Processes(net, folder)
         try:
@@ -599,7 +618,7 @@
 
     async def upload(stream, data: bytes) -> bytes:
         for at in range(0, len(data), 100_000):
-            await stream.send(data[at:at + 100_000])
+            await stream.send(data[at : at + 100_000])
             await anyio.sleep(0.05)
         return await stream.receive()
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,5 +1,6 @@
 """What KNOWN-RED.txt lets pass, and what it never does: each case a test run of its own in an empty
 folder."""
+
 import subprocess
 import sys
 from pathlib import Path
@@ -51,17 +52,20 @@
     assert done.returncode == 1 and "1 failed" in done.stdout
 
 
-@pytest.mark.parametrize("lines, said", [
-    ([RED, RED, SOME, SOME], "4 lines"),
-    (["tests/test_it.py::test_red"], "is not"),
-    (["tests/test_it.py::test_red |  | issue 39"], "is not"),
-    (["tests/test_it.py::test_red | cause | soon"], "is not"),
-    ([""], "is not"),
-    (["tests/test_it.py::test_other | cause | issue 39"], "is no test"),
-    (["tests/test_that.py::test_red | cause | issue 39"], "is no test"),
-    (["tests/test_it.py::test_some[3] | cause | issue 39"], "has no [3]"),
-    (None, "missing"),
-])
+@pytest.mark.parametrize(
+    "lines, said",
+    [
+        ([RED, RED, SOME, SOME], "4 lines"),
+        (["tests/test_it.py::test_red"], "is not"),
+        (["tests/test_it.py::test_red |  | issue 39"], "is not"),
+        (["tests/test_it.py::test_red | cause | soon"], "is not"),
+        ([""], "is not"),
+        (["tests/test_it.py::test_other | cause | issue 39"], "is no test"),
+        (["tests/test_that.py::test_red | cause | issue 39"], "is no test"),
+        (["tests/test_it.py::test_some[3] | cause | issue 39"], "has no [3]"),
+        (None, "missing"),
+    ],
+)
 def test_what_can_not_be_read_or_names_nothing_fails_the_run(tmp_path, lines, said):
     done = run(tmp_path, lines)
     assert done.returncode not in (0, 1) and said in done.stdout + done.stderr
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -1,4 +1,5 @@
 """What comes as bytes: whole messages, the table of outcomes, and what is refused as bad input."""
+
 import random
 
 import orjson
@@ -29,22 +30,28 @@
     assert [key for key, _ in on] == [b"Host", b"Req-Id", b"Req-Deadline", b"Cookie"]
 
 
-@pytest.mark.parametrize("data, status", [
-    (b"hello there\r\n\r\n", 400),
-    (b"GET / HTTP/1.1\r\n\r\n", 400),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ten\r\n\r\n", 400),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
-    (b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 20_000, 400),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 33554433\r\n\r\n" + b"z" * 65537, 413),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
-     + (b"100000\r\n" + b"z" * 2**20 + b"\r\n") * 33, 413),
-])
+@pytest.mark.parametrize(
+    "data, status",
+    [
+        (b"hello there\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ten\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 20_000, 400),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 33554433\r\n\r\n" + b"z" * 65537, 413),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + (b"100000\r\n" + b"z" * 2**20 + b"\r\n") * 33,
+            413,
+        ),
+    ],
+)
 def test_what_is_no_request_is_malformed_and_can_still_be_answered(data, status):
     side = ServerSide()
     with pytest.raises(Malformed) as caught:
         for at in range(0, len(data), 65536):
-            side.feed(data[at:at + 65536])
+            side.feed(data[at : at + 65536])
             side.next_request()
     assert caught.value.status == status
     assert side.answer(http.plain(status, "no\n"), True).startswith(b"HTTP/1.1 %d " % status)
@@ -64,12 +71,36 @@
     assert submission.read(request(**{"Req-Kind": "-"}), {"view"}).workload == "view"
 
 
-@pytest.mark.parametrize("headers, status", [
-    ({"Req-Id": "-"}, 400), ({"Req-Id": ""}, 400), ({"Req-Kind": "odd"}, 404), ({"Req-Deadline": "-"}, 400),
-    ({"Req-Deadline": "soon"}, 400), ({"Req-Deadline": "nan"}, 400), ({"Req-Deadline": "inf"}, 400),
-    ({"Req-Kind": "bid"}, 400), *[({"Req-Deadline": odd}, 400) for odd in (
-        "-1", "-0.2", "+1", "1_0", "1e3", "99999999999999999999999", "61", "\xb2", "0x1", ".", " ", "1.2.3")],
-])
+@pytest.mark.parametrize(
+    "headers, status",
+    [
+        ({"Req-Id": "-"}, 400),
+        ({"Req-Id": ""}, 400),
+        ({"Req-Kind": "odd"}, 404),
+        ({"Req-Deadline": "-"}, 400),
+        ({"Req-Deadline": "soon"}, 400),
+        ({"Req-Deadline": "nan"}, 400),
+        ({"Req-Deadline": "inf"}, 400),
+        ({"Req-Kind": "bid"}, 400),
+        *[
+            ({"Req-Deadline": odd}, 400)
+            for odd in (
+                "-1",
+                "-0.2",
+                "+1",
+                "1_0",
+                "1e3",
+                "99999999999999999999999",
+                "61",
+                "\xb2",
+                "0x1",
+                ".",
+                " ",
+                "1.2.3",
+            )
+        ],
+    ],
+)
 def test_bad_headers_get_their_status(headers, status):
     with pytest.raises(Malformed) as caught:
         submission.read(request(**headers), {"view", "bid"})
@@ -83,21 +114,34 @@
     assert sent.headers == [(b"A", b"b"), (b"Req-Deadline", b"0.250000")]
 
 
-@pytest.mark.parametrize("status, headers, how", [
-    (200, [], t.How.HANDLED), (500, [], t.How.ERROR), (404, [], t.How.ERROR), (503, [], t.How.ERROR),
-    (400, [], t.How.REJECTED), (429, [], t.How.ERROR),
-    (503, [(b"Srv-Declined", b"1")], t.How.REFUSED), (504, [(b"srv-declined", b"1")], t.How.REFUSED),
-    (500, [(b"Srv-Declined", b"1")], t.How.ERROR), (503, [(b"Srv-Declined", b"0")], t.How.ERROR),
-])
+@pytest.mark.parametrize(
+    "status, headers, how",
+    [
+        (200, [], t.How.HANDLED),
+        (500, [], t.How.ERROR),
+        (404, [], t.How.ERROR),
+        (503, [], t.How.ERROR),
+        (400, [], t.How.REJECTED),
+        (429, [], t.How.ERROR),
+        (503, [(b"Srv-Declined", b"1")], t.How.REFUSED),
+        (504, [(b"srv-declined", b"1")], t.How.REFUSED),
+        (500, [(b"Srv-Declined", b"1")], t.How.ERROR),
+        (503, [(b"Srv-Declined", b"0")], t.How.ERROR),
+    ],
+)
 def test_outcomes_by_the_protocols_table(status, headers, how):
     assert submission.outcome(Answer(status, headers)) is how
 
 
-@pytest.mark.parametrize("data", [
-    b"HTTP/1.1 200 OK\r\n\r\nno end told", b"HTTP/1.1 2x0\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 33554433\r\n\r\n" + b"z" * 70_000,
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 OK\r\n\r\nno end told",
+        b"HTTP/1.1 2x0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 33554433\r\n\r\n" + b"z" * 70_000,
+    ],
+)
 def test_an_answer_that_is_not_whole_or_not_http_is_garbled(data):
     side = ClientSide()
     side.ask(Request(b"GET", b"/", [(b"Host", b"a")]))
@@ -121,13 +165,33 @@
         assert reports.read(text) == whole
     assert reports.read("inflight=7,latency_ms=1.5,qps=3") == t.Load(held=7.0, service=1500.0, rate=3.0)
     assert reports.read("queue=2,util=1e-05") == t.Load(queued=2.0, busy=1e-05)
-    for text in (None, "", "queue", "queue=many,util=nan", "{broken", "util=-1", "[1]", "queue=x,util=0.5",
-                 "queue=1_0,util=0.5", "queue=1e30,util=0.5", "queue=99999999999,util=0.5", '{"queue":[1]}'):
+    for text in (
+        None,
+        "",
+        "queue",
+        "queue=many,util=nan",
+        "{broken",
+        "util=-1",
+        "[1]",
+        "queue=x,util=0.5",
+        "queue=1_0,util=0.5",
+        "queue=1e30,util=0.5",
+        "queue=99999999999,util=0.5",
+        '{"queue":[1]}',
+    ):
         assert reports.read(text) is None
 
 
-ROW = {"name": "s-5", "address": "127.0.0.1:1", "zone": "a", "type": "m", "group": 3, "status": "DRAINING",
-       "weight": 1.0, "since_ms": 1_700_000_000_123}
+ROW = {
+    "name": "s-5",
+    "address": "127.0.0.1:1",
+    "zone": "a",
+    "type": "m",
+    "group": 3,
+    "status": "DRAINING",
+    "weight": 1.0,
+    "since_ms": 1_700_000_000_123,
+}
 
 
 def test_a_list_is_read_with_its_starts_on_the_modules_clock():
@@ -137,12 +201,19 @@
     assert known.addresses == {"s-5": "127.0.0.1:1"}
 
 
-@pytest.mark.parametrize("status, body", [
-    (503, b"{}"), (200, b"{nonsense"), (200, b"[]"), (200, b'{"index":1}'),
-    (200, b'{"index":"x","endpoints":[]}'),
-    (200, orjson.dumps({"index": 1, "endpoints": [ROW | {"status": "ODD"}]})),
-    (200, orjson.dumps({"index": 1, "endpoints": [{"name": "x"}]})), (200, b'{"index":1,"endpoints":[5]}'),
-])
+@pytest.mark.parametrize(
+    "status, body",
+    [
+        (503, b"{}"),
+        (200, b"{nonsense"),
+        (200, b"[]"),
+        (200, b'{"index":1}'),
+        (200, b'{"index":"x","endpoints":[]}'),
+        (200, orjson.dumps({"index": 1, "endpoints": [ROW | {"status": "ODD"}]})),
+        (200, orjson.dumps({"index": 1, "endpoints": [{"name": "x"}]})),
+        (200, b'{"index":1,"endpoints":[5]}'),
+    ],
+)
 def test_a_broken_list_is_garbled_and_nothing_else(status, body):
     with pytest.raises(Garbled):
         lists.read(Answer(status, [], body))
@@ -150,18 +221,32 @@
 
 def test_nested_settings_and_pairs_give_the_same_deployment():
     nested = {
-        "tier": 1, "instances": 9, "discovery": "ask", "accounts": [],
+        "tier": 1,
+        "instances": 9,
+        "discovery": "ask",
+        "accounts": [],
         "blend": {"whole": 0.5, "worst-class": 0.2},
-        "limits": {"cancel": True, "probes": False, "most-launches": 4}, "load-report": {"how": "on_probe"},
+        "limits": {"cancel": True, "probes": False, "most-launches": 4},
+        "load-report": {"how": "on_probe"},
         "areas": ["x", "y"],
         "workloads": [{"name": "v", "contract-time-s": 0.6, "repeat": "by_key", "window-s": 5}],
     }
     pairs = {
-        "tier": "1", "instances": "9", "discovery": "ask", "blend.whole": "0.5", "blend.worst-class": "0.2",
-        "limits.cancel": "true", "limits.probes": "false", "limits.most-launches": "4",
+        "tier": "1",
+        "instances": "9",
+        "discovery": "ask",
+        "blend.whole": "0.5",
+        "blend.worst-class": "0.2",
+        "limits.cancel": "true",
+        "limits.probes": "false",
+        "limits.most-launches": "4",
         "load-report.how": "on_probe",
-        "areas": "x,y", "workloads.count": "1", "workloads.0.name": "v", "workloads.0.contract-time-s": "0.6",
-        "workloads.0.repeat": "by_key", "workloads.0.window-s": "5",
+        "areas": "x,y",
+        "workloads.count": "1",
+        "workloads.0.name": "v",
+        "workloads.0.contract-time-s": "0.6",
+        "workloads.0.repeat": "by_key",
+        "workloads.0.window-s": "5",
     }
     made = settings.deployment(settings.flatten(nested))
     assert made == settings.deployment(pairs)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,4 +1,5 @@
 """Plain cases, seeded random runs over the four rules, and one small test for each failure found."""
+
 import random
 import sys
 
@@ -9,8 +10,15 @@
 from lupinmill.rules import CAP_START, FLEET_START, RETRY_BASE, SECOND, UNEVEN, Gauge
 
 MS = 1000
-BESIDE = dict(beside=True, uneven=True, copies_allowed=False, probes_allowed=False, zone="z",
-              crossing_price=0.1, warm_keys=True)
+BESIDE = dict(
+    beside=True,
+    uneven=True,
+    copies_allowed=False,
+    probes_allowed=False,
+    zone="z",
+    crossing_price=0.1,
+    warm_keys=True,
+)
 HOWS = [h for h in t.How if h is not t.How.CALLED_OFF]
 
 
@@ -35,7 +43,7 @@
     names = [bed.arrive(IDEM) for _ in range(12)]
     picks = [bed.flights[n][0]["endpoint"] for n in names]
     for start in range(0, 12, 3):
-        assert len(set(picks[start:start + 3])) == 3
+        assert len(set(picks[start : start + 3])) == 3
     held = bed.arrive(IDEM)
     assert held in bed.owed and not bed.flights[held]
     bed.end(names[0], 0, t.How.HANDLED, after=10 * MS)
@@ -176,9 +184,13 @@
         assert aside == ({"e0"} if len(bad) == 1 else set())
 
 
-@pytest.mark.parametrize("away, then, least, most", [
-    (False, "ready again: it was not away", 0, 400 * MS), (True, "on trial", SECOND, 3 * SECOND),
-])
+@pytest.mark.parametrize(
+    "away, then, least, most",
+    [
+        (False, "ready again: it was not away", 0, 400 * MS),
+        (True, "on trial", SECOND, 3 * SECOND),
+    ],
+)
 def test_where_connections_break_but_all_probes_are_answered_it_is_back_at_once(away, then, least, most):
     """Seen failing with three endpoints of four on trial for seconds after a few resets, and most denied."""
     bed = Bed(deployment())
@@ -280,11 +292,26 @@
     chance = random.Random(seed)
     tier = chance.randrange(2)
     bed = Bed(
-        deployment(seed=seed, tier=tier, copies_allowed=chance.random() < 0.7, must_ask=chance.random() < 0.5,
-                   cancel_allowed=chance.random() < 0.7, probes_allowed=chance.random() < 0.8,
-                   ask_within=10 * SECOND, most_launches=chance.randint(1, 4)) if seed < 30 else
-        deployment(seed=seed, instances=90, must_ask=True, ask_within=10 * SECOND,
-                   cancel_allowed=seed % 2 > 0, few_connections=seed % 3 > 0, **BESIDE),
+        deployment(
+            seed=seed,
+            tier=tier,
+            copies_allowed=chance.random() < 0.7,
+            must_ask=chance.random() < 0.5,
+            cancel_allowed=chance.random() < 0.7,
+            probes_allowed=chance.random() < 0.8,
+            ask_within=10 * SECOND,
+            most_launches=chance.randint(1, 4),
+        )
+        if seed < 30
+        else deployment(
+            seed=seed,
+            instances=90,
+            must_ask=True,
+            ask_within=10 * SECOND,
+            cancel_allowed=seed % 2 > 0,
+            few_connections=seed % 3 > 0,
+            **BESIDE,
+        ),
         endpoints=chance.randint(0, 6),
     )
     for _ in range(1500):
@@ -469,9 +496,14 @@
         assert len({f["endpoint"] for f in bed.flights[name]}) == launches
 
 
-@pytest.mark.parametrize("how, workload, launches", [
-    (t.How.SPOILT, IDEM, 2), (t.How.SPOILT, ONCE, 1), (t.How.ERROR, IDEM, 1),
-])
+@pytest.mark.parametrize(
+    "how, workload, launches",
+    [
+        (t.How.SPOILT, IDEM, 2),
+        (t.How.SPOILT, ONCE, 1),
+        (t.How.ERROR, IDEM, 1),
+    ],
+)
 def test_an_inner_launch_whose_answer_came_spoilt_goes_out_anew_where_allowed(how, workload, launches):
     """Passed up instead, each took a place in the budget of the front, which had none left for others."""
     bed = Bed(deployment(tier=1))
@@ -551,8 +583,9 @@
     assert calls(300) < 1.3 * calls(10)
 
 
-def probing(instances: int = 20, endpoints: int = 8, heavy: tuple = ("e0",), busy: float = 0.5,
-            load: float = 50.0) -> Bed:
+def probing(
+    instances: int = 20, endpoints: int = 8, heavy: tuple = ("e0",), busy: float = 0.5, load: float = 50.0
+) -> Bed:
     """Light traffic of one sidecar among many, whose probes are answered with reports; e0's are heavy."""
     bed = Bed(deployment(instances=instances, reports_asked=True), endpoints=endpoints)
     bed.taken = 0
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -1,4 +1,5 @@
 """One build, two shapes of deployment: which is in force follows from the settings, and a mix is refused."""
+
 import subprocess
 import sys
 
@@ -15,8 +16,14 @@
 ALONE = LIMITS | {"may-duplicate": False, "probes": False, "streams-per-conn": 100}
 PRICES = {"cross-zone": 0.1, "connection": 0.05}
 BESIDE = {
-    "family": "mesh", "limits": ALONE, "load-report": {"how": "off", "fields": []}, "weights": "nominal",
-    "family-info": {"warm-keys": True}, "locality": "z", "areas": ["z", "y"], "prices": PRICES,
+    "family": "mesh",
+    "limits": ALONE,
+    "load-report": {"how": "off", "fields": []},
+    "weights": "nominal",
+    "family-info": {"warm-keys": True},
+    "locality": "z",
+    "areas": ["z", "y"],
+    "prices": PRICES,
 }
 
 
@@ -73,14 +80,20 @@
     path = tmp_path / "told.json"
     table = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": settings(**more)}
     path.write_bytes(orjson.dumps(table))
-    done = subprocess.run([sys.executable, "-m", "lupinmill"], env={"BALANCER_CONFIG": str(path)},
-                          capture_output=True, timeout=20, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "lupinmill"],
+        env={"BALANCER_CONFIG": str(path)},
+        capture_output=True,
+        timeout=20,
+        check=False,
+    )
     assert done.returncode == 2 and done.stdout == b""
     assert done.stderr.count(b"\n") == 1 and f"settings.{key}: ".encode() in done.stderr
 
 
 def test_the_real_sidecar_keeps_placement():
     """A bound workload goes to endpoints in its zone alone, and is denied when those are down."""
+
     async def check(net: Net):
         for at in range(6):
             assert (await net.ask(wanted(f"s{at}", "star"))).status == 200
@@ -123,4 +136,3 @@
 def test_a_weight_that_is_no_size_counts_as_one(told, taken):
     row = {"name": "e0", "address": "127.0.0.1:1", "status": "SERVING", "weight": told}
     assert lists.known({"index": 1, "endpoints": [row]}).entries[0].weight == taken
-
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -1,4 +1,5 @@
 """Whole sidecars on loopback: one answer each, by the rules, whatever endpoints, clients and discovery do."""
+
 import itertools
 import os
 import random
@@ -69,15 +70,22 @@
     assert probed.how is t.How.HANDLED and probed.load == t.Load(queued=2.0, busy=0.4)
 
 
-@pytest.mark.parametrize("act, how, status", [
-    (always(Answer(500)), t.How.ERROR, 502), (always(Answer(503)), t.How.ERROR, 502),
-    (always(DECLINED), t.How.REFUSED, 503), (always("cut"), t.How.RESET, 502),
-    (always("reset"), t.How.RESET, 502),
-    (always("garbled"), t.How.SPOILT, 502), (always("endless"), t.How.SPOILT, 502),
-    (always("unfinished"), t.How.SPOILT, 502),
-    (always("no end of the head"), t.How.SPOILT, 502), (always("huge"), t.How.SPOILT, 502),
-    (always("silent"), t.How.CALLED_OFF, 502),
-])
+@pytest.mark.parametrize(
+    "act, how, status",
+    [
+        (always(Answer(500)), t.How.ERROR, 502),
+        (always(Answer(503)), t.How.ERROR, 502),
+        (always(DECLINED), t.How.REFUSED, 503),
+        (always("cut"), t.How.RESET, 502),
+        (always("reset"), t.How.RESET, 502),
+        (always("garbled"), t.How.SPOILT, 502),
+        (always("endless"), t.How.SPOILT, 502),
+        (always("unfinished"), t.How.SPOILT, 502),
+        (always("no end of the head"), t.How.SPOILT, 502),
+        (always("huge"), t.How.SPOILT, 502),
+        (always("silent"), t.How.CALLED_OFF, 502),
+    ],
+)
 def test_what_comes_back_is_an_outcome_and_what_may_have_run_is_broken_off(act, how, status):
     async def check(net: Net):
         began = time.monotonic()
@@ -168,14 +176,20 @@
     assert net.ended() == [t.How.HANDLED] * 2 and broke
 
 
-@pytest.mark.parametrize("data, status", [
-    (b"nonsense\r\n\r\n", 400), (wanted("s1", "odd"), 404), (wanted("s1", deadline="soon"), 400),
-    (wanted("s1", more="Content-Length: 7\r\n"), 400),
-    (wanted("s1", deadline="-1"), 400), (wanted("s1", deadline="99999999999999999999999"), 400),
-    (wanted("s1").replace(b"Content-Length: 0", b"Content-Length: 60000000"), 413),
-    (wanted("s1", more="Transfer-Encoding: chunked\r\n", body=b"0\r\n\r\n" + wanted("s1")), 400),
-    (wanted("s1").replace(b"Req-Id: s1\r\n", b""), 400),
-])
+@pytest.mark.parametrize(
+    "data, status",
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (wanted("s1", "odd"), 404),
+        (wanted("s1", deadline="soon"), 400),
+        (wanted("s1", more="Content-Length: 7\r\n"), 400),
+        (wanted("s1", deadline="-1"), 400),
+        (wanted("s1", deadline="99999999999999999999999"), 400),
+        (wanted("s1").replace(b"Content-Length: 0", b"Content-Length: 60000000"), 413),
+        (wanted("s1", more="Transfer-Encoding: chunked\r\n", body=b"0\r\n\r\n" + wanted("s1")), 400),
+        (wanted("s1").replace(b"Req-Id: s1\r\n", b""), 400),
+    ],
+)
 def test_bad_input_is_answered_and_reaches_no_endpoint(data, status):
     async def check(net: Net):
         assert (await net.ask(data)).status == status
@@ -260,7 +274,7 @@
             with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
                 while time.monotonic() - began < 2:
                     for at in range(len(trickle)):
-                        await stream.send(trickle[at:at + 1])
+                        await stream.send(trickle[at : at + 1])
                     with anyio.move_on_after(0.05):
                         await stream.receive()
             return time.monotonic() - began
@@ -376,6 +390,7 @@
 
 def test_a_loop_that_lags_gives_up_earlier():
     """Seen: answers 100 ms and more after the hard limit where many sidecars shared two cores."""
+
     async def check(net: Net):
         async def lag():
             for _ in range(12):
@@ -492,6 +507,7 @@
 def test_a_new_endpoint_at_an_old_address_inherits_no_connection_and_loses_none():
     """Seen failing with connections kept by address: the newcomer got its predecessor's, and lost its own as
     that one left the list."""
+
     async def check(net: Net):
         directory, pool, row = net.program.directory, net.program.pool, net.discovery.rows[0]
         assert (await net.ask(wanted("s1"))).status == 200
@@ -642,8 +658,10 @@
     path.write_bytes(table if isinstance(table, bytes) else orjson.dumps(table))
     environ = {key: value for key, value in os.environ.items() if not key.startswith("BALANCER_")}
     return subprocess.Popen(
-        [sys.executable, "-m", "lupinmill"], env=environ | {"BALANCER_CONFIG": str(path)},
-        stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+        [sys.executable, "-m", "lupinmill"],
+        env=environ | {"BALANCER_CONFIG": str(path)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
     )
 
 
@@ -708,8 +726,13 @@
         return line
 
     async def check(process) -> None:
-        for bad in (b"{", net.table | {"discovery": "nowhere"}, net.table | {"listen": "127.0.0.1:1"},
-                    net.table | {"settings": settings(tier=1)}, net.table | {"limits": {"sockets": 99}}):
+        for bad in (
+            b"{",
+            net.table | {"discovery": "nowhere"},
+            net.table | {"listen": "127.0.0.1:1"},
+            net.table | {"settings": settings(tier=1)},
+            net.table | {"limits": {"sockets": 99}},
+        ):
             line = await anyio.to_thread.run_sync(told_again, process, bad)
             assert line["event"] == "reload_refused"
         assert not other.seen
@@ -768,12 +791,17 @@
     anyio.run(main)
 
 
-@pytest.mark.parametrize("table, said", [
-    (b"{", "told.json"), (b"[]", "not a JSON object"), ({}, "missing 'settings'"),
-    ({"listen": "127.0.0.1:0", "discovery": "nowhere", "settings": settings()}, "nowhere"),
-    ({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": {"tier": "x"}}, "'x'"),
-    ({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": {}}, "no workloads"),
-])
+@pytest.mark.parametrize(
+    "table, said",
+    [
+        (b"{", "told.json"),
+        (b"[]", "not a JSON object"),
+        ({}, "missing 'settings'"),
+        ({"listen": "127.0.0.1:0", "discovery": "nowhere", "settings": settings()}, "nowhere"),
+        ({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": {"tier": "x"}}, "'x'"),
+        ({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": {}}, "no workloads"),
+    ],
+)
 def test_a_bad_start_is_one_plain_line_and_exit_2(tmp_path, table, said):
     process = start(tmp_path, table)
     out, err = process.communicate(timeout=10)
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -1,4 +1,5 @@
 """Large and slow bodies, and every form of HTTP/1.1: byte for byte, within bounds, and none cut off."""
+
 import asyncio
 import random
 import signal
@@ -30,27 +31,33 @@
     """Every split in two, and every byte by itself."""
     for at in range(1, len(data)):
         yield [data[:at], data[at:]]
-    yield [data[at:at + 1] for at in range(len(data))]
+    yield [data[at : at + 1] for at in range(len(data))]
 
 
 # --- forms of requests and answers --------------------------------------------------------------
 
 
-CHUNKS = b"3;a=1;b=\"x\"\r\nabc\r\n4\r\ndefg\r\n0\r\nX-Sum: 9\r\n\r\n"
+CHUNKS = b'3;a=1;b="x"\r\nabc\r\n4\r\ndefg\r\n0\r\nX-Sum: 9\r\n\r\n'
 LINE = b"POST /bid?q=1 HTTP/1.1\r\nHost: a\r\n"
 
 
-@pytest.mark.parametrize("data, target, body", [
-    (LINE + b"Content-Length: 4\r\n\r\nabcd", b"/bid?q=1", b"abcd"),
-    (LINE + b"Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n" + CHUNKS, b"/bid?q=1", b"abcdefg"),
-    (LINE + b"Transfer-Encoding: Chunked\r\n\r\n" + CHUNKS, b"/bid?q=1", b"abcdefg"),
-    (b"\r\n\r\n" + LINE + b"Content-Length: 2\r\n\r\nab", b"/bid?q=1", b"ab"),
-    (b"POST http://some.where:8/bid?q=1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab",
-     b"/bid?q=1", b"ab"),
-    (b"GET http://some.where?q=1 HTTP/1.1\r\nHost: a\r\n\r\n", b"/?q=1", b""),
-    (b"GET /view HTTP/1.0\r\n\r\n", b"/view", b""),
-    (b"HEAD /view HTTP/1.1\r\nHost: a\r\nConnection: Keep-Alive, TE\r\n\r\n", b"/view", b""),
-])
+@pytest.mark.parametrize(
+    "data, target, body",
+    [
+        (LINE + b"Content-Length: 4\r\n\r\nabcd", b"/bid?q=1", b"abcd"),
+        (LINE + b"Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n" + CHUNKS, b"/bid?q=1", b"abcdefg"),
+        (LINE + b"Transfer-Encoding: Chunked\r\n\r\n" + CHUNKS, b"/bid?q=1", b"abcdefg"),
+        (b"\r\n\r\n" + LINE + b"Content-Length: 2\r\n\r\nab", b"/bid?q=1", b"ab"),
+        (
+            b"POST http://some.where:8/bid?q=1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab",
+            b"/bid?q=1",
+            b"ab",
+        ),
+        (b"GET http://some.where?q=1 HTTP/1.1\r\nHost: a\r\n\r\n", b"/?q=1", b""),
+        (b"GET /view HTTP/1.0\r\n\r\n", b"/view", b""),
+        (b"HEAD /view HTTP/1.1\r\nHost: a\r\nConnection: Keep-Alive, TE\r\n\r\n", b"/view", b""),
+    ],
+)
 def test_requests_in_every_form_and_split(data, target, body):
     for pieces in cuts(data + b"\r\n" + data):
         side, got = ServerSide(), []
@@ -66,18 +73,25 @@
         assert [(one.target, one.body) for one in got] == [(target, body)] * (1 if b"1.0" in data else 2)
 
 
-@pytest.mark.parametrize("data, status, body, kept", [
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcd", 200, b"abcd", True),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKS, 200, b"abcdefg", True),
-    (b"HTTP/1.1 200 OK\r\nConnection: x, ClOsE\r\n\r\nabcd", 200, b"abcd", False),
-    (b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab", 200, b"ab", False),
-    (b"HTTP/1.0 200 OK\r\n\r\nabcd", 200, b"abcd", False),
-    (b"HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 103 Hints\r\nLink: a\r\n\r\n"
-     b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
-     200, b"a", True),
-    (b"HTTP/1.1 204 No\r\n\r\n", 204, b"", True),
-    (b"HTTP/1.1 304 No\r\nContent-Length: 7\r\n\r\n", 304, b"", True),
-])
+@pytest.mark.parametrize(
+    "data, status, body, kept",
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcd", 200, b"abcd", True),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKS, 200, b"abcdefg", True),
+        (b"HTTP/1.1 200 OK\r\nConnection: x, ClOsE\r\n\r\nabcd", 200, b"abcd", False),
+        (b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab", 200, b"ab", False),
+        (b"HTTP/1.0 200 OK\r\n\r\nabcd", 200, b"abcd", False),
+        (
+            b"HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 103 Hints\r\nLink: a\r\n\r\n"
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+            200,
+            b"a",
+            True,
+        ),
+        (b"HTTP/1.1 204 No\r\n\r\n", 204, b"", True),
+        (b"HTTP/1.1 304 No\r\nContent-Length: 7\r\n\r\n", 304, b"", True),
+    ],
+)
 def test_answers_in_every_form_and_split(data, status, body, kept):
     for pieces in cuts(data):
         side = ClientSide()
@@ -91,12 +105,16 @@
         assert (answer.status, answer.body, side.reusable()) == (status, body, kept)
 
 
-@pytest.mark.parametrize("data", [
-    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab",
-    b"HTTP/1.1 200 OK\r\nX: close\r\n\r\nab", b"HTTP/1.1 200 OK\r\nConnection: closed\r\n\r\nab",
-    b"HTTP/1.1 20",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab",
+        b"HTTP/1.1 200 OK\r\nX: close\r\n\r\nab",
+        b"HTTP/1.1 200 OK\r\nConnection: closed\r\n\r\nab",
+        b"HTTP/1.1 20",
+    ],
+)
 def test_an_end_that_is_none_counts_as_none(data):
     for pieces in cuts(data):
         side = ClientSide()
@@ -131,7 +149,7 @@
         at = 0
         while at < len(data):
             size = rng.randrange(1, 16_000)
-            await body.put(data[at:at + size])
+            await body.put(data[at : at + size])
             at += size
             held = sum(len(part) for part in body.parts)
             assert shelf.leased <= shelf.limit and held <= shelf.leased + bodies.AHEAD + 16_000
@@ -210,7 +228,7 @@
     rng, at, parts = random.Random(seed), 0, []
     while at < len(body):
         size = rng.randrange(1, 60_000)
-        piece = body[at:at + size]
+        piece = body[at : at + size]
         parts.append(b"%x;x=y\r\n%s\r\n" % (len(piece), piece))
         at += size
     head = wanted(name, more="Transfer-Encoding: chunked\r\n" + more).replace(b"Content-Length: 0\r\n", b"")
@@ -243,13 +261,14 @@
         if not request.header(b"req-id"):
             return Answer(200)
         head = {
-            "length": b"Content-Length: %d" % len(body), "chunked": b"Transfer-Encoding: chunked",
+            "length": b"Content-Length: %d" % len(body),
+            "chunked": b"Transfer-Encoding: chunked",
             "close": b"Connection: close",
         }[form]
         pieces, at = [b"HTTP/1.1 200 OK\r\n%s\r\n\r\n" % head], 0
         while at < len(body):
             size = rng.randrange(1, 90_000)
-            piece = body[at:at + size]
+            piece = body[at : at + size]
             pieces.append(b"%x\r\n%s\r\n" % (len(piece), piece) if form == "chunked" else piece)
             at += size
         return pieces + ([b"0\r\n\r\n"] if form == "chunked" else [])
@@ -307,6 +326,7 @@
                     if sum(sent) > 500_000:
                         raise BrokenPipeError
                     await send(data)
+
                 connection.send = breaks
             return connection
 
@@ -347,6 +367,7 @@
             answer = b""
             with anyio.move_on_after(10):
                 async with anyio.create_task_group() as group:
+
                     async def send() -> None:
                         with anyio.CancelScope():
                             try:
@@ -354,6 +375,7 @@
                                     await stream.send(noise(60_000))
                             except (anyio.BrokenResourceError, OSError):
                                 pass
+
                     group.start_soon(send)
                     answer = await stream.receive()
                     group.cancel_scope.cancel()
@@ -388,7 +410,7 @@
                 try:
                     while at < len(data):
                         await anyio.sleep(step)
-                        await stream.send(data[at:at + 7_000])
+                        await stream.send(data[at : at + 7_000])
                         at += 7_000
                     got = await stream.receive()
                 except (anyio.BrokenResourceError, anyio.EndOfStream):
@@ -405,7 +427,7 @@
         for at, body in enumerate((noise(300_000), noise(3 * MIB))):
             async with await anyio.connect_tcp(host, int(port)) as stream:
                 data = wanted(f"s{at}", body=body)
-                await stream.send(data[:len(data) - 100_000])
+                await stream.send(data[: len(data) - 100_000])
                 await anyio.sleep(0.1)
         await until(lambda: not net.program.book.journeys and net.program.shelf.leased == 0)
         assert (await net.ask(wanted("s2"))).status == 200
@@ -441,7 +463,7 @@
                 self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
                 return self.connection_made(self.transport)
         place = self.at % MIB
-        if data[:MIB - place] != PART[place:place + len(data[:MIB - place])]:
+        if data[: MIB - place] != PART[place : place + len(data[: MIB - place])]:
             self.wrong.append(self.name)
         self.at += len(data)
         if self.at == BULK:
@@ -479,8 +501,10 @@
             address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
             net.table["known"]["endpoints"][0]["address"] = net.discovery.rows[0]["address"] = address
             net.table["limits"]["memory_mb"] = 80
-            workloads = [one | {"hard-limit-s": 60, "contract-time-s": 60}
-                         for one in net.table["settings"]["workloads"]]
+            workloads = [
+                one | {"hard-limit-s": 60, "contract-time-s": 60}
+                for one in net.table["settings"]["workloads"]
+            ]
             net.table["settings"]["workloads"] = workloads
             with socket.socket() as sock:
                 sock.bind(("127.0.0.1", 0))
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,4 +1,5 @@
 """Storage, descriptors and connections: what is leased, and that it is given back."""
+
 import random
 import socket
 import time
@@ -173,6 +174,7 @@
 def test_a_second_answer_that_comes_after_the_first_never_passes_for_the_next_ones():
     """Seen failing: quiet when kept and when taken, the connection went out at once, and the bytes that came
     then were its next answer's."""
+
     async def check(pool, address, theirs):
         (kept,) = pool.idle[address]
         kept.idle_since = time.monotonic()
--- a/tests/test_zones_member.py
+++ b/tests/test_zones_member.py
@@ -189,9 +189,9 @@
     assert fleet.go["m1"].plan["view"][0].get("b", 0) < 0.4
     fleet.second(FADED // SECOND)
     shares, way = fleet.go["m1"].plan["view"]
-    assert shares["b"] == pytest.approx(0.9) and sum(way.values()) == pytest.approx(0.1), (
-        "home is lost: a tenth"
-    )
+    assert shares["b"] == pytest.approx(0.9) and sum(way.values()) == pytest.approx(
+        0.1
+    ), "home is lost: a tenth"
 
 
 # --- a partition --------------------------------------------------------------------------------------------
@@ -414,9 +414,9 @@
     assert told.traffic["view"] == pytest.approx(100, rel=0.2) and told.traffic["bid"] == 0
     assert told.seen["a"].failed == 0 < told.seen["b"].failed
     assert told.seen["a"].ready == 2 == told.seen["a"].listed
-    assert 1.5 < told.seen["a"].room / (told.seen["a"].tried / 2) < 2.5, (
-        "twice, at the pace of uncrowded ones"
-    )
+    assert (
+        1.5 < told.seen["a"].room / (told.seen["a"].tried / 2) < 2.5
+    ), "twice, at the pace of uncrowded ones"
     assert not sidecar.desk.open and len(tally.cold) == 0
 
 
--- a/tests/test_zones_processes.py
+++ b/tests/test_zones_processes.py
@@ -142,9 +142,9 @@
     rig.lose_zone("b")
     await rig.until("the plan leaves b", outside, lambda t: home("b", t) < 0.5)
     tables = await rig.until("c is left alone", outside, lambda t: home("c", t) > 0.9)
-    assert all(shares.get("c", 0.0) == 0 for t in tables for shares in t["plan"]["b"].values()), (
-        "out of reach"
-    )
+    assert all(
+        shares.get("c", 0.0) == 0 for t in tables for shares in t["plan"]["b"].values()
+    ), "out of reach"
     flows = await rig.flows()
     assert away(flows, "c") < 0.1 and flows.get(("c", "c"), 0) > 0, flows
     rig.cut("c", False)
