--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,9 @@
 	$(PYTHON) -m pytest -q $(addprefix --ignore=,$(PURE))
 
 lint: build
-	.venv/bin/pip -q install 'ruff>=0.6,<1'
+	.venv/bin/pip -q install 'ruff==0.8.4'
 	.venv/bin/ruff check lupinmill tests
+	.venv/bin/ruff format --check lupinmill tests
 
 run: build
 	$(PYTHON) -m lupinmill lab run $(SCENARIO) --sockets
--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -168,7 +168,9 @@
     for _ in range(600):
         orders = []
         step = bed.step
-        bed.step = lambda *notes, **more: orders.extend(found := step(*notes, **more)) or found
+        bed.step = lambda *notes, _orders=orders, _step=step, **more: (
+            _orders.extend(found := _step(*notes, **more)) or found
+        )
         came[bed.arrive(IDEM)] = bed.now
         bed.run(5 * MS)
         del bed.step
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -1,5 +1,5 @@
-"""What all sidecars together send to an endpoint that starts cold, in virtual time, against the budget: in any
-window of the time told, no more than N + 2 x root of N + 2, N being what it may be sent then."""
+"""What all sidecars together send to an endpoint that starts cold, in virtual time, against the budget: in
+any window of the time told, no more than N + 2 x root of N + 2, N being what it may be sent then."""
 
 import heapq
 import random
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -319,8 +319,8 @@
 
 @pytest.mark.parametrize("stamped", [True, False])
 def test_the_time_of_a_request_runs_while_it_waits_in_the_kernels_queue(stamped, monkeypatch):
-    """Nothing is accepted while two clients send. Seen failing where no kernel tells when bytes came: launches
-    told all 8 s. What comes to an empty queue has all of its time."""
+    """Nothing is accepted while two clients send. Seen failing where no kernel tells when bytes came:
+    launches told all 8 s. What comes to an empty queue has all of its time."""
     if not stamped:
         monkeypatch.setattr("lupinmill.transport.connection.STAMP_ROOM", 0)
         monkeypatch.setattr("lupinmill.transport.connection.LAST_DATA", 10_000)
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -150,7 +150,7 @@
         for _ in range(8):
             before = len(net.discovery.seen)
             net.discovery.change(net.discovery.rows[0])
-            await until(lambda: len(net.discovery.seen) > before)
+            await until(lambda before=before: len(net.discovery.seen) > before)
         waits.extend(
             int(one.target.split(b"wait=")[1]) for one in net.discovery.seen if b"wait=" in one.target
         )
@@ -328,8 +328,8 @@
 @pytest.mark.parametrize("instances", [1, 40, 200, 20_000])
 def test_after_calls_that_fail_the_next_answer_is_there_within_six_seconds(instances, monkeypatch):
     """A change counts as told 6 s after discovery had it and could be reached, whatever went wrong before: it
-    may be made while a call hangs that is given up, then comes the longest pause, then a call that is answered.
-    Seen failing with 3 s for the list behind 2 s for its connection and up to 5 s of pause."""
+    may be made while a call hangs that is given up, then comes the longest pause, then a call that is
+    answered. Seen failing with 3 s for the list behind 2 s for its connection and up to 5 s of pause."""
     from bed import deployment as usual
 
     from lupinmill.rules import Sidecar
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -548,7 +548,7 @@
 def test_alarms_of_uploads_that_came_soon_do_not_outlast_them_by_minutes():
     """Seen failing: each kept its submission for as long as the slowest body could have taken."""
     bed = Bed(deployment(), 2)
-    # One that stays open, with an alarm before theirs: done ones are let go of at the head of the heap anyway.
+    # One that stays open, with an alarm before theirs: done ones are let go of at the head of the heap.
     bed.step(t.Arrived("stays", "view", bed.now + 300 * SECOND, whole=False))
     for at in range(50):
         bed.step(t.Arrived(f"u{at}", "view", bed.now + 600 * SECOND, whole=False))
