Headers of identity and safety are kept, read once or refused; targets stay as written

Cause, by file on the code before: - protocol/http.py, `end_to_end` (lines 74-79): dropped every header that `Connection` named, also Req-Id, Req-Kind, Req-Deadline, Idempotency-Key and Host. `submission.read` still read them, so a request counted as keyed whose key no endpoint got. - protocol/submission.py, `read`: took the first of a repeated header, while all were forwarded; an empty Req-Kind counted as none; class and tenant were decoded as latin-1 while their names come as UTF-8; a percent-encoded first part of the path was compared as it stood; `find` stripped 0x85, 0xA0 and 0x1C-0x1F from ids, so that ids that differ in such a byte were one. - protocol/http.py, `origin_form`: any target with `://` in it that began with no slash was cut as an absolute one (`view?next=http://a/bid` went on as `/bid`); other targets without a slash went on as they stood. - CONNECT was forwarded: h11 then waits for the bytes of a tunnel, and no answer could be written. - protocol/http.py, `ClientSide.begin`: an HTTP/1.0 request without Host, or one with `Connection: Host`, can't be written as HTTP/1.1; each attempt counted as unsent and the client was denied. - protocol/quick.py: denied requests with two Req-Key, two Idempotency-Key, no Host, a head over 16 KiB or an overlong Req-Key, which the parser refuses; its lazy field pattern was quadratic in blanks.

Change: ALWAYS_KEPT stays whatever `Connection` names, in requests and answers alike; seven headers given twice and an empty Req-Kind get 400; class and tenant are UTF-8, the class in the path is percent-decoded to compare, the target goes on byte for byte; an absolute target is `http(s)://authority` and what follows, any other that begins with no slash gets 400 (`OPTIONS *` aside); CONNECT gets 405; a missing Host goes on empty; a glance leaves all of these to the parser.

Not changed: an empty Idempotency-Key still reads as no key, as tests/test_protocol.py asks.

--- a/lupinmill/protocol/http.py
+++ b/lupinmill/protocol/http.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 from enum import Enum
 from http import HTTPStatus
@@ -29,6 +30,23 @@
     b"content-length",
     b"expect",
 }
+# Kept whatever `Connection` names: identity, class, repeat safety, deadline and advice hang on them. Guards
+# against a request that counts here as what it no longer is at its endpoint.
+ALWAYS_KEPT = {
+    b"host",
+    b"idempotency-key",
+    b"req-id",
+    b"req-kind",
+    b"req-deadline",
+    b"req-retry",
+    b"req-owner",
+    b"req-key",
+    b"req-extra",
+    b"retry-after",
+    b"srv-declined",
+    b"srv-load",
+}
+ABSOLUTE = re.compile(rb"https?://[^/?#]+([/?].*)?", re.IGNORECASE)
 
 
 class Malformed(Exception):
@@ -67,16 +85,18 @@
 def find(headers: Headers, name: bytes) -> str | None:
     for key, value in headers:
         if key.lower() == name:
-            return value.decode("latin-1").strip()
+            return value.decode("latin-1").strip(" \t")  # `strip` alone takes other bytes than blanks too
     return None
 
 
 def end_to_end(headers: Headers) -> Headers:
-    named = set(HOP_BY_HOP)
+    """Without those of one connection: the usual ones, and what `Connection` names beyond ALWAYS_KEPT."""
+    named: set[bytes] = set()
     for key, value in headers:
         if key.lower() == b"connection":
             named.update(part.strip().lower() for part in value.split(b","))
-    return [(key, value) for key, value in headers if key.lower() not in named]
+    dropped = HOP_BY_HOP | (named - ALWAYS_KEPT)
+    return [(key, value) for key, value in headers if key.lower() not in dropped]
 
 
 def plain(status: int, text: str = "", more: Headers | None = None) -> Answer:
@@ -111,13 +131,16 @@
     return None
 
 
-def origin_form(target: bytes) -> bytes:
-    """An absolute target as its server takes it."""
-    if target[:1] == b"/" or b"://" not in target:
+def origin_form(method: bytes, target: bytes) -> bytes:
+    """The target as its server takes it: as it was written, without scheme and authority of an absolute one.
+    Raises Malformed for what is no target of a request to this server."""
+    if target[:1] == b"/" or (method == b"OPTIONS" and target == b"*"):
         return target
-    path = target.partition(b"://")[2]
-    cut = min((at for at in (path.find(b"/"), path.find(b"?")) if at >= 0), default=len(path))
-    return path[cut:] if path[cut : cut + 1] == b"/" else b"/" + path[cut:]
+    absolute = ABSOLUTE.fullmatch(target)
+    if absolute is None:
+        raise Malformed(400, "no usable target")
+    path = absolute[1] or b"/"
+    return path if path[:1] == b"/" else b"/" + path
 
 
 def phrase(answer: Answer) -> str:
@@ -168,14 +191,18 @@
         return None
 
     def head(self, event: h11.Request) -> Request:
-        request = Request(event.method, origin_form(event.target), event.headers.raw_items())
+        self.method = event.method  # first: also the answer to a malformed one to HEAD has no body
+        if event.method == b"CONNECT":
+            raise Malformed(405, "no tunnels here")
+        target = origin_form(event.method, event.target)
+        request = Request(event.method, target, event.headers.raw_items())
         length = length_of(request.headers)
         # Guards against a request hidden in another's body: h11 would choose between the two.
         if length is not None and request.header(b"transfer-encoding"):
             raise Malformed(400, "both Content-Length and Transfer-Encoding")
         if (length or 0) > self.largest:
             raise Malformed(413, "the body is too large")  # not one byte of it is read
-        self.request, self.size, self.method = request, 0, event.method
+        self.request, self.size = request, 0
         return request
 
     def next_request(self) -> Request | None:
@@ -276,6 +303,8 @@
 
     def begin(self, request: Request, length: int | None, chunked: bool = False) -> bytes:
         headers = end_to_end(request.headers)
+        if not any(key.lower() == b"host" for key, _ in headers):
+            headers.append((b"Host", b""))  # HTTP/1.0 may do without, what goes on as HTTP/1.1 may not
         if chunked:
             headers.append((b"Transfer-Encoding", b"chunked"))
         elif length is not None:
--- a/lupinmill/protocol/quick.py
+++ b/lupinmill/protocol/quick.py
@@ -6,15 +6,16 @@
 import re
 from dataclasses import dataclass
 
-from lupinmill.protocol.submission import LONGEST, SECONDS
+from lupinmill.protocol.http import LARGEST_HEAD
+from lupinmill.protocol.submission import LONGEST, LONGEST_KEY, SECONDS
 
 HEAD = re.compile(
     rb"(?:GET|POST) /([A-Za-z0-9_.~-]{1,100})(?:[/?][!-~]{0,2000})? HTTP/1\.1\r\n"
-    rb"((?:[A-Za-z0-9-]{1,60}:[ \t]?[ -~]{0,2000}\r\n){1,60})\r\n"
+    rb"((?:[A-Za-z0-9-]{1,60}:[ \t]{0,4}(?:[!-~][ -~]{0,2000})?\r\n){1,60})\r\n"
 )
 FIELD = re.compile(
-    rb"^(req-id|req-kind|req-deadline|req-retry|req-owner|content-length|transfer-encoding|connection|expect|upgrade)"
-    rb":[ \t]*(.*?)[ \t]*\r$",
+    rb"^(req-id|req-kind|req-deadline|req-retry|req-owner|req-key|idempotency-key|host|content-length"
+    rb"|transfer-encoding|connection|expect|upgrade):(.*)\r$",
     re.IGNORECASE | re.MULTILINE,
 )
 
@@ -30,14 +31,16 @@
 def glance(data: bytes, workloads: set[str]) -> Glance | None:
     """None unless these bytes are one whole request of which nothing is doubtful, and no byte more."""
     head = HEAD.match(data)
-    if head is None:
+    if head is None or head.end() > LARGEST_HEAD:
         return None
     found: dict[bytes, bytes] = {}
     for name, value in FIELD.findall(head[2]):
         name = name.lower()
         if name in found or name in (b"transfer-encoding", b"connection", b"expect", b"upgrade"):
             return None
-        found[name] = value
+        found[name] = value.strip(b" \t")
+    if b"host" not in found or len(found.get(b"req-key", b"")) > LONGEST_KEY:
+        return None
     length = found.get(b"content-length", b"0")
     if not length.isdigit() or len(length) > 6 or len(data) != head.end() + int(length):
         return None
--- a/lupinmill/protocol/submission.py
+++ b/lupinmill/protocol/submission.py
@@ -12,6 +12,8 @@
 ID, KIND, DEADLINE, RETRY, OWNER = b"req-id", b"req-kind", b"req-deadline", b"req-retry", b"req-owner"
 KEY, LONGEST_KEY = b"req-key", 200
 DROP_KEY = b"idempotency-key"  # endpoints drop repeats by it
+SINGLE = {ID, KIND, DEADLINE, RETRY, OWNER, KEY, DROP_KEY}  # of two an endpoint might read the other one
+ESCAPED = re.compile(rb"%([0-9A-Fa-f]{2})")
 LOAD, DECLINED = b"srv-load", b"srv-declined"
 LONGEST = 60  # seconds; no client waits for longer
 SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")  # `float` reads more: signs, exponents, `1_0`
@@ -32,23 +34,61 @@
 
 
 def read(request: Request, workloads: set[str]) -> Asked:
-    name = request.header(ID)
+    """Raises Malformed for a request that is no submission. Ids and keys are told apart by their bytes, names
+    from the settings are UTF-8."""
+    headers = single(request)
+    name = headers.get(ID, b"")
     if not name or len(name) > 200:
         raise Malformed(400, "no usable Req-Id", True)
-    path = request.target.split(b"?", 1)[0].lstrip(b"/").split(b"/", 1)[0].decode("latin-1")
-    kind = request.header(KIND) or path
+    kind, path = workload(request, headers.get(KIND))
     if kind not in workloads:
         raise Malformed(404, f"unknown workload {kind[:60]!r}", True)
     if path in workloads and path != kind:
         raise Malformed(400, "Req-Kind and the path name different workloads", True)
-    deadline = request.header(DEADLINE) or ""
+    deadline = headers.get(DEADLINE, b"").decode("latin-1")
     if not SECONDS.fullmatch(deadline) or (left := float(deadline)) > LONGEST:
         raise Malformed(400, "no readable Req-Deadline", True)
-    key = request.header(KEY) or ""
+    key = headers.get(KEY, b"").decode("latin-1")
     if len(key) > LONGEST_KEY:
         raise Malformed(400, "overlong Req-Key", True)
-    owner, again = request.header(OWNER) or "", request.header(RETRY) == "1"
-    return Asked(name, kind, int(left * 1_000_000), owner, again, key, bool(request.header(DROP_KEY)))
+    return Asked(
+        submission=name.decode("latin-1"),
+        workload=kind,
+        left=int(left * 1_000_000),
+        tenant=text(headers.get(OWNER, b"")),
+        repeated=headers.get(RETRY) == b"1",
+        key=key,
+        keyed=bool(headers.get(DROP_KEY)),
+    )
+
+
+def single(request: Request) -> dict[bytes, bytes]:
+    """The values of SINGLE. Raises Malformed where one is given twice: all of them go on, and the endpoint
+    might read another one than was read here."""
+    found: dict[bytes, bytes] = {}
+    for key, value in request.headers:
+        name = key.lower()
+        if name in SINGLE:
+            if name in found:
+                raise Malformed(400, f"more than one {key.decode()}", True)
+            found[name] = value.strip(b" \t")
+    return found
+
+
+def workload(request: Request, kind: bytes | None) -> tuple[str, str]:
+    """As it is named, and as the first part of the path names it."""
+    first = request.target.split(b"?", 1)[0].lstrip(b"/").split(b"/", 1)[0]
+    path = text(ESCAPED.sub(lambda match: bytes([int(match[1], 16)]), first) if b"%" in first else first)
+    if kind is None:
+        return path, path
+    if not kind:
+        raise Malformed(400, "an empty Req-Kind", True)
+    return text(kind), path
+
+
+def text(value: bytes) -> str:
+    """A name as the settings have it; what is no UTF-8 becomes one that can be logged and that nobody has."""
+    return value.decode("utf-8", "backslashreplace")
 
 
 def launch(request: Request, left: int) -> Request:
