Every request that was read gets an answer, whatever ends the work on it

Cause 1 (routing/take_in.py, `serve`): a defect, an OSError of the watch on the client and the end of the program closed a connection with nothing written. Seen on the code before with defects put into `submission.read`, `ServerSide.answer` (h11.LocalProtocolError), `Client.gone`, `waited_for`: a connection that ended unanswered. `Client.owed` now tells from a request's last byte to its answer's first that one is due; the end of the client's task writes 502 at once, also when cancelled. Defects are counted (`TakeIn.defects`).

Cause 2 (`read`, `read_body`, `gather`, `pump`): time-outs closed in silence: `assert [] == [408]` (12 cases: half a head, a body of 9, 90 and 1,500 kB, Expect). They are answered 408; what lies unread when the time is over is read first (`assert [] == [200]`).

Cause 3 (`turn_away`): the same with `assert [] == [503]` for a request that lay whole when the loop came late, `assert [503] == [503, 503, 503]` for several, `assert [413] == [503]` for a body over 64 KiB.

Cause 4 (`closes`): with connections to be closed, or bytes ahead dropped, requests read whole behind the one answered were dropped: `assert [200] == [200, 200, 200]`, twice. They are answered first.

Cause 5 (`pump`): no limit on a body that nobody takes where the module failed: a wait without end. It has `final_answer`'s backstop.

Cause 7 (`converse`): a connection that could not be passed to the next process was closed over unread bytes: `assert [] == [200]`.

Also: a deadline with a body to come is cut to the end of a drain after the time for the body is added, no more before it (routing/admit.py).

Fails now: test_sidecar.py::test_a_request_cut_off_in_the_middle_frees_all_it_held. It demands an end with no answer (EndOfStream first) for half a request, which is now told 408, and the place back at once, where the connection lingers up to 1 s for a client that does not read.

--- a/lupinmill/routing/admit.py
+++ b/lupinmill/routing/admit.py
@@ -46,9 +46,7 @@
         if asked.workload in self.gone:
             return submission.denied(self.advice)
         waited = client.waited_for(asked.left)
-        due = self.due(asked.left, waited)
-        if body is not None and not body.whole:
-            due += int(to_come * 1_000_000)
+        due = self.due(asked.left, waited, int(to_come * 1_000_000))
         journey = Journey(asked, request, due, client, self.book.engine.clock.now() - waited, body=body)
         self.book.begin(journey)
         return journey
@@ -59,14 +57,14 @@
             return None
         return plain(200, "ready\n") if self.ready() else plain(503, "not ready\n")
 
-    def due(self, left: int, waited: int) -> int:
-        """The hard limit of what came whole so long ago."""
+    def due(self, left: int, waited: int, to_come: int = 0) -> int:
+        """The hard limit of what came whole so long ago, or may take so long to come."""
         engine = self.book.engine
         # Guards against answers after the hard limit while the loop lags: they come out as late as wake-ups
         # do, once from the module and once to the client.
         left -= min(2 * engine.late, left // 3)
         now = engine.clock.now()
-        due = now - waited + left
+        due = now - waited + left + to_come
         if (latest := self.standing.latest(now)) is not None:
             due = min(due, latest)  # nothing may be open when the program is killed, or the drain is over
         return due
--- a/lupinmill/routing/door.py
+++ b/lupinmill/routing/door.py
@@ -18,6 +18,7 @@
 
 BEAT = 0.010  # seconds
 PASS = 0.004  # seconds of one pass of the loop for denials; as much again goes to what is inside
+BACKSTOP = 0.6  # part of the time left after which a held request is denied whose turn was never called
 READING = 25e-6  # seconds that the loop and the kernel take to bring a request to the door
 
 
@@ -54,18 +55,26 @@
 
     def judge(self, client: Client, data: bytes) -> bool:
         """Of bytes just read while the core is short: False where they were one request, denied and answered
-        here."""
+        here. What a defect keeps from being judged goes the usual way."""
+        try:
+            return self.judged(client, data)
+        except Exception as error:
+            self.log("task_failed", task="door", **defect(error))
+            return True
+
+    def judged(self, client: Client, data: bytes) -> bool:
         began = perf_counter()
         asked = quick.glance(data, self.workloads)
         if asked is None:
             return True
-        offer = Offer(asked.workload, asked.left, asked.repeated, asked.tenant, client=client)
+        left = max(0, asked.left - client.waited_for(asked.left))
+        offer = Offer(asked.workload, left, asked.repeated, asked.tenant, client=client)
         fate = self.gate.offer(self.engine.clock.now(), offer)
         if fate is Fate.DENIED:
             denied = self.deny(client)
             self.count(perf_counter() - began + READING)
             return not denied
-        client.asked = True
+        client.asked = client.owed = True
         if fate is Fate.HELD:
             offer.token, client.offer = Turn(), offer
         else:
@@ -94,22 +103,22 @@
             whole = client.sock.send(data) == len(data)
         except OSError:
             whole = False
-        client.asked, client.broken = True, not whole
+        client.asked, client.owed, client.broken = True, False, not whole
         return whole
 
     async def wait(self, client: Client) -> bool:
         """For the turn of a request that is held; False where it was denied in the end, or its client left:
-        taken up it would be launched for nobody."""
+        taken up it would be launched for nobody. Guards by a time of its own against a turn that is never
+        called: the gate denies what it can't take up after half of the time left."""
         offer = client.offer
         if offer is None:
-            return True
+            return not client.broken
         try:
-            with anyio.CancelScope() as offer.token.scope:
+            with anyio.move_on_after(offer.left * BACKSTOP / 1_000_000) as offer.token.scope:
                 if not offer.token.called:
                     await client.gone()
         finally:
-            client.offer = None
-            self.gate.forget(offer)  # its task was ended before its turn
+            self.forget(client)  # its task was ended before its turn
         if client.look():  # also in the very pass in which its turn came
             self.leave(client)
             client.broken = True
@@ -125,12 +134,24 @@
             self.gate.entered()
         self.beat_on()
 
+    def forget(self, client: Client) -> None:
+        """The request that it may have in a line waits no longer."""
+        offer, client.offer = client.offer, None
+        if offer is not None:
+            self.gate.forget(offer)
+
     def leave(self, client: Client) -> None:
-        if client.inside:
-            client.inside = False
-            self.gate.left(self.engine.clock.now())
-            if self.gate.held:
-                self.release()
+        """Nothing of its is inside or in a line from here on. Guards the program: this is called last of all
+        in a client's task, where nobody is behind it."""
+        try:
+            self.forget(client)
+            if client.inside:
+                client.inside = False
+                self.gate.left(self.engine.clock.now())
+                if self.gate.held:
+                    self.release()
+        except Exception as error:
+            self.log("task_failed", task="door", **defect(error))
 
     def release(self) -> None:
         for offer, fate in self.gate.release(self.engine.clock.now()):
--- a/lupinmill/routing/relay.py
+++ b/lupinmill/routing/relay.py
@@ -28,20 +28,27 @@
 
         Settling the journey cancels the wait; a task that waited beside this one would cost a tenth of what a
         submission costs in all."""
-        left = journey.due + BACKSTOP - self.book.engine.clock.now()
         try:
-            with anyio.move_on_after(left / 1_000_000) as journey.waiting:
+            with anyio.move_on_after(self.longest(journey)) as journey.waiting:
                 if not journey.settled:
                     await client.gone()  # whatever it sends meanwhile has to wait
                     self.book.withdraw(journey)
         finally:
             journey.waiting = None
-            if not journey.settled:
-                self.book.withdraw(journey)
-                journey.answer = broken_off()
-                self.log("backstop", submission=journey.asked.submission)
+            self.give_up(journey)
         return journey.answer
 
+    def longest(self, journey: Journey) -> float:
+        """Seconds up to which the module has decided, if it does not fail."""
+        return (journey.due + BACKSTOP - self.book.engine.clock.now()) / 1_000_000
+
+    def give_up(self, journey: Journey) -> None:
+        """Of what no decision came: an attempt may have run, so this is no denial."""
+        if not journey.settled:
+            self.book.withdraw(journey)
+            journey.answer = broken_off()
+            self.log("backstop", submission=journey.asked.submission)
+
     async def pass_stream(
         self, client: Client, side: ServerSide, answer: Answer, stream: Stream, close: bool
     ) -> bool:
@@ -50,7 +57,9 @@
         A client that can't tell an early end from the true one is shown a reset."""
         whole, began = False, False
         try:
-            await self.write(client, side.begin(answer, stream.side.length, close))
+            head = side.begin(answer, stream.side.length, close)
+            client.owed = False
+            await self.write(client, head)
             while data := await stream.next():
                 began = True
                 await self.write(client, side.part(data))
@@ -59,7 +68,7 @@
         except (Broken, h11.LocalProtocolError) as error:
             self.log("answer_broken", error=str(error), began=began)
         finally:
-            if not whole and not side.tells_its_end():
+            if not whole and not client.owed and not side.tells_its_end():
                 client.reset_on_close()
             stream.finish()
         if not whole:
@@ -79,8 +88,10 @@
     ) -> bool:
         """True when the connection can serve another submission. Of what a client goes on sending so many
         bytes are read and dropped."""
+        data = side.answer(answer, close)
+        client.owed = False
         with anyio.move_on_after(STUCK) as scope:
-            await client.send(side.answer(answer, close))
+            await client.send(data)
         if scope.cancelled_caught:
             return False
         if side.goes_on():
--- a/lupinmill/routing/take_in.py
+++ b/lupinmill/routing/take_in.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import anyio
+import h11
 
 from lupinmill.protocol.http import (
     END,
@@ -32,6 +33,16 @@
 KEPT = 1024 * 1024  # bytes of a body that are waited for before it is launched, where the shelf has room
 PACE = 48_000  # bytes a second; what comes slower than that is not waited for
 CROWDED_OUT = 0.5  # seconds for a request on a connection that there is no descriptor for
+# To a request that was read and has no answer when its task ends. No denial: an attempt may have run.
+LAST_ANSWER = b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+
+@dataclass(slots=True)
+class Limit:
+    """Until when a request has to be whole, by the loop's clock."""
+
+    until: float
+    over: bool = False  # it has passed, and what lay unread then was read
 
 
 class TakeIn:
@@ -43,45 +54,87 @@
         self.advice = advice  # microseconds after which those may come back that there is no place for
         self.closing = lambda: False  # answers close their connections
         self.pass_on: Callable[[Client], bool] | None = None  # to the next process, with what lies unread
-        self.answering = 0  # clients whose request is whole and whose answer isn't written
+        self.taken = 0  # clients whose request was taken up and whose answer isn't written
+        self.defects = 0  # clients' tasks that ended by one
+
+    @property
+    def answering(self) -> int:
+        """Clients whose request is whole and whose answer isn't written."""
+        return self.taken + self.door.gate.held
 
     async def serve(self, client: Client, welcome: bool) -> None:
+        """However the work on its requests ends, none that was read is left without an answer."""
         try:
             with client:
-                if welcome:
-                    await self.converse(client)
-                else:
-                    await self.turn_away(client)
-        except (OSError, TimeoutError):
+                try:
+                    await self.attend(client, welcome)
+                finally:
+                    self.door.leave(client)
+                    answered = self.answer_owed(client)
+                if answered:
+                    await self.relay.linger(client)
+        except OSError:
             pass  # the client's side broke or is stuck: all it held is given back above
+
+    async def attend(self, client: Client, welcome: bool) -> None:
+        try:
+            if welcome:
+                await self.converse(client)
+            else:
+                await self.turn_away(client)
+        except OSError:
+            pass  # as above; also a time that is over
         except Exception as error:
+            self.defects += 1
             self.log("task_failed", task="client", **defect(error))
-        finally:
-            self.door.leave(client)
+
+    def answer_owed(self, client: Client) -> bool:
+        """Written at once: the task may have been cancelled, and can wait for nothing."""
+        if not client.owed or client.ended():
+            return False
+        client.owed = False
+        try:
+            return client.sock.send(LAST_ANSWER) == len(LAST_ANSWER)
+        except OSError:
+            return False
 
     async def converse(self, client: Client) -> None:
         side = ServerSide()
-        while True:
-            if self.passed(client, side):
-                return
+        while not self.passed(client, side):
             try:
                 taken = await self.read(client, side)
-                if taken is None:
-                    self.passed(client, side)
-                    return
-                client.asked = True
-                self.answering += 1
-                try:
-                    if not await self.serve_one(client, side, *taken):
+                if taken is not None:
+                    if not await self.take_up(client, side, *taken):
                         return
-                finally:
-                    self.answering -= 1
-                client.new = False
+                elif not await self.stays(client, side):
+                    return
             except Malformed as error:
+                client.owed = True
                 await self.relay.pass_back(client, side, plain(error.status, f"{error}\n"), True)
                 return
             self.door.leave(client)
 
+    async def take_up(self, client: Client, side: ServerSide, request: Request, body: Body | None) -> bool:
+        """True when the connection can serve another one."""
+        client.asked = client.owed = True
+        self.taken += 1
+        try:
+            goes_on = await self.serve_one(client, side, request, body)
+        finally:
+            self.taken -= 1
+        client.new = False
+        return goes_on
+
+    async def stays(self, client: Client, side: ServerSide) -> bool:
+        """Where no request came: True if one lies unread still that this process has to serve, since it could
+        not be passed on."""
+        if client.overrun:
+            await self.relay.linger(client)  # an answer that was just written must not be lost
+            return False
+        return (
+            not self.passed(client, side) and not client.closed and not client.broken and client.has_unread()
+        )
+
     async def serve_one(self, client: Client, side: ServerSide, request: Request, body: Body | None) -> bool:
         """True when the connection can serve another one."""
         comes = body is not None and not body.whole
@@ -89,7 +142,7 @@
             self.door.enter(client)  # what comes slowly takes none of the core until it is whole
         admitted = self.admitted(client, request, body)
         if isinstance(admitted, Answer):
-            return await self.relay.pass_back(client, side, admitted, self.closing())
+            return await self.relay.pass_back(client, side, admitted, self.closes(client, side))
         journey = admitted
         try:
             if comes:
@@ -101,17 +154,32 @@
                 return False
             if journey.stream is not None:
                 self.door.leave(client)  # what passes now takes as long as its reader does
-                return await self.relay.pass_stream(client, side, answer, journey.stream, self.closes(client))
-            return await self.relay.pass_back(client, side, answer, self.closes(client), LARGEST_BODY)
+                return await self.relay.pass_stream(
+                    client, side, answer, journey.stream, self.closes(client, side)
+                )
+            return await self.relay.pass_back(client, side, answer, self.closes(client, side), LARGEST_BODY)
         finally:
             if journey.stream is not None:
                 journey.stream.finish()
             if not journey.settled:
                 self.relay.book.withdraw(journey)
 
-    def closes(self, client: Client) -> bool:
-        """Its answer ends the connection: bytes of a next request that were dropped can't be made up for."""
-        return client.overrun or self.closing()
+    def closes(self, client: Client, side: ServerSide) -> bool:
+        """Its answer ends the connection: this sidecar sends its clients away, or bytes of a next request
+        were dropped, which can't be made up for. Not while more was read that has to be answered."""
+        return (client.overrun or self.closing()) and not self.next_was_read(client, side)
+
+    def next_was_read(self, client: Client, side: ServerSide) -> bool:
+        """A further request was read, whole; or a part of one whose rest can still come."""
+        behind = bytes(side.http.trailing_data[0]) + b"".join(piece.data for piece in client.ahead)
+        if not behind or side.http.their_state is not h11.DONE:
+            return False
+        judged = ServerSide()
+        try:
+            judged.feed(behind)
+            return judged.next_request() is not None or judged.begun() and not client.overrun
+        except Malformed:
+            return False
 
     def admitted(self, client: Client, request: Request, body: Body | None) -> Journey | Answer:
         to_come = 0.0
@@ -129,33 +197,42 @@
         """The rest of a body to the launch that sends it on, until it is whole or its submission settled.
         False where nobody waits for an answer any more."""
         there = False
-        with anyio.CancelScope() as journey.waiting:
+        try:
+            with anyio.move_on_after(self.relay.longest(journey)) as scope:
+                journey.waiting = scope
+                if not journey.settled:
+                    there = await self.gather(client, side, body, LARGEST_BODY)
+        except Malformed:
             if not journey.settled:
-                there = await self.gather(client, side, body, LARGEST_BODY)
-        journey.waiting = None
+                raise
+        finally:
+            journey.waiting = None
         if journey.settled:
             return True
+        if scope.cancelled_caught:
+            self.relay.give_up(journey)
+            return True
         if not there:
+            client.left = True
             self.relay.book.withdraw(journey)
             return False
         self.relay.book.whole(journey, self.admit.due(journey.asked.left, client.waited()))
         return True
 
     async def read(self, client: Client, side: ServerSide) -> tuple[Request, Body | None] | None:
-        """The next request, whole or with a body that still comes; None where there is none."""
+        """The next request, whole or with a body that still comes; None where there is none. Malformed also
+        where it does not come in its time."""
         part = side.next_part()
         while part is None and not side.begun():
             if not (data := await self.listener.next_bytes(client)):
                 return None
             side.feed(data)
             part = side.next_part()
-        if part is None:
-            with anyio.fail_after(WHOLE):  # however it trickles
-                while part is None:
-                    if not (data := await client.receive()):
-                        return None
-                    side.feed(data)
-                    part = side.next_part()
+        limit = Limit(anyio.current_time() + WHOLE)  # however it trickles
+        while part is None:
+            if not await self.more(client, side, limit):
+                return None
+            part = side.next_part()
         request = side.request
         assert request is not None and part is request
         return await self.read_body(client, side, request)
@@ -165,18 +242,14 @@
     ) -> tuple[Request, Body | None] | None:
         """Whole up to 64 KiB, and up to 1 MiB while the shelf has room."""
         small = bytearray()
-        while isinstance(part := side.next_part(), (bytes, bytearray)):
-            small += part
-        if part is not END:  # most have come whole with their head: no scope for those
-            with anyio.fail_after(WHOLE) as scope:
-                began = anyio.current_time()
-                while part is not END and len(small) <= SMALL:
-                    if isinstance(part, (bytes, bytearray)):
-                        small += part
-                    elif not await self.more(client, side):
-                        return None
-                    scope.deadline = began + WHOLE + side.size / PACE
-                    part = side.next_part()
+        began = anyio.current_time()
+        limit = Limit(began + WHOLE)
+        while (part := side.next_part()) is not END and len(small) <= SMALL:
+            if isinstance(part, (bytes, bytearray)):
+                small += part
+                limit.until = began + WHOLE + side.size / PACE
+            elif not await self.more(client, side, limit):
+                return None
         if part is END:
             request.body = bytes(small)
             return request, None
@@ -197,33 +270,41 @@
     async def gather(self, client: Client, side: ServerSide, body: Body, most: int) -> bool:
         """Up to the end, or until so much is there or the shelf is full. It may come slowly: time in which
         nobody takes what is there already doesn't count. False where the client left."""
-        with anyio.fail_after(WHOLE) as scope:
-            began, before = anyio.current_time(), side.size
-            while body.end < most or most == LARGEST_BODY:
-                part = side.next_part()
-                if part is END:
-                    body.finish()
-                    return True
-                if part is None:
-                    if not await self.more(client, side):
-                        return False
-                else:
-                    asked = anyio.current_time()
-                    scope.deadline = math.inf
-                    await body.put(part, most == LARGEST_BODY)
-                    began += anyio.current_time() - asked
-                    if most < LARGEST_BODY and not body.kept():
-                        break
-                scope.deadline = began + WHOLE + (side.size - before) / PACE
+        began, before = anyio.current_time(), side.size
+        limit = Limit(began + WHOLE)
+        while body.end < most or most == LARGEST_BODY:
+            part = side.next_part()
+            if part is END:
+                body.finish()
+                return True
+            if part is None:
+                if not await self.more(client, side, limit):
+                    return False
+            else:
+                asked = anyio.current_time()
+                await body.put(part, most == LARGEST_BODY)
+                began += anyio.current_time() - asked
+                if most < LARGEST_BODY and not body.kept():
+                    break
+                limit.until = began + WHOLE + (side.size - before) / PACE
         return True
 
-    async def more(self, client: Client, side: ServerSide) -> bool:
-        if ahead := side.go_ahead():
-            await client.send(ahead)
-        if not (data := await client.receive()):
-            return False
-        side.feed(data)
-        return True
+    async def more(self, client: Client, side: ServerSide, limit: Limit) -> bool:
+        """Reads on; False at the client's end. Once the time is over what lies unread is read once more: for
+        that it was this loop that came late."""
+        data = b""
+        with anyio.CancelScope(deadline=limit.until) as scope:
+            if ahead := side.go_ahead():
+                await client.send(ahead)
+            data = await client.receive()
+        if scope.cancelled_caught:
+            if not limit.over:
+                limit.over, data = True, await client.receive_unread()
+            if not data:
+                raise Malformed(408, "the request did not come whole in its time")
+        if data:
+            side.feed(data)
+        return bool(data)
 
     def passed(self, client: Client, side: ServerSide) -> bool:
         """Between two requests alone, with not a byte read of the next."""
@@ -234,15 +315,24 @@
     async def turn_away(self, client: Client) -> None:
         """No descriptor to serve it with: what it asks is denied at once, and nothing was launched. Whether
         this sidecar is ready is told as it is: by a front that hears 503 it would not be taken in."""
-        side = ServerSide(SMALL)
-        with anyio.fail_after(CROWDED_OUT):
+        side, limit = ServerSide(SMALL), Limit(anyio.current_time() + CROWDED_OUT)
+        goes_on = True
+        while goes_on:
             try:
                 while (request := side.next_request()) is None:
-                    if not await self.more(client, side):
+                    if not await self.more(client, side, limit):
                         return
             except Malformed as error:
-                await self.relay.pass_back(client, side, plain(error.status, f"{error}\n"), True)
+                await self.turn_away_malformed(client, side, error)
                 return
-        if request is not None:
-            told = self.admit.readiness(request)
-            await self.relay.pass_back(client, side, denied(self.advice) if told is None else told, True)
+            client.owed = True
+            told = self.admit.readiness(request) or denied(self.advice)
+            goes_on = await self.relay.pass_back(client, side, told, not side.begun())
+
+    async def turn_away_malformed(self, client: Client, side: ServerSide, error: Malformed) -> None:
+        if error.status == 408 and not side.begun():
+            return  # it never said a word
+        client.owed = True
+        # What is too large for this way alone is denied as all else is.
+        answer = denied(self.advice) if error.status == 413 else plain(error.status, f"{error}\n")
+        await self.relay.pass_back(client, side, answer, True, LARGEST_BODY)
--- a/lupinmill/transport/client.py
+++ b/lupinmill/transport/client.py
@@ -27,6 +27,7 @@
 # CLOSE_WAIT, LAST_ACK, CLOSING. FIN_WAIT1 and FIN_WAIT2 are not among them: there this side alone has.
 ENDED = (6, 7, 8, 9, 11)
 STATES = range(1, 13)  # all there are
+LATE = 256 * 1024  # bytes of what lay unread when a time was over that are read still
 TRANSIENT = (errno.ENOMEM, errno.ENOBUFS)  # the kernel is short of memory: nothing is known of the other side
 
 
@@ -80,6 +81,13 @@
             return bytes(piece.data)
         return b"" if self.overrun else await super().receive()
 
+    async def receive_unread(self) -> bytes:
+        """What lies here at this moment, without waiting for more."""
+        data = b""
+        while len(data) < LATE and self.has_unread():
+            data += await self.receive()
+        return data
+
     async def discard(self) -> int:
         """Reads what comes next to drop it: so many bytes, none at the end."""
         self.ahead.clear()
--- a/lupinmill/transport/listener.py
+++ b/lupinmill/transport/listener.py
@@ -134,7 +134,7 @@
         now = time.monotonic()
         for asked in (False, True):
             for client in self.idle:
-                if client.asked is asked and client.spare(now) and client.quiet():
+                if client.asked is asked and client.spare(now) and not client.early and client.quiet():
                     self.dismiss(client)
                     return True
         return False
@@ -205,12 +205,8 @@
                 loop.add_reader(client.sock, readable)
                 await woken.wait()
         finally:
+            self.is_up(client)
             loop.remove_reader(client.sock)
-            client.waiting = None
-            if client in self.idle:
-                del self.idle[client]
-            else:
-                self.descriptors.leaving -= 1
         if not woken.is_set() and not self.passing and client.has_unread():
             return await client.receive()
         return client.early
@@ -221,12 +217,16 @@
             try:
                 return await client.receive()
             finally:
-                client.waiting = None
-                if client in self.idle:
-                    del self.idle[client]
-                else:
-                    self.descriptors.leaving -= 1
+                self.is_up(client)
         return await client.receive() if not self.passing and client.has_unread() else b""
 
+    def is_up(self, client: Client) -> None:
+        """No longer idle, by bytes, its end, or the word to close."""
+        client.waiting = None
+        if client in self.idle:
+            del self.idle[client]
+        else:
+            self.descriptors.leaving -= 1
+
     def close(self) -> None:
         self.sock.close()
