Drawn troubles around clients that stay: each request gets one answer

Thirty clients with six requests each, in drawn pieces, on kept connections; a loop that lags, a door that opens and shuts, connections to be closed, full descriptors, endpoints that decline, hang and reset. Judged: one whole answer each, its own, no defect, all counts back at zero.

--- /dev/null
+++ b/tests/test_clients_drawn.py
@@ -0,0 +1,134 @@
+"""Drawn troubles around clients that stay: each request that was written whole gets one final answer. The
+seeds are the parameters; a failure is replayed by its own."""
+
+import random
+import time
+
+import anyio
+import pytest
+from bed import Net, on_network, wanted
+from test_clients_answers import ENDED, listener_of
+from test_sidecar import DECLINED, fine, until
+
+from lupinmill.protocol.http import ClientSide, Garbled, Request
+from lupinmill.transport.descriptors import Side
+
+CLIENTS, REQUESTS = 30, 6
+KINDS = ("view", "bid", "issue")
+
+
+class Lost(Exception):
+    """A request with no whole answer."""
+
+
+class Patron:
+    """A client that sends one request at a time, in pieces, keeps its connection, and opens another where
+    that ended between two requests."""
+
+    def __init__(self, net: Net, chance: random.Random, name: str) -> None:
+        self.net, self.chance, self.name, self.got = net, chance, name, []
+        self.stream, self.used = None, False
+
+    async def run(self) -> None:
+        for at in range(REQUESTS):
+            name = f"{self.name}-{at}"
+            size = self.chance.choice([0, 0, 100, 20_000, 90_000])
+            data = wanted(name, self.chance.choice(KINDS), "0.8", b"x" * size)
+            answer = await self.ask(data)
+            if answer is None and self.used:
+                await self.close()  # the sidecar may end it between two requests: once more on a new one
+                answer = await self.ask(data)
+            if answer is None:
+                raise Lost(name)
+            self.got.append(answer.status)
+            if answer.status == 200 and answer.body != b"done-" + name.encode():
+                raise Lost(f"{name} got another's answer: {answer.body!r}")
+            self.used = True
+            if (answer.header(b"connection") or "").lower() == "close" or self.chance.random() < 0.2:
+                await self.close()
+            await anyio.sleep(self.chance.random() * 0.05)
+        await self.close()
+
+    async def close(self) -> None:
+        if self.stream is not None:
+            await self.stream.aclose()
+        self.stream, self.used = None, False
+
+    async def ask(self, data: bytes):
+        side = ClientSide()
+        side.ask(Request(b"GET", b"/", [(b"Host", b"a")]))
+        if self.stream is None:
+            host, port = self.net.address.split(":")
+            self.stream = await anyio.connect_tcp(host, int(port))
+        try:
+            await self.write(data)
+            while (answer := side.next_answer()) is None:
+                side.feed(await self.stream.receive())
+        except (*ENDED, Garbled, ConnectionError):
+            return side.next_answer()
+        return answer
+
+    async def write(self, data: bytes) -> None:
+        cuts = sorted(self.chance.randrange(len(data)) for _ in range(self.chance.randrange(3)))
+        for begin, end in zip([0, *cuts], [*cuts, len(data)], strict=True):
+            await self.stream.send(data[begin:end])
+            await anyio.sleep(0.005 * self.chance.randrange(2))
+
+
+async def troubles(net: Net, chance: random.Random) -> None:
+    """Of the loop, the door and the mode, until it is cancelled."""
+    take_in, gate, listener = net.program.take_in, net.program.door.gate, listener_of(net)
+    while True:
+        draw = chance.random()
+        if draw < 0.3:
+            time.sleep(0.03)  # the loop lags
+        elif draw < 0.5:
+            gate.active, gate.window = True, chance.choice([0.0, 4.0, 50.0])
+            gate.turned = gate.pressed = net.program.engine.clock.now()
+        elif draw < 0.6:
+            closing = chance.random() < 0.5
+            take_in.closing = lambda closing=closing: closing
+        elif draw < 0.7:
+            listener.dismiss_all()
+        elif draw < 0.8:
+            listener.make_room()
+        await anyio.sleep(chance.random() * 0.03)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_each_request_of_a_client_that_stays_gets_one_answer(seed):
+    chance = random.Random(seed)
+
+    async def act(request):
+        if request.header(b"req-id") is None:
+            return await fine(request)
+        draw = chance.random()
+        await anyio.sleep(chance.random() * 0.02)
+        return (
+            DECLINED
+            if draw < 0.1
+            else "silent"
+            if draw < 0.13
+            else "reset"
+            if draw < 0.16
+            else await fine(request)
+        )
+
+    async def check(net: Net):
+        patrons = [Patron(net, chance, f"p{at}") for at in range(CLIENTS)]
+        async with anyio.create_task_group() as around:
+            around.start_soon(troubles, net, chance)
+            async with anyio.create_task_group() as group:
+                for one in patrons:
+                    group.start_soon(one.run)
+            around.cancel_scope.cancel()
+        net.program.take_in.closing = lambda: False
+        assert all(len(one.got) == REQUESTS for one in patrons)
+        assert {status for one in patrons for status in one.got} <= {200, 500, 502, 503}
+        gate = net.program.door.gate
+        await until(lambda: net.program.descriptors.open[Side.CLIENT] == 0)
+        assert gate.inside == 0 and gate.held == 0 and net.program.take_in.answering == 0
+        assert net.program.take_in.defects == 0
+
+    net = on_network(check, act, act, sockets=chance.choice([56, 64, 1024]))
+    assert not [log for log in net.logs if log[0] in ("task_failed", "module_failed", "order_failed")]
