A client that always sends ahead holds up no end of the program; two in one piece at SIGTERM

A request that was read behind the one answered keeps the connection open while connections are to be closed (routing/take_in.py, `closes`); from the moment at which nothing may be open on (`Admit.over`) it does so no more, or a client that never stops sending ahead would keep the program until it is killed.

Test with a process of the program and six clients that send two requests in one piece up to the end of each connection. Also: no time limit is made for requests that came whole.

--- a/lupinmill/routing/admit.py
+++ b/lupinmill/routing/admit.py
@@ -69,5 +69,10 @@
             due = min(due, latest)  # nothing may be open when the program is killed, or the drain is over
         return due
 
+    def over(self) -> bool:
+        """Nothing may be open any more."""
+        ends = self.standing.ends
+        return ends is not None and self.book.engine.clock.now() >= ends
+
     def ready(self) -> bool:
         return self.standing.ready() and not self.directory.empty()
--- a/lupinmill/routing/take_in.py
+++ b/lupinmill/routing/take_in.py
@@ -172,8 +172,11 @@
 
     def closes(self, client: Client, side: ServerSide) -> bool:
         """Its answer ends the connection: this sidecar sends its clients away, or bytes of a next request
-        were dropped, which can't be made up for. Not while more was read that has to be answered."""
-        return (client.overrun or self.closing()) and not self.next_was_read(client, side)
+        were dropped, which can't be made up for. Not while more was read that has to be answered, as long as
+        that can be: a client that always sends ahead must not hold up the end of the program."""
+        if not client.overrun and not self.closing():
+            return False
+        return self.admit.over() or not self.next_was_read(client, side)
 
     def next_was_read(self, client: Client, side: ServerSide) -> bool:
         """A further request was read, whole; or a part of one whose rest can still come."""
@@ -234,11 +237,12 @@
                 return None
             side.feed(data)
             part = side.next_part()
-        limit = Limit(anyio.current_time() + WHOLE)  # however it trickles
-        while part is None:
-            if not await self.more(client, side, limit):
-                return None
-            part = side.next_part()
+        if part is None:
+            limit = Limit(anyio.current_time() + WHOLE)  # however it trickles
+            while part is None:
+                if not await self.more(client, side, limit):
+                    return None
+                part = side.next_part()
         request = side.request
         assert request is not None and part is request
         return await self.read_body(client, side, request)
@@ -247,14 +251,17 @@
         self, client: Client, side: ServerSide, request: Request
     ) -> tuple[Request, Body | None] | None:
         """Whole up to 64 KiB, and up to 1 MiB while the shelf has room."""
-        small = bytearray()
-        began = anyio.current_time()
-        limit = Limit(began + WHOLE)
+        small, began = bytearray(), 0.0
+        limit: Limit | None = None  # most have come whole with their head, and need none
         while (part := side.next_part()) is not END and len(small) <= SMALL:
             if isinstance(part, (bytes, bytearray)):
                 small += part
-                limit.until = began + WHOLE + side.size / PACE
-            elif not await self.more(client, side, limit):
+                continue
+            if limit is None:
+                began = anyio.current_time()
+                limit = Limit(began + WHOLE)
+            limit.until = began + WHOLE + side.size / PACE
+            if not await self.more(client, side, limit):
                 return None
         if part is END:
             request.body = bytes(small)
--- a/tests/test_clients_answers.py
+++ b/tests/test_clients_answers.py
@@ -1,18 +1,21 @@
 """Whatever ends the work on a request that was read, its client gets one answer, and what trickles past its
 time is told so; moments forced by stand-ins and barriers."""
 
+import signal
 import socket
+import time
 
 import anyio
 import h11
+import orjson
 import pytest
 from bed import Net, on_network, wanted
 from test_crossings import PATIENT, Unhurried, Unlisted, arrived, connect, list_all
-from test_sidecar import fine, seen, until
+from test_sidecar import always, fine, seen, start, until
 
 from lupinmill import terms as t
 from lupinmill.protocol import submission
-from lupinmill.protocol.http import ClientSide, Request, ServerSide
+from lupinmill.protocol.http import Answer, ClientSide, Request, ServerSide
 from lupinmill.routing import take_in
 from lupinmill.transport.client import AHEAD, Client
 from lupinmill.transport.descriptors import Side
@@ -313,6 +316,71 @@
     on_network(check, fine, net_of=Unlisted)
 
 
+def test_a_client_that_always_sends_ahead_does_not_hold_up_the_end_of_the_program():
+    async def check(net: Net):
+        async with await connect(net) as stream:
+            await stream.send(wanted("s1", deadline="8") + wanted("s2", deadline="8"))
+            await arrived(net, "s1")
+            net.program.take_in.closing = lambda: True
+            net.program.standing.ends = net.program.engine.clock.now()
+            list_all(net)
+            with anyio.fail_after(10):
+                assert await statuses(stream) == [200]
+
+    net = on_network(check, fine, net_of=Unlisted)
+    assert not seen(net, "s2")
+
+
+@pytest.mark.parametrize("hold", [0.0, 0.1])
+def test_at_sigterm_each_of_two_requests_that_came_in_one_piece_is_answered(tmp_path, hold):
+    """A process of the program, clients that send two at once up to the end of each connection. Seen failing
+    with one answer for two requests that were read together."""
+    net = Net([always(Answer(200, [], b"done"), hold)])
+    told, halves, served = [], [], []
+
+    async def keep_asking(number: int):
+        host, port = net.address.split(":")
+        at = 0
+        while not told or time.monotonic() - told[0] < 0.2:
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                for on_it in range(10_000):
+                    at += 1
+                    names = [f"c{number}-{at}-{which}" for which in "ab"]
+                    try:
+                        await stream.send(b"".join(wanted(name) for name in names))
+                    except anyio.BrokenResourceError:
+                        break
+                    got = await statuses(stream, 2)
+                    served.append(names)
+                    if len(got) == 1 or not got and not on_it:
+                        halves.append((names, got))
+                    if len(got) < 2:
+                        break
+
+    async def main():
+        with anyio.fail_after(30):
+            async with anyio.create_task_group() as group:
+                await net.start(group)
+                process = start(tmp_path, net.table)
+                net.address = orjson.loads(await anyio.to_thread.run_sync(process.stdout.readline))["listen"]
+                try:
+                    async with anyio.create_task_group() as inner:
+                        for number in range(6):
+                            inner.start_soon(keep_asking, number)
+                        await until(lambda: len(served) >= 12)
+                        told.append(time.monotonic())
+                        process.send_signal(signal.SIGTERM)
+                        assert await anyio.to_thread.run_sync(process.wait) == 0
+                finally:
+                    process.kill()
+                    out, err = process.communicate()
+                assert err == b"" and b"task_failed" not in out
+                group.cancel_scope.cancel()
+
+    anyio.run(main)
+    assert not halves
+
+
 def test_of_what_came_ahead_the_kept_requests_are_answered_and_no_other_is_begun():
     """More came than is kept. Seen failing with one answer for what was read whole as well."""
 
