--- a/lupinmill/transport/listener.py
+++ b/lupinmill/transport/listener.py
@@ -20,6 +20,9 @@
 
 BACKLOG = 4096
 BATCH = 16  # connections accepted in a row before others get their turn
+SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # of `accept`: the system lacks something
+PAUSE = 0.01  # seconds before it is tried again then, or where it failed so often in a row that ...
+FAILURES = 16  # ... it can't have been connections that broke before they were taken
 WHOLE = 2.5  # seconds for a new connection's first byte, and from a request's first byte to its last
 AT_THE_DOOR = 64 * 1024  # bytes read at once while the core is short; what is longer goes the usual way
 
@@ -57,7 +60,9 @@
         descriptors.close_idle_client = self.make_room
 
     async def run(self, group: TaskGroup, serve: Serve) -> None:
-        """Keeps accepting under pressure: what is left in the kernel's queue counts as taken already."""
+        """Keeps accepting under pressure: what is left in the kernel's queue counts as taken already. Others
+        have their turn after each batch: a queue that is never empty is never waited for."""
+        failures = 0  # in a row
         while True:
             if self.resumed is not None:
                 await self.resumed.wait()
@@ -67,11 +72,14 @@
                     self.waiting_since = time.monotonic()  # it came in this pass
                 try:
                     await self.accept_all(group, serve)
+                    failures = 0
                 except OSError as error:
-                    if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                        continue  # that one connection broke before it was taken
-                    self.make_room()
-                    await anyio.sleep(0.01)
+                    failures += 1
+                    if error.errno in SHORT:
+                        self.make_room()
+                    if error.errno in SHORT or failures > FAILURES:
+                        await anyio.sleep(PAUSE)
+                await anyio.sleep(0)
 
     def pause(self) -> None:
         """Accepts nothing more; the socket stays open, for another process or until `resume`."""
@@ -114,6 +122,7 @@
                 if place:
                     self.descriptors.give_back(Side.CLIENT)
                 if isinstance(error, BlockingIOError):
+                    self.waiting_since = time.monotonic()  # what comes from now on has all of its time
                     return
                 raise
             self.begin(sock, place, group, serve, False)
@@ -126,7 +135,7 @@
         now = time.monotonic()
         for asked in (False, True):
             for client in self.idle:
-                if client.asked is asked and client.spare(now) and client.quiet():
+                if client.asked is asked and client.spare(now) and not client.early and client.quiet():
                     self.dismiss(client)
                     return True
         return False
@@ -197,12 +206,8 @@
                 loop.add_reader(client.sock, readable)
                 await woken.wait()
         finally:
+            self.is_up(client)
             loop.remove_reader(client.sock)
-            client.waiting = None
-            if client in self.idle:
-                del self.idle[client]
-            else:
-                self.descriptors.leaving -= 1
         if not woken.is_set() and not self.passing and client.has_unread():
             return await client.receive()
         return client.early
@@ -213,12 +218,16 @@
             try:
                 return await client.receive()
             finally:
-                client.waiting = None
-                if client in self.idle:
-                    del self.idle[client]
-                else:
-                    self.descriptors.leaving -= 1
+                self.is_up(client)
         return await client.receive() if not self.passing and client.has_unread() else b""
 
+    def is_up(self, client: Client) -> None:
+        """No longer idle, by bytes, its end, or the word to close."""
+        client.waiting = None
+        if client in self.idle:
+            del self.idle[client]
+        else:
+            self.descriptors.leaving -= 1
+
     def close(self) -> None:
         self.sock.close()
