Discovery: a failed call and its pause leave time for an answer within 6 s; a list is taken whole

Cause: a call for the whole list was given up after 3 s (program/discovery.py, WHOLE), the module's pause of up to 2 s came on top, and the next answer may take 1.5 s: more than the 6 s after which a change counts as told. Where the module's next call was lost (its wake-up, or a failure on the note) nobody asked again. A discovery that answers with the same list at once was called as fast as it answered. Directory.update (routing/directory.py) took version and states before the rest could raise, and where the module failed in the middle of a list the version counted as known: what followed was never heard of.

Change: call and pause together are bound by ROUND, so that ROUND + WHOLE + SLACK is 6 s; a pause that is cut short is spread; without a word of the module the next call goes out all the same; no news and the same news once more are followed by the short pause; an update is worked out before anything is touched, and is asked for anew, whole, if the module fails on it. Rows that a list refused are logged where the list names them.

Not in here: the wait of a watch, up to 20 s with 200 sidecars, before its silence is found out.

--- a/lupinmill/program/discovery.py
+++ b/lupinmill/program/discovery.py
@@ -23,9 +23,18 @@
 MOVE = 0.3  # seconds, at most, before the first call at a new address, lest all sidecars come at once
 LATE = 0.6  # seconds beyond that wait before discovery counts as silent
 STALL = 0.5  # seconds between two parts of an answer that has begun
-WHOLE = 3.0  # seconds for the whole list, which is worked out at once, the connection's coming up included
-CONNECT = 2.0
+CONNECT = 2.0  # seconds for a connection to come up
 SOON = 0.3  # seconds, at most, before a watch that fell silent is opened anew
+# A change counts as told so long after discovery had it and could be reached, whatever failed before.
+# It may be made just after a call was sent that brings nothing: that call is given up, a pause follows, then
+# a call that is answered. The last one may take WHOLE; call and pause together may take ROUND.
+TOLD_AFTER = 6.0
+SLACK = 0.2  # of that, for a loop that lags
+WHOLE = 2.5  # seconds for the whole list, which is worked out at once, the connection's coming up included
+ROUND = TOLD_AFTER - SLACK - WHOLE
+SHARE_OF_LIMIT = (
+    0.6  # a pause that is cut short takes at least this part of what is left: not all come at once
+)
 # Part of its wait that a call waits at least: watches are answered at one moment, and would fall due, and
 # find out a silence, together.
 SPREAD = 0.8
@@ -55,6 +64,8 @@
         self.moved = False
         self.moves = 0  # so far
         self.anew = False  # the whole list is asked for, whatever is known
+        self.called = 0.0  # when the last call began
+        self.latest: float | None = None  # when the next one begins, also if the module asks for none
 
     def move(self, address: str) -> None:
         """A new address at once, whatever goes on at the old one. The list is asked for whole there: nothing
@@ -70,7 +81,8 @@
     async def run(self) -> None:
         while True:
             if not self.pushed:
-                await self.wanted.wait()
+                await self.till_wanted()
+            began = anyio.current_time()
             try:
                 with anyio.CancelScope() as self.following:
                     if self.moved:
@@ -78,7 +90,7 @@
                     await self.follow()
             except Silent:
                 # Guards against drains missed: a pause of the module's choosing would end after what the
-                # silent watch missed counts as told, 2 s after its wait. It can't come often.
+                # silent watch missed counts as told. It can't come often.
                 self.log("watch_failed", error="silent")
                 self.hang_up()
                 await anyio.sleep(random.uniform(0, SOON))
@@ -93,15 +105,29 @@
             if self.following is not None and self.following.cancel_called:
                 continue
             self.wanted = anyio.Event()
-            if self.pushed:
-                await anyio.sleep(self.again * random.uniform(0.2, 1))
-            else:
-                self.directory.failed()
+            await self.pause(max(began, self.called))
+
+    async def till_wanted(self) -> None:
+        """Until the module asks; after a failure no longer than is left, whatever became of the module."""
+        if self.wanted.is_set() or self.latest is None:
+            return await self.wanted.wait()
+        with anyio.move_on_after(max(0.0, self.latest - anyio.current_time())):
+            await self.wanted.wait()
+
+    async def pause(self, began: float) -> None:
+        """After a call that failed. What the call took is not waited for once more."""
+        now = anyio.current_time()
+        left = max(SOON, ROUND - (now - began)) * random.uniform(SHARE_OF_LIMIT, 1)
+        if self.pushed:
+            return await anyio.sleep(min(left, self.again * random.uniform(0.2, 1)))
+        self.latest = now + left
+        self.directory.failed()
 
     async def follow(self) -> None:
         """The next call goes out at once: a watch goes on only if it comes soon after the last answer.
 
-        After no news there is a short pause, as a discovery that never waits would be called without end.
+        After no news, or the same once more, there is a short pause, as a discovery that never waits would be
+        called without end.
         """
         self.log("watch", index=self.directory.index)
         while True:
@@ -118,12 +144,17 @@
                     raise Garbled("changes from before ours where the whole list was asked for")
                 self.anew = True
                 continue
+            if refused := getattr(known, "refused", None):
+                self.log("list_rows_refused", index=known.index, why=refused)
+            before = self.directory.index
             self.directory.update(known, t.ListKind.FULL if known.whole else t.ListKind.CHANGES)
-            if not known.entries:
+            if self.directory.index is None:
+                raise Garbled("the module did not take the list")
+            if not known.entries or known.index == before:
                 await anyio.sleep(NO_NEWS)
 
     async def call(self) -> lists.Known:
-        began = anyio.current_time()
+        began = self.called = anyio.current_time()
         if self.connection is None or not self.connection.quiet():
             self.hang_up()
             self.connection = await connect(self.address, CONNECT, self.store, lambda: None)
@@ -131,8 +162,6 @@
         # With no endpoint known, changes since that version would leave out all that did not change.
         index = self.directory.index if self.directory.states and not (self.moved or self.anew) else None
         wait = max(LEAST_WAIT, self.wait * random.uniform(SPREAD, 1))
-        # Guards against a drain missed where a call is given up and another follows after a pause: both, and
-        # the pause, have to be over within the 6 s after which what discovery has counts as told.
         left = WHOLE - (anyio.current_time() - began)
         with anyio.move_on_after(left if index is None else wait + LATE) as whole:
             await self.connection.send(side.ask(lists.call(index, int(wait * 1000))))
--- a/lupinmill/routing/directory.py
+++ b/lupinmill/routing/directory.py
@@ -19,27 +19,32 @@
         self.states: dict[str, t.State] = {}
         self.addresses: dict[str, str] = {}
         self.index: int | None = None
+        engine.failed.append(self.after_failure)
 
     def update(self, known: Known, kind: t.ListKind) -> None:
-        self.index = known.index
-        if kind is not t.ListKind.CHANGES:
-            named = {entry.endpoint for entry in known.entries}
-            for name in [name for name in self.states if name not in named]:
-                self.forget(name)
+        """Whole or not at all: nothing is touched before the whole new state is there. Should the module fail
+        on it, `index` turns None, and the whole list is to be asked for again."""
         # The last word on a name holds, here as in the module: an answer may hold a name's end and its new
         # start, or the other way round.
         entries = list({entry.endpoint: entry for entry in known.entries}.values())
+        states = dict(self.states) if kind is t.ListKind.CHANGES else {}
         for entry in entries:
-            name = entry.endpoint
-            if entry.state is t.State.GONE:
-                self.forget(name)
-                continue
-            self.states[name] = entry.state
-            if (address := known.addresses.get(name)) is not None and address != self.addresses.get(name):
-                self.pool.drop(name)
-                self.addresses[name] = address
+            states[entry.endpoint] = entry.state
+        states = {name: state for name, state in states.items() if state is not t.State.GONE}
+        told = known.addresses
+        addresses = {name: told.get(name, self.addresses.get(name)) for name in states}
+        moved = [name for name, address in self.addresses.items() if addresses.get(name) != address]
+        self.index, self.states = known.index, states
+        self.addresses = {name: address for name, address in addresses.items() if address is not None}
+        for name in moved:
+            self.pool.drop(name)
         self.engine.tell(t.Listed(kind, entries))
 
+    def after_failure(self, note: t.Note) -> None:
+        """The module may hold a part of a list: changes since then would never make up for the rest."""
+        if isinstance(note, t.Listed):
+            self.index = None
+
     def by_hand(self, name: str, out: bool) -> None:
         """Launches on their way look at the set itself; connections that are kept would outlast a restart."""
         self.pool.drop(name)
@@ -48,12 +53,6 @@
     def failed(self) -> None:
         self.engine.tell(t.Listed(t.ListKind.FAILED, []))
 
-    def forget(self, name: str) -> None:
-        """Endpoints are replaced all day under new names: nothing may stay of one that is gone."""
-        self.states.pop(name, None)
-        self.addresses.pop(name, None)
-        self.pool.drop(name)
-
     def listens(self, name: str, address: str) -> bool:
         return self.addresses.get(name) == address and name not in self.out
 
--- /dev/null
+++ b/tests/test_discovery_directory.py
@@ -0,0 +1,89 @@
+"""The directory and the decision module know one list: an update holds for both whole, or is asked anew."""
+
+import anyio
+import pytest
+from bed import Net, on_network, wanted
+from test_sidecar import fine, seen, until
+
+from lupinmill import terms as t
+from lupinmill.protocol import lists
+
+
+def row(net: Net, at: int, **fields) -> dict:
+    return net.discovery.rows[at] | fields
+
+
+def plant(net: Net, times: int) -> list[t.Listed]:
+    """The module's list raises in the middle of so many updates; gives those."""
+    roster = net.program.engine.sidecar.roster
+    tell, update, failed = roster.tell, roster.handlers[t.Listed], []
+
+    def telling(entry):
+        if len(failed) < times and entry.endpoint == "e1":
+            failed.append(entry)
+            raise ZeroDivisionError("planted")
+        tell(entry)
+
+    roster.tell = telling
+    assert update is not None
+    return failed
+
+
+@pytest.mark.parametrize("mode", ["ask", "push"])
+def test_a_list_that_the_module_failed_on_is_asked_for_again_whole(mode):
+    """Seen failing: the version counted as known, and the module never heard of the rest of that list."""
+
+    async def check(net: Net):
+        await until(lambda: b"index=" in net.discovery.seen[-1].target if net.discovery.seen else False)
+        failed = plant(net, times=2)
+        net.discovery.change(net.discovery.rows[1], status="DRAINING")
+        listed = net.program.engine.sidecar.roster.listed
+        with anyio.fail_after(8):
+            await until(lambda: listed["e1"].state is t.State.DRAINING)
+        assert len(failed) == 2 and net.program.directory.index == net.discovery.index
+        assert (await net.ask(wanted("s1"))).status == 200
+
+    net = on_network(check, fine, fine, discovery=mode)
+    assert ("watch_failed", {"error": "Garbled: the module did not take the list"}) in net.logs
+
+
+def test_an_update_that_raises_in_the_middle_changes_nothing():
+    """Seen failing: version and states before the bad entry were taken, and the module told nothing."""
+
+    class Unusable(t.Listing):
+        @property
+        def state(self):
+            raise RuntimeError("planted")
+
+        @state.setter
+        def state(self, _):
+            pass
+
+    async def check(net: Net):
+        directory = net.program.directory
+        await until(lambda: net.discovery.seen)
+        before = directory.index, dict(directory.states), dict(directory.addresses)
+        known = lists.known({"index": 99, "endpoints": [row(net, 0, status="DRAINING")]})
+        known.entries.append(Unusable("e1", t.State.READY))
+        with pytest.raises(RuntimeError):
+            directory.update(known, t.ListKind.CHANGES)
+        assert (directory.index, directory.states, directory.addresses) == before
+
+    on_network(check, fine, fine, discovery="push")
+
+
+def test_what_a_whole_list_leaves_out_is_forgotten_with_its_connections_and_what_stays_keeps_them():
+    async def check(net: Net):
+        directory, pool = net.program.directory, net.program.pool
+        while len(pool.idle) < 2:
+            assert (await net.ask(wanted(f"s{len(net.notes)}"))).status == 200
+        whole = lists.known({"index": 99, "snapshot": True, "endpoints": [row(net, 1)]})
+        directory.update(whole, t.ListKind.FULL)
+        assert set(directory.states) == set(directory.addresses) == {"e1"} == set(pool.idle)
+        moved = lists.known({"index": 100, "endpoints": [row(net, 1, address=net.stands[0].address)]})
+        directory.update(moved, t.ListKind.CHANGES)
+        assert not pool.idle and directory.addresses["e1"] == net.stands[0].address
+        before = len(seen(net, "last"))
+        assert (await net.ask(wanted("last"))).status == 200 and before == 0 and seen(net, "last") == [0]
+
+    on_network(check, fine, fine, discovery="push")
