Endpoints' connections: no answer of another request, no reset taken for an end, no time the client hasn't

Causes and changes: - routing/send.py, exchange_large: a 200 that came while the body was still being sent was served, though an endpoint begins with the last byte: it answers another request. Now the launch is spoilt. - transport/connection.py: the kernel tells a reset once. Told to `send`, the next `receive` showed a proper end, which frames an answer without a length. Now it raises. - connect: where nobody listens at a local port for outgoing connections, a connect from just that port meets itself and would read its own request. Now it is refused. - connect: no more local ports, memory or descriptors was told as the endpoint's fault; it is ours. - routing/send.py, attempt: while a body comes, `until` holds the time that it may take to come, and the endpoint was told that. Now at most what the client asked for. - look_back: Client.look reads four pieces, and saw no end behind them; the kernel is asked as well. Of a body it is asked once more as the first byte leaves.

--- a/lupinmill/routing/send.py
+++ b/lupinmill/routing/send.py
@@ -24,6 +24,11 @@
 LAGS = 25_000  # ... or by which wake-ups of this loop come late
 
 
+class Early(Exception):
+    """A 200 came before the request's last byte was written. Endpoints begin with that byte: it answers
+    another request, the one before it on this connection."""
+
+
 class Unsent(Exception):
     """It was over, or the endpoint had left the list, before the first byte."""
 
@@ -74,6 +79,8 @@
                 result.how = t.How.CALLED_OFF if launch.called_off else t.How.TIMED_OUT
         except Unconnected:
             result.how = t.How.UNCONNECTED
+        except Early:
+            result.how = t.How.SPOILT  # an endpoint that speaks so may have run it
         except Garbled:
             result.how = t.How.SPOILT if launch.written else t.How.UNSENT
         except OSError:
@@ -107,8 +114,7 @@
                 if not self.directory.listens(endpoint, address):
                     continue  # it moved while this connected: at its old address another may listen
                 side = ClientSide()
-                left = launch.until - self.book.engine.clock.now()
-                request = submission.launch(journey.request, left)
+                request = submission.launch(journey.request, self.left(journey, launch))
                 if journey.body is None:
                     try:
                         for piece in side.pieces(request):
@@ -139,9 +145,18 @@
         unseen = journey.client.new or engine.late > LAGS or engine.clock.now() - journey.came > WAITED
         if unseen and not journey.settled:
             comes = journey.body is not None and not journey.body.whole
-            if journey.client.ended() if comes else journey.client.look():
+            # `look` reads no more than some bytes ahead; behind more of them the kernel alone knows the end.
+            if journey.client.ended() or not comes and journey.client.look():
                 self.book.withdraw(journey)
 
+    def left(self, journey: Journey, launch: Launch) -> int:
+        """Microseconds that the client will still wait, as the launch is told. While a body comes, `until`
+        holds the time that it may take to come; the client's own time begins with its last byte."""
+        left = launch.until - self.book.engine.clock.now()
+        if journey.body is not None and not journey.body.whole:
+            left = min(left, journey.asked.left)
+        return left
+
     async def pass_large(
         self, journey: Journey, launch: Launch, answer: Answer, connection: Connection, side: ClientSide
     ) -> None:
@@ -164,6 +179,9 @@
         async def send() -> None:
             nonlocal failed
             try:
+                self.look_back(journey)  # some passes of the loop after the last look
+                if journey.settled:
+                    raise Gone
                 await self.send_large(connection, side, journey.body, request)
                 launch.written, launch.sent = True, self.book.engine.clock.now()
             except Gone:
@@ -183,6 +201,8 @@
             group.cancel_scope.cancel()
         if answer is None:
             raise failed or ConnectionResetError("broke while it was sent")
+        if answer.status == 200 and not launch.written:
+            raise Early
         return answer
 
     async def send_large(
--- a/lupinmill/transport/connection.py
+++ b/lupinmill/transport/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import ipaddress
 import socket
 import struct
@@ -20,6 +21,11 @@
 LAST_DATA = 52  # where tcp_info says how many milliseconds ago the last data came
 
 
+# What a connect ends with where this machine, not the other side, has no more of something: local ports,
+# memory, descriptors.
+OURS = (errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENOMEM, errno.EMFILE, errno.ENFILE, errno.EAGAIN)
+
+
 class Unconnected(Exception):
     """The connection never came up."""
 
@@ -35,6 +41,7 @@
         self.sock, self.give_back = sock, give_back
         self.incoming, self.outgoing = RingBuffer(store), RingBuffer(store)
         self.closed = False
+        self.was_reset = False  # as a send was told: the kernel says so once, then shows a proper end
         self.idle_since = 0.0
         self.arrived = 0  # microseconds of Unix time at which the last bytes read had come; 0: not told
         self.read_at = 0  # nanoseconds of the monotonic clock at which they were read; 0: nothing was
@@ -76,6 +83,8 @@
                 continue
             data = bytes(self.incoming.stretch())
             self.incoming.took(len(data))
+            if not data and self.was_reset:
+                raise ConnectionResetError(errno.ECONNRESET, "reset, as a send was told")
             return data
 
     def stamp(self, notes: list[tuple[int, int, bytes]]) -> None:
@@ -112,6 +121,9 @@
                 self.outgoing.took(self.sock.send(self.outgoing.stretch()))
             except BlockingIOError:
                 await anyio.wait_writable(self.sock)
+            except ConnectionResetError:
+                self.was_reset = True
+                raise
 
     def quiet(self) -> bool:
         """Open at both ends with nothing to read."""
@@ -186,21 +198,34 @@
         raise Unconnected(str(error)) from error
     except OSError as error:
         give_back()
-        raise NoDescriptor(str(error)) from error
+        raise unmade(error) from error
     made: Connection | None = None
     try:
         made = Connection(sock, store, give_back)
         with anyio.fail_after(time_out):
-            try:
-                sock.connect((host, port))
-            except BlockingIOError:
-                await anyio.wait_writable(sock)
-            if failed := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                raise OSError(failed, "connect failed")
+            await come_up(sock, host, port)
         done, made = made, None
         return done
     except (OSError, TimeoutError) as error:
-        raise Unconnected(str(error)) from error
+        raise unmade(error) from error
     finally:
         if made is not None:
             made.close()
+
+
+async def come_up(sock: socket.socket, host: str, port: int) -> None:
+    try:
+        sock.connect((host, port))
+    except BlockingIOError:
+        await anyio.wait_writable(sock)
+    if failed := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        raise OSError(failed, "connect failed")
+    # Where nobody listens at a port of the range for outgoing connections of this machine, a connect from
+    # just that port meets itself, and would read its own request.
+    if sock.getsockname()[:2] == sock.getpeername()[:2]:
+        raise ConnectionRefusedError(errno.ECONNREFUSED, "connected to itself")
+
+
+def unmade(error: OSError) -> Unconnected | NoDescriptor:
+    """What is short on this machine is no endpoint's fault."""
+    return NoDescriptor(str(error)) if error.errno in OURS else Unconnected(str(error))
--- /dev/null
+++ b/tests/test_endpoints_connections.py
@@ -0,0 +1,252 @@
+"""Connections to endpoints that are not what they seem: to oneself, reset under the look of an end, with
+an answer that belongs to another request; what the client has left, and whether it is still there, as the
+first byte leaves."""
+
+import errno
+import re
+import socket
+import struct
+
+import anyio
+import pytest
+from bed import Net, on_network, settings, wanted
+from test_crossings import all_quiet, connect
+from test_crossings_endpoints import until_end_of
+from test_sidecar import fine, until
+
+from lupinmill import terms as t
+from lupinmill.protocol.http import Request
+from lupinmill.routing.book import Journey
+from lupinmill.routing.send import Send
+from lupinmill.transport import connection as transport
+from lupinmill.transport.client import Client
+from lupinmill.transport.connection import Connection, NoDescriptor, Unconnected
+from lupinmill.transport.ring import Store
+
+NO_PROBES = settings()["limits"] | {"probes": False}
+LARGE = 3 * 1024 * 1024  # bytes, far more than is waited for before a body is launched
+TO_ITSELF = 0.5  # seconds, for a connection to come up
+
+
+def pair() -> tuple[socket.socket, socket.socket]:
+    """Two ends of one TCP connection."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        here = socket.create_connection(server.getsockname())
+        there, _ = server.accept()
+    return here, there
+
+
+def reset(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+# --- coming up ------------------------------------------------------------------------------------------
+
+
+def test_a_connection_that_met_itself_is_none(monkeypatch):
+    """Seen failing: it came up, and what was sent on it would have been read as the answer."""
+    bound = []
+
+    def from_that_port(host):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(("127.0.0.1", bound[0]))
+        return sock
+
+    async def main() -> None:
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            bound.append(free.getsockname()[1])
+        monkeypatch.setattr(transport, "stream_socket", from_that_port)
+        given_back = []
+        with pytest.raises(Unconnected):
+            await transport.connect(f"127.0.0.1:{bound[0]}", TO_ITSELF, Store(), lambda: given_back.append(1))
+        assert given_back == [1]
+
+    anyio.run(main)
+
+
+SHORT = [
+    (at, number)
+    for at in ("socket", "connect")
+    for number in (errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENOMEM, errno.EMFILE, errno.ENFILE)
+]
+
+
+@pytest.mark.parametrize("at, number", SHORT)
+def test_what_is_short_on_this_machine_is_no_fault_of_the_endpoint(number, at, monkeypatch):
+    """Seen failing: the endpoint was told to be away, and set aside."""
+
+    class Short(socket.socket):
+        def connect(self, address):
+            raise OSError(number, "short of it")
+
+    def make(host):
+        if at == "socket":
+            raise OSError(number, "short of it")
+        return Short()
+
+    async def main() -> None:
+        given_back = []
+        with pytest.raises(NoDescriptor):
+            await transport.connect("127.0.0.1:9", TO_ITSELF, Store(), lambda: given_back.append(1))
+        assert given_back == [1]
+
+    monkeypatch.setattr(transport, "stream_socket", make)
+    anyio.run(main)
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        "127.0.0.1:0",
+        "127.0.0.1:99999",
+        "127.0.0.1",
+        "",
+        ":",
+        "endpoint:80",
+        "[::1]:1",
+        "::1:1",
+        "[::1",
+        "1:x",
+    ],
+)
+def test_an_odd_address_is_an_endpoint_that_cannot_be_connected(address):
+    async def main() -> None:
+        given_back = []
+        with pytest.raises(Unconnected):
+            await transport.connect(address, TO_ITSELF, Store(), lambda: given_back.append(1))
+        assert given_back == [1]
+
+    anyio.run(main)
+
+
+# --- an end that was a reset ----------------------------------------------------------------------------
+
+
+def test_a_reset_that_a_send_was_told_is_no_end_for_who_reads():
+    """Seen failing: the kernel tells of a reset once; the next read showed a proper end, which frames an
+    answer."""
+
+    async def main() -> None:
+        here, there = pair()
+        store = Store()
+        with Connection(here, store, lambda: None) as connection:
+            there.sendall(b"half")
+            reset(there)
+            with pytest.raises(ConnectionResetError):
+                while True:
+                    await connection.send(b"x")
+            got = b""
+            with pytest.raises(ConnectionResetError):
+                while data := await connection.receive():
+                    got += data
+            assert got in (b"half", b"")
+
+    anyio.run(main)
+
+
+# --- an answer before its request -----------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("kept", [False, True])
+@pytest.mark.parametrize("large", [False, True])
+def test_a_200_before_the_last_byte_of_a_request_is_not_its_answer(kept, large):
+    """A late second answer, by its content another client's. Seen failing: it was served."""
+    body = b"stale" * (30_000 if large else 1)
+    stale = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+    async def endpoint(stream):
+        async with stream:
+            if kept:
+                await until_end_of(stream, b"\r\n\r\n")
+                await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            await until_end_of(stream, b"Req-Id: s1")
+            await stream.send(stale)
+            with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                while True:
+                    await stream.receive()
+
+    async def check(net: Net):
+        if kept:
+            assert (await net.ask(wanted("s0"))).status == 200
+            (one,) = net.program.pool.idle["e0"]
+            one.idle_since -= 1.0  # it has rested
+        data = wanted("s1", "issue", "5", body=b"x" * LARGE)
+        async with await connect(net) as stream:
+            await stream.send(data[: 2 * LARGE // 3])  # the rest never comes
+            got = await until_end_of(stream, b"\r\n\r\n")
+        assert got.startswith(b"HTTP/1.1 502"), got[:100]
+        await all_quiet(net)
+
+    net = on_network(check, fine, endpoint=endpoint, limits=NO_PROBES)
+    assert net.ended()[kept:] == [t.How.SPOILT]
+
+
+# --- what the client has left ---------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("deadline", [0.5, 1.0, 5.0])
+def test_a_launch_is_told_no_more_than_its_client_waits_while_the_body_still_comes(deadline):
+    """Seen failing with 46.6 s for a deadline of 0.5 s: the time that the body may take was told as well."""
+    told = []
+
+    async def endpoint(stream):
+        async with stream:
+            head = await until_end_of(stream, b"\r\n\r\n")
+            told.append(float(re.search(rb"Req-Deadline: ([0-9.]+)", head)[1]))
+            while not head.endswith(b"end"):
+                head = (head + await stream.receive())[-3:]
+            await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    async def check(net: Net):
+        data = wanted("s1", "issue", str(deadline), body=b"x" * LARGE + b"end")
+        async with await connect(net) as stream:
+            await stream.send(data[: 2 * LARGE // 3])
+            await until(lambda: told)
+            await stream.send(data[2 * LARGE // 3 :])
+            assert (await until_end_of(stream, b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+        await all_quiet(net)
+
+    on_network(check, fine, endpoint=endpoint, limits=NO_PROBES)
+    assert len(told) == 1 and 0 < told[0] <= deadline
+
+
+# --- a client that has gone -----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("ahead", [0, 1, 60_000, 65_536, 65_537, 90_000])
+@pytest.mark.parametrize("end", ["close", "half-close"])
+def test_the_last_look_sees_an_end_behind_whatever_was_sent_ahead(ahead, end):
+    """Seen failing from 60,000 bytes on: a look reads four pieces, and the end comes as a fifth."""
+    withdrawn = []
+
+    class Book:
+        class engine:
+            late = 0
+
+            class clock:
+                @staticmethod
+                def now() -> int:
+                    return 0
+
+        @staticmethod
+        def withdraw(journey) -> None:
+            withdrawn.append(journey)
+
+    async def main() -> None:
+        here, there = pair()
+        here.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+        there.sendall(b"x" * ahead)
+        there.shutdown(socket.SHUT_WR)
+        if end == "close":
+            there.close()
+        with Client(here, Store(), lambda: None) as client:
+            await until(client.ended)
+            journey = Journey(None, Request(b"GET", b"/", []), 0, client, 0)
+            Send(None, None, Book, False, print).look_back(journey)
+        there.close()
+        assert withdrawn == [journey]
+
+    anyio.run(main)
