--- a/lupinmill/routing/send.py
+++ b/lupinmill/routing/send.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 import anyio
 
 from lupinmill import terms as t
@@ -22,46 +24,79 @@
 LAGS = 25_000  # ... or by which wake-ups of this loop come late
 
 
+class Early(Exception):
+    """A 200 came before the request's last byte was written. Endpoints begin with that byte: it answers
+    another request, the one before it on this connection."""
+
+
 class Unsent(Exception):
     """It was over, or the endpoint had left the list, before the first byte."""
 
 
+@dataclass(slots=True)
+class Result:
+    """What a launch came to. `final`: the answer that goes to the client."""
+
+    how: t.How | None = None
+    final: Answer | None = None
+    load: t.Load | None = None
+
+
 class Send:
     def __init__(self, pool: Pool, directory: Directory, book: Book, reported: bool, log: Log) -> None:
         self.pool, self.directory, self.book, self.log = pool, directory, book, log
         self.reported = reported  # endpoints tell of their load when probed
 
     async def launch(self, journey: Journey, launch: Launch) -> None:
-        """Whatever happens here, the module hears of one outcome for this launch."""
-        how = final = load = None
+        """Whatever happens here, the module hears of one outcome for this launch, and no other request or
+        task is touched by a failure."""
+        result = Result()
+        try:
+            await self.run(journey, launch, result)
+        except Exception as error:
+            self.log("task_failed", task="launch", **defect(error))
+        finally:
+            if result.how is None:
+                result.how = t.How.RESET if launch.written else t.How.UNSENT
+            self.end(journey, launch, result)
+
+    def end(self, journey: Journey, launch: Launch, result: Result) -> None:
+        """This task is one of the program's own group: an exception that left it would end the program."""
+        try:
+            self.book.ended(journey, launch, result.how, result.final, result.load)
+        except Exception as error:
+            self.log("task_failed", task="launch", **defect(error))
+            if not any(other.out for other in journey.launches):
+                self.book.answer_for_module(journey)
+
+    async def run(self, journey: Journey, launch: Launch, result: Result) -> None:
         try:
             with launch.scope:
                 answer = await self.attempt(journey, launch)
-                load = submission.load_report(answer)
-                how = submission.outcome(answer)
-                if journey.stream is not None and journey.stream.launch is launch:
-                    how = journey.stream.how
-                elif how is t.How.ERROR and not launch.written:
-                    how = t.How.REFUSED  # it came before the last byte did: nothing ran
-                # Launched anew, what is rejected would burn retries, and count against endpoints.
-                elif how in (t.How.HANDLED, t.How.REJECTED):
-                    final = submission.passed_on(answer)
-            if how is None and launch.written:
-                how = t.How.CALLED_OFF if launch.called_off else t.How.TIMED_OUT
+                result.load = submission.load_report(answer)
+                self.judge(journey, launch, answer, result)
+            if result.how is None and launch.written:
+                result.how = t.How.CALLED_OFF if launch.called_off else t.How.TIMED_OUT
         except Unconnected:
-            how = t.How.UNCONNECTED
+            result.how = t.How.UNCONNECTED
+        except Early:
+            result.how = t.How.SPOILT  # an endpoint that speaks so may have run it
         except Garbled:
-            how = t.How.SPOILT if launch.written else t.How.UNSENT
+            result.how = t.How.SPOILT if launch.written else t.How.UNSENT
         except OSError:
-            how = t.How.RESET if launch.written else t.How.UNCONNECTED
+            result.how = t.How.RESET if launch.written else t.How.UNCONNECTED
         except (Unsent, NoDescriptor):
-            how = t.How.UNSENT
-        except Exception as error:
-            self.log("task_failed", task="launch", **defect(error))
-        finally:
-            if how is None:
-                how = t.How.RESET if launch.written else t.How.UNSENT
-            self.book.ended(journey, launch, how, final, load)
+            result.how = t.How.UNSENT
+
+    def judge(self, journey: Journey, launch: Launch, answer: Answer, result: Result) -> None:
+        result.how = submission.outcome(answer)
+        if journey.stream is not None and journey.stream.launch is launch:
+            result.how = journey.stream.how
+        elif result.how is t.How.ERROR and not launch.written:
+            result.how = t.How.REFUSED  # it came before the last byte did: nothing ran
+        # Launched anew, what is rejected would burn retries, and count against endpoints.
+        elif result.how in (t.How.HANDLED, t.How.REJECTED):
+            result.final = submission.passed_on(answer)
 
     async def attempt(self, journey: Journey, launch: Launch) -> Answer:
         endpoint = launch.endpoint
@@ -79,8 +114,7 @@
                 if not self.directory.listens(endpoint, address):
                     continue  # it moved while this connected: at its old address another may listen
                 side = ClientSide()
-                left = launch.until - self.book.engine.clock.now()
-                request = submission.launch(journey.request, left)
+                request = submission.launch(journey.request, self.left(journey, launch))
                 if journey.body is None:
                     try:
                         for piece in side.pieces(request):
@@ -111,9 +145,18 @@
         unseen = journey.client.new or engine.late > LAGS or engine.clock.now() - journey.came > WAITED
         if unseen and not journey.settled:
             comes = journey.body is not None and not journey.body.whole
-            if journey.client.ended() if comes else journey.client.look():
+            # `look` reads no more than some bytes ahead; behind more of them the kernel alone knows the end.
+            if journey.client.ended() or not comes and journey.client.look():
                 self.book.withdraw(journey)
 
+    def left(self, journey: Journey, launch: Launch) -> int:
+        """Microseconds that the client will still wait, as the launch is told. While a body comes, `until`
+        holds the time that it may take to come; the client's own time begins with its last byte."""
+        left = launch.until - self.book.engine.clock.now()
+        if journey.body is not None and not journey.body.whole:
+            left = min(left, journey.asked.left)
+        return left
+
     async def pass_large(
         self, journey: Journey, launch: Launch, answer: Answer, connection: Connection, side: ClientSide
     ) -> None:
@@ -136,6 +179,9 @@
         async def send() -> None:
             nonlocal failed
             try:
+                self.look_back(journey)  # some passes of the loop after the last look
+                if journey.settled:
+                    raise Gone
                 await self.send_large(connection, side, journey.body, request)
                 launch.written, launch.sent = True, self.book.engine.clock.now()
             except Gone:
@@ -155,6 +201,8 @@
             group.cancel_scope.cancel()
         if answer is None:
             raise failed or ConnectionResetError("broke while it was sent")
+        if answer.status == 200 and not launch.written:
+            raise Early
         return answer
 
     async def send_large(
@@ -214,7 +262,10 @@
             how = t.How.UNSENT
         except Exception as error:
             self.log("task_failed", task="probe", **defect(error))
-        self.book.engine.tell(t.Probed(endpoint, how, clock.now() - began, load))
+        try:
+            self.book.engine.tell(t.Probed(endpoint, how, clock.now() - began, load))
+        except Exception as error:
+            self.log("task_failed", task="probe", **defect(error))
 
     async def exchange(self, endpoint: str, request: Request) -> Answer:
         """Of what is harmless to ask again: where a kept connection turns out ended a new one is opened."""
