Signals at any moment of a start or an end neither kill the program nor are missed

Cause: lupinmill/program/sidecar.py opened its signal receiver after the imports, after `Handover.ask` (up to 1.5 s) and after the listener was bound; until then SIGHUP, SIGTERM and SIGINT had their default actions. At the end the receiver's close sets these again, and a late signal became the exit status.

Change: `program/signals.py` remembers signals from the first lines of `__main__` on; the receiver is open before the handover; SIGTERM before anything is bound or taken over ends the start, later it starts and leaves in the usual way; the listener is bound last. A SIGHUP that came meanwhile is a reload.

--- a/lupinmill/__main__.py
+++ b/lupinmill/__main__.py
@@ -2,30 +2,44 @@
 
 from __future__ import annotations
 
-import os
 import sys
 
-import anyio
+from lupinmill.program.signals import Signals
+from lupinmill.program.standard_streams import complain, open_missing
 
-from lupinmill.program import told
-from lupinmill.program.logs import Logs
-from lupinmill.program.sidecar import Program
+SERVES = __name__ == "__main__" and len(sys.argv) < 2
+SIGNALS = Signals()
+if SERVES:
+    # Before the imports below, which take most of a start: until then a signal ends the process.
+    open_missing()
+    SIGNALS.hold()
+
+import os  # noqa: E402
+
+import anyio  # noqa: E402
+
+from lupinmill.program import told  # noqa: E402
+from lupinmill.program.logs import Logs  # noqa: E402
+from lupinmill.program.sidecar import Program  # noqa: E402
 
 
 def serve() -> int:
+    logs = None
     try:
         start = told.read(os.environ)
+        logs = Logs(start.name)
+        program = Program(start, logs.event, lambda: told.read(os.environ, again=True), SIGNALS)
+        anyio.run(program.run)
     except told.BadStart as error:
-        print(f"lupinmill: {error}", file=sys.stderr)
+        complain(str(error))
         return 2
-    logs = Logs(start.name)
-    try:
-        anyio.run(Program(start, logs.event, lambda: told.read(os.environ, again=True)).run)
     except OSError as error:
-        print(f"lupinmill: {error.strerror}", file=sys.stderr)
+        complain(error.strerror or str(error))
         return 2
     finally:
-        logs.close()
+        SIGNALS.ignore()
+        if logs is not None:
+            logs.close()
     return 0
 
 
--- a/lupinmill/handover/driver.py
+++ b/lupinmill/handover/driver.py
@@ -9,7 +9,7 @@
 import os
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 from zlib import crc32
 
@@ -90,6 +90,20 @@
     return struct.unpack("3i", data)[1] in (os.geteuid(), 0)
 
 
+def listening_socket(descriptor: int) -> socket.socket:
+    """Raises BrokenLink where the descriptor is none of a listening socket."""
+    try:
+        sock = socket.socket(fileno=descriptor)
+    except OSError as error:
+        os.close(descriptor)
+        raise BrokenLink(f"no socket came: {error.strerror}") from error
+    if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        sock.close()
+        raise BrokenLink("a socket came that does not listen")
+    sock.setblocking(False)
+    return sock
+
+
 class Handover:
     """What it does to the rest of the program is set by whoever puts the program together."""
 
@@ -136,12 +150,14 @@
             state = await link.ask(hello, ANSWER)
             if state.get("say") != "state":
                 raise BrokenLink(str(state.get("why", "no state"))[:200])
-            listening = socket.socket(fileno=link.take_descriptor())
-            listening.setblocking(False)
+            listening = listening_socket(link.take_descriptor())
         except (OSError, BrokenLink, TimeoutError) as error:
             self.log("handover_refused", error=f"{type(error).__name__}: {error}")
             link.close()
             return None
+        except BaseException:  # told to end meanwhile
+            link.close()
+            raise
         self.older = link
         return state, listening
 
@@ -155,9 +171,16 @@
         """This process takes clients: whoever starts next finds it, the one before yields."""
         if self.older is not None:
             self.older.send({"say": "serving"})
-            group.start_soon(self.follow, self.older)
+            group.start_soon(self.guarded, self.follow, self.older)
         if self.place is not None:
-            group.start_soon(self.keep, group)
+            group.start_soon(self.guarded, self.keep, group)
+
+    async def guarded(self, task: Callable[..., Awaitable[None]], *args: object) -> None:
+        """A defect in what passes between two processes must not end the one that serves."""
+        try:
+            await task(*args)
+        except Exception as error:
+            self.log("task_failed", task=task.__name__, **defect(error))
 
     # To the process before this one.
 
@@ -232,7 +255,7 @@
             self.newer = link
             try:
                 self.log("handover", text="another process asks to take over")
-                link.send(self.state(), os.dup(self.listening().fileno()))
+                self.pass_state(link)
                 async with anyio.create_task_group() as group:
                     group.start_soon(self.tell_still, link)
                     await self.converse(link, self.from_newer)
@@ -245,6 +268,17 @@
         finally:
             link.close()
 
+    def pass_state(self, link: Link) -> None:
+        """Raises whatever keeps the state from being told; the descriptor is given back then."""
+        state, passed = self.state(), os.dup(self.listening().fileno())
+        try:
+            taken = link.send(state, passed)
+        except BaseException:
+            os.close(passed)
+            raise
+        if not taken:
+            os.close(passed)
+
     async def introduced(self, link: Link) -> bool:
         try:
             try:
--- a/lupinmill/handover/papers.py
+++ b/lupinmill/handover/papers.py
@@ -70,7 +70,9 @@
         out = {str(name): int(named) for name, named in table["out"]}
         mode, since = Mode(table["mode"][0]), int(table["mode"][1])
         papers = Papers(known, dict(table["learned"]), int(table["held"]), int(table.get("repeats", 0)))
-    except (KeyError, TypeError, ValueError, IndexError, Garbled) as error:
+        if papers.held < 0 or papers.repeats < 0:
+            raise ValueError("held, repeats: under 0")
+    except (KeyError, TypeError, ValueError, IndexError, AttributeError, OverflowError, Garbled) as error:
         raise BadPapers(f"{type(error).__name__}: {error}"[:200]) from error
     standing.out.update(out)
     if mode is Mode.DRAINING:
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import gc
 import resource
 import signal
@@ -20,7 +21,10 @@
 from lupinmill.handover.driver import Handover
 from lupinmill.limits.gate import Gate
 from lupinmill.program.discovery import Discovery
+from lupinmill.program.signals import ENDING, HANDLED, Signals
 from lupinmill.program.told import BadStart, Told, fixed
+from lupinmill.protocol import lists
+from lupinmill.protocol.submission import LONGEST
 from lupinmill.routing.admit import Admit
 from lupinmill.routing.book import Book
 from lupinmill.routing.directory import Directory
@@ -50,6 +54,9 @@
 CLOSING, SPARE = 500_000, 0.2  # before that for the last answers (microseconds), and for what comes late
 PEERS_OWN = 3  # descriptors that the peers have: socket, lock, file
 CONFIG_OWN = 3  # the watch on configuration: connection, file, its directory
+# Seconds for which an address that another process still holds is asked for again, and between two tries.
+HELD, HELD_AGAIN = 3.0, 0.05
+ANSWERED = 1.0  # seconds beyond the longest deadline of a request after which the end waits for none any more
 CLOSE_EVERY = 0.02  # seconds between two looks at idle clients while connections are to be closed
 
 
@@ -59,13 +66,28 @@
     if soft == resource.RLIM_INFINITY or soft >= told:
         return told
     most = told if hard == resource.RLIM_INFINITY else min(told, hard)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+    try:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+    except (OSError, ValueError):
+        return soft  # the system's own limit is lower than what it tells
     return most
 
 
 class Program:
-    def __init__(self, told: Told, log: Log, read_again: Callable[[], Told]) -> None:
+    """`signals`: what came before `run` has its receiver."""
+
+    def __init__(
+        self, told: Told, log: Log, read_again: Callable[[], Told], signals: Signals | None = None
+    ) -> None:
         base = told
+        self.signals = signals
+        self.reloads = 0  # signals to read the configuration again that came while this program started
+        self.told_to_end: signal.Signals | None = None  # while it started
+        self.found: tuple[dict[str, Any], socket.socket] | None = None  # by the process before this one
+        self.beside_older = False  # a process before this one is there, whether or not it is taken over from
+        self.papers: papers.Papers | None = None
+        self.listener: Listener | None = None
+        self.desk: AdminDesk | None = None
         if watched := told.operators is not None and told.operators.config is not None:
             from lupinmill.program import in_force
 
@@ -134,37 +156,95 @@
 
     def mode_changed(self) -> None:
         self.to_close.set()
-        if self.peers is not None:
-            if self.standing.mode is Mode.SERVING:
-                self.peers.come_back()
-            else:
-                self.peers.leave()
-
-    def bound(self, kind: Callable[..., Any], address: str, *more: Any) -> Any:
-        """Guards against a line at the start that doesn't say which address can't be had."""
+        if self.peers is None:
+            return
+        tell = self.peers.come_back if self.standing.mode is Mode.SERVING else self.peers.leave
         try:
-            return kind(address, *more)
-        except OSError as error:
-            raise OSError(error.errno, f"{address}: {error.strerror}") from error
+            tell()
+        except Exception as error:
+            self.log("task_failed", task="mode_changed", **defect(error))
+
+    async def bound(self, kind: Callable[..., Any], address: str, *more: Any) -> Any:
+        """The process before this one may hold the address for a moment still. Guards also against a line at
+        the start that doesn't say which address can't be had."""
+        given_up = anyio.current_time() + HELD
+        while True:
+            try:
+                return kind(address, *more)
+            except OSError as error:
+                waited = anyio.current_time() >= given_up or self.told_to_end is not None
+                if error.errno != errno.EADDRINUSE or waited:
+                    raise OSError(error.errno, f"{address}: {error.strerror}") from error
+            await anyio.sleep(HELD_AGAIN)
 
     async def run(self, *, task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED) -> None:
-        deployment = self.told.deployment
-        send = Send(self.pool, self.directory, self.book, deployment.reports_asked, self.log)
-        found = await self.handover.ask()
-        sock = papers_taken = None
-        if found is not None:
-            table, sock = found
+        # The receiver comes first and goes last: without it a signal ends the process.
+        with anyio.open_signal_receiver(*HANDLED) as signals:
+            try:
+                if await self.begin(signals):
+                    await self.serve(signals, task_status)
+                self.log("stopped")
+            finally:
+                if self.signals is not None:
+                    self.signals.block()
+
+    async def begin(self, signals: AsyncIterator[signal.Signals]) -> bool:
+        """Takes over what there is and binds the addresses. False where the signal to end came while nothing
+        was bound or taken over yet: the process before this one goes on as if it had not been asked."""
+        if self.signals is not None and self.signals.ending():
+            self.log("leaving", signal="before the start", open=0)
+            return False
+        failed: OSError | None = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.hear_end, signals, group.cancel_scope)
+            try:
+                await self.take_over()
+            except OSError as error:
+                failed = error
+            group.cancel_scope.cancel()
+        if self.listener is not None:
+            return True
+        if self.desk is not None:
+            self.desk.close()
+        self.handover.close()
+        if failed is not None:
+            raise failed
+        return False
+
+    async def hear_end(self, signals: AsyncIterator[signal.Signals], start: anyio.CancelScope) -> None:
+        """While this program starts. Once it has a listening socket, clients may be in its queue already:
+        then it starts, and ends in the usual way."""
+        async for number in signals:
+            if number in ENDING:
+                self.told_to_end = number
+                if self.found is None:
+                    self.log("leaving", signal=number.name, open=0)
+                    start.cancel()
+                return
+            self.reloads += 1
+
+    async def take_over(self) -> None:
+        """The listener comes last: from then on nothing is waited for before clients are served."""
+        self.found, sock = await self.handover.ask(), None
+        self.beside_older = self.found is not None
+        if self.found is not None:
+            table, sock = self.found
             try:
-                papers_taken = papers.read(table, self.standing)
+                self.papers = papers.read(table, self.standing)
             except papers.BadPapers as error:
                 self.log("handover_refused", error=str(error))
                 self.handover.decline()
                 sock.close()
-                sock = None
-        listener = self.bound(Listener, self.told.listen, self.descriptors, self.store, sock)
-        desk = None
+                self.found = sock = None
         if self.told.operator is not None:
-            desk = self.bound(AdminDesk, self.told.operator, self.office.carry_out, self.log)
+            self.desk = await self.bound(AdminDesk, self.told.operator, self.office.carry_out, self.log)
+        if self.found is not None or self.told_to_end is None:
+            self.listener = await self.bound(Listener, self.told.listen, self.descriptors, self.store, sock)
+
+    async def serve(self, signals: AsyncIterator[signal.Signals], task_status: TaskStatus[str]) -> None:
+        deployment, listener = self.told.deployment, self.listener
+        assert listener is not None
+        send = Send(self.pool, self.directory, self.book, deployment.reports_asked, self.log)
         advice = deployment.longest_advice // 2 if deployment.advice_allowed else 0
         self.door = door = listener.door = Door(Gate(deployment), self.book, self.log)
         self.take_in = take_in = TakeIn(
@@ -172,55 +252,66 @@
         )
         take_in.closing = lambda: not listener.passing and self.standing.closing(self.engine.clock.now())
         try:
-            # The receiver comes first and goes last: without it a signal ends the program.
-            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-                async with anyio.create_task_group() as group:
-                    Route(self.engine, self.book, send, group)
-                    self.begin_list(papers_taken)
-                    for task in (
-                        self.engine.keep_time,
-                        self.discovery.run,
-                        self.sweep,
-                        self.measure_lag,
-                        self.office.sweep,
-                    ):
-                        group.start_soon(self.keep_up, task)
-                    group.start_soon(self.keep_up, listener.run, group, take_in.serve)
-                    self.hand_over(listener, take_in, group)
-                    group.start_soon(self.keep_up, self.close_idle, listener)
-                    if desk is not None:
-                        group.start_soon(self.keep_up, desk.run, group)
-                        self.operator = desk.address
-                    if self.peers is not None:
-                        group.start_soon(self.keep_up, self.peers.run, found is not None)
-                    if self.common is not None:
-                        group.start_soon(self.keep_up, self.common.run)
-                    if self.in_force is not None:
-                        group.start_soon(self.keep_up, self.in_force.run)
-                    self.office.taking = lambda: True
-                    self.log(
-                        "started",
-                        tier=deployment.tier,
-                        listen=listener.address,
-                        operator=self.operator,
-                        endpoints=len(self.directory.states),
-                        descriptors=self.descriptors.limit,
-                    )
-                    gc.collect()
-                    gc.freeze()
-                    gc.set_threshold(20_000, 20, 20)
-                    task_status.started(listener.address)
-                    await self.obey(signals)
-                    await self.leave(listener, take_in)
-                    group.cancel_scope.cancel()
+            async with anyio.create_task_group() as group:
+                Route(self.engine, self.book, send, group)
+                self.begin_list(self.papers)
+                self.start_tasks(group, listener)
+                self.log_start(listener)
+                gc.collect()
+                gc.freeze()
+                gc.set_threshold(20_000, 20, 20)
+                task_status.started(listener.address)
+                self.look_again()
+                await self.obey(signals)
+                await self.leave(listener, take_in)
+                group.cancel_scope.cancel()
         finally:
             listener.close()
             self.handover.close()
-            if desk is not None:
-                desk.close()
+            if self.desk is not None:
+                self.desk.close()
             self.pool.close()
             self.discovery.hang_up()
-        self.log("stopped")
+
+    def start_tasks(self, group: TaskGroup, listener: Listener) -> None:
+        for task in (
+            self.engine.keep_time,
+            self.discovery.run,
+            self.sweep,
+            self.measure_lag,
+            self.office.sweep,
+        ):
+            group.start_soon(self.keep_up, task)
+        group.start_soon(self.keep_up, listener.run, group, self.take_in.serve)
+        self.hand_over(listener, self.take_in, group)
+        group.start_soon(self.keep_up, self.close_idle, listener)
+        if self.desk is not None:
+            group.start_soon(self.keep_up, self.desk.run, group)
+            self.operator = self.desk.address
+        if self.peers is not None:
+            group.start_soon(self.keep_up, self.peers.run, self.beside_older)
+        if self.common is not None:
+            group.start_soon(self.keep_up, self.common.run)
+        if self.in_force is not None:
+            group.start_soon(self.keep_up, self.in_force.run)
+        self.office.taking = lambda: True
+
+    def log_start(self, listener: Listener) -> None:
+        told = self.told
+        self.log(
+            "started",
+            tier=told.deployment.tier,
+            listen=listener.address,
+            operator=self.operator,
+            endpoints=len(self.directory.states),
+            descriptors=self.descriptors.limit,
+        )
+
+    def look_again(self) -> None:
+        """A configuration that came while this program started: a signal that tells of it may have come
+        before its receiver was there."""
+        if self.reloads or self.signals is not None and self.signals.reload():
+            self.reload(always=self.reloads > 0 or signal.SIGHUP in self.signals.came)
 
     async def keep_up(self, task: Callable[..., Awaitable[None]], *args: object) -> None:
         """One defect in a task that lasts as long as the program must not end the program."""
@@ -233,20 +324,34 @@
 
     async def obey(self, signals: AsyncIterator[signal.Signals]) -> None:
         """Returns at the signal to end."""
+        if self.told_to_end is not None:
+            self.log("leaving", signal=self.told_to_end.name, open=len(self.book.journeys))
+            return
         async for signum in signals:
-            if signum is not signal.SIGHUP:
+            if signum in ENDING:
                 self.log("leaving", signal=signum.name, open=len(self.book.journeys))
                 return
             self.reload()
 
-    def reload(self) -> None:
-        """The file anew, whole or not at all."""
+    def reload(self, always: bool = True) -> None:
+        """The file anew, whole or not at all. A defect costs this one reload. `always`: it was asked for, and
+        is told in the log also where nothing changed."""
         try:
-            told = self.read_again()
+            told, before = self.read_again(), self.in_force.base if self.in_force is not None else self.told
+            if always or self.differs(before, told):
+                self.put_in_force(before, told)
         except BadStart as error:
             self.log("reload_refused", error=str(error))
-            return
-        before = self.in_force.base if self.in_force is not None else self.told
+        except Exception as error:
+            self.log("reload_refused", **defect(error))
+
+    def differs(self, before: Told, told: Told) -> bool:
+        alive = (before.discovery, before.operators) != (told.discovery, told.operators)
+        return (
+            alive or before.settings != told.settings or bool(fixed(before, told, self.in_force is not None))
+        )
+
+    def put_in_force(self, before: Told, told: Told) -> None:
         if others := fixed(before, told, self.in_force is not None):
             self.log("reload_refused", error="these want a new start", fields=others)
             return
@@ -278,6 +383,7 @@
         no other: they are served until little time is left, and only then sent away."""
         longest = max(workload.hard_limit for workload in self.told.deployment.workloads) / 1_000_000
         stay = min(longest, LONGEST_WAIT) + KILLED_AFTER - SPARE
+        last = max(stay, LONGEST + ANSWERED)
         self.handover.succession.leave()
         now = self.engine.clock.now()
         ends = now + int(stay * 1_000_000)
@@ -290,22 +396,29 @@
             clients = self.descriptors.open[Side.CLIENT] + listener.turning_away
             if not clients and (waited >= STILL_COMING or not self.handover.succession.accepts()):
                 break
+            if waited >= last:
+                # Guards against an end that never comes, for a request that a defect has left open.
+                self.log("task_failed", task="leave", error=f"{len(self.book.journeys)} requests left open")
+                break
             await anyio.sleep(CLOSE_EVERY)
         with anyio.move_on_after(SPARE):
             await self.handover.flush()
 
     def begin_list(self, taken: papers.Papers | None) -> None:
         """As told at the start, or as the process before this one knew it, with what it learned."""
+        try:
+            self.directory.update(self.told.known if taken is None else taken.known, t.ListKind.CACHED)
+        except Exception as error:
+            self.log("known_refused", **defect(error))
+            self.directory.update(lists.Known(0, True, [], {}), t.ListKind.CACHED)
         if taken is None:
-            self.directory.update(self.told.known, t.ListKind.CACHED)
             return
-        self.directory.update(taken.known, t.ListKind.CACHED)
         for name in self.standing.out:
             self.directory.by_hand(name, True)
         try:
             learned.recall(self.engine.sidecar, taken.learned, self.engine.clock.now())
-        except (TypeError, ValueError, KeyError, AttributeError) as error:
-            self.log("handover_refused", error=f"learned: {type(error).__name__}: {error}")
+        except Exception as error:
+            self.log("handover_refused", **defect(error))
         self.engine.tell(t.Woke(1))
         self.descriptors.elsewhere, self.repeats_before = taken.held, taken.repeats
         self.discovery.watch(t.Watch())  # at once: what it tells from now on binds this process
--- a/lupinmill/state/learned.py
+++ b/lupinmill/state/learned.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+from math import isfinite
 from typing import Any
 
 from lupinmill.rules import CAP_TOP, Sidecar
@@ -71,7 +72,8 @@
         one.pace = None if said.get("pace") is None else min(8.0, number(said["pace"], 1.0))
         one.answers, one.broken = int(said.get("answers", 0)), int(said.get("broken", 0))
         one.rest, one.heard = int(said.get("rest", one.rest)), int(said.get("heard", 0))
-        one.cold_since = said.get("cold_since")
+        cold = said.get("cold_since")
+        one.cold_since = None if cold is None else int(cold)
         if said.get("mode") in ("aside", "trial"):
             one.mode = said["mode"]
             if one.mode == "aside":
@@ -81,7 +83,8 @@
 
 
 def number(value: Any, usual: float) -> float:
-    return float(value) if isinstance(value, int | float) else usual
+    known = isinstance(value, int | float) and not isinstance(value, bool) and isfinite(value)
+    return float(value) if known else usual
 
 
 def ring(kept: Ring) -> list[list[float]]:
--- a/lupinmill/transport/link.py
+++ b/lupinmill/transport/link.py
@@ -105,7 +105,8 @@
         broken."""
         if not self.has_room():
             return False
-        self.going.append((self.encode(message), descriptor))
+        data = self.encode(message)  # what raises here takes nothing
+        self.going.append((data, descriptor))
         self.more.set()
         return True
 
--- /dev/null
+++ b/tests/test_start_signals.py
@@ -0,0 +1,139 @@
+"""Signals at each phase of a start and of an end, forced at that moment in a real process."""
+
+import os
+import signal
+import socket
+import tomllib
+
+import anyio
+import orjson
+import pytest
+from bed import Net, on_network, wanted
+from start_bed import LIMIT, ROOT, begin, events, hooked, line_of, running, table
+from test_sidecar import fine, until
+
+from lupinmill.handover.driver import Place
+from lupinmill.program import sidecar
+from lupinmill.transport.listener import Listener
+
+MOMENTS = [
+    "import anyio",
+    "import h11",
+    "import lupinmill.program.told",
+    "import lupinmill.program.sidecar",
+    "open told.json",
+    "import asyncio.unix_events",
+    "socket.bind ('127.0.0.1', 0)",
+]
+NEW = "127.0.0.1:2"  # where discovery has moved to
+
+
+def moved(folder) -> str:
+    """A configuration that takes the place of the first, as the platform writes it before it sends SIGHUP."""
+    path = folder / "moved.json"
+    path.write_bytes(orjson.dumps(table(discovery=NEW)))
+    return str(path)
+
+
+@pytest.mark.parametrize("moment", MOMENTS)
+def test_a_signal_to_read_again_neither_ends_a_start_nor_is_missed(tmp_path, moment):
+    """Seen failing as `ended with -1 before 'started'`."""
+    more = hooked(tmp_path, moment, signal.SIGHUP, MOVED=moved(tmp_path), BALANCER_DISCOVERY="127.0.0.1:1")
+    with running(begin(tmp_path, table(), **more)) as process:
+        line_of(process, "started")
+        assert line_of(process, "reloaded")["discovery"] == NEW
+        process.send_signal(signal.SIGTERM)
+        _, errors = process.communicate(timeout=LIMIT)
+    assert process.returncode == 0 and errors == b""
+
+
+def test_the_command_that_operators_run_survives_one_before_its_first_line(tmp_path):
+    """Seen failing as `ended with -1 before 'started'`: no handler can be there so early."""
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    more = hooked(
+        tmp_path, "python -", signal.SIGHUP, MOVED=moved(tmp_path), BALANCER_DISCOVERY="127.0.0.1:1"
+    )
+    with running(begin(tmp_path, table(), ["/bin/sh", "-c", run], **more)) as process:
+        line_of(process, "started")
+        assert line_of(process, "reloaded")["discovery"] == NEW
+        process.send_signal(signal.SIGTERM)
+        process.communicate(timeout=LIMIT)
+    assert process.returncode == 0
+
+
+def test_with_the_same_configuration_that_command_reloads_nothing(tmp_path):
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    with running(begin(tmp_path, table(), ["/bin/sh", "-c", run])) as process:
+        line_of(process, "started")
+        process.send_signal(signal.SIGTERM)
+        output, _ = process.communicate(timeout=LIMIT)
+    assert process.returncode == 0 and not any(event.startswith("reload") for event in events(output))
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+@pytest.mark.parametrize("moment", MOMENTS)
+def test_a_signal_to_end_ends_a_start_in_order(tmp_path, moment, number):
+    """Seen failing as exit -15, and for SIGINT as a traceback and exit -2."""
+    with running(begin(tmp_path, table(), **hooked(tmp_path, moment, number))) as process:
+        output, errors = process.communicate(timeout=LIMIT)
+    assert process.returncode == 0 and errors == b""
+    assert events(output)[-1] == "stopped"
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_a_late_signal_does_not_become_the_status_of_a_process_that_has_ended(tmp_path, number):
+    """Seen failing as exit -15 and -1: the receiver's end had set the default actions again."""
+    with running(begin(tmp_path, table(), **hooked(tmp_path, "atexit -", number))) as process:
+        line_of(process, "started")
+        process.send_signal(signal.SIGTERM)
+        output, errors = process.communicate(timeout=LIMIT)
+    assert process.returncode == 0 and errors == b"" and events(output)[-1] == "stopped"
+
+
+def test_a_signal_to_end_while_the_other_process_of_an_upgrade_says_nothing(tmp_path):
+    """Seen failing as exit -15."""
+    listen = "127.0.0.1:0"
+    mute = Place(str(tmp_path), "n1", listen).listen()
+    mute.setblocking(True)
+    mute.settimeout(LIMIT)
+    with mute, running(begin(tmp_path, table(), TMPDIR=str(tmp_path))) as process:
+        other, _ = mute.accept()
+        with other:
+            other.settimeout(LIMIT)
+            assert b"hello" in other.recv(4096)  # it waits for the answer now
+            process.send_signal(signal.SIGTERM)
+            output, errors = process.communicate(timeout=LIMIT)
+            assert other.recv(1) == b""  # it did not say that it serves
+    assert process.returncode == 0 and errors == b""
+    assert events(output) == ["leaving", "stopped"]
+
+
+def test_a_signal_to_end_once_clients_can_be_in_the_queue_leaves_none_without_an_answer(monkeypatch):
+    answers = []
+
+    def bound(*args) -> Listener:
+        """A client connects and asks, and the signal comes, before the program has the listener in hand."""
+        made = Listener(*args)
+        client = socket.create_connection(made.sock.getsockname())
+        client.sendall(wanted("s1"))
+        answers.append(client)
+        os.kill(os.getpid(), signal.SIGTERM)
+        return made
+
+    monkeypatch.setattr(sidecar, "Listener", bound)
+
+    def read_all() -> bytes:
+        answers[0].settimeout(LIMIT)
+        return answers[0].recv(4096)
+
+    async def check(net: Net):
+        assert (await anyio.to_thread.run_sync(read_all)).startswith(b"HTTP/1.1 200")
+        answers[0].close()
+        await until(lambda: any(event == "stopped" for event, _ in net.logs))
+
+    before = signal.signal(signal.SIGTERM, lambda *_: None)  # lest a program with no receiver ends the tests
+    try:
+        net = on_network(check, fine)
+    finally:
+        signal.signal(signal.SIGTERM, before)
+    assert [event for event, _ in net.logs if event in ("leaving", "stopped")] == ["leaving", "stopped"]
