Slow start counts sizes, listed endpoints and traffic; a step goes on past an exception

Cause, lupinmill/rules.py before this commit: - credited (line 490): a process that knows no warm endpoint took its part of what comes among the ready ones alone; with nine of ten dead and still listed that is ten times the usual part. - look_over (line 730): what a warm endpoint handles was a mean over endpoints of all sizes, and was lent by warmth to small ones as it stood. - Endpoint.back (line 917): cold_since was never cleared, so one that was cold once came back on trial as warm. - Endpoint.listed (line 776): a start in the future by another machine's clock stayed cold past its time. - credited: credit grew while nothing came; after a quiet while nearly every sidecar had a launch to spend at once. - ask_around (line 462): cold endpoints were asked for reports that decide nothing (told_least leaves them out). - Mail.run: an exception over one note lost the rest of that inbox, and Sidecar.step the pending wake-up.

Change: as above; credit stops beyond Deployment.overload_time (1 s unless told) without traffic; of a deployment with equal endpoints, known warm ones and traffic the rates are as before. Gauge, Seat and Flight moved to workings.py (they decide nothing).

--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -6,14 +6,14 @@
 
 from collections import deque
 from dataclasses import dataclass, field, replace
-from math import ceil, log, sqrt
+from math import ceil, inf, log, sqrt
 from typing import Any
 from zlib import crc32
 
 from lupinmill import terms as t
 from lupinmill.workings import (
-    Answer, Aside, AskDue, Chance, GiveUp, Mail, Part, Plea, ProbeDue, RetryDue, Ring, Sent, Silent,
-    Standing, Sweep, Usual, mixed,
+    THIN, Answer, Aside, AskDue, Chance, Flight, Gauge, GiveUp, Mail, Part, Plea, ProbeDue, RetryDue, Ring,
+    Seat, Sent, Silent, Standing, Sweep, Usual, mixed,
 )
 
 MS, SECOND = 1_000, 1_000_000
@@ -28,10 +28,11 @@
 BESIDE_MARKS = 2.2, 1.75  # as CROWDED and ROOMY: a thin stream of answers strays further
 UNEVEN = 0.7  # of that at the start where caps are fractions: the fullest of uneven ones jams first
 CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
+LEAST_PACE = 0.001  # of a kind of endpoint: others are divided by it
 BUSY = 0.8  # cores less busy than this by reports are not crowded, whatever few answers say
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
 SHARE_BACK = 0.05  # of the common cap, won back with each answer
-EVIDENCE, THIN = 10, 40  # answers behind a mean; more where they are few: their least mean is too low
+EVIDENCE = 10  # answers behind a mean; THIN where they are few: their least mean is too low
 BEHIND = 1.5  # multiple of the middle pace beyond which one is picked after the others
 TOLD_AGE, TOLD_KEPT = 2_500 * MS, 8  # a load report counts so long; so many of the last ones decide ties
 # Usual answer times without an answer: it is silent; more, shared by the launches there, as one may be long.
@@ -42,60 +43,6 @@
 ASIDE_SHARE = 0.34  # on soft evidence no more than this share of the endpoints is set aside
 
 
-class Gauge:
-    """Answer times of one workload: the usual one now, and the uncrowded one of the last half minute."""
-
-    def __init__(self, guess: int, evidence: int) -> None:
-        self.usual, self.uncrowded, self.evidence = float(guess), float(guess), evidence
-        self.means: deque[float] = deque(maxlen=15)
-        self.mark, self.total, self.count, self.pace = -1, 0.0, 0, 1.0
-
-    def add(self, now: int, took: int) -> None:
-        self.usual += (took - self.usual) * (0.05 if self.means else 0.2)
-        self.total, self.count = self.total + took, self.count + 1
-        if now // (2 * SECOND) != self.mark and self.count >= self.evidence:
-            self.mark = now // (2 * SECOND)
-            if not self.means and self.evidence == THIN:  # that first mean may come of a jam already
-                self.means.append(1.4 * self.uncrowded)
-            self.means.append(self.total / self.count)
-            self.uncrowded = min(self.means)
-            self.total, self.count = 0.0, 0
-        elif not self.means:
-            # Following it up here would call a crowd at the start the uncrowded state, and let caps grow.
-            self.uncrowded = min(self.uncrowded, self.usual)
-
-
-@dataclass(slots=True)
-class Seat:
-    """What the desk knows of an endpoint: its own launches there, and the endpoint's last Standing."""
-
-    name: str
-    says: Standing
-    flying: int = 0
-    elsewhere: int = 0  # of them, those of an older process of this sidecar
-    shelf: int = -1  # where it stands among the ready ones: by launches in flight, the crowded far behind
-    spot: int = 0
-    credit: float = 0.0
-    credited: int = 0
-    mark: int = 0  # of its name, common to all sidecars
-    lot: float = 0.0  # of this sidecar: the least make up the endpoints that it uses
-    used: bool = True
-    pull: float = 1.0  # its part among equals
-
-    def counts(self) -> bool:
-        return self.used and self.says.open
-
-
-@dataclass(slots=True)
-class Flight:
-    seat: Seat
-    sent: int
-    out: bool = True
-    never_ran: bool = False
-    overdue: bool = False  # unanswered at the hard limit
-    counted: bool = False  # in what is in flight: not while its submission is still coming
-
-
 @dataclass(slots=True)
 class Submission:
     name: str
@@ -140,8 +87,9 @@
         self.probes, self.reports = d.probes_allowed, d.probes_allowed and d.reports_asked
         self.advice = d.longest_advice if d.advice_allowed else 0
         self.cold_share, self.cold_time, self.gone_binds = d.cold_share, max(1, d.cold_time), d.gone_binds
+        self.overload_time = max(1, d.overload_time)
         self.uneven, self.beside, self.few = d.uneven, d.beside, d.few_connections
-        self.told = self.sharers = d.instances
+        self.told = self.sharers = max(1, d.instances)
         self.ask_span = max(SECOND, min(d.ask_within, 10 * SECOND)) * 2 // 5 if d.must_ask else 0
         self.share_out(self.told)
         # The more the goal pools all workloads, the more value counts against evenness.
@@ -155,7 +103,7 @@
     def share_out(self, sidecars: int) -> float:
         """Gives what a learned cap is to be multiplied by. Of many even one launch from each would jam the
         endpoints: caps may be fractions. Beside each client they are multiples of what it keeps in flight."""
-        before, self.sharers = self.sharers, sidecars or self.told
+        before, self.sharers = self.sharers, sidecars if sidecars > 0 else self.told
         even, self.evidence = (1.0, EVIDENCE) if self.sharers <= FLEET_START else (UNEVEN, THIN)
         caps = [one / self.sharers for one in (even * FLEET_START, even * even * FLEET_GROWTH, FLEET_FLOOR)]
         self.cap_start, self.cap_growth, self.cap_floor = BESIDE_CAPS if self.beside else caps
@@ -171,7 +119,7 @@
         self.open: dict[str, Submission] = {}  # until the last outcome has come
         self.seats: dict[str, Seat] = {}
         self.shelves: list[list[Seat]] = [[] for _ in range(2 * CAP_TOP)]  # the ready ones
-        self.ready, self.flying, self.shares = 0, 0, 0.0  # sums over the ready ones
+        self.ready, self.flying, self.shares, self.weight = 0, 0, 0.0, 0.0  # sums over the ready ones
         self.busy: dict[str, Seat] = {}  # with launches in flight
         self.cap = allow.cap_start  # common to all; each endpoint takes its share of it
         self.told: deque[Seat] = deque(maxlen=TOLD_KEPT)  # the last that reported their load
@@ -183,8 +131,12 @@
         self.gauges: dict[str, Gauge] = {}
         self.taken, self.retried = Ring(RETRY_BUCKETS, SECOND // 2), Ring(RETRY_BUCKETS, SECOND // 2)
         self.launched, self.came, self.began = Ring(10, SECOND // 10), Ring(10, SECOND // 2), -1
-        # Uncrowded answer time over all; what a cap is a multiple of; what a warm endpoint handles a second.
-        self.unhurried, self.scale, self.each = 0.0, 1.0, 0.0
+        # Uncrowded answer time over all; what a cap is a multiple of.
+        self.unhurried, self.scale = 0.0, 1.0
+        # What a warm endpoint of size 1 handles a second; the size of all listed as ready, set aside or not.
+        self.each, self.size = 0.0, 0.0
+        # Time without traffic, for which no credit is due: all sidecars would spend at once what they saved.
+        self.idle, self.came_at = 0, -1
         self.handled, self.looked = 0, 0  # by warm endpoints since the last look at all, and when that was
         self.kinds: dict[str, float] = {}  # usual pace of each kind of endpoint
         self.zones, self.abroad = [1.0, 1.0], 0.2  # pace in the own zone and in others; what others pull
@@ -200,8 +152,12 @@
 
     def arrive(self, note: t.Arrived) -> None:
         now, allow = self.mail.now, self.allow
+        if note.submission in self.open:
+            return  # told twice
         w = allow.workloads.get(note.workload) or t.Workload(note.workload, note.due - now, note.due - now)
         self.came.add(now)
+        self.idle += max(0, now - self.came_at - allow.overload_time) if self.came_at >= 0 else 0
+        self.came_at = now
         if not note.keyed and w.repeat is t.Repeat.DEDUPLICATED:
             w = replace(w, repeat=t.Repeat.UNREPEATABLE)  # no endpoint would drop its repeats
         self.taken.add(now, not note.repeated)
@@ -243,10 +199,10 @@
 
     def count_in(self, flight: Flight) -> None:
         seat, flight.counted = flight.seat, True
+        seat.coming -= 1
         self.fly(seat, 1)
         self.launched.add(self.mail.now)
-        if seat.name in self.endpoints:
-            self.mail.post(self.endpoints[seat.name], Sent())
+        self.mail.post(self.endpoints[seat.name], Sent())
 
     def fly(self, seat: Seat, more: int) -> None:
         seat.flying += more
@@ -263,7 +219,7 @@
             if more := note.flying.get(seat.name, 0) - seat.elsewhere:
                 seat.elsewhere += more
                 self.fly(seat, more)
-            if more and seat.name in self.endpoints and not seat.flying:
+            if more and not seat.flying:
                 self.endpoints[seat.name].tell()  # it may have gone meanwhile
 
     def beyond_share(self, tenant: str) -> bool:  # what exceeds its part of own traffic: the mix is alike
@@ -299,7 +255,7 @@
         return self.lanes.setdefault(key, lane)
 
     def worth(self, w: t.Workload, beyond: bool, repeated: bool) -> float:
-        worth = w.value ** self.allow.greed * (self.allow.beyond if beyond else 1.0)
+        worth = max(0.0, w.value) ** self.allow.greed * (self.allow.beyond if beyond else 1.0)
         if self.allow.beside:
             worth *= SECOND / max(1, w.contract)  # what takes longer costs more of the endpoints' time
         return worth * (0.7 if repeated else 1.0)
@@ -364,7 +320,7 @@
                     line.popleft()
                 if line and lane.zone not in full:
                     head = line[0]
-                    waited = (self.mail.now - head.arrived) / (head.contract_end - head.arrived + 1)
+                    waited = (self.mail.now - head.arrived) / max(1, head.contract_end - head.arrived + 1)
                     if lane.worth * (waited + 0.1) > urgency:
                         best, urgency = lane, lane.worth * (waited + 0.1)
             if best is not None and self.try_launch(best.line[0]):
@@ -377,6 +333,8 @@
     def may_launch(self, s: Submission) -> bool:  # (again): rule 2, and what the deployment allows
         if s.done or s.streaming or s.spent or len(s.flights) >= s.allow.most_launches:
             return False
+        if s.whole and self.mail.now >= s.due - self.allow.margin:
+            return False  # it is answered now
         first = s.first_run()
         if first is None or s.out() and not s.allow.copies:
             return first is None
@@ -453,7 +411,8 @@
         shelf, wanted = self.shelves[0], self.usual.busy > BUSY / 2 or self.chance.draw() < 0.25
         if shelf and wanted and self.allow.reports and 2 * self.flying < self.ready:
             seat = shelf[self.chance.upto(len(shelf) - 1)]
-            if seat not in self.told or self.mail.now - seat.says.told_at > TOLD_AGE // 4:
+            stale = seat not in self.told or self.mail.now - seat.says.told_at > TOLD_AGE // 4
+            if stale and seat.says.cold_since is None:  # a cold one decides no tie, and has no work to spare
                 self.mail.orders.append(t.Probe(seat.name))
 
     def may_take(self, seat: Seat, s: Submission, tried: list[Seat]) -> bool:
@@ -488,14 +447,17 @@
         return 1 - (1 - self.allow.cold_share) * (1 - age)
 
     def credited(self, seat: Seat) -> bool:
-        """Rule 4: by warmth what a warm one handles, however few are left; credit of one launch at most."""
-        now = self.mail.now
+        """Rule 4: by warmth what a warm one of its size handles, however few are left; where that is not
+        known its part of what comes, among all that are listed. Credit of one launch at most."""
+        now, clock = self.mail.now, self.mail.now - self.idle
         if now - seat.says.cold_since >= self.allow.cold_time:
             seat.says.cold_since = None
             return True
-        rate = self.warmth(seat.says) * (self.each or self.came.total(now) / 5 / max(1, self.ready))
+        each = self.each or self.came.total(now) / 5 / max(1, self.ready, self.size)
+        rate = self.warmth(seat.says) * each * seat.says.entry.weight
         rate *= self.common.brakes.get(seat.name, 1.0)  # all sidecars together
-        seat.credit, seat.credited = min(1.0, seat.credit + rate * (now - seat.credited) / SECOND), now
+        seat.credit = min(1.0, seat.credit + rate * (clock - seat.credited) / SECOND)
+        seat.credited = clock
         return seat.credit >= 1.0
 
     def try_launch(self, s: Submission) -> bool:  # true when it need not be held any longer
@@ -510,6 +472,7 @@
             return True
         seat.credit -= seat.says.cold_since is not None
         s.flights.append(Flight(seat, now))
+        seat.coming += 1
         s.retrying = False
         self.mail.orders.append(t.Launch(s.name, seat.name, s.due))
         if s.whole:
@@ -524,7 +487,7 @@
 
     def end(self, note: t.Ended) -> None:
         s = self.open.get(note.submission)
-        if s is None or note.launch >= len(s.flights) or not s.flights[note.launch].out:
+        if s is None or not 0 <= note.launch < len(s.flights) or not s.flights[note.launch].out:
             return
         flight, now = s.flights[note.launch], self.mail.now
         if not flight.counted:
@@ -535,7 +498,7 @@
         gauge = self.gauge(s.workload)
         if note.how is t.How.HANDLED:
             self.handled += self.warmth(seat.says) == 1
-            gauge.add(now, note.took)
+            gauge.add(now, max(1, note.took))
         # What we call off at the hard limit is a time-out of its endpoint, or only quick answers would tell.
         how = t.How.TIMED_OUT if flight.overdue else note.how
         overtaken = s.done and not flight.overdue or how in (t.How.CALLED_OFF, t.How.UNSENT, t.How.REJECTED)
@@ -643,13 +606,13 @@
             seat.pull, seat.used = note.entry.weight, not self.allow.few
             seat.lot = 0.0 if seat.used else -log(self.chance.draw() or 0.5) / sqrt(note.entry.weight)
         if note.cold_since is not None and (note is seat.says or note.cold_since != seat.says.cold_since):
-            seat.credit, seat.credited = self.chance.draw(), self.mail.now
+            seat.credit, seat.credited = self.chance.draw(), self.mail.now - self.idle
         seat.says = note
         if note.told is not None and note.told_at == self.mail.now and seat not in self.told:
             self.told.append(seat)
         self.count(seat, 1)
         self.shelve(seat)
-        if self.endpoints[note.name].entry.state is t.State.GONE and not seat.flying:
+        if self.endpoints[note.name].entry.state is t.State.GONE and not (seat.flying or seat.coming):
             del self.seats[note.name], self.endpoints[note.name]  # or memory grows with all there ever were
             self.told = deque((one for one in self.told if one is not seat), TOLD_KEPT)
 
@@ -658,10 +621,12 @@
             self.ready += sign
             self.flying += sign * seat.flying
             self.shares += sign * seat.says.share
+            self.weight += sign * seat.says.entry.weight
             self.open_in[seat.says.entry.zone] = self.open_in.get(seat.says.entry.zone, 0) + sign
 
     def against_kind(self, seat: Seat, pace: float, uncrowded: float) -> float:
         """Guards against slow machines that stand behind the others for good, though all is well."""
+        pace = max(LEAST_PACE, pace)  # an answer that took no time
         kind, far = seat.says.entry.kind, seat.says.entry.zone != self.allow.zone
         if uncrowded:
             self.kinds[kind] = 0.98 * self.kinds.get(kind, pace) + 0.02 * pace
@@ -730,11 +695,7 @@
             reports = [one.told for one in says if one.told is not None and one.told_at > now - TOLD_AGE]
             told = sum(reports) / len(reports) if reports else 0.0
             cold = [seat for seat in self.seats.values() if seat.says.cold_since is not None]
-            warm = self.ready - sum([seat.counts() and self.warmth(seat.says) < 1 for seat in cold])
-            if warm and (span := now - self.looked):
-                gain = max(5 / self.swept, min(1.0, span / (5 * SECOND)))
-                self.each += gain * (self.handled * SECOND / span / warm - self.each)
-            self.handled, self.looked = 0, now
+            self.measure_warm(cold, now - self.looked)
             for seat in self.shelves[CAP_TOP]:
                 self.mail.post(self.endpoints[seat.name], self.usual)
             for seat in cold:
@@ -745,6 +706,19 @@
         self.usual = Usual(took, self.crowding, pace, failed, answered, told, load)
 
 
+    def measure_warm(self, cold: list[Seat], span: int) -> None:
+        """What a warm endpoint handles: from here follows what a cold one may be sent."""
+        still = [seat.says.entry.weight for seat in cold if seat.counts() and self.warmth(seat.says) < 1]
+        warm = self.weight - sum(still)
+        if self.ready > len(still) and warm > 0 and span > 0:
+            gain = max(5 / self.swept, min(1.0, span / (5 * SECOND)))
+            self.each += gain * (self.handled * SECOND / span / warm - self.each)
+        self.handled, self.looked = 0, self.mail.now
+        if cold and not self.each:
+            used = [seat.says.entry for seat in self.seats.values() if seat.used]
+            self.size = sum([entry.weight for entry in used if entry.state is t.State.READY])
+
+
 class Endpoint(Part):
     """Judges one endpoint: its share of the cap, and whether it is ready, set aside or on trial."""
 
@@ -772,8 +746,8 @@
     def listed(self, note: t.Listing) -> None:
         entry, fresh = note, note.started and self.mail.now - note.started < self.desk.allow.cold_time
         fresh = fresh and (entry.started != self.entry.started or self.heard == 0)
-        if fresh:
-            self.cold_since = entry.started
+        if fresh:  # by another machine's clock it may be to come: then it would stay cold past its time
+            self.cold_since = min(entry.started, self.mail.now)
         if self.mode == "aside" and (fresh or self.entry.state is not entry.state is t.State.READY):
             self.schedule_probe(0)  # restarted, or not to be probed so far: no need to sit out the rest
         self.entry = entry
@@ -833,7 +807,7 @@
             self.crowded = self.crowded or self.pace > BEHIND * max(1.0, usual.pace)
         failed, answered = self.failed.total(now), self.answered.total(now)
         failing = max(0.0, usual.failed - failed) / max(1.0, usual.answered - answered)  # of all others
-        if failed >= 3 and failed / answered > 0.3 + 2 * failing:
+        if failed >= 3 and failed > (0.3 + 2 * failing) * answered:  # probes fail with no answer at all, too
             # Quick errors free its places fast: it gets more and more, and must not count as what is usual.
             self.plead(f"failed {failed:.0f} of {answered:.0f}", False)
         elif self.pace and self.answers >= 6 and self.pace > SLOW * max(1.0, usual.pace):
@@ -914,7 +888,8 @@
             return self.tell()
         self.mode, self.answers, self.pace, self.broken = "trial", 0, None, 0
         self.failed, self.answered = Ring(6, SECOND // 2), Ring(6, SECOND // 2)
-        self.heard, self.cold_since = self.mail.now, self.cold_since or self.mail.now
+        cold = self.cold_since is not None and self.mail.now - self.cold_since < self.desk.allow.cold_time
+        self.heard, self.cold_since = self.mail.now, self.cold_since if cold else self.mail.now
         self.mail.log(f"{self.entry.endpoint} on trial")
         self.tell()
 
@@ -946,6 +921,8 @@
 
     def tell(self, entry: t.Listing) -> None:
         name, was = entry.endpoint, self.listed.get(entry.endpoint)
+        if not 0 < entry.weight < inf:
+            entry = replace(entry, weight=1.0)  # it can't be a size
         self.dropped.discard(name)
         gone = entry.state is t.State.GONE and was is not None and was.state is t.State.READY
         if gone and not self.desk.allow.gone_binds and self.endpoints[name].mode != "aside":
@@ -998,6 +975,8 @@
         self.armed: int | None = None
 
     def step(self, now: int, notes: list[t.Note]) -> list[t.Order]:
+        """An exception over one note costs that note: it is raised when the rest is done, with all orders,
+        the next wake-up too, in `mail.orders`."""
         mail = self.mail
         mail.now, mail.orders = now, []
         for note in (note for note in notes if not isinstance(note, t.Woke)):
@@ -1005,7 +984,10 @@
             mail.run()
         mail.ring()
         at = mail.next_alarm()
-        if at is not None and (self.armed is None or self.armed <= now or at < self.armed):
+        if at is not None and (self.armed is None or self.armed <= now or at < self.armed or mail.defects):
             self.armed = max(now + 1, at)
             mail.orders.append(t.WakeMe(self.armed, 1))
+        if mail.defects:
+            first, mail.defects = mail.defects[0], []
+            raise first
         return mail.orders
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -97,6 +97,7 @@
     grace: int = 500_000  # for which launches may still go to an endpoint that drains or is gone
     cold_share: float = 1.0
     cold_time: int = 0
+    overload_time: int = 1_000_000  # a cold endpoint falls over from what it is sent within so long
     round: int = 1000
     most_launches: int = 1
     copies_allowed: bool = False
--- a/lupinmill/workings.py
+++ b/lupinmill/workings.py
@@ -1,5 +1,5 @@
-"""The workings that the decisions stand on, without any of their own: chance, rings of buckets, the mail
-between the parts of `rules`, and the notes that the parts send one another."""
+"""The workings that the decisions stand on, without any of their own: chance, rings of buckets, gauges of
+answer times, the mail between the parts of `rules`, and the notes that the parts send one another."""
 
 from __future__ import annotations
 
@@ -12,6 +12,9 @@
 
 from lupinmill import terms as t
 
+THIN = 40  # answers behind a mean where they are few
+MEAN_SPAN = 2_000_000  # microseconds between two means of a gauge
+
 if TYPE_CHECKING:
     from lupinmill.rules import Submission
 
@@ -58,6 +61,32 @@
         return sum(s for s, mark in zip(self.sums, self.marks) if mark > oldest)
 
 
+class Gauge:
+    """Answer times of one workload: the usual one now, and the uncrowded one of the last half minute.
+
+    `evidence`: answers behind a mean."""
+
+    def __init__(self, guess: int, evidence: int) -> None:
+        self.usual = self.uncrowded = float(max(1, guess))
+        self.evidence = evidence
+        self.means: deque[float] = deque(maxlen=15)
+        self.mark, self.total, self.count, self.pace = -1, 0.0, 0, 1.0
+
+    def add(self, now: int, took: int) -> None:
+        self.usual += (took - self.usual) * (0.05 if self.means else 0.2)
+        self.total, self.count = self.total + took, self.count + 1
+        if now // MEAN_SPAN != self.mark and self.count >= self.evidence:
+            self.mark = now // MEAN_SPAN
+            if not self.means and self.evidence == THIN:  # that first mean may come of a jam already
+                self.means.append(1.4 * self.uncrowded)
+            self.means.append(self.total / self.count)
+            self.uncrowded = min(self.means)
+            self.total, self.count = 0.0, 0
+        elif not self.means:
+            # Following it up here would call a crowd at the start the uncrowded state, and let caps grow.
+            self.uncrowded = min(self.uncrowded, self.usual)
+
+
 class Part:
     """An actor: its inbox, and what it does about each type of note: the method whose one argument is `note`
     of just that type."""
@@ -89,6 +118,7 @@
     def __init__(self) -> None:
         self.now = 0
         self.orders: list[t.Order] = []
+        self.defects: list[Exception] = []  # what the parts raised over single notes
         self.waiting: deque[Any] = deque()
         self.alarms: list[tuple[int, int, Any, Any]] = []
         self.serial = 0
@@ -107,7 +137,10 @@
             part = self.waiting.popleft()
             inbox, part.inbox = part.inbox, []
             for note in inbox:
-                part.take(note)
+                try:
+                    part.take(note)
+                except Exception as error:  # costs that note alone: what is queued, ordered and pending stays
+                    self.defects.append(error)
 
     def ring(self) -> None:
         """Alarms after all news of the same moment: what is due must not go to an endpoint that just left."""
@@ -206,3 +239,35 @@
 @dataclass(slots=True)
 class RetryDue:
     submission: Submission
+
+
+@dataclass(slots=True)
+class Seat:
+    """What the desk knows of an endpoint: its own launches there, and the endpoint's last Standing."""
+
+    name: str
+    says: Standing
+    flying: int = 0
+    elsewhere: int = 0  # of them, those of an older process of this sidecar
+    coming: int = 0  # launches whose submission is still coming, which are not in flight so far
+    shelf: int = -1  # where it stands among the ready ones: by launches in flight, the crowded far behind
+    spot: int = 0
+    credit: float = 0.0
+    credited: int = 0
+    mark: int = 0  # of its name, common to all sidecars
+    lot: float = 0.0  # of this sidecar: the least make up the endpoints that it uses
+    used: bool = True
+    pull: float = 1.0  # its part among equals
+
+    def counts(self) -> bool:
+        return self.used and self.says.open
+
+
+@dataclass(slots=True)
+class Flight:
+    seat: Seat
+    sent: int
+    out: bool = True
+    never_ran: bool = False
+    overdue: bool = False  # unanswered at the hard limit
+    counted: bool = False  # in what is in flight: not while its submission is still coming
--- /dev/null
+++ b/tests/test_slow_start_fleet.py
@@ -0,0 +1,202 @@
+"""What all sidecars together send to an endpoint in slow start, in the moments in which they know least: new
+processes, endpoints of other sizes, long quiet before, clocks and lists that are wrong."""
+
+import random
+
+import pytest
+from bed import Bed, deployment, listing
+from test_cold_fleet import (
+    BESIDE,
+    CAPACITY,
+    FAULT,
+    FEW,
+    MS,
+    POOL,
+    SHARE,
+    SPAN,
+    TIME,
+    Fleet,
+    Server,
+    allowed,
+    bursts,
+    few_left,
+    half_and_all_processes,
+    joins,
+)
+
+from lupinmill import terms as t
+from lupinmill.rules import SECOND, Sidecar
+
+SHAPES = {"pool": POOL, "beside": BESIDE, "few": FEW}
+PROBING = POOL | dict(reports_asked=True, probes_allowed=True)
+
+
+def one_cold_left_to_new_processes(fleet: Fleet) -> None:
+    """All others are gone, but still listed, when every process begins anew."""
+    gone = [name for name in fleet.servers if name != "e0"]
+    fleet.at(fleet.begin + FAULT - SECOND // 2, fleet.die, *gone)
+    fleet.at(fleet.begin + FAULT, fleet.start, "e0")
+    fleet.at(fleet.begin + FAULT + 1, fleet.anew)
+
+
+def processes_replaced_in_turn(fleet: Fleet) -> None:
+    joins(fleet)
+    for part in range(10):
+        fleet.at(fleet.begin + FAULT + part * SECOND // 4, replace_some, fleet, part)
+
+
+def replace_some(fleet: Fleet, part: int) -> None:
+    """Every tenth process begins anew, with the list that it had."""
+    for one in range(part, len(fleet.sidecars), 10):
+        for key in [key for key in fleet.out if key[0] == one]:
+            fleet.out.pop(key)
+        fleet.sidecars[one] = Sidecar(fleet.told[one])
+        rows = [fleet.row(name, t.State.READY) for name in fleet.servers]
+        fleet.step(one, t.Listed(t.ListKind.CACHED, rows))
+
+
+def a_small_one_joins(fleet: Fleet) -> None:
+    """With a core, among some with four."""
+
+    def join() -> None:
+        fleet.servers["new"] = Server("new", 1)
+        fleet.start("new")
+
+    fleet.at(fleet.begin + FAULT, join)
+
+
+def comes_back(fleet: Fleet) -> None:
+    fleet.at(fleet.begin + FAULT - 2 * SECOND, fleet.die, "e0")
+    fleet.at(fleet.begin + FAULT, fleet.start, "e0")
+
+
+def three_cold_left(fleet: Fleet) -> None:
+    names = list(fleet.servers)
+    fleet.at(fleet.begin + FAULT - SECOND // 2, fleet.die, *names)
+    fleet.at(fleet.begin + FAULT, fleet.start, *names[:3])
+    fleet.at(fleet.begin + FAULT + 1, fleet.anew)
+
+
+CASES = [
+    one_cold_left_to_new_processes,
+    processes_replaced_in_turn,
+    a_small_one_joins,
+    comes_back,
+    three_cold_left,
+    joins,
+    bursts,
+    few_left,
+    half_and_all_processes,
+]
+
+
+@pytest.mark.parametrize("shape", SHAPES)
+@pytest.mark.parametrize("case", CASES)
+@pytest.mark.parametrize("sidecars", [1, 5, 30])
+def test_the_budget_of_an_endpoint_in_slow_start_is_kept(case, shape, sidecars):
+    """New processes beside each client sent the one that was left 1.6 times what it may get."""
+    fleet = Fleet(11, sidecars, 0.7, **SHAPES[shape])
+    case(fleet)
+    fleet.run()
+    assert fleet.fullest() < 1.0
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_drawn_fleets_keep_the_budget(seed):
+    rng = random.Random(seed)
+    case, sidecars = rng.choice(CASES), rng.choice([1, 2, 5, 30])
+    told = rng.choice(list(SHAPES.values()))
+    cores, service = rng.choice([(1, 400 * MS), (1, 100 * MS), (4, 50 * MS)])
+    sizes = dict(endpoints=rng.choice([4, 10]), cores=cores, service=service)
+    fleet = Fleet(seed, sidecars, rng.choice([0.2, 0.5, 0.8]), skew=0.7, clump=3, **sizes, **told)
+    case(fleet)
+    fleet.run()
+    assert fleet.fullest() < 1.0
+
+
+@pytest.mark.parametrize("shape, case", [("few", joins), ("pool", one_cold_left_to_new_processes)])
+def test_two_hundred_sidecars_of_thin_traffic_keep_the_budget(shape, case):
+    fleet = Fleet(5, 200, 0.5, cores=1, service=100 * MS, **SHAPES[shape])
+    case(fleet)
+    fleet.run()
+    assert fleet.fullest() < 1.0
+
+
+def test_a_count_of_sidecars_that_is_told_too_low_breaks_no_budget():
+    fleet = Fleet(3, 30, 0.7, **POOL)
+    fleet.told = [deployment(seed=at, instances=1, **POOL) for at in range(30)]
+    fleet.sidecars = [Sidecar(one) for one in fleet.told]
+    fleet.tell(t.ListKind.FULL, *fleet.servers)
+    bursts(fleet)
+    fleet.run()
+    assert fleet.fullest() < 1.0
+
+
+def test_a_cold_endpoint_is_asked_for_no_load_reports():
+    """Its reports decide nothing; all sidecars together asked it about once a launch."""
+    fleet = Fleet(4, 30, 0.3, **PROBING)
+    joins(fleet)
+    fleet.run()
+    assert fleet.probes and "new" not in fleet.probes
+
+
+def warmed(bed: Bed, handled: int = 200) -> None:
+    for _ in range(handled):
+        name = bed.arrive(t.Workload("view", SECOND, 2 * SECOND))
+        bed.run(20 * MS)
+        for launch in bed.out(name):
+            bed.end(name, launch, t.How.HANDLED)
+
+
+def sent_to(bed: Bed, endpoint: str) -> int:
+    return sum(one["endpoint"] == endpoint for flights in bed.flights.values() for one in flights)
+
+
+def test_what_was_saved_in_quiet_hours_is_not_spent_at_once():
+    """Of 200 sidecars each had a launch to spend after a quiet while, more than the budget of most."""
+    able = SHARE * CAPACITY * SPAN / SECOND
+    ready = 0
+    for seed in range(60):
+        bed = Bed(deployment(seed=seed, instances=200, **POOL))
+        warmed(bed)
+        bed.step(t.Listed(t.ListKind.CHANGES, [listing(9, started=bed.now)]))
+        seat = bed.sidecar.desk.seats["e9"]
+        seat.credit = 0.0
+        bed.step(after=TIME - SECOND)
+        bed.arrive(t.Workload("view", SECOND, 2 * SECOND))
+        ready += bed.sidecar.desk.credited(seat)
+    assert ready * 200 / 60 < allowed(2.5 * able)
+
+
+def test_a_start_in_the_future_by_the_clock_of_another_machine_counts_from_when_it_was_heard():
+    bed = Bed(deployment(**POOL))
+    bed.step(t.Listed(t.ListKind.CHANGES, [listing(9, started=bed.now + 3600 * SECOND)]))
+    assert bed.sidecar.desk.seats["e9"].says.cold_since == bed.now
+
+
+def test_an_endpoint_on_trial_counts_as_cold_also_if_it_was_cold_long_ago():
+    """The second time that it came back on trial it counted as warm at once."""
+    bed = Bed(deployment(probes_allowed=False))
+    bed.step(t.Listed(t.ListKind.CHANGES, [listing(9, started=bed.now)]))
+    one = bed.sidecar.roster.endpoints["e9"]
+    bed.step(after=60 * SECOND)
+    one.back()
+    bed.sidecar.mail.run()
+    seat = bed.sidecar.desk.seats["e9"]
+    assert seat.says.cold_since == bed.now and bed.sidecar.desk.warmth(seat.says) < 0.5
+
+
+def test_a_small_endpoint_earns_by_its_size():
+    bed = Bed(deployment(**POOL))
+    desk = bed.sidecar.desk
+    desk.each = 100.0
+    rows = [
+        t.Listing(f"c{size}", t.State.READY, "z", "k", "0", bed.now - 10 * SECOND, size)
+        for size in (1.0, 0.25)
+    ]
+    bed.step(t.Listed(t.ListKind.CHANGES, rows))
+    for name in ("c1.0", "c0.25"):
+        desk.seats[name].credit = 0.0
+    bed.sidecar.mail.now += 5 * MS
+    earned = [desk.credited(desk.seats[name]) or desk.seats[name].credit for name in ("c1.0", "c0.25")]
+    assert earned[0] == pytest.approx(4 * earned[1])
