--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -194,7 +194,7 @@
 
     def end_of(self, s: Submission) -> int:
         """Guards against alarms that outlast by minutes what came sooner than it was guessed."""
-        end = s.due - self.allow.margin
+        end = s.due - s.allow.margin
         return end if s.whole else min(end, self.mail.now + 10 * SECOND)
 
     def count_in(self, flight: Flight) -> None:
@@ -333,13 +333,13 @@
     def may_launch(self, s: Submission) -> bool:  # (again): rule 2, and what the deployment allows
         if s.done or s.streaming or s.spent or len(s.flights) >= s.allow.most_launches:
             return False
-        if s.whole and self.mail.now >= s.due - self.allow.margin:
+        if s.whole and self.mail.now >= s.due - s.allow.margin:
             return False  # it is answered now
         first = s.first_run()
         if first is None or s.out() and not s.allow.copies:
             return first is None
         if s.workload.repeat is t.Repeat.DEDUPLICATED:
-            return self.mail.now < first.sent + s.workload.window - self.allow.margin
+            return self.mail.now < first.sent + s.workload.window - s.allow.margin
         return s.workload.repeat is t.Repeat.IDEMPOTENT
 
     def group_allows(self, s: Submission, seat: Seat) -> bool:
@@ -556,7 +556,7 @@
         s = note.submission
         if s.done or s.streaming or not (note.final or s.held):
             return
-        if note.final and self.mail.now < s.due - self.allow.margin:
+        if note.final and self.mail.now < s.due - s.allow.margin:
             if not s.whole:
                 self.mail.alarm(self.end_of(s), self, note)
             return
--- /dev/null
+++ b/tests/test_module_hostile.py
@@ -0,0 +1,273 @@
+"""Drives the decision module with notes that are odd in every way that their types allow, over deployments of
+all shapes, and adds up anew after every step what the module counts on the way."""
+
+import random
+
+import pytest
+
+from lupinmill import terms as t
+from lupinmill.rules import SECOND, Sidecar
+
+MS = 1000
+STEPS = 350
+KINDS, ZONES = ["k0", "k1", ""], ["z0", "z1", ""]
+WORKLOADS = ["idem", "all", "cell", "once", "bound"]
+
+
+def drawn_workloads(rng: random.Random) -> list[t.Workload]:
+    contract = rng.choice([0, 1, 2, 50 * MS, SECOND])
+    limit = rng.choice([contract, 2 * SECOND])
+    return [
+        t.Workload("idem", contract, limit, rng.choice([0.0, 1.0, 9.0]), 0.0, t.Repeat.IDEMPOTENT),
+        t.Workload(
+            "all", SECOND, limit, 1.0, 0.0, t.Repeat.DEDUPLICATED, t.Group.ALL, rng.choice([0, SECOND])
+        ),
+        t.Workload("cell", SECOND, limit, 1.0, 0.0, t.Repeat.DEDUPLICATED, t.Group.CELL, SECOND),
+        t.Workload("once", SECOND, limit, 1.0),
+        t.Workload("bound", SECOND, limit, 1.0, 0.0, t.Repeat.IDEMPOTENT, zones=("z0",), kinds=("k0",)),
+    ]
+
+
+def drawn_deployment(rng: random.Random) -> t.Deployment:
+    def flag() -> bool:
+        return rng.random() < 0.5
+
+    beside = flag()
+    return t.Deployment(
+        seed=rng.getrandbits(40),
+        tier=rng.choice([0, 1]),
+        instances=rng.choice([0, 1, 5, 200]),
+        workloads=drawn_workloads(rng),
+        tenants=[t.Tenant("a", 0.0), t.Tenant("b", rng.choice([0.0, 10.0]))] if flag() else [],
+        pooled_weight=rng.choice([0.0, 1.0]),
+        evenness_weight=rng.choice([0.0, 1.0]),
+        must_ask=flag(),
+        ask_within=rng.choice([0, SECOND]),
+        grace=rng.choice([0, SECOND // 2]),
+        cold_share=rng.choice([0.0, 0.2, 1.0]),
+        cold_time=rng.choice([0, 5 * SECOND]),
+        overload_time=rng.choice([0, SECOND]),
+        round=rng.choice([0, MS, 5 * MS]),
+        most_launches=rng.choice([1, 4]),
+        copies_allowed=flag(),
+        cancel_allowed=flag(),
+        probes_allowed=flag(),
+        reports_asked=flag(),
+        advice_allowed=flag(),
+        longest_advice=rng.choice([0, SECOND]),
+        beside=beside,
+        zone=rng.choice(ZONES),
+        gone_binds=flag(),
+        uneven=beside or flag(),
+        crossing_price=rng.choice([0.0, 0.1]),
+        warm_keys=flag(),
+        weights_tell_speed=flag(),
+        few_connections=beside and flag(),
+    )
+
+
+class Hostile:
+    """One module, its surroundings, and the books of what it owes and has out."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng, self.now, self.serial = random.Random(seed), 100 * SECOND, 0
+        self.deployment = drawn_deployment(self.rng)
+        self.module = Sidecar(self.deployment)
+        self.names = [f"e{at}" for at in range(self.rng.choice([1, 2, 6, 40]))]
+        self.owed: dict[str, int] = {}  # to its deadline
+        self.guessed: set[str] = set()  # whose last byte has not come
+        self.streams: set[str] = set()  # whose answer has begun: no deadline any longer
+        self.out: dict[tuple[str, int], str] = {}
+        self.launches: dict[str, int] = {}
+        self.wake: int | None = None
+
+    def step(self, *notes: t.Note) -> None:
+        for order in self.module.step(self.now, list(notes)):
+            self.carry_out(order)
+        self.add_up()
+
+    def carry_out(self, order: t.Order) -> None:
+        if isinstance(order, t.Launch):
+            assert order.submission in self.owed, "sent after its end"
+            number = self.launches.get(order.submission, 0)
+            self.launches[order.submission] = number + 1
+            self.out[order.submission, number] = order.endpoint
+        elif isinstance(order, t.Deny | t.BreakOff):
+            assert order.submission in self.owed, "answered twice"
+            del self.owed[order.submission]
+            self.guessed.discard(order.submission)
+        elif isinstance(order, t.WakeMe):
+            assert order.at > self.now
+            self.wake = order.at
+        elif isinstance(order, t.CallOff):
+            assert order.launch < self.launches[order.submission]
+
+    def pass_time(self, span: int) -> None:
+        """Wakes it when it asked for it."""
+        end = self.now + span
+        while self.wake is not None and self.wake <= end:
+            self.now, self.wake = max(self.now, self.wake), None
+            self.step(t.Woke(1))
+        self.now = max(self.now, end)
+        late = {name for name, due in self.owed.items() if due < self.now}
+        assert late <= self.guessed | self.streams, "not answered before its deadline"
+
+    # What the module counts, from scratch.
+
+    def add_up(self) -> None:
+        desk = self.module.desk
+        ready = [seat for seat in desk.seats.values() if seat.used and seat.says.open]
+        assert desk.ready == len(ready)
+        assert desk.flying == sum(seat.flying for seat in ready)
+        assert desk.shares == pytest.approx(sum(seat.says.share for seat in ready), abs=1e-6)
+        assert desk.waiting == sum(s.held for s in desk.open.values())
+        zones: dict[str, int] = {}
+        for seat in ready:
+            zones[seat.says.entry.zone] = zones.get(seat.says.entry.zone, 0) + 1
+        assert {zone: count for zone, count in desk.open_in.items() if count} == zones
+        self.add_up_flights()
+        shelved = [seat for shelf in desk.shelves for seat in shelf]
+        assert sorted(seat.name for seat in shelved) == sorted(seat.name for seat in ready)
+        assert set(desk.busy) == {seat.name for seat in desk.seats.values() if seat.flying}
+        assert desk.seats.keys() == desk.endpoints.keys()
+
+    def add_up_flights(self) -> None:
+        desk = self.module.desk
+        counted = {name: seat.elsewhere for name, seat in desk.seats.items()}
+        coming = dict.fromkeys(desk.seats, 0)
+        for submission in desk.open.values():
+            for flight in submission.flights:
+                if flight.out:
+                    assert desk.seats[flight.seat.name] is flight.seat
+                    where = counted if flight.counted else coming
+                    where[flight.seat.name] += 1
+        assert counted == {name: seat.flying for name, seat in desk.seats.items()}
+        assert coming == {name: seat.coming for name, seat in desk.seats.items()}
+
+    # What happens to it.
+
+    def listing(self) -> t.Listing:
+        rng = self.rng
+        started = rng.choice([0, 0, self.now, self.now - SECOND, self.now + 50 * SECOND])
+        state = rng.choice([t.State.READY] * 4 + [t.State.DRAINING, t.State.GONE])
+        weight = rng.choice([1.0, 1.0, 0.25, 4.0, 0.0, -1.0, float("nan"), float("inf")])
+        where = rng.choice(ZONES), rng.choice(KINDS), rng.choice(["0", "1", ""])
+        return t.Listing(rng.choice([*self.names, "never seen"]), state, *where, started, weight)
+
+    def list_(self) -> None:
+        kind = self.rng.choice(list(t.ListKind))
+        some = 0 if kind is t.ListKind.FAILED else self.rng.randrange(len(self.names) * 2 + 1)
+        self.step(t.Listed(kind, [self.listing() for _ in range(some)]))
+
+    def arrive(self) -> None:
+        rng = self.rng
+        self.serial += 1
+        name, whole = f"s{self.serial}", rng.random() < 0.8
+        due = self.now + rng.choice([-SECOND, -1, 0, 1, 5 * MS, SECOND, 3 * SECOND])
+        self.owed[name] = due
+        if not whole:
+            self.guessed.add(name)
+        workload, tenant = rng.choice([*WORKLOADS, "no such"]), rng.choice(["a", "b", "no such"])
+        key = rng.choice(["", "key"])
+        self.step(t.Arrived(name, workload, due, tenant, rng.random() < 0.3, whole, key, rng.random() < 0.8))
+
+    def tell_twice(self) -> None:
+        if self.owed:
+            name = self.rng.choice(list(self.owed))
+            self.step(t.Arrived(name, "idem", self.owed[name]))
+
+    def complete(self) -> None:
+        name = self.rng.choice([*self.guessed, "no such"])
+        due = self.now + self.rng.choice([-1, 0, SECOND])
+        self.guessed.discard(name)
+        if name in self.owed:
+            self.owed[name] = due
+        self.step(t.Whole(name, due))
+
+    def end(self) -> None:
+        if not self.out:
+            return self.step(t.Ended("no such", 0, t.How.ERROR, 0))
+        key = self.rng.choice(list(self.out))
+        self.finish(key, self.rng.choice(list(t.How)))
+
+    def finish(self, key: tuple[str, int], how: t.How) -> None:
+        name, number = key
+        del self.out[key]
+        handled = how is t.How.HANDLED
+        closed = handled or name not in self.owed
+        if handled:
+            self.owed.pop(name, None)
+            self.guessed.discard(name)
+        took = self.rng.choice([-5, 0, 0, 1, 20 * MS, SECOND])
+        load = t.Load(self.rng.choice([None, 0.0, 9.0]), busy=self.rng.choice([None, 0.0, 1.0]))
+        ended = t.Ended(
+            name, number, how, took, closed, self.rng.choice([None, load]), self.rng.random() < 0.1
+        )
+        self.step(ended)
+        self.step(t.Ended(name, self.rng.choice([number, -1, 99]), how, took))  # once more, or never sent
+
+    def withdraw(self) -> None:
+        name = self.rng.choice([*self.owed, "no such"])
+        self.owed.pop(name, None)
+        self.guessed.discard(name)
+        self.step(t.Withdrawn(name))
+
+    def start(self) -> None:
+        begun = [key for key in self.out if key[0] in self.owed]
+        name, number = self.rng.choice(begun) if begun else ("no such", 0)
+        self.streams.add(name)
+        self.step(t.Started(name, number))
+
+    def probed(self) -> None:
+        how = self.rng.choice([t.How.HANDLED, t.How.UNCONNECTED, t.How.TIMED_OUT])
+        load = self.rng.choice([None, t.Load(0.0, busy=0.0), t.Load(50.0)])
+        self.step(t.Probed(self.rng.choice([*self.names, "no such"]), how, self.rng.choice([0, MS]), load))
+
+    def by_hand(self) -> None:
+        self.step(t.ByHand(self.rng.choice([*self.names, "no such"]), self.rng.random() < 0.5))
+
+    def elsewhere(self) -> None:
+        some = self.rng.sample([*self.names, "no such"], self.rng.randrange(len(self.names) + 2))
+        self.step(t.Elsewhere({name: self.rng.randrange(4) for name in some}, self.rng.randrange(3)))
+
+    def common(self) -> None:
+        plan = {"idem": ({"z0": 0.5, "z1": 0.5}, {"no such": 1.0}), "once": ({}, {})}
+        until = self.rng.choice([0, self.now, self.now + SECOND])
+        sidecars = self.rng.choice([-1, 0, 1, 200])
+        brakes = {name: self.rng.choice([0.0, 0.5]) for name in self.names[:2]}
+        self.step(t.Common(sidecars, plan, brakes, {"z0": 3, "z1": 0}, until))
+
+    def deploy(self) -> None:
+        again = drawn_deployment(self.rng)
+        for held in ("tier", "beside", "few_connections", "uneven", "seed", "must_ask", "zone", "gone_binds"):
+            setattr(again, held, getattr(self.deployment, held))
+        self.step(t.Deployed(again))
+
+    def turn_clock_back(self) -> None:
+        self.now -= self.rng.choice([1, SECOND])
+        self.step(t.Woke(1))
+
+    def drive(self) -> None:
+        events = [self.list_] * 3 + [self.arrive] * 12 + [self.end] * 8 + [self.probed] * 3
+        events += [self.complete, self.withdraw, self.by_hand, self.elsewhere, self.common, self.deploy]
+        events += [self.tell_twice, self.turn_clock_back, self.start]
+        self.step(t.Listed(t.ListKind.CACHED, [t.Listing(name, t.State.READY) for name in self.names]))
+        for _ in range(STEPS):
+            self.rng.choice(events)()
+            self.pass_time(self.rng.choice([0, 0, MS, 20 * MS, 300 * MS]))
+        self.end_all()
+
+    def end_all(self) -> None:
+        """Nothing may be owed once all deadlines are over, and nothing left when all launches have ended."""
+        self.step(t.Elsewhere({}))
+        self.pass_time(30 * SECOND)
+        assert self.owed.keys() <= self.streams
+        for key in list(self.out):
+            self.finish(key, t.How.ERROR)
+        assert not self.owed
+        assert not self.module.desk.open and not self.module.desk.busy
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_odd_notes_raise_nothing_leave_nothing_owed_and_counts_true(seed):
+    Hostile(seed).drive()
