--- /dev/null
+++ b/lupinmill/cli/faults.py
@@ -0,0 +1,27 @@
+"""`lupinmill lab faults`: the fault campaign at any size."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+
+BROKEN = 1
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True, type=click.IntRange(0), help="Of the first run.")
+@click.option("--seeds", default=1, show_default=True, type=click.IntRange(1), help="Runs, from that seed on.")
+@click.option("--processes", default=30, show_default=True, type=click.IntRange(1, 200))
+@click.option("--seconds", default=30.0, show_default=True, type=click.FloatRange(1, 3600), help="Of each run.")
+def faults(seed: int, seeds: int, processes: int, seconds: float) -> None:
+    """Real processes among stand-ins under drawn faults, judged by a referee. Exit code 1 where it finds a
+    break; it prints the seed and the schedule that replay it."""
+    from lupinmill.lab.faults import run
+
+    broken = False
+    for one in range(seed, seed + seeds):
+        verdict = run.play(one, processes, seconds)
+        click.echo(verdict.text())
+        broken |= bool(verdict.breaks)
+    sys.exit(BROKEN if broken else 0)
--- a/lupinmill/cli/lab.py
+++ b/lupinmill/cli/lab.py
@@ -524,7 +524,9 @@
     click.echo(f"nothing broken, also in {walks} walks" if walks else "nothing broken")
 
 
+from lupinmill.cli.faults import faults  # noqa: E402
 from lupinmill.cli.scale import slopes  # noqa: E402
 
+lab.add_command(faults)
 lab.add_command(slopes)
 lab.add_command(capacity)
--- /dev/null
+++ b/lupinmill/lab/faults/discovery.py
@@ -0,0 +1,195 @@
+"""A stand-in for discovery: the whole list, watches, and the ways in which both fail."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import time
+from random import Random
+from typing import Any
+from urllib.parse import parse_qs
+
+from lupinmill.lab.faults.records import Change, Records
+from lupinmill.lab.faults.wire import BadMessage, Cut, Wire, read_request, wait_for_socket
+
+LONGEST_WAIT = 60.0  # seconds
+UP, SLOW = "up", "in pieces"
+TELLS = (UP, SLOW)
+MODES = (UP, SLOW, "down", "silent", "503", "garbage", "bad rows", "nothing", "endless")
+
+
+class Discovery:
+    """One customer's, at two addresses. `mode` is what it does now; `set_mode` ends open watches."""
+
+    def __init__(self, customer: str, host: str, records: Records) -> None:
+        self.customer, self.records = customer, records
+        self.rows: dict[str, dict[str, Any]] = {}
+        self.gone: dict[str, tuple[int, dict[str, Any]]] = {}
+        self.versions: dict[str, int] = {}
+        self.index, self.mode = 1, UP
+        self.reachable_since: float | None = time.time()
+        self.news = asyncio.Event()
+        self.socks = [listening(host) for _ in range(2)]
+        self.addresses = ["%s:%d" % sock.getsockname() for sock in self.socks]
+        self.tasks: set[asyncio.Task[None]] = set()
+        records.changes[customer], records.reachable[customer] = [], []
+
+    def change(self, name: str, **values: Any) -> None:
+        """An endpoint's row; `status` DELETED takes it out."""
+        row = self.rows.get(name, {}) | values
+        self.index += 1
+        self.versions[name] = self.index
+        if row["status"] == "DELETED":
+            self.rows.pop(name, None)
+            self.gone[name] = (self.index, row)
+        else:
+            self.rows[name] = row
+            self.gone.pop(name, None)
+        self.records.changes[self.customer].append(Change(time.time(), name, row["status"]))
+        self.wake()
+
+    def wake(self) -> None:
+        self.news.set()
+        self.news = asyncio.Event()
+
+    def set_mode(self, mode: str) -> None:
+        if mode == self.mode:
+            return
+        self.close_span()
+        self.mode = mode
+        self.reachable_since = time.time() if mode in TELLS else None
+        if mode == "silent":
+            return  # open watches stay open
+        self.wake()
+        if mode not in TELLS:
+            for task in list(self.tasks):
+                task.cancel()
+
+    def close_span(self) -> None:
+        if self.reachable_since is not None:
+            self.records.reachable[self.customer].append((self.reachable_since, time.time()))
+            self.reachable_since = None
+
+    async def run(self) -> None:
+        try:
+            await asyncio.gather(*(self.accept(sock) for sock in self.socks))
+        finally:
+            self.close_span()
+            for sock in self.socks:
+                sock.close()
+            for task in list(self.tasks):
+                task.cancel()
+
+    async def accept(self, listener: socket.socket) -> None:
+        while True:
+            await wait_for_socket(listener, False)
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                continue
+            if self.mode == "down":
+                Wire(sock).close(reset=True)
+                continue
+            task = asyncio.create_task(self.serve(Wire(sock)))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def serve(self, wire: Wire) -> None:
+        try:
+            while (message := await read_request(wire)) is not None:
+                target = message.start.split(b" ")[1].decode("latin-1")
+                path, _, query = target.partition("?")
+                if path != "/v1/endpoints" or not message.start.startswith(b"GET "):
+                    raise BadMessage(f"not a call of discovery: {message.start[:80]!r}")
+                await self.tell(wire, {key: values[0] for key, values in parse_qs(query).items()})
+        except (Cut, OSError):
+            pass
+        except BadMessage as error:
+            self.records.strangers.append((self.customer, f"discovery: {error}"))
+        finally:
+            wire.close()
+
+    async def tell(self, wire: Wire, query: dict[str, str]) -> None:
+        if self.mode in TELLS:
+            await self.tell_well(wire, query)
+        elif self.mode == "503":
+            await wire.send(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        elif self.mode == "garbage":
+            await wire.send(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"index\":")
+        elif self.mode == "bad rows":
+            await wire.send(answer_of(self.spoilt_list()))
+        elif self.mode == "nothing":
+            await wire.send(answer_of({"index": None, "snapshot": True, "endpoints": None}))
+        elif self.mode == "endless":
+            await wire.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            while True:
+                await wire.send(b"1\r\n \r\n")
+                await asyncio.sleep(0.05)
+        else:
+            await asyncio.sleep(LONGEST_WAIT)
+
+    async def tell_well(self, wire: Wire, query: dict[str, str]) -> None:
+        if "index" in query:
+            index, wait = int(query["index"]), min(LONGEST_WAIT, int(query.get("wait", "0")) / 1000)
+            if index >= self.index:
+                try:
+                    async with asyncio.timeout(wait):
+                        await self.news.wait()
+                except TimeoutError:
+                    pass
+                if self.mode not in TELLS:
+                    await asyncio.sleep(LONGEST_WAIT)
+            table = self.changes_since(index)
+        else:
+            table = {"index": self.index, "snapshot": True, "endpoints": list(self.rows.values())}
+        data = answer_of(table, indented=self.mode == SLOW)
+        if self.mode != SLOW:
+            await wire.send(data)
+            return
+        step = max(1, len(data) // 7)
+        for at in range(0, len(data), step):
+            await wire.send(data[at : at + step])
+            await asyncio.sleep(0.01)
+
+    def changes_since(self, index: int) -> dict[str, Any]:
+        rows = [row for name, row in self.rows.items() if self.versions[name] > index]
+        rows += [row for version, row in self.gone.values() if version > index]
+        return {"index": self.index, "snapshot": False, "endpoints": rows}
+
+    def spoilt_list(self) -> dict[str, Any]:
+        """Good rows with bad ones between them."""
+        bad: list[Any] = [
+            {"name": None, "address": "127.0.0.1:1", "status": "SERVING"},
+            {"name": "no-address", "status": "SERVING"},
+            {"name": "odd", "address": "127.0.0.1:1", "status": "RESTING", "weight": "heavy"},
+            {"name": "no-number", "address": "nowhere", "status": "SERVING", "since_ms": "long ago"},
+            "no row at all",
+        ]
+        chosen = bad[self.index % len(bad)]
+        return {"index": self.index, "snapshot": True, "endpoints": [*self.rows.values(), chosen]}
+
+
+def listening(host: str) -> socket.socket:
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, 0))
+    sock.listen(256)
+    sock.setblocking(False)
+    return sock
+
+
+def answer_of(table: dict[str, Any], indented: bool = False) -> bytes:
+    body = json.dumps(table, indent=2 if indented else None).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+def draw_modes(random: Random, seconds: float) -> list[tuple[float, str]]:
+    """When it changes to which mode. Two thirds of the time it tells."""
+    found, at = [(0.0, random.choice(TELLS) if random.random() < 0.8 else random.choice(MODES))], 0.0
+    while True:
+        at += random.uniform(1.0, 4.0) if found[-1][1] not in TELLS else random.uniform(4.0, 11.0)
+        if at >= seconds:
+            return found
+        tells = found[-1][1] in TELLS
+        found.append((round(at, 2), random.choice(MODES[2:] if tells else TELLS)))
--- /dev/null
+++ b/lupinmill/lab/faults/records.py
@@ -0,0 +1,170 @@
+"""What the stand-ins write down, and all that the referee judges by. Times are Unix seconds."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+from pathlib import Path
+
+HEARTBEAT = 0.05  # seconds
+KEPT_LOG_LINES = 30
+
+
+class Fault(Enum):
+    """The kinds of failure that operators see."""
+
+    CRASHED = "crashed"
+    HUNG = "hung"
+    NOT_STARTED = "did not start"
+    SENT = "sent what no client had sent"
+    UNANSWERED = "a request without its one answer"
+    UNSAFE = "an effect that may come twice, or a refusal that is not harmless"
+    TOO_LATE = "sent after its end"
+    DEFECT = "a defect, logged"
+
+
+@dataclass(slots=True)
+class Break:
+    fault: Fault
+    sidecar: str
+    text: str
+
+
+@dataclass(slots=True)
+class Life:
+    """One process of a sidecar, from its start to its end."""
+
+    sidecar: str
+    number: int
+    pid: int
+    started: float
+    script: str
+    valid: bool = True  # its configuration
+    logged: bool = True  # its standard output can be read
+    ready: float | None = None
+    terminated: float | None = None  # when SIGTERM was sent first
+    killed: float | None = None
+    ended: float | None = None
+    exit_code: int | None = None
+    stops: list[tuple[float, float]] = field(default_factory=list)
+    crowded: list[tuple[float, float]] = field(default_factory=list)  # idle connections filled its descriptors
+    hung: list[str] = field(default_factory=list)
+    errors: list[str] = field(default_factory=list)  # lines of its standard error
+    lines: deque[str] = field(default_factory=lambda: deque(maxlen=KEPT_LOG_LINES))
+    defects: list[str] = field(default_factory=list)
+    reloads: list[float] = field(default_factory=list)
+    waits: list[tuple[float, float]] = field(default_factory=list)  # when, seconds it has waited for a core
+
+    def starved_between(self, begin: float, end: float) -> float:
+        """Seconds of that span, and a heartbeat on each side, in which it was ready to run and had no core."""
+        before = [wait for at, wait in self.waits if at < begin - HEARTBEAT]
+        within = [wait for at, wait in self.waits if at <= end + 2 * HEARTBEAT]
+        return within[-1] - (before[-1] if before else 0.0) if within else 0.0
+
+    def stopped_between(self, begin: float, end: float) -> float:
+        """Seconds of that span in which SIGSTOP held it."""
+        return sum(max(0.0, min(end, b) - max(begin, a)) for a, b in self.stops)
+
+    def crowded_between(self, begin: float, end: float) -> bool:
+        return any(a <= end and b >= begin for a, b in self.crowded)
+
+
+@dataclass(slots=True)
+class Answered:
+    at: float
+    status: int
+    body: bytes
+
+
+@dataclass(slots=True)
+class Sent:
+    """One request as a client wrote it."""
+
+    id: bytes
+    customer: str
+    life: Life
+    kind: str
+    effect: str  # repeatable, by_key, once; or malformed: it must reach no endpoint
+    method: bytes
+    target: bytes
+    body: bytes
+    ids: list[bytes]
+    keys: list[bytes]
+    deadline: float
+    how: str  # of its client, for the report
+    first_on_connection: bool = True
+    written: float | None = None  # its last byte; never, where its client cut it off
+    left: float | None = None  # when its client closed, reset or half-closed
+    over: float | None = None  # when its client stopped waiting, in whatever way
+    reset: bool = False  # its connection ended in a reset
+    broken: str = ""  # an answer that began and whose client could tell that it is not whole
+    answers: list[Answered] = field(default_factory=list)
+    extra: bytes = b""  # what came behind the answer
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One request as an endpoint read it, whole."""
+
+    endpoint: str
+    group: str
+    zone: str
+    customer: str
+    method: bytes
+    target: bytes
+    body: bytes
+    ids: list[bytes]
+    keys: list[bytes]
+    deadline: bytes
+    first_byte: float
+    last_byte: float
+    turned_away: bool = False  # with Srv-Declined: never ran
+    made: bytes = b""  # the body of the 200 answer that was made for it
+
+
+@dataclass(slots=True)
+class Change:
+    """Of an endpoint's status, at discovery."""
+
+    at: float
+    endpoint: str
+    status: str
+
+
+class Records:
+    """All that happened in a run, and how late the campaign's own loop was."""
+
+    def __init__(self) -> None:
+        self.lives: list[Life] = []
+        self.sent: dict[bytes, Sent] = {}
+        self.attempts: list[Attempt] = []
+        self.strangers: list[tuple[str, str]] = []  # customer, what came to an endpoint and is no request
+        self.changes: dict[str, list[Change]] = {}  # of a customer
+        self.reachable: dict[str, list[tuple[float, float]]] = {}  # spans of a customer's discovery
+        self.lags: list[tuple[float, float]] = []  # when a heartbeat came, and how late
+
+    async def beat(self) -> None:
+        while True:
+            due = time.monotonic() + HEARTBEAT
+            await asyncio.sleep(HEARTBEAT)
+            late = time.monotonic() - due
+            if late > 0.01:
+                self.lags.append((time.time(), late))
+            for life in self.lives:
+                if life.ended is None:
+                    life.waits.append((time.time(), waited_for_a_core(life.pid)))
+
+    def lag_between(self, begin: float, end: float) -> float:
+        """How late the campaign's own loop was at the most."""
+        return max((late for at, late in self.lags if begin <= at and at - late <= end), default=0.0)
+
+
+def waited_for_a_core(pid: int) -> float:
+    """Seconds for which the process was ready to run and another had the core; 0 where no kernel tells."""
+    try:
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e9
+    except (OSError, ValueError, IndexError):
+        return 0.0
