--- a/lupinmill/lab/faults/discovery.py
+++ b/lupinmill/lab/faults/discovery.py
@@ -35,7 +35,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         records.changes[customer], records.reachable[customer] = [], []
 
-    def change(self, name: str, **values: Any) -> None:
+    def change(self, name: str, /, **values: Any) -> None:
         """An endpoint's row; `status` DELETED takes it out."""
         row = self.rows.get(name, {}) | values
         self.index += 1
--- a/lupinmill/lab/faults/processes.py
+++ b/lupinmill/lab/faults/processes.py
@@ -16,6 +16,7 @@
 ROOT = Path(__file__).parents[3]
 DEFECTS = ("task_failed", "backstop")  # events of the log that tell of a defect
 PROGRAM = (sys.executable, "-m", "lupinmill")
+OF_THE_PROGRAM = ("orjson", "_socket")  # libraries that the interpreter itself doesn't load
 CLOSED, STUCK, READ = "closed", "stuck", "read"
 WITHOUT_OUTPUT = ("/bin/sh", "-c", 'exec "$@" >&-', "sh")  # standard output is closed
 
@@ -92,6 +93,8 @@
         assert self.life is not None
         if not self.alive:
             return
+        if signum in (signal.SIGHUP, signal.SIGTERM) and not program_begun(self.process.pid):
+            self.life.signalled_before_program = True
         now = time.time()
         if signum is signal.SIGTERM and self.life.terminated is None:
             self.life.terminated = now
@@ -99,7 +102,10 @@
             self.life.killed = now
         elif signum is signal.SIGHUP:
             self.life.reloads.append(now)
-        os.kill(self.process.pid, signum)
+        try:
+            os.kill(self.process.pid, signum)
+        except ProcessLookupError:
+            pass  # it has just ended
 
     async def hold(self, seconds: float) -> None:
         """Stopped for so long. The span is open while it lasts."""
@@ -140,6 +146,15 @@
         self.stuck = []
 
 
+def program_begun(pid: int) -> bool:
+    """Has the process begun to load what the program imports? Before that it is the bare interpreter."""
+    try:
+        maps = Path(f"/proc/{pid}/maps").read_text()
+    except OSError:
+        return False
+    return any(name in maps for name in OF_THE_PROGRAM)
+
+
 def fill_pipe(descriptor: int) -> None:
     os.set_blocking(descriptor, False)
     try:
--- a/lupinmill/lab/faults/records.py
+++ b/lupinmill/lab/faults/records.py
@@ -29,6 +29,7 @@
 @dataclass(slots=True)
 class Break:
     fault: Fault
+    rule: str  # what was broken, the same for all breaks of one kind
     sidecar: str
     text: str
 
@@ -56,6 +57,7 @@
     lines: deque[str] = field(default_factory=lambda: deque(maxlen=KEPT_LOG_LINES))
     defects: list[str] = field(default_factory=list)
     reloads: list[float] = field(default_factory=list)
+    signalled_before_program: bool = False  # while the interpreter itself started: no program can help it
     waits: list[tuple[float, float]] = field(default_factory=list)  # when, seconds it has waited for a core
 
     def starved_between(self, begin: float, end: float) -> float:
@@ -97,6 +99,7 @@
     how: str  # of its client, for the report
     first_on_connection: bool = True
     written: float | None = None  # its last byte; never, where its client cut it off
+    behind: float | None = None  # when the one before it on its connection was answered, if both were sent at once
     left: float | None = None  # when its client closed, reset or half-closed
     over: float | None = None  # when its client stopped waiting, in whatever way
     reset: bool = False  # its connection ended in a reset
