--- a/lupinmill/cli/faults.py
+++ b/lupinmill/cli/faults.py
@@ -11,9 +11,13 @@
 
 @click.command()
 @click.option("--seed", default=1, show_default=True, type=click.IntRange(0), help="Of the first run.")
-@click.option("--seeds", default=1, show_default=True, type=click.IntRange(1), help="Runs, from that seed on.")
+@click.option(
+    "--seeds", default=1, show_default=True, type=click.IntRange(1), help="Runs, from that seed on."
+)
 @click.option("--processes", default=30, show_default=True, type=click.IntRange(1, 200))
-@click.option("--seconds", default=30.0, show_default=True, type=click.FloatRange(1, 3600), help="Of each run.")
+@click.option(
+    "--seconds", default=30.0, show_default=True, type=click.FloatRange(1, 3600), help="Of each run."
+)
 def faults(seed: int, seeds: int, processes: int, seconds: float) -> None:
     """Real processes among stand-ins under drawn faults, judged by a referee. Exit code 1 where it finds a
     break; it prints the seed and the schedule that replay it."""
--- a/lupinmill/lab/faults/clients.py
+++ b/lupinmill/lab/faults/clients.py
@@ -1,5 +1,5 @@
-"""Stand-ins for clients: ordinary ones, such that leave, and hostile ones. Each request is written down before its
-first byte goes out, and what came of it."""
+"""Stand-ins for clients: ordinary ones, such that leave, and hostile ones. Each request is written down
+before its first byte goes out, and what came of it."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from random import Random
 
 from lupinmill.lab.faults.customers import Customer, Workload
-from lupinmill.lab.faults.records import Answered, Life, Records, Sent
+from lupinmill.lab.faults.records import Answered, Ending, Life, Records, Sent
 from lupinmill.lab.faults.wire import BadMessage, Cut, Wire, connect, read_answer, status_of
 
 PATIENCE = 8.0  # seconds beyond its deadline for which a client waits, lest a busy machine fail a request
@@ -56,7 +56,13 @@
     def takes(self) -> bool:
         """May a client open a connection to it?"""
         life = self.life
-        if life is None or life.ready is None or life.ended is not None or life.killed is not None or self.over:
+        if (
+            life is None
+            or life.ready is None
+            or life.ended is not None
+            or life.killed is not None
+            or self.over
+        ):
             return False
         return life.terminated is None or time.time() - life.terminated < LAST_NEW_CONNECTION
 
@@ -69,8 +75,19 @@
         self.serial = 0
 
     def tasks(self) -> list[Callable[[], object]]:
-        kinds = (self.ordinary, self.ordinary, self.ordinary, self.leaving, self.pipelining, self.hostile, self.odd)
-        return [lambda at=at, kind=kind: self.keep_on(kind, Random(f"{self.seed} {at}")) for at, kind in enumerate(kinds)]
+        kinds = (
+            self.ordinary,
+            self.ordinary,
+            self.ordinary,
+            self.leaving,
+            self.pipelining,
+            self.hostile,
+            self.odd,
+        )
+        return [
+            lambda at=at, kind=kind: self.keep_on(kind, Random(f"{self.seed} {at}"))
+            for at, kind in enumerate(kinds)
+        ]
 
     async def keep_on(self, kind: Callable[[Random], object], random: Random) -> None:
         while not self.sidecar.over:
@@ -85,7 +102,9 @@
 
     # Requests.
 
-    def draw(self, random: Random, how: str, workload: Workload | None = None, body: int | None = None) -> Sent:
+    def draw(
+        self, random: Random, how: str, workload: Workload | None = None, body: int | None = None
+    ) -> Sent:
         one = workload or random.choice(self.customer.workloads)
         self.serial += 1
         name = f"{self.sidecar.name}-{self.serial}-{random.getrandbits(32):08x}".encode()
@@ -113,7 +132,9 @@
         return sent
 
     def head(self, sent: Sent, random: Random, more: tuple[bytes, ...] = (), length: bool = True) -> bytes:
-        deadline = random.choice((b"%.3f", b"%.6f", b"%.1f") if sent.deadline >= 1 else (b"%.3f",)) % sent.deadline
+        deadline = (
+            random.choice((b"%.3f", b"%.6f", b"%.1f") if sent.deadline >= 1 else (b"%.3f",)) % sent.deadline
+        )
         sent.deadline = float(deadline)
         lines = [b"%b %b HTTP/1.1" % (sent.method, sent.target), b"Host: app.svc"]
         lines += [b"Req-Id: " + one for one in sent.ids]
@@ -142,21 +163,27 @@
             sent.over = time.time()
             return False
         except Cut as error:
-            sent.reset, sent.over = error.reset, time.time()
+            await self.ended(wire, sent, error.reset)
             if wire.buffer:
                 sent.broken = "cut inside an answer"
             return False
         except OSError:
-            sent.reset, sent.over = True, time.time()
+            await self.ended(wire, sent, True)
             return False
         except BadMessage as error:
             sent.over, sent.extra = time.time(), str(error).encode()
             return False
-        sent.over = time.time()
         if message is None:
+            await self.ended(wire, sent, False)
             return False
-        sent.answers.append(Answered(wire.stamp, status_of(message), message.body))
-        return b"close" not in message.value(b"connection").lower()
+        sent.over = time.time()
+        closes = b"close" in message.value(b"connection").lower()
+        sent.answers.append(Answered(wire.stamp, status_of(message), message.body, closes))
+        return not closes
+
+    async def ended(self, wire: Wire, sent: Sent, reset: bool) -> None:
+        sent.over = time.time()
+        sent.ending = Ending.RESET if reset or await wire.was_reset() else Ending.CLOSED
 
     async def be_patient(self, sent: Sent, limit: asyncio.Timeout) -> None:
         """Ends the wait once its time, and that in which the process was stopped, is long over."""
@@ -230,25 +257,35 @@
             batch = [self.draw(random, "pipelining") for _ in range(random.randint(2, 4))]
             for at, sent in enumerate(batch):
                 sent.first_on_connection = at == 0
+                sent.behind = batch[at - 1] if at else None
             empty = random.choice((b"", b"", b"\r\n", b"\r\n\r\n"))
-            data = empty.join(self.head(sent, random) + sent.body for sent in batch)
-            cuts = sorted(random.randint(0, len(data)) for _ in range(random.randint(0, 3)))
-            for begin, end in zip([0, *cuts], [*cuts, len(data)]):
-                await wire.send(data[begin:end])
-                await asyncio.sleep(random.choice((0, 0.001, 0.02)))
-            for sent in batch:
-                sent.written = time.time()
-            for at, sent in enumerate(batch):
-                if at:
-                    sent.behind = batch[at - 1].over
+            texts = [self.head(sent, random) + sent.body for sent in batch]
+            await self.send_batch(wire, random, batch, texts, empty)
+            for at, sent in enumerate(batch):  # noqa: B007
                 if not await self.hear(wire, sent):
                     break
-            for sent in batch:
-                if sent.over is None:  # the connection ended before its turn
-                    sent.over, sent.first_on_connection = time.time(), False
+            for sent in batch[at + 1 :]:  # the connection ended before its turn
+                sent.over, sent.ending = time.time(), batch[at].ending
         finally:
             wire.close()
 
+    async def send_batch(
+        self, wire: Wire, random: Random, batch: list[Sent], texts: list[bytes], empty: bytes
+    ) -> None:
+        """Cut into pieces anywhere, with empty lines between the requests."""
+        data = empty.join(texts)
+        cuts = sorted(random.randint(0, len(data)) for _ in range(random.randint(0, 3)))
+        ends = [sum(map(len, texts[: at + 1])) + at * len(empty) for at in range(len(texts))]
+        for begin, end in zip([0, *cuts], [*cuts, len(data)]):
+            try:
+                await wire.send(data[begin:end])
+            except OSError:
+                return  # what it answered before it closed may lie here to be read
+            for sent, its_end in zip(batch, ends):
+                if begin < its_end <= end:
+                    sent.written = time.time()
+            await asyncio.sleep(random.choice((0, 0.001, 0.02)))
+
     async def odd(self, random: Random) -> None:
         """Valid, and not what most clients write; or cut off by its client before its end."""
         kind = random.choice(("trickling", "cut", "large", "chunked", "absolute", "named", "1.0", "expects"))
@@ -279,7 +316,9 @@
             elif kind == "named":
                 # `Connection` names headers that identity or repeat safety hang on: refused, or kept.
                 sent = self.draw(random, "named in Connection", workload)
-                names = random.choice((b"Idempotency-Key", b"Req-Id", b"close, Idempotency-Key, req-id", b"Req-Kind"))
+                names = random.choice(
+                    (b"Idempotency-Key", b"Req-Id", b"close, Idempotency-Key, req-id", b"Req-Kind")
+                )
                 await wire.send(self.head(sent, random, (b"Connection: " + names,)) + sent.body)
             elif kind == "expects":
                 sent = self.draw(random, "expects 100", workload, 50)
--- a/lupinmill/lab/faults/customers.py
+++ b/lupinmill/lab/faults/customers.py
@@ -1,4 +1,4 @@
-"""Imaginary customers: settings drawn within what the documents allow, and configurations that they do not."""
+"""Imaginary customers: settings drawn within what the documents allow, and configurations outside of that."""
 
 from __future__ import annotations
 
--- a/lupinmill/lab/faults/discovery.py
+++ b/lupinmill/lab/faults/discovery.py
@@ -116,7 +116,7 @@
         elif self.mode == "503":
             await wire.send(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
         elif self.mode == "garbage":
-            await wire.send(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"index\":")
+            await wire.send(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"index":')
         elif self.mode == "bad rows":
             await wire.send(answer_of(self.spoilt_list()))
         elif self.mode == "nothing":
@@ -181,7 +181,10 @@
 
 def answer_of(table: dict[str, Any], indented: bool = False) -> bytes:
     body = json.dumps(table, indent=2 if indented else None).encode()
-    return b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+    return b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b" % (
+        len(body),
+        body,
+    )
 
 
 def draw_modes(random: Random, seconds: float) -> list[tuple[float, str]]:
--- a/lupinmill/lab/faults/endpoints.py
+++ b/lupinmill/lab/faults/endpoints.py
@@ -1,7 +1,7 @@
 """Stand-ins for endpoints: each writes down every whole request and then answers as drawn, well or badly.
 
-What is drawn hangs on the run's seed, the request's id and the number of the attempt alone, so that it is the same
-in a replay whatever the order of arrival."""
+What is drawn hangs on the run's seed, the request's id and the number of the attempt alone, so that it is the
+same in a replay whatever the order of arrival."""
 
 from __future__ import annotations
 
@@ -48,7 +48,15 @@
     """One endpoint's server. `bad` is the share of its answers that are drawn from the faults."""
 
     def __init__(
-        self, customer: str, row: dict, host: str, seed: str, bad: float, idle: float, probes: bool, records: Records
+        self,
+        customer: str,
+        row: dict,
+        host: str,
+        seed: str,
+        bad: float,
+        idle: float,
+        probes: bool,
+        records: Records,
     ) -> None:
         self.customer, self.row, self.seed, self.bad = customer, row, seed, bad
         self.idle, self.probes, self.records = idle, probes, records
@@ -141,7 +149,9 @@
         random = Random(f"{self.seed} {self.name} {name!r} {number}")
         behaviour = random.choice(BEHAVIOURS) if random.random() < self.bad else "well"
         if behaviour == "early error" and message.value(b"content-length") not in (b"", b"0"):
-            await wire.send(b"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+            await wire.send(
+                b"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+            )
             return False
         await read_body(wire, message, False)
         attempt = self.write_down(message, method, target)
@@ -153,7 +163,9 @@
         if not self.probes:
             self.records.strangers.append((self.customer, f"{self.name} got a probe that is not allowed"))
         body = b"waiting=1,cpu=0.5"
-        await wire.send(b"HTTP/1.1 200 OK\r\nSrv-Load: %b\r\nContent-Length: %d\r\n\r\n%b" % (body, len(body), body))
+        await wire.send(
+            b"HTTP/1.1 200 OK\r\nSrv-Load: %b\r\nContent-Length: %d\r\n\r\n%b" % (body, len(body), body)
+        )
         return True
 
     def write_down(self, message: Message, method: bytes, target: bytes) -> Attempt:
@@ -199,7 +211,9 @@
             wire.close(reset=behaviour == "reset")
             return False
         if behaviour == "garbage":
-            await wire.send(random.choice((b"200 fine, thanks\r\n\r\n", b"\x00\xff\x80" * 40, b"HTTP/1.1 two OK\r\n\r\n")))
+            await wire.send(
+                random.choice((b"200 fine, thanks\r\n\r\n", b"\x00\xff\x80" * 40, b"HTTP/1.1 two OK\r\n\r\n"))
+            )
             return False
         return await self.answer_made(wire, attempt, behaviour, random)
 
@@ -211,11 +225,14 @@
             whole = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + whole
         elif behaviour.startswith("chunked"):
             middle = len(body) // 2
-            whole = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n%x;a=b\r\n%b\r\n0\r\n\r\n" % (
-                middle,
-                body[:middle],
-                len(body) - middle,
-                body[middle:],
+            whole = (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n%x;a=b\r\n%b\r\n0\r\n\r\n"
+                % (
+                    middle,
+                    body[:middle],
+                    len(body) - middle,
+                    body[middle:],
+                )
             )
         elif behaviour == "close behind it":
             whole = whole.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1)
--- a/lupinmill/lab/faults/processes.py
+++ b/lupinmill/lab/faults/processes.py
@@ -1,4 +1,4 @@
-"""Processes of the program: started, signalled, stopped and ended, each by its own id, and what they wrote."""
+"""Processes of the program: started, signalled, stopped and ended by their own ids, and what they wrote."""
 
 from __future__ import annotations
 
--- a/lupinmill/lab/faults/records.py
+++ b/lupinmill/lab/faults/records.py
@@ -26,6 +26,14 @@
     DEFECT = "a defect, logged"
 
 
+class Ending(Enum):
+    """How a connection ended, by what its client's kernel saw."""
+
+    NONE = "never answered"
+    CLOSED = "closed, with all read"
+    RESET = "reset"  # with the request unread, or closed before it came
+
+
 @dataclass(slots=True)
 class Break:
     fault: Fault
@@ -51,7 +59,9 @@
     ended: float | None = None
     exit_code: int | None = None
     stops: list[tuple[float, float]] = field(default_factory=list)
-    crowded: list[tuple[float, float]] = field(default_factory=list)  # idle connections filled its descriptors
+    crowded: list[tuple[float, float]] = field(
+        default_factory=list
+    )  # idle connections filled its descriptors
     hung: list[str] = field(default_factory=list)
     errors: list[str] = field(default_factory=list)  # lines of its standard error
     lines: deque[str] = field(default_factory=lambda: deque(maxlen=KEPT_LOG_LINES))
@@ -61,7 +71,7 @@
     waits: list[tuple[float, float]] = field(default_factory=list)  # when, seconds it has waited for a core
 
     def starved_between(self, begin: float, end: float) -> float:
-        """Seconds of that span, and a heartbeat on each side, in which it was ready to run and had no core."""
+        """Seconds of that span, and a heartbeat on each side, in which it was ready to run without a core."""
         before = [wait for at, wait in self.waits if at < begin - HEARTBEAT]
         within = [wait for at, wait in self.waits if at <= end + 2 * HEARTBEAT]
         return within[-1] - (before[-1] if before else 0.0) if within else 0.0
@@ -79,6 +89,7 @@
     at: float
     status: int
     body: bytes
+    says_close: bool
 
 
 @dataclass(slots=True)
@@ -99,10 +110,10 @@
     how: str  # of its client, for the report
     first_on_connection: bool = True
     written: float | None = None  # its last byte; never, where its client cut it off
-    behind: float | None = None  # when the one before it on its connection was answered, if both were sent at once
+    behind: Sent | None = None  # the one before it on its connection, if both were sent at once
     left: float | None = None  # when its client closed, reset or half-closed
     over: float | None = None  # when its client stopped waiting, in whatever way
-    reset: bool = False  # its connection ended in a reset
+    ending: Ending = Ending.NONE  # of its connection, before an answer
     broken: str = ""  # an answer that began and whose client could tell that it is not whole
     answers: list[Answered] = field(default_factory=list)
     extra: bytes = b""  # what came behind the answer
@@ -157,8 +168,8 @@
             if late > 0.01:
                 self.lags.append((time.time(), late))
             for life in self.lives:
-                if life.ended is None:
-                    life.waits.append((time.time(), waited_for_a_core(life.pid)))
+                if life.ended is None and (waited := waited_for_a_core(life.pid)):
+                    life.waits.append((time.time(), waited))
 
     def lag_between(self, begin: float, end: float) -> float:
         """How late the campaign's own loop was at the most."""
--- a/lupinmill/lab/faults/referee.py
+++ b/lupinmill/lab/faults/referee.py
@@ -1,7 +1,7 @@
 """The referee: judges a run from what its stand-ins wrote down, and from nothing of the program's own.
 
-A time limit here holds the state that it stands for, with slack for a machine that is busy with other things; a
-process that was stopped, or had no core, has that time more."""
+A time limit here holds the state that it stands for, with slack for a machine that is busy with other things;
+a process that was stopped, or had no core, has that time more."""
 
 from __future__ import annotations
 
@@ -9,17 +9,20 @@
 from collections import defaultdict
 
 from lupinmill.lab.faults.customers import Customer, Workload
-from lupinmill.lab.faults.records import Attempt, Break, Change, Fault, Life, Records, Sent
+from lupinmill.lab.faults.records import Attempt, Break, Change, Ending, Fault, Life, Records, Sent
 
 AFTER_END = 0.1  # seconds after its client's end in which an attempt may still begin
 AFTER_DEADLINE = 0.5  # seconds after its deadline up to which an answer is late and not lost
-TOLD_SLACK = 0.15  # seconds by which the deadline told to an endpoint may be more than what its client has left
+TOLD_SLACK = (
+    0.15  # seconds by which the deadline told to an endpoint may be more than what its client has left
+)
 TOLD_WITHIN = 6.0  # seconds after which a change counts as told, once discovery has it and can be reached
 PROTOCOL_SLACK = 0.05  # seconds by which each limit of the protocol is longer on sockets
 MACHINE = 1.0  # seconds for a busy machine, in limits that stand for a state
 TAKES_CONNECTIONS = 0.35  # seconds after SIGTERM up to which new connections come
 EXIT_REFUSED = 2
 AFTER_STOP = 2.0  # seconds behind a stop in which what lay there meanwhile is worked off
+SLOW = ("trickling", "large")  # clients whose request comes in parts
 REFUSALS = (429, 503)
 BY_SIGNAL = (-signal.SIGHUP, -signal.SIGTERM)
 LARGEST_STOP = 1e9
@@ -66,7 +69,9 @@
             fault = Fault.NOT_STARTED if life.ready is None and "ready" in text else Fault.HUNG
             self.broken(fault, text, life.sidecar, f"life {life.number} (pid {life.pid}): {text}")
         for text in life.defects:
-            self.broken(Fault.DEFECT, "a defect in the log", life.sidecar, f"life {life.number}: {text[:400]}")
+            self.broken(
+                Fault.DEFECT, "a defect in the log", life.sidecar, f"life {life.number}: {text[:400]}"
+            )
         if not life.valid:
             self.judge_refusal(life)
             return
@@ -76,16 +81,29 @@
             return
         if life.terminated is None:
             fault = Fault.CRASHED if life.ready is not None else Fault.NOT_STARTED
-            self.broken(fault, "ended unasked", life.sidecar, f"life {life.number} ended unasked with {life.exit_code}: {last(life)}")
+            self.broken(
+                fault,
+                "ended unasked",
+                life.sidecar,
+                f"life {life.number} ended unasked with {life.exit_code}: {last(life)}",
+            )
         elif life.exit_code != 0:
-            self.broken(Fault.CRASHED, "did not end well after SIGTERM", life.sidecar, f"life {life.number}: SIGTERM, exit {life.exit_code}: {last(life)}")
+            self.broken(
+                Fault.CRASHED,
+                "did not end well after SIGTERM",
+                life.sidecar,
+                f"life {life.number}: SIGTERM, exit {life.exit_code}: {last(life)}",
+            )
 
     def judge_refusal(self, life: Life) -> None:
         if life.hung:
             return
         if life.exit_code != EXIT_REFUSED or len(life.errors) != 1:
-            text = f"a configuration that can't be served: exit {life.exit_code}, {len(life.errors)} lines: {last(life)}"
-            self.broken(Fault.NOT_STARTED, "refusal of a configuration", life.sidecar, f"life {life.number}: {text}")
+            lines = f"{len(life.errors)} lines: {last(life)}"
+            text = f"a configuration that can't be served: exit {life.exit_code}, {lines}"
+            self.broken(
+                Fault.NOT_STARTED, "refusal of a configuration", life.sidecar, f"life {life.number}: {text}"
+            )
 
     # What endpoints got.
 
@@ -108,56 +126,102 @@
                 text = f"{where}: {what} {str(got)[:120]}, its client ({sent.how}) wrote {str(wrote)[:120]}"
                 self.broken(Fault.SENT, f"{what} changed", sent.life.sidecar, text)
         if sent.written is None:
-            self.broken(Fault.SENT, "not whole", sent.life.sidecar, f"{where}: its client ({sent.how}) never sent it whole")
+            self.broken(
+                Fault.SENT,
+                "not whole",
+                sent.life.sidecar,
+                f"{where}: its client ({sent.how}) never sent it whole",
+            )
 
     def judge_malformed(self, sent: Sent) -> None:
         if sent.written is None or not sent.answers:
             if sent.written is not None and not self.excused(sent, []):
-                self.broken(Fault.UNANSWERED, f"{sent.how}: no answer", sent.life.sidecar, f"{sent.how}: no answer ({ending(sent)})")
+                self.broken(
+                    Fault.UNANSWERED,
+                    f"{sent.how}: no answer",
+                    sent.life.sidecar,
+                    f"{sent.how}: no answer ({ending(sent)})",
+                )
             return
         status = sent.answers[0].status
         if not 400 <= status < 500 and status != 503:
-            self.broken(Fault.UNANSWERED, f"{sent.how}: answered", sent.life.sidecar, f"{sent.how}: answered {status}")
+            self.broken(
+                Fault.UNANSWERED, f"{sent.how}: answered", sent.life.sidecar, f"{sent.how}: answered {status}"
+            )
 
     # Answers.
 
     def judge_answer(self, sent: Sent, attempts: list[Attempt]) -> None:
-        sidecar, what = sent.life.sidecar, f"{sent.id.decode()} ({sent.how}, {sent.effect}, {sent.deadline:g} s)"
+        sidecar, what = (
+            sent.life.sidecar,
+            f"{sent.id.decode()} ({sent.how}, {sent.effect}, {sent.deadline:g} s)",
+        )
         if sent.extra:
-            self.broken(Fault.UNANSWERED, "bytes that are no answer", sidecar, f"{what}: bytes that are no answer of its: {sent.extra[:80]!r}")
+            self.broken(
+                Fault.UNANSWERED,
+                "bytes that are no answer",
+                sidecar,
+                f"{what}: bytes that are no answer of its: {sent.extra[:80]!r}",
+            )
         if sent.written is None:
             return
         if not sent.answers:
             if sent.left is None and not sent.broken and not self.excused(sent, attempts):
                 sent_on = f", {len(attempts)} attempts" if attempts else ""
-                self.broken(Fault.UNANSWERED, "no answer", sidecar, f"{what}: no answer ({ending(sent)}{sent_on})")
+                self.broken(
+                    Fault.UNANSWERED, "no answer", sidecar, f"{what}: no answer ({ending(sent)}{sent_on})"
+                )
             return
         answer = sent.answers[0]
-        late = answer.at - max(sent.written + sent.deadline, sent.behind or 0.0)
+        late = answer.at - max(sent.written + sent.deadline, before(sent))
         if late > AFTER_DEADLINE + 2 * MACHINE + self.slack(sent.life, sent.written, answer.at):
-            self.broken(Fault.UNANSWERED, "answered late", sidecar, f"{what}: answered {late:.2f} s after its deadline")
+            self.broken(
+                Fault.UNANSWERED,
+                "answered late",
+                sidecar,
+                f"{what}: answered {late:.2f} s after its deadline",
+            )
         if answer.status == 200 and answer.body not in [one.made for one in attempts if one.made]:
-            text = f"{what}: served with {answer.body[:80]!r} ({len(answer.body)} bytes), which no endpoint made for it"
+            body = f"{answer.body[:80]!r} ({len(answer.body)} bytes)"
+            text = f"{what}: served with {body}, which no endpoint made for it"
             self.broken(Fault.SENT, "served with what was not made", sidecar, text)
         if 400 <= answer.status < 500 and answer.status != 429 and not may_be_refused(sent):
-            self.broken(Fault.UNANSWERED, "refused as malformed", sidecar, f"{what}: refused as malformed, {answer.status}: {answer.body[:80]!r}")
+            self.broken(
+                Fault.UNANSWERED,
+                "refused as malformed",
+                sidecar,
+                f"{what}: refused as malformed, {answer.status}: {answer.body[:80]!r}",
+            )
 
     def excused(self, sent: Sent, attempts: list[Attempt]) -> bool:
         """Is there a reason, outside the program, for which a request that was written has no answer?"""
         life, over = sent.life, sent.over or LARGEST_STOP
         assert sent.written is not None
-        if life.killed is not None and sent.written <= (life.ended or LARGEST_STOP) and over >= life.killed - 0.1:
+        if (
+            life.killed is not None
+            and sent.written <= (life.ended or LARGEST_STOP)
+            and over >= life.killed - 0.1
+        ):
             return True
         if life.stopped_between(sent.written - AFTER_STOP, over) > 0:
             return True
         if attempts:
             return False
-        if not sent.first_on_connection:
-            return sent.over is not None and sent.over - sent.written < sent.deadline  # crossed its close
-        if life.crowded_between(sent.written - MACHINE, over):
+        if sent.behind is not None and self.ended_before(sent.behind):
+            return True
+        crowded = life.crowded_between(sent.written - MACHINE, over)
+        if sent.ending is not Ending.RESET:
+            return crowded and sent.how in SLOW and sent.ending is Ending.CLOSED
+        if not sent.first_on_connection or crowded:
             return True
         return life.terminated is not None and sent.written > life.terminated + TAKES_CONNECTIONS
 
+    def ended_before(self, sent: Sent) -> bool:
+        """Has the connection been ended with the answer to this one, so that nothing behind it is taken?"""
+        if sent.answers:
+            return sent.answers[0].says_close
+        return bool(sent.broken) or sent.behind is not None and self.ended_before(sent.behind)
+
     # Effects.
 
     def judge_effect(self, sent: Sent, attempts: list[Attempt]) -> None:
@@ -166,12 +230,19 @@
         most = customer.settings["limits"]["most-launches"]
         sidecar, what = sent.life.sidecar, f"{sent.id.decode()} ({sent.how}, {sent.effect})"
         if len(attempts) > most:
-            self.broken(Fault.UNSAFE, "more attempts than allowed", sidecar, f"{what}: {len(attempts)} attempts where {most} are allowed")
+            self.broken(
+                Fault.UNSAFE,
+                "more attempts than allowed",
+                sidecar,
+                f"{what}: {len(attempts)} attempts where {most} are allowed",
+            )
         ran = [one for one in attempts if not one.turned_away]
         keyed = sent.effect == "by_key" and bool(sent.keys)
         if sent.effect != "repeatable" and not keyed and len(ran) > 1:
             places = [f"{one.endpoint} at {one.last_byte - (sent.written or 0):+.3f} s" for one in ran]
-            self.broken(Fault.UNSAFE, "once, twice", sidecar, f"{what}: may have run {len(ran)} times: {places}")
+            self.broken(
+                Fault.UNSAFE, "once, twice", sidecar, f"{what}: may have run {len(ran)} times: {places}"
+            )
         if keyed and len(ran) > 1:
             self.judge_keyed(sent, workload, ran)
         harmless = sent.effect == "repeatable" or keyed and workload.group == "all"
@@ -183,12 +254,24 @@
         first = ran[0]
         for one in ran[1:]:
             text = f"{sent.id.decode()} (by_key, group {workload.group}, window {workload.window:g} s): "
-            if workload.group == "cell" and one.group != first.group or workload.group == "zone" and one.zone != first.zone:
-                self.broken(Fault.UNSAFE, "outside its group", sent.life.sidecar, f"{text}{first.endpoint}, then {one.endpoint}")
+            if (
+                workload.group == "cell"
+                and one.group != first.group
+                or workload.group == "zone"
+                and one.zone != first.zone
+            ):
+                self.broken(
+                    Fault.UNSAFE,
+                    "outside its group",
+                    sent.life.sidecar,
+                    f"{text}{first.endpoint}, then {one.endpoint}",
+                )
             after = one.last_byte - first.last_byte
             allowed = workload.window + PROTOCOL_SLACK + MACHINE / 4
             if after > allowed + self.slack(sent.life, first.last_byte, one.last_byte):
-                self.broken(Fault.UNSAFE, "outside its window", sent.life.sidecar, f"{text}again after {after:.3f} s")
+                self.broken(
+                    Fault.UNSAFE, "outside its window", sent.life.sidecar, f"{text}again after {after:.3f} s"
+                )
 
     # Times.
 
@@ -203,16 +286,31 @@
                 continue
             after = attempt.first_byte - end
             if after > AFTER_END + MACHINE / 4 + self.slack(sent.life, end, attempt.first_byte):
-                self.broken(Fault.TOO_LATE, f"begun after {name}", sent.life.sidecar, f"{what}: begun {after:.3f} s after {name}")
+                self.broken(
+                    Fault.TOO_LATE,
+                    f"begun after {name}",
+                    sent.life.sidecar,
+                    f"{what}: begun {after:.3f} s after {name}",
+                )
         try:
             told = float(attempt.deadline)
         except ValueError:
-            self.broken(Fault.SENT, "deadline that is none", sent.life.sidecar, f"{what}: told the deadline {attempt.deadline!r}")
+            self.broken(
+                Fault.SENT,
+                "deadline that is none",
+                sent.life.sidecar,
+                f"{what}: told the deadline {attempt.deadline!r}",
+            )
             return
         left = max(0.0, sent.written + sent.deadline - attempt.last_byte)
         if told > left + TOLD_SLACK + self.slack(sent.life, sent.written, attempt.last_byte):
             after = attempt.last_byte - sent.written
-            self.broken(Fault.TOO_LATE, "told more time than is left", sent.life.sidecar, f"{what}: told {told:.3f} s, {left:.3f} s left, {after:.3f} s on")
+            self.broken(
+                Fault.TOO_LATE,
+                "told more time than is left",
+                sent.life.sidecar,
+                f"{what}: told {told:.3f} s, {left:.3f} s left, {after:.3f} s on",
+            )
 
     def judge_told(self, sent: Sent, attempt: Attempt) -> None:
         """Nothing new to what drains or has gone, after the grace from when it counts as told."""
@@ -229,8 +327,11 @@
         after = attempt.first_byte - told
         allowed = self.customers[attempt.customer].grace + PROTOCOL_SLACK + MACHINE
         if after > allowed + self.slack(sent.life, told - TOLD_WITHIN, attempt.first_byte):
-            text = f"{sent.id.decode()} to {attempt.endpoint}, {unwanted.status} since {attempt.first_byte - unwanted.at:.2f} s"
-            self.broken(Fault.TOO_LATE, "sent to what is gone", sent.life.sidecar, f"{text}, told since {after:.2f} s")
+            since = attempt.first_byte - unwanted.at
+            text = f"{sent.id.decode()} to {attempt.endpoint}, {unwanted.status} since {since:.2f} s"
+            self.broken(
+                Fault.TOO_LATE, "sent to what is gone", sent.life.sidecar, f"{text}, told since {after:.2f} s"
+            )
 
     def told_at(self, had: float, attempt: Attempt) -> float | None:
         """When a change counts as told that discovery had then: after it could be reached for so long."""
@@ -246,12 +347,17 @@
     return sent.how in ("named in Connection", "trickling")
 
 
+def before(sent: Sent) -> float:
+    """When the one before it on its connection had its answer, if both were sent at once."""
+    return sent.behind.over or 0.0 if sent.behind is not None else 0.0
+
+
 def ending(sent: Sent) -> str:
     if sent.over is None or sent.written is None:
         return "not waited for"
     after = sent.over - sent.written
-    how = "reset" if sent.reset else "closed" if after < sent.deadline + 5 else "never answered"
-    return f"{how} after {after:.2f} s{', first on its connection' if sent.first_on_connection else ''}"
+    first = ", first on its connection" if sent.first_on_connection else ""
+    return f"{sent.ending.value} after {after:.2f} s{first}"
 
 
 def last(life: Life) -> str:
--- a/lupinmill/lab/faults/run.py
+++ b/lupinmill/lab/faults/run.py
@@ -21,16 +21,26 @@
 from lupinmill.lab.faults.wire import BadMessage, Cut, Wire, connect, read_answer, status_of
 
 SIDECARS_PER_CUSTOMER = 3
-READY_LIMIT = 40.0  # seconds in which a process has to say that it is ready, or to refuse its configuration
-ALIVE_LIMIT = 20.0  # seconds in which a process that is not stopped has to answer `GET /ready`
 KILLED_AFTER = 0.7  # seconds beyond the longest deadline after which SIGKILL may follow SIGTERM
-END_LIMIT = 25.0  # seconds beyond that for a busy machine
 SETTLE = 0.5  # seconds behind the last answer in which nothing may be sent
 BAD_SHARES = (0.05, 0.2, 0.4)
 LOOK_EVERY = 1.0
 SHOWN = 4  # breaks of a kind
 
 
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Seconds after which a state is no longer waited for. They are far beyond what a process takes, so that
+    a busy machine fails none; a planted fault is found with shorter ones as well."""
+
+    ready: float = 40.0  # until a process is ready, or has refused its configuration
+    alive: float = 20.0  # until a process that is not stopped answers `GET /ready`
+    end: float = 25.0  # beyond the longest deadline, after SIGTERM
+
+
+USUAL = Limits()
+
+
 @dataclass(slots=True)
 class Verdict:
     seed: int
@@ -56,7 +66,8 @@
             lines.append(f"BROKEN: {fault.value}: {rule}, {len(breaks)} times")
             lines += [f"    {one.sidecar}: {one.text}" for one in breaks[:SHOWN]]
         lines.append(
-            f"replay: lupinmill lab faults --seed {self.seed} --processes {self.processes} --seconds {self.seconds:g}"
+            f"replay: lupinmill lab faults --seed {self.seed} --processes {self.processes}"
+            f" --seconds {self.seconds:g}"
         )
         lines += self.schedule
         concerned = {one.sidecar for one in self.breaks}
@@ -146,7 +157,7 @@
             self.site.records.lives.append(life)
             self.sidecar.life = life
             if plan.kind == schedule.SPOILT:
-                if not await process.ended(READY_LIMIT):
+                if not await process.ended(self.site.limits.ready):
                     life.hung.append("neither serves nor refuses its configuration")
                 return
             if await self.start(process, plan):
@@ -168,7 +179,7 @@
                     break
                 now = time.monotonic()
                 waited, last = waited + min(0.2, now - last), now
-                if waited > READY_LIMIT:
+                if waited > self.site.limits.ready:
                     life.hung.append("not ready")
                     return False
                 await asyncio.sleep(0.02)
@@ -229,8 +240,8 @@
             else:
                 silent += min(LOOK_EVERY + 2.5, time.monotonic() - last)
             last = now
-            if silent > ALIVE_LIMIT:
-                life.hung.append(f"GET /ready had no answer for {ALIVE_LIMIT:g} s")
+            if silent > self.site.limits.alive:
+                life.hung.append(f"GET /ready had no answer for {self.site.limits.alive:g} s")
                 return
 
     async def act(self, process: Process, event: schedule.Event) -> None:
@@ -284,7 +295,7 @@
         elif life.terminated is None:
             for name in plan.end.split(" ") if plan.end != "KILL" else ["TERM"]:
                 process.signal(signal.Signals[f"SIG{name}"])
-        if not await process.ended(self.site.customer.longest + KILLED_AFTER + END_LIMIT):
+        if not await process.ended(self.site.customer.longest + KILLED_AFTER + self.site.limits.end):
             life.hung.append("did not end after its signal")
 
 
@@ -294,11 +305,13 @@
     def __init__(self, campaign: Campaign, number: int, sidecars: int) -> None:
         self.campaign, self.number, self.name = campaign, number, f"c{number}"
         self.seed, self.records, self.command = campaign.seed, campaign.records, campaign.command
+        self.limits = campaign.limits
         self.folder = campaign.folder / self.name
         self.folder.mkdir()
         random = Random(f"{self.seed} {self.name}")
         self.customer = customers.draw(self.name, random)
-        self.bad = random.choice(BAD_SHARES)
+        drawn = random.choice(BAD_SHARES)
+        self.bad = drawn if campaign.bad is None else campaign.bad
         self.discovery = discovery.Discovery(self.name, self.host("1.1"), self.records)
         limits = self.customer.settings["limits"]
         self.endpoints = [
@@ -320,24 +333,29 @@
             self.discovery.versions[one.name] = 1
         self.modes = discovery.draw_modes(random, campaign.seconds)
         self.list_events = schedule.draw_list_events(random, len(self.endpoints), campaign.seconds)
-        self.slots = [
-            Slot(self, at, schedule.draw_lives(Random(f"{self.seed} {self.name} lives {at}"), campaign.seconds))
-            for at in range(sidecars)
-        ]
+        self.slots = [Slot(self, at, campaign.lives_of(f"{self.name} lives {at}")) for at in range(sidecars)]
 
     def host(self, rest: str) -> str:
         """An address of this run's alone: other campaigns may run beside it."""
         return f"127.{self.campaign.octet + self.number % 50}.{rest}"
 
+    def close(self) -> None:
+        """Of a campaign that is not played."""
+        for sock in (*(one.sock for one in self.endpoints), *self.discovery.socks):
+            sock.close()
+
     def over(self) -> bool:
         return time.monotonic() >= self.campaign.ends
 
     def text(self) -> list[str]:
         settings = json.dumps(self.customer.settings)
-        lines = [f"customer {self.name}: {self.bad:.0%} bad answers, limits {self.customer.limits}: {settings}"]
+        lines = [
+            f"customer {self.name}: {self.bad:.0%} bad answers, limits {self.customer.limits}: {settings}"
+        ]
         lines.append("  discovery: " + ", ".join(f"{mode} from {at:g} s" for at, mode in self.modes))
         lines += [
-            f"  {self.endpoints[one.endpoint].name}: {one.kind} at {one.at:g} s" + f" for {one.seconds:g} s" * bool(one.seconds)
+            f"  {self.endpoints[one.endpoint].name}: {one.kind} at {one.at:g} s"
+            + f" for {one.seconds:g} s" * bool(one.seconds)
             for one in self.list_events
         ]
         for slot in self.slots:
@@ -383,7 +401,9 @@
                 if event.kind == "late":
                     late.create_task(one.come_up_late(event.seconds))
                 elif event.kind == "back":
-                    self.discovery.change(one.name, **one.row | {"status": "SERVING", "since_ms": int(time.time() * 1000)})
+                    self.discovery.change(
+                        one.name, **one.row | {"status": "SERVING", "since_ms": int(time.time() * 1000)}
+                    )
                 else:
                     status = "DRAINING" if event.kind == "drain" else "DELETED"
                     self.discovery.change(one.name, **one.row | {"status": status})
@@ -392,9 +412,20 @@
 class Campaign:
     """All customers of one run."""
 
-    def __init__(self, seed: int, processes: int, seconds: float, folder: Path, command: Sequence[str] = PROGRAM) -> None:
+    def __init__(
+        self,
+        seed: int,
+        processes: int,
+        seconds: float,
+        folder: Path,
+        command: Sequence[str] = PROGRAM,
+        limits: Limits = USUAL,
+        lives: list[schedule.LifePlan] | None = None,
+        bad: float | None = None,
+    ) -> None:
         self.seed, self.processes, self.seconds = seed, processes, seconds
         self.folder, self.command, self.records = folder, command, Records()
+        self.limits, self.lives, self.bad = limits, lives, bad  # the same for all, where any are told
         self.octet = 10 + os.getpid() % 4 * 50 + seed % 10
         self.began = self.ends = 0.0
         left, self.sites = processes, []
@@ -403,6 +434,9 @@
             self.sites.append(Site(self, len(self.sites), count))
             left -= count
 
+    def lives_of(self, what: str) -> list[schedule.LifePlan]:
+        return self.lives or schedule.draw_lives(Random(f"{self.seed} {what}"), self.seconds)
+
     async def until(self, at: float) -> None:
         await asyncio.sleep(max(0.0, self.began + at - time.monotonic()))
 
@@ -416,7 +450,9 @@
             beat.cancel()
         breaks = referee.judge(self.records, {site.name: site.customer for site in self.sites})
         text = [line for site in self.sites for line in site.text()]
-        return Verdict(self.seed, self.processes, self.seconds, breaks, text, self.records, figures(self.records))
+        return Verdict(
+            self.seed, self.processes, self.seconds, breaks, text, self.records, figures(self.records)
+        )
 
 
 def figures(records: Records) -> dict[str, int]:
--- a/lupinmill/lab/faults/schedule.py
+++ b/lupinmill/lab/faults/schedule.py
@@ -12,7 +12,15 @@
 START_SPAN = 0.5  # seconds in which signals at a start are drawn
 START_SIGNALS = (("HUP",), ("TERM",), ("HUP", "TERM"), ("TERM", "HUP"), ("HUP", "HUP"), ("TERM", "TERM"))
 ENDS = ("TERM", "TERM", "TERM", "TERM TERM", "TERM HUP", "HUP TERM", "KILL")
-EVENTS = ("stop", "move discovery", "spoilt reload", "half-written reload", "no file", "burst of HUP", "crowd")
+EVENTS = (
+    "stop",
+    "move discovery",
+    "spoilt reload",
+    "half-written reload",
+    "no file",
+    "burst of HUP",
+    "crowd",
+)
 PLACES = ("own", "own", "own", "absent", "a file", "none", "overlong")  # for TMPDIR
 OUTPUTS = ("read", "read", "read", "read", "closed", "stuck")
 SHORTEST, LONGEST = 3.0, 9.0  # seconds of a life that serves
@@ -48,8 +56,8 @@
         what = f"{self.kind} {self.spoilt}".strip()
         told = "knows the list" if self.knows else "knows no list"
         return (
-            f"{what}, {self.seconds:.1f} s, ends by {self.end}, TMPDIR {self.place}, output {self.output}, {told}"
-            + "".join(f"; {one}" for one in more)
+            f"{what}, {self.seconds:.1f} s, ends by {self.end}, TMPDIR {self.place}, output {self.output},"
+            f" {told}" + "".join(f"; {one}" for one in more)
         )
 
 
--- a/lupinmill/lab/faults/wire.py
+++ b/lupinmill/lab/faults/wire.py
@@ -14,6 +14,8 @@
 ANCILLARY_BYTES = 64
 READ_BYTES = 256 * 1024
 LARGEST_HEAD = 64 * 1024
+TCP_CLOSE = 7  # state of a connection, as TCP_INFO tells it
+RESET_LOOKS, RESET_LOOK = 5, 0.005  # and seconds between them
 RESET_LINGER = struct.pack("ii", 1, 0)
 
 
@@ -79,6 +81,19 @@
             except BlockingIOError:
                 await wait_for_socket(self.sock, True)
 
+    async def was_reset(self) -> bool:
+        """After the end of what the other side sends: has it closed over bytes that it has not read? Its
+        kernel answers those with a reset."""
+        for _ in range(RESET_LOOKS):
+            try:
+                info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+            except OSError:
+                return True
+            if info[0] == TCP_CLOSE:
+                return True
+            await asyncio.sleep(RESET_LOOK)
+        return False
+
     def end_sending(self) -> None:
         try:
             self.sock.shutdown(socket.SHUT_WR)
@@ -185,8 +200,7 @@
 
 
 async def read_body(wire: Wire, message: Message, answer: bool) -> None:
-    """By length, chunked or, of an answer, up to the connection's end. What had come before a cut stays in the
-    message."""
+    """By length, chunked or, of an answer, up to the connection's end."""
     lengths = set(message.values(b"content-length"))
     if len(lengths) > 1:
         raise BadMessage("two lengths")
--- /dev/null
+++ b/tests/test_fault_campaign.py
@@ -0,0 +1,197 @@
+"""The fault campaign: real processes of the program under drawn faults, and the referee, which is shown to
+find faults planted in the program, one of each kind that operators see and some more."""
+
+from __future__ import annotations
+
+import ast
+import asyncio
+import sys
+from pathlib import Path
+
+import pytest
+
+from lupinmill.lab.faults import referee, run, schedule
+from lupinmill.lab.faults.records import Fault
+from lupinmill.lab.faults.run import Campaign, Limits, Verdict
+
+FAULTS = Path(run.__file__).parent
+SEED, PROCESSES, SECONDS = 11, 5, 14.0
+PLANTED_SECONDS = 5.0
+SHORT = Limits(ready=8.0, alive=4.0, end=4.0)
+CALM = [schedule.LifePlan(schedule.SERVE, 60.0, "TERM", "own", "read", True)]
+
+START = """
+import sys
+sys.argv = ["lupinmill"]
+from lupinmill.__main__ import main
+"""
+END = "\nsys.exit(main())\n"
+AFTER_SOME = """
+from lupinmill.routing.book import Book
+ended, seen = Book.ended, []
+def planted(self, *more):
+    seen.append(None)
+    if len(seen) > 20:
+        fault()
+    return ended(self, *more)
+Book.ended = planted
+"""
+LAUNCH = """
+from lupinmill.protocol import submission
+launch = submission.launch
+"""
+
+# By the text that plants it: the kind and the rule that the referee has to find.
+PLANTED = {
+    "crash": ("import os\ndef fault(): os._exit(1)" + AFTER_SOME, Fault.CRASHED, "ended unasked"),
+    "hang": (
+        "import time\ndef fault(): time.sleep(3600)" + AFTER_SOME,
+        Fault.HUNG,
+        "did not end after its signal",
+    ),
+    "no start": (
+        "from lupinmill.transport.listener import Listener\nListener.__init__ = None",
+        Fault.NOT_STARTED,
+        "ended unasked",
+    ),
+    "never ready": (
+        "from lupinmill.routing.admit import Admit\nAdmit.readiness = lambda self, request: None",
+        Fault.NOT_STARTED,
+        "not ready",
+    ),
+    "body changed": (
+        LAUNCH + "def planted(request, left):\n"
+        "    made = launch(request, left)\n"
+        "    made.body = made.body[::-1]\n"
+        "    return made\n"
+        "submission.launch = planted",
+        Fault.SENT,
+        "body changed",
+    ),
+    "key left out": (
+        LAUNCH + "def planted(request, left):\n"
+        "    made = launch(request, left)\n"
+        "    made.headers = [one for one in made.headers if one[0].lower() != b'idempotency-key']\n"
+        "    return made\n"
+        "submission.launch = planted",
+        Fault.SENT,
+        "keys changed",
+    ),
+    "another's answer": (
+        "from lupinmill.protocol import submission\n"
+        "passed, kept = submission.passed_on, []\n"
+        "def planted(answer):\n"
+        "    kept.append(passed(answer))\n"
+        "    return kept[0]\n"
+        "submission.passed_on = planted",
+        Fault.SENT,
+        "served with what was not made",
+    ),
+    "unsafe to repeat, repeated": (
+        "from lupinmill import terms\n"
+        "from lupinmill.protocol import settings\n"
+        "workload = settings.workload\n"
+        "def planted(s):\n"
+        "    made = workload(s)\n"
+        "    made.repeat = terms.Repeat.IDEMPOTENT\n"
+        "    return made\n"
+        "settings.workload = planted",
+        Fault.UNSAFE,
+        "once, twice",
+    ),
+    "more time than is left": (
+        LAUNCH + "submission.launch = lambda request, left: launch(request, left + 1_000_000)",
+        Fault.TOO_LATE,
+        "told more time than is left",
+    ),
+    "read and closed": (
+        "from lupinmill.routing.relay import Relay\n"
+        "final = Relay.final_answer\n"
+        "async def planted(self, client, journey):\n"
+        "    answer = await final(self, client, journey)\n"
+        "    return None if journey.asked.submission.endswith('7') else answer\n"
+        "Relay.final_answer = planted",
+        Fault.UNANSWERED,
+        "no answer",
+    ),
+    "does not end": (
+        "from lupinmill.program.sidecar import Program\n"
+        "import anyio\n"
+        "async def planted(self, *more): await anyio.sleep(3600)\n"
+        "Program.leave = planted",
+        Fault.HUNG,
+        "did not end after its signal",
+    ),
+}
+
+
+def command(planted: str) -> list[str]:
+    return [sys.executable, "-c", START + planted + END]
+
+
+@pytest.fixture(scope="module")
+def verdicts(tmp_path_factory) -> dict[str, Verdict]:
+    """The drawn run of the program as it is, by "", and beside it a short one with each planted fault."""
+
+    async def play_all() -> dict[str, Verdict]:
+        def folder() -> Path:
+            return tmp_path_factory.mktemp("faults")
+
+        campaigns = {"": Campaign(SEED, PROCESSES, SECONDS, folder())}
+        for at, (name, (text, _, _)) in enumerate(PLANTED.items()):
+            campaigns[name] = Campaign(
+                100 + at, 1, PLANTED_SECONDS, folder(), command(text), SHORT, CALM, bad=0.4
+            )
+        found = await asyncio.gather(*(one.run() for one in campaigns.values()))
+        return dict(zip(campaigns, found))
+
+    return asyncio.run(play_all())
+
+
+def test_the_program_stands_under_drawn_faults(verdicts):
+    verdict = verdicts[""]
+    assert not verdict.breaks, verdict.text()
+    assert verdict.figures["served"] > 100 and verdict.figures["lives"] > PROCESSES, verdict.figures
+
+
+@pytest.mark.parametrize("name", list(PLANTED))
+def test_the_referee_finds_a_planted_fault_and_tells_what_replays_it(verdicts, name):
+    _, fault, rule = PLANTED[name]
+    verdict = verdicts[name]
+    assert (fault, rule) in verdict.by_rule(), verdict.text()
+    text = verdict.text()
+    assert f"--seed {verdict.seed}" in text and "life 0" in text
+
+
+def test_nothing_that_a_campaign_started_is_left(verdicts):
+    for verdict in verdicts.values():
+        for life in verdict.records.lives:
+            assert life.exit_code is not None and not Path(f"/proc/{life.pid}/exe").exists()
+
+
+def test_schedule_and_settings_are_the_same_for_a_seed(tmp_path):
+    def texts(seed: int, folder: str) -> list[str]:
+        (tmp_path / folder).mkdir()
+        campaign = Campaign(seed, 7, 30.0, tmp_path / folder)
+        found = [line for site in campaign.sites for line in site.text()]
+        for site in campaign.sites:
+            site.close()
+        return found
+
+    assert texts(5, "a") == texts(5, "b") != texts(6, "c")
+
+
+@pytest.mark.parametrize("path", sorted(FAULTS.glob("*.py")), ids=lambda path: path.name)
+def test_referee_and_stand_ins_share_no_code_with_the_program(path):
+    """They import from the standard library and their own package alone."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        names = [one.name for one in node.names] if isinstance(node, ast.Import) else []
+        names += [node.module or ""] if isinstance(node, ast.ImportFrom) else []
+        for name in names:
+            own = name.startswith("lupinmill.lab.faults")
+            assert own or name.split(".")[0] in sys.stdlib_module_names, name
+
+
+def test_the_referee_knows_its_limits():
+    """The terms that bind, as numbers: a change of one has to be a change here too."""
+    assert (referee.AFTER_END, referee.TOLD_SLACK, referee.TOLD_WITHIN) == (0.1, 0.15, 6.0)
