--- a/lupinmill/lab/faults/clients.py
+++ b/lupinmill/lab/faults/clients.py
@@ -164,11 +164,13 @@
             return False
         except Cut as error:
             await self.ended(wire, sent, error.reset)
-            if wire.buffer:
+            if wire.inside:
                 sent.broken = "cut inside an answer"
             return False
         except OSError:
             await self.ended(wire, sent, True)
+            if wire.inside:
+                sent.broken = "reset inside an answer"
             return False
         except BadMessage as error:
             sent.over, sent.extra = time.time(), str(error).encode()
--- a/lupinmill/lab/faults/endpoints.py
+++ b/lupinmill/lab/faults/endpoints.py
@@ -7,13 +7,24 @@
 
 import asyncio
 import socket
+import time
 from random import Random
 
 from lupinmill.lab.faults.records import Attempt, Records
-from lupinmill.lab.faults.wire import BadMessage, Cut, Message, Wire, read_body, read_head, wait_for_socket
+from lupinmill.lab.faults.wire import (
+    TIMESTAMP_OPTION,
+    BadMessage,
+    Cut,
+    Message,
+    Wire,
+    read_body,
+    read_head,
+    wait_for_socket,
+)
 
 PROBES = (b"/health", b"/status/load")
 HANG = 30.0  # seconds
+COMES_UP = 2.0  # seconds behind a lateness in which the kernels try again what was dropped
 LARGE = (70_000, 200_000)  # bytes of a large answer
 # What may be wrong with an endpoint's answer, and with its connections.
 BEHAVIOURS = (
@@ -62,6 +73,7 @@
         self.idle, self.probes, self.records = idle, probes, records
         self.sock = socket.socket()
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setsockopt(socket.SOL_SOCKET, TIMESTAMP_OPTION, 1)  # what it accepts inherits it
         self.sock.bind((host, 0))
         self.address = "%s:%d" % self.sock.getsockname()
         self.backlog = 256
@@ -97,10 +109,14 @@
     async def come_up_late(self, seconds: float) -> None:
         """New connections stay unanswered for so long: they lie in a queue that is too short for them."""
         self.accepting.clear()
+        begin = time.time()
+        spans = self.records.late.setdefault(self.name, [])
+        spans.append((begin, float("inf")))
         self.sock.listen(1)
         await asyncio.sleep(seconds)
         self.sock.listen(self.backlog)
         self.accepting.set()
+        spans[spans.index((begin, float("inf")))] = (begin, time.time() + COMES_UP)
 
     async def serve(self, wire: Wire) -> None:
         self.connections += 1
--- a/lupinmill/lab/faults/processes.py
+++ b/lupinmill/lab/faults/processes.py
@@ -14,7 +14,7 @@
 from lupinmill.lab.faults.records import KEPT_LOG_LINES, Life
 
 ROOT = Path(__file__).parents[3]
-DEFECTS = ("task_failed", "backstop")  # events of the log that tell of a defect
+DEFECTS = ("task_failed",)  # events of the log that tell of a defect
 PROGRAM = (sys.executable, "-m", "lupinmill")
 OF_THE_PROGRAM = ("orjson", "_socket")  # libraries that the interpreter itself doesn't load
 CLOSED, STUCK, READ = "closed", "stuck", "read"
@@ -71,6 +71,8 @@
             event = json.loads(text).get("event")
         except (ValueError, AttributeError):
             event = None
+        if event == "started":
+            self.life.listens = True
         if event in DEFECTS and len(self.life.defects) < KEPT_LOG_LINES:
             self.life.defects.append(text)
 
--- a/lupinmill/lab/faults/records.py
+++ b/lupinmill/lab/faults/records.py
@@ -53,6 +53,7 @@
     script: str
     valid: bool = True  # its configuration
     logged: bool = True  # its standard output can be read
+    listens: bool = False  # by its log
     ready: float | None = None
     terminated: float | None = None  # when SIGTERM was sent first
     killed: float | None = None
@@ -158,6 +159,7 @@
         self.strangers: list[tuple[str, str]] = []  # customer, what came to an endpoint and is no request
         self.changes: dict[str, list[Change]] = {}  # of a customer
         self.reachable: dict[str, list[tuple[float, float]]] = {}  # spans of a customer's discovery
+        self.late: dict[str, list[tuple[float, float]]] = {}  # when connections to an endpoint came up late
         self.lags: list[tuple[float, float]] = []  # when a heartbeat came, and how late
 
     async def beat(self) -> None:
--- a/lupinmill/lab/faults/schedule.py
+++ b/lupinmill/lab/faults/schedule.py
@@ -8,12 +8,14 @@
 from lupinmill.lab.faults.customers import SPOILERS
 
 # What a process does in a life: most serve; some get signals while they start, some can't be started.
-SERVE, SIGNALS_AT_START, SPOILT, UPGRADE = "serve", "signals at its start", "spoilt configuration", "upgrade"
+SERVE, SIGNALS_AT_START, SPOILT = "serve", "signals at its start", "spoilt configuration"
 START_SPAN = 0.5  # seconds in which signals at a start are drawn
 START_SIGNALS = (("HUP",), ("TERM",), ("HUP", "TERM"), ("TERM", "HUP"), ("HUP", "HUP"), ("TERM", "TERM"))
 ENDS = ("TERM", "TERM", "TERM", "TERM TERM", "TERM HUP", "HUP TERM", "KILL")
+UPGRADES = ("clean", "clean", "the new one killed", "the new one held", "the old one killed")
 EVENTS = (
     "stop",
+    "upgrade",
     "move discovery",
     "spoilt reload",
     "half-written reload",
@@ -30,8 +32,8 @@
 class Event:
     at: float  # seconds after the process is ready
     kind: str
-    seconds: float = 0.0  # of a stop, and of a crowd
-    choice: str = ""  # what is wrong with a configuration
+    seconds: float = 0.0  # of a stop, of a crowd, and into an upgrade
+    choice: str = ""  # what is wrong with a configuration, or befalls an upgrade
 
 
 @dataclass(slots=True)
@@ -92,6 +94,8 @@
         one.seconds = random.choice((0.05, 0.3, 1.2))
     elif one.kind == "crowd":
         one.seconds = random.choice((1.0, 3.0))
+    elif one.kind == "upgrade":
+        one.choice, one.seconds = random.choice(UPGRADES), round(random.uniform(0.02, 0.6), 3)
     elif one.kind == "spoilt reload":
         one.choice = random.choice(sorted(SPOILERS))
     return one
--- a/lupinmill/lab/faults/wire.py
+++ b/lupinmill/lab/faults/wire.py
@@ -54,6 +54,7 @@
     def __init__(self, sock: socket.socket) -> None:
         self.sock, self.buffer, self.stamp, self.closed = sock, bytearray(), 0.0, False
         self.begun = 0.0  # stamp of the first byte in the buffer
+        self.inside = False  # a message has begun and is not whole
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, TIMESTAMP_OPTION, 1)
@@ -160,7 +161,9 @@
 
 async def read_head(wire: Wire) -> Message | None:
     """None where the connection ended before the first byte of a message. `Cut` inside it, or at a reset."""
+    wire.inside = False
     while b"\r\n\r\n" not in wire.buffer:
+        wire.inside = bool(wire.buffer)
         if len(wire.buffer) > LARGEST_HEAD:
             raise BadMessage("no end of the head")
         try:
@@ -171,6 +174,7 @@
             return None
     head, _, rest = bytes(wire.buffer).partition(b"\r\n\r\n")
     first_byte = wire.begun
+    wire.inside = True
     wire.buffer[:] = rest
     wire.begun = wire.stamp
     start, *lines = head.split(b"\r\n")
@@ -216,6 +220,7 @@
         message.body = bytes(wire.buffer)
         wire.buffer.clear()
     message.last_byte = wire.stamp
+    wire.inside = False
 
 
 async def read_chunks(wire: Wire, message: Message) -> None:
