--- a/lupinmill/lab/faults/endpoints.py
+++ b/lupinmill/lab/faults/endpoints.py
@@ -280,8 +280,8 @@
         return False
 
     async def answer_twice(self, wire: Wire, whole: bytes, late: bool) -> bool:
-        """The second one says that it was made for nobody. On a busy machine it may come so late that nobody can
-        tell it from the next one's answer: then it is left out."""
+        """The second one says that it was made for nobody. On a busy machine it may come so late that nobody
+        can tell it from the next one's answer: then it is left out."""
         second = b"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\nmade for nobody."
         began = time.monotonic()
         await wire.send(whole if late else whole + second)
--- a/lupinmill/lab/faults/records.py
+++ b/lupinmill/lab/faults/records.py
@@ -9,7 +9,7 @@
 from enum import Enum
 from pathlib import Path
 
-HEARTBEAT = 0.05  # seconds
+HEARTBEAT, LEAST_LAG = 0.05, 0.01  # seconds
 KEPT_LOG_LINES = 30
 
 
@@ -54,6 +54,7 @@
     valid: bool = True  # its configuration
     logged: bool = True  # its standard output can be read
     listens: bool = False  # by its log
+    hands_over: bool = True  # its TMPDIR can be used: two processes of an upgrade find each other
     ready: float | None = None
     terminated: float | None = None  # when SIGTERM was sent first
     killed: float | None = None
@@ -159,16 +160,20 @@
         self.strangers: list[tuple[str, str]] = []  # customer, what came to an endpoint and is no request
         self.changes: dict[str, list[Change]] = {}  # of a customer
         self.reachable: dict[str, list[tuple[float, float]]] = {}  # spans of a customer's discovery
+        self.steps: list[tuple[float, float]] = []  # when the machine's clock was set, and by how much
         self.late: dict[str, list[tuple[float, float]]] = {}  # when connections to an endpoint came up late
         self.lags: list[tuple[float, float]] = []  # when a heartbeat came, and how late
 
     async def beat(self) -> None:
         while True:
-            due = time.monotonic() + HEARTBEAT
+            due, began = time.monotonic() + HEARTBEAT, time.time()
             await asyncio.sleep(HEARTBEAT)
-            late = time.monotonic() - due
-            if late > 0.01:
-                self.lags.append((time.time(), late))
+            late, now = time.monotonic() - due, time.time()
+            step = abs((now - began) - (late + HEARTBEAT))  # of the machine's clock, by which all is stamped
+            if late + step > LEAST_LAG:
+                self.lags.append((now, late + step))
+            if step > LEAST_LAG:
+                self.steps.append((now, step))
             for life in self.lives:
                 if life.ended is None and (waited := waited_for_a_core(life.pid)):
                     life.waits.append((time.time(), waited))
--- a/lupinmill/lab/faults/referee.py
+++ b/lupinmill/lab/faults/referee.py
@@ -144,7 +144,7 @@
                     Fault.UNANSWERED,
                     f"{sent.how}: no answer",
                     sent.life.sidecar,
-                    f"{sent.how}: no answer ({ending(sent)})",
+                    f"{sent.how}: no answer ({ending(sent)}, {moment(sent)})",
                 )
             return
         status = sent.answers[0].status
--- a/lupinmill/lab/faults/run.py
+++ b/lupinmill/lab/faults/run.py
@@ -155,6 +155,7 @@
         self.process = process = Process(self.site.command, self.environ(plan), plan.output)
         try:
             life = await process.start(self.name, number, plan.text())
+            life.hands_over = plan.place in schedule.USABLE
             life.valid = plan.kind != schedule.SPOILT
             self.site.records.lives.append(life)
             self.sidecar.life = life
@@ -286,6 +287,7 @@
         self.write(customers.encoded(self.configuration()))
         new = Process(self.site.command, self.environ(plan), READ)
         life = await new.start(self.name, old.life.number, f"upgrade, {event.choice}")
+        life.hands_over = old.life.hands_over
         self.site.records.lives.append(life)
         try:
             if event.choice != "clean":
@@ -533,6 +535,7 @@
         "answered": sum(bool(one.answers) for one in sent),
         "served": sum(any(answer.status == 200 for answer in one.answers) for one in sent),
         "attempts": len(records.attempts),
+        "clock set": len(records.steps),
         "largest lag, ms": int(1000 * max((late for _, late in records.lags), default=0.0)),
     }
 
--- a/lupinmill/lab/faults/schedule.py
+++ b/lupinmill/lab/faults/schedule.py
@@ -24,6 +24,7 @@
     "crowd",
 )
 PLACES = ("own", "own", "own", "absent", "a file", "none", "overlong")  # for TMPDIR
+USABLE = ("own", "overlong")
 OUTPUTS = ("read", "read", "read", "read", "closed", "stuck")
 SHORTEST, LONGEST = 3.0, 9.0  # seconds of a life that serves
 
