Lab: world.py becomes a package, a module a job

Cause: lupinmill/lab/world.py had 808 lines: the random streams, the drawing of endpoints, the network, the sidecars' configuration, the load and 24 kinds of trouble in one class.

Change: lupinmill/lab/world/ with chance, request_class, machines, network, configuration, site, and troubles/ with a module for what each kind meets (endpoints, load, discovery, sidecars, zones), one for the drawn figures and one that plans them. Methods that moved out of the class became functions of the world, so the text is not moved letter by letter: the 24 handlers, which repeated a row of eight parameters, take one dataclass Trouble; the kinds are a table instead of getattr; template, report figures and kind figures, which were dicts, are Shapes that are filled by dataclasses.replace; the spreading over zones and that over kinds, which were the same lines twice, are one function. The order in which each stream is drawn from is as before.

New test: every kind of trouble that a scenario may name has a handler (getattr at run time found it too late).

--- a/lupinmill/lab/commons.py
+++ b/lupinmill/lab/commons.py
@@ -36,7 +36,7 @@
 def map_of(run: Any, **more: Any) -> Map:
     """As an operator would write it of this site: bids out of a lost zone may break their budget."""
     world = run.world
-    zones = tuple(Zone(name, world.regions[name], more.get("spare", 0.1)) for name in world.zones)
+    zones = tuple(Zone(name, world.network.regions[name], more.get("spare", 0.1)) for name in world.zones)
     most = max(w.terms.value for w in world.workloads)
     loads = tuple(Workload(w.name, w.terms.value, breaks=w.terms.value == most) for w in world.workloads)
     return Map(zones, loads)
@@ -235,9 +235,9 @@
         if isinstance(order.body, wire.Carried):
             post.said += 1
             post.bytes += len(order.body.words) + 20
-        if world.blocked(here, there) or self.loss and self.chance.random() < self.loss:
+        if world.network.blocked(here, there) or self.loss and self.chance.random() < self.loss:
             return
-        timeline.after(world.delay(here, there), self.deliver, post.name, order)
+        timeline.after(world.network.delay(here, there), self.deliver, post.name, order)
 
     def deliver(self, sender: str, order: Send) -> None:
         post = self.posts[order.to]
@@ -334,7 +334,7 @@
         state = {}
         for a in world.zones:
             for b in world.zones:
-                cut = world.blocked(a, b) or world.blocked(b, a)
+                cut = world.network.blocked(a, b) or world.network.blocked(b, a)
                 state[a, b] = State.DOWN if not able[b] else State.CUT if cut else State.WELL
         self.rows = aim(self.map, Picture(traffic, able, state), Drains())
         run.timeline.after(SECOND // 4, self.see)
--- a/lupinmill/lab/sockets.py
+++ b/lupinmill/lab/sockets.py
@@ -24,6 +24,7 @@
 from lupinmill.lab.stands import HOST, STATUS, AskPool, DiscoveryServer, EndpointServer, Exchange
 from lupinmill.lab.timeline import MS, SECOND, Timeline
 from lupinmill.lab.world import World, chance_for, draw
+from lupinmill.lab.world.troubles.plan import plan
 from lupinmill.peers.peer import REHEARSAL
 from lupinmill.protocol.http import Answer, Request
 
@@ -128,7 +129,7 @@
             self.give_calls(endpoint)
         await asyncio.gather(*(self.start(process) for process in (*self.fronts, *self.inner.values())))
         self.rebase()
-        self.world.plan(self)
+        plan(self.world, self)
         self.clients.begin()
         self.began = True
         for _ in range(self.scenario.clients.idle):
@@ -318,7 +319,9 @@
     def ask(self, wish: Wish, submission: str, due: int, repeated: bool) -> None:
         at = self.front_picks()
         if at is None or not self.fronts[at].alive():
-            self.timeline.after(2 * self.world.client_way, self.clients.ended, submission, "unreachable", 0)
+            self.timeline.after(
+                2 * self.world.network.client_way, self.clients.ended, submission, "unreachable", 0
+            )
             return
         process = self.fronts[at]
         wish.sidecar = process
@@ -416,7 +419,7 @@
 
     def noise(self, workload: str) -> float:
         noise = self.world.by_name[workload].noise
-        return max(0.1, 1 + noise * float(self.world.net_chance.standard_normal())) if noise else 1.0
+        return max(0.1, 1 + noise * float(self.world.network.chance.standard_normal())) if noise else 1.0
 
     def calls_of(self, endpoint: Endpoint) -> int:
         tier = endpoint.shape.tier
--- a/lupinmill/lab/virtual.py
+++ b/lupinmill/lab/virtual.py
@@ -20,6 +20,7 @@
 from lupinmill.lab.scenario import Scenario
 from lupinmill.lab.timeline import MS, SECOND, Timeline
 from lupinmill.lab.world import SILENT_WATCH_S, World, chance_for, draw, job_for
+from lupinmill.lab.world.troubles.plan import plan
 
 EPOCH = 1_000 * SECOND  # when every virtual day begins
 SETTLED = 8 * SECOND  # how long a run goes on after its last arrival
@@ -118,7 +119,7 @@
                     self.end_flight(flight, now)
             if not one.closed:
                 run.world.referee.released(one.name)
-                run.timeline.after(run.world.client_way, one.answer, "unreachable", 0)
+                run.timeline.after(run.world.network.client_way, one.answer, "unreachable", 0)
         for name, connections in self.idle.items():
             for epoch, _ in connections:
                 run.world.by_endpoint[name].disconnect(epoch)
@@ -186,7 +187,7 @@
         flight.record = run.world.referee.sent(now, held.name, endpoint, self.name)
         until = min(order.until or held.due, held.due)
         flight.deadline = run.timeline.at(until, self.outcome, held, flight, t.How.TIMED_OUT, None)
-        way = run.world.delay(self.zone, endpoint.shape.zone)
+        way = run.world.network.delay(self.zone, endpoint.shape.zone)
         if self.reuse(endpoint):
             run.timeline.after(way, self.arrive, held, flight, self.life)
             return
@@ -203,7 +204,7 @@
 
     def cut_from(self, endpoint: Endpoint) -> bool:
         world, zone = self.run.world, endpoint.shape.zone
-        return world.blocked(self.zone, zone) or world.blocked(zone, self.zone)
+        return world.network.blocked(self.zone, zone) or world.network.blocked(zone, self.zone)
 
     def reuse(self, endpoint: Endpoint) -> bool:
         """An idle connection, the latest first; those of a past life of the endpoint are gone with it."""
@@ -231,16 +232,16 @@
     def arrive(self, held: Held, flight: Flight, life: int) -> None:
         """At the endpoint, unless it was called off on the way or the endpoint has died meanwhile."""
         endpoint, run = flight.endpoint, self.run
-        if flight.over or life != self.life or run.world.blocked(self.zone, endpoint.shape.zone):
+        if flight.over or life != self.life or run.world.network.blocked(self.zone, endpoint.shape.zone):
             return  # what is lost behind a cut is a time-out
         if flight.epoch != endpoint.epoch or not endpoint.alive:
             if not endpoint.silent:
-                run.timeline.after(run.world.delay(), self.outcome, held, flight, t.How.RESET, None)
+                run.timeline.after(run.world.network.delay(), self.outcome, held, flight, t.How.RESET, None)
             return
 
         def reply(how: t.How, load: t.Load | None) -> None:
-            if life == self.life and not run.world.blocked(endpoint.shape.zone, self.zone):
-                way = run.world.delay(self.zone, endpoint.shape.zone)
+            if life == self.life and not run.world.network.blocked(endpoint.shape.zone, self.zone):
+                way = run.world.network.delay(self.zone, endpoint.shape.zone)
                 run.timeline.after(way, self.outcome, held, flight, how, load)
 
         job = flight.job = job_for(
@@ -286,7 +287,7 @@
         elif how not in (t.How.UNCONNECTED, t.How.UNSENT):
             flight.endpoint.disconnect(flight.epoch)
             if flight.job is not None and flight.job.state != "over":
-                self.run.timeline.after(self.run.world.one_way, self.cancel_there, flight)
+                self.run.timeline.after(self.run.world.network.one_way, self.cancel_there, flight)
 
     def cancel_there(self, flight: Flight) -> None:
         if flight.epoch == flight.endpoint.epoch and flight.job is not None:
@@ -334,7 +335,7 @@
     def probe(self, order: t.Probe) -> None:
         run, endpoint = self.run, self.run.world.by_endpoint[order.endpoint]
         run.measure.at(run.timeline.now).probes += 1
-        way, sent = run.world.delay(self.zone, endpoint.shape.zone), run.timeline.now
+        way, sent = run.world.network.delay(self.zone, endpoint.shape.zone), run.timeline.now
 
         def answer(life: int) -> None:
             cut = self.cut_from(endpoint)
@@ -501,7 +502,7 @@
         world, timeline = self.world, self.timeline
         for seat in self.seats:
             seat.start()
-        world.plan(self)
+        plan(world, self)
         self.clients.begin()
         second = EPOCH
         end = world.end + SETTLED
@@ -551,11 +552,13 @@
     def ask(self, wish: Wish, submission: str, due: int, repeated: bool) -> None:
         seat = self.front_picks()
         if seat is None or not seat.alive:
-            self.timeline.after(2 * self.world.client_way, self.clients.ended, submission, "unreachable", 0)
+            self.timeline.after(
+                2 * self.world.network.client_way, self.clients.ended, submission, "unreachable", 0
+            )
             return
         wish.sidecar = seat
         self.timeline.after(
-            self.world.client_way, self.reach, wish, submission, seat, seat.life, due, repeated
+            self.world.network.client_way, self.reach, wish, submission, seat, seat.life, due, repeated
         )
 
     def front_picks(self) -> Seat | None:
@@ -577,7 +580,7 @@
         keyed = wish.workload.terms.repeat is not t.Repeat.IDEMPOTENT
 
         def answer(what: str, advice: int) -> None:
-            self.timeline.after(self.world.client_way, self.answered, submission, what, advice)
+            self.timeline.after(self.world.network.client_way, self.answered, submission, what, advice)
 
         held = Held(submission, wish.name if keyed else "", wish.workload.name, wish.work, due, answer)
         seat.take(held, wish.tenant, repeated, True)
--- /dev/null
+++ b/lupinmill/lab/world/__init__.py
@@ -0,0 +1,12 @@
+"""The simulated site: what a scenario and a seed draw, and the troubles on its timeline.
+
+`site` holds the endpoints, the lists of discovery and the load; `machines` draws the endpoints' figures;
+`request_class` the classes of requests; `network` the ways between zones; `configuration` writes what
+sidecars are configured with; `troubles` plans and carries out what goes wrong.
+"""
+
+from lupinmill.lab.world.chance import chance_for, draw
+from lupinmill.lab.world.request_class import DrawnWorkload
+from lupinmill.lab.world.site import SILENT_WATCH_S, SidecarTroubles, World, job_for
+
+__all__ = ["SILENT_WATCH_S", "DrawnWorkload", "SidecarTroubles", "World", "chance_for", "draw", "job_for"]
--- /dev/null
+++ b/lupinmill/lab/world/machines.py
@@ -0,0 +1,110 @@
+"""Draws the figures of a tier's endpoints: what all have in common, what each kind has, what one has."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TypeVar
+
+import numpy as np
+
+from lupinmill.lab.endpoint import Shape
+from lupinmill.lab.scenario import Jam, Kind, Tier
+from lupinmill.lab.world.chance import draw
+
+T = TypeVar("T")
+SLOWEST = 0.3  # of its kind's speed: the least that one machine has
+
+
+@dataclass(frozen=True)
+class TierFigures:
+    """What all endpoints of a tier have in common."""
+
+    shape: Shape
+    connections_per_core: float
+
+
+@dataclass(frozen=True)
+class KindFigures:
+    """What all endpoints of one kind have in common; `shape.speed` is their mean."""
+
+    shape: Shape
+    speed_cv: float
+
+
+def spread(choices: list[T], shares: list[float], count: int) -> list[T]:
+    """So many of the choices, each by its share and spread evenly over the numbers."""
+    total, given = sum(shares), [0] * len(shares)
+    found = []
+    for number in range(1, count + 1):
+        at = max(range(len(shares)), key=lambda k: shares[k] / total * number - given[k])
+        given[at] += 1
+        found.append(choices[at])
+    return found
+
+
+def kinds_of(tier: Tier, count: int, chance: np.random.Generator) -> list[Kind]:
+    """The kind of each of a tier's endpoints."""
+    return spread(tier.kind, [draw(chance, kind.share) for kind in tier.kind], count)
+
+
+def tier_figures(at: int, tier: Tier, last: bool, chance: np.random.Generator) -> TierFigures:
+    """Draws what a tier's endpoints have in common; the order of the draws is part of what a seed means."""
+    report, connections = tier.report, tier.connections
+    shape = Shape(
+        name="",
+        tier=at,
+        work=draw(chance, tier.work),
+        probe_work=draw(chance, tier.probe_us) / 1e6,
+        calls=0.0 if last else 1.0,
+        report_fields=tuple(report.fields),
+        report_how=report.how,
+        report_s=max(0.01, draw(chance, report.period_ms) / 1000),
+        report_noise=draw(chance, report.noise),
+        report_delay_s=draw(chance, report.delay_ms) / 1000,
+        connect_work=draw(chance, connections.work_us) / 1e6,
+        round_trips=round(draw(chance, connections.round_trips)),
+        idle_s=connections.idle_s,
+        connect_limit_s=connections.time_out_ms / 1000,
+    )
+    per_core = draw(chance, connections.most_per_core)
+    return TierFigures(replace(shape, jam=jam_figures(tier.jam, chance)), per_core)
+
+
+def jam_figures(jam: Jam | None, chance: np.random.Generator) -> tuple[float, ...] | None:
+    """How a deep queue slows the endpoints, where it does with this seed."""
+    if jam is None or chance.random() >= draw(chance, jam.share):
+        return None
+    spans = (jam.at, jam.over_s, jam.slower, jam.rest_s, jam.below, jam.most_s)
+    figures = tuple(draw(chance, span) for span in spans)
+    return figures if figures[2] > 1 else None
+
+
+def kind_figures(tier: TierFigures, kind: Kind, chance: np.random.Generator) -> KindFigures:
+    """Draws what one kind's endpoints have in common."""
+    speed, speed_cv = draw(chance, kind.speed), draw(chance, kind.speed_cv)
+    shape = replace(
+        tier.shape,
+        kind=kind.name,
+        cores=kind.cores,
+        speed=speed,
+        slots=max(1, round(draw(chance, kind.slots_per_core) * kind.cores)),
+        queue=round(draw(chance, kind.queue_per_core) * kind.cores),
+        crowding=draw(chance, kind.crowding),
+        crowding_at=max(0.1, draw(chance, kind.crowding_at)),
+        cold_from=draw(chance, kind.cold_from),
+        cold_s=draw(chance, kind.cold_s),
+        warm_by_work=kind.warm_by == "requests",
+        pause_every_s=max(0.05, draw(chance, kind.pause_every_s)),
+        pause_s=draw(chance, kind.pause_ms) / 1000,
+        error_rate=draw(chance, kind.error_rate),
+        cancel=kind.cancel,
+        drops_expired=kind.drops_expired,
+        most_connections=round(tier.connections_per_core * kind.cores),
+    )
+    return KindFigures(shape, speed_cv)
+
+
+def machine(kind: KindFigures, name: str, zone: str, cell: int, chance: np.random.Generator) -> Shape:
+    """One endpoint, with a speed of its own."""
+    factor = max(SLOWEST, 1 + kind.speed_cv * float(chance.standard_normal()))
+    return replace(kind.shape, name=name, zone=zone, cell=cell, speed=kind.shape.speed * factor)
--- /dev/null
+++ b/lupinmill/lab/world/request_class.py
@@ -0,0 +1,66 @@
+"""Classes of requests as a run has them: their terms, their share of the load, the work of each request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import numpy as np
+
+from lupinmill import terms as t
+from lupinmill.lab import scenario
+from lupinmill.lab.timeline import SECOND
+from lupinmill.lab.world.chance import draw
+
+
+@dataclass(slots=True)
+class DrawnWorkload:
+    """One class of requests with its figures drawn."""
+
+    name: str
+    share: float
+    mean: float  # seconds of work
+    spread: str
+    cv: float
+    noise: float
+    terms: t.Workload
+
+    def work(self, chance: np.random.Generator) -> float:
+        """Seconds of work of one request, on a core of speed 1."""
+        if self.spread == "fixed" or not self.cv:
+            return self.mean
+        if self.spread == "exponential":
+            return float(chance.exponential(self.mean))
+        sigma2 = np.log(1 + self.cv**2)
+        return float(chance.lognormal(np.log(self.mean) - sigma2 / 2, sigma2**0.5))
+
+
+def drawn_workloads(specified: list[scenario.Workload], chance: np.random.Generator) -> list[DrawnWorkload]:
+    """All classes of a scenario; their shares add up to 1."""
+    found = [drawn_workload(one, chance) for one in specified]
+    total = sum(one.share for one in found)
+    for one in found:
+        one.share /= total
+    return found
+
+
+def drawn_workload(one: scenario.Workload, chance: np.random.Generator) -> DrawnWorkload:
+    """One class of a scenario, its ranges drawn."""
+    terms = t.Workload(
+        one.name,
+        int(one.contract_s * SECOND),
+        int(one.hard_limit_s * SECOND),
+        one.value,
+        one.overdue,
+        t.Repeat(one.repeat),
+        t.Group(one.group),
+        int(one.window_s * SECOND) if one.repeat == "deduplicated" else 0,
+    )
+    return DrawnWorkload(
+        one.name,
+        draw(chance, one.share),
+        draw(chance, one.work_ms) / 1000,
+        one.spread,
+        draw(chance, one.cv),
+        draw(chance, one.launch_noise),
+        terms,
+    )
--- /dev/null
+++ b/lupinmill/lab/world/site.py
@@ -0,0 +1,276 @@
+"""The site of a run: endpoints, the lists that discovery publishes of them, and the load. Everything but the
+sidecars, the clients and the troubles; those act on it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any, Protocol
+
+import numpy as np
+import xxhash
+
+from lupinmill import terms as t
+from lupinmill.lab.endpoint import Endpoint, Job, Shape
+from lupinmill.lab.referee import Referee
+from lupinmill.lab.registry import Entry, Registry, gone
+from lupinmill.lab.scenario import Scenario, Tier
+from lupinmill.lab.timeline import MS, SECOND, Timeline
+from lupinmill.lab.world import machines
+from lupinmill.lab.world.chance import chance_for, draw
+from lupinmill.lab.world.configuration import sidecar_settings
+from lupinmill.lab.world.network import Network
+from lupinmill.lab.world.request_class import drawn_workloads
+from lupinmill.protocol import settings
+
+SILENT_WATCH_S = 4.5  # a watch that hears nothing, not even that there is no news, has failed after this
+
+
+class SidecarTroubles(Protocol):
+    """What a driver can do to its sidecars, and what it must hear of the site."""
+
+    def sidecar_count(self) -> int: ...
+    def kill_sidecar(self, at: int, down_s: float) -> None: ...
+    def starve_sidecar(self, at: int, lag_s: float) -> None: ...
+    def endpoint_died(self, endpoint: Endpoint) -> None: ...
+    def endpoint_started(self, endpoint: Endpoint) -> None: ...
+    def ways_changed(self) -> None: ...
+
+
+@dataclass(slots=True)
+class Shade:
+    """A trouble as it was, for the report; times in seconds of the run."""
+
+    kind: str
+    began: float
+    ended: float
+    what: str
+
+
+class World:
+    """One site, drawn whole from a scenario and a seed. Streams of chance are drawn from in a fixed order:
+    the same seed gives the same site in every process."""
+
+    def __init__(self, scenario: Scenario, seed: int, timeline: Timeline) -> None:
+        self.scenario, self.seed, self.timeline = scenario, seed, timeline
+        self.start = timeline.now
+        chance = self.chance = chance_for(seed, "site")
+        self.seconds = draw(chance, scenario.seconds)
+        self.end = self.start + int(self.seconds * SECOND)
+        self.workloads = drawn_workloads(scenario.workload, chance)
+        self.by_name = {w.name: w for w in self.workloads}
+        self.referee = self.make_referee()
+        self.zones = scenario.net.zones
+        self.network = Network(scenario.net, seed, chance)
+        self.tiers: list[list[Endpoint]] = []
+        self.by_endpoint: dict[str, Endpoint] = {}
+        self.registries: list[Registry] = []
+        self.entries: dict[str, Entry] = {}
+        self.calls: list[float] = []  # by tier: those that one request of the tier before makes
+        self.serial = 0  # of endpoints' names
+        self.shades: list[Shade] = []
+        self.factors: dict[str, float] = {}  # of the load, by trouble
+        self.tenant_factors: dict[str, float] = {}
+        self.driver: SidecarTroubles | None = None
+        self.build()
+        self.sidecars = max(1, round(draw(chance, scenario.sidecars.count)))
+        self.sidecar_notice = draw(chance, scenario.sidecars.notice_s)
+        self.rate = self.base_rate()
+
+    def make_referee(self) -> Referee:
+        """The judge of this site's rules."""
+        rules = self.scenario.rules
+        return Referee(
+            self.start,
+            [w.terms for w in self.workloads],
+            int(rules.answer_grace_ms * MS),
+            int(rules.drain_grace_s * SECOND),
+            (rules.fall_multiple, int(rules.fall_s * SECOND)),
+            self.scenario.limits.copies,
+        )
+
+    # Endpoints and lists.
+
+    def build(self) -> None:
+        """Draws all tiers."""
+        before = 0
+        for at, tier in enumerate(self.scenario.tier):
+            before = self.draw_count(tier, before)
+            self.calls.append(draw(self.chance, tier.calls) if at else 0.0)
+            self.registries.append(self.make_registry(at))
+            self.tiers.append(self.make_endpoints(at, tier, before))
+
+    def draw_count(self, tier: Tier, before: int) -> int:
+        """How many endpoints a tier has, where the tier before has so many (0: there is none)."""
+        count = max(1, round(draw(self.chance, tier.count)))
+        if before and (each := draw(self.chance, tier.per_caller)):
+            count = max(1, round(before * each))
+        return count
+
+    def make_registry(self, tier: int) -> Registry:
+        """The list of one tier, with the delays of its kinds of news."""
+        chance, found = chance_for(self.seed, "list", tier), self.scenario.discovery
+
+        def delay(mean: float) -> Callable[[], float]:
+            return lambda: mean * chance.uniform(0.8, 1.2)
+
+        notice = delay(draw(self.chance, found.notice_s))
+        silent_notice = delay(draw(self.chance, found.silent_notice_s))
+        add = delay(draw(self.chance, found.add_s))
+        return Registry(self.timeline, chance, notice, silent_notice, add)
+
+    def make_endpoints(self, at: int, tier: Tier, count: int) -> list[Endpoint]:
+        """So many endpoints, spread over kinds, zones and cells."""
+        chance, net = self.chance, self.scenario.net
+        cell_size = max(1, round(draw(chance, tier.cell_size)))
+        common = machines.tier_figures(at, tier, at + 1 == len(self.scenario.tier), chance)
+        kinds = machines.kinds_of(tier, count, chance)
+        figures = {kind.name: machines.kind_figures(common, kind, chance) for kind in tier.kind}
+        zones = machines.spread(self.zones, net.endpoints or [1.0] * len(self.zones), count)
+        members = dict.fromkeys(self.zones, 0)
+        endpoints = []
+        for kind, zone in zip(kinds, zones):
+            cell = 1000 * self.zones.index(zone) + members[zone] // cell_size
+            members[zone] += 1
+            shape = machines.machine(figures[kind.name], self.new_name(at), zone, cell, chance)
+            endpoints.append(self.add_endpoint(shape, 0, True))
+        return endpoints
+
+    def new_name(self, tier: int) -> str:
+        """A name that no endpoint of this run had before."""
+        self.serial += 1
+        mark = xxhash.xxh32_hexdigest(f"{self.seed}/{self.serial}".encode())[:4]
+        return f"e{tier}-{self.serial:03d}-{mark}"
+
+    def add_endpoint(self, shape: Shape, started: int, listed: bool) -> Endpoint:
+        """A new endpoint; one that is not `listed` is published after the delay of such news."""
+        chance = chance_for(self.seed, "endpoint", shape.name)
+        endpoint = Endpoint(shape, self.timeline, chance, self.referee, started)
+        self.by_endpoint[shape.name] = endpoint
+        entry = Entry(shape.name, shape.zone, shape.kind, shape.cell, t.State.READY, started)
+        self.entries[shape.name] = entry
+        registry = self.registries[shape.tier]
+        if listed:
+            registry.enlist(entry)
+        else:
+            registry.learn(entry, "add")
+        return endpoint
+
+    def die(self, endpoint: Endpoint, silently: bool) -> None:
+        """A crash; of a silent one nothing comes any more, not even a refusal."""
+        if not endpoint.alive:
+            return
+        endpoint.crash(silently)
+        if self.driver is not None:
+            self.driver.endpoint_died(endpoint)
+        name = endpoint.shape.name
+        self.registries[endpoint.shape.tier].learn(gone(self.entries[name]), "silent" if silently else "gone")
+
+    def revive(self, endpoint: Endpoint) -> None:
+        """A dead endpoint starts again, cold, under its name."""
+        if endpoint.alive:
+            return
+        endpoint.come_back()
+        if self.driver is not None:
+            self.driver.endpoint_started(endpoint)
+        shape = endpoint.shape
+        entry = Entry(shape.name, shape.zone, shape.kind, shape.cell, t.State.READY, self.timeline.now)
+        self.entries[shape.name] = entry
+        self.registries[shape.tier].learn(entry, "add")
+
+    def drain(self, endpoint: Endpoint) -> None:
+        """The list says that it drains; it still takes what comes."""
+        name = endpoint.shape.name
+        self.entries[name] = replace(self.entries[name], state=t.State.DRAINING)
+        self.registries[endpoint.shape.tier].learn(self.entries[name], "drain")
+
+    def succeed(self, endpoint: Endpoint) -> None:
+        """The drained one ends; its successor, under a new name, starts cold."""
+        if endpoint.alive:
+            endpoint.draining = True
+            self.die(endpoint, False)
+        shape = replace(endpoint.shape, name=self.new_name(endpoint.shape.tier))
+        tier = self.tiers[shape.tier]
+        tier.remove(endpoint)
+        fresh = self.add_endpoint(shape, self.timeline.now, False)
+        tier.append(fresh)
+        if self.driver is not None:
+            self.driver.endpoint_started(fresh)
+
+    def block(self, ways: list[tuple[str, str]], by: int) -> None:
+        """Cuts ways between zones (1), or ends a cut (-1)."""
+        self.network.block(ways, by)
+        if self.driver is not None:
+            self.driver.ways_changed()
+
+    # Load.
+
+    def capacity(self) -> float:
+        """Submissions a second that the whole site can do, by the tier that runs out first."""
+        mean = sum(w.share * w.mean for w in self.workloads)
+        found, calls = float("inf"), 1.0
+        for at, endpoints in enumerate(self.tiers):
+            calls *= self.calls[at] if at else 1.0
+            able = sum(e.shape.cores * e.shape.speed for e in endpoints)
+            found = min(found, able / (mean * endpoints[0].shape.work * max(calls, 1e-9)))
+        return found
+
+    def base_rate(self) -> float:
+        """Submissions a second, before any trouble or wave."""
+        load = self.scenario.load
+        if load.rate is not None:
+            return draw(self.chance, load.rate)
+        return draw(self.chance, load.part) * self.capacity()
+
+    def rate_now(self) -> float:
+        """Submissions a second, with the troubles of the load."""
+        rate = self.rate
+        for factor in self.factors.values():
+            rate *= factor
+        return rate
+
+    def quotas(self) -> dict[str, float]:
+        """Of each tenant, submissions a second."""
+        if not self.scenario.tenant:
+            return {}
+        whole = draw(chance_for(self.seed, "quota"), self.scenario.load.quota_of_capacity) * self.capacity()
+        total = sum(tenant.share for tenant in self.scenario.tenant)
+        return {tenant.name: whole * tenant.share / total for tenant in self.scenario.tenant}
+
+    def call_work(self, job: Job, shape: Shape, chance: np.random.Generator) -> float:
+        """Seconds of work of a call that this job makes of the next tier, before that tier's part of it."""
+        if self.scenario.tier[shape.tier + 1].call_work == "own":
+            return self.by_name[job.workload].work(chance)
+        return job.work / shape.work if shape.work else 0.0
+
+    # What sidecars are configured with.
+
+    def settings(self, tier: int, instances: int) -> dict[str, Any]:
+        """The settings of the platform's protocol, as nested JSON."""
+        return sidecar_settings(self.scenario, self.quotas(), tier, instances)
+
+    def deployment(self, tier: int, instances: int, seed: int) -> t.Deployment:
+        """The same as the decision module has it."""
+        found = settings.deployment(settings.flatten(self.settings(tier, instances)))
+        found.seed = seed
+        return found
+
+
+def job_for(
+    world: World,
+    submission: str,
+    key: str,
+    workload: str,
+    work: float,
+    tier: int,
+    due: int,
+    calls: int,
+    reply: Callable[..., None],
+) -> Job:
+    """One launch as an endpoint of `tier` will do it: its part of the submission's work, with this launch's
+    noise."""
+    found = world.by_name[workload]
+    factor = max(0.1, 1 + found.noise * float(world.network.chance.standard_normal())) if found.noise else 1.0
+    return Job(
+        submission, key, workload, work * world.tiers[tier][0].shape.work * factor, due, reply, calls=calls
+    )
--- /dev/null
+++ b/lupinmill/lab/world/troubles/endpoints.py
@@ -0,0 +1,134 @@
+"""Troubles of single endpoints: they die, hang, slow down, fail, pause, or are replaced by a deployment."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import numpy as np
+
+from lupinmill.lab.endpoint import Endpoint
+from lupinmill.lab.timeline import SECOND
+from lupinmill.lab.world.site import World
+from lupinmill.lab.world.troubles.trouble import Trouble, batches, some_endpoints, tier_or_all
+
+
+def crash(world: World, trouble: Trouble) -> None:
+    """They end, and come back cold."""
+    for endpoint in some_endpoints(world, trouble):
+        world.die(endpoint, False)
+        world.timeline.after(trouble.lasts, world.revive, endpoint)
+
+
+def vanish(world: World, trouble: Trouble) -> None:
+    """They fall silent, and come back cold."""
+    for endpoint in some_endpoints(world, trouble):
+        world.die(endpoint, True)
+        world.timeline.after(trouble.lasts, world.revive, endpoint)
+
+
+def hang(world: World, trouble: Trouble) -> None:
+    """They take requests and work on none."""
+    for endpoint in some_endpoints(world, trouble):
+        endpoint.hang(True)
+        world.timeline.after(trouble.lasts, in_same_life, endpoint, endpoint.epoch, endpoint.hang, False)
+
+
+def in_same_life(endpoint: Endpoint, epoch: int, act: Callable[..., None], *args: Any) -> None:
+    """Does it unless the endpoint has died since."""
+    if endpoint.epoch == epoch:
+        act(*args)
+
+
+def slow(world: World, trouble: Trouble) -> None:
+    """They are `size` times slower."""
+    slow_down(world, trouble, some_endpoints(world, trouble))
+
+
+def shared_slow(world: World, trouble: Trouble) -> None:
+    """All are `size` times slower, as where what they share is short."""
+    slow_down(world, trouble, tier_or_all(world, trouble))
+
+
+def slow_down(world: World, trouble: Trouble, endpoints: list[Endpoint]) -> None:
+    """Slows these for as long as the trouble lasts."""
+    for endpoint in endpoints:
+        endpoint.slow_by(trouble.name, trouble.size)
+        world.timeline.after(trouble.lasts, endpoint.slow_by, trouble.name, 1.0)
+
+
+def errors(world: World, trouble: Trouble) -> None:
+    """The share `size` of requests fails at once."""
+    set_figure(world, trouble, some_endpoints(world, trouble), "failing", min(1.0, trouble.size))
+
+
+def spoilt(world: World, trouble: Trouble) -> None:
+    """The share `size` of answers is unreadable."""
+    set_figure(world, trouble, some_endpoints(world, trouble), "spoiling", min(1.0, trouble.size))
+
+
+def resets(world: World, trouble: Trouble) -> None:
+    """The share `size` of requests ends with a connection reset."""
+    set_figure(world, trouble, some_endpoints(world, trouble), "resetting", min(1.0, trouble.size))
+
+
+def reports_late(world: World, trouble: Trouble) -> None:
+    """Load reports are `size` seconds older."""
+    set_figure(world, trouble, tier_or_all(world, trouble), "report_late", trouble.size)
+
+
+def set_figure(world: World, trouble: Trouble, endpoints: list[Endpoint], figure: str, value: float) -> None:
+    """Sets one figure of these for as long as the trouble lasts; it is 0 afterwards."""
+    for endpoint in endpoints:
+        setattr(endpoint, figure, value)
+        world.timeline.after(trouble.lasts, setattr, endpoint, figure, 0.0)
+
+
+def pauses(world: World, trouble: Trouble) -> None:
+    """They stand still for `size` milliseconds, about every `extra` seconds."""
+    ends = world.timeline.now + int(trouble.lasts)
+    for endpoint in some_endpoints(world, trouble):
+        endpoint.pause(trouble.size / 1000, max(0.1, trouble.extra), ends, endpoint.epoch)
+
+
+def neighbour(world: World, trouble: Trouble) -> None:
+    """Others on the same machine take the part `size` of its cores, on and off for about `extra` seconds."""
+    ends = world.timeline.now + int(trouble.lasts)
+    size, each = min(0.95, trouble.size), max(0.2, trouble.extra)
+    for endpoint in some_endpoints(world, trouble):
+        take_cores(world, endpoint, trouble.stream, size, each, ends, True)
+
+
+def take_cores(
+    world: World,
+    endpoint: Endpoint,
+    stream: np.random.Generator,
+    size: float,
+    each: float,
+    ends: int,
+    on: bool,
+) -> None:
+    """One turn of a neighbour, and the next one set."""
+    now = world.timeline.now
+    endpoint.take(size if on and now < ends else 0.0)
+    if now < ends:
+        until = min(ends, now + int(stream.uniform(0.5, 1.5) * each * SECOND))
+        world.timeline.at(until, take_cores, world, endpoint, stream, size, each, ends, not on)
+
+
+def deploy(world: World, trouble: Trouble) -> None:
+    """`part` of the tier is replaced, in batches of `size` of it; `extra` is the drain's time in seconds."""
+    chosen = some_endpoints(world, trouble)
+    order = [int(at) for at in trouble.stream.permutation(len(chosen))]
+    rounds = batches(order, max(1, round(trouble.size * len(world.tiers[trouble.tier]))))
+    for number, members in enumerate(rounds):
+        span = trouble.lasts * number / len(rounds)
+        world.timeline.after(span, drain_all, world, [chosen[at] for at in members], max(0.1, trouble.extra))
+
+
+def drain_all(world: World, endpoints: list[Endpoint], drain_s: float) -> None:
+    """These drain, and are replaced after so many seconds."""
+    for endpoint in endpoints:
+        if endpoint.alive:
+            world.drain(endpoint)
+            world.timeline.after(drain_s * SECOND, world.succeed, endpoint)
--- a/lupinmill/lab/zones_sockets.py
+++ b/lupinmill/lab/zones_sockets.py
@@ -40,7 +40,7 @@
         self.zone_of: dict[str, str] = {}
 
     def blocks(self, sender: str, hearer: str) -> bool:
-        return self.run.world.blocked(self.zone_of.get(sender, ""), self.zone_of.get(hearer, ""))
+        return self.run.world.network.blocked(self.zone_of.get(sender, ""), self.zone_of.get(hearer, ""))
 
 
 class ZoneWay(Way):
@@ -164,7 +164,7 @@
                 f'[peers.members.{other}]\naddress = "{address}"\nzone = "{self.net.zone_of[other]}"\n'
             )
         for zone in self.world.zones:
-            rows.append(f'[zones.map.{zone}]\nregion = "{self.world.regions[zone]}"\n')
+            rows.append(f'[zones.map.{zone}]\nregion = "{self.world.network.regions[zone]}"\n')
         text = (
             f'site = "zones"\n\n[peers]\nelectors = {orjson.dumps(self.electors).decode()}\n'
             f"lease_s = {self.lease_s}\nlive_count = true\n\n" + "\n".join(rows) + self.more
--- a/tests/test_lab_scenario.py
+++ b/tests/test_lab_scenario.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import get_args
 
 import pytest
 from hypothesis import given, settings
@@ -13,6 +14,7 @@
 from lupinmill.lab.scenario import BadScenario
 from lupinmill.lab.timeline import SECOND, Timeline
 from lupinmill.lab.world import World, chance_for, draw
+from lupinmill.lab.world.troubles.plan import KINDS, plan
 
 
 def written(folder: Path, text: str, name: str = "mine.toml") -> str:
@@ -111,13 +113,17 @@
     read = scenario.load("random-day")
     one, two = (World(read, seed, Timeline(SECOND)) for _ in range(2))
     for world in (one, two):
-        world.plan(world.driver)  # type: ignore[arg-type]
+        plan(world, world.driver)
     assert 0.4 <= one.rate / one.capacity() <= 0.6 + 1e-9
     assert 2 <= len(one.shades) <= 4
     assert [(e.shape, e.started) for e in one.tiers[0]] == [(e.shape, e.started) for e in two.tiers[0]]
     assert one.shades == two.shades
 
 
+def test_each_kind_of_trouble_that_a_scenario_may_name_is_carried_out() -> None:
+    assert set(KINDS) == set(get_args(scenario.Trouble))
+
+
 def test_draws_over_a_wide_range_count_each_part_of_the_scale_alike() -> None:
     chance = chance_for(5, "x")
     drawn = sorted(draw(chance, (0.01, 1.0)) for _ in range(2001))
