Lab: virtual.py becomes a package, a module a job

Closures that were made for each call became methods. Discovery's list (known, index, watching) and the idle connections are objects of their own. `observe_endpoints` (measure.py) and `World.draw_calls` take the place of lines that stood in virtual.py and in sockets.py.

--- a/lupinmill/lab/commons.py
+++ b/lupinmill/lab/commons.py
@@ -323,7 +323,7 @@
                 able[endpoint.shape.zone] += endpoint.capacity() / mean
         parts = dict.fromkeys(world.zones, 0.0)
         alive = [seat for seat in run.seats if seat.alive]
-        weights = run.weights or [1.0] * len(run.seats)
+        weights = run.front.weights or [1.0] * len(run.seats)
         for seat in alive:
             parts[seat.zone] += weights[seat.position]
         total = sum(parts.values()) or 1.0
--- a/lupinmill/lab/measure.py
+++ b/lupinmill/lab/measure.py
@@ -10,6 +10,7 @@
 import numpy as np
 from hdrh.histogram import HdrHistogram
 
+from lupinmill.lab.endpoint import Endpoint
 from lupinmill.lab.scenario import Goal
 from lupinmill.lab.timeline import SECOND
 
@@ -68,6 +69,16 @@
     latency_ms: dict[str, dict[str, float]]
 
 
+def observe_endpoints(entry: Second, tiers: list[list[Endpoint]]) -> None:
+    """The endpoints' state at the end of a second, into its figures."""
+    for name, endpoints in (("held", tiers[0]), ("held_inner", tiers[-1] if len(tiers) > 1 else [])):
+        alive = [e for e in endpoints if e.alive]
+        if alive:
+            setattr(entry, name, sum(len(e.held) + len(e.waiting) for e in alive) / len(alive))
+    entry.alive = sum(e.alive for e in tiers[0])
+    entry.jammed = sum(e.jammed for tier in tiers for e in tier)
+
+
 class Measure:
     def __init__(self, start: int, seconds: float, workloads: list[str]) -> None:
         self.start = start
--- a/lupinmill/lab/sockets.py
+++ b/lupinmill/lab/sockets.py
@@ -17,7 +17,7 @@
 from lupinmill.lab.clients import Clients, Wish
 from lupinmill.lab.endpoint import Endpoint, Job
 from lupinmill.lab.fleet_sockets import TAKEN, free_port
-from lupinmill.lab.measure import Measure
+from lupinmill.lab.measure import Measure, observe_endpoints
 from lupinmill.lab.processes import Process
 from lupinmill.lab.registry import Entry, Registry
 from lupinmill.lab.scenario import Scenario
@@ -267,13 +267,8 @@
 
     def sample(self, now: int) -> None:
         while self.began and now >= self.next_sample:
-            entry, tiers = self.measure.at(self.next_sample - SECOND), self.world.tiers
-            for name, endpoints in (("held", tiers[0]), ("held_inner", tiers[-1] if len(tiers) > 1 else [])):
-                alive = [e for e in endpoints if e.alive]
-                if alive:
-                    setattr(entry, name, sum(len(e.held) + len(e.waiting) for e in alive) / len(alive))
-            entry.alive = sum(e.alive for e in tiers[0])
-            entry.jammed = sum(e.jammed for tier in tiers for e in tier)
+            entry = self.measure.at(self.next_sample - SECOND)
+            observe_endpoints(entry, self.world.tiers)
             listed = self.world.registries[0].entries
             self.aside = {key: None for key in self.aside if key[1] in listed}  # forgotten with what is gone
             entry.aside = sum(name in self.front_names for name, _ in self.aside)
@@ -422,11 +417,7 @@
         return max(0.1, 1 + noise * float(self.world.network.chance.standard_normal())) if noise else 1.0
 
     def calls_of(self, endpoint: Endpoint) -> int:
-        tier = endpoint.shape.tier
-        if tier + 1 >= len(self.world.tiers):
-            return 0
-        mean = self.world.calls[tier + 1]
-        return int(mean) + (self.call_chance.random() < mean - int(mean))
+        return self.world.draw_calls(endpoint.shape.tier, self.call_chance)
 
     def spread(self) -> float:
         return self.spread_s * self.front.uniform(0.2, 1.8) * SECOND
--- /dev/null
+++ b/lupinmill/lab/virtual/run.py
@@ -0,0 +1,153 @@
+"""One run of a scenario in virtual time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import numpy as np
+import xxhash
+
+from lupinmill import terms as t
+from lupinmill.lab import policies
+from lupinmill.lab.clients import Clients
+from lupinmill.lab.endpoint import Endpoint
+from lupinmill.lab.measure import Measure, observe_endpoints
+from lupinmill.lab.scenario import Scenario
+from lupinmill.lab.timeline import MS, SECOND, Timeline
+from lupinmill.lab.virtual.discovery import Calls
+from lupinmill.lab.virtual.front import Front
+from lupinmill.lab.virtual.inner import InnerCalls
+from lupinmill.lab.virtual.seat import Seat
+from lupinmill.lab.world import World, chance_for, draw
+from lupinmill.lab.world.troubles.plan import plan
+
+EPOCH = 1_000 * SECOND  # when every virtual day begins
+SETTLED = 8 * SECOND  # how long a run goes on after its last arrival
+MOST_NOTES = 2000
+
+Trace = Callable[[int, Seat, list[t.Note], list[t.Order]], None]
+
+
+class VirtualRun:
+    """One run of a scenario with one seed. The same seed gives the same steps, in every process."""
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        seed: int,
+        policy: str = "lupinmill",
+        trace: Trace | None = None,
+        tick: Callable[[int, Measure], None] | None = None,
+        commons: Callable[[VirtualRun], Any] | None = None,
+    ) -> None:
+        self.timeline = Timeline(EPOCH)
+        self.commons: Any = None  # what its front sidecars hold in common, where they do
+        self.world = World(scenario, seed, self.timeline)
+        self.policy = policies.find(policy)
+        self.measure = Measure(EPOCH, self.world.seconds, [w.name for w in self.world.workloads])
+        self.round = max(1, int(scenario.sidecars.round_ms * MS))
+        self.trace, self.tick = trace, tick
+        self.steps, self.digest = 0, xxhash.xxh64()
+        self.digests: list[str] = []
+        self.notes: list[tuple[float, str, str]] = []
+        self.stop = False
+        chance = chance_for(seed, "front")
+        self.spread_s = draw(chance, scenario.discovery.spread_ms) / 1000
+        self.calls = self.discovery_calls(chance)
+        self.seats = [
+            Seat(self, f"s{at}", 0, self.world.zones[at % len(self.world.zones)], at)
+            for at in range(self.world.sidecars)
+        ]
+        self.instances = [len(self.seats)] + [len(tier) for tier in self.world.tiers[:-1]]
+        self.front = Front(self, chance)
+        self.clients = Clients(self.world, self.front, self.measure)
+        self.inner = InnerCalls(self)
+        if commons is not None:
+            self.commons = commons(self)
+        for endpoint in [e for tier in self.world.tiers[:-1] for e in tier]:
+            self.endpoint_started(endpoint)
+
+    def discovery_calls(self, chance: np.random.Generator) -> list[Calls]:
+        """Of each tier's list."""
+        found = self.world.scenario.discovery
+        time_out = int(found.time_out_s * SECOND)
+        return [
+            Calls(self.timeline, registry, draw(chance, found.calls_per_s), time_out)
+            for registry in self.world.registries
+        ]
+
+    # The run.
+
+    def play(self) -> None:
+        """To the end, or until `stop` is set."""
+        world, timeline = self.world, self.timeline
+        for seat in self.seats:
+            seat.start()
+        plan(world, self)
+        self.clients.begin()
+        second = EPOCH
+        end = world.end + SETTLED
+        while timeline.now < end and not self.stop:
+            second += SECOND
+            timeline.run_until(min(second, end))
+            self.sample()
+            world.referee.sweep(timeline.now)
+            self.digests.append(self.digest.hexdigest())
+            if self.tick is not None:
+                self.tick((timeline.now - EPOCH) // SECOND, self.measure)
+            if timeline.now >= world.end and not self.clients.open:
+                break
+
+    def sample(self) -> None:
+        """The state at the end of a second, into its figures."""
+        entry = self.measure.at(self.timeline.now - SECOND)
+        observe_endpoints(entry, self.world.tiers)
+        caps = []
+        for seat in self.seats:
+            desk = getattr(seat.module, "desk", None)
+            if seat.alive and desk is not None:
+                caps.append(desk.cap)
+                entry.aside += sum(one.mode == "aside" for one in desk.endpoints.values())
+        entry.cap = sum(caps) / len(caps) if caps else 0.0
+
+    def watch_step(self, seat: Seat, now: int, notes: list[t.Note], orders: list[t.Order]) -> None:
+        """Each step of each module, for the checksum by which runs are compared."""
+        self.steps += 1
+        self.digest.update(f"{now} {seat.name} {len(notes)} {orders}".encode())
+        if self.trace is not None:
+            self.trace(self.steps, seat, notes, orders)
+
+    def note(self, seat: Seat, text: str) -> None:
+        """A line that a sidecar logged."""
+        if len(self.notes) < MOST_NOTES:
+            self.notes.append((round((self.timeline.now - EPOCH) / SECOND, 3), seat.name, text))
+
+    def spread(self, chance: np.random.Generator) -> float:
+        """Microseconds that a published change takes to one sidecar."""
+        return self.spread_s * chance.uniform(0.2, 1.8) * SECOND
+
+    # What troubles do.
+
+    def endpoint_started(self, endpoint: Endpoint) -> None:
+        """An endpoint starts, or starts again."""
+        self.inner.endpoint_started(endpoint)
+
+    def endpoint_died(self, endpoint: Endpoint) -> None:
+        """An endpoint has died."""
+        self.inner.endpoint_died(endpoint)
+
+    def sidecar_count(self) -> int:
+        """Of the front."""
+        return len(self.seats)
+
+    def ways_changed(self) -> None:
+        """Each message looks for itself."""
+
+    def kill_sidecar(self, at: int, down_s: float) -> None:
+        """One of the front, for so many seconds."""
+        self.front.kill(at, down_s)
+
+    def starve_sidecar(self, at: int, lag_s: float) -> None:
+        """One of the front comes to what has happened with this lag."""
+        self.seats[at].lag = int(lag_s * SECOND)
--- a/lupinmill/lab/world/network.py
+++ b/lupinmill/lab/world/network.py
@@ -10,7 +10,7 @@
 
 
 class Network:
-    """Delays are in microseconds, one way. `chance` draws the site's means; each message's delay is its own."""
+    """Delays are in microseconds, one way. `chance` draws the means of the site; `seed` gives the delays."""
 
     def __init__(self, net: Net, seed: int, chance: np.random.Generator) -> None:
         self.zones = net.zones
--- a/lupinmill/lab/world/site.py
+++ b/lupinmill/lab/world/site.py
@@ -237,6 +237,14 @@
         total = sum(tenant.share for tenant in self.scenario.tenant)
         return {tenant.name: whole * tenant.share / total for tenant in self.scenario.tenant}
 
+    def draw_calls(self, tier: int, chance: np.random.Generator) -> int:
+        """How many calls of the next tier one request makes at an endpoint of this tier."""
+        if tier + 1 >= len(self.tiers):
+            return 0
+        mean = self.calls[tier + 1]
+        whole = int(mean)
+        return whole + (chance.random() < mean - whole)
+
     def call_work(self, job: Job, shape: Shape, chance: np.random.Generator) -> float:
         """Seconds of work of a call that this job makes of the next tier, before that tier's part of it."""
         if self.scenario.tier[shape.tier + 1].call_work == "own":
