--- a/lupinmill/lab/sockets.py
+++ b/lupinmill/lab/sockets.py
@@ -17,13 +17,14 @@
 from lupinmill.lab.clients import Clients, Wish
 from lupinmill.lab.endpoint import Endpoint, Job
 from lupinmill.lab.fleet_sockets import TAKEN, free_port
-from lupinmill.lab.measure import Measure
+from lupinmill.lab.measure import Measure, observe_endpoints
 from lupinmill.lab.processes import Process
 from lupinmill.lab.registry import Entry, Registry
 from lupinmill.lab.scenario import Scenario
 from lupinmill.lab.stands import HOST, STATUS, AskPool, DiscoveryServer, EndpointServer, Exchange
 from lupinmill.lab.timeline import MS, SECOND, Timeline
 from lupinmill.lab.world import World, chance_for, draw
+from lupinmill.lab.world.troubles.plan import plan
 from lupinmill.peers.peer import REHEARSAL
 from lupinmill.protocol.http import Answer, Request
 
@@ -128,7 +129,7 @@
             self.give_calls(endpoint)
         await asyncio.gather(*(self.start(process) for process in (*self.fronts, *self.inner.values())))
         self.rebase()
-        self.world.plan(self)
+        plan(self.world, self)
         self.clients.begin()
         self.began = True
         for _ in range(self.scenario.clients.idle):
@@ -266,13 +267,8 @@
 
     def sample(self, now: int) -> None:
         while self.began and now >= self.next_sample:
-            entry, tiers = self.measure.at(self.next_sample - SECOND), self.world.tiers
-            for name, endpoints in (("held", tiers[0]), ("held_inner", tiers[-1] if len(tiers) > 1 else [])):
-                alive = [e for e in endpoints if e.alive]
-                if alive:
-                    setattr(entry, name, sum(len(e.held) + len(e.waiting) for e in alive) / len(alive))
-            entry.alive = sum(e.alive for e in tiers[0])
-            entry.jammed = sum(e.jammed for tier in tiers for e in tier)
+            entry = self.measure.at(self.next_sample - SECOND)
+            observe_endpoints(entry, self.world.tiers)
             listed = self.world.registries[0].entries
             self.aside = {key: None for key in self.aside if key[1] in listed}  # forgotten with what is gone
             entry.aside = sum(name in self.front_names for name, _ in self.aside)
@@ -318,7 +314,9 @@
     def ask(self, wish: Wish, submission: str, due: int, repeated: bool) -> None:
         at = self.front_picks()
         if at is None or not self.fronts[at].alive():
-            self.timeline.after(2 * self.world.client_way, self.clients.ended, submission, "unreachable", 0)
+            self.timeline.after(
+                2 * self.world.network.client_way, self.clients.ended, submission, "unreachable", 0
+            )
             return
         process = self.fronts[at]
         wish.sidecar = process
@@ -416,14 +414,10 @@
 
     def noise(self, workload: str) -> float:
         noise = self.world.by_name[workload].noise
-        return max(0.1, 1 + noise * float(self.world.net_chance.standard_normal())) if noise else 1.0
+        return max(0.1, 1 + noise * float(self.world.network.chance.standard_normal())) if noise else 1.0
 
     def calls_of(self, endpoint: Endpoint) -> int:
-        tier = endpoint.shape.tier
-        if tier + 1 >= len(self.world.tiers):
-            return 0
-        mean = self.world.calls[tier + 1]
-        return int(mean) + (self.call_chance.random() < mean - int(mean))
+        return self.world.draw_calls(endpoint.shape.tier, self.call_chance)
 
     def spread(self) -> float:
         return self.spread_s * self.front.uniform(0.2, 1.8) * SECOND
