--- a/lupinmill/lab/faults/referee.py
+++ b/lupinmill/lab/faults/referee.py
@@ -51,7 +51,8 @@
     def told_of_slack(self, sent: Sent, attempt: Attempt) -> str:
         begin, end = sent.written or 0.0, attempt.last_byte
         starved = sum(one.starved_between(begin, end) for one in self.lives[sent.life.sidecar])
-        return f"without a core {starved:.3f} s, campaign late {self.records.lag_between(begin, end + 0.1):.3f} s"
+        late = self.records.lag_between(begin, end + 0.1)
+        return f"without a core {starved:.3f} s, campaign late {late:.3f} s"
 
     def judge(self) -> list[Break]:
         for life in self.records.lives:
@@ -331,7 +332,8 @@
                 Fault.TOO_LATE,
                 "told more time than is left",
                 sent.life.sidecar,
-                f"{what}: told {told:.3f} s, {left:.3f} s left, {after:.3f} s on; {self.told_of_slack(sent, attempt)}",
+                f"{what}: told {told:.3f} s, {left:.3f} s left, {after:.3f} s on;"
+                f" {self.told_of_slack(sent, attempt)}",
             )
 
     def judge_told(self, sent: Sent, attempt: Attempt) -> None:
--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -106,11 +106,14 @@
     ),
     "read and closed": (
         "from lupinmill.routing.relay import Relay\n"
-        "final = Relay.final_answer\n"
-        "async def planted(self, client, journey):\n"
-        "    answer = await final(self, client, journey)\n"
-        "    return None if journey.asked.submission.endswith('7') else answer\n"
-        "Relay.final_answer = planted",
+        "passed, seen = Relay.pass_back, []\n"
+        "async def planted(self, client, *more):\n"
+        "    seen.append(None)\n"
+        "    if len(seen) % 7:\n"
+        "        return await passed(self, client, *more)\n"
+        "    client.close()\n"
+        "    return False\n"
+        "Relay.pass_back = planted",
         Fault.UNANSWERED,
         "no answer",
     ),
