--- a/lupinmill/lab/faults/endpoints.py
+++ b/lupinmill/lab/faults/endpoints.py
@@ -12,6 +12,7 @@
 
 from lupinmill.lab.faults.records import Attempt, Records
 from lupinmill.lab.faults.wire import (
+    TCP_ESTABLISHED,
     TIMESTAMP_OPTION,
     BadMessage,
     Cut,
@@ -95,18 +96,22 @@
             while True:
                 await self.accepting.wait()
                 await wait_for_socket(self.sock, False)
-                try:
-                    sock, _ = self.sock.accept()
-                except OSError:
-                    continue
-                task = asyncio.create_task(self.serve(Wire(sock)))
-                self.tasks.add(task)
-                task.add_done_callback(self.tasks.discard)
+                self.accept_all()
         finally:
             self.sock.close()
             for task in list(self.tasks):
                 task.cancel()
 
+    def accept_all(self) -> None:
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                return
+            task = asyncio.create_task(self.serve(Wire(sock)))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
     async def come_up_late(self, seconds: float) -> None:
         """New connections stay unanswered for so long: they lie in a queue that is too short for them."""
         self.accepting.clear()
@@ -172,6 +177,7 @@
             return False
         await read_body(wire, message, False)
         attempt = self.write_down(message, method, target)
+        attempt.stamped = wire.state() == TCP_ESTABLISHED
         if behaviour == "well":
             await asyncio.sleep(random.choice((0, 0.002, 0.02, 0.1)))
         return await self.answer(wire, attempt, behaviour, random)
--- a/lupinmill/lab/faults/records.py
+++ b/lupinmill/lab/faults/records.py
@@ -137,6 +137,7 @@
     deadline: bytes
     first_byte: float
     last_byte: float
+    stamped: bool = True  # its times are sure: an end behind it, which has come too, would be stamped instead
     turned_away: bool = False  # with Srv-Declined: never ran
     made: bytes = b""  # the body of the 200 answer that was made for it
 
