--- a/lupinmill/lab/faults/clients.py
+++ b/lupinmill/lab/faults/clients.py
@@ -152,6 +152,8 @@
 
     async def hear(self, wire: Wire, sent: Sent) -> bool:
         """The one answer, or what came in its place. True where the connection can go on."""
+        if sent.first_on_connection or sent.behind is not None:
+            sent.opened = wire.opened
         try:
             async with asyncio.timeout(None) as limit:
                 patience = asyncio.create_task(self.be_patient(sent, limit))
@@ -267,7 +269,7 @@
                 if not await self.hear(wire, sent):
                     break
             for sent in batch[at + 1 :]:  # the connection ended before its turn
-                sent.over, sent.ending = time.time(), batch[at].ending
+                sent.over, sent.ending, sent.opened = time.time(), batch[at].ending, wire.opened
         finally:
             wire.close()
 
--- a/lupinmill/lab/faults/records.py
+++ b/lupinmill/lab/faults/records.py
@@ -111,6 +111,7 @@
     deadline: float
     how: str  # of its client, for the report
     first_on_connection: bool = True
+    opened: float = 0.0  # its connection, where this one or a batch with it was the first
     written: float | None = None  # its last byte; never, where its client cut it off
     behind: Sent | None = None  # the one before it on its connection, if both were sent at once
     left: float | None = None  # when its client closed, reset or half-closed
--- a/lupinmill/lab/faults/referee.py
+++ b/lupinmill/lab/faults/referee.py
@@ -22,6 +22,7 @@
 TAKES_CONNECTIONS = 0.35  # seconds after SIGTERM up to which new connections come
 EXIT_REFUSED = 2
 AFTER_STOP = 2.0  # seconds behind a stop in which what lay there meanwhile is worked off
+SLOW_CLIENT = 1.0  # seconds from a connection's begin to a request's last byte
 SLOW = ("trickling", "large")  # clients whose request comes in parts
 REFUSALS = (429, 503)
 BY_SIGNAL = (-signal.SIGHUP, -signal.SIGTERM)
@@ -221,7 +222,7 @@
         crowded = life.crowded_between(sent.written - MACHINE, over)
         if sent.ending is not Ending.RESET:
             return crowded and sent.how in SLOW and sent.ending is Ending.CLOSED
-        if not sent.first_on_connection or crowded:
+        if not sent.first_on_connection or crowded or was_slow(sent):
             return True
         return any(self.turned_back(one, sent.written, over) for one in self.lives[life.sidecar])
 
@@ -369,7 +370,12 @@
 
 def may_be_refused(sent: Sent) -> bool:
     """Valid, but a sidecar may refuse what it can't pass on as it is."""
-    return sent.how in ("named in Connection", "trickling")
+    return sent.how in ("named in Connection", "trickling") or was_slow(sent)
+
+
+def was_slow(sent: Sent) -> bool:
+    """On a busy machine a client that means no harm may come to write so late that it isn't waited for."""
+    return bool(sent.opened) and (sent.written or 0.0) - sent.opened > SLOW_CLIENT
 
 
 def before(sent: Sent) -> float:
--- a/lupinmill/lab/faults/wire.py
+++ b/lupinmill/lab/faults/wire.py
@@ -53,6 +53,7 @@
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock, self.buffer, self.stamp, self.closed = sock, bytearray(), 0.0, False
+        self.opened = time.time()
         self.begun = 0.0  # stamp of the first byte in the buffer
         self.inside = False  # a message has begun and is not whole
         sock.setblocking(False)
