A request that the module could not be told of leaves nothing open; large answers that fail at once

Cause (routing/admit.py, `request`): where `Book.begin` raised, its journey stayed in the book: the id was refused for good, and `leave` waited for it for ever. It is withdrawn now.

--- a/lupinmill/routing/admit.py
+++ b/lupinmill/routing/admit.py
@@ -48,7 +48,11 @@
         waited = client.waited_for(asked.left)
         due = self.due(asked.left, waited, int(to_come * 1_000_000))
         journey = Journey(asked, request, due, client, self.book.engine.clock.now() - waited, body=body)
-        self.book.begin(journey)
+        try:
+            self.book.begin(journey)
+        except Exception:
+            self.book.withdraw(journey)  # or it would be open for good, and so would the program
+            raise
         return journey
 
     def readiness(self, request: Request) -> Answer | None:
--- a/lupinmill/transport/listener.py
+++ b/lupinmill/transport/listener.py
@@ -162,6 +162,8 @@
         for."""
         while True:
             client.early = b""
+            if client.overrun and not client.ahead:
+                return b""  # what lies unread follows on bytes that were dropped
             # What came ahead of its turn is here already: the loop would not call for it.
             judged = self.door is not None and self.door.active and not client.ahead
             data = await (self.at_the_door(client) if judged else self.awaited(client))
--- a/tests/test_clients_answers.py
+++ b/tests/test_clients_answers.py
@@ -100,6 +100,43 @@
     assert failed(net) == ["client"] * (what is not broken_watch)
 
 
+@pytest.mark.parametrize("version", [b"1.1", b"1.0"])
+def test_a_large_answer_that_can_not_be_begun_is_told_as_failed(version, monkeypatch):
+    """One that is passed on as it comes. Seen failing as a connection closed, or reset, with no answer."""
+    monkeypatch.setattr(OwnSide, "begin", lost_protocol, raising=False)
+    monkeypatch.setattr(take_in, "ServerSide", OwnSide)
+
+    async def check(net: Net):
+        async with await connect(net) as stream:
+            await stream.send(wanted("s1").replace(b"HTTP/1.1", b"HTTP/" + version, 1))
+            with anyio.fail_after(5):
+                assert await statuses(stream) == [502]
+
+    net = on_network(check, always(Answer(200, [], b"x" * 500_000)))
+    assert "answer_broken" in {event for event, _ in net.logs}
+
+
+def test_a_request_that_the_module_could_not_be_told_of_leaves_nothing_open():
+    """Seen failing with a journey that stayed in the book: its id refused for good, and a program that could
+    not end."""
+
+    async def check(net: Net):
+        tell = net.program.engine.tell
+
+        def broken(note):
+            if isinstance(note, t.Arrived) and note.submission == "s1":
+                raise RuntimeError("a defect")
+            tell(note)
+
+        net.program.engine.tell = broken
+        assert (await net.ask(wanted("s1"))).status == 502
+        assert not net.program.book.journeys and net.program.book.unlaunched == 0
+        net.program.engine.tell = tell
+        assert (await net.ask(wanted("s1"))).status == 200
+
+    assert failed(on_network(check, fine)) == ["client"]
+
+
 @pytest.mark.parametrize("method", [b"HEAD", b"POST"])
 def test_the_answer_to_a_defect_is_whole_for_every_method(method, monkeypatch):
     async def check(net: Net):
--- a/tests/test_clients_end.py
+++ b/tests/test_clients_end.py
@@ -150,7 +150,8 @@
     on_network(check, act, net_of=Unhurried)
 
 
-def test_what_comes_behind_dropped_bytes_is_never_taken_for_a_part_of_a_request():
+@pytest.mark.parametrize("active", [False, True])
+def test_what_comes_behind_dropped_bytes_is_never_taken_for_a_part_of_a_request(active):
     """A request is held at the door while its client sends more than is kept ahead, and is denied in the end.
     Seen failing as a request at the endpoint whose body had a hole in it."""
 
@@ -171,7 +172,7 @@
             gate.release = release
             door.release()
             assert (await stream.receive()).startswith(b"HTTP/1.1 503")
-            gate.active = False
+            gate.active, gate.window = active, 50.0
             with anyio.move_on_after(5):
                 try:
                     await stream.send(wanted("s3", deadline="8", body=b"b" * (3 * AHEAD)))
@@ -184,3 +185,41 @@
     net = on_network(check, fine)
     assert not [note for note in net.notes if isinstance(note, t.Arrived)]
     assert not seen(net, "s2") and not seen(net, "s3")
+
+
+def test_behind_dropped_bytes_the_door_judges_nothing_either():
+    """Two requests are denied at the door, a third was dropped behind them: an answer to a fourth would pass
+    for the third's. Seen failing as a connection that was read on."""
+
+    async def check(net: Net):
+        door, gate = net.program.door, net.program.door.gate
+        gate.active, gate.window = True, 0.0
+        gate.in_time, gate.beat = (lambda *_: True), (lambda *_: None)
+        release, gate.release = gate.release, lambda now: []
+        async with await connect(net) as stream:
+            await stream.send(wanted("s1", deadline="8"))
+            await until(lambda: gate.held)
+            await until(lambda: [one for line in gate.order for one in line.waiting if one.token.scope])
+            (offer,) = [one for line in gate.order for one in line.waiting]
+            client = offer.client
+            await stream.send(wanted("s2", deadline="8"))
+            await until(lambda: client.ahead)
+            await stream.send(b"x" * (3 * AHEAD))
+            await until(lambda: client.overrun and client.quiet())
+            client.ahead, client.ahead_size = type(client.ahead)([client.ahead[0]]), 0  # s2 alone was kept
+            offer.left, gate.in_time, gate.release = 0, (lambda *_: False), release
+            door.release()
+            got = b""
+            with anyio.fail_after(5):
+                try:
+                    while got.count(b"HTTP/1.1") < 2:
+                        got += await stream.receive()
+                    await stream.send(wanted("s4", deadline="8"))
+                    while True:
+                        got += await stream.receive()
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    pass
+            assert got.count(b"HTTP/1.1 503") == got.count(b"HTTP/1.1") == 2
+        await until(lambda: client.closed)
+
+    on_network(check, fine)
