--- a/tests/test_forwarded_headers.py
+++ b/tests/test_forwarded_headers.py
@@ -4,6 +4,9 @@
 import anyio
 import pytest
 from bed import Net, on_network, settings, wanted
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
 from test_sidecar import fine
 
 from lupinmill.protocol import http, quick, submission
@@ -140,6 +143,51 @@
         assert by_the_parser(data) or quick.glance(data, KNOWN) is None, data
 
 
+LINES = st.lists(
+    st.tuples(
+        st.sampled_from([b"Req-Id", b"REQ-KIND", b"Req-Deadline", b"Req-Retry", b"Req-Owner", b"Req-Key"])
+        | st.sampled_from([b"idempotency-key", b"Host", b"Connection", b"Content-Length", b"X", b"Expect"]),
+        st.sampled_from([b": ", b":", b":\t", b" :"]),
+        st.sampled_from([b"", b"1", b"0.5", b"view", b"bid", b"a b", b"0", b"\xc3\xa9", b"x" * 201]),
+        st.sampled_from([b"", b" ", b"\t"]),
+    ),
+    max_size=3,
+)
+TARGETS = st.sampled_from(
+    [
+        b"/view",
+        b"/view?q",
+        b"/view/x",
+        b"/bid?q",
+        b"/x",
+        b"//view",
+        b"/%76iew",
+        b"view",
+        b"*",
+        b"/view/../bid",
+    ]
+)
+
+
+@hypothesis_settings(derandomize=True, deadline=None, max_examples=1_000)
+@given(st.sampled_from([b"GET", b"POST", b"HEAD", b"CONNECT"]), TARGETS, LINES, st.booleans())
+def test_what_a_glance_reads_is_what_the_parser_reads(method, target, lines, hosted):
+    first = method + b" " + target + b" HTTP/1.1\r\n"
+    known = [b"%s: %s\r\n" % pair for pair in HEADERS[not hosted :]]
+    data = first + b"".join(known + [b"".join(line) + b"\r\n" for line in lines]) + b"\r\n"
+    seen = quick.glance(data, KNOWN)
+    if seen is not None:
+        side = ServerSide()
+        side.feed(data)
+        read = submission.read(side.next_request(), KNOWN)
+        assert (seen.workload, seen.left, seen.tenant, seen.repeated) == (
+            read.workload,
+            read.left,
+            read.tenant,
+            read.repeated,
+        )
+
+
 # --- class names --------------------------------------------------------------------------------
 
 NAMES = ["für-später", "注文", "new order", "a/b", "50%", "tëst", "\N{NO-BREAK SPACE}x", "é"]
