--- a/tests/test_clients_door.py
+++ b/tests/test_clients_door.py
@@ -16,6 +16,7 @@
 from lupinmill.routing.book import Book
 from lupinmill.routing.door import Door
 from lupinmill.routing.engine import Clock, Engine
+from lupinmill.transport.descriptors import Side
 
 
 def defective(*_):
@@ -268,3 +269,37 @@
 
     gate = anyio.run(main)
     assert gate.inside == 0 and gate.held == 0
+
+
+@pytest.mark.parametrize("end", ["bytes", "close"])
+def test_a_busy_door_leaves_the_others_their_turn_and_sees_to_its_clients_afterwards(end):
+    """Bytes or an end lie unread while it is busy, so that the loop calls in each of its passes."""
+
+    async def check(net: Net):
+        door = net.program.door
+        door.gate.beat = lambda *_: None
+        door.gate.active, door.gate.window = True, 10.0
+        listener = net.program.descriptors.close_idle_client.__self__
+        stream = await connect(net)
+        await until(lambda: listener.idle)
+        calls, busy = [], door.busy
+        door.busy = lambda: (calls.append(None), True)[1]
+        if end == "bytes":
+            await stream.send(wanted("s1"))
+        else:
+            await stream.aclose()
+        passes = 0
+        while len(calls) < 50:
+            passes += 1
+            await anyio.sleep(0)
+        assert passes >= 25  # one call in a pass of the loop, beside which others ran
+        assert listener.idle
+        door.busy = busy
+        if end == "bytes":
+            assert (await stream.receive()).startswith(b"HTTP/1.1 200")
+            await stream.aclose()
+        await until(lambda: net.program.descriptors.open[Side.CLIENT] == 0)
+        door.gate.active = False
+
+    net = on_network(check, fine)
+    assert not failed(net)
