--- a/tests/test_discovery_six_seconds.py
+++ b/tests/test_discovery_six_seconds.py
@@ -55,7 +55,7 @@
     """In trouble of one kind until `back`."""
 
     def __init__(self, trouble: str, back: float) -> None:
-        self.trouble, self.back, self.calls = trouble, back, 0
+        self.trouble, self.back, self.first = trouble, back, b""
 
     async def connect(self, address, time_out, *_):
         began = anyio.current_time()
@@ -84,7 +84,7 @@
 
     async def send(self, data: bytes) -> None:
         self.sent, self.given, self.target = anyio.current_time(), 0, data
-        self.service.calls += 1
+        self.service.first = self.service.first or data
 
     async def receive(self) -> bytes:
         if self.sent >= self.service.back:
@@ -204,6 +204,51 @@
     assert worst(monkeypatch, LONGEST, trouble, False, instances=10, asks=False) < TOLD_AFTER
 
 
+AFTER_A_MOVE = 4.0  # seconds after SIGHUP from which what the new discovery has counts as told
+
+
+async def known_after_move(trouble, offset, index, pushed) -> float:
+    """Seconds from the move to a discovery that answers; the old one stays in trouble."""
+    old, new = Service(trouble, float("inf")), Service("none", 0.0)
+    directory = Directory(index, True)
+    terms = deployment(instances=200, must_ask=not pushed, ask_within=10_000_000)
+    watch = Discovery("127.0.0.1:1", terms, directory, Store(), lambda *_, **__: None)
+
+    async def connect(address, *more):
+        return await (old if address == "127.0.0.1:1" else new).connect(address, *more)
+
+    discovery.connect = connect  # put back by the fixture
+    directory.ask = lambda: watch.watch(t.Watch())
+    watch.wanted.set()
+    with anyio.fail_after(300):
+        async with anyio.create_task_group() as group:
+            group.start_soon(watch.run)
+            await anyio.sleep(offset)
+            moved = anyio.current_time()
+            watch.move("127.0.0.1:2")
+            await directory.heard.wait()
+            group.cancel_scope.cancel()
+    assert b"index=" not in new.first, "versions of the old discovery mean nothing at the new one"
+    return directory.updated - moved
+
+
+@pytest.mark.parametrize("pushed", [False, True], ids=["asked", "pushed"])
+@pytest.mark.parametrize("trouble", TROUBLES)
+def test_after_a_move_in_the_middle_of_any_trouble_the_new_list_is_there_in_time(
+    monkeypatch, trouble, pushed
+):
+    monkeypatch.setattr(discovery.random, "uniform", LONGEST)
+    found = []
+
+    async def main() -> None:
+        for index in (OLD, None):
+            for tenth in range(0, 95, 3):
+                found.append(await known_after_move(trouble, tenth / 10, index, pushed))
+
+    anyio.run(main, backend_options={"loop_factory": JumpingLoop})
+    assert max(found) < AFTER_A_MOVE
+
+
 def test_the_parts_of_a_failed_round_and_of_the_next_answer_are_within_the_term():
     assert discovery.ROUND + discovery.WHOLE + discovery.SLACK <= TOLD_AFTER
     assert discovery.WHOLE + discovery.SOON <= discovery.ROUND
