A failure on an alarm ends the request that it was about, not the one told in that step

Cause: routing/engine.py took the note that was being told for the one that the module failed on; an alarm of another submission may come due in the same step. Change: where the exception says what it was about (`about`, for the module to set), that counts, the module's own notes too.

--- a/lupinmill/routing/book.py
+++ b/lupinmill/routing/book.py
@@ -4,6 +4,7 @@
 
 import math
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 import anyio
 
@@ -121,10 +122,11 @@
         if self.settle(journey, None):
             self.engine.tell(t.Withdrawn(journey.asked.submission))
 
-    def after_failure(self, note: t.Note) -> None:
+    def after_failure(self, note: Any) -> None:
         """The module failed on this note, and may never decide about its submission: where no launch is out
         that may still bring an answer, it gets its final one now."""
-        journey = self.journeys.get(getattr(note, "submission", ""))
+        about = getattr(note, "submission", "")  # its name; in the module's own notes what it knows of it
+        journey = self.journeys.get(getattr(about, "name", about))
         if journey is not None and not any(launch.out for launch in journey.launches):
             self.answer_for_module(journey)
         if isinstance(note, t.Ended) and note.how is not t.How.CALLED_OFF:
--- a/lupinmill/routing/directory.py
+++ b/lupinmill/routing/directory.py
@@ -40,7 +40,7 @@
             self.pool.drop(name)
         self.engine.tell(t.Listed(kind, entries))
 
-    def after_failure(self, note: t.Note) -> None:
+    def after_failure(self, note: object) -> None:
         """The module may hold a part of a list: changes since then would never make up for the rest."""
         if isinstance(note, t.Listed):
             self.index = None
--- a/lupinmill/routing/engine.py
+++ b/lupinmill/routing/engine.py
@@ -52,7 +52,7 @@
         # After a failure. Apart from `wake_at`: the module counts on that one and would not ask for it again.
         self.go_on_at: int | None = None
         self.go_on = GO_ON
-        self.failed: list[Callable[[t.Note], None]] = []  # hear of each note that the module failed on
+        self.failed: list[Callable[[Any], None]] = []  # hear of each note that the module failed on
         self.late = 0  # microseconds by which wake-ups came late of late
         self.rearmed = anyio.Event()
         self.carriers: dict[type, Callable[[Any], None]] = {
@@ -75,17 +75,18 @@
     def step(self, note: t.Note) -> None:
         """One failure must cost one note's submission at most, never the program. Hence one note a step: of a
         batch, those behind the one that fails would be lost. What was ordered before the failure holds."""
-        failed = False
+        failed: Any = None
         try:
             orders = self.sidecar.step(self.clock.now(), [note])
         except Exception as error:
-            failed = True
+            # The module may say which note it was: of an alarm that came due in this step, another's.
+            failed = getattr(error, "about", note)
             self.log("module_failed", note=type(note).__name__, **defect(error))
             orders, self.sidecar.mail.orders = self.sidecar.mail.orders, []
         for order in orders:
             self.carry_out(order)
-        if failed:
-            self.after_failure(note)
+        if failed is not None:
+            self.after_failure(failed)
         else:
             self.go_on = GO_ON
 
@@ -95,7 +96,7 @@
         except Exception as error:
             self.log("order_failed", order=type(order).__name__, **defect(error))
 
-    def after_failure(self, note: t.Note) -> None:
+    def after_failure(self, note: Any) -> None:
         """The step may have left notes undelivered and alarms due: it goes on soon. Whoever owns what the
         note was about brings that to its end."""
         self.go_on_at = self.clock.now() + self.go_on
--- a/tests/test_engine_defects.py
+++ b/tests/test_engine_defects.py
@@ -11,6 +11,7 @@
 from lupinmill.protocol.http import Answer
 from lupinmill.routing import engine as engines
 from lupinmill.routing.engine import Clock, Engine
+from lupinmill.workings import GiveUp
 
 NO_PROBES = settings()["limits"] | {"probes": False}
 LONG = [one | {"contract-time-s": 8.0, "hard-limit-s": 9.0} for one in settings()["workloads"]]
@@ -244,3 +245,50 @@
 
     net = on_network(check, fine, workloads=PATIENT, limits=NO_PROBES)
     assert logged(net, "module_failed")
+
+
+def test_a_failure_on_an_alarm_ends_the_request_that_it_was_about_and_not_the_one_just_told_of():
+    """Seen failing: whoever arrived in the step in which another's alarm failed was answered 502."""
+
+    async def check(net: Net):
+        engine = net.program.engine
+        step, planted = engine.sidecar.step, []
+
+        def failing(now, notes):
+            orders = step(now, notes)
+            if not planted and isinstance(notes[0], t.Arrived) and notes[0].submission == "innocent":
+                planted.append(1)
+                engine.sidecar.mail.orders = orders
+                error = ZeroDivisionError("planted")
+                error.about = GiveUp(engine.sidecar.desk.open["waits"], True)
+                raise error
+            return orders
+
+        engine.sidecar.step = failing
+        got = {}
+
+        async def ask(name: str) -> None:
+            got[name] = (await net.ask(wanted(name, "issue", "8.0"))).status
+
+        with anyio.fail_after(6):
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask, "first")
+                await until(lambda: "first" in net.program.book.journeys)
+                engine.sidecar.desk.cap = 0.1  # one launch at a time: the next ones are held
+                group.start_soon(ask, "waits")
+                await until(lambda: "waits" in net.program.book.journeys)
+                group.start_soon(ask, "innocent")
+                await until(lambda: "waits" in got)
+                assert got == {"waits": 502}
+                release.set()
+        assert got == {"waits": 502, "first": 200, "innocent": 200}
+        await all_quiet(net)
+
+    release = anyio.Event()
+
+    async def act(request):
+        if request.header(b"req-id") == "first":
+            await release.wait()
+        return await fine(request)
+
+    on_network(check, act, workloads=PATIENT, limits=NO_PROBES)
