--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -306,6 +306,10 @@
             endpoints=len(self.directory.states),
             descriptors=self.descriptors.limit,
         )
+        if told.unused:
+            self.log("settings_unused", fields=list(told.unused))
+        if told.known.refused:
+            self.log("known_refused", rows=told.known.refused)
 
     def look_again(self) -> None:
         """A configuration that came while this program started: a signal that tells of it may have come
--- a/lupinmill/program/told.py
+++ b/lupinmill/program/told.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
+from math import isfinite
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -18,6 +19,20 @@
     from lupinmill.program.operators_file import File
 
 
+LEAST_SOCKETS = 16  # the program's own, one client and one endpoint
+LARGEST_LIMIT = 1e9  # descriptors, or megabytes
+SOCKETS = 1024  # where no limit is told
+UNREADABLE = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+    Garbled,
+)
+
+
 class BadStart(Exception):
     """The text is the one line for standard error."""
 
@@ -37,6 +52,7 @@
     directory: str | None = None  # common to the processes of an upgrade
     operators: File | None = None  # the operator's own file, where one is named
     settings: dict[str, Any] = field(default_factory=dict)  # as the platform's file has them
+    unused: tuple[str, ...] = ()  # keys that ask for what has no use in this shape of deployment
 
 
 def read(environ: Mapping[str, str], again: bool = False) -> Told:
@@ -54,7 +70,7 @@
         raise BadStart(f"{path}: not a JSON object")
     try:
         told = understand(table, environ, again)
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError, Garbled) as error:
+    except UNREADABLE as error:
         text = f"missing {error}" if isinstance(error, KeyError) else str(error)
         raise BadStart(f"{path}: {' '.join(text.split())[:200]}") from error
     path = environ.get("BALANCER_OPERATOR_FILE")
@@ -79,36 +95,78 @@
 
 
 def understand(table: dict[str, Any], environ: Mapping[str, str], again: bool = False) -> Told:
+    """Raises one of UNREADABLE, its text the key and what is wrong there."""
+    if not isinstance(table["settings"], dict):
+        raise ValueError("settings: wants a table")
     fields = settings.flatten(table["settings"])
     settings.check(fields)
-    deployment = replace(settings.deployment(fields), seed=seed(table.get("seed", 0)))
-    limits = table.get("limits") or {}
+    name = printable(environ.get("BALANCER_NAME") or text(table.get("name")))
+    seed = settings.seed_of(table.get("seed"), name)
+    deployment = replace(settings.deployment(fields), seed=seed)
     if not deployment.workloads:
-        raise ValueError("settings: no workloads")
-    listen = environ.get("BALANCER_LISTEN") or str(table["listen"])
-    discovery = environ.get("BALANCER_DISCOVERY")
-    if not discovery or again and "discovery" in table:
-        discovery = str(table["discovery"])
-    operator = environ.get("BALANCER_OPERATOR") or table.get("operator")
-    operator = str(operator) if operator else None
-    for address in (listen, discovery, *([operator] if operator else [])):
-        split_address(address)
+        raise ValueError("settings.workloads: there are no workloads")
+    limits = table.get("limits") or {}
+    if not isinstance(limits, dict):
+        raise ValueError("limits: wants a table")
+    memory = number(limits, "memory_mb", None)
     return Told(
-        name=environ.get("BALANCER_NAME") or str(table.get("name", "")),
-        listen=listen,
-        discovery=discovery,
+        name=name,
+        listen=address("listen", environ.get("BALANCER_LISTEN") or table["listen"]),
+        discovery=address("discovery", discovery_of(table, environ, again)),
         deployment=deployment,
-        known=lists.known(table.get("known") or {"index": 0, "endpoints": []}),
-        descriptors=int(limits.get("sockets", 1024)),
-        memory=int(float(limits["memory_mb"]) * 2**20) if "memory_mb" in limits else None,
+        known=lists.at_start(table.get("known")),
+        descriptors=int(number(limits, "sockets", SOCKETS, LEAST_SOCKETS) or SOCKETS),
+        memory=None if memory is None else int(memory * 2**20),
         idle_limit=settings.idle_limit(fields),
         connect_limit=settings.connect_limit(fields),
-        operator=operator,
+        operator=operator_of(table, environ),
         directory=environ.get("TMPDIR") or None,
         settings=table["settings"],
+        unused=tuple(settings.unused(fields)),
     )
 
 
+def discovery_of(table: dict[str, Any], environ: Mapping[str, str], again: bool) -> Any:
+    found = environ.get("BALANCER_DISCOVERY")
+    return table["discovery"] if not found or again and "discovery" in table else found
+
+
+def operator_of(table: dict[str, Any], environ: Mapping[str, str]) -> str | None:
+    found = environ.get("BALANCER_OPERATOR") or table.get("operator")
+    return address("operator", found) if found else None
+
+
+def address(key: str, value: Any) -> str:
+    try:
+        split_address(str(value))
+    except ValueError as error:
+        raise ValueError(f"{key}: {error}") from None
+    return str(value)
+
+
+def number(limits: dict[str, Any], key: str, usual: float | None, least: float = 1.0) -> float | None:
+    """As JSON may give it. Raises ValueError."""
+    value = limits.get(key)
+    if value is None:
+        return usual
+    try:
+        found = float("nan") if isinstance(value, bool) else float(value)
+    except (TypeError, ValueError):
+        found = float("nan")
+    if not isfinite(found) or found < least or found > LARGEST_LIMIT:
+        raise ValueError(f"limits.{key}: {value!r} is not a number of {least:g} or more")
+    return found
+
+
+def text(value: Any) -> str:
+    return "" if value is None else str(value)
+
+
+def printable(name: str) -> str:
+    """Bytes of the environment that are no UTF-8 can be neither logged nor sent."""
+    return name.encode("utf-8", "backslashreplace").decode()
+
+
 def fixed(old: Told, new: Told, alive: bool = False) -> list[str]:
     """What differs and can't be changed without a new start. `alive`: settings are judged key by key, where
     they are put in force."""
@@ -128,7 +186,3 @@
 
         others += operators_file.fixed(old.operators, new.operators, old.name)
     return others
-
-
-def seed(value: Any) -> int:
-    return int(value, 16) if isinstance(value, str) else int(value)
--- a/lupinmill/protocol/settings.py
+++ b/lupinmill/protocol/settings.py
@@ -1,15 +1,22 @@
-"""The settings that a sidecar is told, as name=value pairs or as nested JSON, turned into a `Deployment`."""
+"""The settings that a sidecar is told, as name=value pairs or as nested JSON, turned into a `Deployment`.
+
+`check` refuses only what can't be served under the rules. What is merely without use in a deployment's shape
+is ignored, and `unused` names it; keys that nothing here reads are no fault."""
 
 from __future__ import annotations
 
 from math import isfinite
 from typing import Any
+from zlib import crc32
 
 from lupinmill import terms as t
 
 Fields = dict[str, str]
 
 REPEATS = {"repeatable": t.Repeat.IDEMPOTENT, "by_key": t.Repeat.DEDUPLICATED}
+GROUPS = {"all": t.Group.ALL, "zone": t.Group.ZONE}
+COMMA = "\x1f"  # stands for a comma within a name, where lists are joined by commas
+LARGEST = 1e12  # of any number: beyond it there is no figure of a deployment
 
 
 def flatten(value: Any, path: str = "") -> Fields:
@@ -25,7 +32,7 @@
             found |= flatten(inner, f"{path}.{at}")
         return found
     if isinstance(value, list):
-        return {path: ",".join(map(plain, value))}
+        return {path: ",".join(plain(inner).replace(",", COMMA) for inner in value)}
     return {path: plain(value)}
 
 
@@ -35,8 +42,11 @@
     return str(value).lower() if isinstance(value, bool) else str(value)
 
 
+TRUE, FALSE = ("true", "1", "1.0"), ("", "false", "0", "0.0")
+
+
 class Settings:
-    """Typed look-ups in the start-up pairs."""
+    """Typed look-ups in the start-up pairs. A value that is empty, or null, is as good as none."""
 
     def __init__(self, fields: Fields) -> None:
         self.fields = fields
@@ -51,10 +61,10 @@
         return round(self.number(key, default) * 1_000_000)
 
     def flag(self, key: str, default: bool = False) -> bool:
-        return self.fields.get(key, "true" if default else "false") in ("true", "1")
+        return (self.fields.get(key) or ("true" if default else "false")) in TRUE
 
     def names(self, key: str) -> tuple[str, ...]:
-        return tuple(name for name in self.text(key).split(",") if name)
+        return tuple(name.replace(COMMA, ",") for name in self.text(key).split(",") if name)
 
     def items(self, key: str) -> list[Settings]:
         prefixes = [f"{key}.{i}." for i in range(int(self.number(f"{key}.count")))]
@@ -63,6 +73,28 @@
         ]
 
 
+def seed_of(value: Any, name: str) -> int:
+    """A seed as decimal or hexadecimal digits, or as a number. One that is neither, or none, gives way to one
+    drawn from the sidecar's name: guards against a fleet in which all draw alike."""
+    if isinstance(value, str):
+        for base in (16, 10):
+            try:
+                return int(value, base)
+            except ValueError:
+                pass
+    elif isinstance(value, int | float) and not isinstance(value, bool) and isfinite(value):
+        return int(value)
+    return crc32(name.encode("utf-8", "backslashreplace"))
+
+
+def decimal_seed(text: str) -> int:
+    """As the wire has it: a whole number; what is none counts by its letters."""
+    try:
+        return int(text)
+    except ValueError:
+        return crc32(text.encode("utf-8", "backslashreplace"))
+
+
 def workload(s: Settings) -> t.Workload:
     return t.Workload(
         name=s.text("name"),
@@ -71,7 +103,7 @@
         value=s.number("value", 1.0),
         overdue_value=s.number("overdue-value"),
         repeat=REPEATS.get(s.text("repeat"), t.Repeat.UNREPEATABLE),
-        group={"all": t.Group.ALL, "zone": t.Group.ZONE}.get(s.text("group"), t.Group.CELL),
+        group=GROUPS.get(s.text("group"), t.Group.CELL),
         window=s.micros("window-s"),
         zones=s.names("confined-to"),
         kinds=s.names("bound-to"),
@@ -80,8 +112,9 @@
 
 def deployment(fields: Fields) -> t.Deployment:
     s = Settings(fields)
+    beside = s.text("family") == "mesh"  # what has no use in the one shape or the other counts as not told
     return t.Deployment(
-        seed=int(s.text("random-seed", "0")),
+        seed=decimal_seed(s.text("random-seed", "0")),
         tier=int(s.number("tier")),
         instances=max(1, int(s.number("instances", 1))),
         workloads=[workload(w) for w in s.items("workloads")],
@@ -92,111 +125,163 @@
         must_ask=s.text("discovery") == "ask",
         ask_within=s.micros("invariants.ask-within-s", 10.0),
         grace=s.micros("invariants.stop-sending-within-s", 0.5),
-        cold_share=s.number("invariants.cold-share", 1.0),
+        cold_share=min(1.0, s.number("invariants.cold-share", 1.0)),
         cold_time=s.micros("invariants.cold-s"),
         round=s.micros("round-s", 0.001),
         most_launches=int(s.number("limits.most-launches", 1)),
-        copies_allowed=s.flag("limits.may-duplicate"),
+        copies_allowed=not beside and s.flag("limits.may-duplicate"),
         cancel_allowed=s.flag("limits.cancel"),
-        probes_allowed=s.flag("limits.probes"),
-        reports_asked=s.text("load-report.how", "off") == "on_probe",
+        probes_allowed=not beside and s.flag("limits.probes"),
+        reports_asked=not beside and s.text("load-report.how", "off") == "on_probe",
         advice_allowed=s.flag("limits.retry-after"),
         longest_advice=s.micros("limits.max-retry-after-s"),
-        beside=s.text("family") == "mesh",
+        beside=beside,
         zone=s.text("locality"),
         gone_binds=not s.flag("invariants.dropped-stay-open"),
-        uneven=s.text("family") == "mesh" or s.number("prices.cross-zone") > 0 or len(s.names("kinds")) > 1,
+        uneven=beside or s.number("prices.cross-zone") > 0 or len(s.names("kinds")) > 1,
         crossing_price=s.number("prices.cross-zone"),
-        warm_keys=s.flag("family-info.warm-keys"),
-        weights_tell_speed=s.text("weights") == "nominal",
-        few_connections=s.number("limits.streams-per-conn", 1) > 1 and s.number("prices.connection") > 0,
+        warm_keys=beside and s.flag("family-info.warm-keys"),
+        weights_tell_speed=beside and s.text("weights") == "nominal",
+        few_connections=(
+            beside and s.number("limits.streams-per-conn", 1) > 1 and s.number("prices.connection") > 0
+        ),
     )
 
 
-# What only one shape of deployment has, and the values that it may have in the other.
+# What has no use in one shape of deployment, and the values by which it isn't asked for there. To go without
+# it is always within the rules: no copies, no probes, an endpoint's weight as its size.
 BESIDE_ONLY = {
     "limits.streams-per-conn": ("", "1", "1.0"),
-    "family-info.warm-keys": ("", "false", "0"),
+    "family-info.warm-keys": FALSE,
     "prices.connection": ("", "0", "0.0"),
-    "weights": ("", "off"),
+    "weights": ("", "off", "rough", "live"),
 }
 POOL_ONLY = {
-    "tier": ("", "0", "0.0"),
-    "limits.may-duplicate": ("", "false", "0"),
-    "limits.probes": ("", "false", "0"),
-    "load-report.how": ("", "off"),
+    "limits.may-duplicate": FALSE,
+    "limits.probes": FALSE,
+    "load-report.how": ("", "off", "inline"),
 }
 CHOICES = {
     "family": ("", "proxy", "chain", "mesh"),
     "weights": ("", "off", "nominal", "rough", "live"),
-    "family-info.warm-keys": ("", "true", "false", "1", "0"),
-    "invariants.dropped-stay-open": ("", "true", "false", "1", "0"),
+    "discovery": ("", "ask", "push"),
 }
+FLAGS = (
+    "limits.may-duplicate",
+    "limits.cancel",
+    "limits.probes",
+    "limits.retry-after",
+    "invariants.dropped-stay-open",
+    "family-info.warm-keys",
+)
 PLACES = {"confined-to": "areas", "bound-to": "kinds"}  # of a workload, and where all names stand
-LEAST = {"limits.streams-per-conn": 1.0, "prices.connection": 0.0, "prices.cross-zone": 0.0}
+# The least of each number; none is over LARGEST.
+LEAST = {
+    "instances": 0.0,
+    "tier": 0.0,
+    "beyond-share-value": 0.0,
+    "blend.whole": 0.0,
+    "blend.worst-window": 0.0,
+    "blend.worst-class": 0.0,
+    "blend.kept-promises": 0.0,
+    "invariants.ask-within-s": 0.0,
+    "invariants.cold-share": 0.0,
+    "invariants.cold-s": 0.0,
+    "invariants.stop-sending-within-s": 0.0,
+    "round-s": 0.0,
+    "limits.most-launches": 1.0,
+    "limits.conn-idle-s": 0.0,
+    "limits.connect-timeout-s": 0.0,
+    "limits.max-retry-after-s": 0.0,
+    "limits.streams-per-conn": 1.0,
+    "prices.connection": 0.0,
+    "prices.cross-zone": 0.0,
+    "workloads.count": 0.0,
+    "accounts.count": 0.0,
+}
+LEAST_OF = {"workloads": {"value": 0.0, "overdue-value": 0.0}, "accounts": {"quota-per-s": 0.0}}
+
+
+def unused(fields: Fields) -> list[str]:
+    """The keys that ask for what has no use in this shape of deployment."""
+    idle = POOL_ONLY if fields.get("family") == "mesh" else BESIDE_ONLY
+    return [f"settings.{key}" for key, harmless in idle.items() if fields.get(key, "") not in harmless]
 
 
 def check(fields: Fields) -> None:
-    """For the start of the program: one shape of deployment, whole. Raises ValueError, its text the key and
-    what is wrong there. Guards against a sidecar that runs half by the old shape and half by the new."""
+    """For the start of the program. Raises ValueError, its text the key and what is wrong there."""
     for key, choices in CHOICES.items():
         if fields.get(key, "") not in choices:
             raise ValueError(f"settings.{key}: {fields[key]!r} is none of {', '.join(filter(None, choices))}")
+    for key in FLAGS:
+        if fields.get(key, "") not in TRUE + FALSE:
+            raise ValueError(f"settings.{key}: {fields[key]!r} is neither true nor false")
     for key, least in LEAST.items():
-        text = fields.get(key) or str(least)
-        try:
-            good = isfinite(float(text)) and float(text) >= least
-        except ValueError:
-            good = False
-        if not good:
-            raise ValueError(f"settings.{key}: {text!r} is not a number of {least:g} or more")
-    beside = fields.get("family") == "mesh"
-    for key, harmless in (POOL_ONLY if beside else BESIDE_ONLY).items():
-        if fields.get(key, "") not in harmless:
-            shape = "each client has a sidecar of its own" if beside else "clients share sidecars"
-            raise ValueError(f"settings.{key}: {fields[key]!r} has no place where {shape} (settings.family)")
+        check_number(fields, key, least)
+    for kind, numbers in LEAST_OF.items():
+        for at in range(int(number_at(fields, f"{kind}.count", "0"))):
+            for key, least in numbers.items():
+                check_number(fields, f"{kind}.{at}.{key}", least)
     check_workloads(fields)
-    for at, w in enumerate(Settings(fields).items("workloads")):
+    check_places(fields)
+
+
+def check_number(fields: Fields, key: str, least: float) -> None:
+    if not least <= number_at(fields, key, str(least)) <= LARGEST:
+        raise ValueError(f"settings.{key}: {fields[key]!r} is not within {least:g} to {LARGEST:g}")
+
+
+def check_places(fields: Fields) -> None:
+    s = Settings(fields)
+    for at, w in enumerate(s.items("workloads")):
         for key, known in PLACES.items():
-            names = Settings(fields).names(known)
+            names = s.names(known)
             for name in w.names(key):
                 if names and name not in names:
                     raise ValueError(f"settings.workloads.{at}.{key}: {name!r} is none of {', '.join(names)}")
-    zone, zones = fields.get("locality", ""), [one for one in fields.get("areas", "").split(",") if one]
+    zone, zones = s.text("locality"), s.names("areas")
     if zone and zones and zone not in zones:
         raise ValueError(f"settings.locality: {zone!r} is none of {', '.join(zones)}")
-    if not zone and float(fields.get("prices.cross-zone") or 0) > 0:
+    if not zone and s.number("prices.cross-zone") > 0:
         raise ValueError("settings.locality: missing, though settings.prices.cross-zone is set")
 
 
 # What decides whether an effect may happen twice must not be guessed: another customer's word that is not
 # known would pass for some other one. Of each workload: the key, and what it may be.
-OF_WORKLOADS = {"repeat": ("repeatable", "by_key", "once"), "group": ("", "all", "zone", "cell")}
-SPANS = {"contract-time-s": 0.0, "hard-limit-s": 0.0, "window-s": 0.0}  # seconds; each is more than this
+KINDS = ("repeatable", "by_key", "once")
+GROUP_WORDS = ("", "all", "zone", "cell")
+WINDOW = "window-s"  # wanted where repeats are allowed by a key alone
+SPANS = ("contract-time-s", "hard-limit-s", WINDOW)  # seconds; each is more than none
 
 
 def check_workloads(fields: Fields) -> None:
-    if fields.get("discovery", "") not in ("", "ask", "push"):
-        raise ValueError(f"settings.discovery: {fields['discovery']!r} is none of ask, push")
-    if number_at(fields, "limits.most-launches", "1") < 1:
-        raise ValueError(f"settings.limits.most-launches: {fields['limits.most-launches']!r} is under 1")
-    for key in ("limits.conn-idle-s", "limits.connect-timeout-s", "limits.max-retry-after-s"):
-        if number_at(fields, key, "0") < 0:
-            raise ValueError(f"settings.{key}: {fields[key]!r} is under 0")
-    for at in range(int(number_at(fields, "workloads.count", "0"))):
+    names: list[str] = []
+    for at, w in enumerate(Settings(fields).items("workloads")):
         path = f"workloads.{at}"
-        for key, choices in OF_WORKLOADS.items():
-            if (value := fields.get(f"{path}.{key}", "")) not in choices:
-                known = ", ".join(filter(None, choices))
-                raise ValueError(f"settings.{path}.{key}: {value!r} is none of {known}")
-        keyed = fields.get(f"{path}.repeat") == "by_key"
-        for key, least in SPANS.items():
-            if key == "window-s" and not keyed:
-                continue
-            if not fields.get(f"{path}.{key}"):
-                raise ValueError(f"settings.{path}.{key}: missing")
-            if number_at(fields, f"{path}.{key}", "") <= least:
-                raise ValueError(f"settings.{path}.{key}: {fields[f'{path}.{key}']!r} is not over {least:g}")
+        name = w.text("name")
+        if not name or name in names:
+            raise ValueError(f"settings.{path}.name: {name!r} is none, or there already")
+        names.append(name)
+        check_word(fields, f"{path}.repeat", KINDS)
+        keyed = w.text("repeat") == "by_key"
+        if keyed:
+            check_word(fields, f"{path}.group", GROUP_WORDS)
+        for key in SPANS:
+            if key != WINDOW or keyed:
+                check_span(fields, f"{path}.{key}")
+
+
+def check_word(fields: Fields, key: str, words: tuple[str, ...]) -> None:
+    value = fields.get(key, "")
+    if value not in words:
+        raise ValueError(f"settings.{key}: {value!r} is none of {', '.join(filter(None, words))}")
+
+
+def check_span(fields: Fields, key: str) -> None:
+    if not fields.get(key):
+        raise ValueError(f"settings.{key}: missing")
+    if not 0 < number_at(fields, key, "") <= LARGEST:
+        raise ValueError(f"settings.{key}: {fields[key]!r} is not over 0")
 
 
 def number_at(fields: Fields, key: str, default: str) -> float:
