A new process trusts cold endpoints as far as they proved; no probes of what is listed as restarted

Change: 1.5 s after its first request such a process sends a cold endpoint at most a quarter of its part and twice what cold ones handled in the last 2 s, by warmth; until then what comes is counted from nothing. What the list tells to have restarted goes on trial at once, within its credit.

--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -12,8 +12,8 @@
 
 from lupinmill import terms as t
 from lupinmill.workings import (
-    THIN, Answer, Aside, AskDue, Chance, Flight, Gauge, GiveUp, Mail, Part, Plea, ProbeDue, RetryDue, Ring,
-    Seat, Sent, Silent, Standing, Sweep, Usual, mixed,
+    THIN, Answer, Aside, AskDue, Chance, Flight, Gauge, GiveUp, Lane, Mail, Part, Plea, ProbeDue, RetryDue,
+    Ring, Seat, Sent, Silent, Standing, Sweep, Usual, mixed,
 )
 
 MS, SECOND = 1_000, 1_000_000
@@ -28,6 +28,7 @@
 BESIDE_MARKS = 2.2, 1.75  # as CROWDED and ROOMY: a thin stream of answers strays further
 UNEVEN = 0.7  # of that at the start where caps are fractions: the fullest of uneven ones jams first
 CROWDED, ROOMY = 1.9, 1.5  # answer times, as multiples of uncrowded ones, at which caps fall and may rise
+UNPROVED, MORE, PROOF_AFTER = 0.25, 2.0, 1_500 * MS  # see `Desk.unknown_each`
 LEAST_PACE = 0.001  # of a kind of endpoint: others are divided by it
 BUSY = 0.8  # cores less busy than this by reports are not crowded, whatever few answers say
 REST, REST_MAX = 3 * SECOND, 12 * SECOND
@@ -72,13 +73,6 @@
         return next((flight for flight in self.flights if not flight.never_ran), None)
 
 
-@dataclass(slots=True)
-class Lane:  # held submissions of one workload, standing and zone, first come first served
-    worth: float
-    zone: str = ""
-    line: deque[Submission] = field(default_factory=deque)
-
-
 class Allowances:  # the derived figures that the desk decides by
     def __init__(self, d: t.Deployment) -> None:
         self.front, self.margin, self.warm_keys = d.tier == 0, 2 * d.round, d.warm_keys
@@ -135,6 +129,8 @@
         self.unhurried, self.scale = 0.0, 1.0
         # What a warm endpoint of size 1 handles a second; the size of all listed as ready, set aside or not.
         self.each, self.size = 0.0, 0.0
+        # Handled by cold ones, and how many warm ones those make; when the first request came.
+        self.proved, self.able, self.first = Ring(4, SECOND // 2), 0.0, -1
         # Time without traffic, for which no credit is due: all sidecars would spend at once what they saved.
         self.idle, self.came_at = 0, -1
         self.handled, self.looked = 0, 0  # by warm endpoints since the last look at all, and when that was
@@ -157,7 +153,7 @@
         w = allow.workloads.get(note.workload) or t.Workload(note.workload, note.due - now, note.due - now)
         self.came.add(now)
         self.idle += max(0, now - self.came_at - allow.overload_time) if self.came_at >= 0 else 0
-        self.came_at = now
+        self.came_at, self.first = now, now if self.came_at < 0 else self.first
         if not note.keyed and w.repeat is t.Repeat.DEDUPLICATED:
             w = replace(w, repeat=t.Repeat.UNREPEATABLE)  # no endpoint would drop its repeats
         self.taken.add(now, not note.repeated)
@@ -448,18 +444,26 @@
 
     def credited(self, seat: Seat) -> bool:
         """Rule 4: by warmth what a warm one of its size handles, however few are left; where that is not
-        known its part of what comes, among all that are listed. Credit of one launch at most."""
+        known see `unknown_each`. Credit of one launch at most."""
         now, clock = self.mail.now, self.mail.now - self.idle
         if now - seat.says.cold_since >= self.allow.cold_time:
             seat.says.cold_since = None
             return True
-        each = self.each or self.came.total(now) / 5 / max(1, self.ready, self.size)
-        rate = self.warmth(seat.says) * each * seat.says.entry.weight
+        rate = self.warmth(seat.says) * (self.each or self.unknown_each()) * seat.says.entry.weight
         rate *= self.common.brakes.get(seat.name, 1.0)  # all sidecars together
         seat.credit = min(1.0, seat.credit + rate * (clock - seat.credited) / SECOND)
         seat.credited = clock
         return seat.credit >= 1.0
 
+    def unknown_each(self) -> float:
+        """Where none is warm: an endpoint's part of what comes among all that are listed. As few may be left,
+        from PROOF_AFTER on only UNPROVED of it and MORE times what cold ones handled."""
+        now = self.mail.now
+        part = self.came.total(now) / 5 / max(1, self.ready, self.size)
+        if now - self.first < PROOF_AFTER or not self.able:
+            return part
+        return min(part, UNPROVED * part + MORE * self.proved.total(now) / 2 / self.able)
+
     def try_launch(self, s: Submission) -> bool:  # true when it need not be held any longer
         allowed, now = self.may_launch(s), self.mail.now
         seat = self.pick(s) if allowed else None
@@ -498,6 +502,7 @@
         gauge = self.gauge(s.workload)
         if note.how is t.How.HANDLED:
             self.handled += self.warmth(seat.says) == 1
+            self.proved.add(now, self.warmth(seat.says) < 1)
             gauge.add(now, max(1, note.took))
         # What we call off at the hard limit is a time-out of its endpoint, or only quick answers would tell.
         how = t.How.TIMED_OUT if flight.overdue else note.how
@@ -557,9 +562,7 @@
         if s.done or s.streaming or not (note.final or s.held):
             return
         if note.final and self.mail.now < s.due - s.allow.margin:
-            if not s.whole:
-                self.mail.alarm(self.end_of(s), self, note)
-            return
+            return self.mail.alarm(self.end_of(s), self, note)
         if not note.final and s.out():
             self.unhold(s)  # a copy still waits for an answer
             s.retrying = False
@@ -592,8 +595,8 @@
             self.close(self.open[note.submission])
 
     def start(self, note: t.Started) -> None:
-        if note.submission in self.open:
-            self.open[note.submission].streaming = True
+        if s := self.open.get(note.submission):
+            s.streaming = True
 
     def seat(self, note: Standing) -> None:
         if note.name not in self.endpoints:
@@ -717,6 +720,7 @@
         if cold and not self.each:
             used = [seat.says.entry for seat in self.seats.values() if seat.used]
             self.size = sum([entry.weight for entry in used if entry.state is t.State.READY])
+            self.able = sum([self.warmth(s.says) * s.says.entry.weight for s in cold if s.counts()])
 
 
 class Endpoint(Part):
@@ -748,9 +752,11 @@
         fresh = fresh and (entry.started != self.entry.started or self.heard == 0)
         if fresh:  # by another machine's clock it may be to come: then it would stay cold past its time
             self.cold_since = min(entry.started, self.mail.now)
-        if self.mode == "aside" and (fresh or self.entry.state is not entry.state is t.State.READY):
-            self.schedule_probe(0)  # restarted, or not to be probed so far: no need to sit out the rest
-        self.entry = entry
+        returned, self.entry = self.entry.state is not entry.state is t.State.READY, entry
+        if self.mode == "aside" and fresh and entry.state is t.State.READY:
+            return self.on_trial()  # it runs, by the list: probes of all sidecars would be its whole budget
+        if self.mode == "aside" and returned:
+            self.schedule_probe(0)  # not to be probed so far: no need to sit out the rest
         self.tell()
 
     def sent(self, note: Sent) -> None:
@@ -886,6 +892,9 @@
             self.mode, self.broken = "ready", 0
             self.mail.log(f"{self.entry.endpoint} ready again: it was not away")
             return self.tell()
+        self.on_trial()
+
+    def on_trial(self) -> None:
         self.mode, self.answers, self.pace, self.broken = "trial", 0, None, 0
         self.failed, self.answered = Ring(6, SECOND // 2), Ring(6, SECOND // 2)
         cold = self.cold_since is not None and self.mail.now - self.cold_since < self.desk.allow.cold_time
--- a/lupinmill/workings.py
+++ b/lupinmill/workings.py
@@ -5,7 +5,7 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import cache
 from heapq import heappop, heappush
 from typing import TYPE_CHECKING, Any, get_type_hints
@@ -271,3 +271,12 @@
     never_ran: bool = False
     overdue: bool = False  # unanswered at the hard limit
     counted: bool = False  # in what is in flight: not while its submission is still coming
+
+
+@dataclass(slots=True)
+class Lane:
+    """Held submissions of one workload, standing and zone, first come first served."""
+
+    worth: float
+    zone: str = ""
+    line: deque[Submission] = field(default_factory=deque)
--- a/tests/test_slow_start_fleet.py
+++ b/tests/test_slow_start_fleet.py
@@ -39,6 +39,13 @@
     fleet.at(fleet.begin + FAULT + 1, fleet.anew)
 
 
+def one_cold_listed_to_new_processes(fleet: Fleet) -> None:
+    """Nothing tells them that there were ten."""
+    gone = [name for name in fleet.servers if name != "e0"]
+    one_cold_left_to_new_processes(fleet)
+    fleet.at(fleet.begin + FAULT, lambda: [fleet.servers.pop(name) for name in gone])
+
+
 def processes_replaced_in_turn(fleet: Fleet) -> None:
     joins(fleet)
     for part in range(10):
@@ -79,6 +86,7 @@
 
 CASES = [
     one_cold_left_to_new_processes,
+    one_cold_listed_to_new_processes,
     processes_replaced_in_turn,
     a_small_one_joins,
     comes_back,
@@ -132,6 +140,28 @@
     assert fleet.fullest() < 1.0
 
 
+@pytest.mark.parametrize("told", [POOL, PROBING])
+def test_probes_of_an_endpoint_that_comes_back_are_within_its_budget_too(told):
+    """All sidecars had set it aside, and each probed it twice when it was told to have started: 1.3 times."""
+    fleet = Fleet(11, 30, 0.7, **told)
+    fleet.count_probes = True
+    comes_back(fleet)
+    fleet.run()
+    assert fleet.fullest() < 1.0
+
+
+@pytest.mark.parametrize("shape", SHAPES)
+def test_new_processes_use_a_fleet_that_is_all_cold(shape):
+    """A first text that trusted only what cold endpoints had handled let a third of the launches through."""
+    fleet = Fleet(2, 5, 0.7, **SHAPES[shape])
+    everything = list(fleet.servers)
+    fleet.at(fleet.begin + FAULT - SECOND // 2, fleet.die, *everything)
+    fleet.at(fleet.begin + FAULT, fleet.start, *everything)
+    fleet.at(fleet.begin + FAULT + 1, fleet.anew)
+    fleet.run()
+    assert sum(at > fleet.begin + FAULT for at in fleet.handled) > 300 and fleet.fullest() < 1.0
+
+
 def test_a_cold_endpoint_is_asked_for_no_load_reports():
     """Its reports decide nothing; all sidecars together asked it about once a launch."""
     fleet = Fleet(4, 30, 0.3, **PROBING)
