Lab: sockets.py becomes a package, a module a job

What was sent under a name was a bare tuple and is a dataclass; the endpoint's stand-in makes its job by the function that virtual time uses, which had the same lines. Dropped as never read: Job.sidecar. test_lab_sockets asks for the same two numbers where they now are (run.inner.processes, run.inner.serial).

--- a/lupinmill/lab/endpoint.py
+++ b/lupinmill/lab/endpoint.py
@@ -71,7 +71,6 @@
     work: float  # seconds on a yardstick core, all of it that this endpoint does
     due: int
     reply: Callable[[t.How, t.Load | None], None]
-    sidecar: Any = None
     calls: int = 0
     parts: list[float] = field(default_factory=list)  # still to do, between the calls
     state: str = "new"  # waiting, running, calling, over
--- /dev/null
+++ b/lupinmill/lab/sockets/inner.py
@@ -0,0 +1,88 @@
+"""Calls that endpoints of a run on sockets make of the next tier, each by way of a process of its own."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from typing import TYPE_CHECKING
+
+from lupinmill.lab.endpoint import Endpoint, Job
+from lupinmill.lab.processes import Process
+from lupinmill.lab.sockets.asks import Wanted, request_for
+from lupinmill.lab.timeline import MS, SECOND, Due
+from lupinmill.lab.world import chance_for
+from lupinmill.protocol.http import Answer
+
+if TYPE_CHECKING:
+    from lupinmill.lab.sockets.run import SocketRun
+
+LEAST_LEFT = 10 * MS  # until the hard limit: with less a call is not made
+Done = Callable[[bool], None]  # told once whether the call was handled
+
+
+class InnerCalls:
+    """The sidecars' processes beside endpoints, by the endpoint's name."""
+
+    def __init__(self, run: SocketRun) -> None:
+        self.run, self.world, self.timeline = run, run.world, run.timeline
+        self.chance = chance_for(run.seed, "calls")
+        self.processes: dict[str, Process] = {}
+        self.serial = 0
+
+    def calls_of(self, endpoint: Endpoint) -> int:
+        """How many calls a request at this endpoint makes."""
+        return self.world.draw_calls(endpoint.shape.tier, self.chance)
+
+    async def add(self, endpoint: Endpoint) -> None:
+        """A process for an endpoint that is new; it is not started yet."""
+        name = endpoint.shape.name
+        process = await self.run.make_process(f"i-{name}", endpoint.shape.tier + 1)
+        self.processes[name] = process
+        endpoint.caller, endpoint.hang_up = partial(self.call, endpoint, process), self.hang_up
+
+    def endpoint_died(self, endpoint: Endpoint) -> None:
+        """Its sidecar dies with it."""
+        if (process := self.processes.get(endpoint.shape.name)) is not None:
+            process.kill()
+
+    def call(self, endpoint: Endpoint, process: Process, job: Job, done: Done) -> str | None:
+        """One call of a job; None where there is no time or no sidecar for it."""
+        now, referee = self.timeline.now, self.world.referee
+        workload = self.world.by_name[job.workload]
+        passes = self.run.scenario.limits.passes_deadline
+        due = job.due if passes else now + workload.terms.hard_limit
+        if due - now < LEAST_LEFT or not process.alive() or not process.ready:
+            self.timeline.after(MS, done, False)
+            return None
+        self.serial += 1
+        name = f"c{self.serial}"
+        work = self.world.call_work(job, endpoint.shape, self.chance)
+        key = f"{job.submission}/{self.serial}" if job.key else ""
+        referee.taken(now, name, job.workload, due, False)
+        self.run.asks.remember(name, Wanted(job.workload, work, key, process.name))
+        overdue = self.timeline.at(due + referee.grace + 1, self.overdue, name, done)
+        request = request_for(name, workload, (due - now) / SECOND, key or name, "", False)
+        ended = partial(self.ended, name, process, process.lives, overdue, done)
+        self.run.asks.send(process, name, request, ended)
+        return name
+
+    def ended(
+        self, name: str, process: Process, life: int, overdue: Due, done: Done, answer: Answer | None
+    ) -> None:
+        """The end of a call, for the endpoint that made it."""
+        overdue.cancel()
+        what = self.run.asks.verdict(name, process, life, answer)
+        if answer is not None:
+            self.world.referee.answered(self.timeline.now, name, what)
+        done(what == "handled")
+
+    def overdue(self, name: str, done: Done) -> None:
+        """No answer until the hard limit and its grace."""
+        self.world.referee.overdue(self.timeline.now, name)
+        self.run.asks.abandon(name)
+        done(False)
+
+    def hang_up(self, name: str) -> None:
+        """The endpoint wants a call's answer no more."""
+        self.world.referee.released(name)
+        self.run.asks.abandon(name)
--- a/lupinmill/lab/stands.py
+++ b/lupinmill/lab/stands.py
@@ -15,6 +15,8 @@
 from lupinmill import terms as t
 from lupinmill.lab.endpoint import Endpoint, Job
 from lupinmill.lab.registry import Entry, Registry
+from lupinmill.lab.timeline import SECOND
+from lupinmill.lab.world import job_for
 from lupinmill.protocol.http import Answer, ClientSide, Garbled, Malformed, Request, ServerSide
 from lupinmill.protocol.reports import ON_SOCKETS, REPORT
 
@@ -157,8 +159,8 @@
 
 
 class EndpointServer(Listening):
-    """An endpoint's model on a socket. `run.work_of(submission)` gives (workload, work, mark, sidecar), or
-    None where no client sent it."""
+    """An endpoint's model on a socket. `run.work_of(submission)` gives what was sent, or None where no
+    client sent it."""
 
     def __init__(self, endpoint: Endpoint, run: Any) -> None:
         super().__init__()
@@ -193,9 +195,8 @@
         wanted = run.work_of(name) if name else None
         if wanted is None:
             return served.answer(Answer(400 if name else 404, [], b"no client sent this"))
-        workload, work, key, sidecar = wanted
         now = run.timeline.now
-        served.record = run.world.referee.sent(now, name, endpoint, sidecar)
+        served.record = run.world.referee.sent(now, name, endpoint, wanted.sidecar)
         run.measure.at(now).launches += 1 if endpoint.shape.tier == 0 else 0
         try:
             left = float(request.header(b"req-deadline") or 0)
@@ -208,10 +209,10 @@
                 served.record.out = False
             self.reply(served, name, how, load)
 
-        factor = run.noise(workload)
-        own = work * endpoint.shape.work * factor
-        served.job = Job(name, key, workload, own, now + int(left * 1e6), reply, calls=run.calls_of(endpoint))
-        served.job.sidecar = name
+        tier, due, calls = endpoint.shape.tier, now + int(left * SECOND), run.inner.calls_of(endpoint)
+        served.job = job_for(
+            run.world, name, wanted.key, wanted.workload, wanted.work, tier, due, calls, reply
+        )
         endpoint.receive(served.job)
 
     def probed(self, served: Served, whole: bool) -> None:
@@ -295,7 +296,7 @@
         now, referee = self.run.timeline.now, self.run.world.referee
         if whole:
             named = {entry.name for entry in entries}
-            for name in self.run.listed_names(self.registry):
+            for name in self.run.endpoints.listed_names(self.registry):
                 if name not in named:
                     referee.heard(now, self.sidecar, name, True)
         for entry in entries:
--- a/lupinmill/lab/virtual/launches.py
+++ b/lupinmill/lab/virtual/launches.py
@@ -94,7 +94,6 @@
         job = flight.job = job_for(
             self.world, held.name, held.key, held.workload, held.work, seat.tier, held.due, calls, reply
         )
-        job.sidecar = seat
         endpoint.receive(job, seat.directory.informed(endpoint))
 
     def reply(self, held: Held, flight: Flight, life: int, how: t.How, load: t.Load | None) -> None:
--- a/lupinmill/lab/zones_sockets.py
+++ b/lupinmill/lab/zones_sockets.py
@@ -181,7 +181,7 @@
 
     async def open_way(self, sidecar: str, endpoint: str, zone: str) -> None:
         self.net.zone_of[endpoint] = zone
-        host, _, port = self.servers[endpoint].address.partition(":")
+        host, _, port = self.endpoints.address(endpoint).partition(":")
         way = ZoneWay(self.net, sidecar, endpoint, (host, int(port)))  # type: ignore[arg-type]
         self.ways[sidecar, endpoint] = (way, await way.open())
 
@@ -393,8 +393,8 @@
         ), f"seed {self.seed}: {broken[:5]} {self.run.broken} {crashes}\n{self.last_lines()}"
 
     def sidecar_of(self, submission: str) -> str:
-        found = self.run.wanted.get(submission)
-        return found[3] if found is not None else ""
+        found = self.run.work_of(submission)
+        return found.sidecar if found is not None else ""
 
     def last_lines(self, count: int = 8) -> str:
         return "\n".join(
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -74,7 +74,7 @@
     )  # fmt: skip
     run = SocketRun(scenario.check(table, "test"), 1)
     run.play()
-    assert len(run.inner) == 2 and run.serial > 10  # calls of the inner tier
+    assert len(run.inner.processes) == 2 and run.inner.serial > 10  # calls of the inner tier
     assert sum(second.handled for second in run.measure.seconds) > 5
     assert run.crashes == []
 
