--- a/lupinmill/lab/clients.py
+++ b/lupinmill/lab/clients.py
@@ -8,9 +8,10 @@
 from typing import Any, Protocol
 
 from lupinmill.lab.measure import Measure
+from lupinmill.lab.outcome import Outcome
 from lupinmill.lab.scenario import Scenario
 from lupinmill.lab.timeline import SECOND
-from lupinmill.lab.world import DrawnWorkload, World, chance_for, draw
+from lupinmill.lab.world import RequestClass, World, chance_for, draw
 
 QUOTA_WINDOW = SECOND // 2
 
@@ -20,7 +21,7 @@
     """What a client wants done, over all its tries."""
 
     name: str
-    workload: DrawnWorkload
+    workload: RequestClass
     began: int
     work: float
     tenant: str
@@ -38,8 +39,8 @@
 class Asker(Protocol):
     """What carries one try to a sidecar; `Clients.ended` must be told of its end once."""
 
-    def ask(self, wish: Wish, submission: str, due: int, repeated: bool) -> None: ...
-    def gave_up(self, wish: Wish, submission: str) -> None: ...
+    def ask(self, wish: Wish, request_id: str, due: int, repeated: bool) -> None: ...
+    def gave_up(self, wish: Wish, request_id: str) -> None: ...
 
 
 class Clients:
@@ -122,15 +123,15 @@
                 return name
         return weights[-1][0]
 
-    def pick_workload(self) -> DrawnWorkload:
+    def pick_workload(self) -> RequestClass:
         at = self.chance.random()
-        for workload in self.world.workloads:
+        for workload in self.world.classes:
             at -= workload.share
             if at < 0:
                 return workload
-        return self.world.workloads[-1]
+        return self.world.classes[-1]
 
-    def worth(self, workload: DrawnWorkload, tenant: str) -> float:
+    def worth(self, workload: RequestClass, tenant: str) -> float:
         """What goes beyond a tenant's share counts for little."""
         value = workload.terms.value
         if tenant not in self.quotas:
@@ -149,48 +150,47 @@
         if due - now < 5_000:
             return self.give_up(wish)
         wish.tries += 1
-        submission = f"{wish.name}.{wish.tries}"
-        wish.running, wish.due = submission, due
+        request_id = f"{wish.name}.{wish.tries}"
+        wish.running, wish.due = request_id, due
         if wish.tries == 1:
             wish.window_ends = now + wish.workload.terms.window
-        self.open[submission] = wish
+        self.open[request_id] = wish
         self.measure.tried(now)
-        self.asker.ask(wish, submission, due, self.marks and wish.tries > 1)
-        if submission in self.open:
+        self.asker.ask(wish, request_id, due, self.marks and wish.tries > 1)
+        if request_id in self.open:
             grace = self.world.referee.grace
-            self.world.timeline.at(due + grace + 1, self.timed_out, submission)
+            self.world.timeline.at(due + grace + 1, self.timed_out, request_id)
             if now < wish.leaves < due:
-                self.world.timeline.at(wish.leaves, self.leave, submission)
+                self.world.timeline.at(wish.leaves, self.leave, request_id)
 
-    def leave(self, submission: str) -> None:
-        if (wish := self.open.pop(submission, None)) is not None:
-            self.world.referee.released(submission)
-            self.asker.gave_up(wish, submission)
+    def leave(self, request_id: str) -> None:
+        if (wish := self.open.pop(request_id, None)) is not None:
+            self.world.referee.released(request_id)
+            self.asker.gave_up(wish, request_id)
             self.give_up(wish)
 
-    def timed_out(self, submission: str) -> None:
+    def timed_out(self, request_id: str) -> None:
         """No answer by the hard limit and its grace."""
-        if (wish := self.open.pop(submission, None)) is not None:
-            self.world.referee.overdue(self.world.timeline.now, submission)
-            self.asker.gave_up(wish, submission)
+        if (wish := self.open.pop(request_id, None)) is not None:
+            self.world.referee.overdue(self.world.timeline.now, request_id)
+            self.asker.gave_up(wish, request_id)
             self.measure.unanswered(wish, self.world.timeline.now)
-            self.again(wish, "broken off", 0)
+            self.again(wish, Outcome.FAILED, 0)
 
-    def ended(self, submission: str, what: str, advice: int = 0) -> None:
-        """`what`: handled, denied, broken off, or unreachable: no sidecar took it, or the one that did was
-        killed."""
-        wish = self.open.pop(submission, None)
+    def ended(self, request_id: str, outcome: Outcome, advice: int = 0) -> None:
+        """What came of one try."""
+        wish = self.open.pop(request_id, None)
         if wish is None:
             return
         now = self.world.timeline.now
-        if what == "handled":
+        if outcome == Outcome.SUCCEEDED:
             wish.over = True
             return self.measure.handled(wish, now)
-        self.measure.turned(wish, what, now)
-        self.again(wish, what, advice)
+        self.measure.turned(wish, outcome, now)
+        self.again(wish, outcome, advice)
 
-    def again(self, wish: Wish, what: str, advice: int) -> None:
-        if not self.may_repeat(wish, what) or wish.tries > self.most_retries(wish):
+    def again(self, wish: Wish, outcome: Outcome, advice: int) -> None:
+        if not self.may_repeat(wish, outcome) or wish.tries > self.most_retries(wish):
             return self.give_up(wish)
         wait = 0.0
         if self.wait == "fixed":
@@ -206,8 +206,8 @@
         whole = int(self.retries)
         return whole + (self.answers.random() < self.retries - whole)
 
-    def may_repeat(self, wish: Wish, what: str) -> bool:
-        if what in ("denied", "unreachable"):
+    def may_repeat(self, wish: Wish, outcome: Outcome) -> bool:
+        if outcome in (Outcome.REJECTED, Outcome.UNREACHABLE):
             return True
         terms = wish.workload.terms
         if terms.repeat.value == "idempotent":
--- a/lupinmill/lab/commons.py
+++ b/lupinmill/lab/commons.py
@@ -37,8 +37,8 @@
     """As an operator would write it of this site: bids out of a lost zone may break their budget."""
     world = run.world
     zones = tuple(Zone(name, world.network.regions[name], more.get("spare", 0.1)) for name in world.zones)
-    most = max(w.terms.value for w in world.workloads)
-    loads = tuple(Workload(w.name, w.terms.value, breaks=w.terms.value == most) for w in world.workloads)
+    most = max(w.terms.value for w in world.classes)
+    loads = tuple(Workload(w.name, w.terms.value, breaks=w.terms.value == most) for w in world.classes)
     return Map(zones, loads)
 
 
@@ -204,16 +204,16 @@
         self.lease = int(lease * SECOND)
         self.map = map_of(run, **more)
         self.chance = chance_for(run.world.seed, "commons")
-        names = [seat.name for seat in run.seats]
+        names = [seat.name for seat in run.sidecars]
         self.seats = tuple(
-            Seat(seat.name, f"127.0.0.1:{at + 1}", seat.zone) for at, seat in enumerate(run.seats)
+            Seat(seat.name, f"127.0.0.1:{at + 1}", seat.zone) for at, seat in enumerate(run.sidecars)
         )
         count = 5 if len(names) >= 5 else 3
         self.electors = (
             tuple(names[at * len(names) // count] for at in range(count)) if len(names) >= 3 else ()
         )
-        self.posts = {seat.name: Post(self, seat) for seat in run.seats}
-        self.zone_of = {seat.name: seat.zone for seat in run.seats}
+        self.posts = {seat.name: Post(self, seat) for seat in run.sidecars}
+        self.zone_of = {seat.name: seat.zone for seat in run.sidecars}
         self.period = int(SECOND * max(1.0, len(names) / MOST_LARGE))
         self.versions: dict[int, Force] = {}
         self.epochs: dict[int, str] = {}
@@ -317,20 +317,18 @@
         comes."""
         run, world = self.run, self.run.world
         able = dict.fromkeys(world.zones, 0.0)
-        mean = sum(w.share * w.mean for w in world.workloads) * world.tiers[0][0].shape.work
+        mean = sum(w.share * w.mean for w in world.classes) * world.tiers[0][0].shape.work
         for endpoint in world.tiers[0]:
             if endpoint.alive and not endpoint.silent and not endpoint.draining:
                 able[endpoint.shape.zone] += endpoint.capacity() / mean
         parts = dict.fromkeys(world.zones, 0.0)
-        alive = [seat for seat in run.seats if seat.alive]
-        weights = run.front.weights or [1.0] * len(run.seats)
+        alive = [seat for seat in run.sidecars if seat.alive]
+        weights = run.front.weights or [1.0] * len(run.sidecars)
         for seat in alive:
             parts[seat.zone] += weights[seat.position]
         total = sum(parts.values()) or 1.0
         rate = world.rate_now()
-        traffic = {
-            z: {w.name: rate * parts[z] / total * w.share for w in world.workloads} for z in world.zones
-        }
+        traffic = {z: {w.name: rate * parts[z] / total * w.share for w in world.classes} for z in world.zones}
         state = {}
         for a in world.zones:
             for b in world.zones:
--- a/lupinmill/lab/measure.py
+++ b/lupinmill/lab/measure.py
@@ -3,7 +3,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -11,6 +10,7 @@
 from hdrh.histogram import HdrHistogram
 
 from lupinmill.lab.endpoint import Endpoint
+from lupinmill.lab.outcome import Outcome
 from lupinmill.lab.scenario import Goal
 from lupinmill.lab.timeline import SECOND
 
@@ -89,7 +89,6 @@
         self.late_worth, self.total_worth = 0.0, 0.0
         self.served_work, self.offered_work = 0.0, 0.0
         self.unanswered_count = 0
-        self.hears: Callable[[str, Any, int], None] | None = None
 
     def at(self, now: int) -> Second:
         return self.seconds[min(len(self.seconds) - 1, max(0, (now - self.start) // SECOND))]
@@ -129,14 +128,12 @@
         self.latency[wish.workload.name].record_value(max(1, min(LONGEST, took)))
         if not in_time:
             self.tail[self.tail_key(wish)][1] += 1
-        if self.hears is not None:
-            self.hears("handled", wish, now)
 
-    def turned(self, wish: Any, what: str, now: int) -> None:
+    def turned(self, wish: Any, outcome: Outcome, now: int) -> None:
         second = self.at(now)
-        if what == "denied":
+        if outcome == Outcome.REJECTED:
             second.denied += 1
-        elif what == "unreachable":
+        elif outcome == Outcome.UNREACHABLE:
             second.unreachable += 1
         else:
             second.broken += 1
@@ -149,8 +146,6 @@
         if now > wish.began + wish.workload.terms.contract:
             self.late_worth += wish.worth
             self.tail[self.tail_key(wish)][1] += 1
-        if self.hears is not None:
-            self.hears("lost", wish, now)
 
     # Sums.
 
--- a/lupinmill/lab/referee.py
+++ b/lupinmill/lab/referee.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from lupinmill import terms as t
+from lupinmill.lab.outcome import Outcome
 from lupinmill.lab.timeline import SECOND
 
 MOST_TOLD = 50  # broken rules that are told one by one
@@ -105,7 +106,7 @@
         record.answer, record.answered = what, now
         if now > record.due + self.grace and not record.released:
             self.breaks(1, submission, f"{what} {(now - record.due) / 1000:.0f} ms after its hard limit")
-        if what == "denied":
+        if what == Outcome.REJECTED:
             self.judge_denial(record)
 
     def judge_denial(self, record: Record) -> None:
@@ -182,7 +183,7 @@
             if launch.endpoint == endpoint.shape.name and not launch.ran:
                 launch.ran = True
                 break
-        if record.answer == "denied":
+        if record.answer == Outcome.REJECTED:
             self.judge_denial(record)
         if ran:
             self.ran(endpoint, job)
--- a/lupinmill/lab/replay.py
+++ b/lupinmill/lab/replay.py
@@ -10,7 +10,7 @@
 from lupinmill.lab import scenario
 from lupinmill.lab.result import BadResult, Result
 from lupinmill.lab.timeline import SECOND
-from lupinmill.lab.virtual import EPOCH, Seat, VirtualRun
+from lupinmill.lab.virtual import EPOCH, VirtualSidecar, VirtualRun
 
 
 @dataclass
@@ -28,7 +28,7 @@
         raise BadResult("only runs in virtual time can be replayed; sockets have no such steps")
     read = scenario.check(found.scenario, "the result's scenario")
 
-    def trace(number: int, seat: Seat, notes: list[t.Note], orders: list[t.Order]) -> None:
+    def trace(number: int, seat: VirtualSidecar, notes: list[t.Note], orders: list[t.Order]) -> None:
         wanted = step is not None and abs(number - step) <= around
         if submission and any(names(one, submission) for one in (*notes, *orders)):
             wanted = True
--- a/lupinmill/lab/result.py
+++ b/lupinmill/lab/result.py
@@ -115,7 +115,9 @@
         rules={str(rule): count for rule, count in referee.counts.items()},
         broken=referee.broken,
         seconds=run.measure.seconds[: max(1, int(simulated) + 1)],
-        troubles=[Shaded(s.kind, round(s.began, 2), round(s.ended, 2), s.what) for s in world.shades],
+        troubles=[
+            Shaded(s.kind, round(s.began, 2), round(s.ended, 2), s.what) for s in world.trouble_records
+        ],
         notes=run.notes,
         steps=run.steps,
         digests=run.digests,
--- a/lupinmill/lab/sockets/front.py
+++ b/lupinmill/lab/sockets/front.py
@@ -9,8 +9,9 @@
 
 from lupinmill import terms as t
 from lupinmill.lab.clients import Wish
+from lupinmill.lab.outcome import Outcome
 from lupinmill.lab.processes import Process
-from lupinmill.lab.sockets.asks import Wanted, advice_of, request_for
+from lupinmill.lab.sockets.requests import SentRequest, advice_of, request_for
 from lupinmill.lab.timeline import SECOND
 from lupinmill.protocol.http import Answer
 
@@ -25,23 +26,23 @@
         self.run, self.world, self.timeline, self.chance = run, run.world, run.timeline, chance
         self.dead_until: dict[int, int] = {}  # sidecar -> when the front notices that it died
 
-    def ask(self, wish: Wish, submission: str, due: int, repeated: bool) -> None:
+    def ask(self, wish: Wish, request_id: str, due: int, repeated: bool) -> None:
         """One try of a client."""
-        run, now, workload = self.run, self.timeline.now, wish.workload
+        run, now, request_class = self.run, self.timeline.now, wish.workload
         at = self.pick()
         if at is None or not run.fronts[at].alive():
             span, ended = 2 * self.world.network.client_way, run.clients.ended
-            self.timeline.after(span, ended, submission, "unreachable", 0)
+            self.timeline.after(span, ended, request_id, Outcome.UNREACHABLE, 0)
             return
         process = wish.sidecar = run.fronts[at]
-        keyed = workload.terms.repeat is not t.Repeat.IDEMPOTENT
-        self.world.referee.taken(now, submission, workload.name, due, True)
-        wanted = Wanted(workload.name, wish.work, wish.name if keyed else "", process.name)
-        run.asks.remember(submission, wanted)
+        keyed = request_class.terms.repeat is not t.Repeat.IDEMPOTENT
+        self.world.referee.taken(now, request_id, request_class.name, due, True)
+        sent = SentRequest(request_class.name, wish.work, wish.name if keyed else "", process.name)
+        run.requests.remember(request_id, sent)
         left = (due - now) / SECOND
-        request = request_for(submission, workload, left, wish.name, wish.tenant, repeated)
-        done = partial(self.answered, submission, process, process.lives)
-        run.asks.send(process, submission, request, done)
+        request = request_for(request_id, request_class, left, wish.name, wish.tenant, repeated)
+        done = partial(self.answered, request_id, process, process.lives)
+        run.requests.send(process, request_id, request, done)
 
     def pick(self) -> int | None:
         """Any that the front believes alive, a dead one for a while too."""
@@ -53,16 +54,16 @@
         ]
         return believed[int(self.chance.integers(len(believed)))] if believed else None
 
-    def answered(self, submission: str, process: Process, life: int, answer: Answer | None) -> None:
+    def answered(self, request_id: str, process: Process, life: int, answer: Answer | None) -> None:
         """The answer comes to the client; None: the connection ended without one."""
-        what = self.run.asks.verdict(submission, process, life, answer)
+        outcome = self.run.requests.outcome_of(request_id, process, life, answer)
         if answer is not None:
-            self.world.referee.answered(self.timeline.now, submission, what)
-        self.run.clients.ended(submission, what, advice_of(answer))
+            self.world.referee.answered(self.timeline.now, request_id, outcome)
+        self.run.clients.ended(request_id, outcome, advice_of(answer))
 
-    def gave_up(self, wish: Wish, submission: str) -> None:
+    def gave_up(self, wish: Wish, request_id: str) -> None:
         """The client has gone away."""
-        self.run.asks.abandon(submission)
+        self.run.requests.abandon(request_id)
 
     def any_address(self) -> str:
         """Of one of the sidecars, drawn."""
--- a/lupinmill/lab/sockets/inner.py
+++ b/lupinmill/lab/sockets/inner.py
@@ -7,8 +7,9 @@
 from typing import TYPE_CHECKING
 
 from lupinmill.lab.endpoint import Endpoint, Job
+from lupinmill.lab.outcome import Outcome
 from lupinmill.lab.processes import Process
-from lupinmill.lab.sockets.asks import Wanted, request_for
+from lupinmill.lab.sockets.requests import SentRequest, request_for
 from lupinmill.lab.timeline import MS, SECOND, Due
 from lupinmill.lab.world import chance_for
 from lupinmill.protocol.http import Answer
@@ -16,8 +17,8 @@
 if TYPE_CHECKING:
     from lupinmill.lab.sockets.run import SocketRun
 
-LEAST_LEFT = 10 * MS  # until the hard limit: with less a call is not made
-Done = Callable[[bool], None]  # told once whether the call was handled
+LEAST_LEFT = 10 * MS  # until the deadline: with less a call is not made
+Done = Callable[[bool], None]  # told once whether the call succeeded
 
 
 class InnerCalls:
@@ -48,9 +49,9 @@
     def call(self, endpoint: Endpoint, process: Process, job: Job, done: Done) -> str | None:
         """One call of a job; None where there is no time or no sidecar for it."""
         now, referee = self.timeline.now, self.world.referee
-        workload = self.world.by_name[job.workload]
+        request_class = self.world.class_by_name[job.workload]
         passes = self.run.scenario.limits.passes_deadline
-        due = job.due if passes else now + workload.terms.hard_limit
+        due = job.due if passes else now + request_class.terms.hard_limit
         if due - now < LEAST_LEFT or not process.alive() or not process.ready:
             self.timeline.after(MS, done, False)
             return None
@@ -59,11 +60,11 @@
         work = self.world.call_work(job, endpoint.shape, self.chance)
         key = f"{job.submission}/{self.serial}" if job.key else ""
         referee.taken(now, name, job.workload, due, False)
-        self.run.asks.remember(name, Wanted(job.workload, work, key, process.name))
+        self.run.requests.remember(name, SentRequest(job.workload, work, key, process.name))
         overdue = self.timeline.at(due + referee.grace + 1, self.overdue, name, done)
-        request = request_for(name, workload, (due - now) / SECOND, key or name, "", False)
+        request = request_for(name, request_class, (due - now) / SECOND, key or name, "", False)
         ended = partial(self.ended, name, process, process.lives, overdue, done)
-        self.run.asks.send(process, name, request, ended)
+        self.run.requests.send(process, name, request, ended)
         return name
 
     def ended(
@@ -71,18 +72,18 @@
     ) -> None:
         """The end of a call, for the endpoint that made it."""
         overdue.cancel()
-        what = self.run.asks.verdict(name, process, life, answer)
+        outcome = self.run.requests.outcome_of(name, process, life, answer)
         if answer is not None:
-            self.world.referee.answered(self.timeline.now, name, what)
-        done(what == "handled")
+            self.world.referee.answered(self.timeline.now, name, outcome)
+        done(outcome is Outcome.SUCCEEDED)
 
     def overdue(self, name: str, done: Done) -> None:
-        """No answer until the hard limit and its grace."""
+        """No answer until the deadline and its grace."""
         self.world.referee.overdue(self.timeline.now, name)
-        self.run.asks.abandon(name)
+        self.run.requests.abandon(name)
         done(False)
 
     def hang_up(self, name: str) -> None:
         """The endpoint wants a call's answer no more."""
         self.world.referee.released(name)
-        self.run.asks.abandon(name)
+        self.run.requests.abandon(name)
--- a/lupinmill/lab/sockets/asks.py
+++ b/lupinmill/lab/sockets/requests.py
@@ -1,4 +1,4 @@
-"""Submissions on their way to sidecars' processes: of clients, and of endpoints that call the next tier."""
+"""Requests on their way to sidecars' processes: of clients, and of endpoints that call the next tier."""
 
 from __future__ import annotations
 
@@ -9,37 +9,38 @@
 import orjson
 
 from lupinmill import terms as t
+from lupinmill.lab.outcome import Outcome
 from lupinmill.lab.processes import Process
 from lupinmill.lab.stands import AskPool, Exchange
 from lupinmill.lab.timeline import SECOND
-from lupinmill.lab.world import DrawnWorkload
+from lupinmill.lab.world import RequestClass
 from lupinmill.protocol.http import Answer, Request
 
 if TYPE_CHECKING:
     from lupinmill.lab.sockets.run import SocketRun
 
-MOST_WANTED = 200_000
-BODY = b"x" * 200  # of a submission that is not idempotent
-DENIED = (429, 503)
+MOST_REMEMBERED = 200_000
+BODY = b"x" * 200  # of a request that is not idempotent
+REJECTED = (429, 503)
 LONGEST_ADVICE_S = 60.0
 
 
 @dataclass(slots=True, frozen=True)
-class Wanted:
-    """What was sent under a submission's name: endpoints find the work of a request by it."""
+class SentRequest:
+    """What was sent under an id: endpoints find the work of a request by it."""
 
-    workload: str
+    request_class: str
     work: float  # seconds
     key: str
     sidecar: str
 
 
-class Asks:
+class Requests:
     """All exchanges that are out, and what was sent of late."""
 
     def __init__(self, run: SocketRun) -> None:
         self.run, self.referee = run, run.world.referee
-        self.wanted: dict[str, Wanted] = {}
+        self.sent: dict[str, SentRequest] = {}
         self.exchanges: dict[str, Exchange] = {}
         self.pools: dict[str, AskPool] = {}  # by the sidecar's name
 
@@ -52,58 +53,58 @@
         for pool in self.pools.values():
             pool.close()
 
-    def remember(self, submission: str, wanted: Wanted) -> None:
+    def remember(self, request_id: str, sent: SentRequest) -> None:
         """The oldest are forgotten."""
-        self.wanted[submission] = wanted
-        while len(self.wanted) > MOST_WANTED:
-            del self.wanted[next(iter(self.wanted))]
+        self.sent[request_id] = sent
+        while len(self.sent) > MOST_REMEMBERED:
+            del self.sent[next(iter(self.sent))]
 
     def send(
-        self, process: Process, submission: str, request: Request, done: Callable[[Answer | None], None]
+        self, process: Process, request_id: str, request: Request, done: Callable[[Answer | None], None]
     ) -> None:
         """`done` is told of the answer once; None: the connection ended without one."""
         exchange = Exchange(request, lambda answer: self.run.act(done, answer))
-        self.exchanges[submission] = exchange
+        self.exchanges[request_id] = exchange
         self.pools[process.name].send(exchange)
 
-    def abandon(self, submission: str) -> None:
+    def abandon(self, request_id: str) -> None:
         """Nobody waits for its answer any more."""
-        if (exchange := self.exchanges.pop(submission, None)) is not None:
+        if (exchange := self.exchanges.pop(request_id, None)) is not None:
             exchange.abandon()
 
-    def verdict(self, submission: str, process: Process, life: int, answer: Answer | None) -> str:
-        """What an answer means; the body must be one that an endpoint made for this submission."""
-        self.exchanges.pop(submission, None)
+    def outcome_of(self, request_id: str, process: Process, life: int, answer: Answer | None) -> Outcome:
+        """What an answer means; the body must be one that an endpoint made for this request."""
+        self.exchanges.pop(request_id, None)
         if answer is None:
-            return self.unanswered(submission, process, life)
+            return self.unanswered(request_id, process, life)
         if answer.status == 200:
             try:
                 body = orjson.loads(answer.body)
             except orjson.JSONDecodeError:
                 body = {}
-            if body.get("for") != submission:
-                self.referee.breaks(1, submission, "handled with what no endpoint made for it")
-            return "handled"
-        return "denied" if answer.status in DENIED else "broken off"
+            if body.get("for") != request_id:
+                self.referee.breaks(1, request_id, "handled with what no endpoint made for it")
+            return Outcome.SUCCEEDED
+        return Outcome.REJECTED if answer.status in REJECTED else Outcome.FAILED
 
-    def unanswered(self, submission: str, process: Process, life: int) -> str:
+    def unanswered(self, request_id: str, process: Process, life: int) -> Outcome:
         """The connection ended: right where the process was killed, a broken rule where it lives."""
         killed = process.killed or process.lives != life or not process.alive()
         if not killed:
-            self.referee.breaks(1, submission, "its connection ended without an answer")
-        self.referee.released(submission)
-        return "unreachable" if killed else "broken off"
+            self.referee.breaks(1, request_id, "its connection ended without an answer")
+        self.referee.released(request_id)
+        return Outcome.UNREACHABLE if killed else Outcome.FAILED
 
 
 def request_for(
-    submission: str, workload: DrawnWorkload, left: float, key: str, tenant: str, repeated: bool
+    request_id: str, request_class: RequestClass, left: float, key: str, tenant: str, repeated: bool
 ) -> Request:
-    """A submission by the platform's protocol; `left`: seconds until its hard limit."""
-    kind = workload.name.encode()
-    idempotent = workload.terms.repeat is t.Repeat.IDEMPOTENT
+    """A request by the platform's protocol; `left`: seconds until its deadline."""
+    kind = request_class.name.encode()
+    idempotent = request_class.terms.repeat is t.Repeat.IDEMPOTENT
     headers = [
         (b"Host", b"site"),
-        (b"Req-Id", submission.encode()),
+        (b"Req-Id", request_id.encode()),
         (b"Req-Kind", kind),
         (b"Req-Deadline", b"%.6f" % max(0.0, left)),
     ]
--- a/lupinmill/lab/sockets/run.py
+++ b/lupinmill/lab/sockets/run.py
@@ -16,7 +16,7 @@
 from lupinmill.lab.processes import Process
 from lupinmill.lab.registry import Entry
 from lupinmill.lab.scenario import Scenario
-from lupinmill.lab.sockets.asks import Asks, Wanted
+from lupinmill.lab.sockets.requests import Requests, SentRequest
 from lupinmill.lab.sockets.clock import Clock, now_us
 from lupinmill.lab.sockets.configuration import endpoint_row, operators_file
 from lupinmill.lab.sockets.endpoints import EndpointServers
@@ -56,17 +56,17 @@
         self.world.referee.grace += SLACK
         self.world.referee.drain_grace += SLACK
         self.world.referee.slack = SLACK
-        self.measure = Measure(self.timeline.now, self.world.seconds, [w.name for w in self.world.workloads])
+        self.measure = Measure(self.timeline.now, self.world.seconds, [w.name for w in self.world.classes])
         chance = self.chance = chance_for(seed, "front")
         self.spread_s = draw(chance, scenario.discovery.spread_ms) / 1000
-        self.asks = Asks(self)
+        self.requests = Requests(self)
         self.front = Front(self, chance)
         self.clients = Clients(self.world, self.front, self.measure)
         self.inner = InnerCalls(self)
         self.fronts: list[Process] = []
         self.endpoints = EndpointServers(self)
         self.discoveries: dict[str, DiscoveryServer] = {}
-        self.aside = SetAside()
+        self.set_aside = SetAside()
         self.notes: list[tuple[float, str, str]] = []
         self.digests: list[str] = []
         self.steps = 0
@@ -159,8 +159,8 @@
         while self.began and now >= self.next_sample:
             entry = self.measure.at(self.next_sample - SECOND)
             observe_endpoints(entry, self.world.tiers)
-            self.aside.keep_listed(set(self.world.registries[0].entries))
-            entry.aside = self.aside.count({process.name for process in self.fronts})
+            self.set_aside.keep_listed(set(self.world.registries[0].entries))
+            entry.aside = self.set_aside.count({process.name for process in self.fronts})
             self.world.referee.sweep(now)
             if self.tick is not None:
                 self.tick((self.next_sample - self.world.start) // SECOND, self.measure)
@@ -169,7 +169,7 @@
     async def tear_down(self) -> None:
         """Ends all processes, connections and tasks."""
         self.clock.stop()
-        self.asks.close()
+        self.requests.close()
         await asyncio.gather(*(process.end() for process in self.processes()), return_exceptions=True)
         TAKEN.difference_update(self.peer_ports)
         self.endpoints.close()
@@ -191,11 +191,11 @@
         self.discoveries[name] = discovery
         known = self.peers and tier == 0
         environ = {"BALANCER_OPERATOR_FILE": str(self.folder / "operator.toml")} if known else None
-        process = Process(name, tier, self.folder, self.told, self.heard, environ)
-        self.asks.open_pool(process)
+        process = Process(name, tier, self.folder, self.configuration_of, self.log_line, environ)
+        self.requests.open_pool(process)
         return process
 
-    def told(self, process: Process) -> dict[str, Any]:
+    def configuration_of(self, process: Process) -> dict[str, Any]:
         """The platform's configuration, with the list as it is published."""
         found, registry = self.scenario.sidecars, self.world.registries[process.tier]
         instances = len(self.fronts) if process.tier == 0 else len(self.world.tiers[process.tier - 1])
@@ -222,14 +222,14 @@
         """Starts a process and waits until it is ready; where it does not start, that is a crash."""
         try:
             await process.start()
-            await until_ready(process, self.asks.pools[process.name])
+            await until_ready(process, self.requests.pools[process.name])
         except (RuntimeError, TimeoutError) as error:
             self.crashes.append(f"{process.name}: {error}"[:LONGEST_CRASH])
 
-    def heard(self, process: Process, event: dict[str, Any]) -> None:
+    def log_line(self, process: Process, event: dict[str, Any]) -> None:
         """One line of a sidecar's log."""
         name, text = event.get("event"), str(event.get("text", event.get("error", "")))
-        self.aside.heard(process.name, event, text)
+        self.set_aside.heard(process.name, event, text)
         if len(self.notes) < MOST_NOTES and name != "started":
             at = (now_us() - self.world.start) / SECOND
             self.notes.append((round(at, 3), process.name, f"{name}: {text}" if text else str(name)))
@@ -245,7 +245,7 @@
             return
         process.kill()
         self.world.referee.restarted(process.name)
-        self.aside.forget_sidecar(process.name)
+        self.set_aside.forget_sidecar(process.name)
         down = int(down_s * SECOND)
         self.front.died(at, down)
         self.timeline.after(down, self.start_again, process)
@@ -270,9 +270,9 @@
 
     # Endpoints.
 
-    def work_of(self, submission: str) -> Wanted | None:
+    def work_of(self, request_id: str) -> SentRequest | None:
         """What was sent under this name; None: nobody sent it."""
-        return self.asks.wanted.get(submission)
+        return self.requests.sent.get(request_id)
 
     def spread(self) -> float:
         """Microseconds that a published change takes to one sidecar."""
--- a/lupinmill/lab/stands.py
+++ b/lupinmill/lab/stands.py
@@ -159,7 +159,7 @@
 
 
 class EndpointServer(Listening):
-    """An endpoint's model on a socket. `run.work_of(submission)` gives what was sent, or None where no
+    """An endpoint's model on a socket. `run.work_of(request_id)` gives what was sent, or None where no
     client sent it."""
 
     def __init__(self, endpoint: Endpoint, run: Any) -> None:
@@ -192,11 +192,11 @@
         if path in (b"/health", b"/status/load"):
             return self.probed(served, path == b"/status/load")
         name = request.header(b"req-id")
-        wanted = run.work_of(name) if name else None
-        if wanted is None:
+        sent = run.work_of(name) if name else None
+        if sent is None:
             return served.answer(Answer(400 if name else 404, [], b"no client sent this"))
         now = run.timeline.now
-        served.record = run.world.referee.sent(now, name, endpoint, wanted.sidecar)
+        served.record = run.world.referee.sent(now, name, endpoint, sent.sidecar)
         run.measure.at(now).launches += 1 if endpoint.shape.tier == 0 else 0
         try:
             left = float(request.header(b"req-deadline") or 0)
@@ -211,7 +211,7 @@
 
         tier, due, calls = endpoint.shape.tier, now + int(left * SECOND), run.inner.calls_of(endpoint)
         served.job = job_for(
-            run.world, name, wanted.key, wanted.workload, wanted.work, tier, due, calls, reply
+            run.world, name, sent.key, sent.request_class, sent.work, tier, due, calls, reply
         )
         endpoint.receive(served.job)
 
--- a/lupinmill/lab/virtual/discovery.py
+++ b/lupinmill/lab/virtual/discovery.py
@@ -11,7 +11,7 @@
 from lupinmill.lab.world import SILENT_WATCH_S
 
 if TYPE_CHECKING:
-    from lupinmill.lab.virtual.seat import Seat
+    from lupinmill.lab.virtual.sidecar import VirtualSidecar
 
 REFUSED_AFTER = 5 * MS  # a call that discovery refuses
 BROKEN_AFTER_S = 0.05  # a watch that discovery ends
@@ -20,26 +20,26 @@
 class Directory:
     """The list of one sidecar: what it knows, and the watch that keeps it up to date."""
 
-    def __init__(self, seat: Seat) -> None:
-        self.seat, self.run = seat, seat.run
-        self.registry: Registry = seat.run.world.registries[seat.tier]
+    def __init__(self, sidecar: VirtualSidecar) -> None:
+        self.sidecar, self.run = sidecar, sidecar.run
+        self.registry: Registry = sidecar.run.world.registries[sidecar.tier]
         self.known: dict[str, Entry] = {}
         self.index: int | None = None
         self.watching = False
-        self.pushed = seat.run.world.scenario.discovery.how == "push"
+        self.pushed = sidecar.run.world.scenario.discovery.how == "push"
 
     def start(self) -> None:
         """With the list as it is, the first time; later with the one that the sidecar knew."""
         if not self.known:
             self.known, self.index = dict(self.registry.entries), self.registry.index
-        self.seat.tell(t.Listed(t.ListKind.CACHED, [listing(entry) for entry in self.known.values()]))
+        self.sidecar.tell(t.Listed(t.ListKind.CACHED, [listing(entry) for entry in self.known.values()]))
         if self.pushed:
             self.subscribe(True)
 
     def stop(self) -> None:
         """Its sidecar was killed."""
         self.watching = False
-        self.registry.leave(self.seat.name)
+        self.registry.leave(self.sidecar.name)
 
     def informed(self, endpoint: Endpoint) -> bool:
         """Whether the sidecar knows of this very life of the endpoint."""
@@ -52,33 +52,33 @@
         """Changes since the list that it has, then each as it is published."""
         registry = self.registry
         if registry.down or registry.silent:
-            self.run.timeline.after(SECOND, self.subscribe_again, self.seat.life)
+            self.run.timeline.after(SECOND, self.subscribe_again, self.sidecar.life)
             return
         full, entries = registry.since(None if whole else self.index)
         self.index = registry.index
         self.hear(t.ListKind.FULL if full else t.ListKind.CHANGES, entries)
         self.watching = True
-        registry.listen(self.seat.name, self.published, self.watch_broke)
+        registry.listen(self.sidecar.name, self.published, self.watch_broke)
 
     def subscribe_again(self, life: int) -> None:
         """After a pause, unless the sidecar was killed meanwhile."""
-        if life == self.seat.life and self.seat.alive:
+        if life == self.sidecar.life and self.sidecar.alive:
             self.subscribe(True)
 
     def published(self, index: int, entry: Entry) -> None:
         """A change, on its way to the sidecar."""
-        span = self.run.spread(self.seat.chance)
-        self.run.timeline.after(span, self.hear_change, index, entry, self.seat.life)
+        span = self.run.spread(self.sidecar.chance)
+        self.run.timeline.after(span, self.hear_change, index, entry, self.sidecar.life)
 
     def hear_change(self, index: int, entry: Entry, life: int) -> None:
         """A change comes to the sidecar."""
-        if life == self.seat.life and self.seat.alive and self.watching:
+        if life == self.sidecar.life and self.sidecar.alive and self.watching:
             self.index = max(self.index or 0, index)
             self.hear(t.ListKind.CHANGES, [entry])
 
     def hear(self, kind: t.ListKind, entries: list[Entry]) -> None:
         """Takes a list or changes of it in, and tells the module."""
-        referee, now, name = self.run.world.referee, self.run.timeline.now, self.seat.name
+        referee, now, name = self.run.world.referee, self.run.timeline.now, self.sidecar.name
         if kind is t.ListKind.FULL:
             listed = {entry.name for entry in entries}
             for gone in [known for known in self.known if known not in listed]:
@@ -90,25 +90,25 @@
                 self.known.pop(entry.name, None)
             else:
                 self.known[entry.name] = entry
-        self.seat.tell(t.Listed(kind, [listing(entry) for entry in entries]))
+        self.sidecar.tell(t.Listed(kind, [listing(entry) for entry in entries]))
 
     def watch_broke(self) -> None:
         """Discovery went down; a silent one is noticed when a call hears not even that there is no news."""
         span = SILENT_WATCH_S if self.registry.silent else BROKEN_AFTER_S
-        self.run.timeline.after(span * SECOND, self.watch_failed, self.seat.life)
+        self.run.timeline.after(span * SECOND, self.watch_failed, self.sidecar.life)
 
     def watch_failed(self, life: int) -> None:
         """The sidecar notices that its watch or call has failed."""
-        if life != self.seat.life or not self.seat.alive:
+        if life != self.sidecar.life or not self.sidecar.alive:
             return
         self.watching = False
         if self.pushed:
             self.subscribe_again(life)
         else:
-            self.seat.tell(t.Listed(t.ListKind.FAILED, []))
+            self.sidecar.tell(t.Listed(t.ListKind.FAILED, []))
 
 
-class Calls:
+class DiscoveryCalls:
     """Discovery works through calls in turn, and fails what has waited too long."""
 
     def __init__(self, timeline: Timeline, registry: Registry, per_second: float, time_out: int) -> None:
@@ -116,23 +116,23 @@
         self.each = SECOND / max(0.1, per_second)
         self.free_at = 0.0
 
-    def call(self, seat: Seat) -> None:
+    def call(self, sidecar: VirtualSidecar) -> None:
         """A sidecar asks for changes."""
-        timeline, now, failed = self.timeline, self.timeline.now, seat.directory.watch_failed
+        timeline, now, failed = self.timeline, self.timeline.now, sidecar.directory.watch_failed
         if self.registry.silent or self.registry.down:
-            timeline.after(self.time_out if self.registry.silent else REFUSED_AFTER, failed, seat.life)
+            timeline.after(self.time_out if self.registry.silent else REFUSED_AFTER, failed, sidecar.life)
             return
         done = max(self.free_at, now) + self.each
         if done - now > self.time_out:
-            timeline.after(self.time_out, failed, seat.life)
+            timeline.after(self.time_out, failed, sidecar.life)
             return
         self.free_at = done
-        timeline.at(int(done), self.answer, seat, seat.life)
+        timeline.at(int(done), self.answer, sidecar, sidecar.life)
 
-    def answer(self, seat: Seat, life: int) -> None:
+    def answer(self, sidecar: VirtualSidecar, life: int) -> None:
         """The answer, unless the sidecar was killed meanwhile."""
-        if seat.life == life and seat.alive:
+        if sidecar.life == life and sidecar.alive:
             if self.registry.down or self.registry.silent:
-                seat.directory.watch_failed(life)
+                sidecar.directory.watch_failed(life)
             else:
-                seat.directory.subscribe(False)
+                sidecar.directory.subscribe(False)
--- a/lupinmill/lab/virtual/inner.py
+++ b/lupinmill/lab/virtual/inner.py
@@ -3,20 +3,29 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 
 from lupinmill.lab.endpoint import Endpoint, Job
+from lupinmill.lab.outcome import Outcome
 from lupinmill.lab.timeline import MS
-from lupinmill.lab.virtual.held import Held
-from lupinmill.lab.virtual.seat import Seat
+from lupinmill.lab.virtual.request import Request
+from lupinmill.lab.virtual.sidecar import VirtualSidecar
 from lupinmill.lab.world import chance_for
 
 if TYPE_CHECKING:
     from lupinmill.lab.virtual.run import VirtualRun
 
-Done = Callable[[bool], None]  # told once whether the call was handled
-Call = tuple[Seat, str]
+Done = Callable[[bool], None]  # told once whether the call succeeded
+
+
+@dataclass(frozen=True)
+class Call:
+    """A call that is out; `name` is the id of its request."""
+
+    sidecar: VirtualSidecar
+    name: str
 
 
 class InnerCalls:
@@ -25,7 +34,7 @@
     def __init__(self, run: VirtualRun) -> None:
         self.run, self.world, self.timeline = run, run.world, run.timeline
         self.chance = chance_for(run.world.seed, "calls")
-        self.seats: dict[str, Seat] = {}
+        self.sidecars: dict[str, VirtualSidecar] = {}
         self.serial = 0
 
     def calls_of(self, tier: int) -> int:
@@ -37,52 +46,53 @@
         if endpoint.shape.tier + 1 >= len(self.world.tiers):
             return
         name = endpoint.shape.name
-        seat = self.seats.get(name)
-        if seat is None:
+        sidecar = self.sidecars.get(name)
+        if sidecar is None:
             tier = endpoint.shape.tier + 1
-            seat = self.seats[name] = Seat(self.run, f"i-{name}", tier, endpoint.shape.zone, 0)
-        endpoint.caller, endpoint.hang_up = partial(self.call, endpoint, seat), self.hang_up
-        if not seat.alive:
-            seat.start()
+            sidecar = self.sidecars[name] = VirtualSidecar(
+                self.run, f"i-{name}", tier, endpoint.shape.zone, 0
+            )
+        endpoint.caller, endpoint.hang_up = partial(self.call, endpoint, sidecar), self.hang_up
+        if not sidecar.alive:
+            sidecar.start()
 
     def endpoint_died(self, endpoint: Endpoint) -> None:
         """Its sidecar dies with it."""
-        if (seat := self.seats.get(endpoint.shape.name)) is not None:
-            seat.kill()
+        if (sidecar := self.sidecars.get(endpoint.shape.name)) is not None:
+            sidecar.kill()
 
-    def call(self, endpoint: Endpoint, seat: Seat, job: Job, done: Done) -> Call | None:
+    def call(self, endpoint: Endpoint, sidecar: VirtualSidecar, job: Job, done: Done) -> Call | None:
         """One call of a job; None where there is no time or no sidecar for it."""
         now = self.timeline.now
-        hard = self.world.by_name[job.workload].terms.hard_limit
-        due = job.due if self.world.scenario.limits.passes_deadline else now + hard
-        if due - now < 2 * self.run.round or not seat.alive:
+        latest = now + self.world.class_by_name[job.workload].terms.hard_limit
+        due = job.due if self.world.scenario.limits.passes_deadline else latest
+        if due - now < 2 * self.run.round or not sidecar.alive:
             self.timeline.after(MS, done, False)
             return None
         self.serial += 1
         name = f"c{self.serial}"
         work = self.world.call_work(job, endpoint.shape, self.chance)
         key = f"{job.submission}/{job.calls}/{self.serial}" if job.key else ""
-        held = Held(name, key, job.workload, work, due, partial(self.answer, name, done))
-        seat.take(held, "", False, False)
+        request = Request(name, key, job.workload, work, due, partial(self.answer, name, done))
+        sidecar.accept(request, "", False, False)
         limit = due + self.world.referee.grace + 1
-        self.timeline.at(limit, self.overdue, seat, seat.life, name, done)
-        return seat, name
+        self.timeline.at(limit, self.overdue, sidecar, sidecar.life, name, done)
+        return Call(sidecar, name)
 
-    def answer(self, name: str, done: Done, what: str, advice: int) -> None:
+    def answer(self, name: str, done: Done, outcome: Outcome, advice: int) -> None:
         """The end of a call, for the endpoint that made it."""
-        if what != "unreachable":
-            self.world.referee.answered(self.timeline.now, name, what)
-            self.timeline.at(self.timeline.now, done, what == "handled")
+        if outcome is not Outcome.UNREACHABLE:
+            self.world.referee.answered(self.timeline.now, name, outcome)
+            self.timeline.at(self.timeline.now, done, outcome is Outcome.SUCCEEDED)
 
-    def overdue(self, seat: Seat, life: int, name: str, done: Done) -> None:
-        """No answer until the hard limit and its grace."""
-        if life == seat.life:
+    def overdue(self, sidecar: VirtualSidecar, life: int, name: str, done: Done) -> None:
+        """No answer until the deadline and its grace."""
+        if life == sidecar.life:
             self.world.referee.overdue(self.timeline.now, name)
             done(False)
 
     def hang_up(self, call: Call) -> None:
         """The endpoint wants a call's answer no more."""
-        seat, name = call
-        self.world.referee.released(name)
-        if seat.alive:
-            seat.withdraw(name)
+        self.world.referee.released(call.name)
+        if call.sidecar.alive:
+            call.sidecar.cancel(call.name)
--- /dev/null
+++ b/lupinmill/lab/virtual/request.py
@@ -0,0 +1,43 @@
+"""What a virtual sidecar holds: the requests that it has accepted, and their attempts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from lupinmill.lab.endpoint import Endpoint, Job
+from lupinmill.lab.outcome import Outcome
+from lupinmill.lab.referee import Launched
+from lupinmill.lab.timeline import Due
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt on its way; `epoch` is the endpoint's life in which it was sent."""
+
+    number: int
+    endpoint: Endpoint
+    epoch: int
+    sent: int  # microseconds of the timeline
+    job: Job | None = None
+    over: bool = False
+    deadline: Due | None = None
+    record: Launched | None = None
+    new_connection: bool = False  # opened for it
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """A request that a sidecar has accepted; kept until its last attempt is over. `name` is its id."""
+
+    name: str
+    key: str
+    request_class: str
+    work: float  # seconds
+    due: int
+    answer: Callable[[Outcome, int], None]  # told once; and microseconds to wait before a retry
+    attempts: list[Attempt] = field(default_factory=list)
+    closed: bool = False
+    end_known: bool = (
+        False  # its end is known to the module: by its own command, or by a step that has passed
+    )
--- a/lupinmill/lab/virtual/run.py
+++ b/lupinmill/lab/virtual/run.py
@@ -15,10 +15,10 @@
 from lupinmill.lab.measure import Measure, observe_endpoints
 from lupinmill.lab.scenario import Scenario
 from lupinmill.lab.timeline import MS, SECOND, Timeline
-from lupinmill.lab.virtual.discovery import Calls
+from lupinmill.lab.virtual.discovery import DiscoveryCalls
 from lupinmill.lab.virtual.front import Front
 from lupinmill.lab.virtual.inner import InnerCalls
-from lupinmill.lab.virtual.seat import Seat
+from lupinmill.lab.virtual.sidecar import VirtualSidecar
 from lupinmill.lab.world import World, chance_for, draw
 from lupinmill.lab.world.troubles.plan import plan
 
@@ -26,7 +26,7 @@
 SETTLED = 8 * SECOND  # how long a run goes on after its last arrival
 MOST_NOTES = 2000
 
-Trace = Callable[[int, Seat, list[t.Note], list[t.Order]], None]
+Trace = Callable[[int, VirtualSidecar, list[t.Note], list[t.Order]], None]
 
 
 class VirtualRun:
@@ -45,7 +45,7 @@
         self.commons: Any = None  # what its front sidecars hold in common, where they do
         self.world = World(scenario, seed, self.timeline)
         self.policy = policies.find(policy)
-        self.measure = Measure(EPOCH, self.world.seconds, [w.name for w in self.world.workloads])
+        self.measure = Measure(EPOCH, self.world.seconds, [w.name for w in self.world.classes])
         self.round = max(1, int(scenario.sidecars.round_ms * MS))
         self.trace, self.tick = trace, tick
         self.steps, self.digest = 0, xxhash.xxh64()
@@ -55,11 +55,11 @@
         chance = chance_for(seed, "front")
         self.spread_s = draw(chance, scenario.discovery.spread_ms) / 1000
         self.calls = self.discovery_calls(chance)
-        self.seats = [
-            Seat(self, f"s{at}", 0, self.world.zones[at % len(self.world.zones)], at)
+        self.sidecars = [
+            VirtualSidecar(self, f"s{at}", 0, self.world.zones[at % len(self.world.zones)], at)
             for at in range(self.world.sidecars)
         ]
-        self.instances = [len(self.seats)] + [len(tier) for tier in self.world.tiers[:-1]]
+        self.instances = [len(self.sidecars)] + [len(tier) for tier in self.world.tiers[:-1]]
         self.front = Front(self, chance)
         self.clients = Clients(self.world, self.front, self.measure)
         self.inner = InnerCalls(self)
@@ -68,12 +68,12 @@
         for endpoint in [e for tier in self.world.tiers[:-1] for e in tier]:
             self.endpoint_started(endpoint)
 
-    def discovery_calls(self, chance: np.random.Generator) -> list[Calls]:
+    def discovery_calls(self, chance: np.random.Generator) -> list[DiscoveryCalls]:
         """Of each tier's list."""
         found = self.world.scenario.discovery
         time_out = int(found.time_out_s * SECOND)
         return [
-            Calls(self.timeline, registry, draw(chance, found.calls_per_s), time_out)
+            DiscoveryCalls(self.timeline, registry, draw(chance, found.calls_per_s), time_out)
             for registry in self.world.registries
         ]
 
@@ -82,8 +82,8 @@
     def play(self) -> None:
         """To the end, or until `stop` is set."""
         world, timeline = self.world, self.timeline
-        for seat in self.seats:
-            seat.start()
+        for sidecar in self.sidecars:
+            sidecar.start()
         plan(world, self)
         self.clients.begin()
         second = EPOCH
@@ -104,24 +104,26 @@
         entry = self.measure.at(self.timeline.now - SECOND)
         observe_endpoints(entry, self.world.tiers)
         caps = []
-        for seat in self.seats:
-            desk = getattr(seat.module, "desk", None)
-            if seat.alive and desk is not None:
+        for sidecar in self.sidecars:
+            desk = getattr(sidecar.module, "desk", None)
+            if sidecar.alive and desk is not None:
                 caps.append(desk.cap)
                 entry.aside += sum(one.mode == "aside" for one in desk.endpoints.values())
         entry.cap = sum(caps) / len(caps) if caps else 0.0
 
-    def watch_step(self, seat: Seat, now: int, notes: list[t.Note], orders: list[t.Order]) -> None:
+    def watch_step(
+        self, sidecar: VirtualSidecar, now: int, events: list[t.Note], commands: list[t.Order]
+    ) -> None:
         """Each step of each module, for the checksum by which runs are compared."""
         self.steps += 1
-        self.digest.update(f"{now} {seat.name} {len(notes)} {orders}".encode())
+        self.digest.update(f"{now} {sidecar.name} {len(events)} {commands}".encode())
         if self.trace is not None:
-            self.trace(self.steps, seat, notes, orders)
+            self.trace(self.steps, sidecar, events, commands)
 
-    def note(self, seat: Seat, text: str) -> None:
+    def note(self, sidecar: VirtualSidecar, text: str) -> None:
         """A line that a sidecar logged."""
         if len(self.notes) < MOST_NOTES:
-            self.notes.append((round((self.timeline.now - EPOCH) / SECOND, 3), seat.name, text))
+            self.notes.append((round((self.timeline.now - EPOCH) / SECOND, 3), sidecar.name, text))
 
     def spread(self, chance: np.random.Generator) -> float:
         """Microseconds that a published change takes to one sidecar."""
@@ -139,7 +141,7 @@
 
     def sidecar_count(self) -> int:
         """Of the front."""
-        return len(self.seats)
+        return len(self.sidecars)
 
     def ways_changed(self) -> None:
         """Each message looks for itself."""
@@ -150,4 +152,4 @@
 
     def starve_sidecar(self, at: int, lag_s: float) -> None:
         """One of the front comes to what has happened with this lag."""
-        self.seats[at].lag = int(lag_s * SECOND)
+        self.sidecars[at].lag = int(lag_s * SECOND)
--- /dev/null
+++ b/lupinmill/lab/virtual/sidecar.py
@@ -0,0 +1,167 @@
+"""One virtual sidecar: the decision module, its inbox and the handlers of its commands."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from lupinmill import terms as t
+from lupinmill.lab.outcome import Outcome
+from lupinmill.lab.virtual.attempts import Attempts
+from lupinmill.lab.virtual.discovery import Directory
+from lupinmill.lab.virtual.request import Request
+from lupinmill.lab.world import chance_for
+
+if TYPE_CHECKING:
+    from lupinmill.lab.virtual.run import VirtualRun
+
+
+class VirtualSidecar:
+    """Lives several times: `life` counts its deaths, and what a past life has set is nothing to this one."""
+
+    def __init__(self, run: VirtualRun, name: str, tier: int, zone: str, position: int) -> None:
+        self.run, self.name, self.tier, self.zone, self.position = run, name, tier, zone, position
+        self.alive, self.lag, self.life = False, 0, 0
+        self.module: Any = None
+        self.inbox: list[t.Note] = []
+        self.stepping = False
+        self.requests: dict[str, Request] = {}
+        self.unreported: dict[str, Request] = {}  # those whose end the module hears of in its next step
+        self.chance = chance_for(run.world.seed, "seat", name)
+        self.attempts = Attempts(self)
+        self.directory = Directory(self)
+        self.handlers: dict[type, Callable[[Any], None]] = {
+            t.Launch: self.attempts.start,
+            t.CallOff: self.attempts.cancel,
+            t.Probe: self.attempts.probe,
+            t.Deny: self.reject,
+            t.BreakOff: self.fail,
+            t.WakeMe: self.wake_at,
+            t.Watch: self.watch,
+            t.Log: self.log,
+        }
+
+    # Life.
+
+    def start(self) -> None:
+        """A new life, with a new decision module."""
+        run = self.run
+        self.alive, self.inbox, self.requests, self.unreported = True, [], {}, {}
+        self.stepping = False
+        seed = int(self.chance.integers(2**62))
+        self.module = run.policy(run.world.deployment(self.tier, run.instances[self.tier], seed))
+        if run.commons is not None and self.tier == 0:
+            run.commons.started(self)
+        self.directory.start()
+
+    def kill(self) -> None:
+        """What it held is its clients' to ask for again; what it sent ends with a reset."""
+        if not self.alive:
+            return
+        run = self.run
+        self.alive = False
+        self.life += 1
+        if run.commons is not None:
+            run.commons.killed(self)
+        self.directory.stop()
+        run.world.referee.restarted(self.name)
+        requests, self.requests = self.requests, {}
+        for one in requests.values():
+            self.attempts.close(one)
+            if not one.closed:
+                run.world.referee.released(one.name)
+                run.timeline.after(run.world.network.client_way, one.answer, Outcome.UNREACHABLE, 0)
+        self.attempts.connections.close(run.world.by_endpoint)
+
+    # Events in, commands out.
+
+    def tell(self, event: t.Note) -> None:
+        """An event for the module's next step, which is set if it is not yet."""
+        self.inbox.append(event)
+        if not self.stepping:
+            self.stepping = True
+            round_, now = self.run.round, self.run.timeline.now
+            at = now if round_ <= 1 else -(-now // round_) * round_
+            if self.lag:
+                at += int(self.lag * self.chance.uniform(0.5, 1.5))
+            self.run.timeline.at(at, self.step, self.life)
+
+    def step(self, life: int) -> None:
+        """One step of the module over all events since the last one."""
+        if life != self.life or not self.alive:
+            return
+        self.stepping = False
+        run, events, self.inbox = self.run, self.inbox, []
+        now, unreported = run.timeline.now, list(self.unreported.values())
+        commands = self.module.step(now, events)
+        run.watch_step(self, now, events, commands)
+        for command in commands:
+            self.handlers[type(command)](command)
+        for request in unreported:  # from now on an attempt of them breaks rule 1
+            request.end_known = True
+            self.unreported.pop(request.name, None)
+            self.forget_if_over(request)
+
+    # Requests.
+
+    def accept(self, request: Request, tenant: str, repeated: bool, front: bool) -> None:
+        """A request has come; `front`: from a client, not from an endpoint."""
+        now = self.run.timeline.now
+        self.run.world.referee.taken(now, request.name, request.request_class, request.due, front)
+        self.requests[request.name] = request
+        self.tell(t.Arrived(request.name, request.request_class, request.due, tenant, repeated))
+
+    def cancel(self, name: str) -> None:
+        """Whoever asked has gone away."""
+        request = self.requests.get(name)
+        if request is not None and not request.closed:
+            self.close(request)
+            self.tell(t.Withdrawn(name))
+
+    def close(self, request: Request) -> None:
+        """Ended by something other than the module, which hears of it in its next step."""
+        request.closed = True
+        self.unreported[request.name] = request
+
+    def finish(self, name: str, outcome: Outcome, advice: int) -> None:
+        """Ended by the module."""
+        request = self.requests.get(name)
+        if request is None or request.closed:
+            self.run.world.referee.answered(self.run.timeline.now, name, outcome)
+            return
+        request.closed = request.end_known = True
+        self.unreported.pop(name, None)
+        request.answer(outcome, advice)
+        self.forget_if_over(request)
+
+    def forget_if_over(self, request: Request) -> None:
+        """Forgets it once it is over for the module and for the network."""
+        if request.end_known and all(attempt.over for attempt in request.attempts):
+            self.requests.pop(request.name, None)
+
+    # Commands that meet no endpoint.
+
+    def reject(self, command: t.Deny) -> None:
+        """The request is turned away."""
+        self.finish(command.submission, Outcome.REJECTED, command.come_back)
+
+    def fail(self, command: t.BreakOff) -> None:
+        """The request is given up; it may have run."""
+        self.finish(command.submission, Outcome.FAILED, 0)
+
+    def wake_at(self, command: t.WakeMe) -> None:
+        """The module wants a step at that time."""
+        self.run.timeline.at(command.at, self.woken, command.ref, self.life)
+
+    def woken(self, ref: int, life: int) -> None:
+        """That time has come."""
+        if life == self.life and self.alive:
+            self.tell(t.Woke(ref))
+
+    def watch(self, _: t.Watch) -> None:
+        """The module asks discovery for changes."""
+        self.run.calls[self.tier].call(self)
+
+    def log(self, command: t.Log) -> None:
+        """A line for the result."""
+        self.run.note(self, command.text)
--- a/lupinmill/lab/world/request_class.py
+++ b/lupinmill/lab/world/request_class.py
@@ -12,8 +12,11 @@
 from lupinmill.lab.world.chance import draw
 
 
+LEAST_NOISE = 0.1
+
+
 @dataclass(slots=True)
-class DrawnWorkload:
+class RequestClass:
     """One class of requests with its figures drawn."""
 
     name: str
@@ -21,9 +24,13 @@
     mean: float  # seconds of work
     spread: str
     cv: float
-    noise: float
+    noise: float  # of attempts
     terms: t.Workload
 
+    def draw_noise(self, chance: np.random.Generator) -> float:
+        """By what factor the work of one attempt differs from that of its request."""
+        return max(LEAST_NOISE, 1 + self.noise * float(chance.standard_normal())) if self.noise else 1.0
+
     def work(self, chance: np.random.Generator) -> float:
         """Seconds of work of one request, on a core of speed 1."""
         if self.spread == "fixed" or not self.cv:
@@ -34,16 +41,18 @@
         return float(chance.lognormal(np.log(self.mean) - sigma2 / 2, sigma2**0.5))
 
 
-def drawn_workloads(specified: list[scenario.Workload], chance: np.random.Generator) -> list[DrawnWorkload]:
+def draw_request_classes(
+    specified: list[scenario.Workload], chance: np.random.Generator
+) -> list[RequestClass]:
     """All classes of a scenario; their shares add up to 1."""
-    found = [drawn_workload(one, chance) for one in specified]
+    found = [draw_request_class(one, chance) for one in specified]
     total = sum(one.share for one in found)
     for one in found:
         one.share /= total
     return found
 
 
-def drawn_workload(one: scenario.Workload, chance: np.random.Generator) -> DrawnWorkload:
+def draw_request_class(one: scenario.Workload, chance: np.random.Generator) -> RequestClass:
     """One class of a scenario, its ranges drawn."""
     terms = t.Workload(
         one.name,
@@ -55,7 +64,7 @@
         t.Group(one.group),
         int(one.window_s * SECOND) if one.repeat == "deduplicated" else 0,
     )
-    return DrawnWorkload(
+    return RequestClass(
         one.name,
         draw(chance, one.share),
         draw(chance, one.work_ms) / 1000,
--- a/lupinmill/lab/world/site.py
+++ b/lupinmill/lab/world/site.py
@@ -20,13 +20,13 @@
 from lupinmill.lab.world.chance import chance_for, draw
 from lupinmill.lab.world.configuration import sidecar_settings
 from lupinmill.lab.world.network import Network
-from lupinmill.lab.world.request_class import drawn_workloads
+from lupinmill.lab.world.request_class import draw_request_classes
 from lupinmill.protocol import settings
 
 SILENT_WATCH_S = 4.5  # a watch that hears nothing, not even that there is no news, has failed after this
 
 
-class SidecarTroubles(Protocol):
+class Driver(Protocol):
     """What a driver can do to its sidecars, and what it must hear of the site."""
 
     def sidecar_count(self) -> int: ...
@@ -38,7 +38,7 @@
 
 
 @dataclass(slots=True)
-class Shade:
+class TroubleRecord:
     """A trouble as it was, for the report; times in seconds of the run."""
 
     kind: str
@@ -57,8 +57,8 @@
         chance = self.chance = chance_for(seed, "site")
         self.seconds = draw(chance, scenario.seconds)
         self.end = self.start + int(self.seconds * SECOND)
-        self.workloads = drawn_workloads(scenario.workload, chance)
-        self.by_name = {w.name: w for w in self.workloads}
+        self.classes = draw_request_classes(scenario.workload, chance)
+        self.class_by_name = {w.name: w for w in self.classes}
         self.referee = self.make_referee()
         self.zones = scenario.net.zones
         self.network = Network(scenario.net, seed, chance)
@@ -68,10 +68,10 @@
         self.entries: dict[str, Entry] = {}
         self.calls: list[float] = []  # by tier: those that one request of the tier before makes
         self.serial = 0  # of endpoints' names
-        self.shades: list[Shade] = []
+        self.trouble_records: list[TroubleRecord] = []
         self.factors: dict[str, float] = {}  # of the load, by trouble
         self.tenant_factors: dict[str, float] = {}
-        self.driver: SidecarTroubles | None = None
+        self.driver: Driver | None = None
         self.build()
         self.sidecars = max(1, round(draw(chance, scenario.sidecars.count)))
         self.sidecar_notice = draw(chance, scenario.sidecars.notice_s)
@@ -82,7 +82,7 @@
         rules = self.scenario.rules
         return Referee(
             self.start,
-            [w.terms for w in self.workloads],
+            [w.terms for w in self.classes],
             int(rules.answer_grace_ms * MS),
             int(rules.drain_grace_s * SECOND),
             (rules.fall_multiple, int(rules.fall_s * SECOND)),
@@ -206,8 +206,8 @@
     # Load.
 
     def capacity(self) -> float:
-        """Submissions a second that the whole site can do, by the tier that runs out first."""
-        mean = sum(w.share * w.mean for w in self.workloads)
+        """Requests a second that the whole site can do, by the tier that runs out first."""
+        mean = sum(w.share * w.mean for w in self.classes)
         found, calls = float("inf"), 1.0
         for at, endpoints in enumerate(self.tiers):
             calls *= self.calls[at] if at else 1.0
@@ -216,21 +216,21 @@
         return found
 
     def base_rate(self) -> float:
-        """Submissions a second, before any trouble or wave."""
+        """Requests a second, before any trouble or wave."""
         load = self.scenario.load
         if load.rate is not None:
             return draw(self.chance, load.rate)
         return draw(self.chance, load.part) * self.capacity()
 
     def rate_now(self) -> float:
-        """Submissions a second, with the troubles of the load."""
+        """Requests a second, with the troubles of the load."""
         rate = self.rate
         for factor in self.factors.values():
             rate *= factor
         return rate
 
     def quotas(self) -> dict[str, float]:
-        """Of each tenant, submissions a second."""
+        """Of each tenant, requests a second."""
         if not self.scenario.tenant:
             return {}
         whole = draw(chance_for(self.seed, "quota"), self.scenario.load.quota_of_capacity) * self.capacity()
@@ -248,7 +248,7 @@
     def call_work(self, job: Job, shape: Shape, chance: np.random.Generator) -> float:
         """Seconds of work of a call that this job makes of the next tier, before that tier's part of it."""
         if self.scenario.tier[shape.tier + 1].call_work == "own":
-            return self.by_name[job.workload].work(chance)
+            return self.class_by_name[job.workload].work(chance)
         return job.work / shape.work if shape.work else 0.0
 
     # What sidecars are configured with.
@@ -266,19 +266,24 @@
 
 def job_for(
     world: World,
-    submission: str,
+    request_id: str,
     key: str,
-    workload: str,
+    request_class: str,
     work: float,
     tier: int,
     due: int,
     calls: int,
     reply: Callable[..., None],
 ) -> Job:
-    """One launch as an endpoint of `tier` will do it: its part of the submission's work, with this launch's
+    """One attempt as an endpoint of `tier` will do it: its part of the request's work, with this attempt's
     noise."""
-    found = world.by_name[workload]
-    factor = max(0.1, 1 + found.noise * float(world.network.chance.standard_normal())) if found.noise else 1.0
+    factor = world.class_by_name[request_class].draw_noise(world.network.chance)
     return Job(
-        submission, key, workload, work * world.tiers[tier][0].shape.work * factor, due, reply, calls=calls
+        request_id,
+        key,
+        request_class,
+        work * world.tiers[tier][0].shape.work * factor,
+        due,
+        reply,
+        calls=calls,
     )
--- a/lupinmill/lab/world/troubles/plan.py
+++ b/lupinmill/lab/world/troubles/plan.py
@@ -7,7 +7,7 @@
 from lupinmill.lab.scenario import Event
 from lupinmill.lab.timeline import SECOND
 from lupinmill.lab.world.chance import chance_for, draw
-from lupinmill.lab.world.site import Shade, SidecarTroubles, World
+from lupinmill.lab.world.site import TroubleRecord, Driver, World
 from lupinmill.lab.world.troubles import discovery, endpoints, load, sidecars, zones
 from lupinmill.lab.world.troubles.trouble import Act, Trouble
 
@@ -40,7 +40,7 @@
 }
 
 
-def plan(world: World, driver: SidecarTroubles | None) -> None:
+def plan(world: World, driver: Driver | None) -> None:
     """Puts all troubles on the world's timeline; `driver` carries out those of sidecars."""
     world.driver = driver
     chance, scenario = chance_for(world.seed, "troubles"), world.scenario
@@ -62,8 +62,10 @@
     size, extra = draw(chance, event.size), draw(chance, event.extra)
     tier = next((n for n, found in enumerate(world.scenario.tier) if found.name == event.tier), 0)
     stream = np.random.Generator(np.random.PCG64(chance.integers(2**62)))
-    name = f"{event.kind}{len(world.shades)}"
-    world.shades.append(Shade(event.kind, at_s, at_s + lasts_s, f"part {part:.2f}, size {size:.2f}"))
+    name = f"{event.kind}{len(world.trouble_records)}"
+    world.trouble_records.append(
+        TroubleRecord(event.kind, at_s, at_s + lasts_s, f"part {part:.2f}, size {size:.2f}")
+    )
     trouble = Trouble(event, name, tier, lasts_s, part, size, extra, stream)
     world.timeline.at(world.start + int(at_s * SECOND), KINDS[event.kind], world, trouble)
     return at_s + lasts_s
--- a/lupinmill/lab/zones_measure.py
+++ b/lupinmill/lab/zones_measure.py
@@ -54,7 +54,7 @@
     broken = [f"rule {b.rule}, second {b.second}, {b.what}: {b.text}" for b in referee.broken]
     if isinstance(run.commons, commons.Together):
         figures |= run.commons.figures()
-        cuts = [shade for shade in run.world.shades if shade.kind == "zone_cut"]
+        cuts = [record for record in run.world.trouble_records if record.kind == "zone_cut"]
         if cuts:
             figures["left after s"] = left_after(run, run.world.start + int(cuts[0].began * SECOND))
         broken += run.commons.broken
--- a/lupinmill/lab/zones_sockets.py
+++ b/lupinmill/lab/zones_sockets.py
@@ -185,8 +185,8 @@
         way = ZoneWay(self.net, sidecar, endpoint, (host, int(port)))  # type: ignore[arg-type]
         self.ways[sidecar, endpoint] = (way, await way.open())
 
-    def told(self, process: Process) -> dict[str, Any]:
-        table = super().told(process)
+    def configuration_of(self, process: Process) -> dict[str, Any]:
+        table = super().configuration_of(process)
         table["operator"] = process.operator or f"{HOST}:0"
         table["known"]["endpoints"] = [self.seen_by(process.name, row) for row in table["known"]["endpoints"]]
         return table
@@ -198,8 +198,8 @@
         row = super().row(entry, sidecar)
         return self.seen_by(sidecar, row) if sidecar else row
 
-    def heard(self, process: Process, event: dict[str, Any]) -> None:
-        super().heard(process, event)
+    def log_line(self, process: Process, event: dict[str, Any]) -> None:
+        super().log_line(process, event)
         name, what = process.name, event.get("event")
         if not str(what).startswith("watch") and what != "operator":
             self.lines[name].append(event)
--- a/tests/test_lab_scenario.py
+++ b/tests/test_lab_scenario.py
@@ -115,9 +115,9 @@
     for world in (one, two):
         plan(world, world.driver)
     assert 0.4 <= one.rate / one.capacity() <= 0.6 + 1e-9
-    assert 2 <= len(one.shades) <= 4
+    assert 2 <= len(one.trouble_records) <= 4
     assert [(e.shape, e.started) for e in one.tiers[0]] == [(e.shape, e.started) for e in two.tiers[0]]
-    assert one.shades == two.shades
+    assert one.trouble_records == two.trouble_records
 
 
 def test_each_kind_of_trouble_that_a_scenario_may_name_is_carried_out() -> None:
