--- /dev/null
+++ b/lupinmill/lab/sockets/front.py
@@ -0,0 +1,75 @@
+"""The way of clients to the front sidecars of a run on sockets."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+import numpy as np
+
+from lupinmill import terms as t
+from lupinmill.lab.clients import Wish
+from lupinmill.lab.outcome import Outcome
+from lupinmill.lab.processes import Process
+from lupinmill.lab.sockets.requests import SentRequest, advice_of, request_for
+from lupinmill.lab.timeline import SECOND
+from lupinmill.protocol.http import Answer
+
+if TYPE_CHECKING:
+    from lupinmill.lab.sockets.run import SocketRun
+
+
+class Front:
+    """Picks a sidecar for each try of a client. It notices a dead one only after a while."""
+
+    def __init__(self, run: SocketRun, chance: np.random.Generator) -> None:
+        self.run, self.world, self.timeline, self.chance = run, run.world, run.timeline, chance
+        self.dead_until: dict[int, int] = {}  # sidecar -> when the front notices that it died
+
+    def ask(self, wish: Wish, request_id: str, due: int, repeated: bool) -> None:
+        """One try of a client."""
+        run, now, request_class = self.run, self.timeline.now, wish.workload
+        at = self.pick()
+        if at is None or not run.fronts[at].alive():
+            span, ended = 2 * self.world.network.client_way, run.clients.ended
+            self.timeline.after(span, ended, request_id, Outcome.UNREACHABLE, 0)
+            return
+        process = wish.sidecar = run.fronts[at]
+        keyed = request_class.terms.repeat is not t.Repeat.IDEMPOTENT
+        self.world.referee.taken(now, request_id, request_class.name, due, True)
+        sent = SentRequest(request_class.name, wish.work, wish.name if keyed else "", process.name)
+        run.requests.remember(request_id, sent)
+        left = (due - now) / SECOND
+        request = request_for(request_id, request_class, left, wish.name, wish.tenant, repeated)
+        done = partial(self.answered, request_id, process, process.lives)
+        run.requests.send(process, request_id, request, done)
+
+    def pick(self) -> int | None:
+        """Any that the front believes alive, a dead one for a while too."""
+        now = self.timeline.now
+        believed = [
+            at
+            for at, p in enumerate(self.run.fronts)
+            if p.alive() and p.ready or self.dead_until.get(at, 0) > now
+        ]
+        return believed[int(self.chance.integers(len(believed)))] if believed else None
+
+    def answered(self, request_id: str, process: Process, life: int, answer: Answer | None) -> None:
+        """The answer comes to the client; None: the connection ended without one."""
+        outcome = self.run.requests.outcome_of(request_id, process, life, answer)
+        if answer is not None:
+            self.world.referee.answered(self.timeline.now, request_id, outcome)
+        self.run.clients.ended(request_id, outcome, advice_of(answer))
+
+    def gave_up(self, wish: Wish, request_id: str) -> None:
+        """The client has gone away."""
+        self.run.requests.abandon(request_id)
+
+    def any_address(self) -> str:
+        """Of one of the sidecars, drawn."""
+        return self.run.fronts[int(self.chance.integers(len(self.run.fronts)))].address
+
+    def died(self, at: int, down: int) -> None:
+        """A sidecar was killed and is down for so many microseconds."""
+        notice = int(self.world.sidecar_notice * SECOND)
+        self.dead_until[at] = self.timeline.now + min(down, notice)
