--- a/lupinmill/lab/zones_sockets.py
+++ b/lupinmill/lab/zones_sockets.py
@@ -181,12 +181,12 @@
 
     async def open_way(self, sidecar: str, endpoint: str, zone: str) -> None:
         self.net.zone_of[endpoint] = zone
-        host, _, port = self.servers[endpoint].address.partition(":")
+        host, _, port = self.endpoints.address(endpoint).partition(":")
         way = ZoneWay(self.net, sidecar, endpoint, (host, int(port)))  # type: ignore[arg-type]
         self.ways[sidecar, endpoint] = (way, await way.open())
 
-    def told(self, process: Process) -> dict[str, Any]:
-        table = super().told(process)
+    def configuration_of(self, process: Process) -> dict[str, Any]:
+        table = super().configuration_of(process)
         table["operator"] = process.operator or f"{HOST}:0"
         table["known"]["endpoints"] = [self.seen_by(process.name, row) for row in table["known"]["endpoints"]]
         return table
@@ -198,8 +198,8 @@
         row = super().row(entry, sidecar)
         return self.seen_by(sidecar, row) if sidecar else row
 
-    def heard(self, process: Process, event: dict[str, Any]) -> None:
-        super().heard(process, event)
+    def log_line(self, process: Process, event: dict[str, Any]) -> None:
+        super().log_line(process, event)
         name, what = process.name, event.get("event")
         if not str(what).startswith("watch") and what != "operator":
             self.lines[name].append(event)
@@ -393,8 +393,8 @@
         ), f"seed {self.seed}: {broken[:5]} {self.run.broken} {crashes}\n{self.last_lines()}"
 
     def sidecar_of(self, submission: str) -> str:
-        found = self.run.wanted.get(submission)
-        return found[3] if found is not None else ""
+        found = self.run.work_of(submission)
+        return found.sidecar if found is not None else ""
 
     def last_lines(self, count: int = 8) -> str:
         return "\n".join(
