--- a/lupinmill/lab/faults/clients.py
+++ b/lupinmill/lab/faults/clients.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 from random import Random
+from urllib.parse import quote
 
 from lupinmill.lab.faults.customers import Customer, Workload
 from lupinmill.lab.faults.records import Answered, Ending, Life, Records, Sent
@@ -121,7 +122,7 @@
             kind=one.name,
             effect=one.effect,
             method=b"GET" if get else b"POST",
-            target=b"/" + one.name.encode() + query,
+            target=b"/" + quote(one.name).encode() + query,
             body=random.randbytes(size),
             ids=[name],
             keys=[b"key-" + name] if keyed else [],
@@ -240,7 +241,7 @@
             how = random.choice(LEAVINGS)
             data = self.head(sent, random) + sent.body
             if random.random() < 0.3:  # bytes of a next one behind it
-                data += b"GET /" + sent.kind.encode()
+                data += b"GET /" + quote(sent.kind).encode()
             await wire.send(data)
             sent.written = time.time()
             await asyncio.sleep(random.choice((0, 0, 0.001, 0.01, 0.1)))
--- a/lupinmill/lab/faults/customers.py
+++ b/lupinmill/lab/faults/customers.py
@@ -12,7 +12,19 @@
 GROUPS = ("all", "zone", "cell")
 ZONES = ("north", "south")
 TYPES = ("m2", "m8")
-NAMES = ("view", "order", "bid-2", "issue.v1", "search", "pay", "ledger_entry", "x")
+NAMES = (
+    "view",
+    "order",
+    "bid-2",
+    "issue.v1",
+    "search",
+    "pay",
+    "ledger_entry",
+    "x",
+    "größe",
+    "a,b",
+    "two words",
+)
 SHORT_DEADLINES = (0.15, 0.3, 0.5)  # seconds
 DEADLINES = (0.8, 1.0, 2.0, 3.0)
 SOCKETS = (1024, 256, 256, 96, 64, 56)  # descriptors that a sidecar may hold
@@ -140,6 +152,32 @@
     return SPOILERS[kind](copy.deepcopy(config))
 
 
+SEEDS: tuple[Any, ...] = (None, 0, 7, "7", "8c1f30d27a5be964", "not hexadecimal", 3.0)
+WITHOUT_USE = {  # where clients share sidecars, and where each has its own
+    False: {"weights": "nominal", "prices": {"connection": 0.05}, "family-info": {"warm-keys": True}},
+    True: {"load-report": {"how": "on_probe", "fields": ["waiting"]}},
+}
+
+
+def dressed(config: dict[str, Any], random: Random) -> dict[str, Any]:
+    """The same in other words that the documents allow: it starts, and serves as before."""
+    made = copy.deepcopy(config)
+    made["seed"] = random.choice(SEEDS)
+    settings = made["settings"]
+    limits = settings["limits"]
+    for key, value in limits.items():
+        if isinstance(value, bool) and random.random() < 0.3:
+            limits[key] = random.choice((int(value), float(value), str(value).lower()))
+        elif not isinstance(value, bool) and random.random() < 0.3:
+            limits[key] = random.choice((float(value), str(value)))
+    limits["not-known-either"] = random.choice((None, [], {}, "x"))
+    if random.random() < 0.3:
+        settings |= WITHOUT_USE[settings["family"] == "mesh"]
+    if random.random() < 0.3 and "accounts" not in settings:
+        settings["accounts"] = random.choice((None, []))
+    return made
+
+
 def encoded(config: Any) -> bytes:
     return json.dumps(config).encode()
 
@@ -184,5 +222,6 @@
     "no attempt allowed": changed("settings", "limits", "most-launches", value=0),
     "a listening address that is none": changed("listen", value="nowhere"),
     "a discovery address that is none": changed("discovery", value="127.0.0.1"),
-    "a seed that is none": changed("seed", value="not hexadecimal"),
+    "listening at all ports": changed("listen", value="127.0.0.1:http"),
+    "descriptors that are no number": changed("limits", "sockets", value="many"),
 }
--- a/lupinmill/lab/faults/run.py
+++ b/lupinmill/lab/faults/run.py
@@ -87,7 +87,7 @@
     """One sidecar: its processes, one after another, as the schedule has them."""
 
     def __init__(self, site: Site, number: int, lives: list[schedule.LifePlan]) -> None:
-        self.site, self.lives, self.random = site, lives, Random(f"{site.seed} {site.name} slot {number}")
+        self.site, self.lives, self.number = site, lives, 0
         self.name = f"{site.name}-s{number}"
         self.folder = site.folder / self.name
         self.folder.mkdir()
@@ -108,14 +108,14 @@
             "name": self.name,
             "listen": "%s:%d" % self.sidecar.address,
             "discovery": site.discovery.addresses[self.at_address],
-            "seed": f"{self.random.getrandbits(64):016x}",
+            "seed": "8c1f30d27a5be964",
             "limits": site.customer.limits,
             "settings": site.customer.settings,
         }
         if knows:
             rows = list(site.discovery.rows.values())
             table["known"] = {"index": site.discovery.index, "snapshot": True, "endpoints": rows}
-        return table
+        return customers.dressed(table, Random(f"{site.seed} {self.name} {self.number}"))
 
     def write(self, data: bytes | None) -> None:
         """In one step, as a platform does; None takes the file away."""
@@ -143,18 +143,17 @@
     # Lives.
 
     async def run(self) -> None:
-        number = 0
         while not self.site.over():
-            plan = self.lives[number % len(self.lives)]
-            await self.live(plan, number)
-            number += 1
+            plan = self.lives[self.number % len(self.lives)]
+            await self.live(plan)
+            self.number += 1
 
-    async def live(self, plan: schedule.LifePlan, number: int) -> None:
+    async def live(self, plan: schedule.LifePlan) -> None:
         config = self.configuration(plan.knows)
         self.write(customers.spoilt(plan.spoilt, config) if plan.spoilt else customers.encoded(config))
         self.process = process = Process(self.site.command, self.environ(plan), plan.output)
         try:
-            life = await process.start(self.name, number, plan.text())
+            life = await process.start(self.name, self.number, plan.text())
             life.hands_over = plan.place in schedule.USABLE
             life.valid = plan.kind != schedule.SPOILT
             self.site.records.lives.append(life)
