Fault campaign: a reload that is missed is a break, also one during a start; clients end with their sidecar

A run whose last process was one with a spoilt configuration waited 30 s more for its clients: they were never told of the end. Seen as 47 s in place of 21 s of tests/test_fault_campaign.py.

--- a/lupinmill/lab/faults/discovery.py
+++ b/lupinmill/lab/faults/discovery.py
@@ -20,21 +20,27 @@
 
 
 class Discovery:
-    """One customer's, at two addresses. `mode` is what it does now; `set_mode` ends open watches."""
+    """One customer's, at two addresses for each sidecar. `mode` is what it does now; `set_mode` ends open
+    watches."""
 
     def __init__(self, customer: str, host: str, records: Records) -> None:
-        self.customer, self.records = customer, records
+        self.customer, self.host, self.records = customer, host, records
         self.rows: dict[str, dict[str, Any]] = {}
         self.gone: dict[str, tuple[int, dict[str, Any]]] = {}
         self.versions: dict[str, int] = {}
         self.index, self.mode = 1, UP
         self.reachable_since: float | None = time.time()
         self.news = asyncio.Event()
-        self.socks = [listening(host) for _ in range(2)]
-        self.addresses = ["%s:%d" % sock.getsockname() for sock in self.socks]
+        self.socks: list[socket.socket] = []
         self.tasks: set[asyncio.Task[None]] = set()
         records.changes[customer], records.reachable[customer] = [], []
 
+    def addresses_for_a_sidecar(self) -> list[str]:
+        """Its own two, of which its configuration names one."""
+        socks = [listening(self.host) for _ in range(2)]
+        self.socks += socks
+        return [address_of(sock) for sock in socks]
+
     def change(self, name: str, /, **values: Any) -> None:
         """An endpoint's row; `status` DELETED takes it out."""
         row = self.rows.get(name, {}) | values
@@ -91,17 +97,18 @@
             if self.mode == "down":
                 Wire(sock).close(reset=True)
                 continue
-            task = asyncio.create_task(self.serve(Wire(sock)))
+            task = asyncio.create_task(self.serve(Wire(sock), address_of(listener)))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-    async def serve(self, wire: Wire) -> None:
+    async def serve(self, wire: Wire, address: str) -> None:
         try:
             while (message := await read_request(wire)) is not None:
                 target = message.start.split(b" ")[1].decode("latin-1")
                 path, _, query = target.partition("?")
                 if path != "/v1/endpoints" or not message.start.startswith(b"GET "):
                     raise BadMessage(f"not a call of discovery: {message.start[:80]!r}")
+                self.records.calls.setdefault(address, []).append(time.time())
                 await self.tell(wire, {key: values[0] for key, values in parse_qs(query).items()})
         except (Cut, OSError):
             pass
@@ -170,6 +177,10 @@
         return {"index": self.index, "snapshot": True, "endpoints": [*self.rows.values(), chosen]}
 
 
+def address_of(sock: socket.socket) -> str:
+    return "%s:%d" % sock.getsockname()
+
+
 def listening(host: str) -> socket.socket:
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/lupinmill/lab/faults/processes.py
+++ b/lupinmill/lab/faults/processes.py
@@ -102,8 +102,6 @@
             self.life.terminated = now
         elif signum is signal.SIGKILL:
             self.life.killed = now
-        elif signum is signal.SIGHUP:
-            self.life.reloads.append(now)
         try:
             os.kill(self.process.pid, signum)
         except ProcessLookupError:
--- a/lupinmill/lab/faults/records.py
+++ b/lupinmill/lab/faults/records.py
@@ -68,7 +68,7 @@
     errors: list[str] = field(default_factory=list)  # lines of its standard error
     lines: deque[str] = field(default_factory=lambda: deque(maxlen=KEPT_LOG_LINES))
     defects: list[str] = field(default_factory=list)
-    reloads: list[float] = field(default_factory=list)
+    moves: list[tuple[float, str]] = field(default_factory=list)  # SIGHUP, with discovery at another address
     signalled_before_program: bool = False  # while the interpreter itself started: no program can help it
     waits: list[tuple[float, float]] = field(default_factory=list)  # when, seconds it has waited for a core
 
@@ -163,6 +163,7 @@
         self.changes: dict[str, list[Change]] = {}  # of a customer
         self.reachable: dict[str, list[tuple[float, float]]] = {}  # spans of a customer's discovery
         self.steps: list[tuple[float, float]] = []  # when the machine's clock was set, and by how much
+        self.calls: dict[str, list[float]] = {}  # of discovery, by its address
         self.late: dict[str, list[tuple[float, float]]] = {}  # when connections to an endpoint came up late
         self.lags: list[tuple[float, float]] = []  # when a heartbeat came, and how late
 
--- a/lupinmill/lab/faults/referee.py
+++ b/lupinmill/lab/faults/referee.py
@@ -16,6 +16,7 @@
 TOLD_SLACK = (
     0.15  # seconds by which the deadline told to an endpoint may be more than what its client has left
 )
+MOVED_WITHIN = 4.0  # seconds after SIGHUP in which a discovery that can be reached is called where it is now
 TOLD_WITHIN = 6.0  # seconds after which a change counts as told, once discovery has it and can be reached
 PROTOCOL_SLACK = 0.05  # seconds by which each limit of the protocol is longer on sockets
 MACHINE = 1.0  # seconds for a busy machine, in limits that stand for a state
@@ -87,6 +88,7 @@
         if not life.valid:
             self.judge_refusal(life)
             return
+        self.judge_moves(life)
         if life.killed is not None or life.hung:
             return
         if life.signalled_before_program and life.exit_code in BY_SIGNAL:
@@ -107,6 +109,28 @@
                 f"life {life.number}: SIGTERM, exit {life.exit_code}: {last(life)}",
             )
 
+    def judge_moves(self, life: Life) -> None:
+        """A configuration that SIGHUP told of is in force: discovery is called where it names it."""
+        if life.ready is None:
+            return
+        ends = [life.terminated, life.killed, life.ended]
+        ends += [one.started for one in self.lives[life.sidecar] if one.started > life.started]  # an upgrade
+        ends += [at for at, _ in life.moves[1:]] + [LARGEST_STOP]
+        for at, address in life.moves:
+            until = min(end for end in ends if end is not None and end > at)
+            since = max(at, life.ready)
+            longest = max((end - begin for begin, end in self.told_spans(life, since, until)), default=0.0)
+            if longest < MOVED_WITHIN + MACHINE + self.slack(life, since, until):
+                continue
+            if not any(at <= call <= until for call in self.records.calls.get(address, ())):
+                text = f"life {life.number}: no call at {address} in {until - at:.2f} s after SIGHUP"
+                self.broken(Fault.NOT_STARTED, "reload missed", life.sidecar, text)
+
+    def told_spans(self, life: Life, since: float, until: float) -> list[tuple[float, float]]:
+        """Those in which its discovery could be reached."""
+        spans = self.records.reachable[life.sidecar.rpartition("-")[0]]
+        return [(max(begin, since), min(end, until)) for begin, end in spans]
+
     def judge_refusal(self, life: Life) -> None:
         if life.hung:
             return
--- a/lupinmill/lab/faults/run.py
+++ b/lupinmill/lab/faults/run.py
@@ -23,6 +23,7 @@
 
 SIDECARS_PER_CUSTOMER = 3
 KILLED_AFTER = 0.7  # seconds beyond the longest deadline after which SIGKILL may follow SIGTERM
+CLIENTS_LIMIT = 60.0  # seconds for the last clients to come to an end
 SETTLE = 0.5  # seconds behind the last answer in which nothing may be sent
 BAD_SHARES = (0.05, 0.2, 0.4)
 LOOK_EVERY = 1.0
@@ -98,7 +99,7 @@
         self.sidecar = Sidecar(self.name, sock.getsockname())
         self.process: Process | None = None
         self.clients = Clients(site.customer, self.sidecar, f"{site.seed} {self.name}", site.records)
-        self.at_address = 0  # which of discovery's two
+        self.discoveries, self.at_address = site.discovery.addresses_for_a_sidecar(), 0
 
     # Configurations.
 
@@ -107,7 +108,7 @@
         table: dict[str, Any] = {
             "name": self.name,
             "listen": "%s:%d" % self.sidecar.address,
-            "discovery": site.discovery.addresses[self.at_address],
+            "discovery": self.discoveries[self.at_address],
             "seed": "8c1f30d27a5be964",
             "limits": site.customer.limits,
             "settings": site.customer.settings,
@@ -147,6 +148,7 @@
             plan = self.lives[self.number % len(self.lives)]
             await self.live(plan)
             self.number += 1
+        self.sidecar.over = True
 
     async def live(self, plan: schedule.LifePlan) -> None:
         config = self.configuration(plan.knows)
@@ -195,6 +197,8 @@
         began = time.monotonic()
         for at, name in plan.signals:
             await asyncio.sleep(max(0.0, began + at - time.monotonic()))
+            if plan.moves and process.life is not None and not process.life.moves:
+                self.move(process)
             process.signal(signal.Signals[f"SIG{name}"])
 
     async def ready(self, needs_endpoint: bool = True) -> bool:
@@ -264,13 +268,21 @@
             for _ in range(BURST):
                 process.signal(signal.SIGHUP)
         else:
-            self.rewrite(event)
+            self.rewrite(process, event)
             process.signal(signal.SIGHUP)
 
-    def rewrite(self, event: schedule.Event) -> None:
+    def move(self, process: Process) -> None:
+        """The configuration names discovery's other address; SIGHUP follows."""
+        assert process.life is not None
+        self.at_address = 1 - self.at_address
+        self.write(customers.encoded(self.configuration()))
+        process.life.moves.append((time.time(), self.discoveries[self.at_address]))
+
+    def rewrite(self, process: Process, event: schedule.Event) -> None:
         """The configuration that a SIGHUP finds."""
         if event.kind == "move discovery":
-            self.at_address = 1 - self.at_address
+            self.move(process)
+            return
         config = self.configuration()
         good = customers.encoded(config)
         if event.kind == "spoilt reload":
@@ -278,7 +290,7 @@
         elif event.kind == "half-written reload":
             self.write(good[: len(good) // 3])
         else:
-            self.write(None if event.kind == "no file" else good)
+            self.write(None)
 
     async def upgrade(self, old: Process, plan: schedule.LifePlan, event: schedule.Event) -> None:
         """A second process beside the first, which takes over, unless something befalls either of them."""
@@ -392,6 +404,8 @@
             self.discovery.versions[one.name] = 1
         self.modes = discovery.draw_modes(random, campaign.seconds)
         self.list_events = schedule.draw_list_events(random, len(self.endpoints), campaign.seconds)
+        if campaign.lives is not None:  # all trouble is told there
+            self.modes, self.list_events = [(0.0, discovery.UP)], []
         self.slots = [Slot(self, at, campaign.lives_of(f"{self.name} lives {at}")) for at in range(sidecars)]
 
     def host(self, rest: str) -> str:
@@ -429,7 +443,9 @@
         slots = [asyncio.create_task(slot.run()) for slot in self.slots]
         try:
             await asyncio.gather(*slots)
-            await asyncio.wait(clients, timeout=30)
+            _, waiting = await asyncio.wait(clients, timeout=CLIENTS_LIMIT)
+            if waiting:
+                raise RuntimeError(f"{self.name}: clients that wait for ever: {waiting}")
             await asyncio.sleep(SETTLE)
         finally:
             for slot in self.slots:
--- a/lupinmill/lab/faults/schedule.py
+++ b/lupinmill/lab/faults/schedule.py
@@ -48,9 +48,11 @@
     signals: list[tuple[float, str]] = field(default_factory=list)  # seconds after the start
     events: list[Event] = field(default_factory=list)
     spoilt: str = ""
+    moves: bool = False  # discovery, with the first SIGHUP at its start
 
     def text(self) -> str:
-        more = [f"{name} at {at * 1000:.0f} ms" for at, name in self.signals]
+        more = ["discovery moves with the first HUP"] * self.moves
+        more += [f"{name} at {at * 1000:.0f} ms" for at, name in self.signals]
         more += [
             " ".join(filter(None, [one.kind, one.choice, f"for {one.seconds:.2f} s" * bool(one.seconds)]))
             + f" at {one.at:.2f} s"
@@ -78,6 +80,7 @@
         plan.spoilt, plan.output = random.choice(sorted(SPOILERS)), "read"
     if kind == SIGNALS_AT_START:
         names = random.choice(START_SIGNALS)
+        plan.moves = names[0] == "HUP" and "TERM" not in names
         at = random.uniform(0, START_SPAN)
         for name in names:
             plan.signals.append((round(at, 4), name))
--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -18,7 +18,9 @@
 SEED, PROCESSES, SECONDS = 11, 5, 14.0
 PLANTED_SEED, PLANTED_SECONDS = 111, 5.0  # a customer with all effects and six attempts
 SHORT = Limits(ready=8.0, alive=4.0, end=4.0)
-CALM = [schedule.LifePlan(schedule.SERVE, 60.0, "TERM", "own", "read", True)]
+MOVE = schedule.Event(0.1, "move discovery")
+CALM = [schedule.LifePlan(schedule.SERVE, 60.0, "TERM", "own", "read", True, events=[MOVE])]
+LONGER = {"reload missed": 9.0}  # seconds
 
 START = """
 import sys
@@ -117,6 +119,11 @@
         Fault.UNANSWERED,
         "no answer",
     ),
+    "reload missed": (
+        "from lupinmill.program.sidecar import Program\nProgram.reload = lambda self: None",
+        Fault.NOT_STARTED,
+        "reload missed",
+    ),
     "does not end": (
         "from lupinmill.program.sidecar import Program\n"
         "import anyio\n"
@@ -143,7 +150,14 @@
         campaigns = {"": Campaign(SEED, PROCESSES, SECONDS, folder())}
         for name, (text, _, _) in PLANTED.items():
             campaigns[name] = Campaign(
-                PLANTED_SEED, 1, PLANTED_SECONDS, folder(), command(text), SHORT, CALM, bad=0.4
+                PLANTED_SEED,
+                1,
+                LONGER.get(name, PLANTED_SECONDS),
+                folder(),
+                command(text),
+                SHORT,
+                CALM,
+                bad=0.4,
             )
         found = await asyncio.gather(*(one.run() for one in campaigns.values()))
         return dict(zip(campaigns, found))
