--- a/lupinmill/lab/faults/clients.py
+++ b/lupinmill/lab/faults/clients.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 from random import Random
+from urllib.parse import quote
 
 from lupinmill.lab.faults.customers import Customer, Workload
 from lupinmill.lab.faults.records import Answered, Ending, Life, Records, Sent
@@ -121,7 +122,7 @@
             kind=one.name,
             effect=one.effect,
             method=b"GET" if get else b"POST",
-            target=b"/" + one.name.encode() + query,
+            target=b"/" + quote(one.name).encode() + query,
             body=random.randbytes(size),
             ids=[name],
             keys=[b"key-" + name] if keyed else [],
@@ -152,6 +153,8 @@
 
     async def hear(self, wire: Wire, sent: Sent) -> bool:
         """The one answer, or what came in its place. True where the connection can go on."""
+        if sent.first_on_connection or sent.behind is not None:
+            sent.opened = wire.opened
         try:
             async with asyncio.timeout(None) as limit:
                 patience = asyncio.create_task(self.be_patient(sent, limit))
@@ -238,7 +241,7 @@
             how = random.choice(LEAVINGS)
             data = self.head(sent, random) + sent.body
             if random.random() < 0.3:  # bytes of a next one behind it
-                data += b"GET /" + sent.kind.encode()
+                data += b"GET /" + quote(sent.kind).encode()
             await wire.send(data)
             sent.written = time.time()
             await asyncio.sleep(random.choice((0, 0, 0.001, 0.01, 0.1)))
@@ -267,7 +270,7 @@
                 if not await self.hear(wire, sent):
                     break
             for sent in batch[at + 1 :]:  # the connection ended before its turn
-                sent.over, sent.ending = time.time(), batch[at].ending
+                sent.over, sent.ending, sent.opened = time.time(), batch[at].ending, wire.opened
         finally:
             wire.close()
 
