Lab: logic that stood twice is joined, unused code dropped

An idle connection was a bare tuple and is a dataclass. Dropped as read by nothing: Shape.calls, DiscoveryServer.come_back, scale/book.CPU_UNITS, scale/settings.STARTED. Left: the reading of an answer in lab/flood.py and lab/scale/load.py is the same, but stands in the load generators' own path, whose cost is part of measured figures.

--- a/lupinmill/lab/endpoint.py
+++ b/lupinmill/lab/endpoint.py
@@ -46,7 +46,6 @@
     cancel: str = "all"
     drops_expired: bool = False
     work: float = 1.0
-    calls: float = 0.0
     report_fields: tuple[str, ...] = ()
     report_how: str = "none"
     report_s: float = 0.2
--- a/lupinmill/lab/fleet_sockets.py
+++ b/lupinmill/lab/fleet_sockets.py
@@ -23,7 +23,7 @@
 import orjson
 
 from lupinmill.lab.fleet import Event, Fault, Fleet, FleetResult, Weather, meant
-from lupinmill.lab.processes import Process
+from lupinmill.lab.processes import Process, call_operator, last_lines
 from lupinmill.peers.peer import REHEARSAL
 
 HOST = "127.0.0.1"
@@ -215,15 +215,7 @@
 
     async def call(self, name: str, path: str, method: str = "GET") -> tuple[int, bytes]:
         """An operator's call at that member: status and body."""
-        host, _, port = self.members[name].operator.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        try:
-            writer.write(f"{method} /admin/{path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
-            data = await asyncio.wait_for(reader.read(), 10)
-        finally:
-            writer.close()
-        head, _, body = data.partition(b"\r\n\r\n")
-        return int(head.split()[1]), body
+        return await call_operator(self.members[name].operator, path, method)
 
     async def show(self, name: str) -> dict[str, Any]:
         status, body = await self.call(name, "peers")
@@ -297,11 +289,7 @@
                 pass
 
     def last_lines(self, count: int = 12) -> str:
-        return "\n".join(
-            f"{name}: {orjson.dumps(line).decode()}"
-            for name, lines in self.lines.items()
-            for line in list(lines)[-count:]
-        )
+        return last_lines(self.lines, count)
 
     def sees(self, who: str, status: str = "alive") -> set[str]:
         return {name for name, held in self.views.get(who, {}).items() if held == status}
--- a/lupinmill/lab/fleet_streams.py
+++ b/lupinmill/lab/fleet_streams.py
@@ -9,12 +9,14 @@
 import asyncio
 import socket
 import struct
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from lupinmill.lab.fleet import Weather
 
 HOST = "127.0.0.1"
 PIECE = 16 * 1024
-LOOK = 0.02  # seconds between two looks at a blocked direction
+LOOK_AT_CUT = 0.02  # seconds between two looks at a blocked direction
 MOST_CONNECTIONS = 256
 RESET = struct.pack("ii", 1, 0)
 
@@ -40,27 +42,53 @@
             writer.close()
             return
         self.tasks[task] = self.writers[writer] = None
-        far: asyncio.StreamWriter | None = None
         try:
-            await self.passable(0)  # a connection begun behind a cut stands there until it heals
-            back, far = await asyncio.open_connection(*self.target)
-            self.writers[far] = None
-            async with asyncio.TaskGroup() as group:
-                group.create_task(self.pump(reader, far, 0))
-                group.create_task(self.pump(back, writer, 1))
+            await self.carry(reader, writer)
         except (OSError, ExceptionGroup):
-            pass  # one side broke: the other hears of it below
+            pass  # one side broke: the other hears of it by the close
         finally:
             self.tasks.pop(task, None)
-            for one in (writer, far):
-                if one is not None:
-                    self.writers.pop(one, None)
-                    one.close()
+            self.writers.pop(writer, None)
+            writer.close()
 
-    async def passable(self, direction: int) -> None:
+    async def carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """One connection, until both ends are done. One begun behind a cut stands there until it heals."""
+        await self.passable(0)
+        async with self.far_end() as (back, far):
+            await self.pump_both(reader, writer, back, far)
+
+    @asynccontextmanager
+    async def far_end(self) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
+        """A connection to the target, closed afterwards."""
+        back, far = await asyncio.open_connection(*self.target)
+        self.writers[far] = None
+        try:
+            yield back, far
+        finally:
+            self.writers.pop(far, None)
+            far.close()
+
+    async def pump_both(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        back: asyncio.StreamReader,
+        far: asyncio.StreamWriter,
+    ) -> None:
+        """Both directions, each by itself."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.pump(reader, far, 0))
+            group.create_task(self.pump(back, writer, 1))
+
+    def blocked(self, direction: int) -> bool:
+        """Whether nothing passes that way now; 0: forth, 1: back."""
         ends = (self.sender, self.hearer) if direction == 0 else (self.hearer, self.sender)
-        while self.weather.blocks(*ends):
-            await asyncio.sleep(LOOK)
+        return self.weather.blocks(*ends)
+
+    async def passable(self, direction: int) -> None:
+        """Waits until the direction is not cut."""
+        while self.blocked(direction):
+            await asyncio.sleep(LOOK_AT_CUT)
 
     async def pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, direction: int) -> None:
         """Each direction by itself: one that is cut does not hold the other up. An end passes as an end."""
--- a/lupinmill/lab/processes.py
+++ b/lupinmill/lab/processes.py
@@ -8,7 +8,7 @@
 import signal
 import sys
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -19,6 +19,30 @@
 STARVED_TURN = 0.05  # seconds for which a starved one runs between two stops
 
 
+async def call_operator(
+    address: str, path: str, method: str = "GET", limit: float = 10.0
+) -> tuple[int, bytes]:
+    """An operator's call: status and body. Raises TimeoutError without an answer in `limit` seconds."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(f"{method} /admin/{path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+        data = await asyncio.wait_for(reader.read(), limit)
+    finally:
+        writer.close()
+    head, _, body = data.partition(b"\r\n\r\n")
+    return int(head.split()[1]), body
+
+
+def last_lines(lines: Mapping[str, Iterable[dict[str, Any]]], count: int, longest: int | None = None) -> str:
+    """The last log events of each process, one a line, cut to so many characters."""
+    return "\n".join(
+        f"{name}: {orjson.dumps(event).decode()[:longest]}"
+        for name, events in lines.items()
+        for event in list(events)[-count:]
+    )
+
+
 class Process:
     """One sidecar's process, over its restarts: the same name and address, a fresh seed."""
 
--- a/lupinmill/lab/scale/book.py
+++ b/lupinmill/lab/scale/book.py
@@ -8,8 +8,6 @@
 from lupinmill.lab.scale.fit import fit
 from lupinmill.lab.scale.measured import Figure, Point
 
-CPU_UNITS = ("part of a core", "s")
-
 
 @dataclass(frozen=True, slots=True)
 class Key:
--- a/lupinmill/lab/scale/honest.py
+++ b/lupinmill/lab/scale/honest.py
@@ -18,27 +18,23 @@
 import orjson
 
 from lupinmill.lab.fleet_sockets import HOST, SETTINGS, TAKEN, free_port
-from lupinmill.lab.processes import Process
+from lupinmill.lab.processes import Process, call_operator
 from lupinmill.lab.scale.hollow import names
 from lupinmill.lab.scale.loopback import ALL_KNOWN, WINDOW, Hollow, Side, Watch, fleet_text, settled_rounds
 from lupinmill.lab.scale.settings import cpu_of
 from lupinmill.program import operators_file
 
 WITHIN = 0.10
+OPERATOR_LIMIT_S = 20.0
 AT_ONCE = 4  # processes that start at a time
 BY_PROBE = ("messages_out", "messages_in", "bytes_out", "bytes_in")
 COMPARED = (*BY_PROBE, "rows")
 
 
 async def call(address: str, path: str) -> dict[str, Any]:
-    host, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    try:
-        writer.write(f"GET /admin/{path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
-        data = await asyncio.wait_for(reader.read(), 20)
-    finally:
-        writer.close()
-    return orjson.loads(data.partition(b"\r\n\r\n")[2])
+    """What an operator's call is answered with, read as JSON."""
+    _, body = await call_operator(address, path, limit=OPERATOR_LIMIT_S)
+    return orjson.loads(body)
 
 
 class Real:
--- a/lupinmill/lab/scale/settings.py
+++ b/lupinmill/lab/scale/settings.py
@@ -32,7 +32,6 @@
 
 ELECTORS = 5
 ZONES = 16
-STARTED = 60.0  # seconds for a real process to listen
 
 
 def operators_text(members: int, own: str = "", zones: int = ZONES) -> str:
--- a/lupinmill/lab/stands.py
+++ b/lupinmill/lab/stands.py
@@ -16,7 +16,6 @@
 from lupinmill.lab.endpoint import Endpoint, Job
 from lupinmill.lab.registry import Entry, Registry
 from lupinmill.lab.timeline import SECOND
-from lupinmill.lab.world import job_for
 from lupinmill.protocol.http import Answer, ClientSide, Garbled, Malformed, Request, ServerSide
 from lupinmill.protocol.reports import ON_SOCKETS, REPORT
 
@@ -209,10 +208,9 @@
                 served.record.out = False
             self.reply(served, name, how, load)
 
-        tier, due, calls = endpoint.shape.tier, now + int(left * SECOND), run.inner.calls_of(endpoint)
-        served.job = job_for(
-            run.world, name, sent.key, sent.request_class, sent.work, tier, due, calls, reply
-        )
+        due, calls = now + int(left * SECOND), run.inner.calls_of(endpoint)
+        work = run.world.attempt_work(sent.request_class, sent.work, endpoint.shape.tier)
+        served.job = Job(name, sent.key, sent.request_class, work, due, reply, calls=calls)
         endpoint.receive(served.job)
 
     def probed(self, served: Served, whole: bool) -> None:
@@ -305,9 +303,6 @@
         body = {"index": self.registry.index, "snapshot": whole, "endpoints": rows}
         served.answer(Answer(200, [(b"Content-Type", b"application/json")], orjson.dumps(body)))
 
-    def come_back(self) -> None:
-        self.registry.listen(self.sidecar, self.published, self.broke)
-
 
 class Asking(asyncio.Protocol):
     """A client's connection to a sidecar; one request at a time."""
--- a/lupinmill/lab/virtual/attempts.py
+++ b/lupinmill/lab/virtual/attempts.py
@@ -7,12 +7,11 @@
 from typing import TYPE_CHECKING
 
 from lupinmill import terms as t
-from lupinmill.lab.endpoint import Endpoint
+from lupinmill.lab.endpoint import Endpoint, Job
 from lupinmill.lab.outcome import Outcome
 from lupinmill.lab.timeline import SECOND
 from lupinmill.lab.virtual.connections import Connections
 from lupinmill.lab.virtual.request import Attempt, Request
-from lupinmill.lab.world import job_for
 
 if TYPE_CHECKING:
     from lupinmill.lab.virtual.sidecar import VirtualSidecar
@@ -92,17 +91,9 @@
                 self.timeline.after(network.delay(), self.outcome, request, attempt, t.How.RESET, None)
             return
         calls, reply = self.run.inner.calls_of(sidecar.tier), partial(self.reply, request, attempt, life)
-        job = attempt.job = job_for(
-            self.world,
-            request.name,
-            request.key,
-            request.request_class,
-            request.work,
-            sidecar.tier,
-            request.due,
-            calls,
-            reply,
-        )
+        name, key, request_class = request.name, request.key, request.request_class
+        work = self.world.attempt_work(request_class, request.work, sidecar.tier)
+        job = attempt.job = Job(name, key, request_class, work, request.due, reply, calls=calls)
         endpoint.receive(job, sidecar.directory.informed(endpoint))
 
     def reply(self, request: Request, attempt: Attempt, life: int, how: t.How, load: t.Load | None) -> None:
--- a/lupinmill/lab/virtual/connections.py
+++ b/lupinmill/lab/virtual/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 
 from lupinmill.lab.endpoint import Endpoint
 from lupinmill.lab.timeline import SECOND, Timeline
@@ -11,22 +12,30 @@
 IDLE_SHARE = 0.9  # of the time after which endpoints close an idle connection: a longer idle one isn't used
 
 
+@dataclass(slots=True, frozen=True)
+class Idle:
+    """One idle connection."""
+
+    epoch: int  # the endpoint's life in which it was opened
+    since: int  # microseconds of the timeline
+
+
 class Connections:
-    """By endpoint, each with the endpoint's life in which it was opened and the time since it is idle."""
+    """By endpoint; the latest is used first."""
 
     def __init__(self, timeline: Timeline) -> None:
         self.timeline = timeline
-        self.idle: dict[str, deque[tuple[int, int]]] = {}
+        self.idle: dict[str, deque[Idle]] = {}
 
     def reuse(self, endpoint: Endpoint) -> bool:
         """An idle connection, the latest first; those of a past life of the endpoint are gone with it."""
         idle, now = self.idle.get(endpoint.shape.name), self.timeline.now
         while idle:
-            epoch, since = idle.pop()
-            if epoch != endpoint.epoch and not endpoint.silent:
+            one = idle.pop()
+            if one.epoch != endpoint.epoch and not endpoint.silent:
                 continue
-            if now - since > IDLE_SHARE * endpoint.shape.idle_s * SECOND:
-                endpoint.disconnect(epoch)
+            if now - one.since > IDLE_SHARE * endpoint.shape.idle_s * SECOND:
+                endpoint.disconnect(one.epoch)
                 continue
             return True
         return False
@@ -37,13 +46,13 @@
             return
         idle = self.idle.setdefault(endpoint.shape.name, deque())
         if len(idle) < MOST_IDLE:
-            idle.append((epoch, self.timeline.now))
+            idle.append(Idle(epoch, self.timeline.now))
         else:
             endpoint.disconnect(epoch)
 
     def close(self, by_endpoint: dict[str, Endpoint]) -> None:
         """All of them."""
         for name, connections in self.idle.items():
-            for epoch, _ in connections:
-                by_endpoint[name].disconnect(epoch)
+            for one in connections:
+                by_endpoint[name].disconnect(one.epoch)
         self.idle = {}
--- a/lupinmill/lab/world/machines.py
+++ b/lupinmill/lab/world/machines.py
@@ -47,7 +47,7 @@
     return spread(tier.kind, [draw(chance, kind.share) for kind in tier.kind], count)
 
 
-def tier_figures(at: int, tier: Tier, last: bool, chance: np.random.Generator) -> TierFigures:
+def tier_figures(at: int, tier: Tier, chance: np.random.Generator) -> TierFigures:
     """Draws what a tier's endpoints have in common; the order of the draws is part of what a seed means."""
     report, connections = tier.report, tier.connections
     shape = Shape(
@@ -55,7 +55,6 @@
         tier=at,
         work=draw(chance, tier.work),
         probe_work=draw(chance, tier.probe_us) / 1e6,
-        calls=0.0 if last else 1.0,
         report_fields=tuple(report.fields),
         report_how=report.how,
         report_s=max(0.01, draw(chance, report.period_ms) / 1000),
--- a/lupinmill/lab/world/site.py
+++ b/lupinmill/lab/world/site.py
@@ -29,12 +29,23 @@
 class Driver(Protocol):
     """What a driver can do to its sidecars, and what it must hear of the site."""
 
-    def sidecar_count(self) -> int: ...
-    def kill_sidecar(self, at: int, down_s: float) -> None: ...
-    def starve_sidecar(self, at: int, lag_s: float) -> None: ...
-    def endpoint_died(self, endpoint: Endpoint) -> None: ...
-    def endpoint_started(self, endpoint: Endpoint) -> None: ...
-    def ways_changed(self) -> None: ...
+    def sidecar_count(self) -> int:
+        """How many front sidecars there are."""
+
+    def kill_sidecar(self, at: int, down_s: float) -> None:
+        """Kills one; it starts again after so many seconds."""
+
+    def starve_sidecar(self, at: int, lag_s: float) -> None:
+        """From now on one comes to what has happened with this lag; 0 ends it."""
+
+    def endpoint_died(self, endpoint: Endpoint) -> None:
+        """An endpoint has died."""
+
+    def endpoint_started(self, endpoint: Endpoint) -> None:
+        """An endpoint starts, or starts again."""
+
+    def ways_changed(self) -> None:
+        """Ways between zones were cut, or a cut has ended."""
 
 
 @dataclass(slots=True)
@@ -112,6 +123,7 @@
         chance, found = chance_for(self.seed, "list", tier), self.scenario.discovery
 
         def delay(mean: float) -> Callable[[], float]:
+            """Draws one delay in seconds."""
             return lambda: mean * chance.uniform(0.8, 1.2)
 
         notice = delay(draw(self.chance, found.notice_s))
@@ -123,7 +135,7 @@
         """So many endpoints, spread over kinds, zones and cells."""
         chance, net = self.chance, self.scenario.net
         cell_size = max(1, round(draw(chance, tier.cell_size)))
-        common = machines.tier_figures(at, tier, at + 1 == len(self.scenario.tier), chance)
+        common = machines.tier_figures(at, tier, chance)
         kinds = machines.kinds_of(tier, count, chance)
         figures = {kind.name: machines.kind_figures(common, kind, chance) for kind in tier.kind}
         zones = machines.spread(self.zones, net.endpoints or [1.0] * len(self.zones), count)
@@ -251,6 +263,12 @@
             return self.class_by_name[job.workload].work(chance)
         return job.work / shape.work if shape.work else 0.0
 
+    def attempt_work(self, request_class: str, work: float, tier: int) -> float:
+        """Seconds of work of one attempt at an endpoint of `tier`: its part of the request's work, with this
+        attempt's noise."""
+        noise = self.class_by_name[request_class].draw_noise(self.network.chance)
+        return work * self.tiers[tier][0].shape.work * noise
+
     # What sidecars are configured with.
 
     def settings(self, tier: int, instances: int) -> dict[str, Any]:
@@ -262,28 +280,3 @@
         found = settings.deployment(settings.flatten(self.settings(tier, instances)))
         found.seed = seed
         return found
-
-
-def job_for(
-    world: World,
-    request_id: str,
-    key: str,
-    request_class: str,
-    work: float,
-    tier: int,
-    due: int,
-    calls: int,
-    reply: Callable[..., None],
-) -> Job:
-    """One attempt as an endpoint of `tier` will do it: its part of the request's work, with this attempt's
-    noise."""
-    factor = world.class_by_name[request_class].draw_noise(world.network.chance)
-    return Job(
-        request_id,
-        key,
-        request_class,
-        work * world.tiers[tier][0].shape.work * factor,
-        due,
-        reply,
-        calls=calls,
-    )
--- a/lupinmill/lab/zones_sockets.py
+++ b/lupinmill/lab/zones_sockets.py
@@ -20,8 +20,8 @@
 import orjson
 
 from lupinmill.lab.fleet_sockets import HOST, LARGEST, TAKEN, free_port
-from lupinmill.lab.fleet_streams import MOST_CONNECTIONS, Way
-from lupinmill.lab.processes import Process
+from lupinmill.lab.fleet_streams import LOOK_AT_CUT, PIECE, Way
+from lupinmill.lab.processes import Process, call_operator, last_lines
 from lupinmill.lab.registry import Entry
 from lupinmill.lab.scenario import Scenario, check, find, over, raw
 from lupinmill.lab.sockets import SocketRun
@@ -29,6 +29,8 @@
 
 LOOK = 0.1
 KEPT = 200
+LONGEST_LINE = 300  # characters, where lines are told
+OPERATOR_LIMIT_S = 15.0
 PATIENT = 20 * SECOND  # by which time limits of the rules are longer: this judges what is done, not how fast
 
 
@@ -47,43 +49,24 @@
     """What a sidecar opens to an endpoint. Guards against a request that a sidecar has given up on and that
     is delivered when a cut heals: a connection that was held up and closed meanwhile is dropped whole."""
 
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """As the kernel does where the other end never answered: who has hung up meanwhile is not
         connected."""
-        task = asyncio.current_task()
-        assert task is not None
-        if len(self.tasks) >= MOST_CONNECTIONS:
-            writer.close()
-            return
-        self.tasks[task] = self.writers[writer] = None
-        far: asyncio.StreamWriter | None = None
-        try:
-            first = await reader.read(16 * 1024)
-            await self.passable(0)
-            back, far = await asyncio.open_connection(*self.target)
-            self.writers[far] = None
+        first = await reader.read(PIECE)
+        await self.passable(0)
+        async with self.far_end() as (back, far):
             if not first or reader.at_eof():
                 far.transport.abort()
                 return
             far.write(first)
-            async with asyncio.TaskGroup() as group:
-                group.create_task(self.pump(reader, far, 0))
-                group.create_task(self.pump(back, writer, 1))
-        except (OSError, ExceptionGroup):
-            pass  # one side broke: the other hears of it below
-        finally:
-            self.tasks.pop(task, None)
-            for one in (writer, far):
-                if one is not None:
-                    self.writers.pop(one, None)
-                    one.close()
+            await self.pump_both(reader, writer, back, far)
 
     async def pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, direction: int) -> None:
-        while data := await reader.read(16 * 1024):
+        while data := await reader.read(PIECE):
             held = False
             while self.blocked(direction):
                 held = True
-                await asyncio.sleep(0.02)
+                await asyncio.sleep(LOOK_AT_CUT)
             if held and (reader.at_eof() or writer.is_closing()):
                 writer.transport.abort()
                 return
@@ -93,10 +76,6 @@
         if writer.can_write_eof():
             writer.write_eof()
 
-    def blocked(self, direction: int) -> bool:
-        ends = (self.sender, self.hearer) if direction == 0 else (self.hearer, self.sender)
-        return self.weather.blocks(*ends)
-
 
 class Relay:
     """Datagrams from `sender` come in here and go on to `hearer` from the far relay."""
@@ -271,15 +250,7 @@
         return [p.name for p in self.run.fronts if self.run.net.zone_of[p.name] in zones]
 
     async def call(self, name: str, path: str, method: str = "GET") -> tuple[int, bytes]:
-        host, _, port = self.process(name).operator.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        try:
-            writer.write(f"{method} /admin/{path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
-            data = await asyncio.wait_for(reader.read(), 15)
-        finally:
-            writer.close()
-        head, _, body = data.partition(b"\r\n\r\n")
-        return int(head.split()[1]), body
+        return await call_operator(self.process(name).operator, path, method, OPERATOR_LIMIT_S)
 
     async def show(self, name: str) -> dict[str, Any]:
         status, body = await self.call(name, "zones")
@@ -397,8 +368,4 @@
         return found.sidecar if found is not None else ""
 
     def last_lines(self, count: int = 8) -> str:
-        return "\n".join(
-            f"{name}: {orjson.dumps(line).decode()[:300]}"
-            for name, lines in self.run.lines.items()
-            for line in list(lines)[-count:]
-        )
+        return last_lines(self.run.lines, count, LONGEST_LINE)
