Slow start: known starts survive an upgrade, the fall time is read, live weights are no sizes

Cause: state/learned.py, recall: the older process's cold_since went over one that the new process's list had just told; what a warm endpoint handles was not handed over, so the new process began without it. protocol/settings.py did not read invariants.fall-s, for which the module had a field. rules.py took every weight for a size; where weights are live an idle cold endpoint weighs more than loaded warm ones. workings.py, Mail.run: a failure over an alarm ended the request that was told in the same step; the note now goes with the exception, and routing/engine.py ends that request.

--- a/lupinmill/protocol/settings.py
+++ b/lupinmill/protocol/settings.py
@@ -127,6 +127,7 @@
         grace=s.micros("invariants.stop-sending-within-s", 0.5),
         cold_share=min(1.0, s.number("invariants.cold-share", 1.0)),
         cold_time=s.micros("invariants.cold-s"),
+        overload_time=s.micros("invariants.fall-s", 1.0),
         round=s.micros("round-s", 0.001),
         most_launches=int(s.number("limits.most-launches", 1)),
         copies_allowed=not beside and s.flag("limits.may-duplicate"),
@@ -141,6 +142,7 @@
         uneven=beside or s.number("prices.cross-zone") > 0 or len(s.names("kinds")) > 1,
         crossing_price=s.number("prices.cross-zone"),
         warm_keys=beside and s.flag("family-info.warm-keys"),
+        weights_live=s.text("weights") == "live",
         weights_tell_speed=beside and s.text("weights") == "nominal",
         few_connections=(
             beside and s.number("limits.streams-per-conn", 1) > 1 and s.number("prices.connection") > 0
--- a/lupinmill/routing/engine.py
+++ b/lupinmill/routing/engine.py
@@ -80,7 +80,8 @@
             orders = self.sidecar.step(self.clock.now(), [note])
         except Exception as error:
             # The module may say which note it was: of an alarm that came due in this step, another's.
-            failed = getattr(error, "about", note)
+            about = getattr(error, "about", note)
+            failed = about if hasattr(about, "submission") else note
             self.log("module_failed", note=type(note).__name__, **defect(error))
             orders, self.sidecar.mail.orders = self.sidecar.mail.orders, []
         for order in orders:
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -81,7 +81,7 @@
         self.probes, self.reports = d.probes_allowed, d.probes_allowed and d.reports_asked
         self.advice = d.longest_advice if d.advice_allowed else 0
         self.cold_share, self.cold_time, self.gone_binds = d.cold_share, max(1, d.cold_time), d.gone_binds
-        self.overload_time = max(1, d.overload_time)
+        self.overload_time, self.sized = max(1, d.overload_time), not d.weights_live
         self.uneven, self.beside, self.few = d.uneven, d.beside, d.few_connections
         self.told = self.sharers = max(1, d.instances)
         self.ask_span = max(SECOND, min(d.ask_within, 10 * SECOND)) * 2 // 5 if d.must_ask else 0
@@ -449,7 +449,7 @@
         if now - seat.says.cold_since >= self.allow.cold_time:
             seat.says.cold_since = None
             return True
-        rate = self.warmth(seat.says) * (self.each or self.unknown_each()) * seat.says.entry.weight
+        rate = self.warmth(seat.says) * (self.each or self.unknown_each()) * seat.size
         rate *= self.common.brakes.get(seat.name, 1.0)  # all sidecars together
         seat.credit = min(1.0, seat.credit + rate * (clock - seat.credited) / SECOND)
         seat.credited = clock
@@ -611,7 +611,7 @@
             seat.lot = 0.0 if seat.used else -log(self.chance.draw() or 0.5) / sqrt(note.entry.weight)
         if note.cold_since is not None and (note is seat.says or note.cold_since != seat.says.cold_since):
             seat.credit, seat.credited = self.chance.draw(), self.mail.now - self.idle
-        seat.says = note
+        seat.says, seat.size = note, note.entry.weight if self.allow.sized else 1.0
         if note.told is not None and note.told_at == self.mail.now and seat not in self.told:
             self.told.append(seat)
         self.count(seat, 1)
@@ -625,7 +625,7 @@
             self.ready += sign
             self.flying += sign * seat.flying
             self.shares += sign * seat.says.share
-            self.weight += sign * seat.says.entry.weight
+            self.weight += sign * seat.size
             self.open_in[seat.says.entry.zone] = self.open_in.get(seat.says.entry.zone, 0) + sign
 
     def against_kind(self, seat: Seat, pace: float, uncrowded: float) -> float:
@@ -712,16 +712,16 @@
 
     def measure_warm(self, cold: list[Seat], span: int) -> None:
         """What a warm endpoint handles: from here follows what a cold one may be sent."""
-        still = [seat.says.entry.weight for seat in cold if seat.counts() and self.warmth(seat.says) < 1]
+        still = [seat.size for seat in cold if seat.counts() and self.warmth(seat.says) < 1]
         warm = self.weight - sum(still)
         if self.ready > len(still) and warm > 0 and span > 0:
             gain = max(5 / self.swept, min(1.0, span / (5 * SECOND)))
             self.each += gain * (self.handled * SECOND / span / warm - self.each)
         self.handled, self.looked = 0, self.mail.now
         if cold and not self.each:
-            used = [seat.says.entry for seat in self.seats.values() if seat.used]
-            self.size = sum([entry.weight for entry in used if entry.state is t.State.READY])
-            self.able = sum([self.warmth(s.says) * s.says.entry.weight for s in cold if s.counts()])
+            used = [seat for seat in self.seats.values() if seat.used]
+            self.size = sum([seat.size for seat in used if seat.says.entry.state is t.State.READY])
+            self.able = sum([self.warmth(seat.says) * seat.size for seat in cold if seat.counts()])
 
 
 class Endpoint(Part):
--- a/lupinmill/state/learned.py
+++ b/lupinmill/state/learned.py
@@ -19,6 +19,7 @@
         "came": ring(desk.came),
         "began": desk.began,
         "unhurried": desk.unhurried,
+        "each": desk.each,
         "kinds": desk.kinds,
         "cap": desk.cap * desk.allow.sharers / max(1, desk.allow.told),  # as among so many as told
         "crowding": desk.crowding,
@@ -54,6 +55,7 @@
     desk.mail.now = now
     desk.cap = min(float(CAP_TOP), max(desk.allow.cap_floor, number(table.get("cap"), desk.cap)))
     desk.began, desk.unhurried = int(table.get("began", -1)), number(table.get("unhurried"), 0.0)
+    desk.each = max(0.0, number(table.get("each"), 0.0))
     desk.kinds = {str(kind): number(pace, 1.0) for kind, pace in table.get("kinds", {}).items()}
     desk.crowding = min(8.0, max(0.0, number(table.get("crowding"), 1.0)))
     for name, (usual, uncrowded, means) in table.get("gauges", {}).items():
@@ -72,8 +74,8 @@
         one.pace = None if said.get("pace") is None else min(8.0, number(said["pace"], 1.0))
         one.answers, one.broken = int(said.get("answers", 0)), int(said.get("broken", 0))
         one.rest, one.heard = int(said.get("rest", one.rest)), int(said.get("heard", 0))
-        cold = said.get("cold_since")
-        one.cold_since = None if cold is None else int(cold)
+        # The list that this process was told may know of a start that the other one had not heard of.
+        one.cold_since = max(one.cold_since or 0, int(said.get("cold_since") or 0)) or None
         if said.get("mode") in ("aside", "trial"):
             one.mode = said["mode"]
             if one.mode == "aside":
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -113,6 +113,7 @@
     crossing_price: float = 0.0  # for each launch that crosses zones, as a part of a submission's value
     warm_keys: bool = False  # an endpoint handles with less work a key that it met lately
     weights_tell_speed: bool = False  # an endpoint's weight holds its speed too, not its cores alone
+    weights_live: bool = False  # a weight falls with what its endpoint holds, and varies between lists
     few_connections: bool = False  # one carries many launches, and open ones are priced
 
 
--- a/lupinmill/workings.py
+++ b/lupinmill/workings.py
@@ -140,6 +140,7 @@
                 try:
                     part.take(note)
                 except Exception as error:  # costs that note alone: what is queued, ordered and pending stays
+                    error.about = note
                     self.defects.append(error)
 
     def ring(self) -> None:
@@ -258,6 +259,7 @@
     lot: float = 0.0  # of this sidecar: the least make up the endpoints that it uses
     used: bool = True
     pull: float = 1.0  # its part among equals
+    size: float = 1.0  # by its weight, where that tells of its size
 
     def counts(self) -> bool:
         return self.used and self.says.open
