--- a/lupinmill/program/discovery.py
+++ b/lupinmill/program/discovery.py
@@ -164,8 +164,9 @@
         side = ClientSide(lists.LARGEST_LIST, lists.LARGEST_LIST)
         # With no endpoint known, changes since that version would leave out all that did not change.
         index = self.directory.index if self.directory.states and not (self.moved or self.anew) else None
-        wait = max(LEAST_WAIT, self.wait * random.uniform(SPREAD, 1))
-        left = WHOLE - (anyio.current_time() - began)
+        connecting = anyio.current_time() - began
+        wait = max(LEAST_WAIT, self.wait * random.uniform(SPREAD, 1) - connecting)
+        left = WHOLE - connecting
         with anyio.move_on_after(left if index is None else wait + LATE) as whole:
             await self.connection.send(side.ask(lists.call(index, int(wait * 1000))))
             while (answer := side.next_answer()) is None:
--- a/lupinmill/protocol/settings.py
+++ b/lupinmill/protocol/settings.py
@@ -189,6 +189,7 @@
     "invariants.ask-within-s": 0.0,
     "invariants.cold-share": 0.0,
     "invariants.cold-s": 0.0,
+    "invariants.fall-s": 0.0,
     "invariants.stop-sending-within-s": 0.0,
     "round-s": 0.0,
     "limits.most-launches": 1.0,
