--- a/lupinmill/lab/faults/clients.py
+++ b/lupinmill/lab/faults/clients.py
@@ -43,6 +43,7 @@
     "two deadlines",
     "two kinds",
 )
+NAMED = (b"Idempotency-Key", b"Req-Id", b"close, Idempotency-Key, req-id", b"Req-Kind")
 LEAVINGS = ("close", "reset", "half-close")
 
 
@@ -293,51 +294,53 @@
 
     async def odd(self, random: Random) -> None:
         """Valid, and not what most clients write; or cut off by its client before its end."""
-        kind = random.choice(("trickling", "cut", "large", "chunked", "absolute", "named", "1.0", "expects"))
+        kind = random.choice(("cut", "trickling", "expects", "large", "chunked", "absolute", "named", "1.0"))
         workload = random.choice([one for one in self.customer.workloads if one.effect != "repeatable"])
         wire = await self.open()
         try:
-            if kind == "large":
-                sent = self.draw(random, "large", workload, random.choice(LARGE_BODIES))
-                await wire.send(self.head(sent, random) + sent.body)
-            elif kind == "chunked":
-                sent = self.draw(random, "chunked", workload, 500)
-                head = self.head(sent, random, (b"Transfer-Encoding: chunked",), length=False)
-                body = b"%x\r\n%b\r\n%X;a=b\r\n%b\r\n0\r\n\r\n" % (100, sent.body[:100], 400, sent.body[100:])
-                await wire.send(head + body)
-            elif kind == "cut":
+            if kind == "cut":
                 await self.cut_off(wire, random, workload)
                 return
-            elif kind == "trickling":
+            if kind == "trickling":
                 sent = self.draw(random, "trickling", workload, 20)
                 data = self.head(sent, random) + sent.body
                 for at in range(0, len(data), 12):
                     await wire.send(data[at : at + 12])
                     await asyncio.sleep(0.01)
-            elif kind == "absolute":
-                sent = self.draw(random, "absolute", workload)
-                head = self.head(sent, random)
-                await wire.send(head.replace(b" /", b" http://app.svc/", 1) + sent.body)
-            elif kind == "named":
-                # `Connection` names headers that identity or repeat safety hang on: refused, or kept.
-                sent = self.draw(random, "named in Connection", workload)
-                names = random.choice(
-                    (b"Idempotency-Key", b"Req-Id", b"close, Idempotency-Key, req-id", b"Req-Kind")
-                )
-                await wire.send(self.head(sent, random, (b"Connection: " + names,)) + sent.body)
             elif kind == "expects":
                 sent = self.draw(random, "expects 100", workload, 50)
                 await wire.send(self.head(sent, random, (b"Expect: 100-continue",)))
                 await asyncio.sleep(0.01)
                 await wire.send(sent.body)
             else:
-                sent = self.draw(random, "HTTP/1.0", workload)
-                await wire.send(self.head(sent, random).replace(b"HTTP/1.1", b"HTTP/1.0", 1) + sent.body)
+                sent, data = self.odd_text(kind, random, workload)
+                await wire.send(data)
             sent.written = time.time()
             await self.hear(wire, sent)
         finally:
             wire.close()
 
+    def odd_text(self, kind: str, random: Random, workload: Workload) -> tuple[Sent, bytes]:
+        """A request that is written at once, and its bytes."""
+        if kind == "large":
+            sent = self.draw(random, "large", workload, random.choice(LARGE_BODIES))
+            return sent, self.head(sent, random) + sent.body
+        if kind == "chunked":
+            sent = self.draw(random, "chunked", workload, 500)
+            head = self.head(sent, random, (b"Transfer-Encoding: chunked",), length=False)
+            body = b"%x\r\n%b\r\n%X;a=b\r\n%b\r\n0\r\n\r\n" % (100, sent.body[:100], 400, sent.body[100:])
+            return sent, head + body
+        if kind == "absolute":
+            sent = self.draw(random, "absolute", workload)
+            return sent, self.head(sent, random).replace(b" /", b" http://app.svc/", 1) + sent.body
+        if kind == "named":
+            # `Connection` names headers that identity or repeat safety hang on: refused, or kept.
+            sent = self.draw(random, "named in Connection", workload)
+            named = random.choice(NAMED)
+            return sent, self.head(sent, random, (b"Connection: " + named,)) + sent.body
+        sent = self.draw(random, "HTTP/1.0", workload)
+        return sent, self.head(sent, random).replace(b"HTTP/1.1", b"HTTP/1.0", 1) + sent.body
+
     async def cut_off(self, wire: Wire, random: Random, workload: Workload) -> None:
         sent = self.draw(random, "cut off", workload, random.choice((10, 3000)))
         data = self.head(sent, random) + sent.body
--- a/lupinmill/lab/faults/endpoints.py
+++ b/lupinmill/lab/faults/endpoints.py
@@ -277,6 +277,9 @@
             await wire.send(body if behaviour == "no length, closed" else body[: len(body) // 2])
             wire.close(reset=behaviour == "no length, reset")
             return False
+        return await self.answer_cut(wire, whole, behaviour, random)
+
+    async def answer_cut(self, wire: Wire, whole: bytes, behaviour: str, random: Random) -> bool:
         cut = random.randint(1, 12) if behaviour == "half a head" else random.randint(40, len(whole) - 1)
         await wire.send(whole[:cut])
         if behaviour in ("half, then nothing", "half a head"):
--- a/lupinmill/lab/faults/referee.py
+++ b/lupinmill/lab/faults/referee.py
@@ -339,6 +339,11 @@
                     sent.life.sidecar,
                     f"{what}: begun {after:.3f} s after {name}",
                 )
+        self.judge_deadline(sent, attempt, what)
+
+    def judge_deadline(self, sent: Sent, attempt: Attempt, what: str) -> None:
+        """What the endpoint was told is at most what the client has left."""
+        assert sent.written is not None
         try:
             told = float(attempt.deadline)
         except ValueError:
