--- a/tests/test_slow_start_fleet.py
+++ b/tests/test_slow_start_fleet.py
@@ -124,7 +124,7 @@
 
 
 # What settings may say: the time in which a cold one falls, the factor, the first share, the time until warm;
-# and of how many endpoints one is left. With 0.5 s and twenty endpoints 1.05 to 1.26 of the budget is sent.
+# and of how many endpoints one is left.
 SETTINGS = [
     (2 * SECOND, 3.0, 0.31, 5 * SECOND, 20),
     (SECOND // 2, 2.5, 0.1, 20 * SECOND, 10),
@@ -146,6 +146,13 @@
     assert fleet.fullest() < 1.0
 
 
+@pytest.mark.parametrize("sidecars", [1, 30])
+def test_the_one_of_twenty_that_is_left_keeps_its_budget_of_half_a_second(sidecars, monkeypatch):
+    test_the_one_that_is_left_keeps_its_budget_under_other_settings(
+        SECOND // 2, 2.5, 0.1, 20 * SECOND, 20, sidecars, monkeypatch
+    )
+
+
 @pytest.mark.parametrize("shape, case", [("few", joins), ("pool", one_cold_left_to_new_processes)])
 def test_two_hundred_sidecars_of_thin_traffic_keep_the_budget(shape, case):
     fleet = Fleet(5, 200, 0.5, cores=1, service=100 * MS, **SHAPES[shape])
