--- a/lupinmill/lab/scale/fit.py
+++ b/lupinmill/lab/scale/fit.py
@@ -12,6 +12,7 @@
 WITHIN = 0.15  # of the mean at a size
 SPREADS = 2.0  # standard deviations between seeds
 LEAST = 1e-12
+NOISE = 1e-9  # part of a value below which a figure is the arithmetic's own, which differs between machines
 
 
 def by_size(points: list[Point]) -> dict[float, list[float]]:
@@ -37,6 +38,10 @@
     return float(np.polyfit(np.log(sizes), np.log(values), 1)[0])
 
 
+def without_noise(value: float, compared: float) -> float:
+    return value if abs(value) > NOISE * abs(compared) else 0.0
+
+
 def fit(points: list[Point]) -> Fit | None:
     """None where there is one size. Where `straight`, `curvature` is 0: none was seen beyond the noise.
     Where not, it is that of the best parabola, and intercept and slope are those of the line that misses."""
@@ -56,13 +61,14 @@
     if not straight and len(rows) >= 3:
         curvature = float(polynomial(sizes, values, 2)[2])
     residual = float(np.sqrt(np.mean((line[0] + line[1] * sizes - values) ** 2)))
+    largest = float(np.abs(values).max())
     return Fit(
-        float(line[0]),
-        float(line[1]),
+        without_noise(float(line[0]), largest),
+        without_noise(float(line[1]), largest / float(sizes.max() or 1.0)),
         curvature,
-        residual,
+        without_noise(residual, largest),
         float(sizes.min()),
         float(sizes.max()),
         straight,
-        exponent(sizes, values),
+        without_noise(exponent(sizes, values), 1.0),
     )
--- a/lupinmill/lab/scale/returns_stand.py
+++ b/lupinmill/lab/scale/returns_stand.py
@@ -67,7 +67,7 @@
         self.refused: list[float] = []  # when a connection was refused
         self.sent: list[tuple[float, int]] = []  # when, bytes of each answer
         self.came = 0  # bytes of all calls
-        self.open: set[Line] = set()
+        self.open: dict[Line, None] = {}  # in their order: who hears of a break first draws first
         self.answers: dict[tuple[int, bool, int], bytes] = {}
 
     async def connect(self, *_: object) -> Line:
@@ -118,7 +118,7 @@
         self.broken = False
         self.due: asyncio.TimerHandle | None = None
         self.data: asyncio.Future[bytes] | None = None
-        stand.open.add(self)
+        stand.open[self] = None
 
     def quiet(self) -> bool:
         return not self.broken and not self.closed
@@ -147,7 +147,7 @@
 
     def close(self) -> None:
         self.closed = True
-        self.stand.open.discard(self)
+        self.stand.open.pop(self, None)
         if self.due is not None:
             self.due.cancel()
 
