Test of a crowd of idle clients waits for a place that can be made, not for luck

The test judged speed. It now waits until one of them can make room; what is asked of the answers stays.

--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -3,6 +3,7 @@
 
 import errno
 import os
+import time
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import anyio
@@ -82,6 +83,8 @@
             net.discovery.fault = None
             await until(lambda: not net.program.directory.empty())
             assert (await net.ask(READY)).status == 200
+            idle = net.program.take_in.listener.idle
+            await until(lambda: any(client.spare(time.monotonic()) for client in idle))
             for at in range(5):
                 assert (await net.ask(wanted(f"s{at}"))).body == b"done-s%d" % at
 
