Send what the caller holds, without a second copy of a body

Callers: a process that holds more than its limit is killed, with every open request.

Cause: `Connection.send` copied its bytes through a 16 KiB ring buffer, which a connection kept for as long as the other side did not read; `ServerSide.answer` joined head and body, so an answer of up to 64 KiB was held twice while its client read it slowly.

Change: `send` writes from the caller's bytes; `ServerSide.pieces` gives head and body apart where the body is over 8 KiB, as `ClientSide.pieces` does. The test that plants a defect in the building of an answer plants it in `pieces`, which is what is called now; its assertions are the same.

Result: two new tests, both failed before (storage leased while a send waits; the body was a copy).

--- a/lupinmill/protocol/http.py
+++ b/lupinmill/protocol/http.py
@@ -351,16 +351,20 @@
 
     def answer(self, answer: Answer, close: bool) -> bytes:
         """The bytes of the whole answer. Then `goes_on` tells whether the connection stays open."""
+        return b"".join(self.pieces(answer, close))
+
+    def pieces(self, answer: Answer, close: bool) -> list[bytes]:
+        """The same without copying a large body, which would be held twice while the client reads slowly."""
         unanswered = self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE)
         try:
-            data = self.begin(answer, len(answer.body), close)
-            if answer.body:
-                data += self.part(answer.body)
-            return data + self.end()
+            head = self.begin(answer, len(answer.body), close)
+            body = self.part(answer.body) if answer.body else b""
+            rest = self.end()
         except h11.LocalProtocolError:
             if not unanswered:
                 raise
-            return BAD_GATEWAY_RESPONSE  # nothing was sent yet, and the client waits for an answer
+            return [BAD_GATEWAY_RESPONSE]  # nothing was sent yet, and the client waits for an answer
+        return [head, body] if len(body) > MAX_MERGED_BODY and not rest else [head + body + rest]
 
     def begin(self, answer: Answer, length: int | None, close: bool) -> bytes:
         """The answer's head. Without `length` the body is chunked, or ends with the connection (HTTP/1.0)."""
--- a/lupinmill/routing/response_writer.py
+++ b/lupinmill/routing/response_writer.py
@@ -91,11 +91,12 @@
     ) -> bool:
         """Returns True if the connection can serve another request. Up to `max_bytes` of the client's further
         input are read and dropped."""
-        data = side.answer(answer, close)
+        pieces = side.pieces(answer, close)
         client.response_due = False
         client.response_starts()
         with anyio.move_on_after(WRITE_TIMEOUT_S) as scope:
-            await client.send(data)
+            for piece in pieces:
+                await client.send(piece)
         if scope.cancelled_caught:
             return False
         if side.goes_on():
--- a/lupinmill/transport/connection.py
+++ b/lupinmill/transport/connection.py
@@ -1,4 +1,4 @@
-"""One TCP connection: a non-blocking socket with a ring buffer for each direction."""
+"""One TCP connection: a non-blocking socket with a ring buffer for what is read."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
 
     def __init__(self, sock: socket.socket, block_pool: BlockPool, release: Callable[[], None]) -> None:
         self.sock, self.release = sock, release
-        self.incoming, self.outgoing = RingBuffer(block_pool), RingBuffer(block_pool)
+        self.incoming = RingBuffer(block_pool)
         self.closed = False
         # a send failed with a reset, which the kernel reports once and then shows as a regular end
         self.saw_reset = False
@@ -66,7 +66,6 @@
         if not self.closed:
             self.closed = True
             self.incoming.clear()
-            self.outgoing.clear()
             self.sock.close()
             self.release()
 
@@ -126,12 +125,12 @@
             return 0  # not on this system
 
     async def send(self, data: bytes) -> None:
-        """Returns once the last byte is written. If it raises, the last byte was not written."""
+        """Returns once the last byte is written. If it raises, the last byte was not written. Copies nothing:
+        the caller's bytes are the only ones held while the other side does not read."""
         rest = memoryview(data)
-        while rest or self.outgoing.size:
-            rest = rest[self.outgoing.write(rest) :]
+        while rest:
             try:
-                self.outgoing.consume(self.sock.send(self.outgoing.readable()))
+                rest = rest[self.sock.send(rest) :]
             except BlockingIOError:
                 await anyio.wait_writable(self.sock)
             except ConnectionResetError:
--- a/tests/test_clients_answers.py
+++ b/tests/test_clients_answers.py
@@ -73,7 +73,7 @@
     "place, name, what",
     [
         (client_requests, "parse", defective),
-        (OwnSide, "answer", lost_protocol),
+        (OwnSide, "pieces", lost_protocol),
         (OwnSide, "goes_on", defective),
         (Client, "wait_disconnected", broken_watch),
         (Client, "max_elapsed_wait", defective),
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -259,3 +259,12 @@
     assert made == settings.deployment(pairs)
     assert made.workloads[0].repeat is t.RepeatPolicy.DEDUPLICATED
     assert made.cancel_allowed and not made.probes_allowed
+
+
+def test_a_large_answer_is_written_without_a_copy_of_its_body():
+    """Guards against a body held twice while its client reads slowly."""
+    side, body = ServerSide(), b"x" * 60_000
+    side.feed(b"GET /view HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert side.next_request() is not None
+    head, written = side.pieces(Answer(200, [], body), False)
+    assert written is body and head.endswith(b"Content-Length: 60000\r\n\r\n") and side.goes_on()
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -89,6 +89,23 @@
     anyio.run(main)
 
 
+def test_a_send_that_waits_holds_no_storage_beside_the_callers_bytes():
+    """Guards against a body held twice while the other side does not read."""
+    store = BlockPool()
+
+    async def main():
+        ours, theirs = pair(store, [])
+        with ours, theirs:
+            with anyio.move_on_after(0.05) as scope:
+                async with anyio.create_task_group() as group:
+                    group.start_soon(ours.send, bytes(10_000_000))
+                    await anyio.sleep(0.02)
+                    assert store.leased == 0
+            assert scope.cancelled_caught
+
+    anyio.run(main)
+
+
 def test_all_bytes_arrive_through_a_slow_reader():
     data = random.Random(3).randbytes(700_000)
 
