--- a/lupinmill/__main__.py
+++ b/lupinmill/__main__.py
@@ -4,6 +4,7 @@
 
 import sys
 
+from lupinmill.program.no_tls import replace_ssl
 from lupinmill.program.signals import Signals
 from lupinmill.program.standard_streams import open_missing, print_error
 
@@ -13,6 +14,7 @@
     # Before the imports below, which take most of the startup time: until then a signal ends the process.
     open_missing()
     SIGNALS.hold()
+    replace_ssl()
 
 import os  # noqa: E402
 
--- a/lupinmill/program/process_settings.py
+++ b/lupinmill/program/process_settings.py
@@ -5,7 +5,6 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from math import isfinite
-from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 import orjson
@@ -61,7 +60,8 @@
     if not path:
         raise StartupError("BALANCER_CONFIG is not set")
     try:
-        table = orjson.loads(Path(path).read_bytes())
+        with open(path, "rb") as file:
+            table = orjson.loads(file.read())
     except OSError as error:
         raise StartupError(f"{path}: {error.strerror}") from error
     except orjson.JSONDecodeError as error:
--- a/lupinmill/protocol/admin_calls.py
+++ b/lupinmill/protocol/admin_calls.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from urllib.parse import unquote_to_bytes
 
 import h11
 
-from lupinmill.protocol.http import Malformed, phrase, plain
+from lupinmill.protocol.http import Malformed, phrase, plain, unescape
 
 MAX_REQUEST_BYTES = 4 * 1024
 MAX_ID_BYTES = 200
@@ -68,7 +67,7 @@
     if not target.startswith(b"/"):  # absolute form
         target = b"/" + target.partition(b"://")[2].partition(b"/")[2]
     path, _, query = target.partition(b"?")
-    path = unquote_to_bytes(path)
+    path = unescape(path)
     what = path[len(ADMIN_PREFIX) :].decode("latin-1") if path.startswith(ADMIN_PREFIX) else ""
     if what not in METHODS:
         raise Malformed(404, "unknown path")
@@ -84,9 +83,9 @@
 def single_parameter(query: bytes, key: bytes) -> str:
     """The value of a query parameter that has to be given exactly once. Raises Malformed."""
     values = [
-        unquote_to_bytes(value)
+        unescape(value)
         for name, _, value in (part.partition(b"=") for part in query.split(b"&"))
-        if unquote_to_bytes(name) == key
+        if unescape(name) == key
     ]
     parameter = key.decode()
     if len(values) != 1:
--- a/lupinmill/protocol/client_requests.py
+++ b/lupinmill/protocol/client_requests.py
@@ -7,7 +7,7 @@
 
 from lupinmill import terms as t
 from lupinmill.protocol import reports
-from lupinmill.protocol.http import Answer, Malformed, Request, plain
+from lupinmill.protocol.http import Answer, Malformed, Request, plain, unescape
 
 ID, KIND, DEADLINE, RETRY, OWNER = b"req-id", b"req-kind", b"req-deadline", b"req-retry", b"req-owner"
 KEY, MAX_KEY_BYTES = b"req-key", 200
@@ -21,7 +21,6 @@
     KEY,
     IDEMPOTENCY_KEY,
 }  # an endpoint might read another copy than this sidecar
-ESCAPED = re.compile(rb"%([0-9A-Fa-f]{2})")
 LOAD, DECLINED = b"srv-load", b"srv-declined"
 MAX_DEADLINE_S = 60  # no client waits for longer
 DECIMAL_SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")  # `float` also accepts signs, exponents and `1_0`
@@ -86,9 +85,7 @@
 def workload_names(request: Request, kind: bytes | None) -> tuple[str, str]:
     """The workload as Req-Kind names it, and as the first segment of the path does."""
     segment = request.target.split(b"?", 1)[0].lstrip(b"/").split(b"/", 1)[0]
-    path = text(
-        ESCAPED.sub(lambda match: bytes([int(match[1], 16)]), segment) if b"%" in segment else segment
-    )
+    path = text(unescape(segment) if b"%" in segment else segment)
     if kind is None:
         return path, path
     if not kind:
--- a/lupinmill/protocol/http.py
+++ b/lupinmill/protocol/http.py
@@ -54,6 +54,7 @@
 # 16 KiB would block the event loop for more than a second.
 MANY_BLANKS = re.compile(rb":(?:[ \t]|\r?\n(?=[ \t])){256}")
 ABSOLUTE = re.compile(rb"https?://[^/?#]+([/?].*)?", re.IGNORECASE)
+ESCAPED = re.compile(rb"%([0-9A-Fa-f]{2})")
 
 
 # Sent instead of an answer that can't be serialised.
@@ -155,6 +156,11 @@
     return path if path[:1] == b"/" else b"/" + path
 
 
+def unescape(value: bytes) -> bytes:
+    """Decodes percent-encoding, as `urllib.parse.unquote_to_bytes`. Other percent signs stay."""
+    return ESCAPED.sub(lambda match: bytes([int(match[1], 16)]), value)
+
+
 def phrase(answer: Answer) -> str:
     try:
         return HTTPStatus(answer.status).phrase
--- /dev/null
+++ b/tests/memory_bed.py
@@ -0,0 +1,250 @@
+"""A real process with a told memory limit, among endpoints and clients that make it hold as much as they can.
+
+The peak is the kernel's own (`VmHWM`), so it can't be missed between two looks."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+from bed import settings, wanted
+
+ROOT = Path(__file__).parent.parent
+CLIENTS = 250  # at once
+SOCKETS = 256  # descriptors that the process may use
+DEADLINE_S = 2.0  # of each request, ...
+ANSWER_WITHIN_S = 8.0  # ... by far enough for its answer, also for a client that had to wait in the queue
+LAST_BYTES, LAST_BYTES_AFTER_S = 40, 0.8  # of a body that comes late
+SLOW_READ_BYTES, SLOW_READ_S = 1024, 0.02  # an endpoint that reads slowly
+SMALL_RECEIVE_BUFFER = 4096  # bytes, of a client or an endpoint that reads late
+KIB = 1024
+
+
+@dataclass(frozen=True)
+class Body:
+    """The body that each client sends, and how."""
+
+    size: int
+    late_end: bool = False  # its last bytes come `LAST_BYTES_AFTER_S` later
+    chunked: bool = False
+
+
+@dataclass
+class Outcome:
+    """What a process and its clients came to."""
+
+    base_kb: int  # resident before the first client
+    peak_kb: int  # the most that was resident
+    statuses: Counter[int | None]  # of the answers; None: none came
+    exit_code: int | None  # None: it still ran
+    log: list[dict[str, Any]] = field(default_factory=list)
+
+
+def status_kb(pid: int, field_name: str) -> int:
+    text = Path(f"/proc/{pid}/status").read_text()
+    return int(re.search(rf"{field_name}:\s+(\d+) kB", text)[1])
+
+
+class Endpoint:
+    """`behaviour`: "silent" reads and never answers, "unread" never reads, "slow" reads slowly and never
+    answers, "answers" reads and answers with `answer_size` bytes."""
+
+    def __init__(self, behaviour: str, answer_size: int = 0) -> None:
+        self.behaviour, self.answer_size = behaviour, answer_size
+        self.address = ""
+
+    async def start(self) -> asyncio.Server:
+        sock = socket.socket()
+        if self.behaviour != "silent":
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER)
+        sock.bind(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % sock.getsockname()[1]
+        return await asyncio.start_server(self.serve, sock=sock, backlog=512, limit=SMALL_RECEIVE_BUFFER)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            if self.behaviour == "unread":
+                writer.transport.pause_reading()
+                await asyncio.sleep(60)
+            elif self.behaviour == "slow":
+                while await reader.read(SLOW_READ_BYTES):
+                    await asyncio.sleep(SLOW_READ_S)
+            elif self.behaviour == "silent":
+                while await reader.read(64 * KIB):
+                    pass
+            else:
+                await self.answer_all(reader, writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # the other side has gone, or the test is over
+        finally:
+            writer.close()
+
+    async def answer_all(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            length = re.search(rb"content-length: *(\d+)", head, re.IGNORECASE)
+            if length is not None:
+                await reader.readexactly(int(length[1]))
+            elif b"chunked" in head.lower():
+                await reader.readuntil(b"0\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % self.answer_size)
+            writer.write(b"a" * self.answer_size)
+            await writer.drain()
+
+
+def head_of(name: str, body: Body) -> bytes:
+    head = wanted(name, deadline=str(DEADLINE_S))
+    framing = b"Transfer-Encoding: chunked" if body.chunked else b"Content-Length: %d" % body.size
+    return head.replace(b"Content-Length: 0", framing)
+
+
+async def read_answer(reader: asyncio.StreamReader, slowly: bool) -> int | None:
+    """The status of a complete answer."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = re.search(rb"content-length: *(\d+)", head, re.IGNORECASE)
+    remaining = int(length[1]) if length else 0
+    while remaining:
+        if slowly:
+            await asyncio.sleep(SLOW_READ_S)
+        data = await reader.read(min(remaining, 8 * KIB if slowly else 64 * KIB))
+        if not data:
+            return None
+        remaining -= len(data)
+    return int(head.split(b" ")[1])
+
+
+async def connect(address: str, small_buffer: bool) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, port = address.split(":")
+    sock = socket.socket()
+    if small_buffer:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+    return await asyncio.open_connection(sock=sock, limit=16 * KIB)
+
+
+async def one_request(address: str, name: str, body: Body, reads_slowly: bool = False) -> int | None:
+    """Sends one request on a connection of its own. Returns its answer's status, None if there is none."""
+    writer = None
+    try:
+        async with asyncio.timeout(ANSWER_WITHIN_S):
+            reader, writer = await connect(address, reads_slowly)
+            writer.write(head_of(name, body))
+            late = LAST_BYTES if body.late_end else 0
+            write_body(writer, b"z" * (body.size - late), body.chunked)
+            sending = asyncio.create_task(drain(writer))
+            if late:
+                await asyncio.sleep(LAST_BYTES_AFTER_S)
+                write_body(writer, b"z" * late, body.chunked)
+            if body.chunked:
+                writer.write(b"0\r\n\r\n")
+            try:
+                return await read_answer(reader, reads_slowly)
+            finally:
+                sending.cancel()
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return None
+    finally:
+        if writer is not None:
+            writer.close()
+
+
+def write_body(writer: asyncio.StreamWriter, data: bytes, chunked: bool) -> None:
+    writer.write(b"%x\r\n%b\r\n" % (len(data), data) if chunked else data)
+
+
+async def drain(writer: asyncio.StreamWriter) -> None:
+    try:
+        await writer.drain()
+    except OSError:
+        pass  # an answer that came before the last byte may still be read
+
+
+def table_of(endpoint: Endpoint, memory_mb: float | None, **more: Any) -> dict[str, Any]:
+    row = {
+        "name": "e0", "address": endpoint.address, "zone": "z", "type": "k", "group": 0,
+        "status": "SERVING", "weight": 1.0, "since_ms": 0,
+    }  # fmt: skip
+    limits = {"sockets": SOCKETS}
+    if memory_mb is not None:
+        limits["memory_mb"] = memory_mb
+    told = settings()
+    for workload in told["workloads"]:
+        workload |= {"hard-limit-s": DEADLINE_S, "contract-time-s": DEADLINE_S}
+    return {
+        "name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1f",
+        "limits": limits, "known": {"index": 1, "snapshot": True, "endpoints": [row]}, "settings": told,
+    } | more  # fmt: skip
+
+
+def start(folder: Path, table: dict[str, Any], **environ: str) -> subprocess.Popen[bytes]:
+    file = Path(tempfile.mkdtemp(dir=folder)) / "told.json"
+    file.write_bytes(orjson.dumps(table))
+    return subprocess.Popen(
+        [sys.executable, "-m", "lupinmill"],
+        cwd=ROOT,
+        env={"BALANCER_CONFIG": str(file), "PATH": "/usr/bin:/bin"} | environ,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+
+
+Crowd = Callable[[str], Any]  # given the address, a coroutine that returns the statuses of all answers
+
+
+async def play(folder: Path, endpoint: Endpoint, memory_mb: float | None, crowd: Crowd) -> Outcome:
+    """Runs a process, lets the crowd at it, and ends it."""
+    server = await endpoint.start()
+    process = start(folder, table_of(endpoint, memory_mb))
+    try:
+        started = orjson.loads(await asyncio.to_thread(process.stdout.readline))
+        base = status_kb(process.pid, "VmRSS")
+        statuses = Counter(await crowd(started["listen"]))
+        peak = status_kb(process.pid, "VmHWM")
+        exit_code = process.poll()
+        process.send_signal(signal.SIGKILL)
+        output, _ = await asyncio.to_thread(process.communicate)
+        log = [orjson.loads(line) for line in output.splitlines()]
+        return Outcome(base, peak, statuses, exit_code, [started, *log])
+    finally:
+        process.kill()
+        process.communicate()
+        server.close()
+
+
+async def requests(address: str, bodies: list[Body], reads_slowly: bool = False) -> list[int | None]:
+    """All at once, the bodies in turn."""
+    return await asyncio.gather(
+        *(
+            one_request(address, f"s{number}", bodies[number % len(bodies)], reads_slowly)
+            for number in range(CLIENTS)
+        )
+    )
+
+
+async def idle_connections(address: str, count: int) -> list[asyncio.StreamWriter]:
+    writers = []
+    for _ in range(count):
+        try:
+            _, writer = await connect(address, True)
+            writers.append(writer)
+        except OSError:
+            pass
+    return writers
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.close()
