--- a/lupinmill/program/no_tls.py
+++ b/lupinmill/program/no_tls.py
@@ -1,7 +1,7 @@
 """Keeps OpenSSL out of a serving process, which has no TLS.
 
-asyncio and anyio import `ssl` for the names of its classes alone. Loading it takes 4 MB, an eighth of the least
-memory that a sidecar may be given."""
+asyncio and anyio import `ssl` for the names of its classes alone. Loading it takes 4 MB, an eighth of the
+least memory that a sidecar may be given."""
 
 from __future__ import annotations
 
