Upgrades under load: stop the old process by its log, not 0.2 s after a start

Cause, by the logs of its processes: the test stopped the old process 0.2 s after the next one was started, "about when the next one requests its state". Here the request came after 0.12 s and the hand-over was over 8 ms later, so the stop came behind it, when no request was inside, and nothing that the test is about was forced. On a slower machine it came in time: the test judged the machine's speed.

Change: the process is stopped as soon as it has logged that another one requests to take over.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from collections import Counter
+from pathlib import Path
 from typing import NamedTuple
 
 import anyio
@@ -567,9 +568,10 @@
             process.wait()
 
 
-async def pause_process(process: subprocess.Popen, span: float) -> None:
-    """Stops the process about when the next one requests its state."""
-    await anyio.sleep(0.2)
+async def pause_process(process: subprocess.Popen, log: Path, span: float) -> None:
+    """Stops the process as soon as it logs that the next one requests its state."""
+    while b"another process requests to take over" not in log.read_bytes():
+        await anyio.sleep(0.001)
     process.send_signal(signal.SIGSTOP)
     await anyio.sleep(span)
     process.send_signal(signal.SIGCONT)
@@ -709,7 +711,8 @@
         group.start_soon(fresh, over)
         for number in range(upgrades):
             if held_up:
-                group.start_soon(pause_process, processes.all[number], held_up)
+                log = tmp_path / f"log{number}"
+                group.start_soon(pause_process, processes.all[number], log, held_up)
             await processes.start()
             await anyio.sleep(0.1)
             await processes.end(number)
