A request that there is no place for and whose body comes late gets 503, not 408

What callers saw: 20 of 250 clients whose last bytes came 0.8 s after the first got 408, which says that the request is at fault; any other client of that crowd got 503, which says when to come back.

Cause: where no descriptor is free a request has 0.5 s (TURN_AWAY_TIMEOUT_S) instead of 2.5 s and more, so that such connections don't pile up; its end was told as if the client had been slow.

Change: once its head is there the request gets the rejection that it would have got in any case. Half a head is still told 408, as its test asks.

Result: new test, failed before (408).

--- a/lupinmill/routing/client_handler.py
+++ b/lupinmill/routing/client_handler.py
@@ -391,6 +391,8 @@
     async def turn_away_malformed(self, client: Client, side: ServerSide, error: Malformed) -> None:
         if error.status == 408 and not side.begun():
             return  # it never sent a byte
-        # A request that is too large only for this path is rejected like any other.
-        answer = rejection(self.retry_after) if error.status == 413 else plain(error.status, f"{error}\n")
+        # A request that is too large only for this path, or whose body is too late only for it, is rejected
+        # like any other.
+        rejected = error.status == 413 or error.status == 408 and side.request is not None
+        answer = rejection(self.retry_after) if rejected else plain(error.status, f"{error}\n")
         await self.send_rejection(client, side, answer)
--- a/tests/test_clients_answers.py
+++ b/tests/test_clients_answers.py
@@ -335,6 +335,19 @@
     on_network(check, fine)
 
 
+def test_a_request_without_a_place_whose_body_comes_late_is_denied_as_any_other(monkeypatch):
+    """Guards against 408 for a client that has more time wherever there is a place."""
+    monkeypatch.setattr(client_handler, "TURN_AWAY_TIMEOUT_S", 0.1)
+
+    async def check(net: Net):
+        async def then(stream):
+            assert await statuses(stream) == [503]
+
+        await in_the_queue(net, wanted("s1", body=b"x" * 9_000)[:-40], then)
+
+    assert not on_network(check, fine).ended()
+
+
 # --- pipelined requests ---------------------------------------------------------------------------------
 
 
