Whole answers reach a client that reads late, however its connection ends

What callers saw: a client that pipelines and reads late got a reset in place of answers that had been written whole; their requests had run.

Cause: send_stream closed the connection at once where an answer broke off. A close over unread bytes is a reset, and the kernel throws away what it has not sent. All other ends waited 1 s or 1 MiB of input and then did the same.

Change: transport/closing.py ends every client's connection: the sending side is closed first, input is dropped, and the close waits until the client's kernel has acknowledged all (SIOCOUTQ), within bounds: 5 s without an acknowledgement, 10 s in all, 1 s where descriptors are wanted. A break that an HTTP/1.0 client can't tell is still a reset, behind what came before. Lingering no longer counts as answering, so it holds up no shutdown.

--- a/lupinmill/admin/admin_handler.py
+++ b/lupinmill/admin/admin_handler.py
@@ -37,6 +37,7 @@
         self.zones: Callable[[], dict[str, object]] | None = None  # table of the plan in force
         self.config: Callable[[], dict[str, object]] | None = None  # table of the version in force
         self.discovery: Callable[[], dict[str, object]] = dict  # table of the watch on the list
+        self.clients: Callable[[], dict[str, int]] = dict  # closed connections by reason
         self.memory: Callable[[], dict[str, object]] = dict  # table of what is held and what may be
         self.run_zone_command: Callable[[str, str, bool], Awaitable[tuple[bool, str]]] | None = None
         # Sends a call to the other process of an upgrade.
@@ -55,6 +56,8 @@
             return 200, orjson.dumps(self.config()).decode()
         if call.what == admin_calls.DISCOVERY:
             return 200, orjson.dumps(self.discovery()).decode()
+        if call.what == admin_calls.CLIENTS:
+            return 200, orjson.dumps(self.clients()).decode()
         if call.what == admin_calls.MEMORY:
             return 200, orjson.dumps(self.memory()).decode()
         if call.what == admin_calls.REHEARSE:
--- a/lupinmill/config/server.py
+++ b/lupinmill/config/server.py
@@ -29,6 +29,7 @@
 from lupinmill.routing.engine import Clock, Log, error_fields
 from lupinmill.transport.buffers import BlockPool, MemoryBudget
 from lupinmill.transport.client import Client
+from lupinmill.transport.closing import LINGER_S
 from lupinmill.transport.descriptors import RESERVED_DESCRIPTORS, DescriptorBudget
 from lupinmill.transport.listener import Listener
 
@@ -65,6 +66,7 @@
         try:
             with client:
                 await self.handle_calls(client, admitted)
+                await self.listener.closer.finish(client, LINGER_S)
         except (OSError, TimeoutError):
             pass  # the client disconnected or stalled; everything held was released above
         except Exception as error:
@@ -129,7 +131,8 @@
             self.cut_off += 1
             client.reset_on_close()
             return False
-        return not close and side.goes_on()
+        client.lingers = close or not side.goes_on()
+        return not client.lingers
 
     def close(self) -> None:
         self.listener.close()
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -286,6 +286,7 @@
         )
         advice = deployment.longest_advice // 2 if deployment.advice_allowed else 0
         self.request_factory.retry_after = advice
+        listener.closer.log, self.admin_handler.clients = self.log, listener.closer.figures
         self.admission = admission = listener.admission = AdmissionController(
             AdmissionGate(deployment), self.request_table, self.log
         )
--- a/lupinmill/protocol/admin_calls.py
+++ b/lupinmill/protocol/admin_calls.py
@@ -13,7 +13,7 @@
 ADMIN_PREFIX = b"/admin/"
 HEALTH, CORDON, UNCORDON, QUIESCE, RESUME = "health", "cordon", "uncordon", "quiesce", "resume"
 PEERS, REHEARSE, ZONES, CONFIG = "peers", "rehearse", "zones", "config"
-DISCOVERY, MEMORY = "discovery", "memory"
+DISCOVERY, MEMORY, CLIENTS = "discovery", "memory", "clients"
 MOVES = {f"zones/{what}": what for what in ("drain", "restore", "pin", "unpin")}
 METHODS = {
     HEALTH: (b"GET", b"HEAD"),
@@ -22,6 +22,7 @@
     CONFIG: (b"GET",),
     DISCOVERY: (b"GET",),
     MEMORY: (b"GET",),
+    CLIENTS: (b"GET",),
     **dict.fromkeys((REHEARSE, CORDON, UNCORDON, QUIESCE, RESUME, *MOVES), (b"PUT",)),
 }
 MEMBER_PARAMETER, ZONE_PARAMETER = b"member", b"zone"
--- a/lupinmill/routing/client_handler.py
+++ b/lupinmill/routing/client_handler.py
@@ -28,7 +28,8 @@
 from lupinmill.routing.request_table import PendingRequest
 from lupinmill.routing.response_writer import ResponseWriter
 from lupinmill.transport.buffers import MemoryBudget, MemoryLease
-from lupinmill.transport.client import Client
+from lupinmill.transport.client import Client, CloseReason
+from lupinmill.transport.closing import LINGER_S, MAX_LINGER_S
 from lupinmill.transport.listener import REQUEST_TIMEOUT_S, Listener
 
 # bytes of a body that are buffered before its first attempt, if the memory budget allows
@@ -97,18 +98,28 @@
 
     async def serve(self, client: Client, welcome: bool) -> None:
         """Serves the connection. A request that was read in full gets a response, however its task ends."""
+        closer = self.listener.closer
         try:
             with client:
                 try:
-                    await self.handle(client, welcome)
+                    await self.serve_and_finish(client, welcome)
+                except anyio.get_cancelled_exc_class():
+                    client.close_reason = CloseReason.CANCELLED
+                    raise
                 finally:
-                    self.admission.leave(client)
-                    answered = self.send_fallback_answer(client)
-                if answered:
-                    await self.response_writer.linger(client)
+                    closer.record(client)
         except OSError:
             pass  # the client disconnected or does not read; everything it held is released above
 
+    async def serve_and_finish(self, client: Client, welcome: bool) -> None:
+        try:
+            await self.handle(client, welcome)
+        finally:
+            self.admission.leave(client)
+            self.send_fallback_answer(client)
+        # one without a place holds up those that wait to be turned away
+        await self.listener.closer.finish(client, MAX_LINGER_S if welcome else LINGER_S)
+
     async def handle(self, client: Client, welcome: bool) -> None:
         try:
             if welcome:
@@ -121,15 +132,15 @@
             self.internal_errors += 1
             self.log("task_failed", task="client", **error_fields(error))
 
-    def send_fallback_answer(self, client: Client) -> bool:
+    def send_fallback_answer(self, client: Client) -> None:
         """Writes without waiting, because the task may have been cancelled."""
         if not client.response_due or client.has_disconnected():
-            return False
+            return
         client.response_due = False
         try:
-            return client.sock.send(FALLBACK_ANSWER) == len(FALLBACK_ANSWER)
+            client.lingers = client.sock.send(FALLBACK_ANSWER) == len(FALLBACK_ANSWER)
         except OSError:
-            return False
+            pass
 
     async def serve_requests(self, client: Client) -> None:
         side = ServerSide()
@@ -161,7 +172,7 @@
 
     async def send_rejection(self, client: Client, side: ServerSide, answer: Answer) -> None:
         """Answers a request that is malformed or incomplete."""
-        client.response_due = True
+        client.response_due, client.close_reason = True, CloseReason.REFUSED
         await self.response_writer.send_answer(client, side, answer, True, MAX_BODY_BYTES)
 
     async def refuse_for_memory(self, client: Client, side: ServerSide) -> bool:
@@ -192,7 +203,7 @@
         """Called when no request was read. Returns True if one is still unread that this process must serve,
         because the connection could not be handed over."""
         if client.pipelined_dropped:
-            await self.response_writer.linger(client)  # the response that was just written must not be lost
+            client.lingers = True  # the response that was just written must not be lost
             return False
         return (
             not self.hand_over(client, side)
@@ -410,16 +421,18 @@
         read."""
         if self.hand_over_client is None or client.unwritable or client.pipelined or side.begun():
             return False
-        return self.hand_over_client(client)
+        if not self.hand_over_client(client):
+            return False
+        client.close_reason = CloseReason.HANDED_OVER
+        return True
 
     async def turn_away(self, client: Client) -> None:
         """Rejects requests on a connection for which no descriptor is free; no attempt is made for them. A
         readiness check still gets the true answer: a load balancer that receives 503 would not add this
         sidecar."""
-        side, deadline = (
-            ServerSide(MAX_BUFFERED_BODY),
-            ReadDeadline(anyio.current_time() + TURN_AWAY_TIMEOUT_S),
-        )
+        side = ServerSide(MAX_BUFFERED_BODY)
+        deadline = ReadDeadline(anyio.current_time() + TURN_AWAY_TIMEOUT_S)
+        client.close_reason = CloseReason.NO_PLACE
         goes_on = True
         while goes_on:
             request: Request | Malformed | None
--- a/lupinmill/routing/response_writer.py
+++ b/lupinmill/routing/response_writer.py
@@ -10,12 +10,10 @@
 from lupinmill.routing.engine import Log
 from lupinmill.routing.request_table import PendingRequest, RequestTable
 from lupinmill.routing.response_stream import IncompleteResponse, ResponseStream
-from lupinmill.transport.client import Client
+from lupinmill.transport.client import MAX_DROPPED_BYTES, Client, CloseReason
 
 # microseconds after the hard limit without a decision; reached only if the decision module fails
 DECISION_BACKSTOP_US = 20_000
-LINGER_S = 1.0  # seconds for a client to read a response before its connection is closed, ...
-MAX_LINGER_BYTES = 1024 * 1024  # ... and bytes of its further input that are read and dropped
 WRITE_TIMEOUT_S = 5.0  # seconds that a client may leave its response unread, ...
 PART_WRITE_TIMEOUT_S = 10.0  # ... or a part of a large one
 
@@ -56,7 +54,8 @@
         """Like `send_answer`, for a large response, part by part; afterwards the connection is the attempt's
         again.
 
-        A client that cannot tell a truncated response from a complete one gets a reset."""
+        A client that cannot tell a truncated response from a complete one gets a reset; what was written
+        before is acknowledged by then (`closing.py`)."""
         complete, began = False, False
         try:
             head = side.begin(answer, stream.side.length, close)
@@ -69,17 +68,15 @@
             await self.write(client, side.end())
             complete = True
         except (IncompleteResponse, h11.LocalProtocolError) as error:
+            client.close_reason = CloseReason.BROKEN_ANSWER
             self.log("answer_broken", error=str(error), began=began)
+        except TimeoutError:
+            client.close_reason = CloseReason.NOT_READ
         finally:
-            if not complete and not client.response_due and not side.truncation_detectable():
-                client.reset_on_close()
+            if not complete and not client.response_due:
+                client.lingers, client.resets = True, not side.truncation_detectable()
             stream.finish()
-        if not complete:
-            return False
-        if side.goes_on():
-            return True
-        await self.linger(client)
-        return False
+        return complete and self.goes_on(client, side)
 
     async def write(self, client: Client, data: bytes) -> None:
         if data:
@@ -87,7 +84,12 @@
                 await client.send(data)
 
     async def send_answer(
-        self, client: Client, side: ServerSide, answer: Answer, close: bool, max_bytes: int = MAX_LINGER_BYTES
+        self,
+        client: Client,
+        side: ServerSide,
+        answer: Answer,
+        close: bool,
+        max_bytes: int = MAX_DROPPED_BYTES,
     ) -> bool:
         """Returns True if the connection can serve another request. Up to `max_bytes` of the client's further
         input are read and dropped."""
@@ -97,17 +99,16 @@
         with anyio.move_on_after(WRITE_TIMEOUT_S) as scope:
             for piece in pieces:
                 await client.send(piece)
+        client.max_dropped = max_bytes
         if scope.cancelled_caught:
+            client.close_reason, client.lingers = CloseReason.NOT_READ, True
             return False
+        return self.goes_on(client, side)
+
+    def goes_on(self, client: Client, side: ServerSide) -> bool:
+        """Whether the connection can serve another request. If not, its last response has to be read."""
         if side.goes_on():
             return True
-        await self.linger(client, max_bytes)
+        client.lingers = True
+        client.close_reason = client.close_reason or CloseReason.ANSWERED
         return False
-
-    async def linger(self, client: Client, max_bytes: int = MAX_LINGER_BYTES) -> None:
-        """Closing with bytes unread would reset the connection and lose the response."""
-        client.shut_down_sending()
-        dropped = 0
-        with anyio.move_on_after(LINGER_S):
-            while dropped < max_bytes and (count := await client.discard()):
-                dropped += count
--- a/lupinmill/transport/client.py
+++ b/lupinmill/transport/client.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import select
 import socket
 import struct
@@ -12,6 +13,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any
 
 import anyio
@@ -33,10 +35,27 @@
 TCP_STATES = range(1, 13)  # all there are
 MAX_LATE_BYTES = 256 * 1024  # unread bytes that are still read after a deadline
 MIN_RTT_OFFSET = 148  # offset in tcp_info of the recent minimum round-trip time, in microseconds
+# requests of `ioctl` on Linux: bytes written that the other side has not acknowledged; that were never sent
+SIOCOUTQ, SIOCOUTQNSD = 0x5411, 0x894B
+MAX_DROPPED_BYTES = 1024 * 1024  # of further input, read and dropped before a connection is closed
 # the kernel is short of memory, which says nothing about the other side
 MEMORY_ERRORS = errno.ENOMEM, errno.ENOBUFS
 
 
+class CloseReason(Enum):
+    """Why a client's connection was ended here, as logged."""
+
+    CLIENT_LEFT = "client left"
+    ANSWERED = "closing answer"
+    BROKEN_ANSWER = "answer broke off"
+    NOT_READ = "answer not read"
+    REFUSED = "request refused"
+    NO_PLACE = "no place"
+    IDLE = "idle"
+    HANDED_OVER = "handed over"
+    CANCELLED = "cancelled"
+
+
 @dataclass(slots=True)
 class PipelinedData:
     """Pipelined bytes, with their arrival times as in `Connection`."""
@@ -61,6 +80,9 @@
         self.memory = memory or unlimited_lease()  # for what is read ahead
         self.pipelined: deque[PipelinedData] = deque()
         self.pipelined_size = 0
+        # how `closing.py` ends it: after a last response; by a reset; with so much of its input dropped
+        self.lingers = self.resets = False
+        self.max_dropped = MAX_DROPPED_BYTES
         self.arrivals = Arrivals(self.round_trip)
         self.backlog: Backlog | None = None  # the backlog in which the bytes returned last arrived
         super().__init__(sock, block_pool, release)
@@ -79,11 +101,16 @@
         self.pipelined_dropped = False
         self.disconnected = False  # the client has closed or reset it
         self.response_due = False  # a request was read in full, and no byte of its response is written
+        self.close_reason: CloseReason | None = None
 
     def evictable(self, now: float) -> bool:
         return now - self.idle_since >= (USED_IDLE_S if self.has_requested else NEW_IDLE_S)
 
     def close(self) -> None:
+        if self.resets:
+            self.reset_on_close()
+        elif not self.closed and self.unsent():
+            self.drop_unread()
         super().close()
         self.drop_pipelined()
         self.memory.shrink(self.memory.size)
@@ -152,6 +179,30 @@
         self.arrived, self.read_at, self.backlog = piece.arrived, piece.read_at, piece.backlog
         return data
 
+    def unacknowledged(self) -> int | None:
+        """Bytes written that the client's kernel has not acknowledged, which may take 40 ms where nothing is
+        wrong; None if this kernel does not tell."""
+        return self.queue_size(SIOCOUTQ)
+
+    def unsent(self) -> int | None:
+        """Of these the bytes that were never sent, as the client does not read; a reset throws them away."""
+        return self.queue_size(SIOCOUTQNSD)
+
+    def queue_size(self, request: int) -> int | None:
+        try:
+            return struct.unpack("i", fcntl.ioctl(self.sock, request, bytes(4)))[0]
+        except (OSError, ValueError):
+            return None
+
+    def drop_unread(self) -> None:
+        """Closing over unread bytes would reset the connection, and lose what is unsent."""
+        try:
+            for _ in range(MAX_DROPPED_BYTES // READ_SIZE):
+                if not self.sock.recv(READ_SIZE):
+                    return
+        except OSError:
+            pass
+
     def drop_pipelined(self) -> None:
         self.pipelined.clear()
         self.memory.shrink(self.pipelined_size)
--- a/lupinmill/transport/listener.py
+++ b/lupinmill/transport/listener.py
@@ -14,7 +14,8 @@
 from anyio.abc import TaskGroup
 
 from lupinmill.transport.buffers import NO_LIMIT, BlockPool, MemoryBudget, MemoryLease
-from lupinmill.transport.client import Client
+from lupinmill.transport.client import Client, CloseReason
+from lupinmill.transport.closing import ConnectionCloser
 from lupinmill.transport.connection import ANCILLARY_SIZE, listen_at
 from lupinmill.transport.descriptors import RESERVED_DESCRIPTORS, ConnectionKind, DescriptorBudget
 
@@ -56,6 +57,7 @@
         self.descriptors, self.block_pool = descriptors, block_pool
         self.memory = memory or MemoryBudget(NO_LIMIT)  # for what clients send ahead
         self.idle: dict[Client, None] = {}  # longest idle first
+        self.closer = ConnectionCloser(descriptors)
         self.turning_away = 0
         self.admission: AdmissionCheck | None = None
         # idle clients are handed to the next process, and no more is read from them
@@ -153,7 +155,7 @@
 
     def evict_idle_client(self) -> bool:
         """Evicts clients that never sent a request first, so that a crowd of silent ones does not drive out
-        clients in use."""
+        clients in use; last of all clients whose connections linger."""
         now = time.monotonic()
         for has_requested in (False, True):
             for client in self.idle:
@@ -165,7 +167,7 @@
                 ):
                     self.close_idle(client)
                     return True
-        return False
+        return self.closer.close_oldest()
 
     def close_all_idle(self) -> None:
         """Closes all idle clients, except new ones whose first request is on its way. During a handover all
@@ -179,6 +181,7 @@
         """Lets the client's own task close it: if a socket were closed under a waiting task, its descriptor
         could be reused before the task notices, and the new connection would lose its wake-up."""
         del self.idle[client]
+        client.close_reason = CloseReason.IDLE
         self.descriptors.leaving += 1
         if client.waiting is not None:
             client.waiting.cancel()
