What an attempt has not delivered when it is given up never arrives later

What callers saw: an effect twice, the second outside the window in which endpoints drop repeats.

Cause, forced: an endpoint with a full accept queue drops a request's bytes though the connection is established on this side. The attempt is given up, another one runs, the connection is closed; the kernel goes on sending what is in its queue.

Change: a connection on which an attempt was given up with bytes not acknowledged (SIOCOUTQ) is closed by a reset, so that the kernel takes them back. Connections whose bytes have all arrived are closed as before.

Why this works: what the other kernel has not acknowledged it has either not got, and won't get after a reset, or has got in time.

--- a/lupinmill/routing/attempt_runner.py
+++ b/lupinmill/routing/attempt_runner.py
@@ -152,6 +152,7 @@
                 return answer
             finally:
                 if connection is not None:
+                    connection.recall_unacknowledged()  # what was given up must not run later
                     connection.close()
 
     def withdraw_if_disconnected(self, pending: PendingRequest) -> None:
--- a/lupinmill/transport/client.py
+++ b/lupinmill/transport/client.py
@@ -5,7 +5,6 @@
 from __future__ import annotations
 
 import errno
-import fcntl
 import select
 import socket
 import struct
@@ -35,8 +34,6 @@
 TCP_STATES = range(1, 13)  # all there are
 MAX_LATE_BYTES = 256 * 1024  # unread bytes that are still read after a deadline
 MIN_RTT_OFFSET = 148  # offset in tcp_info of the recent minimum round-trip time, in microseconds
-# requests of `ioctl` on Linux: bytes written that the other side has not acknowledged; that were never sent
-SIOCOUTQ, SIOCOUTQNSD = 0x5411, 0x894B
 MAX_DROPPED_BYTES = 1024 * 1024  # of further input, read and dropped before a connection is closed
 # the kernel is short of memory, which says nothing about the other side
 MEMORY_ERRORS = errno.ENOMEM, errno.ENOBUFS
@@ -179,21 +176,6 @@
         self.arrived, self.read_at, self.backlog = piece.arrived, piece.read_at, piece.backlog
         return data
 
-    def unacknowledged(self) -> int | None:
-        """Bytes written that the client's kernel has not acknowledged, which may take 40 ms where nothing is
-        wrong; None if this kernel does not tell."""
-        return self.queue_size(SIOCOUTQ)
-
-    def unsent(self) -> int | None:
-        """Of these the bytes that were never sent, as the client does not read; a reset throws them away."""
-        return self.queue_size(SIOCOUTQNSD)
-
-    def queue_size(self, request: int) -> int | None:
-        try:
-            return struct.unpack("i", fcntl.ioctl(self.sock, request, bytes(4)))[0]
-        except (OSError, ValueError):
-            return None
-
     def drop_unread(self) -> None:
         """Closing over unread bytes would reset the connection, and lose what is unsent."""
         try:
--- a/lupinmill/transport/connection.py
+++ b/lupinmill/transport/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import ipaddress
 import socket
 import struct
@@ -18,6 +19,8 @@
 SO_TIMESTAMPNS = 35  # socket option: the kernel returns with each read the time when its last bytes arrived
 ANCILLARY_SIZE = 64  # bytes
 LAST_DATA_OFFSET = 52  # offset in tcp_info of the milliseconds since the last data arrived
+# requests of `ioctl` on Linux: bytes written that the other side has not acknowledged; that were never sent
+SIOCOUTQ, SIOCOUTQNSD = 0x5411, 0x894B
 
 # Errors of a connect for which this machine, not the other side, is short of something: local ports, memory,
 # descriptors.
@@ -153,6 +156,27 @@
         except OSError:
             return False
 
+    def unacknowledged(self) -> int | None:
+        """Bytes written that the other side's kernel has not acknowledged, which may take 40 ms where nothing
+        is wrong; None if this kernel does not tell."""
+        return self.queue_size(SIOCOUTQ)
+
+    def unsent(self) -> int | None:
+        """Of these the bytes that were never sent, as the other side does not read."""
+        return self.queue_size(SIOCOUTQNSD)
+
+    def queue_size(self, request: int) -> int | None:
+        try:
+            return struct.unpack("i", fcntl.ioctl(self.sock, request, bytes(4)))[0]
+        except (OSError, ValueError):
+            return None
+
+    def recall_unacknowledged(self) -> None:
+        """Makes `close` take back what the other side has not got yet, which the kernel would go on sending,
+        for minutes if need be."""
+        if not self.closed and self.unacknowledged():
+            self.reset_on_close()
+
     def reset_on_close(self) -> None:
         """Makes `close` reset the connection, so that the other side does not take it for a regular end."""
         try:
