Repeats stay in their window and group up to their last byte

Cause, found by reading and then forced in tests: window and group were looked at when a repeat was decided only. A connection that came up later, an endpoint whose cell changed meanwhile, and a body that its endpoint read late carried the repeat past both.

Change: `Sidecar.send_limit` is asked once more before the first byte of a repeat; an attempt remembers the group of its endpoint at the decision; `DeliveryWatch` calls a repeat off at the end of the window if its bytes are not all acknowledged (log `attempt_recalled`), and the connection is reset then, so that what lies in this side's kernel never arrives.

The bed of the decision module checks the limit at each attempt of its random runs.

--- a/lupinmill/routing/attempt_runner.py
+++ b/lupinmill/routing/attempt_runner.py
@@ -11,6 +11,7 @@
 from lupinmill.protocol import client_requests
 from lupinmill.protocol.http import Answer, ClientSide, Garbled, Request
 from lupinmill.routing.deadline import MAX_PAUSE_S, Deadline
+from lupinmill.routing.delivery_watch import DeliveryWatch
 from lupinmill.routing.directory import EndpointDirectory
 from lupinmill.routing.engine import Log, error_fields
 from lupinmill.routing.request_body import BodyUnavailable, RequestBody
@@ -116,22 +117,20 @@
             address = self.address_of(endpoint)
             kept = self.pool.reuse(endpoint)
             connection: Connection | None = kept or await self.pool.open(address)
+            delivery = DeliveryWatch(self.request_table.engine, pending, attempt, connection)
             try:
                 self.withdraw_if_disconnected(pending)
-                # Both can change while connecting: a draining endpoint gets no new requests, a settled
-                # request no attempt.
-                if pending.settled or not self.directory.accepts_attempts(endpoint):
+                if not self.may_send(pending, attempt):
                     self.return_to_pool(connection, endpoint, address)
                     connection = None
                     raise AttemptNotSent
                 if not self.directory.listens_at(endpoint, address):
                     continue  # the endpoint moved while connecting; another one may listen at its old address
-                if (left := self.request_table.time_left(pending)) <= 0 and pending.body is not None:
-                    self.return_to_pool(connection, endpoint, address)
-                    connection = None
-                    raise AttemptNotSent
                 side = ClientSide()
-                request = client_requests.attempt_request(pending.request, left)
+                request = client_requests.attempt_request(
+                    pending.request, self.request_table.time_left(pending)
+                )
+                delivery.start()
                 if pending.body is None:
                     try:
                         for piece in side.pieces(request):
@@ -151,10 +150,23 @@
                     connection = None
                 return answer
             finally:
+                delivery.stop()
                 if connection is not None:
                     connection.recall_unacknowledged()  # what was given up must not run later
                     connection.close()
 
+    def may_send(self, pending: PendingRequest, attempt: Attempt) -> bool:
+        """One more look before the first byte, as all of this can change while connecting: a settled request
+        gets no attempt, a draining endpoint no new requests, and a repeat stays in its window and group."""
+        if pending.settled or not self.directory.accepts_attempts(attempt.endpoint):
+            return False
+        if pending.body is not None and self.request_table.time_left(pending) <= 0:
+            return False
+        engine = self.request_table.engine
+        return len(pending.attempts) < 2 or engine.clock.now() < engine.sidecar.send_limit(
+            pending.metadata.request_id, attempt.number
+        )
+
     def withdraw_if_disconnected(self, pending: PendingRequest) -> None:
         """Guards against attempts for a client that has disconnected but whose end of stream is still unread.
         If the loop lags, or the connection was only just accepted, the attempt may run before the task that
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -542,12 +542,20 @@
         if first is None or request.pending_count() and not request.settings.hedging_allowed:
             return first is None
         if request.workload.repeat is t.RepeatPolicy.DEDUPLICATED:
-            return (
-                self.message_queue.now
-                < first.sent_at + request.workload.window - request.settings.deadline_margin
-            )
+            return self.message_queue.now < self.window_end(request, first)
         return request.workload.repeat is t.RepeatPolicy.IDEMPOTENT
 
+    def window_end(self, request: RequestState, first: Attempt) -> int:
+        return first.sent_at + request.workload.window - request.settings.deadline_margin
+
+    def repeats_end_at(self, name: str) -> float:
+        """When the window for repeats of a request ends, `inf` if it has none."""
+        request = self.requests.get(name)
+        if request is None or request.workload.repeat is not t.RepeatPolicy.DEDUPLICATED:
+            return inf
+        first = request.first_possible_run()
+        return inf if first is None else self.window_end(request, first)
+
     def group_allows(self, request: RequestState, endpoint: EndpointState) -> bool:
         first, group = request.first_possible_run(), request.workload.group
         if (
@@ -556,11 +564,28 @@
             or group is t.DeduplicationScope.ALL
         ):
             return True
-        entries = first.endpoint_state.report.entry, endpoint.report.entry
-        first_group, group_here = (
-            entry.zone if group is t.DeduplicationScope.ZONE else entry.cell for entry in entries
-        )
-        return bool(group_here) and group_here == first_group
+        group_here = self.group_of(request, endpoint)
+        unmoved = self.group_of(request, first.endpoint_state) == first.group
+        return bool(group_here) and group_here == first.group and unmoved
+
+    def group_of(self, request: RequestState, endpoint: EndpointState) -> str:
+        entry = endpoint.report.entry
+        return entry.zone if request.workload.group is t.DeduplicationScope.ZONE else entry.cell
+
+    def send_limit(self, name: str, number: int) -> float:
+        """Until when the last byte of an attempt may reach its endpoint, as far as rule 2 limits that: in
+        microseconds, `inf` without a limit, 0 if it may not be sent at all."""
+        request = self.requests.get(name)
+        if request is None or number >= len(request.attempts):
+            return inf  # it is closed, which the caller knows
+        attempt, repeat, first = request.attempts[number], request.workload.repeat, None
+        if any(other is not attempt and not other.never_ran for other in request.attempts):
+            first = request.first_possible_run()
+        if first is None or repeat is t.RepeatPolicy.IDEMPOTENT:
+            return inf
+        if repeat is t.RepeatPolicy.UNREPEATABLE or not self.group_allows(request, attempt.endpoint_state):
+            return 0
+        return self.window_end(request, first)
 
     def in_flight_limit(self) -> int:
         """Limit on the attempts in flight at all available endpoints together; fractions are rounded at
@@ -749,7 +774,7 @@
                 self.finish(request)
             return True
         endpoint.credit -= endpoint.report.cold_since is not None
-        request.attempts.append(Attempt(endpoint, now))
+        request.attempts.append(Attempt(endpoint, now, self.group_of(request, endpoint)))
         endpoint.receiving += 1
         request.retrying = False
         self.message_queue.commands.append(t.StartAttempt(request.name, endpoint.name, request.due))
@@ -1521,6 +1546,15 @@
         self.registry = EndpointRegistry(self.message_queue, self.dispatcher, random_source)
         self.timer_at: int | None = None
 
+    def send_limit(self, request: str, attempt: int) -> float:
+        """Changes nothing. Asked right before an attempt is written, as a connection had to come up since it
+        was decided. See `Dispatcher.send_limit`."""
+        return self.dispatcher.send_limit(request, attempt)
+
+    def window_end(self, request: str) -> float:
+        """Changes nothing. See `Dispatcher.repeats_end_at`."""
+        return self.dispatcher.repeats_end_at(request)
+
     def step(self, now: int, events: list[t.Event], fire_timers: bool = True) -> list[t.Command]:
         """Without `fire_timers`, timers that are due wait for a later step. An exception while handling one
         event loses only that event: it is raised after the others are handled, with all commands, including
--- a/lupinmill/workings.py
+++ b/lupinmill/workings.py
@@ -295,6 +295,7 @@
 
     endpoint_state: EndpointState
     sent_at: int
+    group: str = ""  # the endpoint's cell or zone then, in which repeats are dropped
     pending: bool = True
     never_ran: bool = False
     overdue: bool = False  # unanswered at the hard limit
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 import socket
 import struct
@@ -174,6 +175,11 @@
             assert not self.out(name), f"{name} has two attempts in flight"
         assert len(self.attempts[name]) < self.d.max_attempts
         self.attempts[name].append({"endpoint": command.endpoint, "sent": self.now, "how": None})
+        limit = self.sidecar.send_limit(name, len(self.attempts[name]) - 1)
+        if not earlier or w.repeat is t.RepeatPolicy.IDEMPOTENT:
+            assert limit == math.inf
+        else:
+            assert self.now < limit <= earlier[0]["sent"] + w.window, f"{name} may be sent after its window"
 
 
 # --- the network: loopback stand-ins for endpoints and discovery around a whole program -----------------
--- a/tests/test_attempts_undelivered.py
+++ b/tests/test_attempts_undelivered.py
@@ -5,6 +5,7 @@
 long as the connection is there, or in the background after an ordinary close."""
 
 import socket
+import struct
 import threading
 import time
 
@@ -12,9 +13,10 @@
 import pytest
 from bed import Net, on_network, settings, wanted
 from test_clients_answers import connect
-from test_sidecar import fine, until
+from test_sidecar import fine, seen, until
 
 from lupinmill import terms as t
+from lupinmill.protocol import lists
 from lupinmill.transport.connection import Connection
 
 LATER_S = 3.5  # the kernel sends the bytes again after 0.2 s, and after twice as long each time
@@ -143,3 +145,162 @@
         await anyio.to_thread.run_sync(thread.join)
 
     assert with_full_listener(check).ended() == [t.Outcome.HANDLED]
+
+
+# --- repeats: between the decision and the last byte ------------------------------------------------------
+
+WINDOW_S = 0.3
+
+
+def with_keyed(**more) -> list[dict]:
+    bid = {
+        "name": "bid",
+        "contract-time-s": 0.9,
+        "hard-limit-s": 1.0,
+        "repeat": "by_key",
+        "group": "cell",
+        "window-s": WINDOW_S,
+    }
+    return [*settings()["workloads"][:1], bid | more]
+
+
+async def earn_retries(net: Net) -> None:
+    """Retries stay below a tenth of the requests."""
+    for number in range(25):
+        assert (await net.ask(wanted(f"w{number}"))).status == 200
+
+
+def slow_second_open(net: Net, seconds: float, meanwhile=None) -> None:
+    """The connection of the second attempt takes so long, as of an endpoint that accepts late."""
+    whole, opened = net.program.connection_pool.open, []
+
+    async def late(address: str) -> Connection:
+        opened.append(address)
+        connection = await whole(address)
+        if len(opened) == 2:
+            if meanwhile is not None:
+                meanwhile()
+            await anyio.sleep(seconds)
+        return connection
+
+    net.program.connection_pool.open = late
+    net.program.connection_pool.reuse = lambda endpoint: None
+
+
+def breaks_once_after(seconds: float):
+    count = [0]
+
+    async def act(request):
+        if request.header(b"req-id") != "s1":
+            return await fine(request)
+        count[0] += 1
+        await anyio.sleep(seconds if count[0] == 1 else 0)
+        return "reset" if count[0] == 1 else await fine(request)
+
+    return act
+
+
+class OneCell(Net):
+    async def start(self, group) -> None:
+        await super().start(group)
+        for row in (*self.discovery.rows, *self.table["known"]["endpoints"]):
+            row["group"] = 0
+
+
+@pytest.mark.parametrize("late", [0.0, 0.25])
+def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_sent(late):
+    """Guards against a window that is looked at when the repeat is decided only."""
+    act = breaks_once_after(0.1)
+
+    async def check(net: Net):
+        await earn_retries(net)
+        slow_second_open(net, late)
+        answer = await net.ask(wanted("s1", "bid", "0.9"))
+        assert answer.status == (502 if late else 200)
+
+    net = on_network(check, act, act, net_of=OneCell, workloads=with_keyed())
+    assert len(seen(net, "s1")) == (1 if late else 2)
+
+
+def test_a_repeat_whose_endpoint_moves_to_another_cell_meanwhile_is_not_sent():
+    """All endpoints move, each to a cell of its own; also the first attempt's, with a repeat back to it."""
+    act = breaks_once_after(0.05)
+
+    async def check(net: Net):
+        await earn_retries(net)
+
+        def move() -> None:
+            rows = [row | {"group": 7 + at} for at, row in enumerate(net.discovery.rows)]
+            net.program.directory.update(lists.parse({"index": 9, "endpoints": rows}), t.ListKind.CHANGES)
+
+        slow_second_open(net, 0.05, move)
+        assert (await net.ask(wanted("s1", "bid", "0.9"))).status == 502
+
+    net = on_network(check, act, act, net_of=OneCell, workloads=with_keyed(**{"window-s": 0.8}))
+    assert len(seen(net, "s1")) == 1
+
+
+class LateReader:
+    """An endpoint with a small receive buffer: it breaks the first attempt of s1 off when it has it all, and
+    begins to read the second one after the window."""
+
+    def __init__(self, size: int) -> None:
+        self.size, self.count, self.received = size, 0, []
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen()
+        self.address = "127.0.0.1:%d" % self.sock.getsockname()[1]
+
+    def run(self) -> None:
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock: socket.socket) -> None:
+        with sock:
+            sock.settimeout(3)
+            data = sock.recv(2_000)
+            if b"Req-Id: s1\r\n" not in data:
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+                return
+            self.count += 1
+            if self.count == 2:
+                time.sleep(2 * WINDOW_S)
+            got = len(data) - data.index(b"\r\n\r\n") - 4
+            try:
+                while got < self.size and (data := sock.recv(100_000)):
+                    got += len(data)
+            except OSError:
+                pass
+            self.received.append(got)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+@pytest.mark.parametrize("size", [60_000, 300_000])
+def test_a_repeat_that_is_not_read_is_called_off_at_the_end_of_the_window(size):
+    """Its last bytes lie here until its endpoint reads, which is after the window; the first may have run."""
+    endpoint = LateReader(size)
+    threading.Thread(target=endpoint.run, daemon=True).start()
+
+    class Late(Net):
+        async def start(self, group) -> None:
+            await super().start(group)
+            for row in (self.discovery.rows[0], self.table["known"]["endpoints"][0]):
+                row["address"] = endpoint.address
+
+    async def check(net: Net):
+        await earn_retries(net)
+        with anyio.fail_after(5):
+            answer = await net.ask(wanted("s1", "bid", "0.9", body=b"x" * size))
+        assert answer.status == 502
+        await until(lambda: len(endpoint.received) == 2)
+
+    limits = settings()["limits"] | {"probes": False}
+    net = on_network(check, fine, net_of=Late, workloads=with_keyed(), limits=limits)
+    endpoint.sock.close()
+    assert endpoint.received[0] == size > endpoint.received[1]
+    assert "attempt_recalled" in {event for event, _ in net.logs}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,6 +1,7 @@
 """Basic cases of the decision module, seeded random runs that check the four rules, and a small test for each
 failure found."""
 
+import math
 import random
 import sys
 
@@ -725,3 +726,37 @@
     bed = Bed(deployment(tier=1), endpoints=1)
     names = [bed.arrive(ONCE) for _ in range(60)]
     assert [bed.closed.get(n) for n in names[-20:]] == ["denied"] * 20
+
+
+def keyed_repeat(workload: t.Workload) -> tuple[Bed, str]:
+    """A bed with a request whose first attempt may have run and whose second one is out."""
+    bed = Bed(deployment(max_attempts=4, seed=11))
+    for _ in range(200):
+        name = bed.arrive(workload)
+        bed.end(name, 0, t.Outcome.RESET, after=5 * MS)
+        bed.run(100 * MS)
+        if len(bed.attempts[name]) == 2 and name in bed.unanswered:
+            return bed, name
+        for number in bed.out(name):
+            bed.end(name, number, t.Outcome.HANDLED)
+    raise AssertionError("no request was attempted twice")
+
+
+def test_a_repeat_may_be_sent_until_the_window_ends_and_only_while_it_is_in_its_group():
+    """Guards against a repeat that is decided in time and written after its window or outside its group."""
+    bed, name = keyed_repeat(KEYED)
+    first, second = bed.attempts[name]
+    assert bed.now < bed.sidecar.send_limit(name, 1) <= first["sent"] + KEYED.window
+    assert bed.sidecar.window_end(name) == bed.sidecar.send_limit(name, 1)
+    assert bed.sidecar.send_limit(name, 0) == bed.sidecar.send_limit(
+        name, 1
+    )  # it may arrive behind the second
+    moved = t.ListEntry(second["endpoint"], t.EndpointStatus.READY, "z", "k", "elsewhere", 0)
+    bed.step(t.ListReceived(t.ListKind.CHANGES, [moved]))
+    assert bed.sidecar.send_limit(name, 1) == 0
+
+
+def test_what_may_be_repeated_anywhere_is_sent_without_a_limit():
+    bed, name = keyed_repeat(IDEM)
+    assert bed.sidecar.send_limit(name, 1) == bed.sidecar.window_end(name) == math.inf
+    assert bed.sidecar.send_limit("unknown", 0) == bed.sidecar.window_end("unknown") == math.inf
