--- a/lupinmill/__main__.py
+++ b/lupinmill/__main__.py
@@ -4,9 +4,9 @@
 
 import sys
 
-from lupinmill.program.no_tls import replace_ssl
 from lupinmill.program.signals import Signals
 from lupinmill.program.standard_streams import open_missing, print_error
+from lupinmill.program.unused_modules import replace_unused_modules
 
 SERVES = __name__ == "__main__" and len(sys.argv) < 2
 SIGNALS = Signals()
@@ -14,7 +14,7 @@
     # Before the imports below, which take most of the startup time: until then a signal ends the process.
     open_missing()
     SIGNALS.hold()
-    replace_ssl()
+    replace_unused_modules()
 
 import os  # noqa: E402
 
