--- a/lupinmill/routing/engine.py
+++ b/lupinmill/routing/engine.py
@@ -149,16 +149,21 @@
             if at is not None and at <= now:
                 self.lateness = max(now - at, self.lateness * 9 // 10)
                 if now - at > LATE_WAKEUP_US:
-                    # Guards against endpoints that seem silent: unread responses are read first.
-                    for _ in range(IO_PASSES):
-                        await anyio.sleep(0)
-                self.fire_timer()
+                    await self.catch_up()
+                else:
+                    self.fire_timer()
             elif at is None:
                 await self.timer_changed.wait()
             else:
                 with anyio.move_on_after((at - now) / 1_000_000):
                     await self.timer_changed.wait()
 
+    async def catch_up(self) -> None:
+        """Fires timers late. Guards against endpoints that seem silent: unread responses are read first."""
+        for _ in range(IO_PASSES):
+            await anyio.sleep(0)
+        self.fire_timer()
+
     def fire_timer(self) -> None:
         """Clears only the wake-up that is due: the decision module would not ask for the other one again."""
         now = self.clock.now()
--- a/lupinmill/routing/response_writer.py
+++ b/lupinmill/routing/response_writer.py
@@ -32,6 +32,10 @@
                 if not pending.settled:
                     await client.wait_disconnected()  # anything it sends meanwhile has to wait
                     self.request_table.withdraw(pending)
+            pending.client_wait = None
+            if not pending.settled:
+                # The loop may have been blocked past the hard limit, with the timer still to fire.
+                await self.request_table.engine.catch_up()
         finally:
             pending.client_wait = None
             self.abort_if_undecided(pending)
