Random troubles: an answer may be late by the lag of the loop that the stand-ins share

Seen: test_random_troubles_keep_the_rules failed in 3 of 8 plays beside load (late 0.080, 0.102 and 0.123 s of 0.07), on no list.

Cause, by a trace: the test judged the machine. Endpoints, clients and the program share one event loop in it. In 16 plays, 12 of them beside three busy processes on the same core, the latest answers came 0.069, 0.073 and 0.091 s after their limit while the loop itself was late by 0.079, 0.059 and 0.166 s; late beyond that lag were 0.018 s at most. Without load 0.003 s at most, with lag counted or not.

Change: a heartbeat measures the lag; beyond it an answer may be late by 0.07 s as before, and by no more than the stated half second in any case. A quiet machine is held to what it was held to.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -32,6 +32,7 @@
 # 16 MiB for the program and 144 KiB for each of 250 clients
 PEAK_LIMIT_KB = (16 << 10) + 250 * 144
 DECLINED = Answer(503, [(b"Srv-Declined", b"1")])
+MAX_LATE_S = 0.5  # seconds after its hard limit within which a request has its final answer
 
 
 async def fine(request) -> Answer:
@@ -577,9 +578,30 @@
     on_network(check, fine, known=False, discovery=mode)
 
 
+class LoopLag:
+    """Measures by how much the event loop, which all stand-ins share with the program, is late."""
+
+    INTERVAL_S = 0.005
+
+    def __init__(self) -> None:
+        self.late: list[tuple[float, float]] = []  # when, and by how many seconds
+
+    async def run(self) -> None:
+        while True:
+            due = time.monotonic() + self.INTERVAL_S
+            await anyio.sleep(self.INTERVAL_S)
+            now = time.monotonic()
+            self.late.append((now, now - due))
+
+    def between(self, begin: float, end: float) -> float:
+        """Seconds in all by which it was late, also where that began before or showed after."""
+        return sum(late for now, late in self.late if now >= begin and now - late <= end)
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_random_troubles_keep_the_rules(seed):
     random_source, ran, answers, late = random.Random(seed), {}, {}, []
+    lag = LoopLag()
     faults = [Answer(500), DECLINED, "silent", "cut", "reset", "garbled"]
 
     def endpoint(number: int):
@@ -603,7 +625,7 @@
             answer = await net.ask(wanted(name, workload, f"{deadline:.3f}", body), gone)
             if gone is None:
                 answers[name] = workload, answer
-                late.append(time.monotonic() - began - deadline)
+                late.append((began + deadline, time.monotonic()))
 
         async def flap():
             for _ in range(8):
@@ -611,15 +633,20 @@
                 row = random_source.choice(net.discovery.rows)
                 net.discovery.change(row, status="SERVING" if row["status"] != "SERVING" else "DRAINING")
 
-        async with anyio.create_task_group() as group:
-            group.start_soon(flap)
-            for at in range(150):
-                await anyio.sleep(random_source.uniform(0, 0.02))
-                workload = random_source.choice(["view", "bid", "issue"])
-                group.start_soon(ask, f"s{at}", workload, random_source.uniform(0.3, 0.8))
+        async with anyio.create_task_group() as measuring:
+            measuring.start_soon(lag.run)
+            async with anyio.create_task_group() as group:
+                group.start_soon(flap)
+                for at in range(150):
+                    await anyio.sleep(random_source.uniform(0, 0.02))
+                    workload = random_source.choice(["view", "bid", "issue"])
+                    group.start_soon(ask, f"s{at}", workload, random_source.uniform(0.3, 0.8))
+            await anyio.sleep(2 * lag.INTERVAL_S)
+            measuring.cancel_scope.cancel()
 
     net = on_network(check, *(endpoint(number) for number in range(4)))
-    assert len(answers) > 100 and max(late) < 0.07
+    assert len(answers) > 100 and max(answered - due for due, answered in late) < MAX_LATE_S
+    assert max(answered - due - lag.between(due, answered) for due, answered in late) < 0.07
     assert sum(answer is not None and answer.status == 200 for _, answer in answers.values()) > 20
     for name, (workload, answer) in answers.items():
         assert answer is not None, f"{name} was lost"
