Soak and campaign: clients that send several requests and read late, beside broken answers

One client a sidecar has a receive buffer of 4 KB, sends two to four requests at once and reads after 0.2 or 0.6 s; 0.4 of its requests get a large answer, a third of those broken off. The referee asks more of it than of others: an answer that its endpoint sent whole has to arrive whole where the client reads 0.3 s before its deadline or earlier. What the client hadn't read 0.3 s before the kill is excused.

--- a/lupinmill/lab/faults/clients.py
+++ b/lupinmill/lab/faults/clients.py
@@ -19,7 +19,14 @@
     status_of,
 )
 from lupinmill.lab.faults.customers import Customer, Workload
-from lupinmill.lab.faults.records import Answer, ConnectionEnd, ProcessRecord, RunRecords, SentRequest
+from lupinmill.lab.faults.records import (
+    READING_LATE,
+    Answer,
+    ConnectionEnd,
+    ProcessRecord,
+    RunRecords,
+    SentRequest,
+)
 
 ANSWER_TIMEOUT_S = 8.0  # beyond the deadline of a request, so that a busy machine fails none
 CONNECT_TIMEOUT_S = 10.0
@@ -53,6 +60,7 @@
     "two kinds",
 )
 CONNECTION_VALUES = (b"Idempotency-Key", b"Req-Id", b"close, Idempotency-Key, req-id", b"Req-Kind")
+LATE_READ_BUFFER, LATE_READ_S = 4096, (0.2, 0.6)  # bytes that its kernel takes until a client reads
 LEAVE_METHODS = ("close", "reset", "half-close")
 
 
@@ -96,6 +104,7 @@
             self.pipelining,
             self.hostile,
             self.odd,
+            self.reading_late,
         )
         return [
             lambda index=index, kind=kind: self.run_repeatedly(kind, Random(f"{self.seed} {index}"))
@@ -165,9 +174,9 @@
 
     # Waiting for answers.
 
-    async def open_connection(self) -> Connection:
+    async def open_connection(self, receive_buffer: int | None = None) -> Connection:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            return await connect(self.sidecar.address)
+            return await connect(self.sidecar.address, receive_buffer)
 
     async def receive_answer(self, connection: Connection, sent: SentRequest) -> bool:
         """Records the answer, or why there is none. True if the connection can be used further."""
@@ -299,25 +308,47 @@
         """Sends several requests at once, split at random places, and reads the answers in order."""
         connection = await self.open_connection()
         try:
-            batch = [self.draw_request(random, "pipelining") for _ in range(random.randint(2, 4))]
-            for index, sent in enumerate(batch):
-                sent.first_on_connection = index == 0
-                sent.previous = batch[index - 1] if index else None
-            empty_lines = random.choice((b"", b"", b"\r\n", b"\r\n\r\n"))
-            texts = [self.encode_head(sent, random) + sent.body for sent in batch]
-            await self.send_batch(connection, random, batch, texts, empty_lines)
-            for index, sent in enumerate(batch):  # noqa: B007
-                if not await self.receive_answer(connection, sent):
-                    break
-            for sent in batch[index + 1 :]:  # the connection ended before their answers
-                sent.finished_at, sent.connection_end, sent.opened_at = (
-                    time.time(),
-                    batch[index].connection_end,
-                    connection.opened_at,
-                )
+            batch = await self.send_pipelined(connection, random, "pipelining")
+            await self.receive_pipelined(connection, batch)
+        finally:
+            connection.close()
+
+    async def reading_late(self, random: Random) -> None:
+        """Like `pipelining`, but reads nothing for a while: answers lie in the sidecar's kernel meanwhile,
+        also where the connection ends behind them."""
+        connection = await self.open_connection(LATE_READ_BUFFER)
+        try:
+            batch = await self.send_pipelined(connection, random, READING_LATE)
+            await asyncio.sleep(random.choice(LATE_READ_S))
+            for sent in batch:
+                sent.reads_from = time.time()
+            await self.receive_pipelined(connection, batch)
         finally:
             connection.close()
 
+    async def send_pipelined(
+        self, connection: Connection, random: Random, description: str
+    ) -> list[SentRequest]:
+        batch = [self.draw_request(random, description) for _ in range(random.randint(2, 4))]
+        for index, sent in enumerate(batch):
+            sent.first_on_connection = index == 0
+            sent.previous = batch[index - 1] if index else None
+        empty_lines = random.choice((b"", b"", b"\r\n", b"\r\n\r\n"))
+        texts = [self.encode_head(sent, random) + sent.body for sent in batch]
+        await self.send_batch(connection, random, batch, texts, empty_lines)
+        return batch
+
+    async def receive_pipelined(self, connection: Connection, batch: list[SentRequest]) -> None:
+        for index, sent in enumerate(batch):  # noqa: B007
+            if not await self.receive_answer(connection, sent):
+                break
+        for sent in batch[index + 1 :]:  # the connection ended before their answers
+            sent.finished_at, sent.connection_end, sent.opened_at = (
+                time.time(),
+                batch[index].connection_end,
+                connection.opened_at,
+            )
+
     async def send_batch(
         self,
         connection: Connection,
--- a/lupinmill/lab/faults/connection.py
+++ b/lupinmill/lab/faults/connection.py
@@ -143,9 +143,12 @@
         (loop.remove_writer if writable else loop.remove_reader)(descriptor)
 
 
-async def connect(address: tuple[str, int]) -> Connection:
+async def connect(address: tuple[str, int], receive_buffer: int | None = None) -> Connection:
+    """`receive_buffer`: bytes that the kernel takes for a client that does not read; None: as usual."""
     sock = socket.socket()
     try:
+        if receive_buffer is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         sock.setblocking(False)
         await asyncio.get_running_loop().sock_connect(sock, address)
         return Connection(sock)
--- a/lupinmill/lab/faults/endpoints.py
+++ b/lupinmill/lab/faults/endpoints.py
@@ -21,7 +21,7 @@
     read_head,
     wait_for_socket,
 )
-from lupinmill.lab.faults.records import Attempt, RunRecords
+from lupinmill.lab.faults.records import READING_LATE, Attempt, RunRecords
 
 PROBE_PATHS = (b"/health", b"/status/load")
 HANG_S = 30.0
@@ -54,6 +54,8 @@
     "close behind it",
     "early error",
 )
+# For clients that read late, in place of the above: the share of their requests, and which.
+LATE_READER_SHARE, LATE_READER_BEHAVIOURS = 0.4, ("large", "large", "large, cut")
 CONNECTION_FAULTS = ("reset at once", "silent", "cut at a byte")
 
 
@@ -170,6 +172,8 @@
         attempt_number = self.attempt_counts[request_id] = self.attempt_counts.get(request_id, 0) + 1
         random = Random(f"{self.seed} {self.name} {request_id!r} {attempt_number}")
         behaviour = random.choice(BEHAVIOURS) if random.random() < self.fault_share else "well"
+        if self.is_read_late(request_id) and random.random() < LATE_READER_SHARE:
+            behaviour = random.choice(LATE_READER_BEHAVIOURS)
         if behaviour == "early error" and message.value(b"content-length") not in (b"", b"0"):
             await connection.send(
                 b"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -182,6 +186,10 @@
             await asyncio.sleep(random.choice((0, 0.002, 0.02, 0.1)))
         return await self.answer(connection, attempt, behaviour, random)
 
+    def is_read_late(self, request_id: bytes) -> bool:
+        sent = self.records.requests.get(request_id)
+        return sent is not None and sent.description == READING_LATE
+
     async def probe(self, connection: Connection, target: bytes) -> bool:
         if not self.probes_allowed:
             self.records.unexpected.append((self.customer, f"{self.name} got a probe that is not allowed"))
@@ -265,6 +273,7 @@
             answer = answer.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1)
         if behaviour in ("well", "ahead of it 103", "chunked", "large"):
             await connection.send(answer)
+            attempt.answer_complete = True
             return True
         if behaviour == "close behind it":
             await connection.send(answer)
--- a/lupinmill/lab/faults/records.py
+++ b/lupinmill/lab/faults/records.py
@@ -26,6 +26,9 @@
     LOGGED_DEFECT = "a defect, logged"
 
 
+READING_LATE = "reading late"  # description of clients that send several requests and read later
+
+
 class ConnectionEnd(Enum):
     """How a connection ended without an answer, as seen by the client's kernel."""
 
@@ -123,6 +126,7 @@
     opened_at: float = 0.0  # of the connection, if this request or its batch was the first on it
     written_at: float | None = None  # the last byte; None if the client broke off the request
     previous: SentRequest | None = None  # on the connection, if both were pipelined
+    reads_from: float = 0.0  # before then the client reads nothing
     left_at: float | None = None  # when the client closed, reset or half-closed
     finished_at: float | None = None  # when the client stopped waiting, for whatever reason
     connection_end: ConnectionEnd = ConnectionEnd.NONE  # without an answer
@@ -151,6 +155,7 @@
     timestamps_valid: bool = True
     declined: bool = False  # with Srv-Declined: the request did not run
     answer_body: bytes = b""  # of the 200 answer that the endpoint made for it
+    answer_complete: bool = False  # all of that answer was sent
 
 
 @dataclass(slots=True)
--- a/lupinmill/lab/faults/referee.py
+++ b/lupinmill/lab/faults/referee.py
@@ -32,6 +32,7 @@
 EXIT_CONFIG_REFUSED = 2
 CATCH_UP_S = 2.0  # time after SIGCONT in which the backlog of the stop is processed
 SLOW_CLIENT_S = 1.0  # longest time from connecting to the last byte of a request of a well-behaved client
+READ_WITHIN_S = 0.3  # in which a client that reads late gets all that is there
 SLOW_CLIENTS = ("trickling", "large")  # descriptions of clients whose request arrives in parts
 REFUSAL_STATUSES = (429, 503)
 SIGNAL_EXIT_CODES = (-signal.SIGHUP, -signal.SIGTERM)
@@ -247,6 +248,7 @@
         if sent.written_at is None:
             return
         if not sent.answers:
+            self.judge_broken(sent, attempts, description)
             if sent.left_at is None and not sent.broken_answer and not self.is_excused(sent, attempts):
                 sent_on = f", {len(attempts)} attempts" if attempts else ""
                 self.report(
@@ -257,7 +259,8 @@
                 )
             return
         answer = sent.answers[0]
-        late_s = answer.received_at - max(sent.written_at + sent.deadline, previous_finished_at(sent))
+        readable_at = max(previous_finished_at(sent), sent.reads_from)
+        late_s = answer.received_at - max(sent.written_at + sent.deadline, readable_at)
         if late_s > ANSWER_AFTER_DEADLINE_S + 2 * BUSY_MACHINE_S + self.tolerance(
             sent.process, sent.written_at, answer.received_at
         ):
@@ -281,6 +284,28 @@
                 f"{description}: refused as malformed, {answer.status}: {answer.body[:80]!r}",
             )
 
+    def judge_broken(self, sent: SentRequest, attempts: list[Attempt], description: str) -> None:
+        """Checks that a client that reads late, but before its deadline, gets an answer whole that was made
+        whole."""
+        if not sent.broken_answer or not sent.reads_from or sent.written_at is None:
+            return
+        readable_at = max(previous_finished_at(sent), sent.reads_from)
+        finished = sent.finished_at or FAR_FUTURE
+        if readable_at + READ_WITHIN_S > sent.written_at + sent.deadline or not all(
+            attempt.answer_complete for attempt in attempts
+        ):
+            return
+        if self.is_excused(sent, attempts):
+            return
+        if self.tolerance(sent.process, sent.written_at, finished) > READ_WITHIN_S:
+            return
+        self.report(
+            Fault.UNANSWERED,
+            "a whole answer broke off",
+            sent.process.sidecar,
+            f"{description}: {sent.broken_answer}, which its endpoint sent whole",
+        )
+
     def is_excused(self, sent: SentRequest, attempts: list[Attempt]) -> bool:
         """Whether a cause outside the program explains that a request has no answer."""
         process, finished = sent.process, sent.finished_at or FAR_FUTURE
@@ -292,6 +317,8 @@
                 return True
             if each.stopped_between(sent.written_at - CATCH_UP_S, finished) > 0:
                 return True
+            if each.killed_at is not None and sent.written_at <= each.killed_at <= self.read_by(sent):
+                return True
         if attempts:
             return False
         if sent.previous is not None and self.closed_by_answer(sent.previous):
@@ -307,6 +334,10 @@
             self.refused_at_exit(each, sent.written_at, finished) for each in self.processes[process.sidecar]
         )
 
+    def read_by(self, sent: SentRequest) -> float:
+        """When a client that reads late should have got what was there; 0 for any other."""
+        return sent.reads_from + READ_WITHIN_S if sent.reads_from else 0.0
+
     def refused_at_exit(self, process: ProcessRecord, written: float, finished: float) -> bool:
         """Whether the connection failed because the process was exiting: it accepted no more connections, or
         could not hand over its listening socket."""
--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -28,7 +28,7 @@
 SHORT = Timeouts(ready_s=8.0, responsive_s=4.0, exit_s=4.0)
 MOVE = schedule.Event(0.1, "move discovery")
 CALM = [schedule.ProcessPlan(schedule.SERVE, 60.0, "TERM", "own", "read", True, events=[MOVE])]
-LONGER = {"reload missed": 9.0}  # seconds
+LONGER = {"reload missed": 9.0, "answers thrown away": 9.0}  # seconds
 
 START = """
 import sys
@@ -129,6 +129,13 @@
         Fault.UNANSWERED,
         "no answer",
     ),
+    "answers thrown away": (
+        "from lupinmill.transport.closing import ConnectionCloser\n"
+        "async def planted(self, client, *more): client.reset_on_close()\n"
+        "ConnectionCloser.finish = planted",
+        Fault.UNANSWERED,
+        None,  # varies: a whole answer that broke off, or one of which nothing came
+    ),
     "reload missed": (
         "from lupinmill.program.sidecar import Program\nProgram.reload = lambda self, **more: None",
         Fault.NOT_STARTED,
