Referee: a connection from before the kill of the process that may have accepted it

The referee excused by the time of writing alone.

The client learns of the kill only when it writes.

Change: excused where no attempt ran and the connection was opened in the life of a killed process before the kill. A connection opened after the kill is judged as before; the text tells how long before its request a connection was opened.

--- a/lupinmill/lab/faults/referee.py
+++ b/lupinmill/lab/faults/referee.py
@@ -321,6 +321,8 @@
                 return True
         if attempts:
             return False
+        if self.opened_before_kill(sent):
+            return True
         if sent.previous is not None and self.closed_by_answer(sent.previous):
             return True
         crowded = process.crowded_between(sent.written_at - BUSY_MACHINE_S, finished)
@@ -334,6 +336,15 @@
             self.refused_at_exit(each, sent.written_at, finished) for each in self.processes[process.sidecar]
         )
 
+    def opened_before_kill(self, sent: SentRequest) -> bool:
+        """Whether it was written on a connection that a killed process may have accepted before."""
+        return any(
+            each.killed_at is not None
+            and not each.killed_after_term
+            and each.started_at <= sent.opened_at <= each.killed_at <= (sent.written_at or 0.0)
+            for each in self.processes[sent.process.sidecar]
+        )
+
     def read_by(self, sent: SentRequest) -> float:
         """When a client that reads late should have got what was there; 0 for any other."""
         return sent.reads_from + READ_WITHIN_S if sent.reads_from else 0.0
@@ -533,7 +544,8 @@
     if sent.finished_at is None or sent.written_at is None:
         return "not waited for"
     after = sent.finished_at - sent.written_at
-    first = ", first on its connection" if sent.first_on_connection else ""
+    opened_ms = (sent.written_at - sent.opened_at) * 1000
+    first = f", first on its connection, opened {opened_ms:.0f} ms before" if sent.first_on_connection else ""
     return f"{sent.connection_end.value} after {after:.2f} s{first}"
 
 
--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -12,8 +12,10 @@
 
 from lupinmill.lab.faults import referee, reports, run, schedule
 from lupinmill.lab.faults.records import (
+    READING_LATE,
     Answer,
     Attempt,
+    ConnectionEnd,
     Fault,
     ProcessRecord,
     RunRecords,
@@ -299,3 +301,34 @@
     judging = referee.Referee(records, {})
     judging.judge_times(sent, attempt)
     assert [violation.rule for violation in judging.violations] == ["begun after its answer"] * broken
+
+
+@pytest.mark.parametrize("opened, excused", [(11.9, True), (12.1, False)])
+def test_a_request_on_a_connection_from_before_a_kill_is_excused_and_no_other(opened, excused):
+    """Guards against blaming the program for what another process of an upgrade had accepted (soak, seed 2):
+    the client notices only when it writes."""
+    records = RunRecords()
+    process = ProcessRecord("c0-s0", 0, 1, 0.0, "serves")
+    killed = ProcessRecord("c0-s0", 0, 2, 10.0, "upgrade", killed_at=12.0, ended_at=12.01)
+    records.processes += [process, killed]
+    sent = SentRequest(
+        b"s1",
+        "c0",
+        process,
+        "view",
+        "by_key",
+        b"POST",
+        b"/",
+        b"",
+        [b"s1"],
+        [],
+        3.0,
+        READING_LATE,
+        opened_at=opened,
+        written_at=12.11,
+        finished_at=12.3,
+        connection_end=ConnectionEnd.RESET,
+    )
+    judging = referee.Referee(records, {})
+    judging.judge_answer(sent, [])
+    assert [violation.rule for violation in judging.violations] == ["no answer"] * (not excused)
