--- a/review/3/case.py
+++ b/review/3/case.py
@@ -125,7 +125,7 @@
     load.stopped = True
     for task in tasks:
         task.cancel()
-    record.say(f"most held {most} kB of {MEMORY_MB * 1024}; answers {dict(load.ends)}; without an answer {lost}; runs {sum(len(e.runs) for e in endpoints)}")
+    record.say(f"most held {most} kB of {MEMORY_MB * 1024}; answers {dict(load.ends)}; {lost} requests were open at the end; runs {sum(len(e.runs) for e in endpoints)}")
     return BROKEN if over else HELD
 
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -277,13 +277,16 @@
         found = sorted(self.directory.glob(f"*-{at}.log"))
         return found[0].read_text().splitlines() if found else []
 
-    def close(self) -> None:
+    def end_processes(self) -> None:
         for process in self.processes:
             if process.poll() is None:
                 with contextlib.suppress(OSError):
                     process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
+
+    def close(self) -> None:
+        self.end_processes()
         if os.environ.get("KEEP"):
             print("kept", self.directory)
         else:
@@ -335,12 +338,16 @@
     platform = Platform(record)
 
     async def bounded() -> int:
-        async with asyncio.timeout(limit):
-            return await case(record, platform)
+        try:
+            async with asyncio.timeout(limit):
+                return await case(record, platform)
+        finally:
+            platform.end_processes()
+            await asyncio.sleep(0.3)  # for the ends of their connections
 
     try:
         status = asyncio.run(bounded())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except Exception as error:  # whatever it is, it says nothing about the rule
         record.say(f"could not run: {type(error).__name__}: {error}")
         status = CANNOT_RUN
     finally:
