--- a/lupinmill/__main__.py
+++ b/lupinmill/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 
 from lupinmill.program.signals import Signals
@@ -10,13 +11,20 @@
 
 SERVES = __name__ == "__main__" and len(sys.argv) < 2
 SIGNALS = Signals()
+PREDECESSOR = None  # the connection to a process that has made room for this one
 if SERVES:
     # Before the imports below, which take most of the startup time: until then a signal ends the process.
     open_missing()
     SIGNALS.hold()
     replace_unused_modules()
+    # They take most of the memory, too, which a predecessor may hold.
+    from lupinmill.handover.start_permission import NoRoom, request_room
 
-import os  # noqa: E402
+    try:
+        PREDECESSOR = request_room(os.environ, SIGNALS.shutdown_requested)
+    except NoRoom as error:
+        print_error(str(error))
+        sys.exit(2)
 
 import anyio  # noqa: E402
 
@@ -31,7 +39,11 @@
         settings = process_settings.read(os.environ)
         logs = Logs(settings.name)
         program = Program(
-            settings, logs.event, lambda: process_settings.read(os.environ, reload=True), SIGNALS
+            settings,
+            logs.event,
+            lambda: process_settings.read(os.environ, reload=True),
+            SIGNALS,
+            PREDECESSOR,
         )
         anyio.run(program.run)
     except process_settings.StartupError as error:
--- a/lupinmill/handover/driver.py
+++ b/lupinmill/handover/driver.py
@@ -8,88 +8,30 @@
 
 import os
 import socket
-import struct
 from collections.abc import Awaitable, Callable
-from typing import Any
-from zlib import crc32
+from typing import Any, Protocol
 
 import anyio
 from anyio.abc import TaskGroup
 
-from lupinmill.handover.upgrade_protocol import VERSION, Command, CommandKind, UpgradeProtocol
+from lupinmill.handover.upgrade_protocol import VERSION, Command, CommandKind, Phase, UpgradeProtocol
+from lupinmill.handover.upgrade_socket import MAX_PENDING_LINKS, UpgradeSocket, same_user
 from lupinmill.protocol.admin_calls import AdminCall
 from lupinmill.protocol.http import Malformed
 from lupinmill.routing.engine import Log, error_fields
 from lupinmill.transport.link import Link, LinkError
 
-SOCKET_NAME = "lupinmill-%08x.sock"  # by a hash of name and address: sidecars may share the directory
-MAX_SOCKET_PATH = 100  # bytes; a margin below the system's limit for Unix addresses
 STATE_TIMEOUT_S = 1.5  # how long a start waits for the state of a process that may be there
 FORWARD_TIMEOUT_S = 0.4  # for the other process to apply an operator's call as well
 REPORT_INTERVAL_S = 0.05  # between two reports of the work that is still open
 HELLO_TIMEOUT_S = 1.0
-MAX_PENDING_LINKS = 4  # links that have yet to send their hello
+ROOM_TIMEOUT_S = 2.5  # for requests in hand to end, whose memory the successor needs
+ROOM_CHECK_INTERVAL_S = 0.02
+PREPARED_TIMEOUT_S = 10.0  # from there until the successor has started and requests the state
 
 Message = dict[str, Any]
 
 
-class UpgradeSocket:
-    """The Unix socket by which processes of one sidecar find each other. A path too long for the system is
-    addressed by a descriptor of its directory."""
-
-    def __init__(self, directory: str, name: str, listen: str) -> None:
-        file = SOCKET_NAME % crc32(f"{name} {listen}".encode())
-        self.path = os.path.join(directory, file)
-        self.directory_fd: int | None = None
-        if len(os.fsencode(self.path)) > MAX_SOCKET_PATH:
-            self.directory_fd = os.open(directory, os.O_RDONLY | os.O_DIRECTORY)
-            self.path = f"/proc/self/fd/{self.directory_fd}/{file}"
-
-    def listen(self) -> socket.socket:
-        """Atomically replaces the previous listener; the file mode excludes other users."""
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-        temporary_path = f"{self.path[:-5]}.{os.getpid() % 100_000}"
-        try:
-            if os.path.lexists(temporary_path):
-                os.unlink(temporary_path)
-            previous_umask = os.umask(0o177)
-            try:
-                sock.bind(temporary_path)
-            finally:
-                os.umask(previous_umask)
-            sock.listen(MAX_PENDING_LINKS)
-            sock.setblocking(False)
-            os.rename(temporary_path, self.path)
-        except BaseException:
-            sock.close()
-            raise
-        return sock
-
-    def connect(self) -> socket.socket | None:
-        """Connects to the listening process; None if there is none, also if a dead one left its file."""
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-        try:
-            sock.setblocking(False)
-            sock.connect(self.path)
-        except OSError:
-            sock.close()
-            return None
-        return sock
-
-    def close(self) -> None:
-        if self.directory_fd is not None:
-            os.close(self.directory_fd)
-            self.directory_fd = None
-
-
-def same_user(sock: socket.socket) -> bool:
-    try:
-        data = sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, struct.calcsize("3i"))
-    except (AttributeError, OSError):
-        return False
-    return struct.unpack("3i", data)[1] in (os.geteuid(), 0)
-
-
 def listening_socket(descriptor: int) -> socket.socket:
     """Raises LinkError if the descriptor is not a listening socket."""
     try:
@@ -104,13 +46,35 @@
     return sock
 
 
+class UpgradeMemory(Protocol):
+    """The memory that this process shares with its successor."""
+
+    def begin_upgrade(self) -> str | None:
+        """Begins to make room. Returns why there can be none."""
+
+    def has_made_room(self) -> bool:
+        """Whether the successor may grow now."""
+
+    def end_upgrade(self) -> None:
+        """The successor is gone: this process may use the whole limit again."""
+
+
 class Handover:
     """Links to the predecessor and the successor of this process.
 
-    The callbacks are set by the program that owns the handover."""
-
-    def __init__(self, directory: str | None, name: str, listen: str, log: Log) -> None:
-        self.log = log
+    The callbacks are set by the program that owns the handover. `permitted`: a connection to the predecessor,
+    which has made room for this process."""
+
+    def __init__(
+        self,
+        directory: str | None,
+        name: str,
+        listen: str,
+        log: Log,
+        memory: UpgradeMemory | None = None,
+        permitted: socket.socket | None = None,
+    ) -> None:
+        self.log, self.memory, self.permitted = log, memory, permitted
         self.protocol = UpgradeProtocol(name, listen)
         self.upgrade_socket: UpgradeSocket | None = None
         if directory:
@@ -143,9 +107,9 @@
 
     async def request_state(self) -> tuple[Message, socket.socket] | None:
         """The state of the serving process, and its listening socket; None means an ordinary start."""
-        if self.upgrade_socket is None:
-            return None
-        sock = self.upgrade_socket.connect()
+        sock, self.permitted = self.permitted, None
+        if sock is None and self.upgrade_socket is not None:
+            sock = self.upgrade_socket.connect()
         if sock is None:
             return None
         link = Link(sock)
@@ -259,24 +223,80 @@
     async def serve_successor(self, link: Link) -> None:
         """Owns the link, whoever connected, and closes it at the end."""
         try:
-            if not await self.check_hello(link):
-                return
-            self.successor = link
-            try:
-                self.log("handover", text="another process requests to take over")
-                self.send_state(link)
-                async with anyio.create_task_group() as group:
-                    group.start_soon(self.report_open_work, link)
-                    await self.run_link(link, self.on_successor_message)
-                    group.cancel_scope.cancel()
-            finally:
-                self.successor = None
-                self.execute(self.protocol.on_link_lost())
+            message, known_user = await self.receive_first_message(link), same_user(link.sock)
+            if message.get("say") == "prepare":
+                command = self.protocol.on_prepare(message, known_user)
+            else:
+                command = self.protocol.on_hello(message, known_user)
+            if command.kind is CommandKind.REFUSE:
+                await self.refuse(link, command)
+            else:
+                await self.follow_successor(link, command)
+        except (OSError, LinkError, TimeoutError):
+            pass  # it is gone, or said nothing in time
         except Exception as error:
             self.log("task_failed", task="attend", **error_fields(error))
         finally:
             link.close()
 
+    async def follow_successor(self, link: Link, command: Command) -> None:
+        """From the first accepted message until one of the two processes ends."""
+        try:
+            if command.kind is CommandKind.MAKE_ROOM:
+                if not await self.make_room(link):
+                    return
+                with anyio.fail_after(PREPARED_TIMEOUT_S):
+                    command = self.protocol.on_hello(await link.receive_message(), True, prepared=True)
+                if command.kind is CommandKind.REFUSE:
+                    return await self.refuse(link, command)
+            elif self.memory is not None:
+                self.memory.begin_upgrade()  # a successor of an older version, which does not ask
+            await self.hand_over(link)
+        finally:
+            self.successor = None
+            self.execute(self.protocol.on_link_lost())
+            if self.memory is not None and self.protocol.phase is Phase.NO_SUCCESSOR:
+                self.memory.end_upgrade()
+
+    async def receive_first_message(self, link: Link) -> Message:
+        try:
+            with anyio.fail_after(HELLO_TIMEOUT_S):
+                return await link.receive_message()
+        finally:
+            self.pending_links -= 1
+
+    async def make_room(self, link: Link) -> bool:
+        """False if there is none for a second process; the successor is told why, and ends."""
+        reason = self.memory.begin_upgrade() if self.memory is not None else None
+        if reason is None and not self.has_made_room():
+            await link.write_now({"say": "wait"})
+            with anyio.move_on_after(ROOM_TIMEOUT_S):
+                while not self.has_made_room():
+                    await anyio.sleep(ROOM_CHECK_INTERVAL_S)
+            if not self.has_made_room():
+                reason = "limits.memory_mb: what open requests hold leaves no room for a second process"
+        if reason is not None:
+            self.log("handover_refused", error=reason)
+        await link.write_now({"say": "go"} if reason is None else {"say": "no room", "why": reason})
+        return reason is None
+
+    def has_made_room(self) -> bool:
+        return self.memory is None or self.memory.has_made_room()
+
+    async def hand_over(self, link: Link) -> None:
+        """Passes the state, and the clients once the successor serves."""
+        self.successor = link
+        self.log("handover", text="another process requests to take over")
+        self.send_state(link)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.report_open_work, link)
+            await self.run_link(link, self.on_successor_message)
+            group.cancel_scope.cancel()
+
+    async def refuse(self, link: Link, command: Command) -> None:
+        self.log("handover", text=f"refused: {command.reason}")
+        await link.ask({"say": "no", "why": command.reason}, HELLO_TIMEOUT_S)
+
     def send_state(self, link: Link) -> None:
         """Raises whatever prevents sending the state; the descriptor is closed in that case."""
         state, descriptor = self.collect_state(), os.dup(self.client_listener().fileno())
@@ -289,21 +309,6 @@
         if not queued:
             os.close(descriptor)
 
-    async def check_hello(self, link: Link) -> bool:
-        try:
-            try:
-                with anyio.fail_after(HELLO_TIMEOUT_S):
-                    hello = await link.receive_message()
-            finally:
-                self.pending_links -= 1
-            command = self.protocol.on_hello(hello, same_user(link.sock))
-            if command.kind is CommandKind.REFUSE:
-                self.log("handover", text=f"refused: {command.reason}")
-                await link.ask({"say": "no", "why": command.reason}, HELLO_TIMEOUT_S)
-            return command.kind is CommandKind.SEND_STATE
-        except (OSError, LinkError, TimeoutError):
-            return False
-
     def on_successor_message(self, message: Message) -> None:
         if message.get("say") == "serving":
             self.execute(self.protocol.on_serving())
@@ -377,6 +382,8 @@
                 del self.pending_calls[number]
 
     def close(self) -> None:
+        if self.permitted is not None:
+            self.permitted.close()
         for link in (self.predecessor, self.successor):
             if link is not None:
                 link.close()
--- a/lupinmill/handover/handover_state.py
+++ b/lupinmill/handover/handover_state.py
@@ -28,6 +28,7 @@
     learned: Table
     open_descriptors: int  # of the predecessor
     retries: int  # attempts beyond a request's first that the predecessor has made so far
+    private_memory: int = 0  # bytes that the predecessor alone holds, or may come to hold until it yields
 
 
 def encode_list(endpoint_list: dict[str, t.ListEntry], addresses: dict[str, str], index: int | None) -> Table:
@@ -72,9 +73,10 @@
         known = lists.parse(table["list"])
         cordoned = {str(name): int(listed_at) for name, listed_at in table["out"]}
         mode, since = Mode(table["mode"][0]), int(table["mode"][1])
-        state = HandoverState(known, dict(table["learned"]), int(table["held"]), int(table.get("repeats", 0)))
-        if state.open_descriptors < 0 or state.retries < 0:
-            raise ValueError("held, repeats: must not be negative")
+        retries, memory = int(table.get("repeats", 0)), int(table.get("memory", 0))
+        state = HandoverState(known, dict(table["learned"]), int(table["held"]), retries, memory)
+        if state.open_descriptors < 0 or state.retries < 0 or state.private_memory < 0:
+            raise ValueError("held, repeats, memory: must not be negative")
     except (KeyError, TypeError, ValueError, IndexError, AttributeError, OverflowError, Garbled) as error:
         raise InvalidHandoverState(f"{type(error).__name__}: {error}"[:200]) from error
     overrides.cordoned.update(cordoned)
--- a/lupinmill/handover/upgrade_protocol.py
+++ b/lupinmill/handover/upgrade_protocol.py
@@ -3,7 +3,8 @@
 Pure: events in, commands out, no clock.
 
 A serving process may have one successor. `UpgradeProtocol` is the side of the serving process; the successor
-requests the state before it starts, and sends `serving` once."""
+asks for room before it imports most of the program (an older one doesn't), requests the state before it
+starts, and sends `serving` once."""
 
 from __future__ import annotations
 
@@ -11,17 +12,19 @@
 from enum import Enum
 from typing import Any
 
-VERSION = 1
+from lupinmill.handover.version import VERSION
 
 
 class Phase(Enum):
     NO_SUCCESSOR = "alone"  # accepts clients
+    PREPARING = "preparing"  # accepts clients; makes room in memory for a successor
     OFFERED = "offered"  # accepts clients; a successor has the listening socket and a copy of the state
     YIELDED = "yielded"  # the successor accepts clients; this process finishes its open requests
 
 
 class CommandKind(Enum):
     REFUSE = "refuse"
+    MAKE_ROOM = "make room"
     SEND_STATE = "pass state"
     YIELD = "yield"  # stop accepting, pass client connections on as they become idle
     RESUME = "take up"  # accept again: the successor is gone
@@ -45,19 +48,33 @@
     def accepts_clients(self) -> bool:
         return self.phase is not Phase.YIELDED
 
-    def on_hello(self, message: dict[str, Any], same_user: bool) -> Command:
-        """The first message of a new link."""
-        if not same_user:
-            return Command(CommandKind.REFUSE, "another user's process")
-        if message.get("say") != "hello" or message.get("version") != VERSION:
-            return Command(CommandKind.REFUSE, f"this speaks version {VERSION} alone")
-        if (message.get("name"), message.get("listen")) != (self.name, self.listen):
-            return Command(CommandKind.REFUSE, "another sidecar's name or address")
-        if self.phase is not Phase.NO_SUCCESSOR:
-            return Command(CommandKind.REFUSE, "another process takes over already")
+    def on_prepare(self, message: dict[str, Any], same_user: bool) -> Command:
+        """The first message of a new link, of a successor that has yet to grow."""
+        if (reason := self.refusal(message, "prepare", same_user, Phase.NO_SUCCESSOR)) is not None:
+            return Command(CommandKind.REFUSE, reason)
+        self.phase = Phase.PREPARING
+        return Command(CommandKind.MAKE_ROOM)
+
+    def on_hello(self, message: dict[str, Any], same_user: bool, prepared: bool = False) -> Command:
+        """The first message of a new link; `prepared`: the second one, after `prepare`."""
+        expected = Phase.PREPARING if prepared else Phase.NO_SUCCESSOR
+        if (reason := self.refusal(message, "hello", same_user, expected)) is not None:
+            return Command(CommandKind.REFUSE, reason)
         self.phase = Phase.OFFERED
         return Command(CommandKind.SEND_STATE)
 
+    def refusal(self, message: dict[str, Any], say: str, same_user: bool, expected: Phase) -> str | None:
+        """Why the message is refused; None if it is accepted."""
+        if not same_user:
+            return "another user's process"
+        if message.get("say") != say or message.get("version") != VERSION:
+            return f"this speaks version {VERSION} alone"
+        if (message.get("name"), message.get("listen")) != (self.name, self.listen):
+            return "another sidecar's name or address"
+        if self.phase is not expected:
+            return "another process takes over already"
+        return None
+
     def on_serving(self) -> list[Command]:
         """The successor accepts clients."""
         if self.phase is not Phase.OFFERED:
@@ -73,7 +90,7 @@
             return [Command(CommandKind.DROP_LINK)]
         if previous is Phase.YIELDED:
             return [Command(CommandKind.DROP_LINK), Command(CommandKind.RESUME)]
-        return [Command(CommandKind.DROP_LINK)] if previous is Phase.OFFERED else []
+        return [] if previous is Phase.NO_SUCCESSOR else [Command(CommandKind.DROP_LINK)]
 
     def on_shutdown(self) -> None:
         self.shutting_down = True
--- a/lupinmill/limits/memory.py
+++ b/lupinmill/limits/memory.py
@@ -7,8 +7,12 @@
 
 from dataclasses import dataclass
 
-# of the limit: for what no lease counts, such as the allocator's fragmentation
+# of the limit: for what no lease counts, such as the allocator's fragmentation, ...
 RESERVE_FRACTION = 0.1
+# ... and at least so many bytes of it: for fragmentation, and for a successor in an upgrade that has started
+# and waits until this process has made room
+FRAGMENTATION_MEMORY, SUCCESSOR_START_MEMORY = 1536 * 1024, 5 << 20
+MIN_RESERVE = FRAGMENTATION_MEMORY + SUCCESSOR_START_MEMORY
 # bytes of a client connection: its task, its parser, and one read of 16 KiB
 CONNECTION_MEMORY = 32 * 1024
 # bytes of an open request beside its bodies: its record, and the tasks and connections of its attempts, ...
@@ -18,7 +22,7 @@
 # ... and so many headers; bytes of each beyond them, which is far more than they take on the wire
 FREE_HEADERS, HEADER_MEMORY = 32, 160
 MAX_BODY_BYTES = 64 * 1024  # of a request that is read before its first attempt
-CONNECTION_SHARE = 0.5  # of the room: at most for connections
+CONNECTION_SHARE = 0.4  # of the room: at most for connections
 # of the room, and bytes: for what is kept of bodies over 64 KiB
 LARGE_BODY_SHARE, MIN_LARGE_BODY_MEMORY = 0.25, 1 << 20
 MIN_CLIENTS = 8  # with an open request and its body each: with less room the process does not start
@@ -44,13 +48,20 @@
     large_bodies: int  # of which for what is kept of bodies over 64 KiB
 
 
+def reserve(limit: int) -> int:
+    """Bytes of the limit that are not given out."""
+    return max(MIN_RESERVE, limit - int(limit * (1 - RESERVE_FRACTION)))
+
+
 def divide(limit: int, base: int, max_clients: int) -> MemoryPlan:
     """Raises NotEnoughMemory. `max_clients`: as many as descriptors allow."""
-    room = int(limit * (1 - RESERVE_FRACTION)) - base
+    room = limit - reserve(limit) - base
     least_requests = MIN_CLIENTS * (REQUEST_MEMORY + MAX_BODY_BYTES)
     least = MIN_CLIENTS * CONNECTION_MEMORY + least_requests
     if room < least:
-        raise NotEnoughMemory(int((base + least) / (1 - RESERVE_FRACTION)) + 1)
+        raise NotEnoughMemory(
+            max(base + least + MIN_RESERVE, int((base + least) / (1 - RESERVE_FRACTION)) + 1)
+        )
     for_clients = min(int(room * CONNECTION_SHARE), room - least_requests)
     clients = max(MIN_CLIENTS, min(max_clients, for_clients // CONNECTION_MEMORY))
     requests = room - clients * CONNECTION_MEMORY
--- a/lupinmill/program/process_memory.py
+++ b/lupinmill/program/process_memory.py
@@ -16,50 +16,57 @@
     NotEnoughMemory,
     divide,
 )
+from lupinmill.limits.upgrade_memory import SharedLimit, check_limit, least_limit, successor_memory
 from lupinmill.program.process_settings import StartupError
 from lupinmill.routing.engine import Log
-from lupinmill.transport.buffers import NO_LIMIT, MemoryBudget
-from lupinmill.transport.descriptors import DescriptorBudget
-from lupinmill.transport.resident_memory import resident_bytes
+from lupinmill.transport.allocator import release_free_memory
+from lupinmill.transport.buffers import NO_LIMIT, BlockPool, MemoryBudget
+from lupinmill.transport.descriptors import ConnectionKind, DescriptorBudget
+from lupinmill.transport.resident_memory import ResidentMemory, read_resident_memory, resident_bytes
 
 DEFAULT_LARGE_BODY_MEMORY = 64 << 20  # bytes, if no limit is told
 ASSUMED_BASE = 24 << 20  # bytes, if the kernel does not tell what is resident
 CHECK_INTERVAL_S = 0.25
-SHORT_CHECKS = 8  # checks without a refusal after which memory counts as no longer short
+SHARED_CHECK_INTERVAL_S = 0.05  # while another process holds a part of the limit
+SHORTAGE_END_S = 2.0  # without a refusal, after which memory counts as no longer short
 MIB = 1 << 20
 
 
 class ProcessMemory:
-    def __init__(self, limit: int | None, descriptors: DescriptorBudget, log: Log) -> None:
-        self.limit, self.descriptors, self.log = limit, descriptors, log
+    def __init__(
+        self, limit: int | None, descriptors: DescriptorBudget, block_pool: BlockPool, log: Log
+    ) -> None:
+        self.limit, self.descriptors, self.block_pool, self.log = limit, descriptors, block_pool, log
         self.requests = MemoryBudget(NO_LIMIT)
         self.large_bodies = MemoryBudget(DEFAULT_LARGE_BODY_MEMORY, self.requests)
         self.plan: MemoryPlan | None = None
         self.growth: GrowthEstimate | None = None
+        self.shared = SharedLimit(NO_LIMIT if limit is None else limit)
+        self.private_at_start = 0  # bytes that this process alone held when it had started
         self.refused = 0  # requests refused for want of memory
-        self.checks_since_refusal: int | None = None  # None: memory is not short
+        self.last_refusal: float | None = None  # seconds of the loop's clock; None: memory is not short
 
     def check_start(self) -> None:
         """Raises StartupError if the limit leaves no room for a handful of clients."""
         try:
-            self.make_plan()
+            self.make_plan(resident_bytes() or ASSUMED_BASE)
         except NotEnoughMemory as error:
             text = "leaves no room for clients beside the program itself"
             raise StartupError(
                 f"limits.memory_mb: {self.limit / MIB:g} {text}; {error.needed / MIB:.1f} would do"
             ) from error
 
-    def make_plan(self) -> MemoryPlan | None:
+    def make_plan(self, base: int) -> MemoryPlan | None:
         if self.limit is None:
             return None
-        base = resident_bytes() or ASSUMED_BASE
         return divide(self.limit, base, self.descriptors.client_limit)
 
     def divide(self) -> None:
         """Divides the limit. To be called when everything that stays is in memory, and before the first
         client."""
+        resident = read_resident_memory() or ResidentMemory(ASSUMED_BASE, ASSUMED_BASE)
         try:
-            plan = self.make_plan()
+            plan = self.make_plan(resident.total)
         except NotEnoughMemory as error:
             # It was enough when the start was checked: a list that came since has taken the room.
             self.log("memory_short", needed_mb=round(error.needed / MIB, 1))
@@ -67,32 +74,88 @@
         if plan is None:
             return
         self.plan, self.growth = plan, GrowthEstimate(plan.base)
+        self.private_at_start = resident.private
         self.descriptors.client_limit = plan.clients
         self.requests.limit, self.large_bodies.limit = plan.requests, plan.large_bodies
+        self.check_shared()
 
     async def watch(self) -> None:
         """Makes the budget smaller while the process holds more than its leases explain."""
         while True:
-            await anyio.sleep(CHECK_INTERVAL_S)
+            await anyio.sleep(SHARED_CHECK_INTERVAL_S if self.shared.is_shared() else CHECK_INTERVAL_S)
             self.check()
 
     def check(self) -> None:
-        if self.plan is not None and self.growth is not None and (resident := resident_bytes()) is not None:
+        if self.shared.is_shared():
+            self.check_shared()
+        elif self.plan is not None and self.growth is not None and (resident := resident_bytes()) is not None:
             leased = self.requests.peak + self.descriptors.peak_clients * CONNECTION_MEMORY
             growth = self.growth.observe(resident, leased)
             self.requests.limit = max(MIN_REQUESTS_MEMORY, self.plan.requests - growth)
-        if self.checks_since_refusal is not None:
-            self.checks_since_refusal += 1
-            if self.checks_since_refusal > SHORT_CHECKS:
-                self.checks_since_refusal = None
-                self.log("memory_short_over", **self.figures())
+        if self.last_refusal is not None and anyio.current_time() - self.last_refusal > SHORTAGE_END_S:
+            self.last_refusal = None
+            self.log("memory_short_over", **self.figures())
 
     def count_refusal(self) -> None:
         """A request was refused for want of memory."""
         self.refused += 1
-        if self.checks_since_refusal is None:
+        if self.last_refusal is None:
             self.log("memory_short", **self.figures())
-        self.checks_since_refusal = 0
+        self.last_refusal = anyio.current_time()
+
+    # While another process of an upgrade holds a part of the limit.
+
+    def check_shared(self) -> None:
+        """Gives back what is free, and bounds what requests may hold beside the other process."""
+        if self.plan is None or not self.shared.is_shared():
+            return
+        self.block_pool.drop_free()
+        release_free_memory()
+        if (resident := resident_bytes()) is not None:
+            limit = self.shared.requests_limit(resident, self.requests.leased)
+            self.requests.limit = min(self.plan.requests, limit)
+
+    def count_predecessor(self, private: int) -> None:
+        """`private`: bytes that the process before this one holds alone, or may come to hold."""
+        if private != self.shared.predecessor:
+            self.shared.predecessor = private
+            self.check()
+
+    def begin_upgrade(self) -> str | None:
+        """Begins to make room for a successor. Returns why there can be none."""
+        if self.plan is None:
+            return None
+        try:
+            check_limit(self.plan.limit, self.plan.base, self.private_at_start)
+        except NotEnoughMemory as error:
+            return upgrade_refusal(self.plan.limit, error.needed)
+        clients = self.descriptors.open[ConnectionKind.CLIENT]
+        self.shared.successor = successor_memory(self.private_at_start, clients)
+        self.check_shared()
+        return None
+
+    def has_made_room(self) -> bool:
+        if self.plan is None:
+            return True
+        self.check_shared()
+        resident = resident_bytes()
+        return resident is None or resident <= self.shared.ceiling()
+
+    def yield_to_successor(self) -> None:
+        self.shared.yielded = True
+        self.check()
+
+    def end_upgrade(self) -> None:
+        """The successor is gone."""
+        self.shared.successor, self.shared.yielded = 0, False
+        self.check()
+
+    def private_claim(self) -> int:
+        """Bytes that the successor has to count for this process; 0 where there is no limit."""
+        resident = read_resident_memory()
+        if self.plan is None or resident is None:
+            return 0
+        return self.shared.private_claim(resident.total, resident.private)
 
     def figures(self) -> dict[str, Any]:
         """In bytes, but for numbers of clients and requests."""
@@ -110,5 +173,11 @@
                 "budget": self.requests.limit,
                 "unexplained": self.growth.unexplained,
                 "clients": self.plan.clients,
+                "upgrade_limit": least_limit(self.plan.base, self.private_at_start),
             }
         return found
+
+
+def upgrade_refusal(limit: int, needed: int) -> str:
+    text = "leaves no room for the two processes of an upgrade"
+    return f"limits.memory_mb: {limit / MIB:g} {text}; {needed / MIB:.1f} would do"
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -24,6 +24,7 @@
 from lupinmill.program.process_memory import ProcessMemory
 from lupinmill.program.process_settings import ProcessSettings, StartupError, changes_needing_restart
 from lupinmill.program.signals import HANDLED_SIGNALS, SHUTDOWN_SIGNALS, Signals
+from lupinmill.program.upgrade import Upgrade
 from lupinmill.protocol import lists
 from lupinmill.protocol.client_requests import MAX_DEADLINE_S
 from lupinmill.routing.admission import AdmissionController
@@ -77,7 +78,8 @@
 
 
 class Program:
-    """`signals`: records those that arrive before `run` has opened its receiver."""
+    """`signals`: records those that arrive before `run` has opened its receiver. `permitted`: a connection to
+    the predecessor, which has made room for this process."""
 
     def __init__(
         self,
@@ -85,6 +87,7 @@
         log: Log,
         read_settings: Callable[[], ProcessSettings],
         signals: Signals | None = None,
+        permitted: socket.socket | None = None,
     ) -> None:
         platform_settings = settings
         self.signals = signals
@@ -107,7 +110,7 @@
         reserved += CONFIG_DESCRIPTORS if watched else 0
         self.block_pool = BlockPool()
         self.descriptors = DescriptorBudget(raise_descriptor_limit(settings.descriptors) - reserved)
-        self.memory = ProcessMemory(settings.memory, self.descriptors, log)
+        self.memory = ProcessMemory(settings.memory, self.descriptors, self.block_pool, log)
         self.body_memory = self.memory.large_bodies
         self.connection_pool = ConnectionPool(
             self.descriptors, self.block_pool, settings.idle_timeout_s, settings.connect_timeout_s
@@ -125,7 +128,9 @@
         self.engine.command_handlers[t.StartWatch] = self.discovery.watch
         self.admin_handler.discovery = self.discovery.show
         self.admin_handler.memory = self.memory.figures
-        self.handover = Handover(settings.upgrade_directory, settings.name, settings.listen, log)
+        self.handover = Handover(
+            settings.upgrade_directory, settings.name, settings.listen, log, self.memory, permitted
+        )
         self.predecessor_retries = 0  # the predecessor's retries at the time of its state
         self.close_requested = anyio.Event()  # set when idle connections may have to be closed or passed on
         self.admin_handler.on_mode_change = self.mode_changed
@@ -338,7 +343,7 @@
         ):
             group.start_soon(self.restart_on_failure, task)
         group.start_soon(self.restart_on_failure, listener.run, group, self.client_handler.serve)
-        self.connect_handover(listener, self.client_handler, group)
+        Upgrade(self, listener, self.client_handler, group).connect()
         group.start_soon(self.restart_on_failure, self.close_idle, listener)
         if self.admin_server is not None:
             group.start_soon(self.restart_on_failure, self.admin_server.run, group)
@@ -499,107 +504,11 @@
             self.log("handover_refused", **error_fields(error))
         self.engine.handle_event(t.TimerFired(1))
         self.descriptors.held_by_predecessor, self.predecessor_retries = state.open_descriptors, state.retries
+        self.memory.count_predecessor(state.private_memory)
         self.discovery.watch(
             t.StartWatch()
         )  # at once: changes that discovery sends from now on bind this process
 
-    def connect_handover(self, listener: Listener, client_handler: ClientHandler, group: TaskGroup) -> None:
-        """Connects the parts of this program to an upgrade, as the old process or as the new one."""
-        handover, descriptors = self.handover, self.descriptors
-
-        def open_descriptors() -> int:
-            return sum(descriptors.open.values())
-
-        def state() -> dict[str, Any]:
-            known = learned.learned(self.engine.sidecar)
-            return handover_state.encode(encoded_list(), self.overrides, known, open_descriptors()) | {
-                "repeats": self.request_table.repeats
-            }
-
-        def encoded_list() -> dict[str, Any]:
-            directory = self.directory
-            rows = self.engine.sidecar.registry.listed
-            return handover_state.encode_list(rows, directory.addresses, directory.index)
-
-        def later_list(index: int) -> dict[str, Any] | None:
-            if self.directory.index in (None, index) or not self.discovery.watcher.list_is_current():
-                return None
-            return {"address": self.discovery.watcher.address, "list": encoded_list()}
-
-        def take_list(message: dict[str, Any]) -> None:
-            """Versions are comparable only where both processes ask the same discovery service."""
-            known, before, watcher = (
-                lists.parse(message["list"]),
-                self.directory.index,
-                self.discovery.watcher,
-            )
-            if message["address"] != watcher.address or not watcher.list_is_current():
-                return
-            if before is not None and known.index > before:
-                self.log("handover", text=f"list {known.index} of the process before this one")
-                self.directory.update(known, t.ListKind.FULL)
-
-        def pause_serving() -> None:
-            listener.pause()
-            listener.handing_over = True
-            self.close_requested.set()
-            client_handler.hand_over_client = lambda client: handover.send_client(client.sock)
-            self.connection_pool.close()
-            listener.close_all_idle()
-            if self.peers is not None:
-                self.peers.resign()
-            if self.live_config is not None:
-                self.live_config.watch.saving_enabled = False
-
-        def resume_serving() -> None:
-            client_handler.hand_over_client, listener.handing_over = None, False
-            listener.resume()
-            if self.peers is not None:
-                self.peers.resume()
-            if self.live_config is not None:
-                self.live_config.watch.saving_enabled = True
-
-        def adopt(sock: socket.socket) -> None:
-            descriptors.held_by_predecessor = max(0, descriptors.held_by_predecessor - 1)
-            try:
-                listener.adopt(sock, group, client_handler.serve)
-            except OSError:
-                pass  # this connection is broken; the link must stay open for the others
-
-        retries = self.predecessor_retries
-
-        def open_work() -> dict[str, Any]:
-            request_table = self.request_table
-            return {
-                "held": open_descriptors(),
-                "flying": request_table.in_flight_by_endpoint(),
-                "ids": list(request_table.pending_requests),
-                "repeats": request_table.repeats,
-            }
-
-        def update_predecessor_work(message: dict[str, Any]) -> None:
-            """Takes over the count of the predecessor's open work; zero once it has ended."""
-            nonlocal retries
-            new_retries = int(message.get("repeats", retries))
-            descriptors.held_by_predecessor = int(message.get("held", 0))
-            self.request_table.open_in_predecessor = {str(name) for name in message.get("ids", ())}
-            in_flight = {str(name): int(count) for name, count in dict(message.get("flying", {})).items()}
-            self.engine.handle_event(t.PredecessorLoad(in_flight, max(0, new_retries - retries)))
-            retries = new_retries
-
-        handover.collect_state, handover.collect_open_work, handover.client_listener = (
-            state,
-            open_work,
-            lambda: listener.sock,
-        )
-        handover.on_yield, handover.on_resume = pause_serving, resume_serving
-        handover.adopt_client, handover.on_predecessor_work = adopt, update_predecessor_work
-        handover.newer_list, handover.on_list = later_list, take_list
-        # The other process knows the endpoint, though this one's list may be older.
-        handover.apply_call = lambda call: self.admin_handler.apply(call, True)
-        self.admin_handler.forward = handover.forward_call
-        handover.start(group)
-
     async def close_idle(self, listener: Listener) -> None:
         """Closes idle connections while this sidecar drains, shuts down or passes its clients on."""
         while True:
--- a/lupinmill/transport/buffers.py
+++ b/lupinmill/transport/buffers.py
@@ -26,6 +26,10 @@
         if len(self.free) < self.max_free:
             self.free.append(block)
 
+    def drop_free(self) -> None:
+        """Frees the blocks that are kept for reuse."""
+        self.free.clear()
+
 
 class MemoryBudget:
     """Memory that its holders may have together, in bytes. Each lease is released by its holder, to the byte.
--- a/lupinmill/transport/link.py
+++ b/lupinmill/transport/link.py
@@ -1,14 +1,13 @@
 """A link between two processes of one sidecar: messages, some with descriptors, over a Unix stream socket.
 
-Owns its socket and the descriptors that wait to be sent, which are closed by `close` or once they are sent. A
-message is four bytes of length and JSON; its descriptors arrive with its first byte at the latest."""
+Owns its socket and the descriptors that wait to be sent, which are closed by `close` or once they are sent.
+The descriptors of a message arrive with its first byte at the latest."""
 
 from __future__ import annotations
 
 import array
 import os
 import socket
-import struct
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -16,8 +15,8 @@
 import anyio
 import orjson
 
-LENGTH_PREFIX = struct.Struct("!I")
-MAX_MESSAGE_SIZE = 16 * 1024 * 1024
+from lupinmill.transport.link_frames import LENGTH_PREFIX, MAX_MESSAGE_SIZE, frame
+
 READ_SIZE = 64 * 1024
 MAX_DESCRIPTORS_PER_READ = 8
 MAX_QUEUED_MESSAGES = 4_096
@@ -39,8 +38,7 @@
     # Message encoding.
 
     def encode(self, message: dict[str, Any]) -> bytes:
-        data = orjson.dumps(message)
-        return LENGTH_PREFIX.pack(len(data)) + data
+        return frame(orjson.dumps(message))
 
     def next_message(self) -> dict[str, Any] | None:
         if len(self.received) < LENGTH_PREFIX.size:
@@ -80,17 +78,21 @@
         self.received += data
 
     async def ask(self, message: dict[str, Any], timeout_s: float) -> dict[str, Any]:
-        """Sends the first message and waits for the next. Raises TimeoutError, OSError or LinkError if none
+        """Sends a message and waits for the next. Raises TimeoutError, OSError or LinkError if none
         arrives."""
         with anyio.fail_after(timeout_s):
-            rest = memoryview(self.encode(message))
-            while rest:
-                try:
-                    rest = rest[self.sock.send(rest) :]
-                except BlockingIOError:
-                    await anyio.wait_writable(self.sock)
+            await self.write_now(message)
             return await self.receive_message()
 
+    async def write_now(self, message: dict[str, Any]) -> None:
+        """Writes a message while the link does not run yet."""
+        rest = memoryview(self.encode(message))
+        while rest:
+            try:
+                rest = rest[self.sock.send(rest) :]
+            except BlockingIOError:
+                await anyio.wait_writable(self.sock)
+
     async def receive_message(self) -> dict[str, Any]:
         while (message := self.next_message()) is None:
             await anyio.wait_readable(self.sock)
--- a/lupinmill/transport/resident_memory.py
+++ b/lupinmill/transport/resident_memory.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 import os
+from dataclasses import dataclass
 
 STATM = "/proc/self/statm"
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
-def resident_bytes() -> int | None:
+@dataclass(frozen=True, slots=True)
+class ResidentMemory:
+    """Sizes in bytes."""
+
+    total: int
+    private: int  # of which no other process shares any: all but the pages of files
+
+
+def read_resident_memory() -> ResidentMemory | None:
     """None where the kernel does not tell."""
     try:
         descriptor = os.open(STATM, os.O_RDONLY | os.O_CLOEXEC)
@@ -16,6 +25,13 @@
             fields = os.read(descriptor, 256).split()
         finally:
             os.close(descriptor)
-        return int(fields[1]) * PAGE_BYTES
+        total, shared = int(fields[1]), int(fields[2])
+        return ResidentMemory(total * PAGE_BYTES, (total - shared) * PAGE_BYTES)
     except (OSError, ValueError, IndexError):
         return None
+
+
+def resident_bytes() -> int | None:
+    """None where the kernel does not tell."""
+    found = read_resident_memory()
+    return None if found is None else found.total
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -23,8 +23,9 @@
 from lupinmill import terms as t
 from lupinmill.admin.operator_overrides import Mode, OperatorOverrides
 from lupinmill.handover import handover_state
-from lupinmill.handover.driver import Handover, UpgradeSocket
+from lupinmill.handover.driver import Handover
 from lupinmill.handover.upgrade_protocol import VERSION, CommandKind, Phase, UpgradeProtocol
+from lupinmill.handover.upgrade_socket import UpgradeSocket
 from lupinmill.program.process_settings import parse_settings
 from lupinmill.program.sidecar import Program
 from lupinmill.protocol.http import Answer
@@ -104,7 +105,7 @@
 
 EVENTS = strategies.lists(
     strategies.tuples(
-        strategies.sampled_from(["hello", "foreign", "stranger", "serving", "lost", "leave"]),
+        strategies.sampled_from(["prepare", "hello", "foreign", "stranger", "serving", "lost", "leave"]),
     ),
     max_size=30,
 )
@@ -114,14 +115,19 @@
 @given(EVENTS)
 def test_one_process_at_least_accepts_at_each_moment(events):
     one = UpgradeProtocol("n1", "a:1")
-    linked = successor_serves = shutting_down = False
+    prepared = linked = successor_serves = shutting_down = False
     for (event,) in events:
-        if event == "hello":
-            command = one.on_hello(HELLO, True)
-            assert (command.kind is CommandKind.SEND_STATE) == (
-                not linked and not (shutting_down and successor_serves)
-            )
-            linked = linked or command.kind is CommandKind.SEND_STATE
+        free = not prepared and not linked and not (shutting_down and successor_serves)
+        if event == "prepare":
+            command = one.on_prepare(HELLO | {"say": "prepare"}, True)
+            assert (command.kind is CommandKind.MAKE_ROOM) == free
+            prepared = prepared or free
+        elif event == "hello":
+            assert prepared or one.on_hello(HELLO, True, prepared=True).kind is CommandKind.REFUSE
+            assert not prepared or one.on_hello(HELLO, True).kind is CommandKind.REFUSE  # of another process
+            command = one.on_hello(HELLO, True, prepared)
+            assert (command.kind is CommandKind.SEND_STATE) == (free or prepared)
+            prepared, linked = False, linked or command.kind is CommandKind.SEND_STATE
         elif event == "foreign":
             assert one.on_hello(HELLO | {"name": "n2"}, True).kind is CommandKind.REFUSE
         elif event == "stranger":
@@ -130,10 +136,11 @@
             commands = one.on_serving()
             assert bool(commands) == (linked and not successor_serves)
             successor_serves = successor_serves or linked
-        elif event == "lost" and linked:
+        elif event == "lost" and (linked or prepared):
             commands = [command.kind for command in one.on_link_lost()]
             assert (CommandKind.RESUME in commands) == (successor_serves and not shutting_down)
-            linked, successor_serves = False, successor_serves and shutting_down
+            prepared = linked = False
+            successor_serves = successor_serves and shutting_down
         elif event == "leave":
             one.on_shutdown()
             shutting_down = True
--- a/tests/test_start_faults.py
+++ b/tests/test_start_faults.py
@@ -18,7 +18,8 @@
 from test_sidecar import fine, until
 
 from lupinmill.handover import driver
-from lupinmill.handover.driver import Handover, UpgradeSocket
+from lupinmill.handover.driver import Handover
+from lupinmill.handover.upgrade_socket import UpgradeSocket
 from lupinmill.program import sidecar
 from lupinmill.program.logs import MAX_QUEUED_BYTES, Logs
 from lupinmill.program.sidecar import Program
--- a/tests/test_start_signals.py
+++ b/tests/test_start_signals.py
@@ -12,7 +12,8 @@
 from start_bed import LIMIT, ROOT, begin, events, hooked, line_of, running, table
 from test_sidecar import fine, until
 
-from lupinmill.handover.driver import UpgradeSocket
+from lupinmill.handover.upgrade_socket import UpgradeSocket
+from lupinmill.transport.link_frames import frame
 from lupinmill.program import sidecar
 from lupinmill.transport.listener import Listener
 
@@ -90,8 +91,10 @@
     assert process.returncode == 0 and errors == b"" and events(output)[-1] == "stopped"
 
 
-def test_a_signal_to_end_while_the_other_process_of_an_upgrade_says_nothing(tmp_path):
-    """Regression: exit status -15."""
+@pytest.mark.parametrize("room_made", [False, True])
+def test_a_signal_to_end_while_the_other_process_of_an_upgrade_says_nothing(room_made, tmp_path):
+    """Regression: exit status -15. The other process says nothing to the request for room, or made room and
+    then says nothing to the request for its state."""
     listen = "127.0.0.1:0"
     silent = UpgradeSocket(str(tmp_path), "n1", listen).listen()
     silent.setblocking(True)
@@ -100,7 +103,11 @@
         other, _ = silent.accept()
         with other:
             other.settimeout(LIMIT)
-            assert b"hello" in other.recv(4096)  # the program waits for the answer now
+            assert b"prepare" in other.recv(4096)
+            if room_made:
+                other.sendall(frame(b'{"say":"go"}'))
+                assert b"hello" in other.recv(4096)
+            # the program waits for the answer now
             process.send_signal(signal.SIGTERM)
             output, errors = process.communicate(timeout=LIMIT)
             assert other.recv(1) == b""  # the program did not report that it serves
