--- a/lupinmill/lab/earlier_names.py
+++ b/lupinmill/lab/earlier_names.py
@@ -135,6 +135,10 @@
 }
 
 
+# Events and commands that no earlier module has: the lab names them, and never meets one.
+ADDED_SINCE = ("ResponseStalled", "AbandonAttempt")
+
+
 def adapt(modules: dict[str, ModuleType]) -> None:
     """Gives each of the loaded modules (`terms`, `workings`, `rules`) the names of today that it lacks."""
     for module_name, module in modules.items():
@@ -145,8 +149,13 @@
             if hasattr(module, earlier) and not hasattr(module, current):
                 setattr(module, current, getattr(module, earlier))
     terms = modules.get("terms")
-    if terms is not None and not hasattr(terms, "LOGGED_NAMES"):
+    if terms is None:
+        return
+    if not hasattr(terms, "LOGGED_NAMES"):
         terms.__dict__["LOGGED_NAMES"] = {}
+    for added in ADDED_SINCE:
+        if not hasattr(terms, added):
+            setattr(terms, added, type(added, (), {}))
 
 
 def rename_attributes(cls: type, attributes: dict[str, str]) -> None:
--- a/lupinmill/lab/virtual/recorded.py
+++ b/lupinmill/lab/virtual/recorded.py
@@ -16,6 +16,7 @@
 RECORDED_FIELDS: dict[type, dict[str, str]] = {
     t.StartAttempt: {"request": "submission"},
     t.CancelAttempt: {"request": "submission", "attempt": "launch"},
+    t.AbandonAttempt: {"request": "submission", "attempt": "launch"},
     t.RejectRequest: {"request": "submission", "retry_after": "come_back"},
     t.AbortResponse: {"request": "submission"},
 }
--- a/lupinmill/routing/attempt_runner.py
+++ b/lupinmill/routing/attempt_runner.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import anyio
 
@@ -10,7 +12,7 @@
 from lupinmill.limits.memory import FREE_ANSWER_BYTES
 from lupinmill.protocol import client_requests
 from lupinmill.protocol.http import Answer, ClientSide, Garbled, Request
-from lupinmill.routing.deadline import MAX_PAUSE_S, Deadline
+from lupinmill.routing.deadline import Deadline
 from lupinmill.routing.delivery_watch import DeliveryWatch
 from lupinmill.routing.directory import EndpointDirectory
 from lupinmill.routing.engine import Log, error_fields
@@ -24,6 +26,8 @@
 # Microseconds after which a client may have disconnected unnoticed: since its request arrived, ...
 UNSEEN_AGE_US = 50_000
 UNSEEN_LATENESS_US = 25_000  # ... or of event loop lag
+# seconds for a response that was sent before the endpoint closed the connection, and is still unread
+EARLY_RESPONSE_S = 0.25
 
 
 class PrematureResponse(Exception):
@@ -44,6 +48,13 @@
     load: t.LoadReport | None = None
 
 
+def outcome_of_ended(attempt: Attempt) -> t.Outcome:
+    """The outcome of an attempt that this process ended while it waited for the response."""
+    if attempt.cancelled:
+        return t.Outcome.CALLED_OFF
+    return t.Outcome.SPOILT if attempt.abandoned else t.Outcome.TIMED_OUT
+
+
 class AttemptRunner:
     def __init__(
         self,
@@ -87,7 +98,7 @@
                 result.load = client_requests.load_report(answer)
                 self.classify_response(pending, attempt, answer, result)
             if result.outcome is None and attempt.fully_sent:
-                result.outcome = t.Outcome.CALLED_OFF if attempt.cancelled else t.Outcome.TIMED_OUT
+                result.outcome = outcome_of_ended(attempt)
         except Unconnected:
             result.outcome = t.Outcome.UNCONNECTED
         except PrematureResponse:
@@ -140,7 +151,7 @@
                             continue  # the endpoint closed the idle connection before it handled a byte
                         raise
                     attempt.fully_sent, attempt.sent_at = True, self.request_table.engine.clock.now()
-                    answer = await self.read_response(connection, side, attempt.deadline, pending.memory)
+                    answer = await self.read_attempt_response(connection, side, pending, attempt)
                     attempt.unread_time = connection.unread_time()
                 else:
                     answer = await self.exchange_streaming(connection, side, pending, attempt, request)
@@ -229,12 +240,12 @@
             except OSError:
                 # A response sent before the endpoint closed may still be unread; the end of the stream
                 # follows at once.
-                group.cancel_scope.deadline = anyio.current_time() + MAX_PAUSE_S
+                group.cancel_scope.deadline = anyio.current_time() + EARLY_RESPONSE_S
 
         async with anyio.create_task_group() as group:
             group.start_soon(send_all)
             try:
-                answer = await self.read_response(connection, side, attempt.deadline, pending.memory)
+                answer = await self.read_attempt_response(connection, side, pending, attempt)
                 attempt.unread_time = connection.unread_time()
             except (OSError, Garbled) as error:
                 failed = failed or error
@@ -272,12 +283,22 @@
             raise Unconnected(f"no address for {endpoint}")
         return address
 
+    async def read_attempt_response(
+        self, connection: Connection, side: ClientSide, pending: PendingRequest, attempt: Attempt
+    ) -> Answer:
+        on_stall = partial(self.request_table.report_stall, pending, attempt)
+        return await self.read_response(connection, side, attempt.deadline, pending.memory, on_stall)
+
     async def read_response(
-        self, connection: Connection, side: ClientSide, deadline: Deadline, memory: MemoryLease | None = None
+        self,
+        connection: Connection,
+        side: ClientSide,
+        deadline: Deadline,
+        memory: MemoryLease | None = None,
+        on_stall: Callable[[], None] = lambda: None,
     ) -> Answer:
-        """Reads the response. Guards against responses that start and never end: waiting until the hard limit
-        would leave no time for another attempt. For a large response this returns the head, and the body is
-        taken from `side`. A response that `memory` has no room for counts as large."""
+        """Reads the response; `on_stall`: see `Deadline.receive`. For a large response this returns the head,
+        and the body is taken from `side`. A response that `memory` has no room for counts as large."""
         leased = FREE_ANSWER_BYTES
         while True:
             side.advance()
@@ -290,7 +311,7 @@
                 return answer
             if side.large and side.received_answer is not None:
                 return side.received_answer
-            side.feed(await deadline.receive(connection, side.begun()))
+            side.feed(await deadline.receive(connection, side.begun(), on_stall))
 
     async def probe(self, endpoint: str) -> None:
         clock = self.request_table.engine.clock
--- a/lupinmill/routing/command_executor.py
+++ b/lupinmill/routing/command_executor.py
@@ -27,6 +27,7 @@
         engine.command_handlers |= {
             t.StartAttempt: self.start_attempt,
             t.CancelAttempt: self.cancel_attempt,
+            t.AbandonAttempt: self.abandon_attempt,
             t.RejectRequest: self.reject_request,
             t.AbortResponse: self.abort_response,
             t.StartProbe: self.start_probe,
@@ -66,6 +67,13 @@
             attempt.cancelled = True
             attempt.deadline.scope.cancel()
 
+    def abandon_attempt(self, command: t.AbandonAttempt) -> None:
+        pending = self.request_table.pending_requests.get(command.request)
+        if pending is not None:
+            attempt = pending.attempts[command.attempt]
+            attempt.abandoned = True
+            attempt.deadline.scope.cancel()
+
     def reject_request(self, command: t.RejectRequest) -> None:
         if pending := self.request_table.pending_requests.get(command.request):
             self.request_table.settle(pending, client_requests.rejection(command.retry_after))
--- a/lupinmill/routing/deadline.py
+++ b/lupinmill/routing/deadline.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 import anyio
 import anyio.lowlevel
 
-from lupinmill.protocol.http import Garbled
 from lupinmill.transport.connection import Connection
 
-MAX_PAUSE_S = 0.25  # seconds between two parts of a response of up to 64 KiB
+STALL_S = 0.25  # seconds between two parts of a response of up to 64 KiB after which it counts as stalled
 
 
 class Deadline:
@@ -34,18 +34,21 @@
             # a later limit takes effect after this wait
             self.waiting.deadline = min(self.waiting.deadline, at)
 
-    async def receive(self, connection: Connection, begun: bool) -> bytes:
-        """Returns the next bytes of a response, empty at its end. Raises Garbled if a response that has begun
-        pauses for `MAX_PAUSE_S`, and OSError if the connection broke. At the limit the scope is cancelled."""
+    async def receive(
+        self, connection: Connection, begun: bool, on_stall: Callable[[], None] = lambda: None
+    ) -> bytes:
+        """Returns the next bytes of a response, empty at its end. Calls `on_stall` once if a response that
+        has begun pauses for `STALL_S`, and waits on. Raises OSError if the connection broke. At the limit the
+        scope is cancelled."""
         # Guards against responses of many reads after the loop was blocked: with one pass of the loop for
         # each read, due timers would fire between them.
         if begun and (data := connection.read()) is not None:
             return data
         self.scope.deadline = math.inf
-        pause_ends = anyio.current_time() + MAX_PAUSE_S if begun else math.inf
+        stalls_at = anyio.current_time() + STALL_S if begun else math.inf
         while True:
             try:
-                with anyio.CancelScope(deadline=min(pause_ends, self.at)) as self.waiting:
+                with anyio.CancelScope(deadline=min(stalls_at, self.at)) as self.waiting:
                     return await connection.receive()
             finally:
                 self.waiting = None
@@ -55,5 +58,6 @@
             if now >= self.at:
                 self.scope.cancel()
                 await anyio.lowlevel.checkpoint()
-            elif now >= pause_ends:
-                raise Garbled("the response stalled before its end")
+            elif now >= stalls_at:
+                stalls_at = math.inf
+                on_stall()
--- a/lupinmill/routing/request_table.py
+++ b/lupinmill/routing/request_table.py
@@ -31,6 +31,7 @@
     fully_sent: bool = False  # the last byte was sent; from here on it may have run
     sent_at: int = 0  # when the last byte was sent
     cancelled: bool = False
+    abandoned: bool = False  # its response has stalled, and another attempt takes its place
     unread_time: int = 0  # microseconds that its response lay unread
     end_reported: bool = False  # the decision module knows its end, because a large response had begun
     in_flight: bool = True
@@ -188,11 +189,21 @@
         began = attempt.sent_at or attempt.started_at
         name, took = pending.metadata.request_id, self.engine.clock.now() - began - attempt.unread_time
         took = max(took, MIN_DURATION_US)
-        last = pending.body is not None and not (pending.body.can_restart() and self.time_left(pending) > 0)
+        last = self.is_last_attempt(pending)
         self.engine.handle_event(
             t.AttemptEnded(name, attempt.number, outcome, took, pending.settled, load, last)
         )
 
+    def report_stall(self, pending: PendingRequest, attempt: Attempt) -> None:
+        """The response to the attempt has begun, and pauses."""
+        name, last = pending.metadata.request_id, self.is_last_attempt(pending)
+        self.engine.handle_event(t.ResponseStalled(name, attempt.number, last))
+
+    def is_last_attempt(self, pending: PendingRequest) -> bool:
+        """Whether no other attempt is possible, as part of a large body was not kept."""
+        body = pending.body
+        return body is not None and not (body.can_restart() and self.time_left(pending) > 0)
+
     def time_left(self, pending: PendingRequest) -> int:
         """Microseconds that the client still waits, at least: the deadline that an attempt starting now is
         given."""
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -527,8 +527,9 @@
             else:
                 full.append(best.zone)
 
-    def may_attempt(self, request: RequestState) -> bool:
-        """Whether a first or another attempt is allowed: by rule 2 and by the deployment."""
+    def may_attempt(self, request: RequestState, ending: int = 0) -> bool:
+        """Whether a first or another attempt is allowed: by rule 2 and by the deployment. `ending`: so many
+        pending attempts count as ended."""
         if (
             request.done
             or request.streaming
@@ -539,7 +540,7 @@
         if request.body_received and self.message_queue.now >= request.due - request.settings.deadline_margin:
             return False  # it is about to be answered
         first = request.first_possible_run()
-        if first is None or request.pending_count() and not request.settings.hedging_allowed:
+        if first is None or request.pending_count() > ending and not request.settings.hedging_allowed:
             return first is None
         if request.workload.repeat is t.RepeatPolicy.DEDUPLICATED:
             return self.message_queue.now < self.window_end(request, first)
@@ -858,19 +859,13 @@
             self.finish(request)
 
     def plan_retry(self, request: RequestState) -> bool:
-        now = self.message_queue.now
-        too_late = now + int(self.latency_estimate(request.workload).uncrowded * 0.5) > request.contract_end
-        budget_spent = self.retries.total(now) + 1 >= RETRY_BUDGET_SHARE * self.new_requests.total(now)
-        if request.held or too_late or budget_spent or not self.may_attempt(request):
-            return False
-        # Inner tiers pass failures up, or retries would multiply; except what never ran, and unreadable
-        # answers.
-        if (
-            not self.settings.is_front
-            and request.first_possible_run() is not None
-            and not request.last_spoilt
-        ):
+        if not self.retry_fits(request, request.last_spoilt) or not self.may_attempt(request):
             return False
+        self.schedule_retry(request)
+        return True
+
+    def schedule_retry(self, request: RequestState) -> None:
+        now = self.message_queue.now
         self.retries.add(now)
         request.retrying = True
         ceiling = min(
@@ -879,7 +874,47 @@
             (request.due - now) // 2,
         )
         self.message_queue.set_timer(now + self.random_source.upto(max(0, ceiling)), self, RetryDue(request))
-        return True
+
+    def retry_fits(self, request: RequestState, spoilt: bool) -> bool:
+        """Whether another attempt has time left and is within the retry budget. `spoilt`: the last answer
+        can't be read."""
+        now = self.message_queue.now
+        too_late = now + int(self.latency_estimate(request.workload).uncrowded * 0.5) > request.contract_end
+        budget_spent = self.retries.total(now) + 1 >= RETRY_BUDGET_SHARE * self.new_requests.total(now)
+        if request.held or too_late or budget_spent:
+            return False
+        # Inner tiers pass failures up, or retries would multiply; except what never ran, and unreadable
+        # answers.
+        return self.settings.is_front or spoilt or request.first_possible_run() is None
+
+    def on_response_stalled(self, event: t.ResponseStalled) -> None:
+        """The response may go on, as endpoints stand still for up to half a second, or never. Another attempt
+        begins beside it; where only one may be pending, it is abandoned if another can take its place."""
+        request = self.requests.get(event.request)
+        if request is None or request.retrying or request.pending_count() != 1:
+            return
+        if not 0 <= event.attempt < len(request.attempts) or not request.attempts[event.attempt].pending:
+            return
+        request.body_lost = request.body_lost or event.last
+        if not self.retry_fits(request, True):
+            return
+        if self.may_attempt(request):
+            self.schedule_retry(request)
+        elif self.may_attempt(request, ending=1) and self.has_untried_endpoint(request):
+            self.abandon(request, event.attempt)
+
+    def abandon(self, request: RequestState, number: int) -> None:
+        """The attempt counts as ended at once, so that what lets another one take its place still holds."""
+        self.message_queue.commands.append(t.AbandonAttempt(request.name, number))
+        duration = self.message_queue.now - request.attempts[number].sent_at
+        self.on_attempt_ended(t.AttemptEnded(request.name, number, t.Outcome.SPOILT, duration))
+
+    def has_untried_endpoint(self, request: RequestState) -> bool:
+        tried = [attempt.endpoint_state for attempt in request.attempts]
+        return any(
+            endpoint not in tried and endpoint.is_available() and self.is_eligible(endpoint, request, tried)
+            for endpoint in self.endpoint_states.values()
+        )
 
     def on_retry_due(self, event: RetryDue) -> None:
         request = event.request
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -191,6 +191,15 @@
     attempt: int
 
 
+@dataclass(slots=True)
+class ResponseStalled:
+    """The response to an attempt has begun, and pauses. The attempt goes on."""
+
+    request: str
+    attempt: int
+    last: bool = False  # as in `AttemptEnded`
+
+
 @dataclass(slots=True)
 class AttemptEnded:
     """The outcome of an attempt."""
@@ -273,6 +282,7 @@
     ListReceived
     | RequestArrived
     | ResponseStarted
+    | ResponseStalled
     | AttemptEnded
     | RequestCancelled
     | TimerFired
@@ -304,6 +314,14 @@
     attempt: int
 
 
+@dataclass(slots=True)
+class AbandonAttempt:
+    """End an attempt whose response has stalled, as spoilt, for another attempt in its place."""
+
+    request: str
+    attempt: int
+
+
 @dataclass(slots=True)
 class RejectRequest:
     """Answer that the request was not handled and that repeating it is safe, after `retry_after` if not 0."""
@@ -349,6 +367,7 @@
 Command = (
     StartAttempt
     | CancelAttempt
+    | AbandonAttempt
     | RejectRequest
     | AbortResponse
     | SetTimer
@@ -363,6 +382,7 @@
     RequestArrived: "Arrived",
     RequestBodyReceived: "Whole",
     ResponseStarted: "Started",
+    ResponseStalled: "Stalled",
     AttemptEnded: "Ended",
     RequestCancelled: "Withdrawn",
     TimerFired: "Woke",
@@ -373,6 +393,7 @@
     DeploymentChanged: "Deployed",
     StartAttempt: "Launch",
     CancelAttempt: "CallOff",
+    AbandonAttempt: "Abandon",
     RejectRequest: "Deny",
     AbortResponse: "BreakOff",
     SetTimer: "WakeMe",
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -154,6 +154,9 @@
             self.watches.append(self.now)
         elif isinstance(command, t.CancelAttempt):
             assert command.attempt < len(self.attempts[command.request])
+        elif isinstance(command, t.AbandonAttempt):
+            assert command.request in self.unanswered and self.out(command.request) == [command.attempt]
+            self.attempts[command.request][command.attempt]["how"] = t.Outcome.SPOILT
 
     def maybe(self, name: str) -> list[dict]:
         return [f for f in self.attempts[name] if f["how"] not in NEVER]
