--- a/lupinmill/limits/memory.py
+++ b/lupinmill/limits/memory.py
@@ -25,12 +25,14 @@
 CONNECTION_SHARE = 0.4  # of the room: at most for connections
 # of the room, and bytes: for what is kept of bodies over 64 KiB
 LARGE_BODY_SHARE, MIN_LARGE_BODY_MEMORY = 0.25, 1 << 20
-MIN_CLIENTS = 8  # with an open request and its body each: with less room the process does not start
+MIN_CLIENTS = 8  # with an open request and its body each: with less room the program does not start
+# bytes of an endpoint in the list of a starting process, before the decision module has it, at least
+LISTED_ENDPOINT_MEMORY = 512
 MIN_REQUESTS_MEMORY = MIN_CLIENTS * REQUEST_MEMORY  # bytes that requests may lease however much else grows
 
 
 class NotEnoughMemory(Exception):
-    """The limit leaves no room for `MIN_CLIENTS`. `needed`: bytes that would."""
+    """The limit leaves no room. `needed`: bytes that would."""
 
     def __init__(self, needed: int) -> None:
         super().__init__(f"at least {needed} bytes are needed")
@@ -48,20 +50,28 @@
     large_bodies: int  # of which for what is kept of bodies over 64 KiB
 
 
-def reserve(limit: int) -> int:
-    """Bytes of the limit that are not given out."""
-    return max(MIN_RESERVE, limit - int(limit * (1 - RESERVE_FRACTION)))
+MIN_ROOM = MIN_CLIENTS * (CONNECTION_MEMORY + REQUEST_MEMORY + MAX_BODY_BYTES)
+
+
+def check_program(limit: int, program: int) -> None:
+    """Raises NotEnoughMemory if the program alone, without a list of endpoints, leaves no room for
+    `MIN_CLIENTS` with a body each. `program`: bytes that it holds."""
+    if limit < (needed := program + MIN_ROOM + FRAGMENTATION_MEMORY):
+        raise NotEnoughMemory(needed)
+
+
+def reserve(limit: int, base: int) -> int:
+    """Bytes of the limit that are not given out. A long list of endpoints takes room from the part for a
+    successor first."""
+    wanted = max(MIN_RESERVE, limit - int(limit * (1 - RESERVE_FRACTION)))
+    return max(FRAGMENTATION_MEMORY, min(wanted, limit - base - MIN_ROOM))
 
 
 def divide(limit: int, base: int, max_clients: int) -> MemoryPlan:
-    """Raises NotEnoughMemory. `max_clients`: as many as descriptors allow."""
-    room = limit - reserve(limit) - base
+    """`max_clients`: as many as descriptors allow. Where a list of endpoints leaves no room, some clients are
+    served nevertheless: a list is no reason to serve nobody."""
+    room = max(MIN_ROOM, limit - reserve(limit, base) - base)
     least_requests = MIN_CLIENTS * (REQUEST_MEMORY + MAX_BODY_BYTES)
-    least = MIN_CLIENTS * CONNECTION_MEMORY + least_requests
-    if room < least:
-        raise NotEnoughMemory(
-            max(base + least + MIN_RESERVE, int((base + least) / (1 - RESERVE_FRACTION)) + 1)
-        )
     for_clients = min(int(room * CONNECTION_SHARE), room - least_requests)
     clients = max(MIN_CLIENTS, min(max_clients, for_clients // CONNECTION_MEMORY))
     requests = room - clients * CONNECTION_MEMORY
--- a/lupinmill/program/process_memory.py
+++ b/lupinmill/program/process_memory.py
@@ -10,11 +10,15 @@
 
 from lupinmill.limits.memory import (
     CONNECTION_MEMORY,
+    LISTED_ENDPOINT_MEMORY,
     MIN_REQUESTS_MEMORY,
+    MIN_RESERVE,
     GrowthEstimate,
     MemoryPlan,
     NotEnoughMemory,
+    check_program,
     divide,
+    reserve,
 )
 from lupinmill.limits.upgrade_memory import SharedLimit, check_limit, least_limit, successor_memory
 from lupinmill.program.process_settings import StartupError
@@ -46,33 +50,30 @@
         self.refused = 0  # requests refused for want of memory
         self.last_refusal: float | None = None  # seconds of the loop's clock; None: memory is not short
 
-    def check_start(self) -> None:
-        """Raises StartupError if the limit leaves no room for a handful of clients."""
+    def check_start(self, endpoints: int) -> None:
+        """Raises StartupError if the limit leaves no room for a handful of clients beside the program itself.
+        `endpoints`: number of those in the list that is in memory already."""
+        if self.limit is None:
+            return
+        program = (resident_bytes() or ASSUMED_BASE) - endpoints * LISTED_ENDPOINT_MEMORY
         try:
-            self.make_plan(resident_bytes() or ASSUMED_BASE)
+            check_program(self.limit, program)
         except NotEnoughMemory as error:
             text = "leaves no room for clients beside the program itself"
             raise StartupError(
                 f"limits.memory_mb: {self.limit / MIB:g} {text}; {error.needed / MIB:.1f} would do"
             ) from error
 
-    def make_plan(self, base: int) -> MemoryPlan | None:
-        if self.limit is None:
-            return None
-        return divide(self.limit, base, self.descriptors.client_limit)
-
     def divide(self) -> None:
         """Divides the limit. To be called when everything that stays is in memory, and before the first
         client."""
-        resident = read_resident_memory() or ResidentMemory(ASSUMED_BASE, ASSUMED_BASE)
-        try:
-            plan = self.make_plan(resident.total)
-        except NotEnoughMemory as error:
-            # It was enough when the start was checked: a list that came since has taken the room.
-            self.log("memory_short", needed_mb=round(error.needed / MIB, 1))
-            plan = divide(error.needed, resident_bytes() or ASSUMED_BASE, self.descriptors.client_limit)
-        if plan is None:
+        if self.limit is None:
             return
+        resident = read_resident_memory() or ResidentMemory(ASSUMED_BASE, ASSUMED_BASE)
+        if reserve(self.limit, resident.total) < MIN_RESERVE:
+            release_free_memory()  # decoding a long list has left some
+            resident = read_resident_memory() or resident
+        plan = divide(self.limit, resident.total, self.descriptors.client_limit)
         self.plan, self.growth = plan, GrowthEstimate(plan.base)
         self.private_at_start = resident.private
         self.descriptors.client_limit = plan.clients
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -224,7 +224,7 @@
         if self.signals is not None and self.signals.shutdown_requested():
             self.log("leaving", signal="before the start", open=0)
             return False
-        self.memory.check_start()
+        self.memory.check_start(len(self.settings.initial_list.entries))
         failed: OSError | None = None
         async with anyio.create_task_group() as group:
             group.start_soon(self.watch_start_signals, signals, group.cancel_scope)
@@ -494,6 +494,9 @@
         except Exception as error:
             self.log("known_refused", **error_fields(error))
             self.directory.update(lists.EndpointList(0, True, [], {}), t.ListKind.CACHED)
+        # The directory and the decision module have what they need of it.
+        self.settings.initial_list.entries.clear()
+        self.settings.initial_list.addresses.clear()
         if state is None:
             return
         for name in self.overrides.cordoned:
--- a/lupinmill/protocol/http.py
+++ b/lupinmill/protocol/http.py
@@ -491,7 +491,9 @@
         self.advance()
         if not self.over or self.large or self.received_answer is None:
             return None
-        self.received_answer.body = bytes(self.body)
+        if not self.received_answer.body:
+            self.received_answer.body = bytes(self.body)
+            self.body.clear()  # a list of endpoints takes a megabyte, and memory may be short
         return self.received_answer
 
     def take(self) -> bytes:
--- a/lupinmill/protocol/lists.py
+++ b/lupinmill/protocol/lists.py
@@ -13,8 +13,11 @@
 from __future__ import annotations
 
 import ipaddress
+import json
+import re
 from dataclasses import dataclass, field
 from math import isfinite
+from sys import intern
 from typing import Any
 
 import orjson
@@ -31,6 +34,7 @@
 MAX_START_MS = 10**14  # Unix time; later values are not usable
 MAX_REASONS = 8  # refused rows that are reported one by one
 MAX_REASON_LENGTH = 160  # characters
+HALF_CHARACTER = re.compile(rb"\\u[dD][89a-fA-F]")  # of a surrogate pair, which may be incomplete
 UNREADABLE = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
@@ -52,7 +56,7 @@
 
 def weight(value: Any) -> float:
     """An unusable weight counts as 1, so that the endpoint attracts neither all traffic nor none."""
-    usable = isinstance(value, int | float) and 0 < value < 1e6
+    usable = isinstance(value, int | float) and 0 < value < 1e6 and value != 1
     return float(value) if usable else 1.0
 
 
@@ -99,9 +103,9 @@
     return t.ListEntry(
         endpoint=name_of(row),
         state=STATUSES[status],
-        zone=text(row.get("zone")),
-        kind=text(row.get("type")),
-        cell=text(row.get("group")),
+        zone=intern(text(row.get("zone"))),  # the same few for all endpoints
+        kind=intern(text(row.get("type"))),
+        cell=intern(text(row.get("group"))),
         started=start_time(row.get("since_ms")),
         weight=weight(row.get("weight")),
     )
@@ -120,8 +124,33 @@
     return address
 
 
+@dataclass(slots=True)
+class ListRow:
+    """What a row says of its endpoint."""
+
+    entry: t.ListEntry | None  # None: the row names no endpoint
+    address: str | None = None
+    refused: str = ""  # why the row is unusable
+
+
+def read_row(row: Any) -> ListRow:
+    """Never raises; for unusable rows see the module's comment."""
+    try:
+        name = name_of(row)
+    except ValueError as error:
+        return ListRow(None, refused=str(error)[:MAX_REASON_LENGTH])
+    try:
+        entry = parse_entry(row)
+        if entry.state is t.EndpointStatus.READY or row.get("address") is not None:
+            return ListRow(entry, address_of(row))
+        return ListRow(entry)
+    except UNREADABLE as error:
+        entry = t.ListEntry(name, t.EndpointStatus.DRAINING, text(row.get("zone")), text(row.get("type")))
+        return ListRow(entry, refused=f"{name}: {error}"[:MAX_REASON_LENGTH])
+
+
 def parse(table: Any) -> EndpointList:
-    """Raises Garbled where the table is not a list; for single rows see the module's comment."""
+    """`table`: as decoded by any JSON decoder, or by `decode`. Raises Garbled where it is not a list."""
     try:
         index, whole, rows = table["index"], bool(table.get("snapshot")), table["endpoints"]
         parsed = EndpointList(whole_number(index, "index"), whole, [], {})
@@ -132,33 +161,27 @@
     except UNREADABLE as error:
         raise Garbled(f"list of endpoints: {type(error).__name__} {error}"[:MAX_REASON_LENGTH]) from error
     for row in rows:
-        add_row(parsed, row)
+        add_row(parsed, row if isinstance(row, ListRow) else read_row(row))
     if rows and not parsed.entries:
         raise Garbled(f"list of endpoints: no row names an endpoint: {parsed.refused[0]}")
     return parsed
 
 
-def add_row(parsed: EndpointList, row: Any) -> None:
+def add_row(parsed: EndpointList, row: ListRow) -> None:
     """Adds one row to the list parsed so far."""
-    try:
-        name = name_of(row)
-    except ValueError as error:
+    if row.refused:
+        note_refused(parsed, row.refused)
+    if row.entry is None:
         parsed.unnamed += 1
-        note_refused(parsed, error)
         return
-    try:
-        entry = parse_entry(row)
-        if entry.state is t.EndpointStatus.READY or row.get("address") is not None:
-            parsed.addresses[name] = address_of(row)
-    except UNREADABLE as error:
-        note_refused(parsed, f"{name}: {error}")
-        entry = t.ListEntry(name, t.EndpointStatus.DRAINING, text(row.get("zone")), text(row.get("type")))
-    parsed.entries.append(entry)
+    if row.address is not None:
+        parsed.addresses[row.entry.endpoint] = row.address
+    parsed.entries.append(row.entry)
 
 
-def note_refused(endpoints: EndpointList, reason: object) -> None:
+def note_refused(endpoints: EndpointList, reason: str) -> None:
     if len(endpoints.refused) < MAX_REASONS:
-        endpoints.refused.append(str(reason)[:MAX_REASON_LENGTH])
+        endpoints.refused.append(reason)
 
 
 def initial_list(table: Any) -> EndpointList:
@@ -180,14 +203,32 @@
 
 
 def parse_response(answer: Answer) -> EndpointList:
+    """Takes the body, which is not kept while it is parsed. Raises Garbled."""
     if answer.status != 200:
         raise Garbled(f"discovery answered {answer.status}")
+    body, answer.body = answer.body, b""
     try:
-        return parse(orjson.loads(answer.body))
-    except orjson.JSONDecodeError as error:
+        return parse(decode(body))
+    except (ValueError, RecursionError) as error:
         raise Garbled(f"list of endpoints: {error}") from error
 
 
+def decode(body: bytes) -> Any:
+    """Decodes a list row by row: as tables the rows of 3,200 endpoints take 2 MB, and as much again within a
+    decoder that builds its own document first. Raises ValueError or RecursionError."""
+    if HALF_CHARACTER.search(body):
+        return orjson.loads(body)  # which refuses half of a surrogate pair
+    return json.loads(body.decode(), object_hook=compact_row, parse_constant=refuse_constant)
+
+
+def compact_row(table: dict[str, Any]) -> Any:
+    return table if "endpoints" in table else read_row(table)
+
+
+def refuse_constant(name: str) -> Any:
+    raise ValueError(f"{name} is not JSON")
+
+
 def watch_request(index: int | None, wait_ms: int) -> Request:
     """A long poll for changes after this version; without one, a request for the full list."""
     query = b"" if index is None else b"?index=%d&wait=%d" % (index, wait_ms)
--- a/lupinmill/routing/start_times.py
+++ b/lupinmill/routing/start_times.py
@@ -20,17 +20,21 @@
 
     def __init__(self, wall_clock: WallClock) -> None:
         self.wall_clock = wall_clock
-        # By endpoint: its start as listed and as converted, microseconds of Unix time.
-        self.resolved: dict[str, tuple[int, int]] = {}
+        # By endpoint, in microseconds of Unix time: its start as listed, and as converted where that differs.
+        self.listed: dict[str, int] = {}
+        self.converted: dict[str, int] = {}
 
     def resolve(self, entry: t.ListEntry, now: int) -> t.ListEntry:
         """`now`: microseconds of this process's time, which is never set. A start that was listed before is
         converted as it was then, or each step of the clock would look like a restart."""
-        listed, started = self.resolved.get(entry.endpoint, (-1, 0))
-        if listed != entry.started:
-            started = self.to_process_time(entry.started, now)
-            self.resolved[entry.endpoint] = entry.started, started
-        return entry if started == entry.started else replace(entry, started=started)
+        name = entry.endpoint
+        if self.listed.get(name, -1) != entry.started:
+            self.listed[name] = entry.started
+            self.converted.pop(name, None)
+            if (started := self.to_process_time(entry.started, now)) != entry.started:
+                self.converted[name] = started
+        converted = self.converted.get(name)
+        return entry if converted is None else replace(entry, started=converted)
 
     def to_process_time(self, listed: int, now: int) -> int:
         if not listed:
@@ -39,4 +43,5 @@
         return max((start for start in starts if start <= now + MAX_CLOCK_SKEW_US), default=listed)
 
     def retain(self, names: Container[str]) -> None:
-        self.resolved = {name: starts for name, starts in self.resolved.items() if name in names}
+        self.listed = {name: start for name, start in self.listed.items() if name in names}
+        self.converted = {name: start for name, start in self.converted.items() if name in names}
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -43,10 +43,13 @@
     RequestQueue,
     RequestTimeout,
     RetryDue,
+    SingleActor,
     mixed,
 )
 
 MS, SECOND = 1_000, 1_000_000
+INITIAL_AVERAGES = FleetAverages()
+NOTHING_COUNTED = BucketedSum(1, SECOND)  # of an endpoint without answers, as most of a large fleet are
 # Between two checks of the attempts in flight.
 CHECK_INTERVAL = 100 * MS
 RETRY_BASE_DELAY, RETRY_MAX_DELAY = 20 * MS, 1 * SECOND
@@ -213,7 +216,7 @@
         return 1.0 if self.sidecar_per_client else before / self.active_sidecars
 
 
-class Dispatcher(Actor):
+class Dispatcher(SingleActor):
     """Accepts, holds, routes, retries and rejects requests."""
 
     def __init__(
@@ -231,7 +234,7 @@
         self.cap = settings.cap_start  # common to all endpoints, of which each takes its share
         self.recent_reporters: deque[EndpointState] = deque(maxlen=RECENT_REPORTERS)
         self.averages, self.check_scheduled, self.check_count, self.rounding_draw, self.redraw_at = (
-            FleetAverages(),
+            INITIAL_AVERAGES,
             False,
             0,
             0.0,
@@ -1209,6 +1212,13 @@
 class EndpointActor(Actor):
     """Evaluates one endpoint: its share of the cap, and whether it is ready, ejected or on trial."""
 
+    __slots__ = (
+        "message_queue", "dispatcher", "registry", "random_source", "entry", "averages", "share",
+        "reported_load", "reported_at", "busy", "crowded", "mode", "in_flight", "last_heard", "pace",
+        "answers", "connection_failures", "failed", "answered", "ejection_time", "probe_serial",
+        "good_probes", "share_reduced_at", "brief_outage", "cold_since",
+    )  # fmt: skip
+
     def __init__(
         self,
         message_queue: MessageQueue,
@@ -1225,7 +1235,7 @@
             random_source,
             entry,
         )
-        self.averages, self.share = FleetAverages(), 1.0
+        self.averages, self.share = INITIAL_AVERAGES, 1.0
         self.reported_load: float | None = None
         self.reported_at, self.busy, self.crowded = 0, 1.0, False
         self.mode = "ready"  # or "aside" (ejected), "trial"
@@ -1234,7 +1244,7 @@
         self.pace: float | None = None
         # Answers since the last ejection; connection failures in a row.
         self.answers, self.connection_failures = 0, 0
-        self.failed, self.answered = BucketedSum(6, SECOND // 2), BucketedSum(6, SECOND // 2)
+        self.failed = self.answered = NOTHING_COUNTED
         self.ejection_time, self.probe_serial, self.good_probes, self.share_reduced_at, self.brief_outage = (
             EJECTION_TIME,
             0,
@@ -1290,6 +1300,7 @@
     def on_attempt_result(self, event: AttemptResult) -> None:
         self.in_flight, self.averages = self.in_flight - 1, event.averages
         if not event.overtaken:
+            self.start_counting()
             self.answered.add(self.message_queue.now)
             self.last_heard = (
                 self.last_heard if event.outcome is t.Outcome.TIMED_OUT else self.message_queue.now
@@ -1301,6 +1312,10 @@
             self.evaluate()
         self.send_report()
 
+    def start_counting(self) -> None:
+        if self.answered is NOTHING_COUNTED:
+            self.failed, self.answered = BucketedSum(6, SECOND // 2), BucketedSum(6, SECOND // 2)
+
     def record_handled(self, pace: float) -> None:
         self.connection_failures, self.answers = 0, self.answers + 1
         previous = pace if self.pace is None else self.pace
@@ -1311,6 +1326,7 @@
 
     def record_failure(self, outcome: t.Outcome) -> None:
         silence = self.message_queue.now - self.last_heard
+        self.start_counting()
         self.failed.add(self.message_queue.now)
         if outcome in (t.Outcome.UNCONNECTED, t.Outcome.RESET):
             # One failure to connect is enough: the probe that follows soon is cheaper than another attempt.
@@ -1457,7 +1473,7 @@
 
     def start_trial(self) -> None:
         self.mode, self.answers, self.pace, self.connection_failures = "trial", 0, None, 0
-        self.failed, self.answered = BucketedSum(6, SECOND // 2), BucketedSum(6, SECOND // 2)
+        self.failed = self.answered = NOTHING_COUNTED
         still_cold = (
             self.cold_since is not None
             and self.message_queue.now - self.cold_since < self.dispatcher.settings.cold_time
@@ -1470,7 +1486,7 @@
         self.send_report()
 
 
-class EndpointRegistry(Actor):
+class EndpointRegistry(SingleActor):
     """Follows the endpoint list, and grants ejections."""
 
     def __init__(
--- a/lupinmill/state/learned.py
+++ b/lupinmill/state/learned.py
@@ -18,7 +18,7 @@
     dispatcher = sidecar.dispatcher
     return {
         "beside": dispatcher.settings.sidecar_per_client,
-        "came": bucket_pairs(dispatcher.arrivals),
+        "came": dispatcher.arrivals.used_buckets(),
         "began": dispatcher.arrivals_since,
         "unhurried": dispatcher.uncrowded_latency,
         "each": dispatcher.warm_rate,
@@ -31,9 +31,9 @@
             name: [estimate.current, estimate.uncrowded, list(estimate.means)]
             for name, estimate in dispatcher.latency_estimates.items()
         },
-        "taken": bucket_pairs(dispatcher.new_requests),
-        "retried": bucket_pairs(dispatcher.retries),
-        "launched": bucket_pairs(dispatcher.attempts_sent),
+        "taken": dispatcher.new_requests.used_buckets(),
+        "retried": dispatcher.retries.used_buckets(),
+        "launched": dispatcher.attempts_sent.used_buckets(),
         "endpoints": {
             name: {
                 "mode": endpoint.mode,
@@ -111,13 +111,7 @@
     return float(value) if valid else default
 
 
-def bucket_pairs(window: BucketedSum) -> list[list[float]]:
-    return [[index, total] for index, total in zip(window.indexes, window.sums) if index >= 0]
-
-
 def restore_buckets(window: BucketedSum, pairs: list[list[float]]) -> None:
     """Both processes use the same clock, so the bucket indexes agree."""
     for index, total in pairs:
-        slot = int(index) % len(window.sums)
-        if window.indexes[slot] < index:
-            window.indexes[slot], window.sums[slot] = int(index), float(total)
+        window.restore(int(index), float(total))
--- a/lupinmill/workings.py
+++ b/lupinmill/workings.py
@@ -45,22 +45,43 @@
 class BucketedSum:
     """Sum over a sliding time window of `buckets * width` microseconds, in reused buckets."""
 
-    __slots__ = ("width", "sums", "indexes")
+    __slots__ = ("buckets", "width", "sums", "indexes")
 
     def __init__(self, buckets: int, width: int) -> None:
-        self.width, self.sums, self.indexes = width, [0.0] * buckets, [-1] * buckets
+        self.buckets, self.width = buckets, width
+        # None until something is added: most endpoints of a large fleet are never used by this sidecar.
+        self.sums: list[float] | None = None
+        self.indexes: list[int] | None = None
 
     def add(self, now: int, amount: float = 1.0) -> None:
+        if self.sums is None or self.indexes is None:
+            self.sums, self.indexes = [0.0] * self.buckets, [-1] * self.buckets
         index = now // self.width
-        slot = index % len(self.sums)
+        slot = index % self.buckets
         if self.indexes[slot] != index:
             self.indexes[slot], self.sums[slot] = index, 0.0
         self.sums[slot] += amount
 
     def total(self, now: int) -> float:
-        oldest = now // self.width - len(self.sums)
+        if self.sums is None or self.indexes is None:
+            return 0.0
+        oldest = now // self.width - self.buckets
         return sum(amount for amount, index in zip(self.sums, self.indexes) if index > oldest)
 
+    def used_buckets(self) -> list[list[float]]:
+        """Each with its index and its sum."""
+        if self.sums is None or self.indexes is None:
+            return []
+        return [[index, amount] for index, amount in zip(self.indexes, self.sums) if index >= 0]
+
+    def restore(self, index: int, amount: float) -> None:
+        """Sets a bucket, unless it is in use for a later time."""
+        if self.sums is None or self.indexes is None:
+            self.sums, self.indexes = [0.0] * self.buckets, [-1] * self.buckets
+        slot = index % self.buckets
+        if self.indexes[slot] < index:
+            self.indexes[slot], self.sums[slot] = index, amount
+
 
 class LatencyEstimate:
     """Latency of one workload: the current one, and the uncrowded one, which is the least mean of the last
@@ -93,10 +114,22 @@
     """Has an inbox, and a handler for each type of message: the method whose only argument is `event` of just
     that type."""
 
+    __slots__ = ("inbox",)
+
+    def __init__(self) -> None:
+        self.inbox: list[Any] | None = None  # messages that wait; None: none does
+
+    def take(self, event: Any) -> None:
+        getattr(self, handler_names(type(self))[type(event)])(event)
+
+
+class SingleActor(Actor):
+    """An actor of which there is one: it has a table of its own, which is faster."""
+
     def __init__(self) -> None:
-        self.inbox: list[Any] = []
+        super().__init__()
         self.handlers: dict[type, Callable[[Any], None]] = {
-            kind: getattr(self, name) for kind, name in handlers(type(self))
+            kind: getattr(self, name) for kind, name in handler_names(type(self)).items()
         }
 
     def take(self, event: Any) -> None:
@@ -104,14 +137,15 @@
 
 
 @cache
-def handlers(actor: type) -> tuple[tuple[type, str], ...]:
+def handler_names(actor: type) -> dict[type, str]:
+    """The name of the method for each type of message."""
     found: dict[type, str] = {}
     for name, method in vars(actor).items():
         kind = get_type_hints(method).get("event", Any) if callable(method) else Any
         if kind is not Any:
             assert kind not in found, f"{actor.__name__}: {found[kind]} and {name} take {kind.__name__}"
             found[kind] = name
-    return tuple(found.items())
+    return found
 
 
 class MessageQueue:
@@ -126,9 +160,11 @@
         self.serial = 0
 
     def send(self, actor: Any, event: Any) -> None:
-        if not actor.inbox:
+        if actor.inbox is None:
+            actor.inbox = [event]
             self.waiting.append(actor)
-        actor.inbox.append(event)
+        else:
+            actor.inbox.append(event)
 
     def set_timer(self, at: int, actor: Any, event: Any) -> None:
         self.serial += 1
@@ -137,7 +173,7 @@
     def run(self) -> None:
         while self.waiting:
             actor = self.waiting.popleft()
-            inbox, actor.inbox = actor.inbox, []
+            inbox, actor.inbox = actor.inbox, None
             for event in inbox:
                 try:
                     actor.take(event)
