--- a/lupinmill/routing/response_writer.py
+++ b/lupinmill/routing/response_writer.py
@@ -14,8 +14,11 @@
 
 # microseconds after the hard limit without a decision; reached only if the decision module fails
 DECISION_BACKSTOP_US = 20_000
-WRITE_TIMEOUT_S = 5.0  # seconds that a client may leave its response unread, ...
-PART_WRITE_TIMEOUT_S = 10.0  # ... or a part of a large one
+WRITE_TIMEOUT_S = 5.0  # seconds that a client may leave its response unread
+# Seconds without an acknowledged byte after which a client counts as gone in the middle of a large response.
+# A kernel with a full receive buffer acknowledges in steps of up to a sixteenth of it: 2 MiB of 32 MiB, for
+# which a client that reads 64 kB a second takes 32.8 s.
+STREAM_STALL_TIMEOUT_S = 35.0
 
 
 class ResponseWriter:
@@ -83,9 +86,7 @@
         return complete and self.goes_on(client, side)
 
     async def write(self, client: Client, data: bytes) -> None:
-        if data:
-            with anyio.fail_after(PART_WRITE_TIMEOUT_S):
-                await client.send(data)
+        await client.send_while_read(data, STREAM_STALL_TIMEOUT_S)
 
     async def send_answer(
         self,
--- a/lupinmill/transport/closing.py
+++ b/lupinmill/transport/closing.py
@@ -16,6 +16,7 @@
 
 from lupinmill.transport.client import Client, CloseReason
 from lupinmill.transport.descriptors import DescriptorBudget
+from lupinmill.transport.progress import AcknowledgementProgress
 
 LINGER_S = 1.0  # seconds for a client that has acknowledged everything to close its side
 STALLED_S = 5.0  # seconds without an acknowledgement after which a client counts as gone, ...
@@ -53,11 +54,11 @@
 
     async def drop_input(self, client: Client) -> None:
         """Returns when the client has closed its side, or has got all that was written, or stalls."""
-        progress = Progress(anyio.current_time(), client.unacknowledged())
+        progress = AcknowledgementProgress(anyio.current_time(), client.unacknowledged())
         # Without a last response that says so, the client may be sending a request: not read, it is not lost.
         waits_for_end = client.lingers and not client.resets
         dropped = 0
-        while (left := progress.seconds_left(anyio.current_time(), client.unacknowledged())) > 0:
+        while (left := seconds_left(progress, anyio.current_time(), client.unacknowledged())) > 0:
             if not waits_for_end and not progress.unacknowledged:
                 return
             with anyio.move_on_after(left):
@@ -100,17 +101,8 @@
         return counts | {"lingering": len(self.lingering)}
 
 
-class Progress:
-    """How long to wait for a client to acknowledge what was written, and then to close its side."""
-
-    def __init__(self, now: float, unacknowledged: int | None) -> None:
-        self.since, self.unacknowledged = now, unacknowledged or 0
-
-    def seconds_left(self, now: float, unacknowledged: int | None) -> float:
-        """Until the next look; zero or less if the wait is over. `unacknowledged`: bytes in the queue; None
-        where the kernel does not tell."""
-        count = unacknowledged or 0
-        if count < self.unacknowledged:
-            self.since, self.unacknowledged = now, count
-        left = self.since + (STALLED_S if count else LINGER_S) - now
-        return min(left, QUEUE_CHECK_S) if count else left
+def seconds_left(progress: AcknowledgementProgress, now: float, unacknowledged: int | None) -> float:
+    """Seconds until the next look at a client that may still acknowledge what was written, or close its side;
+    zero or less if the wait is over. `unacknowledged`: as in `AcknowledgementProgress.stalled_s`."""
+    left = (STALLED_S if unacknowledged else LINGER_S) - progress.stalled_s(now, unacknowledged)
+    return min(left, QUEUE_CHECK_S) if unacknowledged else left
--- a/lupinmill/transport/connection.py
+++ b/lupinmill/transport/connection.py
@@ -14,6 +14,7 @@
 
 from lupinmill.transport import wall_clock
 from lupinmill.transport.buffers import BlockPool, RingBuffer
+from lupinmill.transport.progress import AcknowledgementProgress
 from lupinmill.transport.wall_clock import KERNEL_ROUNDING_US
 
 SO_TIMESTAMPNS = 35  # socket option: the kernel returns with each read the time when its last bytes arrived
@@ -21,6 +22,7 @@
 LAST_DATA_OFFSET = 52  # offset in tcp_info of the milliseconds since the last data arrived
 # requests of `ioctl` on Linux: bytes written that the other side has not acknowledged; that were never sent
 SIOCOUTQ, SIOCOUTQNSD = 0x5411, 0x894B
+PROGRESS_CHECK_S = 0.25  # between two looks at a send queue that is full
 
 # Errors of a connect for which this machine, not the other side, is short of something: local ports, memory,
 # descriptors.
@@ -140,6 +142,27 @@
                 self.saw_reset = True
                 raise
 
+    async def send_while_read(self, data: bytes, stall_timeout_s: float) -> None:
+        """Like `send`, however slowly the other side reads. Raises TimeoutError if it acknowledges nothing
+        for `stall_timeout_s` seconds."""
+        rest = memoryview(data)
+        progress: AcknowledgementProgress | None = None
+        while rest:
+            try:
+                rest = rest[self.sock.send(rest) :]
+                progress = None
+            except BlockingIOError:
+                now = anyio.current_time()
+                progress = progress or AcknowledgementProgress(now, self.unacknowledged())
+                if progress.stalled_s(now, self.unacknowledged()) >= stall_timeout_s:
+                    raise TimeoutError("the other side reads nothing") from None
+                # tried again also where the kernel does not call the socket writable yet
+                with anyio.move_on_after(min(PROGRESS_CHECK_S, stall_timeout_s)):
+                    await anyio.wait_writable(self.sock)
+            except ConnectionResetError:
+                self.saw_reset = True
+                raise
+
     def is_idle(self) -> bool:
         """Whether both ends are open and nothing is unread."""
         try:
