--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -97,6 +97,7 @@
 SLOW_WORKLOAD_RATIO = 3.5  # multiple of the lowest workload's pace above which a workload is slow by itself
 # Spacing between sidecars that all lost the endpoint list; the longest delay before one polls again.
 POLL_SPACING, POLL_RETRY_MAX_DELAY = 30 * MS, 1_600 * MS
+START_SPACING = 40 * MS  # between the first polls of sidecars that all started together
 MAX_EJECTED_SHARE = 0.34  # on soft evidence at most this share of the endpoints is ejected
 
 
@@ -1506,23 +1507,12 @@
         self.dropped: set[str] = set()
 
     def on_list_received(self, event: t.ListReceived) -> None:
-        poll_span, failed = self.dispatcher.settings.poll_span, event.kind is t.ListKind.FAILED
-        # Backs off: discovery is overloaded, or the watch broke.
+        failed = event.kind is t.ListKind.FAILED
         self.failed_polls = self.failed_polls + 1 if failed else 0
-        base = min(SECOND, self.dispatcher.settings.configured_sidecars * POLL_SPACING) << min(
-            self.failed_polls, 4
-        )
-        delay = (
-            min(poll_span, POLL_RETRY_MAX_DELAY, base)
-            if failed
-            else poll_span * (event.kind is t.ListKind.CACHED)
-        )
-        if delay:  # jittered after a failure, spread after a cached list
-            self.message_queue.set_timer(
-                self.message_queue.now + failed * delay // 4 + self.random_source.upto(delay), self, PollDue()
-            )
         if failed:
-            return
+            return self.poll_after_failure()
+        if event.kind is t.ListKind.CACHED:
+            self.poll_after_start()
         if event.kind is not t.ListKind.CHANGES:
             listed_names = {entry.endpoint for entry in event.entries}
             for entry in [entry for name, entry in self.listed.items() if name not in listed_names]:
@@ -1530,6 +1520,24 @@
         for entry in sorted(event.entries, key=lambda entry: entry.state is t.EndpointStatus.READY):
             self.apply_entry(entry)  # leaving ones first: held requests go out as soon as a new one is ready
 
+    def poll_after_failure(self) -> None:
+        """Backs off: discovery is overloaded, or the watch broke."""
+        settings = self.dispatcher.settings
+        base = min(SECOND, settings.configured_sidecars * POLL_SPACING) << min(self.failed_polls, 4)
+        delay = min(settings.poll_span, POLL_RETRY_MAX_DELAY, base)
+        if delay:
+            self.poll_at(self.message_queue.now + delay // 4 + self.random_source.upto(delay))
+
+    def poll_after_start(self) -> None:
+        """The list may be old. The whole fleet may have started together, so its calls are spread."""
+        settings = self.dispatcher.settings
+        delay = min(settings.poll_span, settings.configured_sidecars * START_SPACING)
+        if delay:
+            self.poll_at(self.message_queue.now + self.random_source.upto(delay))
+
+    def poll_at(self, at: int) -> None:
+        self.message_queue.set_timer(at, self, PollDue())
+
     def apply_entry(self, entry: t.ListEntry) -> None:
         name, previous = entry.endpoint, self.listed.get(entry.endpoint)
         if not 0 < entry.weight < inf:
