Read requests in a module of their own: routing/request_reader.py out of client_handler.py

Change: RequestReader has what reads heads and bodies; no decision moved, tests patch the constants where they are now.

--- a/lupinmill/routing/client_handler.py
+++ b/lupinmill/routing/client_handler.py
@@ -3,65 +3,45 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import anyio
 import h11
 
-from lupinmill.limits.memory import REQUEST_MEMORY, head_memory
 from lupinmill.protocol.client_requests import rejection
 from lupinmill.protocol.http import (
-    END,
     MAX_BODY_BYTES,
     MAX_BUFFERED_BODY,
     Answer,
     Malformed,
     Request,
     ServerSide,
-    length_of,
     plain,
 )
 from lupinmill.routing.admission import AdmissionController
 from lupinmill.routing.engine import Log, error_fields
 from lupinmill.routing.request_body import RequestBody
 from lupinmill.routing.request_factory import RequestFactory
+from lupinmill.routing.request_reader import (
+    MemoryShortage,
+    ReadDeadline,
+    ReceivedRequest,
+    RequestReader,
+    discard_body,
+    max_upload_time,
+)
 from lupinmill.routing.request_table import PendingRequest
 from lupinmill.routing.response_writer import ResponseWriter
-from lupinmill.transport.buffers import MemoryBudget, MemoryLease
+from lupinmill.transport.buffers import MemoryBudget
 from lupinmill.transport.client import Client, CloseReason
 from lupinmill.transport.closing import LINGER_S, MAX_LINGER_S
-from lupinmill.transport.listener import REQUEST_TIMEOUT_S, Listener
+from lupinmill.transport.listener import Listener
 
-# bytes of a body that are buffered before its first attempt, if the memory budget allows
-MAX_PRELOADED_BODY = 1024 * 1024
-MIN_UPLOAD_RATE = 48_000  # bytes per second; a slower upload times out
 TURN_AWAY_TIMEOUT_S = 0.5  # seconds for a request on a connection for which no descriptor is free
 # Sent if a request was read in full and its task ends without a response. It is not the response of a
 # rejection, because an attempt may have run.
 FALLBACK_ANSWER = b"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 
-class MemoryShortage(Exception):
-    """There is no memory for a request that was being read. Nothing was attempted."""
-
-
-@dataclass(slots=True)
-class ReceivedRequest:
-    """A request that was read in full, or up to where its body is passed on as it arrives."""
-
-    request: Request
-    body: RequestBody | None  # over 64 KiB
-    memory: MemoryLease
-
-
-@dataclass(slots=True)
-class ReadDeadline:
-    """Time by which a request must be complete, by the event loop's clock."""
-
-    until: float
-    expired: bool = False  # the deadline passed, and the bytes that were unread then have been read
-
-
 class ClientHandler:
     def __init__(
         self,
@@ -81,8 +61,7 @@
             admission,
             log,
         )
-        self.request_memory = request_memory  # for open requests, ...
-        self.body_memory = body_memory  # ... and of it for what is kept of bodies over 64 KiB
+        self.reader = RequestReader(listener, request_factory.readiness, request_memory, body_memory)
         self.on_memory_shortage: Callable[[], None] = lambda: None
         self.retry_after = retry_after  # microseconds to advise in Retry-After when a client is turned away
         self.closing = lambda: False  # whether responses close their connections
@@ -158,7 +137,7 @@
     async def serve_next_request(self, client: Client, side: ServerSide) -> bool:
         """Returns True if the connection can serve another request. Nothing of the request outlives the call:
         the connection may then be idle for long."""
-        received = await self.read_request(client, side)
+        received = await self.reader.read_request(client, side)
         if received is None:
             return await self.has_next_request(client, side)
         return await self.handle_request(client, side, received)
@@ -272,7 +251,7 @@
     def open_request(self, client: Client, received: ReceivedRequest) -> PendingRequest | Answer:
         body, to_come = received.body, 0.0
         if body is not None and not body.complete:
-            to_come = REQUEST_TIMEOUT_S + ((body.length or MAX_BODY_BYTES) - body.end) / MIN_UPLOAD_RATE
+            to_come = max_upload_time(body)
         opened: PendingRequest | Answer | None = None
         try:
             opened = self.request_factory.create(received.request, client, body, to_come, received.memory)
@@ -291,7 +270,7 @@
             with anyio.move_on_after(self.response_writer.seconds_to_decision(pending)) as scope:
                 pending.client_wait = scope
                 if not pending.settled:
-                    complete = await self.collect_body(client, side, body, MAX_BODY_BYTES)
+                    complete = await self.reader.collect_body(client, side, body, MAX_BODY_BYTES)
         except Malformed:
             if not pending.settled:
                 raise
@@ -314,108 +293,6 @@
         self.response_writer.request_table.body_received(pending, due, latest_start)
         return True
 
-    async def read_request(self, client: Client, side: ServerSide) -> ReceivedRequest | None:
-        """Reads the next request, in full or with a body that is still arriving. Returns None if there is
-        none. Raises Malformed also if the request times out, and MemoryShortage."""
-        part = side.next_part()
-        while part is None and not side.begun():
-            if not (data := await self.listener.next_bytes(client)):
-                return None
-            side.feed(data)
-            part = side.next_part()
-        if part is None:
-            # however slowly the bytes arrive
-            deadline = ReadDeadline(anyio.current_time() + REQUEST_TIMEOUT_S)
-            while part is None:
-                if not await self.read_more(client, side, deadline):
-                    return None
-                part = side.next_part()
-        request = side.request
-        assert request is not None and part is request
-        memory, received = MemoryLease(self.request_memory), None
-        try:
-            if self.request_factory.readiness(request) is None:
-                require(memory, REQUEST_MEMORY + head_memory(len(request.headers)))
-            received = await self.read_body(client, side, request, memory)
-            return received
-        finally:
-            if received is None:
-                memory.release()
-
-    async def read_body(
-        self, client: Client, side: ServerSide, request: Request, memory: MemoryLease
-    ) -> ReceivedRequest | None:
-        """Reads up to 64 KiB, or up to 1 MiB if the memory budget allows."""
-        received, began = bytearray(), 0.0
-        deadline: ReadDeadline | None = None  # most bodies arrive together with their head and need none
-        while (part := side.next_part()) is not END and len(received) <= MAX_BUFFERED_BODY:
-            if isinstance(part, (bytes, bytearray)):
-                require(memory, len(part))
-                received += part
-                continue
-            if deadline is None:
-                began = anyio.current_time()
-                deadline = ReadDeadline(began + REQUEST_TIMEOUT_S)
-            deadline.until = began + REQUEST_TIMEOUT_S + side.size / MIN_UPLOAD_RATE
-            if not await self.read_more(client, side, deadline):
-                return None
-        if part is END:
-            request.body = bytes(received)
-            return ReceivedRequest(request, None, memory)
-        if isinstance(part, (bytes, bytearray)):
-            received += part
-        body = RequestBody(self.body_memory, length_of(request.headers))
-        try:
-            await body.put(bytes(received), False)
-            received.clear()
-            if body.fully_buffered() and not await self.collect_body(client, side, body, MAX_PRELOADED_BODY):
-                body.drop()
-                return None
-        except BaseException:
-            body.drop()
-            raise
-        return ReceivedRequest(request, body, memory)
-
-    async def collect_body(self, client: Client, side: ServerSide, body: RequestBody, max_bytes: int) -> bool:
-        """Reads until the end of the body, or until `max_bytes` are buffered or the memory budget is
-        exhausted. Time during which no attempt takes the buffered bytes does not count against a slow upload.
-        Returns False if the client disconnected."""
-        began, before = anyio.current_time(), side.size
-        deadline = ReadDeadline(began + REQUEST_TIMEOUT_S)
-        while body.end < max_bytes or max_bytes == MAX_BODY_BYTES:
-            part = side.next_part()
-            if part is END:
-                body.finish()
-                return True
-            if part is None:
-                if not await self.read_more(client, side, deadline):
-                    return False
-            else:
-                asked = anyio.current_time()
-                await body.put(part, max_bytes == MAX_BODY_BYTES)
-                began += anyio.current_time() - asked
-                if max_bytes < MAX_BODY_BYTES and not body.fully_buffered():
-                    break
-                deadline.until = began + REQUEST_TIMEOUT_S + (side.size - before) / MIN_UPLOAD_RATE
-        return True
-
-    async def read_more(self, client: Client, side: ServerSide, deadline: ReadDeadline) -> bool:
-        """Reads more bytes. Returns False at the end of the stream. After the deadline the bytes that are
-        already unread are read once more, because it may be this event loop that was late."""
-        data = b""
-        with anyio.CancelScope(deadline=deadline.until) as scope:
-            if ahead := side.continue_response():
-                await client.send(ahead)
-            data = await client.receive()
-        if scope.cancelled_caught:
-            if not deadline.expired:
-                deadline.expired, data = True, await client.receive_unread()
-            if not data:
-                raise Malformed(408, "the request did not come whole in its time")
-        if data:
-            side.feed(data)
-        return bool(data)
-
     def hand_over(self, client: Client, side: ServerSide) -> bool:
         """Hands the connection to the next process. Only between two requests, before a byte of the next is
         read."""
@@ -437,7 +314,7 @@
         while goes_on:
             request: Request | Malformed | None
             try:
-                request = await self.read_without_body(client, side, deadline)
+                request = await self.reader.read_without_body(client, side, deadline)
             except Malformed as error:
                 request = error.with_traceback(None)
             if request is None:
@@ -450,18 +327,6 @@
             request = None  # not kept while the next one is waited for
             goes_on = await self.response_writer.send_answer(client, side, answer, not side.begun())
 
-    async def read_without_body(
-        self, client: Client, side: ServerSide, deadline: ReadDeadline
-    ) -> Request | None:
-        """Reads a request and drops its body. Returns None if the client disconnected."""
-        request: Request | None = None
-        while (part := side.next_part()) is not END:
-            if isinstance(part, Request):
-                request = part
-            elif part is None and not await self.read_more(client, side, deadline):
-                return None
-        return request
-
     async def turn_away_malformed(self, client: Client, side: ServerSide, error: Malformed) -> None:
         if error.status == 408 and not side.begun():
             return  # it never sent a byte
@@ -470,20 +335,3 @@
         rejected = error.status == 413 or error.status == 408 and side.request is not None
         answer = rejection(self.retry_after) if rejected else plain(error.status, f"{error}\n")
         await self.send_rejection(client, side, answer)
-
-
-def require(memory: MemoryLease, count: int) -> None:
-    """Leases `count` more bytes for a request that is being read. Raises MemoryShortage."""
-    if not memory.grow(count):
-        raise MemoryShortage
-
-
-def discard_body(side: ServerSide) -> bool:
-    """Drops what has been read of a request's body. Returns True if that was all of it."""
-    try:
-        while (part := side.next_part()) is not None:
-            if part is END:
-                return True
-    except Malformed:
-        pass  # the answer closes the connection
-    return False
--- a/tests/test_answers_kept.py
+++ b/tests/test_answers_kept.py
@@ -16,7 +16,7 @@
 from test_sidecar import until
 
 from lupinmill.protocol.http import Answer
-from lupinmill.routing import client_handler
+from lupinmill.routing import client_handler, request_reader
 from lupinmill.transport import closing
 from lupinmill.transport.client import CloseReason
 from lupinmill.transport.descriptors import ConnectionKind
@@ -146,8 +146,8 @@
 def test_whole_answers_before_the_end_of_a_connection_reach_a_client_that_reads_late(end, monkeypatch):
     first, behind, expected = ENDS[end]
     if end == "half a request follows":
-        monkeypatch.setattr(client_handler, "REQUEST_TIMEOUT_S", 0.3)
-        monkeypatch.setattr(client_handler, "MIN_UPLOAD_RATE", 10_000_000)
+        monkeypatch.setattr(request_reader, "REQUEST_TIMEOUT_S", 0.3)
+        monkeypatch.setattr(request_reader, "MIN_UPLOAD_RATE", 10_000_000)
 
     async def check(net: Net):
         client = LateReader(net.address)
--- a/tests/test_clients_answers.py
+++ b/tests/test_clients_answers.py
@@ -16,7 +16,7 @@
 from lupinmill import terms as t
 from lupinmill.protocol import client_requests
 from lupinmill.protocol.http import Answer, ClientSide, Request, ServerSide
-from lupinmill.routing import client_handler
+from lupinmill.routing import client_handler, request_reader
 from lupinmill.transport.client import MAX_PIPELINED_BYTES, Client
 from lupinmill.transport.descriptors import ConnectionKind
 
@@ -161,7 +161,7 @@
 def test_a_body_that_no_attempt_takes_and_no_decision_ends_is_answered_in_its_time(monkeypatch):
     """The decision module fails when the request arrives, and the memory budget is exhausted. Guards against
     a wait without end."""
-    monkeypatch.setattr(client_handler, "REQUEST_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(request_reader, "REQUEST_TIMEOUT_S", 0.1)
 
     async def check(net: Net):
         net.program.engine.sidecar.dispatcher.handlers[t.RequestArrived] = defective
@@ -194,8 +194,8 @@
 @pytest.mark.parametrize("before", [0, 1])
 def test_a_request_that_trickles_past_its_time_is_told_so(first, before, monkeypatch):
     """Guards against a connection closed with no response."""
-    monkeypatch.setattr(client_handler, "REQUEST_TIMEOUT_S", 0.3)
-    monkeypatch.setattr(client_handler, "MIN_UPLOAD_RATE", 10_000_000)
+    monkeypatch.setattr(request_reader, "REQUEST_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(request_reader, "MIN_UPLOAD_RATE", 10_000_000)
 
     async def check(net: Net):
         async with await connect(net) as stream:
@@ -214,7 +214,7 @@
 def test_a_request_whose_rest_lies_unread_when_its_time_is_over_is_served(monkeypatch):
     """The event loop was late, not the client. Guards against a connection closed with no response."""
     began = anyio.Event()
-    whole_send = client_handler.ClientHandler.read_more
+    whole_send = request_reader.RequestReader.read_more
 
     async def check(net: Net):
         async with await connect(net) as stream:
@@ -225,11 +225,11 @@
                     began.set()
                     await stream.send(whole[100:])
                     await until(client.has_unread)
-                    monkeypatch.setattr(client_handler, "REQUEST_TIMEOUT_S", -1.0)
+                    monkeypatch.setattr(request_reader, "REQUEST_TIMEOUT_S", -1.0)
                 return await whole_send(self, client, *rest)
 
-            monkeypatch.setattr(client_handler.ClientHandler, "read_more", more)
-            monkeypatch.setattr(client_handler, "REQUEST_TIMEOUT_S", 0.0)
+            monkeypatch.setattr(request_reader.RequestReader, "read_more", more)
+            monkeypatch.setattr(request_reader, "REQUEST_TIMEOUT_S", 0.0)
             await stream.send(whole[:100])
             assert await statuses(stream, 1) == [200]
 
@@ -240,7 +240,7 @@
 def test_an_answer_behind_one_to_head_has_its_body(size, monkeypatch):
     """A request that is refused by its head, or never had a complete one. Guards against no response, because
     the method of the request before was used."""
-    monkeypatch.setattr(client_handler, "REQUEST_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(request_reader, "REQUEST_TIMEOUT_S", 0.3)
 
     async def check(net: Net):
         async with await connect(net) as stream:
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -14,7 +14,7 @@
 
 from lupinmill import terms as t
 from lupinmill.protocol.http import Answer, ClientSide, Request
-from lupinmill.routing import client_handler
+from lupinmill.routing import request_reader
 from lupinmill.transport import connection
 from lupinmill.transport.client import NEW_IDLE_S
 from lupinmill.transport.descriptors import ConnectionKind
@@ -56,7 +56,7 @@
     """Guards against a load balancer that checked /ready while all descriptors were taken, and got 503 from a
     ready sidecar."""
     # seconds for which half a request holds a place
-    monkeypatch.setattr(client_handler, "REQUEST_TIMEOUT_S", 60)
+    monkeypatch.setattr(request_reader, "REQUEST_TIMEOUT_S", 60)
 
     async def check(net: Net):
         host, port = net.address.split(":")
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -23,7 +23,7 @@
 from lupinmill.program.logs import Logs
 from lupinmill.protocol import lists
 from lupinmill.protocol.http import Answer
-from lupinmill.routing import attempt_runner, client_handler
+from lupinmill.routing import attempt_runner, request_reader
 from lupinmill.transport import listener, wall_clock
 from lupinmill.transport.connection import Connection
 from lupinmill.transport.connection_pool import MIN_IDLE_S
@@ -250,7 +250,7 @@
 
 
 def test_a_request_cut_off_in_the_middle_frees_all_it_held(monkeypatch):
-    monkeypatch.setattr(client_handler, "REQUEST_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(request_reader, "REQUEST_TIMEOUT_S", 0.1)
 
     async def check(net: Net):
         host, port = net.address.split(":")
@@ -274,7 +274,7 @@
 def test_what_trickles_or_says_nothing_is_closed_in_time_and_drives_out_no_client_in_use(monkeypatch):
     """Regression: 10 s were allowed between two parts of a request, no limit held for the first one, and
     connections were closed by age alone."""
-    for module in (client_handler, listener):
+    for module in (request_reader, listener):
         monkeypatch.setattr(module, "REQUEST_TIMEOUT_S", 0.4)
 
     async def closed_after(net: Net, trickle: bytes) -> float:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -14,7 +14,7 @@
 
 from lupinmill import terms as t
 from lupinmill.protocol.http import MAX_BUFFERED_BODY, Answer, ClientSide, Garbled, Request, ServerSide
-from lupinmill.routing import client_handler, request_body
+from lupinmill.routing import request_body, request_reader
 from lupinmill.routing.request_body import BodyUnavailable, RequestBody
 from lupinmill.transport.buffers import MemoryBudget
 from lupinmill.workings import RequestTimeout
@@ -405,7 +405,7 @@
 
 
 def test_a_slow_body_is_waited_for_and_a_stuck_one_is_not(monkeypatch):
-    monkeypatch.setattr(client_handler, "REQUEST_TIMEOUT_S", 0.4)
+    monkeypatch.setattr(request_reader, "REQUEST_TIMEOUT_S", 0.4)
 
     async def check(net: Net):
         host, port = net.address.split(":")
