--- a/lupinmill/lab/scenario.py
+++ b/lupinmill/lab/scenario.py
@@ -161,6 +161,8 @@
     impatient: Range = 0.0
     slow: int = 0  # on sockets: connections that send a request byte by byte
     idle: int = 0  # on sockets: connections that send nothing
+    tiny_chunks: int = 0  # on sockets: connections that send bodies in chunks of one byte at full speed
+    many_headers: int = 0  # on sockets: connections that send heads with 1,100 headers at full speed
 
 
 class Discovery(StrictStruct):
--- a/lupinmill/lab/sockets/run.py
+++ b/lupinmill/lab/sockets/run.py
@@ -23,6 +23,7 @@
 from lupinmill.lab.sockets.inner import InnerCalls
 from lupinmill.lab.sockets.requests import Requests, SentRequest
 from lupinmill.lab.sockets.sidecars import EjectedEndpoints, until_ready
+from lupinmill.lab.sockets.costly_clients import CostlyClient, many_headers_request, tiny_chunks_request
 from lupinmill.lab.sockets.slow_clients import stay_idle, trickle
 from lupinmill.lab.stand_ins import HOST, DiscoveryServer
 from lupinmill.lab.timeline import MS, SECOND, Timeline
@@ -64,6 +65,7 @@
         self.front = FrontRouter(self, random_source)
         self.clients = Clients(self.world, self.front, self.metrics)
         self.inner = InnerCalls(self)
+        self.costly_clients: list[CostlyClient] = []
         self.fronts: list[Process] = []
         self.endpoints = EndpointServers(self)
         self.discoveries: dict[str, DiscoveryServer] = {}
@@ -116,6 +118,14 @@
             self.clock.spawn(stay_idle(self.front.any_address, lambda: self.stop))
         for _ in range(self.scenario.clients.slow):
             self.clock.spawn(trickle(self.front.any_address, lambda: self.stop))
+        self.start_costly_clients()
+
+    def start_costly_clients(self) -> None:
+        found, path = self.scenario.clients, self.world.classes[0].name
+        requests = [tiny_chunks_request(path)] * found.tiny_chunks
+        requests += [many_headers_request(path)] * found.many_headers
+        for first, rest in requests:
+            self.costly_clients.append(CostlyClient(self.front.any_address, first, rest))
 
     def processes(self) -> list[Process]:
         """Returns the processes of all sidecars, those of the front first."""
@@ -170,6 +180,8 @@
     async def tear_down(self) -> None:
         """Ends all processes, connections and tasks."""
         self.clock.stop()
+        for client in self.costly_clients:
+            client.close()
         self.requests.close()
         await asyncio.gather(*(process.end() for process in self.processes()), return_exceptions=True)
         RESERVED_PORTS.difference_update(self.peer_ports)
--- a/lupinmill/protocol/http.py
+++ b/lupinmill/protocol/http.py
@@ -16,6 +16,9 @@
 MAX_MERGED_BODY = 8 * 1024  # bytes of a body that are sent in one piece with the head
 MAX_HEAD_BYTES = 16 * 1024
 CHUNK_HEADER_PIECE = 1024  # bytes of a chunk header or of trailers that the parser gets at a time
+MAX_HEAD_LINES = 256
+COSTLY_HEAD_LINES = 64  # a head with more takes much longer to parse than usual ones
+MAX_EVENTS_PER_PART = 256  # of the parser in one go, however small the chunks of a body are
 MAX_INFORMATIONAL = 64  # 1xx answers before the final one
 # Headers that concern one connection only; all others are forwarded.
 HOP_BY_HOP = {
@@ -188,6 +191,7 @@
         self.chunked = False  # whether the current body is
         self.parser_drained = True  # the parser needs more data
         self.next_parsed: Event | None = None  # parsed already, follows the last data
+        self.interrupted = False  # `next_event` stopped at its limit, and may return more without more bytes
         self.ended = False  # the peer closed; the parser learns it once `unparsed` is empty
 
     def feed(self, data: bytes) -> None:
@@ -196,15 +200,20 @@
         self.ended = self.ended or not data
 
     def next_event(self) -> Event:
-        """All available data of a chunked body is returned as one event. Raises h11.RemoteProtocolError."""
+        """Available data of a chunked body is returned as one event, up to a limit on the parser's work.
+        Raises h11.RemoteProtocolError."""
         event, self.next_parsed = self.next_parsed or self.parse_event(), None
+        self.interrupted = False
         if not self.chunked or not isinstance(event, h11.Data):
             return event
         data = bytearray(event.data)
-        while isinstance(event := self.parse_event(), h11.Data):
+        for _ in range(MAX_EVENTS_PER_PART - 1):
+            event = self.parse_event()
+            if not isinstance(event, h11.Data):
+                self.next_parsed = None if event is h11.NEED_DATA else event
+                return h11.Data(data=data)
             data += event.data
-        if event is not h11.NEED_DATA:
-            self.next_parsed = event
+        self.interrupted = True
         return h11.Data(data=data)
 
     def parse_event(self) -> Event:
@@ -255,6 +264,8 @@
             raise h11.RemoteProtocolError("too many blanks in a header")
         if not self.may_fold and FOLD.search(self.unparsed, 0, end.end()):
             raise h11.RemoteProtocolError("a folded header")  # it would be forwarded as one line
+        if self.unparsed.count(b"\n", 0, end.end()) > MAX_HEAD_LINES:
+            raise h11.RemoteProtocolError("too many headers", error_status_hint=431)
         self.chunked = CHUNKED.search(self.unparsed, 0, end.end()) is not None
         return self.take(end.end())
 
@@ -280,6 +291,7 @@
         self.max_body = max_body
         self.request: Request | None = None  # the one whose body is still being received
         self.size = 0  # bytes of its body received so far
+        self.costly_body = False  # a part of that body ended at the limit on the parser's work
         self.body = bytearray()  # collected by `next_request` only
         self.method = b""
         self.refused: Malformed | None = None
@@ -313,6 +325,7 @@
             return self.handle_head(event)
         if isinstance(event, h11.Data):
             self.size += len(event.data)
+            self.costly_body = self.costly_body or self.incoming.interrupted
             if self.size > self.max_body:
                 raise Malformed(413, "the body is too large")
             return event.data
@@ -333,7 +346,7 @@
             raise Malformed(400, "both Content-Length and Transfer-Encoding")
         if (length or 0) > self.max_body:
             raise Malformed(413, "the body is too large")  # without reading any of it
-        self.request, self.size = request, 0
+        self.request, self.size, self.costly_body = request, 0, False
         return request
 
     def next_request(self) -> Request | None:
@@ -349,6 +362,13 @@
                 self.body += part
         return None
 
+    def costly(self) -> bool:
+        """Whether parsing more may take long: other tasks should run before `next_part`."""
+        if self.request is not None:
+            return self.costly_body
+        unparsed = self.incoming.unparsed
+        return len(unparsed) > COSTLY_HEAD_LINES and unparsed.count(b"\n") > COSTLY_HEAD_LINES
+
     def begun(self) -> bool:
         """Whether part of a request has arrived, but not all of it."""
         return self.request is not None or bool(self.incoming.rest())
--- a/lupinmill/routing/request_reader.py
+++ b/lupinmill/routing/request_reader.py
@@ -18,6 +18,7 @@
     ServerSide,
     length_of,
 )
+from lupinmill.routing.parse_turns import ParseTurns
 from lupinmill.routing.request_body import RequestBody
 from lupinmill.transport.buffers import MemoryBudget, MemoryLease
 from lupinmill.transport.client import Client
@@ -46,6 +47,7 @@
     """Time by which a request must be complete, by the event loop's clock."""
 
     until: float
+    credit: float = 0.0  # seconds that the client waited for this process, and that don't count
     expired: bool = False  # the deadline passed, and the bytes that were unread then have been read
 
 
@@ -63,6 +65,7 @@
         self.listener, self.readiness = listener, readiness
         self.request_memory = request_memory  # for open requests, ...
         self.body_memory = body_memory  # ... and of it for what is kept of bodies over 64 KiB
+        self.parse_turns = ParseTurns()
 
     async def read_request(self, client: Client, side: ServerSide) -> ReceivedRequest | None:
         """Reads the next request, in full or with a body that is still arriving. Returns None if there is
@@ -72,14 +75,14 @@
             if not (data := await self.listener.next_bytes(client)):
                 return None
             side.feed(data)
-            part = side.next_part()
+            part = await self.next_head(side)
         if part is None:
             # however slowly the bytes arrive
             deadline = ReadDeadline(anyio.current_time() + REQUEST_TIMEOUT_S)
             while part is None:
                 if not await self.read_more(client, side, deadline):
                     return None
-                part = side.next_part()
+                part = await self.next_head(side)
         request = side.request
         assert request is not None and part is request
         memory, received = MemoryLease(self.request_memory), None
@@ -92,6 +95,14 @@
             if received is None:
                 memory.release()
 
+    async def next_head(self, side: ServerSide) -> Request | None:
+        """The next request without its body, if all of its head has arrived."""
+        if side.costly():
+            await self.take_turn(None)
+        part = side.next_part()
+        assert part is None or isinstance(part, Request)
+        return part
+
     async def read_body(
         self, client: Client, side: ServerSide, request: Request, memory: MemoryLease
     ) -> ReceivedRequest | None:
@@ -106,9 +117,11 @@
                 if deadline is None:
                     began = anyio.current_time()
                     deadline = ReadDeadline(began + REQUEST_TIMEOUT_S)
-                deadline.until = began + REQUEST_TIMEOUT_S + side.size / MIN_UPLOAD_RATE
+                deadline.until = began + deadline.credit + REQUEST_TIMEOUT_S + side.size / MIN_UPLOAD_RATE
                 if not await self.read_more(client, side, deadline):
                     return None
+            if side.costly():
+                await self.take_turn(deadline)
         if part is END:
             request.body = bytes(received)
             return ReceivedRequest(request, None, memory)
@@ -143,12 +156,22 @@
             else:
                 asked = anyio.current_time()
                 await body.put(part, max_bytes == MAX_BODY_BYTES)
-                began += anyio.current_time() - asked
+                deadline.credit += anyio.current_time() - asked
                 if max_bytes < MAX_BODY_BYTES and not body.fully_buffered():
                     break
-                deadline.until = began + REQUEST_TIMEOUT_S + (side.size - before) / MIN_UPLOAD_RATE
+            if side.costly():
+                await self.take_turn(deadline)
+            allowed = REQUEST_TIMEOUT_S + (side.size - before) / MIN_UPLOAD_RATE
+            deadline.until = began + deadline.credit + allowed
         return True
 
+    async def take_turn(self, deadline: ReadDeadline | None) -> None:
+        """Lets other tasks run before more of a costly request is parsed."""
+        began = anyio.current_time()
+        await self.parse_turns.take()
+        if deadline is not None:
+            deadline.credit += anyio.current_time() - began
+
     async def read_more(self, client: Client, side: ServerSide, deadline: ReadDeadline) -> bool:
         """Reads more bytes. Returns False at the end of the stream. After the deadline the bytes that are
         already unread are read once more, because it may be this event loop that was late."""
@@ -176,6 +199,8 @@
                 request = part
             elif part is None and not await self.read_more(client, side, deadline):
                 return None
+            if side.costly():
+                await self.take_turn(deadline)
         return request
 
 
@@ -191,9 +216,10 @@
 
 
 def discard_body(side: ServerSide) -> bool:
-    """Drops what has been read of a request's body. Returns True if that was all of it."""
+    """Drops what has been read of a request's body, up to the parser's limit. Returns True if that was all of
+    it."""
     try:
-        while (part := side.next_part()) is not None:
+        while (part := side.next_part()) is not None and not side.incoming.interrupted:
             if part is END:
                 return True
     except Malformed:
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -19,6 +19,7 @@
     table_of,
     with_many_headers,
     with_much_ahead,
+    with_too_many_headers,
 )
 
 UNDER, AT, OVER, LARGE = 64 * KIB - 1, 64 * KIB, 64 * KIB + 1, 120_000
@@ -45,6 +46,10 @@
 }
 
 
+async def too_many_headers(address: str) -> list[int | None]:
+    return await small_requests(address, with_too_many_headers)
+
+
 async def together(address: str) -> list[int | None]:
     """Two shapes at a time."""
     crowds = await asyncio.gather(
@@ -67,6 +72,15 @@
     check(asyncio.run(play(tmp_path, endpoint, memory_mb, crowd)), memory_mb, CLIENTS)
 
 
+@pytest.mark.parametrize("memory_mb", [32, 48])
+def test_the_peak_stays_under_the_limit_with_heads_that_are_refused(memory_mb, tmp_path):
+    """Each is told so, as it is no rejection that says when to come back."""
+    outcome = asyncio.run(play(tmp_path, Endpoint("silent"), memory_mb, too_many_headers))
+    assert outcome.exit_code is None
+    assert outcome.peak_kb <= memory_mb * KIB, outcome
+    assert outcome.statuses == {400: CLIENTS}
+
+
 @pytest.mark.parametrize("memory_mb", [32, 64])
 def test_the_peak_stays_under_the_limit_with_two_crowds_together(memory_mb, tmp_path):
     outcome = asyncio.run(play(tmp_path, Endpoint("unread"), memory_mb, together))
