A connection whose first request was denied is not closed as if it had sent nothing

Cause: the loop's own call denies without waking the client's task, whose time limit for a new connection's first byte ran on. Change: Listener: a request that is denied there ends that limit; the connection counts as idle from then on.

--- a/lupinmill/transport/listener.py
+++ b/lupinmill/transport/listener.py
@@ -8,6 +8,7 @@
 import socket
 import time
 from collections.abc import Awaitable, Callable
+from math import inf
 from typing import Protocol
 
 import anyio
@@ -226,6 +227,8 @@
                 data = b""
             if data and admission is not None and not admission.evaluate(client, data):
                 client.idle_since = time.monotonic()
+                if client.waiting is not None:
+                    client.waiting.deadline = inf  # it has made a request: no longer a new connection
                 if client in self.idle:  # otherwise it was told to close meanwhile
                     del self.idle[client]
                     self.idle[client] = None
--- a/tests/test_clients_door.py
+++ b/tests/test_clients_door.py
@@ -16,6 +16,7 @@
 from lupinmill.routing.admission import AdmissionController
 from lupinmill.routing.engine import Clock, Engine
 from lupinmill.routing.request_table import RequestTable
+from lupinmill.transport import listener
 from lupinmill.transport.buffers import MemoryBudget, MemoryLease
 from lupinmill.transport.descriptors import ConnectionKind
 
@@ -127,6 +128,27 @@
     assert not seen(net, "s1") and not [event for event in net.events if isinstance(event, t.RequestArrived)]
 
 
+def test_a_connection_whose_first_request_was_denied_is_kept_like_any_used_one(monkeypatch):
+    """Guards against a connection that is closed while the client sends its second request: its first was
+    denied in the loop's call, and the time for a new connection's first byte ran on (seen in review/3 beside
+    busy processes)."""
+    monkeypatch.setattr(listener, "REQUEST_TIMEOUT_S", 0.2)
+
+    async def check(net: Net):
+        gate = net.program.admission.gate
+        gate.record_lateness = lambda *_: None
+        gate.active, gate.window, gate.is_in_time = True, 0.0, lambda *_: False
+        async with await connect(net) as stream:
+            await stream.send(wanted("s1"))
+            assert (await stream.receive()).startswith(b"HTTP/1.1 503 ")
+            gate.active = False
+            await anyio.sleep(0.4)
+            await stream.send(wanted("s2"))
+            assert (await stream.receive()).startswith(b"HTTP/1.1 200 ")
+
+    on_network(check, fine)
+
+
 def test_a_request_that_is_held_when_the_program_ends_gets_an_answer():
     """Guards against a connection that ended with no response."""
     held = []
