Lab: ports are reserved over all runs on the machine (lab/ports.py)

Seen: trials of the zone tests side by side: "no sidecar held the lease", as sidecars logged "Address already in use". Cause: each run looked for free ports by itself; a port is free for a moment while another run restarts a sidecar.

--- a/lupinmill/lab/config_rig.py
+++ b/lupinmill/lab/config_rig.py
@@ -16,7 +16,7 @@
 
 from lupinmill.config.model import Entries
 from lupinmill.config.wire import encode_rows
-from lupinmill.lab.fleet_sockets import RESERVED_PORTS, free_port
+from lupinmill.lab.ports import release_ports, reserve_port
 from lupinmill.lab.processes import Process
 from lupinmill.protocol.http import Answer, ClientSide, Request
 
@@ -98,7 +98,7 @@
                     raise outcome
 
     def reserve_address(self) -> str:
-        port = free_port(os.getpid() * 97)
+        port = reserve_port(os.getpid() * 97)
         self.ports.append(port)
         return f"{HOST}:{port}"
 
@@ -229,5 +229,5 @@
 
     async def close(self) -> None:
         await asyncio.gather(*(process.end() for process in self.processes.values()), return_exceptions=True)
-        RESERVED_PORTS.difference_update(self.ports)
+        release_ports(self.ports)
         self.temporary_folder.cleanup()
--- a/lupinmill/lab/fleet_sockets.py
+++ b/lupinmill/lab/fleet_sockets.py
@@ -23,18 +23,14 @@
 import orjson
 
 from lupinmill.lab.fleet import Event, Fault, Fleet, FleetResult, NetworkConditions, fault_members
+from lupinmill.lab.ports import HOST, release_ports, reserve_port
 from lupinmill.lab.processes import Process, call_operator, last_log_lines
 from lupinmill.peers.peer import REHEARSAL_TOPIC
 
-HOST = "127.0.0.1"
 MAX_DATAGRAM_BYTES = 2_048
 LEAVE_TIMEOUT_S = 6.0  # for a member to exit after SIGTERM
 POLL_S = 0.05
 MAX_LOG_LINES = 100  # kept of each member
-# Listening ports are assigned, below the range of ephemeral ports: sockets that may share a port, as in an
-# upgrade, could otherwise be given the same one by the system.
-PORT_RANGE = range(20_000, 30_000)
-RESERVED_PORTS: set[int] = set()
 WORKLOAD = {"name": "view", "repeat": "repeatable", "contract-time-s": 0.5, "hard-limit-s": 1.0}
 SETTINGS = {
     "tier": 0,
@@ -45,23 +41,6 @@
 }
 
 
-def free_port(start: int) -> int:
-    """Reserves a port that is free for TCP and UDP, until it is removed from `RESERVED_PORTS`."""
-    for at in range(len(PORT_RANGE)):
-        port = PORT_RANGE[(start + at) % len(PORT_RANGE)]
-        if port in RESERVED_PORTS:
-            continue
-        try:
-            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                with socket.socket(socket.AF_INET, kind) as sock:
-                    sock.bind((HOST, port))
-        except OSError:
-            continue
-        RESERVED_PORTS.add(port)
-        return port
-    raise OSError("no port is free")
-
-
 class DatagramLink:
     """One end of a link between two members: datagrams that `sender` sends here reach `receiver` from the
     other end."""
@@ -138,7 +117,7 @@
 
     async def set_up(self) -> None:
         for name in self.names:
-            self.ports[name] = (free_port(os.getpid() * 97), free_port(os.getpid() * 97))
+            self.ports[name] = (reserve_port(os.getpid() * 97), reserve_port(os.getpid() * 97))
             self.binds[name] = (HOST, self.ports[name][0])
         for sender in self.names:
             for receiver in self.names:
@@ -395,7 +374,7 @@
             self.loop.remove_reader(link.sock)
             link.sock.close()
         for ports in self.ports.values():
-            RESERVED_PORTS.difference_update(ports)
+            release_ports(ports)
         self.temporary_folder.cleanup()
 
 
--- a/lupinmill/lab/scale/honest.py
+++ b/lupinmill/lab/scale/honest.py
@@ -17,7 +17,8 @@
 import anyio
 import orjson
 
-from lupinmill.lab.fleet_sockets import HOST, RESERVED_PORTS, SETTINGS, free_port
+from lupinmill.lab.fleet_sockets import HOST, SETTINGS
+from lupinmill.lab.ports import release_ports, reserve_port
 from lupinmill.lab.processes import Process, call_operator
 from lupinmill.lab.scale.hollow import names
 from lupinmill.lab.scale.loopback import (
@@ -50,7 +51,7 @@
         self.members, self.round_s = members, round_ms / 1000
         *self.names, self.last = names(members + 1)
         # Offset by process id, as the hollow fleet chooses its ports at the same time.
-        self.ports = [free_port(os.getpid() * 97 % 4_000 + at) for at in range(2 * members + 1)]
+        self.ports = [reserve_port(os.getpid() * 97 % 4_000 + at) for at in range(2 * members + 1)]
         self.binds = [f"{HOST}:{port}" for port in self.ports[: members + 1]]
         self.text = operators_file_text(self.binds, round_ms)
 
@@ -75,7 +76,7 @@
                 return found
             finally:
                 await asyncio.gather(*(one.end() for one in processes))
-                RESERVED_PORTS.difference_update(self.ports)
+                release_ports(self.ports)
 
     def process_settings(self, process: Process) -> dict[str, Any]:
         at = self.names.index(process.name)
--- a/lupinmill/lab/scale/loopback.py
+++ b/lupinmill/lab/scale/loopback.py
@@ -16,7 +16,8 @@
 import orjson
 
 from lupinmill import terms as t
-from lupinmill.lab.fleet_sockets import HOST, RESERVED_PORTS, SETTINGS, free_port
+from lupinmill.lab.fleet_sockets import HOST, SETTINGS
+from lupinmill.lab.ports import release_ports, reserve_port
 from lupinmill.lab.scale.hollow import names
 from lupinmill.peers.driver import Driver
 from lupinmill.peers.membership import JOIN_ROUNDS, TABLE_SYNC_ROUNDS
@@ -131,7 +132,7 @@
         self, members: int, round_ms: int = 200, make: Callable[..., ClientlessSidecar] = ClientlessSidecar
     ) -> None:
         self.members, self.round_s = members, round_ms / 1000
-        self.ports = [free_port(5_000 + os.getpid() * 97 % 4_000 + at) for at in range(members + 1)]
+        self.ports = [reserve_port(5_000 + os.getpid() * 97 % 4_000 + at) for at in range(members + 1)]
         text = operators_file_text([f"{HOST}:{port}" for port in self.ports], round_ms)
         file = operators_file.parse(tomllib.loads(text))
         *counted, last = names(members + 1)
@@ -148,7 +149,7 @@
                 group.cancel_scope.cancel()
             return found
         finally:
-            RESERVED_PORTS.difference_update(self.ports)
+            release_ports(self.ports)
 
     async def count(self, window: int) -> FleetRates:
         with anyio.fail_after(MEMBERSHIP_TIMEOUT_S):
--- a/lupinmill/lab/scale/settings.py
+++ b/lupinmill/lab/scale/settings.py
@@ -19,7 +19,8 @@
 
 import orjson
 
-from lupinmill.lab.fleet_sockets import HOST, RESERVED_PORTS, SETTINGS, free_port
+from lupinmill.lab.fleet_sockets import HOST, SETTINGS
+from lupinmill.lab.ports import release_ports, reserve_port
 from lupinmill.lab.processes import Process
 from lupinmill.lab.scale.hollow import roster_entries
 from lupinmill.peers import wire
@@ -149,7 +150,7 @@
 
     Measures CPU and wall time until its `started` line, memory, and CPU while idle.
     """
-    ports = free_port(os.getpid() * 97), free_port(os.getpid() * 97)
+    ports = reserve_port(os.getpid() * 97), reserve_port(os.getpid() * 97)
     with tempfile.TemporaryDirectory(prefix="lupinmill-slopes-") as folder:
         own = f"{HOST}:{ports[0]}"
         environ = {}
@@ -185,4 +186,4 @@
             return found
         finally:
             await process.end()
-            RESERVED_PORTS.difference_update(ports)
+            release_ports(ports)
--- a/lupinmill/lab/sockets/run.py
+++ b/lupinmill/lab/sockets/run.py
@@ -11,19 +11,19 @@
 
 from lupinmill.lab.clients import Clients
 from lupinmill.lab.endpoint import Endpoint
-from lupinmill.lab.fleet_sockets import RESERVED_PORTS, free_port
 from lupinmill.lab.metrics import RunMetrics, record_endpoints
+from lupinmill.lab.ports import release_ports, reserve_port
 from lupinmill.lab.processes import Process
 from lupinmill.lab.registry import Entry
 from lupinmill.lab.scenario import Scenario
 from lupinmill.lab.sockets.clock import Clock, now_us
 from lupinmill.lab.sockets.configuration import endpoint_row, operators_file
+from lupinmill.lab.sockets.costly_clients import CostlyClient, many_headers_request, tiny_chunks_request
 from lupinmill.lab.sockets.endpoints import EndpointServers
 from lupinmill.lab.sockets.front import FrontRouter
 from lupinmill.lab.sockets.inner import InnerCalls
 from lupinmill.lab.sockets.requests import Requests, SentRequest
 from lupinmill.lab.sockets.sidecars import EjectedEndpoints, until_ready
-from lupinmill.lab.sockets.costly_clients import CostlyClient, many_headers_request, tiny_chunks_request
 from lupinmill.lab.sockets.slow_clients import stay_idle, trickle
 from lupinmill.lab.stand_ins import HOST, DiscoveryServer
 from lupinmill.lab.timeline import MS, SECOND, Timeline
@@ -103,7 +103,7 @@
             await self.endpoints.serve(endpoint)
         count = self.world.sidecars
         if self.peers:
-            self.peer_ports = [free_port(os.getpid() * 97) for _ in range(count)]
+            self.peer_ports = [reserve_port(os.getpid() * 97) for _ in range(count)]
             (folder / "operator.toml").write_text(operators_file(self.peer_ports))
         for at in range(count):
             self.fronts.append(await self.make_process(f"s{at}", 0))
@@ -184,7 +184,7 @@
             client.close()
         self.requests.close()
         await asyncio.gather(*(process.end() for process in self.processes()), return_exceptions=True)
-        RESERVED_PORTS.difference_update(self.peer_ports)
+        release_ports(self.peer_ports)
         self.endpoints.close()
         for discovery in self.discoveries.values():
             discovery.close()
--- a/lupinmill/lab/zones_sockets.py
+++ b/lupinmill/lab/zones_sockets.py
@@ -20,8 +20,9 @@
 
 import orjson
 
-from lupinmill.lab.fleet_sockets import HOST, MAX_DATAGRAM_BYTES, RESERVED_PORTS, free_port
+from lupinmill.lab.fleet_sockets import HOST, MAX_DATAGRAM_BYTES
 from lupinmill.lab.fleet_streams import CHUNK_BYTES, CUT_POLL_S, StreamProxy
+from lupinmill.lab.ports import release_ports, reserve_port
 from lupinmill.lab.processes import Process, call_operator, last_log_lines
 from lupinmill.lab.registry import Entry
 from lupinmill.lab.scenario import Scenario, check, find, merge_tables, read_tables
@@ -127,7 +128,7 @@
         loop = asyncio.get_running_loop()
         for at, name in enumerate(names):
             self.net.zone_of[name] = self.world.zones[at % len(self.world.zones)]
-            self.peer_port[name] = free_port(20_000 + 131 * at)
+            self.peer_port[name] = reserve_port(20_000 + 131 * at)
             self.lines[name] = deque(maxlen=KEPT_LOG_LINES)
         for sender in names:
             for receiver in names:
@@ -206,7 +207,7 @@
             loop.remove_reader(relay.sock)
             relay.sock.close()
         await asyncio.gather(*(proxy.close() for proxy, _ in self.proxies.values()))
-        RESERVED_PORTS.difference_update(self.peer_port.values())
+        release_ports(self.peer_port.values())
 
 
 class ZoneRig:
