--- a/lupinmill/lab/zones_sockets.py
+++ b/lupinmill/lab/zones_sockets.py
@@ -22,6 +22,7 @@
 
 from lupinmill.lab.fleet_sockets import HOST, MAX_DATAGRAM_BYTES
 from lupinmill.lab.fleet_streams import CHUNK_BYTES, CUT_POLL_S, StreamProxy
+from lupinmill.lab.loop_monitor import LoopMonitor
 from lupinmill.lab.ports import release_ports, reserve_port
 from lupinmill.lab.processes import Process, call_operator, last_log_lines
 from lupinmill.lab.registry import Entry
@@ -222,8 +223,10 @@
         self.run.world.rule_checker.slack = EXTRA_TIME
         self.seed = seed
         self.paused: dict[str, None] = {}
+        self.monitor = LoopMonitor()
 
     async def __aenter__(self) -> ZoneRig:
+        self.monitor.start()
         self.temp_dir = tempfile.TemporaryDirectory(prefix="lupinmill-zones-")
         try:
             await self.run.set_up(Path(self.temp_dir.name))
@@ -239,6 +242,7 @@
         await self.close(True)
 
     async def close(self, started: bool) -> None:
+        self.monitor.stop()
         self.run.stop = True
         if started:
             self.pump_task.cancel()
@@ -388,4 +392,5 @@
         return found.sidecar if found is not None else ""
 
     def last_lines(self, count: int = 8) -> str:
-        return last_log_lines(self.run.lines, count, MAX_LOG_LINE_CHARS)
+        """For messages: pauses of this rig, and the last log lines of each sidecar."""
+        return f"{self.monitor.describe()}\n" + last_log_lines(self.run.lines, count, MAX_LOG_LINE_CHARS)
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -6,8 +6,10 @@
 import asyncio
 import os
 import signal
+import socket
 import subprocess
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -220,6 +222,152 @@
     asyncio.run(main())
 
 
+class ImpatientServer:
+    """Closes a new connection without a byte after `silence_timeout_s`, in a thread of its own, so that it
+    goes on while the event loop is blocked. `answers`: whether a request gets an answer or a close."""
+
+    def __init__(self, silence_timeout_s: float, answers: bool) -> None:
+        self.silence_timeout_s, self.answers = silence_timeout_s, answers
+        self.closed_silent = 0
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self.sock.getsockname()[1]
+        self.thread = threading.Thread(target=self.serve)
+        self.thread.start()
+
+    def serve(self) -> None:
+        while True:
+            connection, _ = self.sock.accept()
+            with connection:
+                connection.settimeout(self.silence_timeout_s)
+                try:
+                    data = connection.recv(65536)
+                except TimeoutError:
+                    self.closed_silent += 1
+                    continue
+                if not data:
+                    return
+                if self.answers:
+                    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok")
+
+    def close(self) -> None:
+        host, _, port = self.address.partition(":")
+        with socket.create_connection((host, int(port))):
+            pass  # a connection that ends without a byte ends the thread
+        self.thread.join()
+        self.sock.close()
+
+
+async def exchange_while_blocked(
+    server: ImpatientServer, pool: ConnectionPool, seconds: float
+) -> Answer | None:
+    """The event loop is blocked for so long between the connection and its first request."""
+    sent = asyncio.create_task(exchange(pool, b"/"))
+    await asyncio.sleep(0)  # `sent` starts the task that connects, ...
+    await asyncio.sleep(0)  # ... which calls `connect`
+    time.sleep(seconds)
+    return await sent
+
+
+@pytest.mark.parametrize("blocked_s", [0.0, 0.5])
+def test_a_new_connection_closed_while_this_process_was_held_up_is_no_lost_request(blocked_s: float) -> None:
+    """Guards against a run that blames the sidecar for a connection on which the run itself was silent."""
+    server = ImpatientServer(0.1, True)
+
+    async def main() -> Answer | None:
+        pool = ConnectionPool(lambda: server.address, 0.1)
+        try:
+            return await exchange_while_blocked(server, pool, blocked_s)
+        finally:
+            pool.close()
+
+    try:
+        assert (asyncio.run(main()) or Answer(0)).body == b"ok"
+        assert not blocked_s or server.closed_silent == 1
+    finally:
+        server.close()
+
+
+class BlockedPool(ConnectionPool):
+    """Blocks the event loop while its first connections are being established."""
+
+    def __init__(self, address: str, silence_timeout_s: float, blocks: int) -> None:
+        super().__init__(lambda: address, silence_timeout_s)
+        self.blocks = blocks
+
+    async def connect(self, exchange: Exchange) -> None:
+        connecting = asyncio.create_task(super().connect(exchange))
+        await asyncio.sleep(0)
+        if self.blocks:
+            self.blocks -= 1
+            time.sleep(0.5)
+        await connecting
+
+
+def test_a_run_that_is_held_up_several_times_loses_no_request() -> None:
+    """Guards against a run that resends only once, as it may be held up again."""
+    server = ImpatientServer(0.1, True)
+
+    async def main() -> Answer | None:
+        pool = BlockedPool(server.address, 0.1, 3)
+        try:
+            return await exchange(pool, b"/")
+        finally:
+            pool.close()
+
+    try:
+        assert (asyncio.run(main()) or Answer(0)).body == b"ok"
+        assert server.closed_silent == 3
+    finally:
+        server.close()
+
+
+def test_a_request_is_resent_on_a_new_connection() -> None:
+    """Guards against resending on another reused connection, which the sidecar may have closed as well."""
+
+    async def main() -> None:
+        targets: list[bytes] = []
+
+        class ClosesReused(ListeningServer):
+            def request_received(self, connection: ServerConnection, request: Request) -> None:
+                if request.target == b"/2" and connection in reused:
+                    connection.reset()
+                else:
+                    reused[connection] = None
+                    targets.append(request.target)
+                    connection.answer(Answer(200, [], b"ok"))
+
+        reused: dict[ServerConnection, None] = {}
+        server = ClosesReused()
+        await server.listen()
+        pool = ConnectionPool(lambda: server.address)
+        try:
+            assert all(await asyncio.gather(*(exchange(pool, b"/1") for _ in range(3))))
+            assert len(pool.idle) == 3
+            assert (await exchange(pool, b"/2") or Answer(0)).body == b"ok"
+            assert targets == [b"/1"] * 3 + [b"/2"]
+        finally:
+            pool.close()
+            server.close()
+
+    asyncio.run(main())
+
+
+def test_a_new_connection_closed_over_a_request_in_time_has_no_answer() -> None:
+    server = ImpatientServer(5.0, False)
+
+    async def main() -> Answer | None:
+        pool = ConnectionPool(lambda: server.address, 5.0)
+        try:
+            return await exchange(pool, b"/")
+        finally:
+            pool.close()
+
+    try:
+        assert asyncio.run(main()) is None
+    finally:
+        server.close()
+
+
 def test_load_reports_are_written_as_the_program_reads_them() -> None:
     load = t.LoadReport(queued=3.0, held=7.0, busy=0.5, service=12_000.0, rate=40.0)
     assert reports.parse(report_text(load)) == load
