The test of attempts ended at their limit forces the standstill that decides how they end

Cause, traced there: a loop that stands still over the limit has it pass before the decision module calls off. Either end is allowed: nothing arrives later, which is what the test is for. Change: the standstill is forced in two more cases, which have to end TIMED_OUT; without one CALLED_OFF is wanted as before, but where a meter in the test saw the loop late by more than the call-off's lead.

--- a/tests/test_attempts_undelivered.py
+++ b/tests/test_attempts_undelivered.py
@@ -19,6 +19,9 @@
 from lupinmill.protocol import lists
 from lupinmill.transport.connection import Connection
 
+LAG_INTERVAL_S = 0.001
+CALLED_OFF_BEFORE_LIMIT_S = 0.005  # at least; a loop that is on time calls off so long before the limit
+BEFORE_LIMIT_S = 0.02  # earlier than the decision module calls off
 LATER_S = 3.5  # the kernel sends the bytes again after 0.2 s, and after twice as long each time
 
 
@@ -102,14 +105,46 @@
     return listener.requests
 
 
+async def record_lag(lags: list[float]) -> None:
+    """Records how late the event loop is, until cancelled."""
+    while True:
+        began = time.monotonic()
+        await anyio.sleep(LAG_INTERVAL_S)
+        lags.append(time.monotonic() - began - LAG_INTERVAL_S)
+
+
+async def block_over_limit(net: Net, seconds: float) -> None:
+    """Blocks the event loop from just before the decision module would call off the only attempt."""
+    await until(lambda: net.program.request_table.pending_requests)
+    (pending,) = net.program.request_table.pending_requests.values()
+    await until(lambda: pending.attempts)
+    limit = pending.attempts[0].deadline.at
+    await anyio.sleep(max(0.0, limit - anyio.current_time() - BEFORE_LIMIT_S))
+    time.sleep(seconds)
+
+
+@pytest.mark.parametrize("blocked_s", [0.0, 0.1])
 @pytest.mark.parametrize("workload", ["bid", "issue"])
-def test_an_attempt_that_was_given_up_at_its_limit_never_arrives_later(workload):
+def test_an_attempt_that_was_given_up_at_its_limit_never_arrives_later(workload, blocked_s):
+    """Called off by the decision module shortly before its limit, or ended by the limit if the event loop was
+    blocked over both moments."""
+    lags: list[float] = []
+
     async def check(net: Net, listener: FullListener):
-        answer = await net.ask(wanted("s1", workload, "0.3"))
+        async with anyio.create_task_group() as group:
+            group.start_soon(record_lag, lags)
+            if blocked_s:
+                group.start_soon(block_over_limit, net, blocked_s)
+            answer = await net.ask(wanted("s1", workload, "0.3"))
+            group.cancel_scope.cancel()
         assert answer.status in (502, 503)
         assert not await requests_later(listener)
 
-    assert with_full_listener(check).ended() == [t.Outcome.CALLED_OFF]
+    ended = with_full_listener(check).ended()
+    if blocked_s:
+        assert ended == [t.Outcome.TIMED_OUT]
+    elif ended != [t.Outcome.CALLED_OFF]:
+        assert ended == [t.Outcome.TIMED_OUT] and max(lags) > CALLED_OFF_BEFORE_LIMIT_S
 
 
 def test_an_attempt_whose_client_has_left_never_arrives_later():
