--- a/tests/test_endpoints_connections.py
+++ b/tests/test_endpoints_connections.py
@@ -344,7 +344,9 @@
             with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
                 while True:
                     head = await until_end_of(stream, b"\r\n\r\n")
-                    told.append(float(re.search(rb"Req-Deadline: ([0-9.]+)", head)[1]))
+                    deadline = re.search(rb"Req-Deadline: ([0-9.]+)", head)
+                    assert deadline is not None, head
+                    told.append(float(deadline[1]))
                     await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 
     async def check(net: Net):
