Two tests of time no longer fail for a standstill of the machine

Cause, traced: the first test makes a lag of 80 ms and wants a deadline cut by twice that; in the play that failed the loop had measured 153,525 us, as the machine stood still for 73 ms in one of its sleeps, and 1 s less twice that is what the program rightly gave. At rest this machine stands still for up to 62 ms (three processes that sleep 1 ms, 25 s), and the second test allows 70 ms in all. Change: the first wants the deadline that follows from the lateness that the loop had, to the reading of the clock, and a lateness of 40 ms at least: stricter than the 150 ms of room before. The second takes away the time in which its process was due to run and used no processor (tests/standstills.py); the bound stays.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -17,6 +17,7 @@
 import orjson
 import pytest
 from bed import DiscoveryStand, Net, on_network, settings, wanted
+from standstills import Standstills
 
 from lupinmill import terms as t
 from lupinmill.discovery import driver, watcher
@@ -24,6 +25,7 @@
 from lupinmill.protocol import lists
 from lupinmill.protocol.http import Answer
 from lupinmill.routing import attempt_runner, request_reader
+from lupinmill.routing.request_factory import RequestFactory
 from lupinmill.transport import listener, wall_clock
 from lupinmill.transport.connection import Connection
 from lupinmill.transport.connection_pool import MIN_IDLE_S
@@ -32,6 +34,7 @@
 # 16 MiB for the program and 144 KiB for each of 250 clients
 PEAK_LIMIT_KB = (16 << 10) + 250 * 144
 DECLINED = Answer(503, [(b"Srv-Declined", b"1")])
+LOOP_LAG_S = 0.08
 MAX_LATE_S = 0.5  # seconds after its hard limit within which a request has its final answer
 
 
@@ -92,9 +95,11 @@
 )
 def test_what_comes_back_is_an_outcome_and_what_may_have_run_is_broken_off(act, how, status):
     async def check(net: Net):
-        began = time.monotonic()
-        assert (await net.ask(wanted("s1", "issue", "0.4"))).status == status
-        assert time.monotonic() - began < 0.47
+        async with Standstills() as standstills:
+            began = time.monotonic()
+            assert (await net.ask(wanted("s1", "issue", "0.4"))).status == status
+            took = time.monotonic() - began
+        assert took - standstills.total < 0.47
 
     assert on_network(check, act, tier=1).ended()[0] is how
 
@@ -415,7 +420,7 @@
 
         async def lag():
             for _ in range(12):
-                time.sleep(0.08)
+                time.sleep(LOOP_LAG_S)
                 await anyio.sleep(0.005)
 
         async with anyio.create_task_group() as group:
@@ -425,8 +430,22 @@
         (due,) = [
             event.due for event in net.events if isinstance(event, t.RequestArrived) and event.request == "s2"
         ]
-        assert 700_000 < due - began[-1] < 950_000
-
+        earliest, latest, lateness = arrivals[-1]
+        assert earliest <= due <= latest and lateness >= LOOP_LAG_S / 2 * 1_000_000
+        assert due - began[-1] < 950_000
+
+    def due_of(factory: RequestFactory, left: int, waited: int, to_come: int = 0) -> int:
+        """Also notes the bounds of the result, by the clock before and after. How late the loop is, is up to
+        the machine too: a standstill of it adds to the lag that is made here."""
+        engine = factory.request_table.engine
+        wanted_span = left - waited - min(2 * engine.lateness, left // 3)
+        before = engine.clock.now()
+        result = whole_due(factory, left, waited, to_come)
+        arrivals.append((before + wanted_span, engine.clock.now() + wanted_span, engine.lateness))
+        return result
+
+    whole_due, arrivals = RequestFactory.due, []
+    monkeypatch.setattr(RequestFactory, "due", due_of)
     monkeypatch.setattr(wall_clock, "SHARED", wall_clock.WallClock())
     clock = None
     began = []
