Lab: an effect's window is judged by when its request arrived, not by when its connection ended

Cause, traced: the referee's. The stand-in reads a request late where it accepts late; if the connection has ended by then, the kernel's receive timestamp is that of the end. A socket alone: data at +0.000 s, closed at +0.900, read at +1.200: stamp +0.901. Change: the arrival of such a request is what TCP_INFO tells of its last data; the check stays, and is exact for these now. A violation tells how both attempts arrived, and what became of the process, its client and the answer.

--- a/lupinmill/lab/faults/connection.py
+++ b/lupinmill/lab/faults/connection.py
@@ -15,6 +15,7 @@
 READ_BYTES = 256 * 1024
 MAX_HEAD_BYTES = 64 * 1024
 TCP_ESTABLISHED, TCP_CLOSE = 1, 7  # connection states, as reported by TCP_INFO
+LAST_DATA_OFFSET = 52  # in TCP_INFO: milliseconds since the last data arrived
 RESET_CHECKS, RESET_CHECK_INTERVAL_S = 5, 0.005
 RESET_LINGER = struct.pack("ii", 1, 0)
 
@@ -99,6 +100,16 @@
         except OSError:
             return TCP_CLOSE
 
+    def last_data_at(self) -> float:
+        """When the kernel received the last bytes, in Unix seconds; the current time if it does not tell. The
+        end of the stream does not count, as it does in the timestamp of a read that comes after it."""
+        try:
+            info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_OFFSET + 4)
+            (age_ms,) = struct.unpack_from("I", info, LAST_DATA_OFFSET)
+        except (OSError, struct.error):
+            age_ms = 0
+        return time.time() - age_ms / 1000
+
     def shutdown_send(self) -> None:
         try:
             self.sock.shutdown(socket.SHUT_WR)
--- a/lupinmill/lab/faults/endpoints.py
+++ b/lupinmill/lab/faults/endpoints.py
@@ -181,7 +181,9 @@
             return False
         await read_body(connection, message, False)
         attempt = self.record_attempt(message, method, target)
-        attempt.timestamps_valid = connection.tcp_state() == TCP_ESTABLISHED
+        if connection.tcp_state() != TCP_ESTABLISHED:
+            attempt.timestamps_valid = False
+            attempt.last_byte_at = min(attempt.last_byte_at, connection.last_data_at())
         if behaviour == "well":
             await asyncio.sleep(random.choice((0, 0.002, 0.02, 0.1)))
         return await self.answer(connection, attempt, behaviour, random)
--- a/lupinmill/lab/faults/records.py
+++ b/lupinmill/lab/faults/records.py
@@ -151,7 +151,7 @@
     deadline: bytes
     first_byte_at: float
     last_byte_at: float
-    # False if the connection had ended: the timestamps are then those of its end.
+    # False if the connection had ended: `first_byte_at` may then be the time of its end.
     timestamps_valid: bool = True
     declined: bool = False  # with Srv-Declined: the request did not run
     answer_body: bytes = b""  # of the 200 answer that the endpoint made for it
--- a/lupinmill/lab/faults/referee.py
+++ b/lupinmill/lab/faults/referee.py
@@ -423,9 +423,28 @@
                     Fault.UNSAFE,
                     "outside its window",
                     sent.process.sidecar,
-                    f"{text}again after {after:.3f} s",
+                    f"{text}again after {after:.3f} s ({self.describe_run(sent, first, other)})",
                 )
 
+    def describe_run(self, sent: SentRequest, first: Attempt, other: Attempt) -> str:
+        """How two attempts of a request reached their endpoints, and what became of its process meanwhile."""
+        parts = [self.describe_arrival(sent, attempt) for attempt in (first, other)]
+        process = sent.process
+        ends = {"SIGTERM": process.terminated_at, "SIGKILL": process.killed_at, "end": process.ended_at}
+        parts += [f"{name} {describe_offset(sent, at)}" for name, at in ends.items() if at is not None]
+        if sent.left_at is not None:
+            parts.append(f"client left {describe_offset(sent, sent.left_at)}")
+        if sent.answers:
+            answer = sent.answers[0]
+            parts.append(f"answered {answer.status} {describe_offset(sent, answer.received_at)}")
+        return "; ".join([*parts, describe_moment(sent), self.describe_delays(sent, other)])
+
+    def describe_arrival(self, sent: SentRequest, attempt: Attempt) -> str:
+        spans = self.records.late_spans.get(attempt.endpoint, ())
+        late = any(begin <= attempt.last_byte_at and (sent.written_at or 0.0) <= end for begin, end in spans)
+        first, last = (describe_offset(sent, at) for at in (attempt.first_byte_at, attempt.last_byte_at))
+        return f"{attempt.endpoint} {first} to {last}" + ", whose accept queue was full" * late
+
     # Deadlines and discovery changes.
 
     def judge_times(self, sent: SentRequest, attempt: Attempt) -> None:
@@ -535,6 +554,11 @@
     return sent.previous.finished_at or 0.0 if sent.previous is not None else 0.0
 
 
+def describe_offset(sent: SentRequest, at: float) -> str:
+    """A moment, by the time at which the client had written the request."""
+    return f"{at - (sent.written_at or 0.0):+.3f} s"
+
+
 def describe_moment(sent: SentRequest) -> str:
     after = (sent.written_at or 0.0) - sent.process.started_at
     return f"life {sent.process.number}, {after:.2f} s after its start"
--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -6,11 +6,13 @@
 import ast
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 import pytest
 
-from lupinmill.lab.faults import referee, reports, run, schedule
+from lupinmill.lab.faults import endpoints, referee, reports, run, schedule
+from lupinmill.lab.faults.customers import Workload
 from lupinmill.lab.faults.records import (
     READING_LATE,
     Answer,
@@ -296,6 +298,70 @@
     assert [violation.rule for violation in judging.violations] == ["begun after its answer"] * broken
 
 
+def test_a_request_that_is_read_after_its_connection_has_ended_counts_from_its_arrival(tmp_path):
+    """Guards against judging an effect's window by the end of its connection ("again after 0.953 s", soak,
+    seed 1): the kernel's timestamp of a late read is that of the end."""
+    records = RunRecords()
+    row = {"name": "e0", "group": 0, "zone": "z"}
+
+    async def main() -> float:
+        endpoint = endpoints.Endpoint("c0", row, "127.0.0.1", "seed", 0.0, 5.0, False, records)
+        endpoint.accept_enabled.clear()
+        serving = asyncio.create_task(endpoint.run())
+        host, _, port = endpoint.address.partition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        sent_at = time.time()
+        writer.write(b"GET /view HTTP/1.1\r\nHost: a\r\nReq-Id: s1\r\nReq-Deadline: 1\r\n\r\n")
+        await asyncio.sleep(0.4)
+        writer.close()
+        await asyncio.sleep(0.1)
+        endpoint.accept_enabled.set()
+        async with asyncio.timeout(5):
+            while not records.attempts:
+                await asyncio.sleep(0.01)
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+        return sent_at
+
+    sent_at = asyncio.run(main())
+    (attempt,) = records.attempts
+    assert not attempt.timestamps_valid and attempt.last_byte_at < sent_at + 0.2
+
+
+@pytest.mark.parametrize("after, broken", [(0.4, False), (0.9, True)])
+def test_an_effect_outside_its_window_is_told_with_what_became_of_its_attempts(after, broken):
+    records = RunRecords()
+    process = ProcessRecord("c0-s0", 0, 1, 0.0, "serves", killed_at=11.0)
+    sent = SentRequest(
+        b"s1",
+        "c0",
+        process,
+        "bid",
+        "by_key",
+        b"POST",
+        b"/",
+        b"",
+        [b"s1"],
+        [b"k"],
+        3.0,
+        "staying",
+        written_at=10.0,
+    )
+    records.late_spans["e1"] = [(9.0, 12.0)]
+    attempts = [
+        Attempt(name, "0", "z", "c0", b"POST", b"/", b"", [b"s1"], [b"k"], b"1.0", at, at)
+        for name, at in (("e0", 10.1), ("e1", 10.1 + after))
+    ]
+    judging = referee.Referee(records, {})
+    judging.judge_keyed(sent, Workload("bid", "by_key", 3.0, "cell", 0.5), attempts)
+    assert [violation.rule for violation in judging.violations] == ["outside its window"] * broken
+    for violation in judging.violations:
+        told = (
+            "e0 +0.100 s to +0.100 s; e1 +1.000 s to +1.000 s, whose accept queue was full; SIGKILL +1.000 s"
+        )
+        assert told in violation.text
+
+
 @pytest.mark.parametrize("opened, excused", [(11.9, True), (12.1, False)])
 def test_a_request_on_a_connection_from_before_a_kill_is_excused_and_no_other(opened, excused):
     """Guards against blaming the program for what another process of an upgrade had accepted (soak, seed 2):
