--- a/lupinmill/__main__.py
+++ b/lupinmill/__main__.py
@@ -12,14 +12,16 @@
 SERVES = __name__ == "__main__" and len(sys.argv) < 2
 SIGNALS = Signals()
 PREDECESSOR = None  # the connection to a process that has made room for this one
+START_MEMORY = 0  # bytes; see `memory_at_request`
 if SERVES:
     # Before the imports below, which take most of the startup time: until then a signal ends the process.
     open_missing()
     SIGNALS.hold()
     replace_unused_modules()
     # They take most of the memory, too, which a predecessor may hold.
-    from lupinmill.handover.start_permission import NoRoom, request_room
+    from lupinmill.handover.start_permission import NoRoom, memory_at_request, request_room
 
+    START_MEMORY = memory_at_request(os.environ)
     try:
         PREDECESSOR = request_room(os.environ, SIGNALS.shutdown_requested)
     except NoRoom as error:
@@ -44,6 +46,7 @@
             lambda: process_settings.read(os.environ, reload=True),
             SIGNALS,
             PREDECESSOR,
+            START_MEMORY,
         )
         anyio.run(program.run)
     except process_settings.StartupError as error:
--- a/lupinmill/handover/start_permission.py
+++ b/lupinmill/handover/start_permission.py
@@ -13,6 +13,7 @@
 from lupinmill.handover.upgrade_socket import UpgradeSocket, same_user
 from lupinmill.handover.version import VERSION
 from lupinmill.transport.link_frames import LENGTH_PREFIX, MAX_MESSAGE_SIZE, frame
+from lupinmill.transport.resident_memory import read_resident_memory
 
 TYPE_CHECKING = False  # as `typing.TYPE_CHECKING`
 if TYPE_CHECKING:
@@ -89,6 +90,20 @@
     return sock
 
 
+def memory_at_request(environ: Mapping[str, str]) -> int:
+    """Bytes that a process holds alone when it asks for room: as many as this one, which is the same program,
+    at this point, and the configuration if that has to be read for its name. 0 where that is not known."""
+    resident = read_resident_memory()
+    if resident is None:
+        return 0
+    if environ.get("BALANCER_NAME") and environ.get("BALANCER_LISTEN"):
+        return resident.private
+    try:
+        return resident.private + os.stat(environ["BALANCER_CONFIG"]).st_size
+    except (KeyError, OSError):
+        return resident.private
+
+
 def has_upgrade_socket(directory: str) -> bool:
     try:
         return any(name.endswith(".sock") for name in os.listdir(directory))
--- a/lupinmill/limits/memory.py
+++ b/lupinmill/limits/memory.py
@@ -7,12 +7,11 @@
 
 from dataclasses import dataclass
 
-# of the limit: for what no lease counts, such as the allocator's fragmentation, ...
-RESERVE_FRACTION = 0.1
-# ... and at least so many bytes of it: for fragmentation, and for a successor in an upgrade that has started
-# and waits until this process has made room
-FRAGMENTATION_MEMORY, SUCCESSOR_START_MEMORY = 1536 * 1024, 5 << 20
-MIN_RESERVE = FRAGMENTATION_MEMORY + SUCCESSOR_START_MEMORY
+RESERVE_FRACTION = 0.1  # of the limit: at least so much of it is not given out
+# for what no lease counts, such as the allocator's fragmentation: of what the base leaves; bytes, at least
+FRAGMENTATION_SHARE, FRAGMENTATION_MEMORY = 0.12, 1536 * 1024
+# bytes, at least, for a successor in an upgrade that has started and waits until this process has made room
+SUCCESSOR_START_MEMORY = 5 << 20
 # bytes of a client connection: its task, its parser, and one read of 16 KiB
 CONNECTION_MEMORY = 32 * 1024
 # bytes of an open request beside its bodies: its record, and the tasks and connections of its attempts, ...
@@ -60,17 +59,24 @@
         raise NotEnoughMemory(needed)
 
 
-def reserve(limit: int, base: int) -> int:
-    """Bytes of the limit that are not given out. A long list of endpoints takes room from the part for a
-    successor first."""
-    wanted = max(MIN_RESERVE, limit - int(limit * (1 - RESERVE_FRACTION)))
-    return max(FRAGMENTATION_MEMORY, min(wanted, limit - base - MIN_ROOM))
+def wanted_reserve(limit: int, base: int, successor_start: int) -> int:
+    """Bytes of the limit that should not be given out. `successor_start`: see `divide`."""
+    fragmentation = max(FRAGMENTATION_MEMORY, int((limit - base) * FRAGMENTATION_SHARE))
+    return max(
+        fragmentation + max(SUCCESSOR_START_MEMORY, successor_start),
+        limit - int(limit * (1 - RESERVE_FRACTION)),
+    )
 
 
-def divide(limit: int, base: int, max_clients: int) -> MemoryPlan:
-    """`max_clients`: as many as descriptors allow. Where a list of endpoints leaves no room, some clients are
-    served nevertheless: a list is no reason to serve nobody."""
-    room = max(MIN_ROOM, limit - reserve(limit, base) - base)
+def divide(limit: int, base: int, max_clients: int, successor_start: int = 0) -> MemoryPlan:
+    """`max_clients`: as many as descriptors allow; `successor_start`: bytes that the next process of an
+    upgrade holds alone when it asks for room, if that is known.
+
+    A long list of endpoints takes room from the part for a successor first. Where it leaves no room, some
+    clients are served nevertheless: a list is no reason to serve nobody."""
+    wanted = wanted_reserve(limit, base, successor_start)
+    reserve = max(FRAGMENTATION_MEMORY, min(wanted, limit - base - MIN_ROOM))
+    room = max(MIN_ROOM, limit - reserve - base)
     least_requests = MIN_CLIENTS * (REQUEST_MEMORY + MAX_BODY_BYTES)
     for_clients = min(int(room * CONNECTION_SHARE), room - least_requests)
     clients = max(MIN_CLIENTS, min(max_clients, for_clients // CONNECTION_MEMORY))
--- a/lupinmill/limits/upgrade_memory.py
+++ b/lupinmill/limits/upgrade_memory.py
@@ -13,8 +13,7 @@
 # bytes that requests may lease in each of the two processes, however little is left
 MIN_REQUESTS_EACH = MIN_CLIENTS * (REQUEST_MEMORY + MAX_BODY_BYTES)
 MARGIN = 2 << 20  # bytes of the limit: for what no lease counts in either process
-# bytes of a client connection between two requests, when it has passed to the new process
-IDLE_CONNECTION_MEMORY = 14 * 1024
+IDLE_CONNECTION_MEMORY = 14 * 1024  # bytes of a client connection between two requests
 
 
 def successor_memory(private_at_start: int, clients: int = 0) -> int:
@@ -57,6 +56,10 @@
             return max(MIN_REQUESTS_EACH, leased)
         return max(MIN_REQUESTS_EACH, leased + self.ceiling() - resident)
 
+    def further_clients(self, resident: int) -> int:
+        """How many more client connections this process may take."""
+        return max(0, self.ceiling() - resident) // IDLE_CONNECTION_MEMORY
+
     def private_claim(self, resident: int, private: int, leased: int) -> int:
         """What the next process has to count for this one: until this one has yielded it may still grow up
         to its ceiling, from then on by what requests may still lease."""
--- a/lupinmill/program/process_memory.py
+++ b/lupinmill/program/process_memory.py
@@ -11,14 +11,15 @@
 from lupinmill.limits.memory import (
     CONNECTION_MEMORY,
     LISTED_ENDPOINT_MEMORY,
+    MIN_CLIENTS,
     MIN_REQUESTS_MEMORY,
-    MIN_RESERVE,
+    MIN_ROOM,
     GrowthEstimate,
     MemoryPlan,
     NotEnoughMemory,
     check_program,
     divide,
-    reserve,
+    wanted_reserve,
 )
 from lupinmill.limits.upgrade_memory import (
     MIN_REQUESTS_EACH,
@@ -38,19 +39,29 @@
 ASSUMED_BASE = 24 << 20  # bytes, if the kernel does not tell what is resident
 CHECK_INTERVAL_S = 0.25
 SHARED_CHECK_INTERVAL_S = 0.05  # while another process holds a part of the limit
+TRIM_STEP = 512 * 1024  # bytes of further growth after which free memory is given back to the system
 SHORTAGE_END_S = 2.0  # without a refusal, after which memory counts as no longer short
 MIB = 1 << 20
 
 
 class ProcessMemory:
+    """`start_memory`: see `Program`."""
+
     def __init__(
-        self, limit: int | None, descriptors: DescriptorBudget, block_pool: BlockPool, log: Log
+        self,
+        limit: int | None,
+        descriptors: DescriptorBudget,
+        block_pool: BlockPool,
+        log: Log,
+        start_memory: int = 0,
     ) -> None:
         self.limit, self.descriptors, self.block_pool, self.log = limit, descriptors, block_pool, log
+        self.start_memory = start_memory
         self.requests = MemoryBudget(NO_LIMIT)
         self.large_bodies = MemoryBudget(DEFAULT_LARGE_BODY_MEMORY, self.requests)
         self.plan: MemoryPlan | None = None
         self.growth: GrowthEstimate | None = None
+        self.trimmed_growth = 0  # bytes that were still held and not explained after the last trim
         self.shared = SharedLimit(NO_LIMIT if limit is None else limit)
         self.private_at_start = 0  # bytes that this process alone held when it had started
         self.refused = 0  # requests refused for want of memory
@@ -78,16 +89,21 @@
         if self.limit is None:
             return
         resident = read_resident_memory() or ResidentMemory(ASSUMED_BASE, ASSUMED_BASE)
-        if reserve(self.limit, resident.total) < MIN_RESERVE:
+        if self.is_short(resident.total):
             release_free_memory()  # decoding a long list has left some
             resident = read_resident_memory() or resident
-        plan = divide(self.limit, resident.total, self.descriptors.client_limit)
+        plan = divide(self.limit, resident.total, self.descriptors.client_limit, self.start_memory)
         self.plan, self.growth = plan, GrowthEstimate(plan.base)
         self.private_at_start = resident.private
         self.descriptors.client_limit = plan.clients
         self.requests.limit, self.large_bodies.limit = plan.requests, plan.large_bodies
         self.check_shared()
 
+    def is_short(self, base: int) -> bool:
+        """Whether the base leaves no room for all of the reserve."""
+        assert self.limit is not None
+        return base + wanted_reserve(self.limit, base, self.start_memory) + MIN_ROOM > self.limit
+
     async def watch(self) -> None:
         """Makes the budget smaller while the process holds more than its leases explain."""
         while True:
@@ -101,14 +117,26 @@
     def check(self) -> None:
         if self.shared.is_shared():
             self.check_shared()
-        elif self.plan is not None and self.growth is not None and (resident := resident_bytes()) is not None:
-            leased = self.requests.peak + self.descriptors.peak_clients * CONNECTION_MEMORY
-            growth = self.growth.observe(resident, leased)
+        elif self.plan is not None and self.growth is not None:
+            growth = self.observe_growth(self.growth)
+            if growth > self.trimmed_growth + TRIM_STEP:
+                release_free_memory()
+                growth = self.trimmed_growth = self.observe_growth(self.growth)
+            self.trimmed_growth = min(self.trimmed_growth, growth)
+            self.descriptors.client_limit = self.plan.clients
             self.requests.limit = max(MIN_REQUESTS_MEMORY, self.plan.requests - growth)
         if self.last_refusal is not None and anyio.current_time() - self.last_refusal > SHORTAGE_END_S:
             self.last_refusal = None
             self.log("memory_short_over", **self.figures())
 
+    def observe_growth(self, growth: GrowthEstimate) -> int:
+        """Bytes that are held and not explained; as before where the kernel does not tell."""
+        resident = resident_bytes()
+        if resident is None:
+            return growth.unexplained
+        leased = self.requests.peak + self.descriptors.peak_clients * CONNECTION_MEMORY
+        return growth.observe(resident, leased)
+
     def count_refusal(self) -> None:
         """A request was refused for want of memory."""
         self.refused += 1
@@ -119,7 +147,7 @@
     # While another process of an upgrade holds a part of the limit.
 
     def check_shared(self) -> None:
-        """Gives back what is free, and bounds what requests may hold beside the other process."""
+        """Gives back what is free, and bounds what requests and clients may hold beside the other process."""
         if self.plan is None or not self.shared.is_shared():
             return
         self.block_pool.drop_free()
@@ -127,6 +155,8 @@
         if (resident := resident_bytes()) is not None:
             limit = self.shared.requests_limit(resident, self.requests.leased)
             self.requests.limit = min(self.plan.requests, limit)
+            clients = self.descriptors.open[ConnectionKind.CLIENT] + self.shared.further_clients(resident)
+            self.descriptors.client_limit = max(MIN_CLIENTS, min(self.plan.clients, clients))
 
     def count_connection(self) -> None:
         """A client has connected: until the next look its memory is taken from what requests may lease."""
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -79,7 +79,8 @@
 
 class Program:
     """`signals`: records those that arrive before `run` has opened its receiver. `permitted`: a connection to
-    the predecessor, which has made room for this process."""
+    the predecessor, which has made room for this process. `start_memory`: bytes that this process held alone
+    when it asked for that, as its successor will."""
 
     def __init__(
         self,
@@ -88,6 +89,7 @@
         read_settings: Callable[[], ProcessSettings],
         signals: Signals | None = None,
         permitted: socket.socket | None = None,
+        start_memory: int = 0,
     ) -> None:
         platform_settings = settings
         self.signals = signals
@@ -110,7 +112,7 @@
         reserved += CONFIG_DESCRIPTORS if watched else 0
         self.block_pool = BlockPool()
         self.descriptors = DescriptorBudget(raise_descriptor_limit(settings.descriptors) - reserved)
-        self.memory = ProcessMemory(settings.memory, self.descriptors, self.block_pool, log)
+        self.memory = ProcessMemory(settings.memory, self.descriptors, self.block_pool, log, start_memory)
         self.body_memory = self.memory.large_bodies
         self.connection_pool = ConnectionPool(
             self.descriptors, self.block_pool, settings.idle_timeout_s, settings.connect_timeout_s
--- a/lupinmill/transport/resident_memory.py
+++ b/lupinmill/transport/resident_memory.py
@@ -1,20 +1,22 @@
-"""What this process holds in physical memory, as the kernel counts it."""
+"""What this process holds in physical memory, as the kernel counts it.
+
+Imports little: a starting process uses it before the rest of the program is imported."""
 
 from __future__ import annotations
 
 import os
-from dataclasses import dataclass
 
 STATM = "/proc/self/statm"
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
-@dataclass(frozen=True, slots=True)
 class ResidentMemory:
-    """Sizes in bytes."""
+    """Sizes in bytes. `private`: what no other process shares, which is all but the pages of files."""
+
+    __slots__ = ("total", "private")
 
-    total: int
-    private: int  # of which no other process shares any: all but the pages of files
+    def __init__(self, total: int, private: int) -> None:
+        self.total, self.private = total, private
 
 
 def read_resident_memory() -> ResidentMemory | None:
--- a/tests/test_memory_lists.py
+++ b/tests/test_memory_lists.py
@@ -15,12 +15,13 @@
 import pytest
 from memory_bed import KIB, Body, Endpoint, one_request, start, status_kb, table_of
 from test_handover import free_address
-from test_upgrade_memory import Peak, healthy
+from test_upgrade_memory import SHAPES, WARM_S, Load, Peak, Sidecar, healthy
 
 MANY = 3_200  # endpoints, the most that a fleet has
 STARTS, AT_A_TIME = 40, 4
 SETTLED_S = 0.3  # after the first line of the log
 YES_WITHIN_S = 6.0
+LATE_BODIES = "bodies come late"  # the shape that takes most
 
 
 def rows(count: int, address: str = "") -> list[dict[str, Any]]:
@@ -121,6 +122,33 @@
         assert error.startswith(b"lupinmill: limits.memory_mb: ") and error.count(b"\n") == 1
 
 
+@pytest.mark.parametrize("memory_mb", [32, 48])
+def test_an_upgrade_asked_for_under_load_with_a_long_list_stays_within_the_limit(memory_mb, tmp_path):
+    """Neither limit holds two such processes: the new one ends, and the old one serves on."""
+
+    async def main() -> tuple[int, bool]:
+        endpoint = SHAPES[LATE_BODIES].endpoint()
+        server = await endpoint.start()
+        with Peak() as peak:
+            sidecar = Sidecar(tmp_path, endpoint, memory_mb, peak)
+            sidecar.told = {
+                "known": {"index": 41, "snapshot": True, "endpoints": rows(MANY, endpoint.address)}
+            }
+            try:
+                assert await sidecar.start()
+                load = Load(sidecar.address, SHAPES[LATE_BODIES])
+                await asyncio.sleep(WARM_S)
+                assert not await sidecar.start()
+                await load.end()
+                return peak.kb, sidecar.all[0].poll() is None
+            finally:
+                sidecar.kill()
+                server.close()
+
+    peak_kb, serves = asyncio.run(main())
+    assert serves and peak_kb <= memory_mb * KIB
+
+
 async def yes(process: subprocess.Popen[bytes], operator: str) -> bool:
     """Whether it says yes. If not, it has ended."""
     until = time.monotonic() + YES_WITHIN_S
--- a/tests/test_memory_plan.py
+++ b/tests/test_memory_plan.py
@@ -14,20 +14,24 @@
 BASES = strategies.integers(10 * MIB, 64 * MIB)
 
 
-@given(LIMITS, BASES, strategies.integers(6, 2000))
+@given(LIMITS, BASES, strategies.integers(6, 2000), strategies.integers(0, 8 * MIB))
 @settings(derandomize=True, max_examples=2_000)
-def test_no_plan_promises_more_than_the_limit_less_its_reserve_and_what_is_held_already(limit, base, most):
+def test_no_plan_promises_more_than_the_limit_less_its_reserve_and_what_is_held_already(
+    limit, base, most, successor_start
+):
     """Guards against clients that are let in on a budget that the program itself has used up. Where a list of
     endpoints leaves no room for the whole reserve, the part for a successor goes first, then the least of
     clients is served."""
-    plan = divide(limit, base, most)
+    plan = divide(limit, base, most, successor_start)
     given_out = plan.clients * memory.CONNECTION_MEMORY + plan.requests
     each = memory.REQUEST_MEMORY + memory.MAX_BODY_BYTES
     assert memory.MIN_CLIENTS <= plan.clients <= max(most, memory.MIN_CLIENTS)
     assert plan.requests >= memory.MIN_CLIENTS * each
     assert 0 < plan.large_bodies <= plan.requests
-    wanted = max(limit * memory.RESERVE_FRACTION, memory.MIN_RESERVE)
-    if base + memory.MIN_ROOM + wanted <= limit:
+    fragmentation = max((limit - base) * memory.FRAGMENTATION_SHARE - 1, memory.FRAGMENTATION_MEMORY)
+    successor_start = max(successor_start, memory.SUCCESSOR_START_MEMORY)
+    wanted = max(limit * memory.RESERVE_FRACTION, fragmentation + successor_start)
+    if base + memory.MIN_ROOM + wanted + 1 <= limit:
         assert base + given_out <= limit - wanted
     elif base + memory.MIN_ROOM + memory.FRAGMENTATION_MEMORY <= limit:
         assert base + given_out <= limit - memory.FRAGMENTATION_MEMORY
--- a/tests/test_upgrade_memory.py
+++ b/tests/test_upgrade_memory.py
@@ -27,6 +27,7 @@
 from lupinmill.handover.upgrade_socket import UpgradeSocket
 from lupinmill.limits.memory import CONNECTION_MEMORY, NotEnoughMemory
 from lupinmill.limits.upgrade_memory import (
+    IDLE_CONNECTION_MEMORY,
     MARGIN,
     MIN_REQUESTS_EACH,
     SharedLimit,
@@ -35,7 +36,7 @@
     successor_memory,
 )
 from lupinmill.program import process_memory
-from lupinmill.program.process_memory import ProcessMemory
+from lupinmill.program.process_memory import TRIM_STEP, ProcessMemory
 from lupinmill.transport.buffers import BlockPool
 from lupinmill.transport.descriptors import ConnectionKind, DescriptorBudget
 from lupinmill.transport.resident_memory import ResidentMemory
@@ -122,6 +123,30 @@
     assert memory.requests.limit == MIN_REQUESTS_EACH
 
 
+def test_while_the_limit_is_shared_no_more_clients_may_connect_than_there_is_room_for(memory):
+    """Guards against 250 clients that connect while two processes share 48 MB: 49,388 kB of 49,152."""
+    for _ in range(20):
+        memory.descriptors.lease(ConnectionKind.CLIENT)
+    memory.shared.successor = memory.limit - MARGIN - 22 * MIB - 3 * IDLE_CONNECTION_MEMORY
+    memory.check()
+    leased = [memory.descriptors.lease(ConnectionKind.CLIENT) for _ in range(5)]
+    assert leased == [True] * 3 + [False] * 2
+    memory.end_upgrade()
+    assert memory.descriptors.client_limit == memory.plan.clients
+
+
+def test_growth_that_no_lease_explains_is_given_back_to_the_system_once(memory, monkeypatch):
+    """Guards against free memory that the allocator keeps, where the next process of an upgrade needs it."""
+    held, trims = [22 * MIB], []
+    monkeypatch.setattr(process_memory, "resident_bytes", lambda: held[0])
+    monkeypatch.setattr(process_memory, "release_free_memory", lambda: trims.append(held[0]))
+    for resident in (22 * MIB, 22 * MIB + TRIM_STEP, 23 * MIB, 23 * MIB, 24 * MIB, 22 * MIB, 23 * MIB):
+        held[0] = resident
+        memory.check()
+    assert trims == [23 * MIB, 24 * MIB, 23 * MIB]
+    assert memory.requests.limit == memory.plan.requests - MIB
+
+
 def test_an_upgrade_that_begins_ends_the_wait_for_the_next_look(memory):
     """Guards against a first look up to 0.25 s after the request for room: until then requests went by what
     was free at the request."""
@@ -365,12 +390,13 @@
     def __init__(self, folder: Path, endpoint: Endpoint, memory_mb: int, peak: Peak) -> None:
         self.folder, self.endpoint, self.memory_mb, self.peak = folder, endpoint, memory_mb, peak
         self.address = free_address()
+        self.told: dict[str, object] = {}  # beside what each process is told
         self.all: list[subprocess.Popen] = []
 
     async def start(self) -> bool:
         """Whether the new process says yes. If not, it has ended."""
         operator = free_address()
-        table = table_of(self.endpoint, self.memory_mb, listen=self.address, operator=operator)
+        table = table_of(self.endpoint, self.memory_mb, listen=self.address, operator=operator) | self.told
         table["limits"]["sockets"] = 1024
         process = start(self.folder, table, TMPDIR=str(self.folder))
         self.all.append(process)
