--- a/lupinmill/lab/virtual/recorded.py
+++ b/lupinmill/lab/virtual/recorded.py
@@ -17,6 +17,7 @@
     t.StartAttempt: {"request": "submission"},
     t.CancelAttempt: {"request": "submission", "attempt": "launch"},
     t.AbandonAttempt: {"request": "submission", "attempt": "launch"},
+    t.ForwardResponse: {"request": "submission"},
     t.RejectRequest: {"request": "submission", "retry_after": "come_back"},
     t.AbortResponse: {"request": "submission"},
 }
--- a/lupinmill/protocol/http.py
+++ b/lupinmill/protocol/http.py
@@ -564,6 +564,11 @@
         """Whether the body is to be taken in parts; known from the length, unless there is no body (HEAD)."""
         return self.size > self.max_buffered or not self.over and (self.length or 0) > self.max_buffered
 
+    @property
+    def open_ended(self) -> bool:
+        """Whether an answer has begun of which nothing tells how long it will be."""
+        return self.received_answer is not None and not self.over and self.length is None
+
     def begun(self) -> bool:
         """Whether part of the final answer has arrived; 1xx answers don't count."""
         return self.received_answer is not None or bool(self.incoming.rest())
--- a/lupinmill/routing/attempt_runner.py
+++ b/lupinmill/routing/attempt_runner.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 
 import anyio
 
 from lupinmill import terms as t
-from lupinmill.limits.memory import FREE_ANSWER_BYTES
 from lupinmill.protocol import client_requests
 from lupinmill.protocol.http import Answer, ClientSide, Garbled, Request
 from lupinmill.routing.deadline import Deadline
@@ -18,8 +16,8 @@
 from lupinmill.routing.engine import Log, error_fields
 from lupinmill.routing.request_body import BodyUnavailable, RequestBody
 from lupinmill.routing.request_table import Attempt, PendingRequest, RequestTable
+from lupinmill.routing.response_reader import ResponseReader
 from lupinmill.routing.response_stream import ResponseStream
-from lupinmill.transport.buffers import MemoryLease
 from lupinmill.transport.connection import Connection, NoDescriptor, Unconnected
 from lupinmill.transport.connection_pool import ConnectionPool
 
@@ -78,6 +76,8 @@
         finally:
             if result.outcome is None:
                 result.outcome = t.Outcome.RESET if attempt.fully_sent else t.Outcome.UNSENT
+            if self.is_forwarded(pending, attempt):
+                pending.stream.lend(broken=True)
             self.finish(pending, attempt, result)
 
     def finish(self, pending: PendingRequest, attempt: Attempt, result: Result) -> None:
@@ -114,7 +114,7 @@
         self, pending: PendingRequest, attempt: Attempt, answer: Answer, result: Result
     ) -> None:
         result.outcome = client_requests.outcome(answer)
-        if pending.stream is not None and pending.stream.attempt is attempt:
+        if self.is_forwarded(pending, attempt):
             result.outcome = pending.stream.outcome
         elif result.outcome is t.Outcome.ERROR and not attempt.fully_sent:
             result.outcome = t.Outcome.REFUSED  # it arrived before the last byte was written, so nothing ran
@@ -155,7 +155,7 @@
                     attempt.unread_time = connection.unread_time()
                 else:
                     answer = await self.exchange_streaming(connection, side, pending, attempt, request)
-                await self.stream_response(pending, attempt, answer, connection, side)
+                await self.stream_response(pending, attempt, answer, side)
                 if side.reusable():
                     self.return_to_pool(connection, endpoint, address)
                     connection = None
@@ -200,19 +200,21 @@
         pending: PendingRequest,
         attempt: Attempt,
         answer: Answer,
-        connection: Connection,
         side: ClientSide,
     ) -> None:
-        """Lends the connection to the client's task if the response is large and goes to the client. Any
-        other large response is discarded."""
-        if not side.large or answer.status != 200 or pending.settled:
-            return
-        stream = ResponseStream(connection, side, attempt)
-        load = client_requests.load_report(answer)
-        self.request_table.start_response_stream(
-            pending, attempt, client_requests.client_response(answer), stream, load
-        )
-        await stream.finished.wait()
+        """Lends the connection to the client's task if the response is taken in parts and goes to the client.
+        Any other such response is discarded."""
+        if not self.is_forwarded(pending, attempt):
+            taken_in_parts = side.large or attempt.reader.is_open_ended()
+            if not taken_in_parts or answer.status != 200 or pending.settled:
+                return
+            stream = ResponseStream(attempt.reader, attempt)
+            self.request_table.start_response_stream(pending, attempt, answer, stream)
+        pending.stream.lend()
+        await pending.stream.finished.wait()
+
+    def is_forwarded(self, pending: PendingRequest, attempt: Attempt) -> bool:
+        return pending.stream is not None and pending.stream.attempt is attempt
 
     async def exchange_streaming(
         self,
@@ -286,32 +288,16 @@
     async def read_attempt_response(
         self, connection: Connection, side: ClientSide, pending: PendingRequest, attempt: Attempt
     ) -> Answer:
-        on_stall = partial(self.request_table.report_stall, pending, attempt)
-        return await self.read_response(connection, side, attempt.deadline, pending.memory, on_stall)
-
-    async def read_response(
-        self,
-        connection: Connection,
-        side: ClientSide,
-        deadline: Deadline,
-        memory: MemoryLease | None = None,
-        on_stall: Callable[[], None] = lambda: None,
-    ) -> Answer:
-        """Reads the response; `on_stall`: see `Deadline.receive`. For a large response this returns the head,
-        and the body is taken from `side`. A response that `memory` has no room for counts as large."""
-        leased = FREE_ANSWER_BYTES
-        while True:
-            side.advance()
-            if memory is not None and side.size > leased and not side.large:
-                if memory.grow(side.size - leased):
-                    leased = side.size
-                else:
-                    side.max_buffered = 0
-            if (answer := side.next_answer()) is not None:
-                return answer
-            if side.large and side.received_answer is not None:
-                return side.received_answer
-            side.feed(await deadline.receive(connection, side.begun(), on_stall))
+        table = self.request_table
+        attempt.reader = ResponseReader(
+            connection,
+            side,
+            attempt.deadline,
+            pending.memory,
+            partial(table.report_stall, pending, attempt),
+            partial(table.report_open_ended, pending, attempt),
+        )
+        return await attempt.reader.read()
 
     async def probe(self, endpoint: str) -> None:
         clock = self.request_table.engine.clock
@@ -348,7 +334,7 @@
                     continue
                 side = ClientSide()
                 await connection.send(side.ask(request))
-                answer = await self.read_response(connection, side, deadline)
+                answer = await ResponseReader(connection, side, deadline).read()
                 if side.reusable():
                     self.return_to_pool(connection, endpoint, address)
                     connection = None
--- a/lupinmill/routing/command_executor.py
+++ b/lupinmill/routing/command_executor.py
@@ -28,6 +28,7 @@
             t.StartAttempt: self.start_attempt,
             t.CancelAttempt: self.cancel_attempt,
             t.AbandonAttempt: self.abandon_attempt,
+            t.ForwardResponse: self.forward_response,
             t.RejectRequest: self.reject_request,
             t.AbortResponse: self.abort_response,
             t.StartProbe: self.start_probe,
@@ -74,6 +75,10 @@
             attempt.abandoned = True
             attempt.deadline.scope.cancel()
 
+    def forward_response(self, command: t.ForwardResponse) -> None:
+        if pending := self.request_table.pending_requests.get(command.request):
+            self.request_table.forward_open_ended_response(pending)
+
     def reject_request(self, command: t.RejectRequest) -> None:
         if pending := self.request_table.pending_requests.get(command.request):
             self.request_table.settle(pending, client_requests.rejection(command.retry_after))
--- a/lupinmill/routing/deadline.py
+++ b/lupinmill/routing/deadline.py
@@ -24,6 +24,7 @@
         self.at = at
         self.scope = anyio.CancelScope(deadline=at)  # around the whole attempt
         self.waiting: anyio.CancelScope | None = None  # around the wait for the next bytes of a response
+        self.interrupted = False
 
     def reschedule(self, at: float) -> None:
         """Moves the limit to an earlier or a later time."""
@@ -34,12 +35,18 @@
             # a later limit takes effect after this wait
             self.waiting.deadline = min(self.waiting.deadline, at)
 
+    def interrupt(self) -> None:
+        """Ends the wait for the next bytes, and every later one."""
+        self.interrupted = True
+        if self.waiting is not None:
+            self.waiting.cancel()
+
     async def receive(
         self, connection: Connection, begun: bool, on_stall: Callable[[], None] = lambda: None
-    ) -> bytes:
-        """Returns the next bytes of a response, empty at its end. Calls `on_stall` once if a response that
-        has begun pauses for `STALL_S`, and waits on. Raises OSError if the connection broke. At the limit the
-        scope is cancelled."""
+    ) -> bytes | None:
+        """Returns the next bytes of a response, empty at its end; None if the wait was interrupted. Calls
+        `on_stall` once if a response that has begun pauses for `STALL_S`, and waits on. Raises OSError if the
+        connection broke. At the limit the scope is cancelled."""
         # Guards against responses of many reads after the loop was blocked: with one pass of the loop for
         # each read, due timers would fire between them.
         if begun and (data := connection.read()) is not None:
@@ -52,6 +59,8 @@
                     return await connection.receive()
             finally:
                 self.waiting = None
+            if self.interrupted:
+                return None
             if (data := connection.read()) is not None:
                 return data
             now = anyio.current_time()
--- a/lupinmill/routing/request_table.py
+++ b/lupinmill/routing/request_table.py
@@ -9,11 +9,17 @@
 import anyio
 
 from lupinmill import terms as t
-from lupinmill.protocol.client_requests import ClientRequest, aborted_response
+from lupinmill.protocol.client_requests import (
+    ClientRequest,
+    aborted_response,
+    client_response,
+    load_report,
+)
 from lupinmill.protocol.http import Answer, Request
 from lupinmill.routing.deadline import Deadline
 from lupinmill.routing.engine import Engine
 from lupinmill.routing.request_body import RequestBody
+from lupinmill.routing.response_reader import ResponseReader
 from lupinmill.routing.response_stream import ResponseStream
 from lupinmill.transport.buffers import MemoryLease, unlimited_lease
 from lupinmill.transport.client import Client
@@ -32,9 +38,10 @@
     sent_at: int = 0  # when the last byte was sent
     cancelled: bool = False
     abandoned: bool = False  # its response has stalled, and another attempt takes its place
-    unread_time: int = 0  # microseconds that its response lay unread
+    unread_time: int = 0  # microseconds that its response lay unread, or that its body took to arrive
     end_reported: bool = False  # the decision module knows its end, because a large response had begun
     in_flight: bool = True
+    reader: ResponseReader | None = None  # once the response is waited for
 
 
 @dataclass(slots=True)
@@ -99,22 +106,33 @@
         self.engine.handle_event(t.RequestBodyReceived(pending.metadata.request_id, due))
 
     def start_response_stream(
-        self,
-        pending: PendingRequest,
-        attempt: Attempt,
-        answer: Answer,
-        stream: ResponseStream,
-        load: t.LoadReport | None,
+        self, pending: PendingRequest, attempt: Attempt, answer: Answer, stream: ResponseStream
     ) -> None:
-        """A large response is passed on as it arrives; from here on no deadline of this sidecar ends it."""
+        """A response is passed on as it arrives; from here on no deadline of this sidecar ends it."""
         attempt.deadline.reschedule(math.inf)
+        attempt.unread_time = int((anyio.current_time() - attempt.reader.head_at) * 1_000_000)
         pending.stream = stream
-        self.settle(pending, answer)
+        self.settle(pending, client_response(answer))
         # For the decision module the attempt is over: the endpoint has done its work, and writing the
         # response takes no capacity there.
-        self.report_attempt_ended(pending, attempt, t.Outcome.HANDLED, load)
+        self.report_attempt_ended(pending, attempt, t.Outcome.HANDLED, load_report(answer))
         attempt.end_reported = True
 
+    def forward_open_ended_response(self, pending: PendingRequest) -> None:
+        """Passes on the longest of the open-ended responses that have begun, though it may turn out to be
+        short. The attempt's task lends its connection once it no longer reads."""
+        begun = [
+            attempt
+            for attempt in pending.attempts
+            if attempt.in_flight and attempt.reader is not None and attempt.reader.is_open_ended()
+        ]
+        if not begun or pending.settled:
+            return
+        attempt = max(begun, key=lambda one: one.reader.side.size)
+        due_at, answer = attempt.deadline.at, attempt.reader.side.received_answer
+        attempt.reader.interrupt()
+        self.start_response_stream(pending, attempt, answer, ResponseStream(attempt.reader, attempt, due_at))
+
     def is_open(self, name: str) -> bool:
         return name in self.pending_requests or name in self.open_in_predecessor
 
@@ -199,6 +217,11 @@
         name, last = pending.metadata.request_id, self.is_last_attempt(pending)
         self.engine.handle_event(t.ResponseStalled(name, attempt.number, last))
 
+    def report_open_ended(self, pending: PendingRequest, attempt: Attempt) -> None:
+        """The response to the attempt has begun, and tells no length."""
+        if attempt.fully_sent and attempt.reader.side.received_answer.status == 200:
+            self.engine.handle_event(t.OpenEndedResponseBegan(pending.metadata.request_id, attempt.number))
+
     def is_last_attempt(self, pending: PendingRequest) -> bool:
         """Whether no other attempt is possible, as part of a large body was not kept."""
         body = pending.body
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -50,6 +50,9 @@
 MS, SECOND = 1_000, 1_000_000
 INITIAL_AVERAGES = FleetAverages()
 NOTHING_COUNTED = BucketedSum(1, SECOND)  # of an endpoint without answers, as most of a large fleet are
+# Usual latencies that have to be left until the deadline for an attempt that replaces one whose response may
+# be forwarded.
+REPLACEMENT_LATENCIES = 3.0
 # Between two checks of the attempts in flight.
 CHECK_INTERVAL = 100 * MS
 RETRY_BASE_DELAY, RETRY_MAX_DELAY = 20 * MS, 1 * SECOND
@@ -854,6 +857,8 @@
         )
         if request.done and not request.pending_count():
             self.requests.pop(request.name, None)
+        elif not request.done and request.pending_count() and now >= self.reject_at(request):
+            self.on_request_timeout(RequestTimeout(request, True))  # it was to be forwarded, and broke
         elif (
             not request.done
             and not request.pending_count()
@@ -891,22 +896,42 @@
         # answers.
         return self.settings.is_front or spoilt or request.first_possible_run() is None
 
+    def on_open_ended_response_began(self, event: t.OpenEndedResponseBegan) -> None:
+        if (attempt := self.pending_attempt(event.request, event.attempt)) is not None:
+            attempt.forwardable = True
+
+    def pending_attempt(self, name: str, number: int) -> Attempt | None:
+        request = self.requests.get(name)
+        if request is None or not 0 <= number < len(request.attempts):
+            return None
+        return request.attempts[number] if request.attempts[number].pending else None
+
     def on_response_stalled(self, event: t.ResponseStalled) -> None:
         """The response may go on, as endpoints stand still for up to half a second, or never. Another attempt
         begins beside it; where only one may be pending, it is abandoned if another can take its place."""
-        request = self.requests.get(event.request)
-        if request is None or request.retrying or request.pending_count() != 1:
-            return
-        if not 0 <= event.attempt < len(request.attempts) or not request.attempts[event.attempt].pending:
+        request, attempt = (
+            self.requests.get(event.request),
+            self.pending_attempt(event.request, event.attempt),
+        )
+        if request is None or attempt is None or request.retrying or request.pending_count() != 1:
             return
         request.body_lost = request.body_lost or event.last
         if not self.retry_fits(request, True):
             return
         if self.may_attempt(request):
             self.schedule_retry(request)
-        elif self.may_attempt(request, ending=1) and self.has_untried_endpoint(request):
+        elif self.may_replace(request, attempt):
             self.abandon(request, event.attempt)
 
+    def may_replace(self, request: RequestState, attempt: Attempt) -> bool:
+        """Whether another attempt may take the place of one whose response has stalled. A response that may
+        be forwarded at the deadline is worth more than one that would only just begin by then."""
+        spare = int(REPLACEMENT_LATENCIES * self.latency_estimate(request.workload).current)
+        begins_too_late = self.message_queue.now + spare > request.due - request.settings.deadline_margin
+        if attempt.forwardable and begins_too_late:
+            return False
+        return self.may_attempt(request, ending=1) and self.has_untried_endpoint(request)
+
     def abandon(self, request: RequestState, number: int) -> None:
         """The attempt counts as ended at once, so that what lets another one take its place still holds."""
         self.message_queue.commands.append(t.AbandonAttempt(request.name, number))
@@ -949,6 +974,9 @@
             self.release(request)  # another attempt is still pending
             request.retrying = False
             return
+        if event.final and any(attempt.pending and attempt.forwardable for attempt in request.attempts):
+            # Its end follows from `AttemptEnded`, whether or not the response could be forwarded.
+            return self.message_queue.commands.append(t.ForwardResponse(request.name))
         for attempt in request.attempts:
             attempt.overdue = attempt.pending
         self.finish(request)
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -191,6 +191,15 @@
     attempt: int
 
 
+@dataclass(slots=True)
+class OpenEndedResponseBegan:
+    """The response to an attempt has begun, and nothing tells how long it will be: from here on it may be
+    forwarded before its end."""
+
+    request: str
+    attempt: int
+
+
 @dataclass(slots=True)
 class ResponseStalled:
     """The response to an attempt has begun, and pauses. The attempt goes on."""
@@ -282,6 +291,7 @@
     ListReceived
     | RequestArrived
     | ResponseStarted
+    | OpenEndedResponseBegan
     | ResponseStalled
     | AttemptEnded
     | RequestCancelled
@@ -322,6 +332,13 @@
     attempt: int
 
 
+@dataclass(slots=True)
+class ForwardResponse:
+    """Forward an open-ended response that has begun, and the rest as it arrives: the deadline is near."""
+
+    request: str
+
+
 @dataclass(slots=True)
 class RejectRequest:
     """Answer that the request was not handled and that repeating it is safe, after `retry_after` if not 0."""
@@ -368,6 +385,7 @@
     StartAttempt
     | CancelAttempt
     | AbandonAttempt
+    | ForwardResponse
     | RejectRequest
     | AbortResponse
     | SetTimer
@@ -382,6 +400,7 @@
     RequestArrived: "Arrived",
     RequestBodyReceived: "Whole",
     ResponseStarted: "Started",
+    OpenEndedResponseBegan: "Begun",
     ResponseStalled: "Stalled",
     AttemptEnded: "Ended",
     RequestCancelled: "Withdrawn",
@@ -394,6 +413,7 @@
     StartAttempt: "Launch",
     CancelAttempt: "CallOff",
     AbandonAttempt: "Abandon",
+    ForwardResponse: "Forward",
     RejectRequest: "Deny",
     AbortResponse: "BreakOff",
     SetTimer: "WakeMe",
--- a/lupinmill/workings.py
+++ b/lupinmill/workings.py
@@ -336,6 +336,7 @@
     never_ran: bool = False
     overdue: bool = False  # unanswered at the hard limit
     counted: bool = False  # as in flight: not while the request body is incomplete
+    forwardable: bool = False  # its response has begun, and may be forwarded before its end
 
 
 @dataclass(slots=True)
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -67,6 +67,7 @@
         self.wakes: list[int] = []
         self.logs: list[str] = []
         self.probes: list[str] = []
+        self.to_forward: list[str] = []  # requests
         self.watches: list[int] = []
         self.step(t.ListReceived(t.ListKind.CACHED, [listing(i) for i in range(endpoints)]))
 
@@ -154,6 +155,9 @@
             self.watches.append(self.now)
         elif isinstance(command, t.CancelAttempt):
             assert command.attempt < len(self.attempts[command.request])
+        elif isinstance(command, t.ForwardResponse):
+            assert command.request in self.unanswered and self.out(command.request)
+            self.to_forward.append(command.request)
         elif isinstance(command, t.AbandonAttempt):
             assert command.request in self.unanswered and self.out(command.request) == [command.attempt]
             self.attempts[command.request][command.attempt]["how"] = t.Outcome.SPOILT
--- a/tests/slow_answers_bed.py
+++ b/tests/slow_answers_bed.py
@@ -97,6 +97,18 @@
         writer.write(self.answer.end())
 
 
+class EndlessEndpoint(LumpyEndpoint):
+    """Gives one byte in a chunk after the other, without end."""
+
+    async def give(self, id_: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.runs.append(id_)
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        while not writer.transport.is_closing():
+            writer.write(b"1\r\na\r\n")
+            await asyncio.sleep(0.02)
+        raise ConnectionResetError
+
+
 def header(head: bytes, name: str) -> str:
     for line in head.decode("latin-1").split("\r\n"):
         key, _, value = line.partition(":")
--- a/tests/test_answers_given_slowly.py
+++ b/tests/test_answers_given_slowly.py
@@ -4,23 +4,43 @@
 from collections import Counter
 
 import pytest
-from slow_answers_bed import LATE_S, LumpyAnswer, LumpyEndpoint, Received, ask, body_of, sidecar, table_of
+from slow_answers_bed import (
+    LATE_S,
+    EndlessEndpoint,
+    LumpyAnswer,
+    LumpyEndpoint,
+    Received,
+    ask,
+    body_of,
+    sidecar,
+    table_of,
+)
 
 CLIENTS, ROUNDS = 4, 3
 DEADLINE_S = 0.6
 LONG = 152_758  # bytes
+SHORT = 60_000
+HELD_BACK_S = 2.0  # for longer nothing that an endpoint has given may be held back
 
 
-async def play(folder, answer: LumpyAnswer, workload: str, version: str = "1.1", **limits):
+async def play(
+    folder,
+    answer: LumpyAnswer,
+    workload: str,
+    version: str = "1.1",
+    kind=LumpyEndpoint,
+    deadline_s: float = DEADLINE_S,
+    **limits,
+):
     """Each client sends one request after another. Returns what they got, and the endpoints."""
-    endpoints = [LumpyEndpoint(answer) for _ in range(4)]
+    endpoints = [kind(answer) for _ in range(4)]
     servers = [await endpoint.start() for endpoint in endpoints]
     received: list[Received] = []
 
     async def client(number: int, address: str) -> None:
         for round_ in range(ROUNDS):
             id_ = f"c{number}r{round_}"
-            received.append(await ask(address, id_, workload, DEADLINE_S, version))
+            received.append(await ask(address, id_, workload, deadline_s, version))
 
     async with sidecar(folder, table_of([one.address for one in endpoints], **limits)) as running:
         await asyncio.gather(*(client(number, running.address) for number in range(CLIENTS)))
@@ -49,3 +69,33 @@
     answer = LumpyAnswer(LONG, 6, 0.28, "chunked")
     received, _ = asyncio.run(play(tmp_path, answer, "issue", "1.0"))
     assert [(one.status, one.body == body_of(one.id, LONG)) for one in received] == [(200, True)] * 12
+
+
+@pytest.mark.parametrize("framing", ["chunked", "close"])
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("stops_after", [0, 1, 2])
+def test_an_answer_that_never_goes_on_has_failed_before_its_request_is_lost(
+    framing, version, stops_after, tmp_path
+):
+    """Its client gets an error, or can tell that what it got is not whole."""
+    answer = LumpyAnswer(SHORT, 6, 0.2, framing, stops_after)
+    received, _ = asyncio.run(play(tmp_path, answer, "issue", version))
+    assert len(received) == CLIENTS * ROUNDS
+    for one in received:
+        assert one.status in (200, 502) and not (one.whole and one.status == 200)
+        assert one.ended_s < DEADLINE_S + LATE_S
+
+
+def test_an_answer_that_drips_without_end_has_failed_before_its_request_is_lost(tmp_path):
+    answer = LumpyAnswer(SHORT, 1, 0.0, "chunked")
+    received, _ = asyncio.run(play(tmp_path, answer, "issue", kind=EndlessEndpoint))
+    assert [one.whole and one.status == 200 for one in received] == [False] * CLIENTS * ROUNDS
+    assert max(one.ended_s for one in received) < DEADLINE_S + LATE_S
+
+
+def test_the_rest_of_a_long_answer_is_not_held_back_until_a_far_deadline(tmp_path):
+    """What has come of it goes on to the client within two seconds, as the platform wants it."""
+    answer = LumpyAnswer(SHORT, 12, 0.25, "chunked")
+    received, _ = asyncio.run(play(tmp_path, answer, "issue", deadline_s=3.0))
+    for one in received:
+        assert one.whole and one.status == 200 and one.began_s < answer.head_after_s + HELD_BACK_S
--- a/tests/test_endpoints_pause.py
+++ b/tests/test_endpoints_pause.py
@@ -7,7 +7,7 @@
 from test_sidecar import fine
 
 from lupinmill import terms as t
-from lupinmill.rules import MS, SECOND
+from lupinmill.rules import MS, REPLACEMENT_LATENCIES, SECOND
 
 PAUSE_S = 0.5  # the longest standstill that the deployments' pages name
 SHORT, LONG = b"s" * 60_000, b"l" * 200_000
@@ -191,3 +191,61 @@
     gone = [listing(i, t.EndpointStatus.GONE) for i in range(4) if f"e{i}" != used]
     bed.step(t.ListReceived(t.ListKind.CHANGES, gone))
     assert kinds(stall(bed, name)) == [] and bed.out(name) == [0]
+
+
+# An answer of untold length that has begun, at the deadline of its client.
+
+
+def run_to_deadline(bed: Bed, name: str) -> None:
+    bed.run(bed.unanswered[name].due - bed.d.round - bed.now)
+
+
+@pytest.mark.parametrize("workload", [IDEM, ONCE])
+def test_an_answer_that_has_begun_is_forwarded_at_the_deadline(workload):
+    bed, name = with_one_pending(workload)
+    bed.step(t.OpenEndedResponseBegan(name, 0))
+    run_to_deadline(bed, name)
+    assert bed.to_forward == [name] and name in bed.unanswered
+    bed.end(name, 0, t.Outcome.HANDLED)
+    assert bed.closed[name] == "handled"
+
+
+@pytest.mark.parametrize("workload, told", [(IDEM, "denied"), (ONCE, "broken off")])
+def test_an_answer_that_breaks_just_when_it_is_forwarded_is_answered_at_once(workload, told):
+    bed, name = with_one_pending(workload)
+    bed.step(t.OpenEndedResponseBegan(name, 0))
+    run_to_deadline(bed, name)
+    bed.end(name, 0, t.Outcome.RESET)
+    assert bed.closed[name] == told
+
+
+def test_where_one_of_two_answers_breaks_when_it_is_forwarded_the_other_one_follows():
+    bed, name = with_one_pending(IDEM)
+    stall(bed, name)
+    for number in (0, 1):
+        bed.step(t.OpenEndedResponseBegan(name, number))
+    run_to_deadline(bed, name)
+    bed.end(name, 0, t.Outcome.RESET)
+    assert bed.to_forward == [name, name] and name in bed.unanswered
+    bed.end(name, 1, t.Outcome.RESET)
+    assert bed.closed[name] == "denied"
+
+
+@pytest.mark.parametrize("begun", [True, False])
+@pytest.mark.parametrize("latencies_left", [REPLACEMENT_LATENCIES - 0.5, REPLACEMENT_LATENCIES + 1.5])
+def test_an_answer_that_can_be_forwarded_is_not_abandoned_for_one_that_would_begin_too_late(
+    begun, latencies_left
+):
+    """Guards against a second answer that meets the same, and is not even begun at the deadline."""
+    bed, _ = with_one_pending(IDEM, hedging_allowed=False)
+    for _ in range(60):
+        name = bed.arrive(IDEM)
+        bed.run(100 * MS)
+        bed.end(name, 0, t.Outcome.HANDLED)
+    latency = int(bed.sidecar.dispatcher.latency_estimate(IDEM).current)
+    name = bed.arrive(IDEM, int(latencies_left * latency) + 50 * MS)
+    bed.run(50 * MS)
+    if begun:
+        bed.step(t.OpenEndedResponseBegan(name, 0))
+    abandoned = bed.step(t.ResponseStalled(name, 0))[:1] == [t.AbandonAttempt(name, 0)]
+    assert abandoned == (not begun or latencies_left > REPLACEMENT_LATENCIES)
--- a/tests/test_lab_runs.py
+++ b/tests/test_lab_runs.py
@@ -306,6 +306,7 @@
     (t.StartAttempt("w1.1", "e0-001", 5), "Launch(submission='w1.1', endpoint='e0-001', until=5)"),
     (t.CancelAttempt("w1.1", 2), "CallOff(submission='w1.1', launch=2)"),
     (t.AbandonAttempt("w1.1", 2), "Abandon(submission='w1.1', launch=2)"),
+    (t.ForwardResponse("w1.1"), "Forward(submission='w1.1')"),
     (t.RejectRequest("w1.1", 7), "Deny(submission='w1.1', come_back=7)"),
     (t.AbortResponse("w1.1"), "BreakOff(submission='w1.1')"),
     (t.SetTimer(9, 3), "WakeMe(at=9, ref=3)"),
--- a/tests/test_module_hostile.py
+++ b/tests/test_module_hostile.py
@@ -87,6 +87,8 @@
         self.guessed: set[str] = set()  # requests with an incomplete body
         self.streams: set[str] = set()  # requests whose response has begun: their deadline no longer applies
         self.in_flight: dict[tuple[str, int], str] = {}
+        self.begun: set[tuple[str, int]] = set()  # attempts with an open-ended response
+        self.to_forward: list[str] = []
         self.attempts: dict[str, int] = {}
         self.wake: int | None = None
 
@@ -94,6 +96,8 @@
         for command in self.module.step(self.now, list(events)):
             self.carry_out(command)
         self.check_totals()
+        while self.to_forward:
+            self.forward(self.to_forward.pop())
 
     def carry_out(self, command: t.Command) -> None:
         if isinstance(command, t.StartAttempt):
@@ -110,6 +114,9 @@
             self.wake = command.at
         elif isinstance(command, t.CancelAttempt):
             assert command.attempt < self.attempts[command.request]
+        elif isinstance(command, t.ForwardResponse):
+            assert command.request in self.owed, "forwarded after its end"
+            self.to_forward.append(command.request)
         elif isinstance(command, t.AbandonAttempt):
             assert command.request in self.owed, "abandoned after its end"
             del self.in_flight[command.request, command.attempt]
@@ -238,6 +245,18 @@
         self.streams.add(name)
         self.step(t.ResponseStarted(name, number))
 
+    def begin(self) -> None:
+        key = self.rng.choice([*self.in_flight, ("no such", 0)])
+        if key in self.in_flight:
+            self.begun.add(key)
+        self.step(t.OpenEndedResponseBegan(key[0], self.rng.choice([key[1]] * 4 + [-1, 99])))
+        self.step(t.OpenEndedResponseBegan(*key))
+
+    def forward(self, name: str) -> None:
+        """It may break just then."""
+        key = next(key for key in self.in_flight if key[0] == name and key in self.begun)
+        self.finish(key, self.rng.choice([t.Outcome.HANDLED, t.Outcome.HANDLED, t.Outcome.RESET]))
+
     def stall(self) -> None:
         name, number = self.rng.choice([*self.in_flight, ("no such", 0)])
         number = self.rng.choice([number] * 4 + [-1, 99])
@@ -287,6 +306,7 @@
         events = [self.list_] * 3 + [self.arrive] * 12 + [self.end] * 8 + [self.probed] * 3
         events += [self.complete, self.withdraw, self.by_hand, self.elsewhere, self.common, self.deploy]
         events += [self.tell_twice, self.turn_clock_back, self.start] + [self.stall] * 3
+        events += [self.begin] * 3
         self.step(
             t.ListReceived(
                 t.ListKind.CACHED, [t.ListEntry(name, t.EndpointStatus.READY) for name in self.names]
