--- a/lupinmill/routing/request_table.py
+++ b/lupinmill/routing/request_table.py
@@ -191,6 +191,7 @@
         if not attempt.in_flight:
             return
         attempt.in_flight = False
+        attempt.reader = None  # it refers to the request, and would wait for a garbage collection with it
         try:
             if answer is not None:
                 self.settle(pending, answer)
