--- a/lupinmill/routing/command_executor.py
+++ b/lupinmill/routing/command_executor.py
@@ -41,9 +41,7 @@
         now = self.clock.now()
         deadline = Deadline(anyio.current_time() + (command.until - now) / 1_000_000)
         attempt = Attempt(command.endpoint, len(pending.attempts), now, deadline)
-        self.request_table.unattempted -= not pending.attempts
-        self.request_table.repeats += bool(pending.attempts)
-        pending.attempts.append(attempt)
+        self.request_table.attempt_starts(pending, attempt)
         try:
             self.group.start_soon(self.attempt_runner.run, pending, attempt)
         except BaseException:
--- a/lupinmill/routing/request_factory.py
+++ b/lupinmill/routing/request_factory.py
@@ -65,6 +65,8 @@
                 # The decision module would take both for the same request, and one client would get no
                 # response.
                 raise Malformed(400, "this Req-Id is still open", True)
+            if self.request_table.is_used(metadata):
+                raise self.used_id(metadata.request_id)
         except Malformed as error:
             return plain(error.status, f"{error}\n")
         if metadata.workload in self.removed_workloads:
@@ -91,6 +93,19 @@
             raise
         return pending
 
+    def used_id(self, request_id: str) -> Malformed:
+        """The refusal of a request whose id may have run before, and may not run again."""
+        self.request_table.sampled_log("id_repeated", submission=request_id)
+        return Malformed(400, "this Req-Id was used before", True)
+
+    def unrepeatable_id(self, request: Request) -> str | None:
+        """The id of a request that must not run twice; None of any other, and of one that is malformed."""
+        try:
+            metadata = client_requests.parse(request, self.known_workloads)
+        except Malformed:
+            return None
+        return None if self.request_table.may_run_again(metadata.workload) else metadata.request_id
+
     def readiness(self, request: Request) -> Answer | None:
         """Returns None if the request is not a readiness check."""
         if request.target.split(b"?", 1)[0] != client_requests.READY or request.method not in (
--- a/lupinmill/routing/request_table.py
+++ b/lupinmill/routing/request_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -21,6 +22,8 @@
 from lupinmill.routing.request_body import RequestBody
 from lupinmill.routing.response_reader import ResponseReader
 from lupinmill.routing.response_stream import ResponseStream
+from lupinmill.routing.sampled_log import SampledLog
+from lupinmill.routing.used_ids import UsedIds, digest_of
 from lupinmill.transport.buffers import MemoryLease, unlimited_lease
 from lupinmill.transport.client import Client
 
@@ -56,6 +59,7 @@
     # no attempt starts later; None while the body arrives, or if `due` covers it
     latest_start: int | None = None
     settled: bool = False
+    may_have_run: bool = False  # one of the attempts that have ended
     answer: Answer | None = None  # stays None if the client has disconnected
     client_wait: anyio.CancelScope | None = None  # scope of its client's task, until the request is settled
     attempts: list[Attempt] = field(default_factory=list)
@@ -73,6 +77,10 @@
         self.pending_requests: dict[str, PendingRequest] = {}
         self.repeats = 0  # attempts beyond a request's first, so far
         self.open_in_predecessor: set[str] = set()  # ids that are open in the process before this one
+        self.used_ids = UsedIds()  # of closed requests, and of those of other processes
+        # called with the digest of an id that must not run twice, when its first attempt starts
+        self.on_unrepeatable_attempt: Callable[[int], None] = lambda digest: None
+        self.sampled_log = SampledLog(engine.log)
         self.unattempted = 0  # open requests for which the decision module has started no attempt yet
         engine.failure_listeners.append(self.on_module_failure)
 
@@ -136,6 +144,42 @@
     def is_open(self, name: str) -> bool:
         return name in self.pending_requests or name in self.open_in_predecessor
 
+    def may_run_again(self, workload: str) -> bool:
+        """Whether the workload's requests may run any number of times."""
+        known = self.engine.sidecar.dispatcher.settings.workloads.get(workload)
+        return known is not None and known.repeat is t.RepeatPolicy.IDEMPOTENT
+
+    def is_used(self, metadata: ClientRequest) -> bool:
+        """Whether a request with this id may have run before, and may not run again."""
+        return not self.may_run_again(metadata.workload) and digest_of(metadata.request_id) in self.used_ids
+
+    def learn_used_id(self, digest: int) -> None:
+        """Another process of this sidecar has used this id."""
+        self.used_ids.add(digest, self.engine.clock.now())
+
+    def take_id(self, digest: int) -> bool:
+        """Leaves the id to the next process. False if it is open here, or may have run."""
+        if digest in self.used_ids or any(digest_of(name) == digest for name in self.pending_requests):
+            return False
+        self.learn_used_id(digest)
+        return True
+
+    def all_used_ids(self) -> list[int]:
+        """Digests, also of the requests that may run now."""
+        running = [
+            digest_of(name)
+            for name, pending in self.pending_requests.items()
+            if pending.attempts and not self.may_run_again(pending.metadata.workload)
+        ]
+        return self.used_ids.digests() + running
+
+    def attempt_starts(self, pending: PendingRequest, attempt: Attempt) -> None:
+        self.unattempted -= not pending.attempts
+        self.repeats += bool(pending.attempts)
+        pending.attempts.append(attempt)
+        if not self.may_run_again(pending.metadata.workload):
+            self.on_unrepeatable_attempt(digest_of(pending.metadata.request_id))
+
     def in_flight_by_endpoint(self) -> dict[str, int]:
         """Attempts in flight whose request was sent in full, by endpoint."""
         counts: dict[str, int] = {}
@@ -192,6 +236,7 @@
             return
         attempt.in_flight = False
         attempt.reader = None  # it refers to the request, and would wait for a garbage collection with it
+        pending.may_have_run = pending.may_have_run or outcome not in t.NEVER_RAN
         try:
             if answer is not None:
                 self.settle(pending, answer)
@@ -248,11 +293,16 @@
             return
         if self.pending_requests.pop(pending.metadata.request_id, None) is not None:
             self.unattempted -= not pending.attempts
+            self.remember_id(pending)
             self.drop_body(pending)
             pending.memory.release()
         if pending.body is not None:
             pending.body.drop()
 
+    def remember_id(self, pending: PendingRequest) -> None:
+        if pending.may_have_run and not self.may_run_again(pending.metadata.workload):
+            self.learn_used_id(digest_of(pending.metadata.request_id))
+
     def drop_body(self, pending: PendingRequest) -> None:
         """No attempt sends it again; its client's task may still take long to write the answer."""
         pending.memory.shrink(len(pending.request.body))
