--- a/lupinmill/handover/driver.py
+++ b/lupinmill/handover/driver.py
@@ -14,6 +14,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from lupinmill.handover.id_claims import IdClaims
 from lupinmill.handover.upgrade_protocol import VERSION, Command, CommandKind, Phase, UpgradeProtocol
 from lupinmill.handover.upgrade_socket import MAX_PENDING_LINKS, UpgradeSocket, same_user
 from lupinmill.protocol.admin_calls import AdminCall
@@ -84,6 +85,7 @@
                 log("handover_off", error=f"{directory}: {error.strerror}")
         self.predecessor: Link | None = None
         self.successor: Link | None = None
+        self.id_claims = IdClaims()
         self.pending_calls: dict[int, anyio.Event] = {}  # operators' calls sent, not yet acknowledged
         self.last_call_number = 0
         self.listener: socket.socket | None = None  # for successors, while they are accepted
@@ -130,13 +132,15 @@
             link.close()
             raise
         self.predecessor = link
+        if state.get("claims"):  # an older version does not answer them
+            self.id_claims.predecessor = link
         return state, listening
 
     def decline(self) -> None:
         """The state can't be used: the predecessor must not yield to this process."""
         if self.predecessor is not None:
             self.predecessor.close()
-            self.predecessor = None
+            self.predecessor = self.id_claims.predecessor = None
 
     def start(self, group: TaskGroup) -> None:
         """This process accepts clients: its successor can find it, and its predecessor yields."""
@@ -161,6 +165,7 @@
         finally:
             self.predecessor = None
             self.on_predecessor_work({})
+            self.id_claims.predecessor_ended()
             self.log("handover", text="the previous process has ended")
 
     async def run_link(self, link: Link, on_message: Callable[[Message], None]) -> None:
@@ -253,7 +258,7 @@
                 self.memory.begin_upgrade()  # a successor of an older version, which does not ask
             await self.hand_over(link)
         finally:
-            self.successor = None
+            self.successor = self.id_claims.successor = None
             self.execute(self.protocol.on_link_lost())
             if self.memory is not None and self.protocol.phase is Phase.NO_SUCCESSOR:
                 self.memory.end_upgrade()
@@ -288,6 +293,7 @@
         self.successor = link
         self.log("handover", text="another process requests to take over")
         self.send_state(link)
+        self.id_claims.successor = link  # behind the state, which has the ids of before
         async with anyio.create_task_group() as group:
             group.start_soon(self.report_open_work, link)
             await self.run_link(link, self.on_successor_message)
@@ -367,6 +373,8 @@
             link.send({"say": "done", "n": message.get("n"), "status": status})
         elif say == "done" and (event := self.pending_calls.get(message.get("n"))) is not None:
             event.set()
+        else:
+            self.id_claims.on_message(link, message)
 
     async def forward_call(self, call: AdminCall) -> None:
         links = [link for link in (self.predecessor, self.successor) if link is not None and link.has_room()]
--- a/lupinmill/handover/handover_state.py
+++ b/lupinmill/handover/handover_state.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from lupinmill import terms as t
@@ -29,6 +29,7 @@
     open_descriptors: int  # of the predecessor
     retries: int  # attempts beyond a request's first that the predecessor has made so far
     private_memory: int = 0  # bytes that the predecessor alone holds, or may come to hold until it yields
+    used_ids: list[int] = field(default_factory=list)  # digests of ids that must not run again
 
 
 def encode_list(endpoint_list: dict[str, t.ListEntry], addresses: dict[str, str], index: int | None) -> Table:
@@ -74,7 +75,8 @@
         cordoned = {str(name): int(listed_at) for name, listed_at in table["out"]}
         mode, since = Mode(table["mode"][0]), int(table["mode"][1])
         retries, memory = int(table.get("repeats", 0)), int(table.get("memory", 0))
-        state = HandoverState(known, dict(table["learned"]), int(table["held"]), retries, memory)
+        used_ids = [int(digest) for digest in table.get("used_ids", ())]
+        state = HandoverState(known, dict(table["learned"]), int(table["held"]), retries, memory, used_ids)
         if state.open_descriptors < 0 or state.retries < 0 or state.private_memory < 0:
             raise ValueError("held, repeats, memory: must not be negative")
     except (KeyError, TypeError, ValueError, IndexError, AttributeError, OverflowError, Garbled) as error:
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -510,6 +510,8 @@
         self.engine.handle_event(t.TimerFired(1))
         self.descriptors.held_by_predecessor, self.predecessor_retries = state.open_descriptors, state.retries
         self.memory.count_predecessor(state.private_memory)
+        for digest in state.used_ids:
+            self.request_table.learn_used_id(digest)
         self.discovery.watch(
             t.StartWatch()
         )  # at once: changes that discovery sends from now on bind this process
--- a/lupinmill/program/upgrade.py
+++ b/lupinmill/program/upgrade.py
@@ -43,6 +43,10 @@
         handover.adopt_client = self.adopt_client
         handover.on_predecessor_work = self.update_predecessor_work
         handover.newer_list, handover.on_list = self.newer_list, self.take_list
+        handover.id_claims.take = self.request_table.take_id
+        handover.id_claims.learn = self.request_table.learn_used_id
+        self.request_table.on_unrepeatable_attempt = handover.id_claims.share
+        self.client_handler.id_claims = handover.id_claims
         # The other process knows the endpoint, though this one's list may be older.
         admin_handler = self.program.admin_handler
         handover.apply_call = lambda call: admin_handler.apply(call, True)
@@ -56,7 +60,12 @@
         state = handover_state.encode(
             self.encoded_list(), self.program.overrides, known, self.open_descriptors()
         )
-        return state | {"repeats": self.request_table.repeats, "memory": self.program.memory.private_claim()}
+        return state | {
+            "repeats": self.request_table.repeats,
+            "memory": self.program.memory.private_claim(),
+            "used_ids": self.request_table.all_used_ids(),
+            "claims": True,
+        }
 
     def collect_open_work(self) -> Table:
         return {
--- a/lupinmill/routing/client_handler.py
+++ b/lupinmill/routing/client_handler.py
@@ -7,7 +7,8 @@
 import anyio
 import h11
 
-from lupinmill.protocol.client_requests import rejection
+from lupinmill.handover.id_claims import ClaimResult, IdClaims
+from lupinmill.protocol.client_requests import aborted_response, rejection
 from lupinmill.protocol.http import (
     MAX_BODY_BYTES,
     MAX_BUFFERED_BODY,
@@ -31,6 +32,7 @@
 )
 from lupinmill.routing.request_table import PendingRequest
 from lupinmill.routing.response_writer import ResponseWriter
+from lupinmill.routing.used_ids import digest_of
 from lupinmill.transport.buffers import MemoryBudget
 from lupinmill.transport.client import Client, CloseReason
 from lupinmill.transport.closing import LINGER_S, MAX_LINGER_S
@@ -67,6 +69,7 @@
         self.closing = lambda: False  # whether responses close their connections
         # passes an idle connection, with its unread bytes, to the next process
         self.hand_over_client: Callable[[Client], bool] | None = None
+        self.id_claims: IdClaims | None = None  # while there may be a process before this one
         self.in_progress = 0  # clients whose request is being handled and whose response is not written
         self.internal_errors = 0  # client tasks that ended with an unexpected exception
 
@@ -197,7 +200,7 @@
         incomplete = body is not None and not body.complete
         if not incomplete:
             self.admission.enter(client)  # a slow upload is admitted only when it is complete
-        opened = self.open_request(client, received)
+        opened = await self.id_refusal(received) or self.open_request(client, received)
         if isinstance(opened, Answer):
             return await self.response_writer.send_answer(client, side, opened, self.must_close(client, side))
         pending = opened
@@ -228,6 +231,24 @@
             if not pending.settled:
                 self.response_writer.request_table.withdraw(pending)
 
+    async def id_refusal(self, received: ReceivedRequest) -> Answer | None:
+        """The answer to a request whose id the process before this one has used; None if it has not."""
+        claims = self.id_claims
+        if claims is None or claims.predecessor is None:
+            return None
+        request_id = self.request_factory.unrepeatable_id(received.request)
+        if request_id is None:
+            return None
+        result = await claims.claim(digest_of(request_id))
+        if result is ClaimResult.FREE:
+            return None
+        if received.body is not None:
+            received.body.drop()
+        if result is ClaimResult.UNKNOWN:
+            return aborted_response()  # it may have run there
+        refusal = self.request_factory.used_id(request_id)
+        return plain(refusal.status, f"{refusal}\n")
+
     def must_close(self, client: Client, side: ServerSide) -> bool:
         """Whether the response must end the connection: this sidecar is closing its connections, or pipelined
         bytes were dropped and cannot be recovered. Not while another request has been read that must be
