--- a/tests/slow_answers_bed.py
+++ b/tests/slow_answers_bed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import subprocess
 import time
 from collections.abc import AsyncIterator
@@ -18,6 +19,7 @@
 LOOPBACK = "127.0.0.1"
 ANSWER_WITHIN_S = 15.0  # for a whole answer, from the first byte of its request
 LATE_S = 0.5  # after its deadline a request without an answer is lost
+SMALL_RECEIVE_BUFFER, READ_STEP_S = 4096, 0.05  # bytes, seconds: of an endpoint that reads slowly
 
 
 @dataclass(frozen=True)
@@ -209,3 +211,62 @@
     finally:
         process.kill()
         process.communicate()
+
+
+class SlowReader:
+    """Reads requests at `rate` bytes a second, and answers each once it has come whole. `runs`: their ids."""
+
+    def __init__(self, rate: int) -> None:
+        self.rate, self.address = rate, ""
+        self.runs: list[str] = []
+
+    async def start(self) -> asyncio.Server:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER)
+        sock.bind((LOOPBACK, 0))
+        self.address = "%s:%d" % sock.getsockname()
+        return await asyncio.start_server(self.serve, sock=sock, limit=SMALL_RECEIVE_BUFFER)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                remaining = int(header(head, "content-length") or 0)
+                while remaining:
+                    data = await reader.read(min(remaining, int(self.rate * READ_STEP_S)))
+                    if not data:
+                        return
+                    remaining -= len(data)
+                    await asyncio.sleep(len(data) / self.rate)
+                self.runs.append(header(head, "req-id"))
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # the other side has gone, or the test is over
+        finally:
+            writer.close()
+
+
+async def upload(address: str, id_: str, workload: str, deadline_s: float, size: int) -> Received:
+    """One large request. `ended_s` counts from when its last byte was written to the connection; no answer
+    may come before."""
+    host, port = address.split(":")
+    loop, sock = asyncio.get_running_loop(), socket.socket()
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * size)
+    received = Received(id_, None, b"", False, 0.0, 0.0)
+    try:
+        async with asyncio.timeout(ANSWER_WITHIN_S):
+            await loop.sock_connect(sock, (host, int(port)))
+            head = (
+                f"POST /{workload} HTTP/1.1\r\nHost: a\r\nReq-Id: {id_}\r\nReq-Kind: {workload}\r\n"
+                f"Req-Deadline: {deadline_s}\r\nIdempotency-Key: k{id_}\r\nContent-Length: {size}\r\n\r\n"
+            )
+            await loop.sock_sendall(sock, head.encode() + b"z" * size)
+            written = time.monotonic()
+            data = await loop.sock_recv(sock, 1 << 16)
+            received.ended_s = time.monotonic() - written
+            received.status = int(data.split(b" ")[1]) if data else None
+    except (OSError, TimeoutError):
+        pass
+    finally:
+        sock.close()
+    return received
