--- a/lupinmill/protocol/client_requests.py
+++ b/lupinmill/protocol/client_requests.py
@@ -52,8 +52,8 @@
         raise Malformed(404, f"unknown workload {kind[:60]!r}", True)
     if path in workloads and path != kind:
         raise Malformed(400, "Req-Kind and the path name different workloads", True)
-    deadline = headers.get(DEADLINE, b"").decode("latin-1")
-    if not DECIMAL_SECONDS.fullmatch(deadline) or (time_left := float(deadline)) > MAX_DEADLINE_S:
+    time_left = deadline_us(headers.get(DEADLINE, b"").decode("latin-1"))
+    if time_left is None:
         raise Malformed(400, "no readable Req-Deadline", True)
     key = headers.get(KEY, b"").decode("latin-1")
     if len(key) > MAX_KEY_BYTES:
@@ -61,7 +61,7 @@
     return ClientRequest(
         request_id=name.decode("latin-1"),
         workload=kind,
-        time_left=int(time_left * 1_000_000),
+        time_left=time_left,
         tenant=text(headers.get(OWNER, b"")),
         is_retry=headers.get(RETRY) == b"1",
         key=key,
@@ -69,6 +69,18 @@
     )
 
 
+def deadline_us(text: str) -> int | None:
+    """Microseconds that a client will wait, from the value of its header; None if that is unusable."""
+    if not DECIMAL_SECONDS.fullmatch(text) or float(text) > MAX_DEADLINE_S:
+        return None
+    return int(float(text) * 1_000_000)
+
+
+def time_left_of(request: Request) -> int | None:
+    """Like `deadline_us`, of a request of which nothing else is checked."""
+    return deadline_us(request.header(DEADLINE) or "")
+
+
 def single_headers(request: Request) -> dict[bytes, bytes]:
     """The values of SINGLE_HEADERS. Raises Malformed where one is given twice: all copies are forwarded, and
     the endpoint might read another one than was read here."""
--- a/lupinmill/routing/client_handler.py
+++ b/lupinmill/routing/client_handler.py
@@ -23,6 +23,7 @@
 from lupinmill.routing.request_body import RequestBody
 from lupinmill.routing.request_factory import RequestFactory
 from lupinmill.routing.request_reader import (
+    BodyOverdue,
     MemoryShortage,
     ReadDeadline,
     ReceivedRequest,
@@ -127,11 +128,11 @@
     async def serve_requests(self, client: Client) -> None:
         side = ServerSide()
         while not self.hand_over(client, side):
-            refusal: MemoryShortage | Malformed | None = None
+            refusal: MemoryShortage | BodyOverdue | Malformed | None = None
             try:
                 if not await self.serve_next_request(client, side):
                     return
-            except (MemoryShortage, Malformed) as error:
+            except (MemoryShortage, BodyOverdue, Malformed) as error:
                 refusal = error.with_traceback(None)  # which would keep what was read until it is answered
             if refusal is not None and not await self.refuse(client, side, refusal):
                 return
@@ -145,10 +146,15 @@
             return await self.has_next_request(client, side)
         return await self.handle_request(client, side, received)
 
-    async def refuse(self, client: Client, side: ServerSide, refusal: MemoryShortage | Malformed) -> bool:
+    async def refuse(
+        self, client: Client, side: ServerSide, refusal: MemoryShortage | BodyOverdue | Malformed
+    ) -> bool:
         """Answers a request that can't be served. Returns True if the connection can serve another one."""
         if isinstance(refusal, MemoryShortage):
-            return await self.refuse_for_memory(client, side)
+            self.on_memory_shortage()
+            return await self.reject_unread(client, side)
+        if isinstance(refusal, BodyOverdue):
+            return await self.reject_unread(client, side)
         await self.send_rejection(client, side, plain(refusal.status, f"{refusal}\n"))
         return False
 
@@ -157,10 +163,9 @@
         client.response_due, client.close_reason = True, CloseReason.REFUSED
         await self.response_writer.send_answer(client, side, answer, True, MAX_BODY_BYTES)
 
-    async def refuse_for_memory(self, client: Client, side: ServerSide) -> bool:
+    async def reject_unread(self, client: Client, side: ServerSide) -> bool:
         """Rejects a request at once, whether or not all of it has come. Returns True if the connection can
         serve another one."""
-        self.on_memory_shortage()
         client.has_requested = client.response_due = True
         whole = discard_body(side)
         answer = rejection(self.retry_after)
@@ -291,7 +296,10 @@
             with anyio.move_on_after(self.response_writer.seconds_to_decision(pending)) as scope:
                 pending.client_wait = scope
                 if not pending.settled:
-                    complete = await self.reader.collect_body(client, side, body, MAX_BODY_BYTES)
+                    left = pending.metadata.time_left
+                    complete = await self.reader.collect_body(client, side, body, MAX_BODY_BYTES, left)
+        except BodyOverdue:
+            self.response_writer.request_table.reject_unsent(pending)
         except Malformed:
             if not pending.settled:
                 raise
--- a/lupinmill/routing/command_executor.py
+++ b/lupinmill/routing/command_executor.py
@@ -83,7 +83,7 @@
 
     def abort_response(self, command: t.AbortResponse) -> None:
         if pending := self.request_table.pending_requests.get(command.request):
-            self.request_table.settle(pending, client_requests.aborted_response())
+            self.request_table.abort(pending)
 
     def start_probe(self, command: t.StartProbe) -> None:
         self.group.start_soon(self.attempt_runner.probe, command.endpoint)
--- a/lupinmill/routing/request_reader.py
+++ b/lupinmill/routing/request_reader.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
 
 from lupinmill.limits.memory import REQUEST_MEMORY, head_memory
+from lupinmill.protocol.client_requests import time_left_of
 from lupinmill.protocol.http import (
     END,
     MAX_BODY_BYTES,
@@ -26,9 +28,15 @@
 
 # bytes of a body that are buffered before its first attempt, if the memory budget allows
 MAX_PRELOADED_BODY = 1024 * 1024
+OVERDUE_MARGIN_US = 20_000  # microseconds before a client's deadline, for the answer
 MIN_UPLOAD_RATE = 48_000  # bytes per second; a slower upload times out
 
 
+class BodyOverdue(Exception):
+    """The client may have written all of its body so long ago that its deadline is over, and the rest is
+    still unread. Nothing can have run."""
+
+
 class MemoryShortage(Exception):
     """There is no memory for a request that was being read. Nothing was attempted."""
 
@@ -107,12 +115,13 @@
         self, client: Client, side: ServerSide, request: Request, memory: MemoryLease
     ) -> ReceivedRequest | None:
         """Reads up to 64 KiB, or up to 1 MiB if the memory budget allows."""
-        received, began = bytearray(), 0.0
+        received, began, time_left = bytearray(), 0.0, time_left_of(request)
         deadline: ReadDeadline | None = None  # most bodies arrive together with their head and need none
         while (part := side.next_part()) is not END and len(received) <= MAX_BUFFERED_BODY:
             if isinstance(part, (bytes, bytearray)):
                 require(memory, len(part))
                 received += part
+                check_in_time(client, time_left)
             else:
                 if deadline is None:
                     began = anyio.current_time()
@@ -131,7 +140,9 @@
         try:
             await body.put(bytes(received), False)
             received.clear()
-            if body.fully_buffered() and not await self.collect_body(client, side, body, MAX_PRELOADED_BODY):
+            if body.fully_buffered() and not await self.collect_body(
+                client, side, body, MAX_PRELOADED_BODY, time_left
+            ):
                 body.drop()
                 return None
         except BaseException:
@@ -139,10 +150,18 @@
             raise
         return ReceivedRequest(request, body, memory)
 
-    async def collect_body(self, client: Client, side: ServerSide, body: RequestBody, max_bytes: int) -> bool:
+    async def collect_body(
+        self,
+        client: Client,
+        side: ServerSide,
+        body: RequestBody,
+        max_bytes: int,
+        time_left: int | None = None,
+    ) -> bool:
         """Reads until the end of the body, or until `max_bytes` are buffered or the memory budget is
         exhausted. Time during which no attempt takes the buffered bytes does not count against a slow upload.
-        Returns False if the client disconnected."""
+        Returns False if the client disconnected. `time_left`: microseconds of the client's deadline, from
+        its last byte. Raises BodyOverdue."""
         began, before = anyio.current_time(), side.size
         deadline = ReadDeadline(began + REQUEST_TIMEOUT_S)
         while body.end < max_bytes or max_bytes == MAX_BODY_BYTES:
@@ -155,7 +174,11 @@
                     return False
             else:
                 asked = anyio.current_time()
-                await body.put(part, max_bytes == MAX_BODY_BYTES)
+                if max_bytes == MAX_BODY_BYTES:
+                    await self.put_in_time(client, body, part, time_left)
+                else:
+                    check_in_time(client, time_left)
+                    await body.put(part, has_reader=False)
                 deadline.credit += anyio.current_time() - asked
                 if max_bytes < MAX_BODY_BYTES and not body.fully_buffered():
                     break
@@ -165,6 +188,15 @@
             deadline.until = began + deadline.credit + allowed
         return True
 
+    async def put_in_time(
+        self, client: Client, body: RequestBody, part: bytes | bytearray, time_left: int | None
+    ) -> None:
+        """Waits for room as long as the client may still be writing, or has time left."""
+        while True:
+            with anyio.move_on_after(check_in_time(client, time_left)):
+                await body.put(part)
+                return
+
     async def take_turn(self, deadline: ReadDeadline | None) -> None:
         """Lets other tasks run before more of a costly request is parsed."""
         began = anyio.current_time()
@@ -204,6 +236,17 @@
         return request
 
 
+def check_in_time(client: Client, time_left: int | None) -> float:
+    """Seconds that the client still waits at least, if the last byte of its body is among the unread ones.
+    Raises BodyOverdue if there are none."""
+    if time_left is None:
+        return math.inf
+    remaining = time_left - OVERDUE_MARGIN_US - client.max_elapsed_wait(time_left, incomplete=True)
+    if remaining <= 0:
+        raise BodyOverdue
+    return remaining / 1_000_000
+
+
 def max_upload_time(body: RequestBody) -> float:
     """Seconds that the rest of an incomplete body may take to arrive."""
     return REQUEST_TIMEOUT_S + ((body.length or MAX_BODY_BYTES) - body.end) / MIN_UPLOAD_RATE
--- a/lupinmill/routing/request_table.py
+++ b/lupinmill/routing/request_table.py
@@ -15,6 +15,7 @@
     aborted_response,
     client_response,
     load_report,
+    rejection,
 )
 from lupinmill.protocol.http import Answer, Request
 from lupinmill.routing.deadline import Deadline
@@ -224,6 +225,34 @@
             self.engine.log("backstop", submission=pending.metadata.request_id)
             self.engine.handle_event(t.RequestCancelled(pending.metadata.request_id))
 
+    def recall_unsent(self, pending: PendingRequest) -> bool:
+        """Ends the attempts of a request of which none has been sent in full, so that none can run. False if
+        one may have run."""
+        in_flight = [attempt for attempt in pending.attempts if attempt.in_flight]
+        if pending.may_have_run or any(attempt.fully_sent for attempt in in_flight):
+            return False
+        for attempt in in_flight:
+            attempt.deadline.scope.cancel()
+        return True
+
+    def abort(self, pending: PendingRequest) -> None:
+        """Answers a request that the decision module gives up, and that may have run as far as that knows."""
+        unsent = pending.attempts and not pending.settled and self.recall_unsent(pending)
+        self.settle(pending, self.rejection() if unsent else aborted_response())
+
+    def reject_unsent(self, pending: PendingRequest) -> None:
+        """Answers a request whose body can't be read in time."""
+        if pending.settled:
+            return
+        answer = self.rejection() if self.recall_unsent(pending) else aborted_response()
+        if self.settle(pending, answer):
+            name = pending.metadata.request_id
+            self.sampled_log("body_overdue", submission=name, read=pending.body.end, status=answer.status)
+            self.engine.handle_event(t.RequestCancelled(name))
+
+    def rejection(self) -> Answer:
+        return rejection(self.engine.sidecar.dispatcher.settings.longest_advice // 2)
+
     def attempt_ended(
         self,
         pending: PendingRequest,
