--- a/lupinmill/limits/memory.py
+++ b/lupinmill/limits/memory.py
@@ -30,6 +30,11 @@
 MIN_REQUESTS_MEMORY = MIN_CLIENTS * REQUEST_MEMORY  # bytes that requests may lease however much else grows
 
 
+# Of the limit, and bytes: what is kept free of all that the process holds, explained or not. While less is
+# free nothing more is given out; under half of it, incomplete requests are shed.
+HEADROOM_FRACTION, MIN_HEADROOM = 0.08, 1536 * 1024
+
+
 class NotEnoughMemory(Exception):
     """The limit leaves no room. `needed`: bytes that would."""
 
@@ -85,6 +90,21 @@
     return MemoryPlan(limit, base, clients, requests, large_bodies)
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryPressure:
+    """`excess`: bytes held beyond the headroom; 0 or less: none. `critical`: requests have to be shed."""
+
+    excess: int
+    critical: bool
+
+
+def memory_pressure(limit: int, base: int, resident: int) -> MemoryPressure:
+    """A base that leaves no headroom itself, as with a long list, is no pressure."""
+    headroom = max(MIN_HEADROOM, int(limit * HEADROOM_FRACTION))
+    ceiling = max(limit - headroom, base + MIN_REQUESTS_MEMORY)
+    return MemoryPressure(resident - ceiling, resident > max(ceiling, limit - headroom // 2))
+
+
 def head_memory(headers: int) -> int:
     """Bytes that a request's head takes beyond `REQUEST_MEMORY`."""
     return max(0, headers - FREE_HEADERS) * HEADER_MEMORY
--- a/lupinmill/program/process_memory.py
+++ b/lupinmill/program/process_memory.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -16,9 +17,11 @@
     MIN_ROOM,
     GrowthEstimate,
     MemoryPlan,
+    MemoryPressure,
     NotEnoughMemory,
     check_program,
     divide,
+    memory_pressure,
     wanted_reserve,
 )
 from lupinmill.limits.upgrade_memory import (
@@ -38,7 +41,9 @@
 DEFAULT_LARGE_BODY_MEMORY = 64 << 20  # bytes, if no limit is told
 ASSUMED_BASE = 24 << 20  # bytes, if the kernel does not tell what is resident
 CHECK_INTERVAL_S = 0.25
-SHARED_CHECK_INTERVAL_S = 0.05  # while another process holds a part of the limit
+# while another process holds a part of the limit, or most of it is held
+SHARED_CHECK_INTERVAL_S, NEARLY_FULL = 0.05, 0.85
+HELD_BACK_DECAY = 8  # a part of so many of what is held back is given out again at each look
 TRIM_STEP = 512 * 1024  # bytes of further growth after which free memory is given back to the system
 SHORTAGE_END_S = 2.0  # without a refusal, after which memory counts as no longer short
 MIB = 1 << 20
@@ -64,6 +69,10 @@
         self.trimmed_growth = 0  # bytes that were still held and not explained after the last trim
         self.shared = SharedLimit(NO_LIMIT if limit is None else limit)
         self.private_at_start = 0  # bytes that this process alone held when it had started
+        self.under_pressure = False
+        self.held_back = 0  # bytes that requests may not lease, after a pressure
+        # gives up incomplete requests that hold so many bytes together
+        self.shed: Callable[[int], None] = lambda count: None
         self.refused = 0  # requests refused for want of memory
         self.last_refusal: float | None = None  # seconds of the loop's clock; None: memory is not short
         self.upgrade_begun = anyio.Event()  # ends the wait for the next look at what is resident
@@ -107,13 +116,17 @@
     async def watch(self) -> None:
         """Makes the budget smaller while the process holds more than its leases explain."""
         while True:
-            if self.shared.is_shared():
+            if self.shared.is_shared() or self.is_nearly_full():
                 await anyio.sleep(SHARED_CHECK_INTERVAL_S)
             else:
                 with anyio.move_on_after(CHECK_INTERVAL_S):
                     await self.upgrade_begun.wait()
             self.check()
 
+    def is_nearly_full(self) -> bool:
+        resident = resident_bytes() if self.plan is not None else None
+        return resident is not None and resident > NEARLY_FULL * self.plan.limit
+
     def check(self) -> None:
         if self.shared.is_shared():
             self.check_shared()
@@ -125,10 +138,36 @@
             self.trimmed_growth = min(self.trimmed_growth, growth)
             self.descriptors.client_limit = self.plan.clients
             self.requests.limit = max(MIN_REQUESTS_MEMORY, self.plan.requests - growth)
+            self.check_pressure(self.plan)
         if self.last_refusal is not None and anyio.current_time() - self.last_refusal > SHORTAGE_END_S:
             self.last_refusal = None
             self.log("memory_short_over", **self.figures())
 
+    def check_pressure(self, plan: MemoryPlan) -> None:
+        """Gives out nothing more while the process holds nearly as much as it may, whatever explains it."""
+        pressure = self.pressure(plan)
+        if pressure.excess > 0:
+            self.block_pool.drop_free()
+            release_free_memory()
+            pressure = self.pressure(plan)
+        self.held_back += max(pressure.excess, -self.held_back // HELD_BACK_DECAY)
+        leasable = self.requests.limit - self.held_back
+        if pressure.excess > 0:
+            leasable = min(leasable, self.requests.leased - pressure.excess)
+        self.requests.limit = max(MIN_REQUESTS_MEMORY, leasable)
+        if pressure.excess > 0:
+            clients = self.descriptors.open[ConnectionKind.CLIENT]
+            self.descriptors.client_limit = max(MIN_CLIENTS, min(plan.clients, clients))
+        if pressure.critical:
+            self.shed(pressure.excess)
+        if (pressure.excess > 0) != self.under_pressure:
+            self.under_pressure = not self.under_pressure
+            event = "memory_pressure" if self.under_pressure else "memory_pressure_over"
+            self.log(event, open_clients=self.descriptors.open[ConnectionKind.CLIENT], **self.figures())
+
+    def pressure(self, plan: MemoryPlan) -> MemoryPressure:
+        return memory_pressure(plan.limit, plan.base, resident_bytes() or 0)
+
     def observe_growth(self, growth: GrowthEstimate) -> int:
         """Bytes that are held and not explained; as before where the kernel does not tell."""
         resident = resident_bytes()
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -121,6 +121,7 @@
         self.overrides = OperatorOverrides()
         self.directory = EndpointDirectory(self.engine, self.connection_pool, self.overrides.cordoned)
         self.request_table = RequestTable(self.engine)
+        self.memory.shed = self.request_table.shed
         workloads = {w.name for w in settings.deployment.workloads}
         self.request_factory = RequestFactory(self.request_table, self.directory, workloads, self.overrides)
         self.admin_handler = AdminHandler(self.overrides, self.directory, self.engine, log)
--- a/lupinmill/routing/request_body.py
+++ b/lupinmill/routing/request_body.py
@@ -12,6 +12,7 @@
 from lupinmill.protocol.http import MAX_BUFFERED_BODY
 from lupinmill.transport.buffers import MemoryBudget
 
+PART_BYTES = 112  # that a part takes beside its data, at most
 MAX_UNSENT_BYTES = MAX_BUFFERED_BODY  # bytes beyond the memory budget that may wait for an attempt
 
 
@@ -28,6 +29,7 @@
         self.discarded_parts = 0  # parts no longer kept; the kept ones begin at offset `start`
         self.start = self.end = 0  # byte offsets; `end`: bytes that have arrived
         self.leased = 0
+        self.exceeds_budget = False  # a part of it found no room
         self.read_up_to = 0  # offset up to which the furthest attempt has read
         self.complete = self.dropped = False
         self.changed = anyio.Event()
@@ -41,12 +43,13 @@
         before there is an attempt that could, one part beyond the budget is accepted."""
         if self.dropped:
             return  # settled meanwhile; nobody would release a lease taken now
-        if not self.body_memory.lease(len(data)):
+        if not self.body_memory.lease(len(data) + PART_BYTES):
+            self.exceeds_budget = True
             while has_reader and self.end - self.start > MAX_UNSENT_BYTES and not self.dropped:
                 if not self.discard_sent_part():
                     await self.changed.wait()
         else:
-            self.leased += len(data)
+            self.leased += len(data) + PART_BYTES
         if not self.dropped:
             self.parts.append(data)
             self.end += len(data)
@@ -59,7 +62,7 @@
         size = len(self.parts.popleft())
         self.start += size
         self.discarded_parts += 1
-        released = min(size, self.leased)
+        released = min(size + PART_BYTES, self.leased)
         self.leased -= released
         self.body_memory.release(released)
         return True
@@ -70,7 +73,7 @@
 
     def fully_buffered(self) -> bool:
         """Whether the memory budget had room for all of it so far."""
-        return self.leased == self.end
+        return not self.exceeds_budget
 
     def can_restart(self) -> bool:
         """Whether an attempt can start from the beginning."""
--- a/lupinmill/routing/request_table.py
+++ b/lupinmill/routing/request_table.py
@@ -250,6 +250,20 @@
             self.sampled_log("body_overdue", submission=name, read=pending.body.end, status=answer.status)
             self.engine.handle_event(t.RequestCancelled(name))
 
+    def shed(self, count: int) -> None:
+        """Rejects requests whose bodies are incomplete and of which nothing can have run, the largest first,
+        until so many bytes are free."""
+        incomplete = [
+            pending
+            for pending in self.pending_requests.values()
+            if pending.body is not None and not pending.body.complete and not pending.settled
+        ]
+        for pending in sorted(incomplete, key=lambda one: one.body.leased, reverse=True):
+            if count <= 0:
+                return
+            count -= pending.body.leased + pending.memory.size
+            self.reject_unsent(pending)
+
     def rejection(self) -> Answer:
         return rejection(self.engine.sidecar.dispatcher.settings.longest_advice // 2)
 
