--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -576,6 +576,18 @@
         unmoved = self.group_of(request, first.endpoint_state) == first.group
         return bool(group_here) and group_here == first.group and unmoved
 
+    def may_have_left_group(self, request: RequestState, endpoint: EndpointState) -> bool:
+        """Whether a repeat could reach a process of another group, which has taken the place and address of
+        the one that may have run the request: discovery tells it only later."""
+        if (
+            request.workload.repeat is not t.RepeatPolicy.DEDUPLICATED
+            or request.workload.group is t.DeduplicationScope.ALL
+        ):
+            return False
+        return any(
+            attempt.endpoint_state is endpoint and not attempt.never_ran for attempt in request.attempts
+        )
+
     def group_of(self, request: RequestState, endpoint: EndpointState) -> str:
         entry = endpoint.report.entry
         return entry.zone if request.workload.group is t.DeduplicationScope.ZONE else entry.cell
@@ -700,9 +712,9 @@
             return False
         # Repeated attempts are few, so they may cross zones.
         zone_fits = not request.zone or request.attempts or endpoint.report.entry.zone == request.zone
-        excluded = tried and (
-            not self.group_allows(request, endpoint) or endpoint in tried and self.ready > len(tried)
-        )
+        excluded = endpoint in tried and self.ready > len(tried)
+        excluded = excluded or bool(tried) and not self.group_allows(request, endpoint)
+        excluded = excluded or endpoint in tried and self.may_have_left_group(request, endpoint)
         # Placement holds even when all endpoints allowed by it are down.
         if excluded or not zone_fits or not request.workload.open_at(endpoint.report.entry):
             return False
