--- a/lupinmill/routing/attempt_runner.py
+++ b/lupinmill/routing/attempt_runner.py
@@ -99,6 +99,7 @@
                 self.classify_response(pending, attempt, answer, result)
             if result.outcome is None and attempt.fully_sent:
                 result.outcome = outcome_of_ended(attempt)
+                self.log_given_up(pending, attempt, result.outcome)
         except Unconnected:
             result.outcome = t.Outcome.UNCONNECTED
         except PrematureResponse:
@@ -110,6 +111,21 @@
         except (AttemptNotSent, NoDescriptor):
             result.outcome = t.Outcome.UNSENT
 
+    def log_given_up(self, pending: PendingRequest, attempt: Attempt, outcome: t.Outcome) -> None:
+        """An endpoint's response had begun, and nobody gets the rest of it."""
+        if attempt.reader is None or attempt.reader.head_at is None:
+            return
+        self.request_table.sampled_log(
+            "answer_given_up",
+            submission=pending.metadata.request_id,
+            workload=pending.metadata.workload,
+            endpoint=attempt.endpoint,
+            attempt=attempt.number,
+            why=outcome.value,
+            status=None if pending.answer is None else pending.answer.status,
+            **attempt.reader.figures(),
+        )
+
     def classify_response(
         self, pending: PendingRequest, attempt: Attempt, answer: Answer, result: Result
     ) -> None:
--- a/lupinmill/routing/client_handler.py
+++ b/lupinmill/routing/client_handler.py
@@ -221,6 +221,7 @@
             )
             if answer is None:
                 return False
+            self.response_writer.request_table.log_if_late(pending, answer)
             if pending.stream is not None:
                 # from here on the duration depends on the client's reading speed
                 self.admission.leave(client)
--- a/lupinmill/routing/request_table.py
+++ b/lupinmill/routing/request_table.py
@@ -30,6 +30,7 @@
 
 # microseconds; below this, durations differ by event loop and kernel rather than by endpoint
 MIN_DURATION_US = 5_000
+LOGGED_LATENESS_US = 100_000  # microseconds after its deadline from which a final response is logged as late
 
 
 @dataclass(slots=True)
@@ -138,6 +139,15 @@
         if not begun or pending.settled:
             return
         attempt = max(begun, key=lambda one: one.reader.side.size)
+        self.sampled_log(
+            "answer_forwarded",
+            submission=pending.metadata.request_id,
+            workload=pending.metadata.workload,
+            endpoint=attempt.endpoint,
+            attempt=attempt.number,
+            of=len(begun),
+            **attempt.reader.figures(),
+        )
         due_at, answer = attempt.deadline.at, attempt.reader.side.received_answer
         attempt.reader.interrupt()
         self.start_response_stream(pending, attempt, answer, ResponseStream(attempt.reader, attempt, due_at))
@@ -264,6 +274,20 @@
             count -= pending.body.leased + pending.memory.size
             self.reject_unsent(pending)
 
+    def log_if_late(self, pending: PendingRequest, answer: Answer) -> None:
+        """Called when the final response is about to be written."""
+        late = self.engine.clock.now() - pending.due
+        if late > LOGGED_LATENESS_US:
+            self.sampled_log(
+                "answer_late",
+                submission=pending.metadata.request_id,
+                workload=pending.metadata.workload,
+                status=answer.status,
+                late_ms=late // 1000,
+                attempts=[attempt.endpoint for attempt in pending.attempts],
+                loop_ms=self.engine.lateness // 1000,
+            )
+
     def rejection(self) -> Answer:
         return rejection(self.engine.sidecar.dispatcher.settings.longest_advice // 2)
 
--- a/lupinmill/routing/response_reader.py
+++ b/lupinmill/routing/response_reader.py
@@ -58,6 +58,16 @@
                 self.side.feed(data)
                 self.last_byte_at = anyio.current_time()
 
+    def figures(self) -> dict[str, int]:
+        """For the log, of a response that has begun: bytes of its body so far; milliseconds since its head,
+        and since its last byte."""
+        now = anyio.current_time()
+        return {
+            "bytes": self.side.size,
+            "begun_ms": round(1000 * (now - (self.head_at or now))),
+            "silent_ms": round(1000 * (now - (self.last_byte_at or now))),
+        }
+
     def interrupt(self) -> None:
         """Makes `read` return the head that has arrived, without waiting for more."""
         self.interrupted = True
--- a/tests/test_answers_given_slowly.py
+++ b/tests/test_answers_given_slowly.py
@@ -99,3 +99,27 @@
     received, _ = asyncio.run(play(tmp_path, answer, "issue", deadline_s=3.0))
     for one in received:
         assert one.whole and one.status == 200 and one.began_s < answer.head_after_s + HELD_BACK_S
+
+
+@pytest.mark.parametrize(
+    "answer, event",
+    [
+        (LumpyAnswer(LONG, 6, 0.28, "chunked"), "answer_forwarded"),
+        (LumpyAnswer(SHORT, 6, 0.28, "length"), "answer_given_up"),
+    ],
+)
+def test_what_became_of_an_answer_that_had_begun_is_logged(answer, event, tmp_path):
+    """For whoever looks for a lost answer: its id, its endpoint, how much had come, and when."""
+
+    async def play() -> list[dict]:
+        endpoint = LumpyEndpoint(answer)
+        server = await endpoint.start()
+        async with sidecar(tmp_path, table_of([endpoint.address])) as running:
+            await ask(running.address, "id", "issue", DEADLINE_S)
+            await asyncio.sleep(0.1)
+        server.close()
+        return [line for line in running.log if line["event"] == event]
+
+    (line,) = asyncio.run(play())
+    assert (line["submission"], line["workload"], line["endpoint"]) == ("id", "issue", "e0")
+    assert 0 < line["bytes"] < answer.size and line["begun_ms"] > 0
