--- a/tests/start_bed.py
+++ b/tests/start_bed.py
@@ -108,3 +108,15 @@
     while not condition():
         assert time.monotonic() < end, f"never: {what}"
         time.sleep(0.01)
+
+
+def start(tmp_path, table) -> subprocess.Popen:
+    path = tmp_path / "told.json"
+    path.write_bytes(table if isinstance(table, bytes) else orjson.dumps(table))
+    environ = {key: value for key, value in os.environ.items() if not key.startswith("BALANCER_")}
+    return subprocess.Popen(
+        [sys.executable, "-m", "lupinmill"],
+        env=environ | {"BALANCER_CONFIG": str(path)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -8,7 +8,7 @@
 import pytest
 from bed import SECOND, Bed, deployment, listing, on_network, wanted
 from hypothesis import given, settings, strategies
-from test_sidecar import always, fine, seen, until
+from endpoint_acts import always, fine, seen, until
 
 from lupinmill import terms as t
 from lupinmill.admin import admin_server, operator_overrides
@@ -379,7 +379,7 @@
 
 def test_an_operators_address_that_cant_be_used_is_one_plain_line_and_exit_2(tmp_path):
     from bed import Net
-    from test_sidecar import start
+    from start_bed import start
 
     net = Net([])
 
--- a/tests/test_answers_kept.py
+++ b/tests/test_answers_kept.py
@@ -13,7 +13,7 @@
 from bed import Net, on_network, wanted
 from memory_bed import Endpoint, start, table_of
 from test_admin import admin_request, send_admin_request
-from test_sidecar import until
+from endpoint_acts import until
 
 from lupinmill.protocol.http import Answer
 from lupinmill.routing import client_handler, request_reader
--- a/tests/test_attempts_undelivered.py
+++ b/tests/test_attempts_undelivered.py
@@ -13,7 +13,7 @@
 import pytest
 from bed import Net, on_network, settings, wanted
 from test_clients_answers import connect
-from test_sidecar import fine, seen, until
+from endpoint_acts import fine, seen, until
 
 from lupinmill import terms as t
 from lupinmill.protocol import lists
--- a/tests/test_clients_answers.py
+++ b/tests/test_clients_answers.py
@@ -11,7 +11,8 @@
 import pytest
 from bed import Net, on_network, wanted
 from test_crossings import PATIENT, LongLimitsNet, UnlistedNet, connect, list_all, request_arrived
-from test_sidecar import always, fine, seen, start, until
+from endpoint_acts import always, fine, seen, until
+from start_bed import start
 
 from lupinmill import terms as t
 from lupinmill.protocol import client_requests
--- a/tests/test_clients_door.py
+++ b/tests/test_clients_door.py
@@ -8,7 +8,7 @@
 import pytest
 from bed import Net, deployment, on_network, wanted
 from test_crossings import connect, request_arrived
-from test_sidecar import fine, seen, until
+from endpoint_acts import fine, seen, until
 
 from lupinmill import terms as t
 from lupinmill.limits.gate import AdmissionGate
--- a/tests/test_clients_drawn.py
+++ b/tests/test_clients_drawn.py
@@ -8,7 +8,7 @@
 import pytest
 from bed import Net, on_network, wanted
 from test_clients_answers import ENDED, listener_of
-from test_sidecar import DECLINED, fine, until
+from endpoint_acts import DECLINED, fine, until
 
 from lupinmill.protocol.http import ClientSide, Garbled, Request
 from lupinmill.transport.descriptors import ConnectionKind
--- a/tests/test_clients_upload_left.py
+++ b/tests/test_clients_upload_left.py
@@ -2,7 +2,7 @@
 
 import anyio
 from bed import on_network, settings, wanted
-from test_sidecar import fine, until
+from endpoint_acts import fine, until
 
 
 def test_an_upload_whose_client_left_holds_no_attempt_and_no_part_of_its_body():
--- a/tests/test_config_overlay.py
+++ b/tests/test_config_overlay.py
@@ -6,7 +6,7 @@
 import pytest
 from bed import IDEM, KEYED, SECOND, deployment, settings, wanted
 from test_config_sidecar import answer_ok, network, workload
-from test_sidecar import until
+from endpoint_acts import until
 
 from lupinmill import terms as t
 from lupinmill.config import checks, merge
--- a/tests/test_config_sidecar.py
+++ b/tests/test_config_sidecar.py
@@ -13,7 +13,7 @@
 import pytest
 from bed import Net, on_network, settings, wanted
 from test_admin import admin_request, send_admin_request
-from test_sidecar import always, until
+from endpoint_acts import always, until
 
 from lupinmill import terms as t
 from lupinmill.config import stable_store, wire
--- a/tests/test_costly_requests.py
+++ b/tests/test_costly_requests.py
@@ -6,7 +6,7 @@
 import anyio
 import pytest
 from bed import Net, on_network, wanted
-from test_sidecar import fine
+from endpoint_acts import fine
 
 from lupinmill.lab.sockets.costly_clients import CostlyClient, many_headers_request, tiny_chunks_request
 from lupinmill.protocol.http import (
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 from bed import Net, on_network, settings, wanted
-from test_sidecar import DECLINED, always, fine, seen, until
+from endpoint_acts import DECLINED, always, fine, seen, until
 
 from lupinmill import terms as t
 from lupinmill.protocol.http import Answer
--- a/tests/test_crossings_end.py
+++ b/tests/test_crossings_end.py
@@ -9,7 +9,8 @@
 import orjson
 import pytest
 from bed import Net, on_network, settings, wanted
-from test_sidecar import always, fine, seen, start, until
+from endpoint_acts import always, fine, seen, until
+from start_bed import start
 
 from lupinmill.protocol.http import Answer
 from lupinmill.routing.client_handler import ClientHandler
--- a/tests/test_crossings_endpoints.py
+++ b/tests/test_crossings_endpoints.py
@@ -13,7 +13,7 @@
 import pytest
 from bed import Net, on_network, settings, wanted
 from test_crossings import connect, module_is_idle
-from test_sidecar import DECLINED, always, fine, seen, until
+from endpoint_acts import DECLINED, always, fine, seen, until
 
 from lupinmill import terms as t
 from lupinmill.program.process_settings import parse_settings
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -10,7 +10,7 @@
 from bed import deployment as usual
 from test_crossings import module_is_idle, request_arrived
 from test_discovery_watcher import Simulation, longest, shortest
-from test_sidecar import fine, seen, until
+from endpoint_acts import fine, seen, until
 
 from lupinmill import terms as t
 from lupinmill.discovery import driver, watcher
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -10,7 +10,7 @@
 import pytest
 from bed import Net, on_network, wanted
 from test_handover import free_address, spawn
-from test_sidecar import fine, until
+from endpoint_acts import fine, until
 
 from lupinmill import terms as t
 from lupinmill.protocol.http import Answer, ClientSide, Request
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,7 +7,7 @@
 import pytest
 from bed import Net, deployment, on_network
 from test_admin import admin_request, send_admin_request
-from test_sidecar import fine, until
+from endpoint_acts import fine, until
 
 from lupinmill import terms as t
 from lupinmill.discovery import driver, watcher
--- a/tests/test_discovery_directory.py
+++ b/tests/test_discovery_directory.py
@@ -4,7 +4,7 @@
 import anyio
 import pytest
 from bed import Net, on_network, wanted
-from test_sidecar import fine, seen, until
+from endpoint_acts import fine, seen, until
 
 from lupinmill import terms as t
 from lupinmill.protocol import lists
--- a/tests/test_discovery_full.py
+++ b/tests/test_discovery_full.py
@@ -11,7 +11,7 @@
 import orjson
 import pytest
 from bed import Net, wanted
-from test_sidecar import fine, until
+from endpoint_acts import fine, until
 
 SOCKETS = 64  # descriptor limit in the settings and of the system
 CROWD = 300  # clients that connect, send half a request and stay
--- a/tests/test_endpoints_connections.py
+++ b/tests/test_endpoints_connections.py
@@ -14,7 +14,7 @@
 from bed import Net, on_network, settings, wanted
 from test_crossings import connect, module_is_idle
 from test_crossings_endpoints import until_end_of
-from test_sidecar import fine, until
+from endpoint_acts import fine, until
 
 from lupinmill import terms as t
 from lupinmill.protocol.http import Request
--- a/tests/test_endpoints_pause.py
+++ b/tests/test_endpoints_pause.py
@@ -4,7 +4,7 @@
 import pytest
 from bed import IDEM, ONCE, Bed, Net, deployment, listing, on_network, settings, wanted
 from test_crossings_endpoints import NO_PROBES, module_is_idle, until_end_of
-from test_sidecar import fine
+from endpoint_acts import fine
 
 from lupinmill import terms as t
 from lupinmill.rules import MS, REPLACEMENT_LATENCIES, SECOND
--- a/tests/test_engine_defects.py
+++ b/tests/test_engine_defects.py
@@ -5,7 +5,7 @@
 import pytest
 from bed import Net, deployment, on_network, settings, wanted
 from test_crossings import PATIENT, module_is_idle
-from test_sidecar import always, fine, seen, until
+from endpoint_acts import always, fine, seen, until
 
 from lupinmill import terms as t
 from lupinmill.protocol.http import Answer
--- a/tests/test_forwarded_body.py
+++ b/tests/test_forwarded_body.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
-from test_sidecar import fine, until
+from endpoint_acts import fine, until
 from test_size import chunked, noise
 
 from lupinmill.protocol.http import END, Request, ServerSide
--- a/tests/test_forwarded_framing.py
+++ b/tests/test_forwarded_framing.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
-from test_sidecar import always, fine
+from endpoint_acts import always, fine
 
 from lupinmill import terms as t
 from lupinmill.protocol import client_requests, http
--- a/tests/test_forwarded_headers.py
+++ b/tests/test_forwarded_headers.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
-from test_sidecar import fine
+from endpoint_acts import fine
 
 from lupinmill.protocol import client_requests, fast_path, http
 from lupinmill.protocol.http import Answer, ClientSide, Malformed, Request, ServerSide
--- a/tests/test_forwarded_pipelined.py
+++ b/tests/test_forwarded_pipelined.py
@@ -7,7 +7,7 @@
 import h11
 import pytest
 from bed import Net, on_network, wanted
-from test_sidecar import fine
+from endpoint_acts import fine
 from test_size import chunked, noise
 
 from lupinmill.protocol.http import Answer, ClientSide
--- a/tests/test_freed_at_once.py
+++ b/tests/test_freed_at_once.py
@@ -5,7 +5,7 @@
 
 import anyio
 from bed import Net, on_network, settings, wanted
-from test_sidecar import always
+from endpoint_acts import always
 
 from lupinmill.protocol.http import Answer
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -18,7 +18,7 @@
 from bed import IDEM, NO_CHANCE_OF_STOPPING, Bed, Net, deployment, listing, wanted
 from hypothesis import given, settings, strategies
 from test_admin import admin_status
-from test_sidecar import always, fine, until
+from endpoint_acts import always, fine, until
 
 from lupinmill import terms as t
 from lupinmill.admin.operator_overrides import Mode, OperatorOverrides
--- a/tests/test_lagging_loop.py
+++ b/tests/test_lagging_loop.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 from bed import Net, on_network, settings, wanted
-from test_sidecar import fine, until
+from endpoint_acts import fine, until
 
 DEADLINE_S = 0.3
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
--- a/tests/test_memory_requests.py
+++ b/tests/test_memory_requests.py
@@ -9,7 +9,7 @@
 from bed import Net, on_network, wanted
 from test_admin import admin_request, send_admin_request
 from test_clients_answers import connect, statuses
-from test_sidecar import always, fine, seen, until
+from endpoint_acts import always, fine, seen, until
 
 from lupinmill.limits.memory import REQUEST_MEMORY
 from lupinmill.protocol.http import Answer, Request
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -8,7 +8,7 @@
 import orjson
 import pytest
 from bed import Net, on_network, settings, wanted
-from test_sidecar import fine
+from endpoint_acts import fine
 
 from lupinmill import terms as t
 from lupinmill.protocol import lists
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -1,23 +1,17 @@
 """Complete sidecars on loopback: each request gets one answer that keeps the rules, whatever endpoints,
 clients and discovery do."""
 
-import itertools
 import os
 import random
-import re
-import signal
-import socket
-import subprocess
-import sys
 import threading
 import time
-from pathlib import Path
 
 import anyio
 import orjson
 import pytest
-from bed import DiscoveryStand, Net, on_network, settings, wanted
-from standstills import Standstills
+from bed import Net, on_network, settings, wanted
+from endpoint_acts import DECLINED, always, fine, seen, until
+from loop_lag import LoopLag
 
 from lupinmill import terms as t
 from lupinmill.discovery import driver, watcher
@@ -31,33 +25,10 @@
 from lupinmill.transport.connection_pool import MIN_IDLE_S
 from lupinmill.transport.descriptors import ConnectionKind
 
-# 16 MiB for the program and 144 KiB for each of 250 clients
-PEAK_LIMIT_KB = (16 << 10) + 250 * 144
-DECLINED = Answer(503, [(b"Srv-Declined", b"1")])
 LOOP_LAG_S = 0.08
 MAX_LATE_S = 0.5  # seconds after its hard limit within which a request has its final answer
 
 
-async def fine(request) -> Answer:
-    if request.target == b"/status/load":
-        return Answer(200, [], b"queue=2,util=0.4")
-    headers = [(b"X-From", b"here"), (b"Srv-Load", b"queue=1")]
-    return Answer(200, headers, b"done-" + request.header(b"req-id").encode())
-
-
-def always(what, after: float = 0.0):
-    async def act(request):
-        await anyio.sleep(after)
-        return what
-
-    return act
-
-
-def seen(net: Net, name: str) -> list[int]:
-    """The indexes of the endpoints that received this request completely."""
-    return [at for at, stand in enumerate(net.stands) for one in stand.seen if one.header(b"req-id") == name]
-
-
 def test_a_submission_is_handled_by_an_endpoint_and_its_answer_comes_back_unchanged():
     async def check(net: Net):
         answer = await net.ask(wanted("s1", deadline="0.8", body=b"x" * 60_000, more="Cookie: k=4\r\n"))
@@ -95,11 +66,11 @@
 )
 def test_what_comes_back_is_an_outcome_and_what_may_have_run_is_broken_off(act, how, status):
     async def check(net: Net):
-        async with Standstills() as standstills:
+        async with LoopLag() as lag:
             began = time.monotonic()
             assert (await net.ask(wanted("s1", "issue", "0.4"))).status == status
             took = time.monotonic() - began
-        assert took - standstills.total < 0.47
+        assert took - lag.standstills() < 0.47
 
     assert on_network(check, act, tier=1).ended()[0] is how
 
@@ -517,11 +488,6 @@
     assert len(calls) == 2 and fields["task"] == "broken" and fields["error"] == "RuntimeError: a defect"
 
 
-async def until(what) -> None:
-    while not what():
-        await anyio.sleep(0.01)
-
-
 @pytest.mark.parametrize("fault", ["silent", "garbled", "reset", Answer(503), Answer(200, [], b'{"index":')])
 def test_discovery_in_trouble_is_asked_again_and_the_old_list_stays(fault):
     async def check(net: Net):
@@ -597,26 +563,6 @@
     on_network(check, fine, known=False, discovery=mode)
 
 
-class LoopLag:
-    """Measures by how much the event loop, which all stand-ins share with the program, is late."""
-
-    INTERVAL_S = 0.005
-
-    def __init__(self) -> None:
-        self.late: list[tuple[float, float]] = []  # when, and by how many seconds
-
-    async def run(self) -> None:
-        while True:
-            due = time.monotonic() + self.INTERVAL_S
-            await anyio.sleep(self.INTERVAL_S)
-            now = time.monotonic()
-            self.late.append((now, now - due))
-
-    def between(self, begin: float, end: float) -> float:
-        """Seconds in all by which it was late, also where that began before or showed after."""
-        return sum(late for now, late in self.late if now >= begin and now - late <= end)
-
-
 @pytest.mark.parametrize("seed", range(4))
 def test_random_troubles_keep_the_rules(seed):
     random_source, ran, answers, late = random.Random(seed), {}, {}, []
@@ -652,16 +598,12 @@
                 row = random_source.choice(net.discovery.rows)
                 net.discovery.change(row, status="SERVING" if row["status"] != "SERVING" else "DRAINING")
 
-        async with anyio.create_task_group() as measuring:
-            measuring.start_soon(lag.run)
-            async with anyio.create_task_group() as group:
-                group.start_soon(flap)
-                for at in range(150):
-                    await anyio.sleep(random_source.uniform(0, 0.02))
-                    workload = random_source.choice(["view", "bid", "issue"])
-                    group.start_soon(ask, f"s{at}", workload, random_source.uniform(0.3, 0.8))
-            await anyio.sleep(2 * lag.INTERVAL_S)
-            measuring.cancel_scope.cancel()
+        async with lag, anyio.create_task_group() as group:
+            group.start_soon(flap)
+            for at in range(150):
+                await anyio.sleep(random_source.uniform(0, 0.02))
+                workload = random_source.choice(["view", "bid", "issue"])
+                group.start_soon(ask, f"s{at}", workload, random_source.uniform(0.3, 0.8))
 
     net = on_network(check, *(endpoint(number) for number in range(4)))
     assert len(answers) > 100 and max(answered - due for due, answered in late) < MAX_LATE_S
@@ -731,173 +673,3 @@
     # A reader that takes some in between may see dropped lines reported more than once.
     assert len(lines) + sum(line.get("dropped", 0) for line in lines) == 6001
     os.close(reader)
-
-
-# --- the program as a process ---------------------------------------------------------------------------
-
-
-def start(tmp_path, table) -> subprocess.Popen:
-    path = tmp_path / "told.json"
-    path.write_bytes(table if isinstance(table, bytes) else orjson.dumps(table))
-    environ = {key: value for key, value in os.environ.items() if not key.startswith("BALANCER_")}
-    return subprocess.Popen(
-        [sys.executable, "-m", "lupinmill"],
-        env=environ | {"BALANCER_CONFIG": str(path)},
-        stdout=subprocess.PIPE,
-        stderr=subprocess.PIPE,
-    )
-
-
-@pytest.mark.parametrize("clients", [True, False])
-def test_sigterm_serves_kept_connections_to_near_the_end_and_answers_all_that_was_taken(tmp_path, clients):
-    """Regression: a kept connection was closed 0.6 s after the signal, while its client had no other."""
-    net = Net([always(Answer(200, [], b"late"), 0.25)])
-
-    async def keep_asking(began: float) -> float:
-        """Sends requests on one connection until it is closed. Returns when that was."""
-        host, port = net.address.split(":")
-        async with await anyio.connect_tcp(host, int(port)) as stream:
-            for at in itertools.count():
-                await stream.send(wanted(f"s{at}", deadline="1.0"))
-                try:
-                    got = await stream.receive()
-                except (anyio.EndOfStream, anyio.BrokenResourceError):
-                    return time.monotonic() - began
-                assert got.startswith(b"HTTP/1.1 200 ")
-                if b"Connection: close" in got:
-                    return time.monotonic() - began
-                await anyio.sleep(0.02)
-
-    async def check(process) -> None:
-        began = time.monotonic()
-        process.send_signal(signal.SIGTERM)
-        if clients:
-            await anyio.sleep(0.3)
-            assert (await net.ask(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")).status == 503
-            assert (await net.ask(wanted("late"))).status == 200
-            assert 1.0 < await keep_asking(began) < 1.7
-        assert await anyio.to_thread.run_sync(process.wait) == 0
-        assert time.monotonic() - began < (1.7 if clients else 1.0)
-
-    async def main() -> None:
-        with anyio.fail_after(15):
-            async with anyio.create_task_group() as group:
-                await net.start(group)
-                process = start(tmp_path, net.table)
-                net.address = orjson.loads(await anyio.to_thread.run_sync(process.stdout.readline))["listen"]
-                try:
-                    await check(process)
-                finally:
-                    process.kill()
-                    out, err = process.communicate()
-                assert err == b"" and orjson.loads(out.splitlines()[-1])["event"] == "stopped"
-                group.cancel_scope.cancel()
-
-    anyio.run(main)
-
-
-def test_sighup_moves_to_the_discovery_that_the_file_names_and_a_bad_file_changes_nothing(tmp_path):
-    """Regression: exit status -1, as the program had no handler and SIGHUP ended it."""
-    net, other = Net([always(Answer(200, [], b"late"), 0.3)], discovery="push"), DiscoveryStand()
-    path = tmp_path / "told.json"
-
-    def reload(process, table) -> dict:
-        path.write_bytes(table if isinstance(table, bytes) else orjson.dumps(table))
-        process.send_signal(signal.SIGHUP)
-        while not (line := orjson.loads(process.stdout.readline()))["event"].startswith("reload"):
-            pass
-        return line
-
-    async def check(process) -> None:
-        for bad in (
-            b"{",
-            net.table | {"discovery": "nowhere"},
-            net.table | {"listen": "127.0.0.1:1"},
-            net.table | {"settings": settings(tier=1)},
-            net.table | {"limits": {"sockets": 99}},
-        ):
-            line = await anyio.to_thread.run_sync(reload, process, bad)
-            assert line["event"] == "reload_refused"
-        assert not other.seen
-        moved = net.table | {"discovery": other.address, "seed": "22", "known": None}
-        assert (await anyio.to_thread.run_sync(reload, process, moved))["event"] == "reloaded"
-        other.change(other.rows[0], status="DRAINING")
-        await until(lambda: len(other.seen) > 1)
-        assert other.seen[0].target == b"/v1/endpoints" and b"index=" in other.seen[1].target
-        assert (await net.ask(wanted("s2", deadline="0.2"))).status == 503
-
-    async def main() -> None:
-        with anyio.fail_after(15):
-            async with anyio.create_task_group() as group:
-                await net.start(group)
-                await group.start(other.run)
-                other.rows = [dict(row) for row in net.discovery.rows]
-                process = start(tmp_path, net.table)
-                net.address = orjson.loads(await anyio.to_thread.run_sync(process.stdout.readline))["listen"]
-                try:
-                    async with anyio.create_task_group() as inner:
-                        inner.start_soon(check, process)
-                        assert (await net.ask(wanted("s1"))).status == 200
-                    process.send_signal(signal.SIGTERM)
-                    await anyio.sleep(0.1)
-                    process.send_signal(signal.SIGHUP)
-                    assert await anyio.to_thread.run_sync(process.wait) == 0
-                finally:
-                    process.kill()
-                    assert process.communicate()[1] == b""
-                group.cancel_scope.cancel()
-
-    anyio.run(main)
-
-
-def test_memory_is_bounded_with_many_large_submissions_at_a_silent_endpoint(tmp_path):
-    net = Net([always("silent")])
-
-    async def main():
-        with anyio.fail_after(20):
-            async with anyio.create_task_group() as group:
-                await net.start(group)
-                process = start(tmp_path, net.table)
-                try:
-                    line = await anyio.to_thread.run_sync(process.stdout.readline)
-                    net.address = orjson.loads(line)["listen"]
-                    async with anyio.create_task_group() as inner:
-                        for at in range(250):
-                            body = b"z" * 65_536 if at % 2 else b"z" * 65_535
-                            inner.start_soon(net.ask, wanted(f"s{at}", deadline="2.0", body=body))
-                    status = Path(f"/proc/{process.pid}/status").read_text()
-                    peak = int(re.search(r"VmHWM:\s+(\d+) kB", status)[1])
-                    assert 16_000 < peak < PEAK_LIMIT_KB
-                finally:
-                    process.kill()  # in any case: later tests look for processes left behind
-                    process.communicate()
-                group.cancel_scope.cancel()
-
-    anyio.run(main)
-
-
-@pytest.mark.parametrize(
-    "table, said",
-    [
-        (b"{", "told.json"),
-        (b"[]", "not a JSON object"),
-        ({}, "missing 'settings'"),
-        ({"listen": "127.0.0.1:0", "discovery": "nowhere", "settings": settings()}, "nowhere"),
-        ({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": {"tier": "x"}}, "'x'"),
-        ({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": {}}, "no workloads"),
-    ],
-)
-def test_a_bad_start_is_one_plain_line_and_exit_2(tmp_path, table, said):
-    process = start(tmp_path, table)
-    out, err = process.communicate(timeout=10)
-    assert process.returncode == 2 and out == b""
-    assert err.count(b"\n") == 1 and said in err.decode() and b"Traceback" not in err
-
-
-def test_an_address_in_use_is_one_plain_line_and_exit_2(tmp_path):
-    with socket.create_server(("127.0.0.1", 0)) as taken:
-        address = "127.0.0.1:%d" % taken.getsockname()[1]
-        table = {"listen": address, "discovery": "127.0.0.1:1", "settings": settings()}
-        process = start(tmp_path, table)
-        out, err = process.communicate(timeout=10)
-    assert process.returncode == 2 and err == f"lupinmill: {address}: Address already in use\n".encode()
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -10,7 +10,7 @@
 import pytest
 from bed import IDEM, ONCE, SECOND, Bed, Net, deployment, on_network, wanted
 from test_handover import spawn
-from test_sidecar import always, fine, seen, until
+from endpoint_acts import always, fine, seen, until
 
 from lupinmill import terms as t
 from lupinmill.protocol.http import MAX_BUFFERED_BODY, Answer, ClientSide, Garbled, Request, ServerSide
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -10,7 +10,7 @@
 import pytest
 from bed import Net, deployment, wanted
 from test_handover import Processes, run_processes
-from test_sidecar import always, seen, until
+from endpoint_acts import always, seen, until
 
 from lupinmill.protocol.http import Answer, ClientSide, Request
 from lupinmill.routing.deadline import Deadline
--- a/tests/test_start_faults.py
+++ b/tests/test_start_faults.py
@@ -15,7 +15,7 @@
 from bed import Net, on_network, settings, wanted
 from start_bed import LIMIT, ROOT, begin, environment, line_of, running, table, wait_for
 from test_handover import free_address
-from test_sidecar import fine, until
+from endpoint_acts import fine, until
 
 from lupinmill.handover import driver
 from lupinmill.handover.driver import Handover
--- a/tests/test_start_lists.py
+++ b/tests/test_start_lists.py
@@ -5,7 +5,7 @@
 from bed import Net, on_network, wanted
 from hypothesis import HealthCheck, given, settings, strategies
 from start_bed import LIMIT, begin, line_of, running, table
-from test_sidecar import fine, until
+from endpoint_acts import fine, until
 
 from lupinmill import terms as t
 from lupinmill.protocol import lists
--- a/tests/test_start_signals.py
+++ b/tests/test_start_signals.py
@@ -10,7 +10,7 @@
 import pytest
 from bed import Net, on_network, wanted
 from start_bed import LIMIT, ROOT, begin, events, hooked, line_of, running, table
-from test_sidecar import fine, until
+from endpoint_acts import fine, until
 
 from lupinmill.handover.upgrade_socket import UpgradeSocket
 from lupinmill.transport.link_frames import frame
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -5,7 +5,7 @@
 
 import pytest
 from bed import Net, on_network
-from test_sidecar import fine, until
+from endpoint_acts import fine, until
 
 from lupinmill import terms as t
 from lupinmill.routing.start_times import StartTimes
