--- a/lupinmill/routing/response_stream.py
+++ b/lupinmill/routing/response_stream.py
@@ -17,6 +17,7 @@
 # is over; seconds after that deadline until which it may in any case; seconds of silence at the deadline
 # after which nothing more is waited for.
 MAX_SHORT_PAUSE_S, LATE_GRACE_S, MAX_SILENCE_S = 0.5, 0.4, 1.0
+MAX_LATE_PAUSE_S = 1.0  # seconds for which it may pause once it has gone on after that deadline
 MIN_RATE = 4_096  # bytes per second; a response that is still short after that grace and slower never ends
 
 
@@ -78,11 +79,16 @@
         if self.due_at is None or self.side.size > MAX_BUFFERED_BODY:
             return self.last_byte_at + MAX_PAUSE_S
         silent_at_deadline = self.due_at - self.last_byte_at >= MAX_SILENCE_S
+        if self.last_byte_at > self.due_at and self.is_fast_enough():
+            return self.last_byte_at + MAX_LATE_PAUSE_S
         latest = self.due_at + (0.0 if silent_at_deadline else LATE_GRACE_S)
-        if self.side.size < MIN_RATE * (self.last_byte_at - self.head_at):
+        if not self.is_fast_enough():
             return latest
         return max(latest, self.last_byte_at + MAX_SHORT_PAUSE_S)
 
+    def is_fast_enough(self) -> bool:
+        return self.side.size >= MIN_RATE * (self.last_byte_at - self.head_at)
+
     def finish(self) -> None:
         """Returns the connection to the attempt."""
         self.finished.set()
