--- a/tests/test_answers_given_slowly.py
+++ b/tests/test_answers_given_slowly.py
@@ -66,7 +66,7 @@
 
 
 def test_an_answer_that_goes_on_after_the_deadline_may_pause_for_longer(tmp_path):
-    """It is still short then, and nearly as long after its deadline as a request without an answer is lost."""
+    """It is still short when a request without any answer would be lost, but its endpoint goes on."""
     answer = LumpyAnswer(LONG, 6, 0.7, "chunked")
     received, _ = asyncio.run(play(tmp_path, answer, "issue"))
     assert [(one.status, one.body == body_of(one.id, LONG)) for one in received] == [(200, True)] * 12
