--- a/lupinmill/routing/deadline.py
+++ b/lupinmill/routing/deadline.py
@@ -53,15 +53,13 @@
             return data
         self.scope.deadline = math.inf
         stalls_at = anyio.current_time() + STALL_S if begun else math.inf
-        while True:
+        while not self.interrupted:
             try:
                 with anyio.CancelScope(deadline=min(stalls_at, self.at)) as self.waiting:
                     return await connection.receive()
             finally:
                 self.waiting = None
-            if self.interrupted:
-                return None
-            if (data := connection.read()) is not None:
+            if not self.interrupted and (data := connection.read()) is not None:
                 return data
             now = anyio.current_time()
             if now >= self.at:
@@ -70,3 +68,4 @@
             elif now >= stalls_at:
                 stalls_at = math.inf
                 on_stall()
+        return None
--- a/lupinmill/routing/request_table.py
+++ b/lupinmill/routing/request_table.py
@@ -134,7 +134,7 @@
         begun = [
             attempt
             for attempt in pending.attempts
-            if attempt.in_flight and attempt.reader is not None and attempt.reader.is_open_ended()
+            if attempt.fully_sent and attempt.reader is not None and attempt.reader.is_open_ended()
         ]
         if not begun or pending.settled:
             return
@@ -332,7 +332,7 @@
 
     def report_open_ended(self, pending: PendingRequest, attempt: Attempt) -> None:
         """The response to the attempt has begun, and tells no length."""
-        if attempt.fully_sent and attempt.reader.side.received_answer.status == 200:
+        if attempt.fully_sent:
             self.engine.handle_event(t.OpenEndedResponseBegan(pending.metadata.request_id, attempt.number))
 
     def is_last_attempt(self, pending: PendingRequest) -> bool:
--- a/lupinmill/routing/response_reader.py
+++ b/lupinmill/routing/response_reader.py
@@ -74,8 +74,15 @@
         self.deadline.interrupt()
 
     def is_open_ended(self) -> bool:
-        """Whether a response has begun that another task may take in parts, though it may be short."""
-        return self.on_open_ended is not None and self.side.open_ended
+        """Whether a successful response has begun that another task may take in parts, though it may be
+        short."""
+        answer = self.side.received_answer
+        return (
+            self.on_open_ended is not None
+            and self.side.open_ended
+            and answer is not None
+            and answer.status == 200
+        )
 
     def parse(self) -> None:
         side = self.side
@@ -87,7 +94,7 @@
                 side.max_buffered = 0
         if side.received_answer is not None and self.head_at is None:
             self.head_at = anyio.current_time()
-            if self.on_open_ended is not None and side.open_ended:
+            if self.on_open_ended is not None and self.is_open_ended():
                 self.on_open_ended()
 
     def is_taken_in_parts(self) -> bool:
--- a/tests/slow_answers_bed.py
+++ b/tests/slow_answers_bed.py
@@ -33,6 +33,7 @@
     framing: str
     stops_after: int | None = None
     head_after_s: float = 0.05
+    status: int = 200
 
     def head(self) -> bytes:
         ends = {
@@ -40,7 +41,7 @@
             "chunked": b"Transfer-Encoding: chunked",
             "close": b"Connection: close",
         }[self.framing]
-        return b"HTTP/1.1 200 OK\r\n%b\r\n\r\n" % ends
+        return b"HTTP/1.1 %d X\r\n%b\r\n\r\n" % (self.status, ends)
 
     def part(self, number: int, id_: str) -> bytes:
         body = body_of(id_, self.size)
--- a/tests/test_answers_given_slowly.py
+++ b/tests/test_answers_given_slowly.py
@@ -1,8 +1,10 @@
 """Long answers that endpoints give slowly reach clients whole, also where nothing tells their length."""
 
 import asyncio
+import socket
 from collections import Counter
 
+import anyio
 import pytest
 from slow_answers_bed import (
     LATE_S,
@@ -16,6 +18,10 @@
     table_of,
 )
 
+from lupinmill.routing.deadline import Deadline
+from lupinmill.transport.buffers import BlockPool
+from lupinmill.transport.connection import Connection
+
 CLIENTS, ROUNDS = 4, 3
 DEADLINE_S = 0.6
 LONG = 152_758  # bytes
@@ -108,6 +114,30 @@
         assert one.whole and one.status == 200 and one.began_s < answer.head_after_s + HELD_BACK_S
 
 
+def test_an_answer_that_is_forwarded_just_when_it_stalls_is_not_waited_for_without_end():
+    """The decision comes while the stall is reported, when nothing waits that could be interrupted."""
+
+    async def check() -> None:
+        deadline = Deadline(anyio.current_time() + 10)
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            sock, (other, _) = socket.create_connection(server.getsockname()), server.accept()
+        connection = Connection(sock, BlockPool(), lambda: None)
+        with other, connection, anyio.fail_after(5):
+            assert await deadline.receive(connection, True, deadline.interrupt) is None
+
+    anyio.run(check)
+
+
+@pytest.mark.parametrize("status, told", [(400, 400), (500, 502)])
+def test_a_slow_answer_that_is_no_success_is_taken_whole_or_not_at_all(status, told, tmp_path):
+    """Guards against forwarding the part of an error that has come within a second."""
+    answer = LumpyAnswer(SHORT, 6, 0.28, "chunked", status=status)
+    received, endpoints = asyncio.run(play(tmp_path, answer, "issue", deadline_s=3.0))
+    assert [one.status for one in received] == [told] * 12 and all(one.whole for one in received)
+    assert all(one.body == body_of(one.id, SHORT) for one in received if told == 400)
+    assert not any(endpoint.cut for endpoint in endpoints)
+
+
 @pytest.mark.parametrize(
     "answer, event",
     [
