--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -9,7 +9,7 @@
 import anyio
 import pytest
 from bed import Net, on_network, wanted
-from test_handover import free_address, spawn
+from process_bed import free_address, spawn
 from endpoint_acts import fine, until
 
 from lupinmill import terms as t
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -5,11 +5,8 @@
 import random
 import signal
 import socket
-import subprocess
-import sys
 import time
 from collections import Counter
-from pathlib import Path
 from typing import NamedTuple
 
 import anyio
@@ -19,6 +16,7 @@
 from hypothesis import given, settings, strategies
 from test_admin import admin_status
 from endpoint_acts import always, fine, until
+from process_bed import Processes, free_address, pause_process, run_processes
 
 from lupinmill import terms as t
 from lupinmill.admin.operator_overrides import Mode, OperatorOverrides
@@ -266,10 +264,10 @@
         return Where
 
 
-def run_upgrade(check, *acts) -> None:
+def run_upgrade(check, *acts, **settings) -> None:
     import tempfile
 
-    net = Net(acts)
+    net = Net(acts, **settings)
 
     async def main(directory) -> None:
         with anyio.fail_after(NO_CHANCE_OF_STOPPING):
@@ -504,28 +502,6 @@
 # --- processes ----------------------------------------------------------------------------------
 
 
-def spawn(tmp_path, table, number: int) -> subprocess.Popen:
-    path = tmp_path / f"told{number}.json"
-    path.write_bytes(orjson.dumps(table))
-    environ = {key: value for key, value in os.environ.items() if not key.startswith("BALANCER_")}
-    environ |= {"BALANCER_CONFIG": str(path), "TMPDIR": str(tmp_path)}
-    out = (tmp_path / f"log{number}").open("wb")
-    return subprocess.Popen([sys.executable, "-m", "lupinmill"], env=environ, stdout=out, stderr=out)
-
-
-RESERVED_PORTS: list[socket.socket] = []  # held until this test process ends
-
-
-def free_address() -> str:
-    """An address with a reserved port: bound here, so that no other process is given it, but the program may
-    bind it."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    sock.bind(("127.0.0.1", 0))
-    RESERVED_PORTS.append(sock)
-    return "127.0.0.1:%d" % sock.getsockname()[1]
-
-
 def test_a_reserved_port_is_the_programs_alone():
     """Guards against losing the port to another test's process between its choice and the start of the
     program."""
@@ -538,70 +514,6 @@
         socket.create_connection((host, int(port)), 5)
 
 
-async def wait_until_healthy(address: str) -> None:
-    class Where:
-        class program:
-            operator = address
-
-    while True:
-        try:
-            if await admin_status(Where, "GET", "/admin/health") == 200:
-                return
-        except OSError:
-            pass
-        await anyio.sleep(0.02)
-
-
-class Processes:
-    """Processes of one sidecar, running at the same time. All are ended with the test."""
-
-    def __init__(self, net: Net, folder) -> None:
-        self.net, self.folder, self.all = net, folder, []
-
-    async def start(self, folder=None) -> None:
-        operator = free_address()
-        table = self.net.table | {"listen": self.net.address, "operator": operator}
-        self.all.append(spawn(folder or self.folder, table, len(self.all)))
-        await wait_until_healthy(operator)
-
-    async def end(self, number: int) -> None:
-        """Sends SIGTERM and waits for a regular end."""
-        self.all[number].send_signal(signal.SIGTERM)
-        assert await anyio.to_thread.run_sync(self.all[number].wait) == 0
-
-    def kill(self) -> None:
-        for process in self.all:
-            process.kill()
-            process.wait()
-
-
-async def pause_process(process: subprocess.Popen, log: Path, span: float) -> None:
-    """Stops the process as soon as it logs that the next one requests its state."""
-    while b"another process requests to take over" not in log.read_bytes():
-        await anyio.sleep(0.001)
-    process.send_signal(signal.SIGSTOP)
-    await anyio.sleep(span)
-    process.send_signal(signal.SIGCONT)
-
-
-def run_processes(check, net: Net, folder, limit: float = 30) -> None:
-    """Runs `check(processes, group)` with the stand-ins; tasks started in the group end with it."""
-
-    async def main() -> None:
-        processes = Processes(net, folder)
-        try:
-            with anyio.fail_after(limit):
-                async with anyio.create_task_group() as group:
-                    await net.start(group)
-                    net.address = free_address()
-                    await check(processes, group)
-                    group.cancel_scope.cancel()
-        finally:
-            processes.kill()
-
-    anyio.run(main)
-
-
 class ClientRequest(NamedTuple):
     """One request as seen by its client; times in Unix seconds."""
 
--- a/tests/test_memory_lists.py
+++ b/tests/test_memory_lists.py
@@ -14,7 +14,7 @@
 import orjson
 import pytest
 from memory_bed import KIB, Body, Endpoint, one_request, start, status_kb, table_of
-from test_handover import free_address
+from process_bed import free_address
 from test_upgrade_memory import SHAPES, WARM_S, Load, Peak, Sidecar, healthy
 
 MANY = 3_200  # endpoints, the most that a fleet has
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -10,7 +10,7 @@
 from memory_bed import start
 from slow_answers_bed import ask, header, sidecar, table_of
 from start_bed import line_of
-from test_handover import free_address
+from process_bed import free_address
 
 
 ENDPOINTS = 4
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -9,7 +9,7 @@
 import h11
 import pytest
 from bed import IDEM, ONCE, SECOND, Bed, Net, deployment, on_network, wanted
-from test_handover import spawn
+from process_bed import spawn
 from endpoint_acts import always, fine, seen, until
 
 from lupinmill import terms as t
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -9,7 +9,7 @@
 import anyio.lowlevel
 import pytest
 from bed import Net, deployment, wanted
-from test_handover import Processes, run_processes
+from process_bed import Processes, run_processes
 from endpoint_acts import always, seen, until
 
 from lupinmill.protocol.http import Answer, ClientSide, Request
--- a/tests/test_start_faults.py
+++ b/tests/test_start_faults.py
@@ -14,7 +14,7 @@
 import pytest
 from bed import Net, on_network, settings, wanted
 from start_bed import LIMIT, ROOT, begin, environment, line_of, running, table, wait_for
-from test_handover import free_address
+from process_bed import free_address
 from endpoint_acts import fine, until
 
 from lupinmill.handover import driver
--- a/tests/test_upgrade_memory.py
+++ b/tests/test_upgrade_memory.py
@@ -18,7 +18,8 @@
 import pytest
 from hypothesis import given, settings, strategies
 from memory_bed import KIB, Body, Endpoint, one_request, start, table_of
-from test_handover import free_address, link_pair
+from process_bed import free_address
+from test_handover import link_pair
 
 from lupinmill.handover import driver, start_permission
 from lupinmill.handover.driver import Handover
