--- /dev/null
+++ b/tests/test_handover_times.py
@@ -0,0 +1,183 @@
+"""Times that pass from process to process in an upgrade keep their age, whatever the wall clock did before.
+
+Both programs run within the process of the test, each with a wall clock that it finds set when it starts."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+import pytest
+from bed import wanted
+from endpoint_acts import fine, until
+from test_handover import UpgradePair, run_upgrade
+
+from lupinmill import terms as t
+from lupinmill.admin.operator_overrides import DRAIN_SERVING_US, Mode
+from lupinmill.program.sidecar import Program
+from lupinmill.transport import wall_clock
+from lupinmill.transport.wall_clock import WallClock
+
+SECOND = 1_000_000  # microseconds
+HOUR_S = 3600
+TRANSFER_US = SECOND // 2  # by which an age may differ between the two processes
+STEPS = [0, 2, -2, 5, -5, HOUR_S, -HOUR_S, 2 * HOUR_S]
+READ_WALL_NS = time.time_ns
+
+
+def set_clock(monkeypatch, step_s: int) -> None:
+    """The wall clock is set for this process alone, and a program that starts now finds it so."""
+    monkeypatch.setattr(time, "time_ns", lambda: READ_WALL_NS() + step_s * 1_000_000_000)
+    monkeypatch.setattr(time, "time", lambda: READ_WALL_NS() / 1e9 + step_s)
+    monkeypatch.setattr(wall_clock, "SHARED", WallClock())
+
+
+def age(program: Program, at: int) -> int:
+    return program.engine.clock.now() - at
+
+
+def endpoint(program: Program, name: str):
+    return program.engine.sidecar.dispatcher.endpoints[name]
+
+
+def retry_budget(program: Program) -> tuple[float, float]:
+    dispatcher, now = program.engine.sidecar.dispatcher, program.engine.clock.now()
+    return dispatcher.retries.total(now), dispatcher.new_requests.total(now)
+
+
+async def start_e0(pair: UpgradePair) -> None:
+    """e0 starts now, as discovery tells, whose clock is the machine's."""
+    started_ms = READ_WALL_NS() // 1_000_000
+    pair.net.discovery.change(pair.net.discovery.rows[0], status="SERVING", since_ms=started_ms)
+    await until(lambda: endpoint(pair.programs[0], "e0").cold_since is not None)
+
+
+@pytest.mark.parametrize("step_s", STEPS)
+def test_slow_start_is_not_cut_short_or_begun_anew_in_an_upgrade(step_s, monkeypatch):
+    async def check(pair: UpgradePair):
+        old = pair.programs[0]
+        await start_e0(pair)
+        await anyio.sleep(0.3)
+        set_clock(monkeypatch, step_s)
+        new = await pair.start()
+        assert endpoint(new, "e0").cold_since is not None, "taken for warm"
+        ages = [age(program, endpoint(program, "e0").cold_since) for program in (old, new)]
+        assert abs(ages[1] - ages[0]) < TRANSFER_US, ages
+        index = pair.net.discovery.index
+        pair.net.discovery.change(pair.net.discovery.rows[1], status="DRAINING")
+        await until(lambda: new.directory.index > index)
+        # The next list has the same start, which must not look like another one.
+        assert abs(age(new, endpoint(new, "e0").cold_since) - age(old, endpoint(old, "e0").cold_since)) < (
+            TRANSFER_US
+        )
+
+    run_upgrade(check, fine, fine, invariants={"ask-within-s": 1.0, "cold-share": 0.2, "cold-s": 8})
+
+
+@pytest.mark.parametrize("step_s", STEPS)
+def test_the_retry_budget_is_neither_refilled_nor_emptied_by_an_upgrade(step_s, monkeypatch):
+    async def check(pair: UpgradePair):
+        old = pair.programs[0]
+        dispatcher, now = old.engine.sidecar.dispatcher, old.engine.clock.now()
+        dispatcher.new_requests.add(now, 50.0)
+        dispatcher.retries.add(now, 4.0)
+        set_clock(monkeypatch, step_s)
+        new = await pair.start()
+        assert retry_budget(new) == (4.0, 50.0)
+        # As a bucket of a time to come would stay in the sum: what is old counts no more.
+        expired = new.engine.clock.now() + 11 * SECOND
+        assert new.engine.sidecar.dispatcher.retries.total(expired) == 0
+
+    run_upgrade(check, fine, fine)
+
+
+@pytest.mark.parametrize("step_s", STEPS)
+def test_a_drain_of_the_sidecar_goes_on_in_an_upgrade_where_it_was(step_s, monkeypatch):
+    async def check(pair: UpgradePair):
+        old = pair.programs[0]
+        began = old.engine.clock.now() - DRAIN_SERVING_US // 2
+        old.overrides.quiesce(began)
+        set_clock(monkeypatch, step_s)
+        new = await pair.start()
+        assert new.overrides.mode is Mode.DRAINING
+        ages = [age(program, program.overrides.close_connections_at) for program in (old, new)]
+        assert abs(ages[1] - ages[0]) < TRANSFER_US, ages
+
+    run_upgrade(check, fine, fine)
+
+
+@pytest.mark.parametrize("step_s", STEPS)
+def test_when_an_endpoint_was_last_heard_passes_with_its_age(step_s, monkeypatch):
+    """Guards against endpoints that count as silent for an hour, or as never heard."""
+
+    async def check(pair: UpgradePair):
+        old = pair.programs[0]
+        for number in range(8):
+            assert (await pair.net.ask(wanted(f"s{number}"))).status == 200
+        set_clock(monkeypatch, step_s)
+        new = await pair.start()
+        for name in ("e0", "e1"):
+            ages = [age(program, endpoint(program, name).last_heard) for program in (old, new)]
+            assert abs(ages[1] - ages[0]) < TRANSFER_US, ages
+
+    run_upgrade(check, fine, fine)
+
+
+@pytest.mark.parametrize("step_s", STEPS)
+def test_the_list_of_the_process_before_tells_starts_by_the_machines_clock(step_s, monkeypatch):
+    """A list that the process before hears after it yielded."""
+
+    async def check(pair: UpgradePair):
+        old = pair.programs[0]
+        set_clock(monkeypatch, step_s)
+        new = await pair.start()
+        await until(lambda: not old.handover.protocol.accepts_clients())
+        await start_e0(pair)
+        await until(lambda: new.directory.index == old.directory.index)
+        assert endpoint(new, "e0").cold_since is not None, "taken for warm"
+        ages = [age(program, endpoint(program, "e0").cold_since) for program in (old, new)]
+        assert abs(ages[1] - ages[0]) < TRANSFER_US, ages
+
+    run_upgrade(check, fine, fine, invariants={"ask-within-s": 1.0, "cold-share": 0.2, "cold-s": 8})
+
+
+@pytest.mark.parametrize("step_s", [5, HOUR_S, -5, -HOUR_S])
+def test_a_process_that_starts_under_a_wrong_clock_goes_slow_to_what_has_just_started(step_s, monkeypatch):
+    """An endpoint of the configured list, and one that starts later."""
+
+    async def check(pair: UpgradePair):
+        net = pair.net
+        net.table["known"]["endpoints"][0]["since_ms"] = READ_WALL_NS() // 1_000_000 - 1_000
+        net.discovery.rows[0]["since_ms"] = net.table["known"]["endpoints"][0]["since_ms"]
+        set_clock(monkeypatch, step_s)
+        pair.programs.clear()
+        program = await pair.start()
+        assert endpoint(program, "e0").cold_since is not None, "taken for warm"
+        assert abs(age(program, endpoint(program, "e0").cold_since) - SECOND) < TRANSFER_US
+        net.discovery.change(net.discovery.rows[1], since_ms=READ_WALL_NS() // 1_000_000)
+        await until(lambda: isinstance(program.directory.index, int) and program.directory.index > 1)
+        assert endpoint(program, "e1").cold_since is not None, "taken for warm"
+        assert age(program, endpoint(program, "e1").cold_since) < TRANSFER_US
+
+    run_upgrade(check, fine, fine, invariants={"ask-within-s": 1.0, "cold-share": 0.2, "cold-s": 8})
+
+
+def test_a_start_is_known_by_its_listed_time_in_the_next_process(monkeypatch):
+    """Guards against a fleet that looks restarted to the next process after a step."""
+
+    async def check(pair: UpgradePair):
+        old = pair.programs[0]
+        await start_e0(pair)
+        endpoint(old, "e0").cold_since = None  # warm by now
+        for number in range(8):
+            assert (await pair.net.ask(wanted(f"s{number}"))).status == 200
+        monkeypatch.setattr(old.engine.sidecar.dispatcher.settings, "cold_time", 1)
+        set_clock(monkeypatch, -HOUR_S)
+        new = await pair.start()
+        entry = new.engine.sidecar.registry.listed["e0"]
+        assert isinstance(entry, t.ListEntry)
+        assert abs(age(new, entry.started) - age(old, old.engine.sidecar.registry.listed["e0"].started)) < (
+            TRANSFER_US
+        )
+
+    run_upgrade(check, fine, fine, invariants={"ask-within-s": 1.0, "cold-share": 0.2, "cold-s": 8})
