--- a/lupinmill/config/relay.py
+++ b/lupinmill/config/relay.py
@@ -30,8 +30,9 @@
 from lupinmill.config.relay_file import RelayFile
 from lupinmill.config.server import AdminServer, WatchServer
 from lupinmill.config.source import Source
-from lupinmill.routing.engine import Clock, Log, error_fields
+from lupinmill.routing.engine import Log, error_fields
 from lupinmill.transport.buffers import BlockPool
+from lupinmill.transport.clocks import MonotonicClock
 
 if TYPE_CHECKING:
     from lupinmill.config.driver import ConfigWatch
@@ -115,7 +116,7 @@
 class Relay:
     def __init__(self, file: RelayFile, log: Log) -> None:
         """Raises StartError. The listeners are open on return."""
-        self.file, self.log, self.clock = file, log, Clock()
+        self.file, self.log, self.clock = file, log, MonotonicClock()
         raise_descriptor_limit(file.most_watchers)
         self.store = StableStore(file.keep, log)
         try:
--- a/lupinmill/config/server.py
+++ b/lupinmill/config/server.py
@@ -26,9 +26,10 @@
     WatchReceived,
 )
 from lupinmill.protocol.http import Answer, Malformed, Request, ServerSide, plain
-from lupinmill.routing.engine import Clock, Log, error_fields
+from lupinmill.routing.engine import Log, error_fields
 from lupinmill.transport.buffers import BlockPool, MemoryBudget
 from lupinmill.transport.client import Client
+from lupinmill.transport.clocks import MonotonicClock
 from lupinmill.transport.closing import LINGER_S
 from lupinmill.transport.descriptors import RESERVED_DESCRIPTORS, DescriptorBudget
 from lupinmill.transport.listener import Listener
@@ -150,7 +151,13 @@
     """Drives the fan-out: turns requests into events, commands into replies, and runs its timer."""
 
     def __init__(
-        self, address: str, fanout: Fanout, max_watches: int, reply_memory: int, clock: Clock, log: Log
+        self,
+        address: str,
+        fanout: Fanout,
+        max_watches: int,
+        reply_memory: int,
+        clock: MonotonicClock,
+        log: Log,
     ) -> None:
         super().__init__(address, max_watches + EXTRA_CONNECTIONS, log)
         self.fanout, self.clock = fanout, clock
--- a/lupinmill/lab/scale/loopback.py
+++ b/lupinmill/lab/scale/loopback.py
@@ -26,7 +26,8 @@
 from lupinmill.program import operators_file
 from lupinmill.program.fleet_state import FleetStatePublisher
 from lupinmill.protocol import settings as protocol_settings
-from lupinmill.routing.engine import Clock, Engine
+from lupinmill.routing.engine import Engine
+from lupinmill.transport.clocks import MonotonicClock
 from lupinmill.zones.driver import ZoneDriver
 
 ELECTORS = 5
@@ -105,7 +106,7 @@
         assert file.peers is not None and file.zones is not None
         deployment = protocol_settings.deployment(protocol_settings.flatten(SETTINGS))
         settings = operators_file.peer_settings(file, name)
-        self.engine = Engine(deployment, Clock(), self.log)
+        self.engine = Engine(deployment, MonotonicClock(), self.log)
         for kind in (t.StartWatch, t.SetTimer):
             self.engine.command_handlers[kind] = lambda command: None
         self.driver = Driver(settings, file.site, operators_file.bind_address(file, name), None, self.log)
--- a/lupinmill/program/fleet_state.py
+++ b/lupinmill/program/fleet_state.py
@@ -56,6 +56,12 @@
         state.sidecars = sidecars
         self.engine.handle_event(state)
 
+    def continue_reports(self, serial: int) -> None:
+        """Goes on from the serial of the last report that the process before this one has sent: others drop
+        lower ones for a while, and the clock may have been set back."""
+        if self.zone_driver is not None:
+            self.zone_driver.core.serial = max(serial, self.zone_driver.core.serial)
+
     def change_configured_count(self, configured: int) -> None:
         """Takes a new configured number of sidecars that share the endpoints."""
         if self.live_count is not None:
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -18,7 +18,7 @@
 from lupinmill.admin.admin_server import MAX_CONNECTIONS, AdminServer
 from lupinmill.admin.operator_overrides import Mode, OperatorOverrides
 from lupinmill.discovery.driver import DiscoveryClient
-from lupinmill.handover import handover_state
+from lupinmill.handover import handover_state, sender_clock
 from lupinmill.handover.driver import Handover
 from lupinmill.limits.gate import AdmissionGate
 from lupinmill.program.process_memory import ProcessMemory
@@ -32,13 +32,14 @@
 from lupinmill.routing.client_handler import ClientHandler
 from lupinmill.routing.command_executor import CommandExecutor
 from lupinmill.routing.directory import EndpointDirectory
-from lupinmill.routing.engine import Clock, Engine, Log, error_fields
+from lupinmill.routing.engine import Engine, Log, error_fields
 from lupinmill.routing.request_factory import RequestFactory
 from lupinmill.routing.request_table import RequestTable
 from lupinmill.routing.response_writer import ResponseWriter
 from lupinmill.state import learned
 from lupinmill.transport import wall_clock
 from lupinmill.transport.buffers import BlockPool
+from lupinmill.transport.clocks import ClockReading, MonotonicClock
 from lupinmill.transport.connection_pool import ConnectionPool
 from lupinmill.transport.descriptors import ConnectionKind, DescriptorBudget
 from lupinmill.transport.listener import Listener
@@ -61,6 +62,7 @@
 # Retries to bind an address that another process still holds.
 BIND_RETRY_S, BIND_RETRY_INTERVAL_S = 3.0, 0.05
 OPEN_REQUEST_GRACE_S = 1.0  # after the longest possible deadline, shutdown stops waiting for open requests
+MAX_LOGGED_ENDPOINTS = 8  # named in one log line
 IDLE_CHECK_INTERVAL_S = 0.02  # while idle clients' connections are being closed
 
 
@@ -117,7 +119,7 @@
         self.connection_pool = ConnectionPool(
             self.descriptors, self.block_pool, settings.idle_timeout_s, settings.connect_timeout_s
         )
-        self.engine = Engine(settings.deployment, Clock(), log)
+        self.engine = Engine(settings.deployment, MonotonicClock(), log)
         self.overrides = OperatorOverrides()
         self.directory = EndpointDirectory(self.engine, self.connection_pool, self.overrides.cordoned)
         self.request_table = RequestTable(self.engine)
@@ -266,7 +268,9 @@
         if self.inherited is not None:
             table, sock = self.inherited
             try:
-                self.predecessor_state = handover_state.decode(table, self.overrides)
+                received = ClockReading.take()
+                self.predecessor_state = handover_state.decode(table, self.overrides, received)
+                self.log_predecessor_state(table, received)
             except handover_state.InvalidHandoverState as error:
                 self.log("handover_refused", error=str(error))
                 self.handover.decline()
@@ -286,6 +290,25 @@
                 self.memory.requests,
             )
 
+    def log_predecessor_state(self, table: dict[str, Any], received: ClockReading) -> None:
+        """What the predecessor handed over that is bound to a time. `clock_ahead_ms`: of its clock, by this
+        process's; `clock_told`: not by an older version."""
+        state = self.predecessor_state
+        assert state is not None
+        unlisted = {
+            name: round((received.monotonic - listed_at) / 1_000_000, 1)
+            for name, listed_at in [*self.overrides.cordoned.items()][:MAX_LOGGED_ENDPOINTS]
+        }
+        self.log(
+            "handover_state",
+            list=state.known.index,
+            mode=self.overrides.mode.value,
+            cordoned=len(self.overrides.cordoned),
+            unlisted_s=unlisted,
+            clock_told=sender_clock.decode_reading(table) is not None,
+            clock_ahead_ms=round((state.unix_ahead - received.unix_ahead) / 1000),
+        )
+
     async def serve(self, signals: AsyncIterator[signal.Signals], task_status: TaskStatus[str]) -> None:
         deployment, listener = self.settings.deployment, self.listener
         assert listener is not None
@@ -490,6 +513,8 @@
 
     def load_initial_list(self, state: handover_state.HandoverState | None) -> None:
         """Loads the configured list of endpoints, or the predecessor's list with what that has learned."""
+        if state is not None:
+            self.directory.start_times.adopt(state.starts, state.known.entries)
         try:
             self.directory.update(
                 self.settings.initial_list if state is None else state.known, t.ListKind.CACHED
@@ -505,7 +530,7 @@
         for name in self.overrides.cordoned:
             self.directory.set_cordoned(name, True)
         try:
-            learned.recall(self.engine.sidecar, state.learned, self.engine.clock.now())
+            learned.recall(self.engine.sidecar, state.learned, self.engine.clock.now(), state.unix_ahead)
         except Exception as error:
             self.log("handover_refused", **error_fields(error))
         self.engine.handle_event(t.TimerFired(1))
@@ -513,6 +538,8 @@
         self.memory.count_predecessor(state.private_memory)
         for digest in state.used_ids:
             self.request_table.learn_used_id(digest)
+        if self.fleet_state is not None:
+            self.fleet_state.continue_reports(state.report_serial)
         self.discovery.watch(
             t.StartWatch()
         )  # at once: changes that discovery sends from now on bind this process
--- a/lupinmill/program/upgrade.py
+++ b/lupinmill/program/upgrade.py
@@ -8,9 +8,10 @@
 from anyio.abc import TaskGroup
 
 from lupinmill import terms as t
-from lupinmill.handover import handover_state
+from lupinmill.handover import handover_state, sender_clock
 from lupinmill.protocol import lists
 from lupinmill.state import learned
+from lupinmill.transport.clocks import ClockReading
 from lupinmill.transport.listener import Listener
 
 if TYPE_CHECKING:
@@ -56,17 +57,29 @@
     # As the old process.
 
     def collect_state(self) -> Table:
-        known = learned.learned(self.engine.sidecar)
+        clock = ClockReading.take()
         state = handover_state.encode(
-            self.encoded_list(), self.program.overrides, known, self.open_descriptors()
+            self.encoded_list(clock),
+            self.program.overrides,
+            learned.learned(self.engine.sidecar, clock.unix_ahead),
+            self.open_descriptors(),
+            clock,
         )
         return state | {
             "repeats": self.request_table.repeats,
             "memory": self.program.memory.private_claim(),
             "used_ids": self.request_table.all_used_ids(),
             "claims": True,
+            "report_serial": self.report_serial(),
         }
 
+    def report_serial(self) -> int:
+        """Of the last report on zones that this process has sent; 0 if it sends none."""
+        fleet_state = self.program.fleet_state
+        if fleet_state is None or fleet_state.zone_driver is None:
+            return 0
+        return fleet_state.zone_driver.core.serial
+
     def collect_open_work(self) -> Table:
         return {
             "held": self.open_descriptors(),
@@ -79,14 +92,25 @@
     def open_descriptors(self) -> int:
         return sum(self.descriptors.open.values())
 
-    def encoded_list(self) -> Table:
-        rows = self.engine.sidecar.registry.listed
-        return handover_state.encode_list(rows, self.directory.addresses, self.directory.index)
+    def encoded_list(self, clock: ClockReading) -> Table:
+        directory = self.directory
+        listed = handover_state.ListedEndpoints(
+            self.engine.sidecar.registry.listed,
+            directory.addresses,
+            directory.index,
+            directory.start_times.listed_start,
+        )
+        return handover_state.encode_list(listed, clock.unix_ahead)
 
     def newer_list(self, index: int) -> Table | None:
         if self.directory.index in (None, index) or not self.watcher.list_is_current():
             return None
-        return {"address": self.watcher.address, "list": self.encoded_list()}
+        clock = ClockReading.take()
+        return {
+            "address": self.watcher.address,
+            "list": self.encoded_list(clock),
+            sender_clock.CLOCK: sender_clock.encode_reading(clock),
+        }
 
     def pause_serving(self) -> None:
         program, listener = self.program, self.listener
@@ -120,6 +144,10 @@
             return
         if before is not None and known.index > before:
             self.program.log("handover", text=f"list {known.index} of the process before this one")
+            received = ClockReading.take()
+            ahead = sender_clock.unix_ahead_of(message, (), received)
+            starts = handover_state.decode_starts(message["list"], ahead, received.monotonic)
+            self.directory.start_times.adopt(starts, known.entries)
             self.directory.update(known, t.ListKind.FULL)
 
     def adopt_client(self, sock: socket.socket) -> None:
--- a/lupinmill/routing/engine.py
+++ b/lupinmill/routing/engine.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-import time
 import traceback
 from collections import deque
 from collections.abc import Callable
@@ -13,6 +12,7 @@
 
 from lupinmill import terms as t
 from lupinmill.rules import Sidecar
+from lupinmill.transport.clocks import MonotonicClock
 
 Log = Callable[..., None]
 
@@ -32,20 +32,10 @@
     return {"error": f"{type(error).__name__}: {error}", "where": place}
 
 
-class Clock:
-    """Unix time in whole microseconds that never goes back, even if the machine's clock is set."""
-
-    def __init__(self) -> None:
-        self.offset_ns = time.time_ns() - time.monotonic_ns()
-
-    def now(self) -> int:
-        return (time.monotonic_ns() + self.offset_ns) // 1000
-
-
 class Engine:
     """Owns the `Sidecar`. Each type of command is executed by the handler registered for it."""
 
-    def __init__(self, deployment: t.Deployment, clock: Clock, log: Log) -> None:
+    def __init__(self, deployment: t.Deployment, clock: MonotonicClock, log: Log) -> None:
         self.sidecar, self.clock, self.log = Sidecar(deployment), clock, log
         self.events: deque[t.Event] = deque()
         self.stepping = False
--- a/lupinmill/transport/wall_clock.py
+++ b/lupinmill/transport/wall_clock.py
@@ -51,6 +51,10 @@
         self.unreported_step += step
         self.offsets.append(offset)
 
+    def possible_offsets(self) -> list[int]:
+        """Microseconds by which a Unix time from outside may be ahead of the monotonic clock."""
+        return list(self.offsets)
+
     def take_step(self) -> int:
         """Microseconds by which the clock was set since the last call."""
         self.update()
--- a/lupinmill/zones/driver.py
+++ b/lupinmill/zones/driver.py
@@ -14,6 +14,7 @@
 from lupinmill.peers import peer, proposer
 from lupinmill.peers.driver import Driver
 from lupinmill.routing.engine import Engine, Log
+from lupinmill.transport.clocks import unix_now
 from lupinmill.zones import member
 from lupinmill.zones.member import Member
 from lupinmill.zones.messages import endpoint_hash
@@ -38,6 +39,7 @@
             zone.name for zone in map_.zones if any(entry.zone == zone.name for entry in settings.roster)
         )
         self.core = Member(map_, settings.name, home, settings.electors, member_zones, now)
+        self.core.serial = unix_now()
         self.monitor = TrafficMonitor(map_, home, now)
         self.period = REPORT_PERIOD_S * max(1.0, len(settings.roster) / MAX_MEMBERS_AT_FULL_RATE)
         self.applied: member.ApplyPlan | None = None  # the last one, for the decision module
--- a/lupinmill/zones/messages.py
+++ b/lupinmill/zones/messages.py
@@ -35,7 +35,8 @@
 
 
 class ReportMessage(Struct, array_like=True, tag="e", frozen=True):
-    """One member's report. Serials also grow over restarts, because they start from the member's clock."""
+    """One member's report. Serials also grow over restarts, because they start from the Unix time of the
+    member's start, and over upgrades, because the next process goes on from them."""
 
     mark: Checksum
     serial: Annotated[int, Meta(ge=0, le=2**62)]
--- a/tests/clock_step_bed.py
+++ b/tests/clock_step_bed.py
@@ -81,6 +81,11 @@
         """The endpoint starts now, by its own clock and discovery's, which are the machine's."""
         self.change(endpoint, status="SERVING", since_ms=int(time.time() * 1000))
 
+    async def start_version(self, tree: str | None) -> None:
+        """Starts a process of the version in this folder, or of today's."""
+        self.processes.tree = tree
+        await self.processes.start()
+
     async def start_next(self, step_s: float = 0.0) -> None:
         """Starts a process that takes over from the last one; the clock steps while it starts."""
         operator = self.processes.begin()
--- a/tests/process_bed.py
+++ b/tests/process_bed.py
@@ -15,14 +15,16 @@
 from test_admin import admin_status
 
 
-def spawn(tmp_path, table, number: int, **more: str) -> subprocess.Popen:
-    """`more`: environment variables beside the usual ones."""
+def spawn(tmp_path, table, number: int, tree: str | None = None, **more: str) -> subprocess.Popen:
+    """`tree`: the folder of the version that runs, if it isn't today's. `more`: environment variables beside
+    the usual ones."""
     path = tmp_path / f"told{number}.json"
     path.write_bytes(orjson.dumps(table))
     environ = {key: value for key, value in os.environ.items() if not key.startswith("BALANCER_")}
     environ |= {"BALANCER_CONFIG": str(path), "TMPDIR": str(tmp_path)} | more
     out = (tmp_path / f"log{number}").open("wb")
-    return subprocess.Popen([sys.executable, "-m", "lupinmill"], env=environ, stdout=out, stderr=out)
+    command = [sys.executable, "-m", "lupinmill"]
+    return subprocess.Popen(command, env=environ, stdout=out, stderr=out, cwd=tree)
 
 
 RESERVED_PORTS: list[socket.socket] = []  # held until this test process ends
@@ -67,6 +69,7 @@
         self.net, self.folder, self.all = net, folder, []
         self.operators: list[str] = []  # the address for operators' calls of each process
         self.environ: dict[str, str] = {}
+        self.tree: str | None = None  # of the version of the processes that are started from now on
 
     async def start(self, folder=None) -> None:
         operator = self.begin(folder)
@@ -76,7 +79,7 @@
         """Starts a process without waiting for it; returns its address for operators' calls."""
         operator = free_address()
         table = self.net.table | {"listen": self.net.address, "operator": operator}
-        self.all.append(spawn(folder or self.folder, table, len(self.all), **self.environ))
+        self.all.append(spawn(folder or self.folder, table, len(self.all), self.tree, **self.environ))
         self.operators.append(operator)
         return operator
 
--- a/tests/test_clients_door.py
+++ b/tests/test_clients_door.py
@@ -14,10 +14,11 @@
 from lupinmill.limits.gate import AdmissionGate
 from lupinmill.protocol import fast_path
 from lupinmill.routing.admission import AdmissionController
-from lupinmill.routing.engine import Clock, Engine
+from lupinmill.routing.engine import Engine
 from lupinmill.routing.request_table import RequestTable
 from lupinmill.transport import listener
 from lupinmill.transport.buffers import MemoryBudget, MemoryLease
+from lupinmill.transport.clocks import MonotonicClock
 from lupinmill.transport.descriptors import ConnectionKind
 
 
@@ -230,7 +231,7 @@
 
     async def main() -> AdmissionGate:
         gate = AdmissionGate(d)
-        engine = Engine(d, Clock(), lambda *_, **__: None)
+        engine = Engine(d, MonotonicClock(), lambda *_, **__: None)
         admission = AdmissionController(gate, RequestTable(engine), lambda *_, **__: None)
         gate.record_lateness = lambda *_: None
         gate.active, gate.window, gate.peak_rate = True, 2.0, 1000.0
--- a/tests/test_crossings_endpoints.py
+++ b/tests/test_crossings_endpoints.py
@@ -21,9 +21,10 @@
 from lupinmill.protocol.http import Answer, Request
 from lupinmill.routing.command_executor import CommandExecutor
 from lupinmill.routing.deadline import Deadline
-from lupinmill.routing.engine import Clock, Engine
+from lupinmill.routing.engine import Engine
 from lupinmill.routing.request_table import Attempt, PendingRequest, RequestTable
 from lupinmill.transport import connection as transport
+from lupinmill.transport.clocks import MonotonicClock
 
 NO_PROBES = settings()["limits"] | {"probes": False}
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"
@@ -163,7 +164,7 @@
     async def main():
         told = []
         table = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": settings()}
-        engine = Engine(parse_settings(table, {}).deployment, Clock(), lambda *_, **__: None)
+        engine = Engine(parse_settings(table, {}).deployment, MonotonicClock(), lambda *_, **__: None)
         engine.handle_event = told.append
         request_table = RequestTable(engine)
         async with anyio.create_task_group() as group:
--- a/tests/test_engine_defects.py
+++ b/tests/test_engine_defects.py
@@ -10,7 +10,8 @@
 from lupinmill import terms as t
 from lupinmill.protocol.http import Answer
 from lupinmill.routing import engine as engines
-from lupinmill.routing.engine import Clock, Engine
+from lupinmill.routing.engine import Engine
+from lupinmill.transport.clocks import MonotonicClock
 from lupinmill.workings import RequestTimeout
 
 NO_PROBES = settings()["limits"] | {"probes": False}
@@ -132,7 +133,7 @@
 
 
 def engine_of(logs: list) -> Engine:
-    return Engine(deployment(), Clock(), lambda event, **fields: logs.append((event, fields)))
+    return Engine(deployment(), MonotonicClock(), lambda event, **fields: logs.append((event, fields)))
 
 
 def test_a_failure_loses_no_wake_up_that_the_module_counts_on():
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -29,6 +29,7 @@
 from lupinmill.protocol.http import Answer
 from lupinmill.rules import Sidecar
 from lupinmill.state import learned
+from lupinmill.transport.clocks import ClockReading, MonotonicTime, UnixTime
 from lupinmill.transport.descriptors import ConnectionKind
 from lupinmill.transport.link import Link, LinkError
 
@@ -154,15 +155,21 @@
     old.quiesce(77)
     listed = {f"e{at}": listing(at, started=at * 1000) for at in range(3)}
     listed["e2"].state = t.EndpointStatus.DRAINING
-    rows = handover_state.encode_list(listed, {f"e{at}": f"127.0.0.1:{at + 1}" for at in range(3)}, 41)
-    table = handover_state.encode(rows, old, {"cap": 3}, 9)
+    clock = ClockReading(MonotonicTime(1_000_000), UnixTime(5_000_000_000))
+    addresses = {f"e{at}": f"127.0.0.1:{at + 1}" for at in range(3)}
+    starts = {name: entry.started for name, entry in listed.items()}
+    rows = handover_state.encode_list(
+        handover_state.ListedEndpoints(listed, addresses, 41, starts.__getitem__), clock.unix_ahead
+    )
+    table = handover_state.encode(rows, old, {"cap": 3}, 9, clock)
     table = orjson.loads(orjson.dumps(table))
-    taken = handover_state.decode(table, new)
+    taken = handover_state.decode(table, new, clock)
     assert (
         taken.known.index == 41
         and taken.known.entries == list(listed.values())
         and taken.open_descriptors == 9
     )
+    assert taken.starts == {"e1": 1000, "e2": 2000}  # e0 started long ago
     assert new.mode is Mode.DRAINING and new.mode_since == 77 and list(new.cordoned) == ["e1"]
     for spoilt in (
         {"version": 99},
@@ -171,10 +178,13 @@
         {"mode": ["x", 1]},
         {"learned": 3},
         {"held": "x"},
+        {"clock": 7},
+        {"clock": [1]},
+        {"clock": ["x", 1]},
     ):
         untouched = OperatorOverrides()
         with pytest.raises(handover_state.InvalidHandoverState):
-            handover_state.decode(table | spoilt, untouched)
+            handover_state.decode(table | spoilt, untouched, clock)
         assert not untouched.cordoned and untouched.mode is Mode.SERVING
 
 
--- a/tests/test_handover_times.py
+++ b/tests/test_handover_times.py
@@ -7,14 +7,17 @@
 import time
 
 import anyio
+import orjson
 import pytest
-from bed import wanted
+from bed import deployment, wanted
 from endpoint_acts import fine, until
 from test_handover import UpgradePair, run_upgrade
 
 from lupinmill import terms as t
-from lupinmill.admin.operator_overrides import DRAIN_SERVING_US, Mode
+from lupinmill.admin.operator_overrides import DRAIN_SERVING_US, CordonResult, Mode
 from lupinmill.program.sidecar import Program
+from lupinmill.rules import Sidecar
+from lupinmill.state.learned import BUCKET_WIDTHS, windows
 from lupinmill.transport import wall_clock
 from lupinmill.transport.wall_clock import WallClock
 
@@ -181,3 +184,80 @@
         )
 
     run_upgrade(check, fine, fine, invariants={"ask-within-s": 1.0, "cold-share": 0.2, "cold-s": 8})
+
+
+# --- a version from before beside this one ---------------------------------------------------------
+
+
+def state_of(program: Program) -> dict:
+    return orjson.loads(orjson.dumps(program.handover.collect_state()))
+
+
+def as_of_an_older_version(state: dict, ahead_s: int) -> dict:
+    """The state as a version sends it that tells no clock, and whose own is `ahead_s` seconds ahead."""
+    older = {key: value for key, value in state.items() if key != "clock"}
+    ahead = ahead_s * SECOND
+    older["out"] = [[name, listed_at + ahead] for name, listed_at in state["out"]]
+    older["mode"] = [state["mode"][0], state["mode"][1] + ahead]
+    older["learned"] = dict(state["learned"])
+    for key, width in BUCKET_WIDTHS.items():
+        older["learned"][key] = [[at + ahead // width, total] for at, total in state["learned"][key]]
+    older["learned"]["endpoints"] = {
+        name: row | {key: row[key] + ahead for key in ("heard", "cold_since") if row[key]}
+        for name, row in state["learned"]["endpoints"].items()
+    }
+    return older
+
+
+@pytest.mark.parametrize("ahead_s", STEPS)
+def test_a_state_of_an_older_version_has_no_time_to_come_and_none_that_is_older_than_it_is(ahead_s):
+    """Such a version reads its times by a clock that it fixed at its start, and doesn't tell it."""
+
+    async def check(pair: UpgradePair):
+        old = pair.programs[0]
+        await start_e0(pair)
+        for number in range(8):
+            assert (await pair.net.ask(wanted(f"s{number}"))).status == 200
+        assert old.overrides.cordon(old.engine.clock.now(), "e1", True) is CordonResult.DONE
+        old.engine.sidecar.dispatcher.retries.add(old.engine.clock.now(), 3.0)
+        await anyio.sleep(0.3)
+        state, collected = as_of_an_older_version(state_of(old), ahead_s), anyio.Event()
+        old.handover.collect_state = lambda: (collected.set(), state)[1]
+        new = await pair.start()
+        assert collected.is_set() and "e1" in new.overrides.cordoned
+        assert 0 <= age(new, new.overrides.cordoned["e1"]) < 5 * SECOND
+        for at in (endpoint(new, "e0").cold_since, endpoint(new, "e1").last_heard):
+            assert 0 <= age(new, at) < SECOND
+        assert age(new, endpoint(new, "e0").cold_since) <= age(old, endpoint(old, "e0").cold_since) + 100_000
+        assert retry_budget(new)[0] == 3.0
+
+    run_upgrade(check, fine, fine, invariants={"ask-within-s": 1.0, "cold-share": 0.2, "cold-s": 8})
+
+
+@pytest.mark.parametrize("step_s", STEPS)
+def test_an_older_version_reads_each_time_of_the_state_as_unix_time(step_s, monkeypatch):
+    """It has its clock from its start, which is just before: so the times have to be of the clock of now."""
+
+    async def check(pair: UpgradePair):
+        old = pair.programs[0]
+        await start_e0(pair)
+        for number in range(8):
+            assert (await pair.net.ask(wanted(f"s{number}"))).status == 200
+        assert old.overrides.cordon(old.engine.clock.now(), "e1", True) is CordonResult.DONE
+        old.overrides.quiesce(old.engine.clock.now())
+        set_clock(monkeypatch, step_s)
+        state, now = state_of(old), time.time_ns() // 1000
+        learned = state["learned"]
+        times = [state["out"][0][1], state["mode"][1], learned["endpoints"]["e0"]["cold_since"]]
+        times.append(learned["endpoints"]["e1"]["heard"])
+        times += [
+            buckets[-1][0] * BUCKET_WIDTHS[key] for key in ("taken", "came") if (buckets := learned[key])
+        ]
+        assert len(times) == 6 and all(0 <= now - at < 3 * SECOND for at in times), (now, times)
+
+    run_upgrade(check, fine, fine, invariants={"ask-within-s": 1.0, "cold-share": 0.2, "cold-s": 8})
+
+
+def test_the_widths_of_the_sums_that_are_handed_over_are_those_of_the_decision_module():
+    dispatcher = Sidecar(deployment()).dispatcher
+    assert {key: window.width for key, window in windows(dispatcher).items()} == BUCKET_WIDTHS
--- a/tests/test_start_faults.py
+++ b/tests/test_start_faults.py
@@ -271,9 +271,10 @@
     """Regression: `OverflowError: cannot convert float infinity to integer`."""
     from lupinmill.admin.operator_overrides import OperatorOverrides
     from lupinmill.handover import handover_state
+    from lupinmill.transport.clocks import ClockReading
 
     with pytest.raises(handover_state.InvalidHandoverState):
-        handover_state.decode(STATE | bad, OperatorOverrides())
+        handover_state.decode(STATE | bad, OperatorOverrides(), ClockReading.take())
 
 
 @pytest.mark.parametrize(
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -95,11 +95,11 @@
     """Guards slow start: by a clock that was set back an hour, a start just now looks an hour old."""
     machine = FakeClocks(monkeypatch)
     clock = WallClock()
-    starts, ours = StartTimes(clock), machine.wall_ahead
+    starts, ahead_before = StartTimes(clock), machine.wall_ahead
     machine.wall_ahead += step
     clock.update()
-    now = machine.steady + ours
-    told = machine.wall() if of_all else now
+    now = machine.steady
+    told = machine.wall() if of_all else now + ahead_before
     understood = starts.resolve(listed(told), now).started
     assert now - 2 * MIN_STEP_US <= understood <= now or understood > now
     machine.steady += SECOND
@@ -129,19 +129,21 @@
     """Guards against a whole fleet that looks restarted, or cold, with the next whole list."""
     machine = FakeClocks(monkeypatch)
     clock = WallClock()
-    starts, started = StartTimes(clock), machine.wall() - HOUR - SECOND
-    assert starts.resolve(listed(started), machine.wall()).started == started
-    now = machine.wall()
+    now = machine.steady
+    starts, told, started = StartTimes(clock), machine.wall() - HOUR - SECOND, now - HOUR - SECOND
+    assert starts.resolve(listed(told), now).started == started
     machine.wall_ahead -= HOUR
     clock.update()
-    assert starts.resolve(listed(started), now).started == started
+    assert starts.resolve(listed(told), now).started == started
     starts.retain([])
     assert not starts.listed and not starts.converted
 
 
 def test_while_no_clock_is_set_a_start_is_taken_as_it_is_told(monkeypatch):
     machine = FakeClocks(monkeypatch)
-    starts = StartTimes(WallClock())
-    for started in (0, 1, machine.wall(), machine.wall() + HOUR):
-        entry = listed(started)
-        assert starts.resolve(entry, machine.wall()) is entry
+    starts, now = StartTimes(WallClock()), machine.steady
+    for age in (0, 1, SECOND, HOUR):
+        assert starts.resolve(listed(machine.wall() - age), now).started == now - age
+    assert starts.resolve(listed(machine.wall() + HOUR), now).started == now  # none can be to come
+    long_ago = listed(0)
+    assert starts.resolve(long_ago, now) is long_ago
--- a/tests/test_zones_member.py
+++ b/tests/test_zones_member.py
@@ -324,6 +324,23 @@
     assert core.dropped["old"] == 1
 
 
+def test_reports_of_the_next_process_of_an_upgrade_are_not_dropped_after_the_clock_was_set_back():
+    """Guards against a member whose reports count as old for 6 s: its serials began at the time of its own
+    start."""
+    fleet = fleet_with_holder()
+    core, before = fleet.cores["m0"], fleet.cores["m4"]
+    successor = Member(MAP, "m4", "b", ELECTORS, ("a", "b", "c"), fleet.now - 3600 * SECOND)
+    successor.serial = before.serial  # as `FleetStatePublisher.continue_reports`
+    fleet.cores["m4"] = successor
+    dropped = core.dropped.get("old", 0)
+    own = member.OwnReport(report("m4", traffic=77.0), {"b": 4})
+    for command in successor.step(fleet.now - 3600 * SECOND, [own], 0, fleet.present()):
+        if isinstance(command, member.SendMessage) and command.to == "m0":
+            fleet.step("m0", member.MessageReceived("m4", command.data))
+    assert core.dropped.get("old", 0) == dropped
+    assert core.aggregator.reports["m4"][1].traffic["bid"] == pytest.approx(77.0 / 4, abs=0.1)
+
+
 def test_words_of_another_map_and_bytes_of_any_kind_are_counted_and_change_nothing():
     fleet = fleet_with_holder()
     core, rng = fleet.cores["m0"], random.Random(5)
