--- a/tests/test_discovery_fleet.py
+++ b/tests/test_discovery_fleet.py
@@ -227,3 +227,52 @@
 async def run_at_once(sidecar: SimulatedSidecar) -> None:
     sidecar.discovery.watch(t.StartWatch())
     await sidecar.discovery.run()
+
+
+# --- crowded, and moved again and again --------------------------------------------------------------
+
+MOVES_IN_SERIES = 8
+ROUND_S = 1.8  # in which the service works through one call of each sidecar
+
+
+class MovedFleet(Fleet):
+    """One service that works through calls in turn, at two addresses, between which each sidecar is moved in
+    series: `move_interval` seconds apart, beginning at a drawn time in each of `SERIES_EVERY_S` seconds."""
+
+    SERIES_EVERY_S = 13.0
+
+    def __init__(self, monkeypatch, count: int, move_interval: float, seed: int) -> None:
+        super().__init__(monkeypatch, count, work=ROUND_S / count)
+        self.move_interval, self.drawn = move_interval, random.Random(f"moves {seed}")
+        self.longest_queue_s = 0.0
+        monkeypatch.setattr(driver, "random", random.Random(f"moved {count} {seed}"))
+
+    async def begin(self, sidecar: SimulatedSidecar, after: float) -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(super().begin, sidecar, after)
+            group.start_soon(self.move_in_series, sidecar)
+
+    async def move_in_series(self, sidecar: SimulatedSidecar) -> None:
+        moves = 0
+        while True:
+            wait = self.drawn.uniform(0, self.SERIES_EVERY_S / 2)
+            await anyio.sleep(wait)
+            for _ in range(MOVES_IN_SERIES):
+                moves += 1
+                sidecar.discovery.move(f"d:{1 + moves % 2}")
+                await anyio.sleep(self.move_interval)
+                self.longest_queue_s = max(self.longest_queue_s, self.service.free_at - self.loop.time())
+            await anyio.sleep(self.SERIES_EVERY_S - wait)
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("move_interval", [0.2, 0.4, 0.7])
+@pytest.mark.parametrize("count", [2, 3, 6])
+def test_a_crowded_service_that_moves_again_and_again_is_heard_in_time(
+    monkeypatch, count, move_interval, seed
+):
+    """Guards against calls that are begun and given up at each move: the service works through them all the
+    same, so the next ones wait behind them (soak, seed 7422)."""
+    fleet = MovedFleet(monkeypatch, count, move_interval, seed).run(change_interval=5.3)
+    assert max(fleet.delays) < watcher.PROPAGATION_LIMIT_S, (max(fleet.delays), fleet.longest_queue_s)
+    assert fleet.service.max_in_flight <= watcher.MAX_CALLS * count
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -11,7 +11,8 @@
 from lupinmill.lab.faults.run import CROWD_EVERY, Campaign, Verdict
 
 SECONDS, PROCESSES = 40.0, 5
-SEEDS = {"plain": 1, "crowd": 2 * CROWD_EVERY}
+# The last one moves discovery again and again while it is crowded.
+SEEDS = {"plain": 1, "crowd": 2 * CROWD_EVERY, "moved while crowded": 7422}
 
 
 @pytest.fixture(scope="module")
