--- a/lupinmill/discovery/watcher.py
+++ b/lupinmill/discovery/watcher.py
@@ -117,12 +117,21 @@
         Calls at the old address continue: their list is the newest until the new service has sent its own. A
         further move during the delay does not restart the delay."""
         self.epoch, self.address = self.epoch + 1, address
-        at = now + self.draw(0, MOVE_JITTER_S)
+        at = max(now + self.draw(0, MOVE_JITTER_S), self.next_call_in_series())
         self.first_call_after_move_at = (
             at if self.first_call_after_move_at is None else min(at, self.first_call_after_move_at)
         )
         self.no_call_before = 0.0
 
+    def next_call_in_series(self) -> float:
+        """Earliest time of a call for one more move: a service that has not answered the call for the last
+        one may work through all calls in turn, those that were cancelled too."""
+        unanswered = [call for call in self.calls if call.epoch > self.list_epoch]
+        if not unanswered:
+            return 0.0
+        newest = unanswered[-1]
+        return newest.started_at + newest.jitter * PARALLEL_CALL_INTERVAL_S
+
     def answer_progressed(self, now: float, call: Call) -> None:
         """A part of the answer arrived."""
         if call.first_byte_at is None:
@@ -320,13 +329,14 @@
         return CallEnd.TOO_OLD if now >= call.started_at + MAX_CALL_AGE_S else None
 
     def call_to_replace(self, now: float) -> tuple[Call | None, CallEnd]:
-        """The call to cancel for a new one. The oldest calls are kept: they are closest to their answer."""
-        old = [call for call in self.calls if call.epoch < self.epoch]
-        if old:
-            return old[-1], CallEnd.ADDRESS_CHANGED
+        """The call to cancel for a new one. The oldest of all is kept until something newer is answered, at
+        whichever address: it is the closest to its answer."""
         superseded = [call for call in self.calls if call.superseded]
         if superseded:
             return superseded[0], CallEnd.SUPERSEDED
+        old = [call for call in self.calls[1:] if call.epoch < self.epoch]
+        if old:
+            return old[-1], CallEnd.ADDRESS_CHANGED
         connecting = [
             call
             for call in self.calls
