--- a/lupinmill/discovery/watcher.py
+++ b/lupinmill/discovery/watcher.py
@@ -20,6 +20,7 @@
 PROPAGATION_LIMIT_S = 6.0
 TOLERATED_LATENESS_S = 4.0  # lateness of answers up to which PROPAGATION_LIMIT_S still holds
 SCHEDULING_SLACK_S = 0.3  # for event loop lag and network latency
+ANSWER_SLACK_S = 0.1  # for an answer to arrive, after the time that a slow service takes
 # Between the starts of two parallel calls while answers are missing.
 PARALLEL_CALL_INTERVAL_S = PROPAGATION_LIMIT_S - TOLERATED_LATENESS_S - SCHEDULING_SLACK_S
 OVERDUE_AFTER_S = 0.6  # past its due time a watch of a prompt service is suspected to be dead
@@ -73,7 +74,7 @@
 
     @property
     def replace_after(self) -> float:
-        """Minimum age, in seconds, at which the newest of MAX_CALLS calls may be replaced."""
+        """Minimum age, in seconds, of the newest of MAX_CALLS calls when one of them is replaced."""
         return LARGE_FLEET_REPLACE_S if self.large_fleet else PARALLEL_CALL_INTERVAL_S
 
     @property
@@ -345,18 +346,23 @@
         if connecting:
             return connecting[0], CallEnd.REPLACED
         if now >= self.replacement_due():
-            return self.calls[-1], CallEnd.REPLACED
+            return self.calls[1], CallEnd.REPLACED
         return None, CallEnd.REPLACED
 
     def replacement_due(self) -> float:
-        """When the newest of MAX_CALLS calls may be replaced: nothing was answered for longer than a slow
-        service takes, so the calls may be lost."""
+        """When the second of MAX_CALLS calls may be replaced: nothing was answered for longer than a slow
+        service takes, so the calls may be lost; and this one has had the time that such a service takes, or
+        no call would ever live to see its answer."""
         assert self.last_answer_at is not None
         limit = max(
             self.timing.wait + TOLERATED_LATENESS_S + OVERDUE_AFTER_S,
             REPLACE_LATENESS_FACTOR * self.lateness.expected,
         )
-        return max(self.last_answer_at + limit, self.calls[-1].started_at + self.timing.replace_after)
+        return max(
+            self.last_answer_at + limit,
+            self.calls[-1].started_at + self.timing.replace_after,
+            self.calls[1].due + TOLERATED_LATENESS_S + ANSWER_SLACK_S,
+        )
 
     def mark_superseded(self, answered: Call) -> None:
         for call in self.calls:
--- a/tests/test_discovery_watcher.py
+++ b/tests/test_discovery_watcher.py
@@ -222,6 +222,25 @@
         assert simulation.updates[0][0] - back < watcher.PROPAGATION_LIMIT_S, tenth
 
 
+@pytest.mark.parametrize("timing", [ASKED, PUSHED], ids=["asked", "pushed"])
+@pytest.mark.parametrize("late", [0.0, 1.7, 2.5, 4.0])
+def test_calls_that_replace_lost_ones_live_until_a_slow_answer(timing, late):
+    """Discovery loses all calls for some seconds, and is late afterwards. Guards against a call that replaces
+    a lost one and is replaced itself before its answer, again and again: with 2.5 s of lateness the change
+    was not heard within 40 s."""
+    for tenth in range(0, 40, 2):
+        back = 9.0 + tenth / 10
+        simulation = Simulation(timing, changes=[back])
+        simulation.answer_at = lambda call, simulation=simulation, back=back: (
+            simulation.due(call) + late * (call.started_at >= back)
+            if call.started_at < 3 or call.started_at >= back
+            else None
+        )
+        simulation.run(back + 9.0)
+        assert simulation.updates, tenth
+        assert simulation.updates[0][0] - back < watcher.PROPAGATION_LIMIT_S, tenth
+
+
 def test_moves_in_quick_succession_drop_no_answer_that_is_nearly_there():
     """A move every 0.7 s, with answers 4 s late. Guards against cancelling the only call at each move."""
     for tenth in range(0, 40, 2):
