--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -43,6 +43,7 @@
 from lupinmill.transport.connection_pool import ConnectionPool
 from lupinmill.transport.descriptors import ConnectionKind, DescriptorBudget
 from lupinmill.transport.listener import Listener
+from lupinmill.transport.wall_clock import MIN_STEP_US, ClockSteps
 
 if TYPE_CHECKING:
     from lupinmill.peers.driver import Driver
@@ -392,6 +393,8 @@
             endpoints=len(self.directory.states),
             descriptors=self.descriptors.limit,
         )
+        if abs(wall_clock.SHARED.difference) >= MIN_STEP_US:
+            self.log("clock_differs", from_kernel_ms=round(wall_clock.SHARED.difference / 1000))
         if settings.memory is not None:
             self.log("memory", **self.memory.figures())
         if settings.unused:
@@ -569,5 +572,10 @@
             if late > LAG_HIGH_S if not lagging else late < LAG_LOW_S:
                 lagging = not lagging
                 self.log("lagging" if lagging else "lag_over", late_ms=round(late * 1000, 1))
-            if step := wall_clock.SHARED.take_step():
-                self.log("clock_set", by_ms=round(step / 1000))
+            if steps := wall_clock.SHARED.take_steps():
+                self.log_clock_steps(steps)
+
+    def log_clock_steps(self, steps: ClockSteps) -> None:
+        """`kernel_by_ms`: of the clock of the kernel's timestamps, which a step of this process's clock alone
+        leaves as it was."""
+        self.log("clock_set", by_ms=round(steps.process / 1000), kernel_by_ms=round(steps.kernel / 1000))
--- a/lupinmill/transport/connection.py
+++ b/lupinmill/transport/connection.py
@@ -14,11 +14,11 @@
 
 from lupinmill.transport import wall_clock
 from lupinmill.transport.buffers import BlockPool, RingBuffer
+from lupinmill.transport.clocks import NANOSECONDS
+from lupinmill.transport.kernel_clock import ANCILLARY_SIZE, SO_TIMESTAMPNS, timestamp_of
 from lupinmill.transport.progress import AcknowledgementProgress
 from lupinmill.transport.wall_clock import KERNEL_ROUNDING_US
 
-SO_TIMESTAMPNS = 35  # socket option: the kernel returns with each read the time when its last bytes arrived
-ANCILLARY_SIZE = 64  # bytes
 LAST_DATA_OFFSET = 52  # offset in tcp_info of the milliseconds since the last data arrived
 # requests of `ioctl` on Linux: bytes written that the other side has not acknowledged; that were never sent
 SIOCOUTQ, SIOCOUTQNSD = 0x5411, 0x894B
@@ -101,11 +101,9 @@
         """Records the arrival time of a read of `count` bytes into a buffer of `room` bytes. The timestamp is
         compared with the wall clock only here, which guards against that clock being set."""
         self.read_at = time.monotonic_ns()
-        for level, kind, data in ancillary:
-            if level == socket.SOL_SOCKET and kind == SO_TIMESTAMPNS and len(data) >= 16:
-                seconds, nanoseconds = struct.unpack_from("qq", data)
-                age = wall_clock.SHARED.age(seconds * 1_000_000 + nanoseconds // 1000, self.time_since_data)
-                self.arrived = 0 if age is None else self.read_at // 1000 - age
+        if (stamp := timestamp_of(ancillary)) is not None:
+            age = wall_clock.SHARED.age(stamp // NANOSECONDS, self.time_since_data)
+            self.arrived = 0 if age is None else self.read_at // NANOSECONDS - age
 
     def unread_time(self) -> int:
         """Microseconds since the last bytes arrived: the time that they waited in the kernel before they were
--- a/lupinmill/transport/wall_clock.py
+++ b/lupinmill/transport/wall_clock.py
@@ -1,16 +1,24 @@
 """The machine's wall clock, which may be set at any moment, by seconds or by an hour.
 
-Only kernel timestamps, which are taken by that clock, are compared with it, and converted to an age in real
-time. All other code of the request path uses the monotonic clock."""
+Only Unix times from outside this process are compared with it: the kernel's timestamps, and the start times
+that discovery tells. Both are converted to this process's monotonic time. All other code uses the monotonic
+clock.
+
+Two readings are kept, each as the microseconds by which it is ahead of the monotonic clock: what this process
+reads as the time, and what the kernel takes its timestamps by. Usually they are the same."""
 
 from __future__ import annotations
 
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
+
+from lupinmill.transport import kernel_clock
+from lupinmill.transport.clocks import NANOSECONDS
 
 # All in microseconds.
-# the smallest difference between two updates that means the clock was set and not merely adjusted
+# the smallest difference between two readings that means the clock was set and not merely adjusted
 MIN_STEP_US = 2_000
 # between two readings of the monotonic clock; a reading between them is discarded above this
 MAX_READING_GAP_US = 500
@@ -19,66 +27,153 @@
 
 MAX_READ_TRIES = 3  # to read both clocks together
 MAX_REMEMBERED_STEPS = 4  # settings of the clock that are remembered
+KERNEL_LOOK_INTERVAL_US = 50_000  # between two looks at the kernel's clock for timestamps that fit none
+# Looks in a row at which the kernel's clock alone had been set: then it does not go by the monotonic clock of
+# this process, and tells nothing.
+MAX_KERNEL_STEPS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class ClockSteps:
+    """Microseconds by which each reading was set since the last report."""
+
+    process: int = 0
+    kernel: int = 0
+
+    def __bool__(self) -> bool:
+        return bool(self.process or self.kernel)
 
 
 class WallClock:
-    """Remembers the offsets of the wall clock from the monotonic one before it was set."""
+    """Knows how far the wall clock is ahead of the monotonic one, now and before it was set.
 
-    def __init__(self) -> None:
-        self.offsets: deque[int] = deque(maxlen=MAX_REMEMBERED_STEPS)
-        # for each setting, the sum of all steps up to it
-        self.steps: deque[int] = deque([0], maxlen=MAX_REMEMBERED_STEPS)
-        self.unreported_step = 0  # since the last call of `take_step`
-        self.update()
+    `read_kernel_offset`: as `kernel_clock.read_offset`."""
 
-    def update(self) -> None:
-        """Guards against the process being held up between the two readings, which looks like a step."""
+    def __init__(self, read_kernel_offset: Callable[[], int | None] = kernel_clock.read_offset) -> None:
+        self.read_kernel_offset = read_kernel_offset
+        self.process_offset = self.initial_offset()
+        self.kernel_offset = read_kernel_offset()
+        self.first_offset = self.process_offset
+        self.former_offsets: deque[int] = deque(maxlen=MAX_REMEMBERED_STEPS)
+        self.last_step_at = 0  # microseconds of the monotonic clock
+        self.kernel_steps_in_row = 0
+        self.kernel_read_at = 0  # microseconds of the monotonic clock
+        self.unreported = ClockSteps()
+
+    def initial_offset(self) -> int:
+        offset = self.read_process_offset()
+        return (time.time_ns() - time.monotonic_ns()) // NANOSECONDS if offset is None else offset
+
+    def read_process_offset(self) -> int | None:
+        """None if the process was held up between the two readings, which looks like a step."""
         for _ in range(MAX_READ_TRIES):
             before = time.monotonic_ns()
             wall = time.time_ns()
-            if time.monotonic_ns() - before < MAX_READING_GAP_US * 1000:
-                break
-        else:
-            if self.offsets:
-                return
-        offset = (wall - before) // 1000
-        step = offset - self.offsets[-1] if self.offsets else 0
-        if self.offsets and abs(step) < MIN_STEP_US:
-            self.offsets[-1] = offset
+            if time.monotonic_ns() - before < MAX_READING_GAP_US * NANOSECONDS:
+                return (wall - before) // NANOSECONDS
+        return None
+
+    def update(self) -> None:
+        """Looks at both clocks."""
+        process_stepped = self.update_process_offset()
+        self.update_kernel_offset(process_stepped)
+
+    def update_process_offset(self) -> bool:
+        """Whether the clock of this process was set."""
+        offset = self.read_process_offset()
+        if offset is None:
+            return False
+        step, before = offset - self.process_offset, self.process_offset
+        self.process_offset = offset
+        if abs(step) < MIN_STEP_US:
+            return False
+        self.remember(before)
+        self.unreported = ClockSteps(self.unreported.process + step, self.unreported.kernel)
+        return True
+
+    def update_kernel_offset(self, process_stepped: bool) -> None:
+        if self.kernel_steps_in_row >= MAX_KERNEL_STEPS:
+            return
+        self.kernel_read_at = time.monotonic_ns() // NANOSECONDS
+        offset, before = self.read_kernel_offset(), self.kernel_offset
+        if offset is None:
+            return
+        self.kernel_offset = offset
+        if before is None or abs(offset - before) < MIN_STEP_US:
+            self.kernel_steps_in_row = 0
             return
-        if self.offsets:
-            self.steps.append(self.steps[-1] + step)
-        self.unreported_step += step
-        self.offsets.append(offset)
+        self.kernel_steps_in_row = 0 if process_stepped else self.kernel_steps_in_row + 1
+        if self.kernel_steps_in_row >= MAX_KERNEL_STEPS:
+            self.kernel_offset = None
+            return
+        self.remember(before)
+        self.unreported = ClockSteps(self.unreported.process, self.unreported.kernel + offset - before)
 
-    def possible_offsets(self) -> list[int]:
-        """Microseconds by which a Unix time from outside may be ahead of the monotonic clock."""
-        return list(self.offsets)
+    def remember(self, offset: int) -> None:
+        if all(abs(offset - former) >= MIN_STEP_US for former in self.former_offsets):
+            self.former_offsets.append(offset)
+        self.last_step_at = time.monotonic_ns() // NANOSECONDS
 
-    def take_step(self) -> int:
-        """Microseconds by which the clock was set since the last call."""
+    def take_steps(self) -> ClockSteps:
+        """Looks at both clocks. Returns by how much they were set since the last call."""
         self.update()
-        step, self.unreported_step = self.unreported_step, 0
-        return step
+        steps, self.unreported = self.unreported, ClockSteps()
+        return steps
+
+    @property
+    def difference(self) -> int:
+        """Microseconds by which this process's reading is ahead of the kernel's; 0 if that is not known."""
+        return 0 if self.kernel_offset is None else self.process_offset - self.kernel_offset
+
+    def possible_offsets(self) -> list[int]:
+        """By which a Unix time from outside may be ahead of the monotonic clock, the likeliest ones first."""
+        current = (
+            [self.process_offset]
+            if self.kernel_offset is None
+            else [
+                self.kernel_offset,
+                self.process_offset,
+            ]
+        )
+        return [*current, self.first_offset, *self.former_offsets]
 
     def age(self, stamp: int, at_least: Callable[[], int]) -> int | None:
-        """Microseconds of real time since `stamp`, in microseconds of Unix time; None if that cannot be told.
+        """Microseconds of real time since the kernel's timestamp `stamp`, in microseconds of Unix time; None
+        if that cannot be told.
 
         The stamp may be from before the clock was set. `at_least`: microseconds that have passed by a clock
         that is never set; called only if the offsets alone are ambiguous."""
-        now, wall = time.monotonic_ns() // 1000, time.time_ns() // 1000
-        if (
-            len(self.offsets) == 1 and abs(wall - now - self.offsets[0]) < MIN_STEP_US
-        ):  # never set: the usual case
-            self.offsets[0] = wall - now  # it may be adjusted continuously, by less
-            return wall - stamp if 0 <= wall - stamp < MAX_STAMP_AGE_US else None
-        self.update()
-        now = time.monotonic_ns() // 1000
-        ages = [age for offset in self.offsets if 0 <= (age := now + offset - stamp) < MAX_STAMP_AGE_US]
-        if len(ages) > 1:
+        now, wall = time.monotonic_ns() // NANOSECONDS, time.time_ns() // NANOSECONDS
+        if self.is_unambiguous(now, wall - now) and 0 <= wall - stamp < MAX_STAMP_AGE_US:
+            self.process_offset = wall - now  # it may be adjusted continuously, by less than a step
+            return wall - stamp
+        if self.update_process_offset():
+            self.update_kernel_offset(True)
+        possible = self.possible_ages(stamp)
+        if not possible and now - self.kernel_read_at >= KERNEL_LOOK_INTERVAL_US:
+            self.update_kernel_offset(False)
+            possible = self.possible_ages(stamp)
+        if len(possible) > 1:
             least = at_least() - KERNEL_ROUNDING_US
-            ages = [age for age in ages if age >= least]
-        return min(ages, default=None)
+            possible = [age for age in possible if age >= least]
+        return min(possible, default=None)
+
+    def possible_ages(self, stamp: int) -> list[int]:
+        now = time.monotonic_ns() // NANOSECONDS
+        ages = {now + offset - stamp for offset in self.possible_offsets()}
+        return [age for age in ages if 0 <= age < MAX_STAMP_AGE_US]
+
+    def is_unambiguous(self, now: int, process_offset: int) -> bool:
+        """Whether all unread bytes have timestamps of the clock that this process reads: the usual case.
+
+        Where the kernel's clock is known, a step is forgotten as soon as no unread bytes are from before it;
+        else the kernel may go by a former setting for ever."""
+        settled = self.kernel_offset is not None and now - self.last_step_at >= MAX_STAMP_AGE_US
+        return (
+            abs(process_offset - self.process_offset) < MIN_STEP_US
+            and abs(self.difference) < MIN_STEP_US
+            and (settled or not self.former_offsets)
+        )
 
 
 SHARED = WallClock()  # shared by all connections of the process
--- a/tests/test_handover_times.py
+++ b/tests/test_handover_times.py
@@ -9,7 +9,7 @@
 import anyio
 import orjson
 import pytest
-from bed import deployment, wanted
+from bed import Net, deployment, on_network, wanted
 from endpoint_acts import fine, until
 from test_handover import UpgradePair, run_upgrade
 
@@ -144,25 +144,32 @@
     run_upgrade(check, fine, fine, invariants={"ask-within-s": 1.0, "cold-share": 0.2, "cold-s": 8})
 
 
-@pytest.mark.parametrize("step_s", [5, HOUR_S, -5, -HOUR_S])
+class JustStartedNet(Net):
+    """e0 of the configured list has started a second ago."""
+
+    async def start(self, group) -> None:
+        await super().start(group)
+        started_ms = READ_WALL_NS() // 1_000_000 - 1_000
+        self.discovery.rows[0]["since_ms"] = started_ms
+        self.table["known"]["endpoints"][0]["since_ms"] = started_ms
+
+
+@pytest.mark.parametrize("step_s", [0, 5, HOUR_S, -5, -HOUR_S])
 def test_a_process_that_starts_under_a_wrong_clock_goes_slow_to_what_has_just_started(step_s, monkeypatch):
     """An endpoint of the configured list, and one that starts later."""
 
-    async def check(pair: UpgradePair):
-        net = pair.net
-        net.table["known"]["endpoints"][0]["since_ms"] = READ_WALL_NS() // 1_000_000 - 1_000
-        net.discovery.rows[0]["since_ms"] = net.table["known"]["endpoints"][0]["since_ms"]
-        set_clock(monkeypatch, step_s)
-        pair.programs.clear()
-        program = await pair.start()
+    async def check(net: Net):
+        program = net.program
         assert endpoint(program, "e0").cold_since is not None, "taken for warm"
         assert abs(age(program, endpoint(program, "e0").cold_since) - SECOND) < TRANSFER_US
         net.discovery.change(net.discovery.rows[1], since_ms=READ_WALL_NS() // 1_000_000)
-        await until(lambda: isinstance(program.directory.index, int) and program.directory.index > 1)
+        await until(lambda: program.directory.index is not None and program.directory.index > 1)
         assert endpoint(program, "e1").cold_since is not None, "taken for warm"
         assert age(program, endpoint(program, "e1").cold_since) < TRANSFER_US
 
-    run_upgrade(check, fine, fine, invariants={"ask-within-s": 1.0, "cold-share": 0.2, "cold-s": 8})
+    set_clock(monkeypatch, step_s)
+    slow_start = {"ask-within-s": 1.0, "cold-share": 0.2, "cold-s": 8}
+    on_network(check, fine, fine, net_of=JustStartedNet, invariants=slow_start)
 
 
 def test_a_start_is_known_by_its_listed_time_in_the_next_process(monkeypatch):
