--- a/lupinmill/discovery/driver.py
+++ b/lupinmill/discovery/driver.py
@@ -234,6 +234,8 @@
     def apply_list(self, call: Call, known: lists.EndpointList, previous_index: int | None) -> None:
         if known.refused:
             self.log("list_rows_refused", index=known.index, why=known.refused)
+        new_since = self.watcher.new_since(call, known.index, previous_index)
+        known.new_since = None if new_since is None else int(new_since * MICROSECONDS)
         self.directory.update(known, t.ListKind.FULL if known.whole else t.ListKind.CHANGES)
         if self.directory.index is None:
             raise Garbled("the decision module did not accept the list")
--- a/lupinmill/discovery/watcher.py
+++ b/lupinmill/discovery/watcher.py
@@ -162,6 +162,13 @@
         already_applied = not is_full_list and index == known_index and index != call.index
         return AnswerAction.STALE if already_applied else AnswerAction.APPLY
 
+    def new_since(self, call: Call, index: int, known_index: int | None) -> float | None:
+        """Since when a change that an answer of version `index` brings was made: the time up to which the
+        known list is complete. None where both are not of the same service, or it went back."""
+        if call.epoch != self.list_epoch or known_index is None or index < known_index:
+            return None
+        return self.complete_as_of
+
     def list_applied(
         self, now: float, call: Call, index: int, is_full_list: bool, known_index: int | None
     ) -> None:
--- a/lupinmill/protocol/lists.py
+++ b/lupinmill/protocol/lists.py
@@ -48,6 +48,9 @@
     addresses: dict[str, str]
     refused: list[str] = field(default_factory=list)  # a reason for each unusable row
     unnamed: int = 0  # number of those rows that name no endpoint
+    # When the list before this one was complete, in microseconds of monotonic time: what is new here was not
+    # listed then. None where the two can't be compared.
+    new_since: int | None = None
 
 
 def text(value: Any) -> str:
--- a/lupinmill/routing/directory.py
+++ b/lupinmill/routing/directory.py
@@ -11,6 +11,8 @@
 from lupinmill.transport import wall_clock
 from lupinmill.transport.connection_pool import ConnectionPool
 
+MAX_LOGGED = 8  # endpoints named in one log line
+
 
 class EndpointDirectory:
     """Receives each list first, so that attempts in progress can check it, then passes it to the decision
@@ -35,7 +37,7 @@
         # and its new start, or the other way round.
         now = self.engine.clock.now()
         last = {entry.endpoint: entry for entry in known.entries}
-        entries = [self.start_times.resolve(entry, now) for entry in last.values()]
+        entries = [self.start_times.resolve(entry, now, known.new_since) for entry in last.values()]
         states = dict(self.states) if kind is t.ListKind.CHANGES else {}
         for entry in entries:
             states[entry.endpoint] = entry.state
@@ -48,6 +50,9 @@
         self.start_times.retain(states.keys())
         for name in moved:
             self.connection_pool.drop(name)
+        if doubted := self.start_times.take_doubted():
+            # Their starts are of another clock, so they count as started now.
+            self.engine.log("starts_doubted", members=doubted[:MAX_LOGGED], count=len(doubted))
         self.engine.handle_event(t.ListReceived(kind, entries))
 
     def on_module_failure(self, event: object) -> None:
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -11,7 +11,7 @@
 from endpoint_acts import fine, until
 
 from lupinmill import terms as t
-from lupinmill.routing.start_times import StartTimes
+from lupinmill.routing.start_times import MAX_DEPARTED, MAX_LISTING_DELAY_US, StartTimes
 from lupinmill.transport import kernel_clock, wall_clock
 from lupinmill.transport.wall_clock import (
     KERNEL_ROUNDING_US,
@@ -265,3 +265,61 @@
     assert starts.resolve(listed(machine.wall() + HOUR), now).started == now  # none can be to come
     long_ago = listed(0)
     assert starts.resolve(long_ago, now) is long_ago
+
+
+LISTED_BEFORE = 2 * SECOND  # the list before was complete so long ago
+
+
+@pytest.mark.parametrize("ahead", [0, SECOND, 30 * SECOND, HOUR, -30 * SECOND, -HOUR])
+def test_what_is_new_on_the_list_is_cold_by_whichever_clock_its_start_was_taken(ahead, monkeypatch):
+    """Guards slow start on a machine whose clock as a whole is not that of discovery and endpoints."""
+    machine = FakeClocks(monkeypatch)
+    starts, now = StartTimes(clock_of(machine)), machine.steady
+    starts.resolve(listed(machine.wall() - HOUR), now)
+    told = machine.wall() - SECOND - ahead
+    started = starts.resolve(listed(told), now, now - LISTED_BEFORE).started
+    assert 0 <= now - started <= LISTED_BEFORE
+    assert starts.take_doubted() == ["e1"] * (ahead > MAX_LISTING_DELAY_US)
+    assert starts.resolve(listed(told), now + SECOND, now).started == started
+
+
+def test_what_comes_back_with_its_old_start_is_not_taken_for_restarted(monkeypatch):
+    """Guards the share of endpoints that leave the list for a while, as in a partition."""
+    machine = FakeClocks(monkeypatch)
+    starts, now, told = StartTimes(clock_of(machine)), machine.steady, machine.wall() - HOUR
+    assert starts.resolve(listed(told), now).started == now - HOUR
+    starts.retain([])
+    assert starts.resolve(listed(told), now, now - LISTED_BEFORE).started == now - HOUR
+    assert not starts.take_doubted()
+
+
+def test_what_was_long_on_a_list_that_is_new_here_is_taken_as_told(monkeypatch):
+    machine = FakeClocks(monkeypatch)
+    starts, now = StartTimes(clock_of(machine)), machine.steady
+    assert starts.resolve(listed(machine.wall() - HOUR), now, None).started == now - HOUR
+
+
+def test_the_starts_of_endpoints_that_left_are_bounded(monkeypatch):
+    machine = FakeClocks(monkeypatch)
+    starts, now = StartTimes(clock_of(machine)), machine.steady
+    for number in range(MAX_DEPARTED + 7):
+        starts.resolve(t.ListEntry(f"e{number}", t.EndpointStatus.READY, started=machine.wall()), now)
+    starts.retain([])
+    assert len(starts.departed) == MAX_DEPARTED and "e0" not in starts.departed
+
+
+def test_a_whole_program_goes_slow_to_what_restarts_by_a_clock_an_hour_behind(monkeypatch):
+    """Discovery's clock and the endpoints' are behind this machine's."""
+
+    async def check(net: Net):
+        program = net.program
+        await until(lambda: program.discovery.list_age() is not None)
+        started_ms = time.time_ns() // 1_000_000 - HOUR // 1000
+        net.discovery.change(net.discovery.rows[0], since_ms=started_ms)
+        await until(lambda: program.engine.sidecar.dispatcher.endpoints["e0"].cold_since is not None)
+        assert program.engine.clock.now() - program.engine.sidecar.dispatcher.endpoints["e0"].cold_since < (
+            SECOND
+        )
+        assert ("starts_doubted", {"members": ["e0"], "count": 1}) in net.logs
+
+    on_network(check, fine, fine, invariants={"ask-within-s": 1.0, "cold-share": 0.2, "cold-s": 8})
