--- a/lupinmill/routing/directory.py
+++ b/lupinmill/routing/directory.py
@@ -45,6 +45,8 @@
         listed = known.addresses
         addresses = {name: listed.get(name, self.addresses.get(name)) for name in states}
         moved = [name for name, address in self.addresses.items() if addresses.get(name) != address]
+        if kind is not t.ListKind.CACHED and states != self.states:
+            self.log_changes(known.index, states)
         self.index, self.states = known.index, states
         self.addresses = {name: address for name, address in addresses.items() if address is not None}
         self.start_times.retain(states.keys())
@@ -55,6 +57,22 @@
             self.engine.log("starts_doubted", members=doubted[:MAX_LOGGED], count=len(doubted))
         self.engine.handle_event(t.ListReceived(kind, entries))
 
+    def log_changes(self, index: int, states: dict[str, t.EndpointStatus]) -> None:
+        """Which endpoints a list brings, takes out of use or drops: at most `MAX_LOGGED` of each."""
+        before = self.states
+        changed = [name for name, state in states.items() if before.get(name) is not state]
+        gone = [name for name in before if name not in states]
+        ready = [name for name in changed if states[name] is t.EndpointStatus.READY]
+        draining = [name for name in changed if states[name] is t.EndpointStatus.DRAINING]
+        self.engine.log(
+            "list_changed",
+            index=index,
+            count=len(changed) + len(gone),
+            ready=ready[:MAX_LOGGED],
+            draining=draining[:MAX_LOGGED],
+            gone=gone[:MAX_LOGGED],
+        )
+
     def on_module_failure(self, event: object) -> None:
         """The decision module may hold only part of a list, which later changes would never complete."""
         if isinstance(event, t.ListReceived):
--- a/tests/test_discovery_directory.py
+++ b/tests/test_discovery_directory.py
@@ -8,6 +8,7 @@
 
 from lupinmill import terms as t
 from lupinmill.protocol import lists
+from lupinmill.routing.directory import MAX_LOGGED
 
 
 def changed_row(net: Net, at: int, **fields) -> dict:
@@ -50,6 +51,27 @@
     assert "Garbled: the decision module did not accept the list" in errors
 
 
+def test_the_log_tells_which_endpoints_a_list_changes_and_names_few_of_them():
+    """What was missing in the incident of issue 77: that a version came, not what it said."""
+
+    async def check(net: Net):
+        directory = net.program.directory
+        net.discovery.change(net.discovery.rows[1], status="DRAINING")
+        await until(lambda: not directory.accepts_attempts("e1"))
+        changes = [fields for event, fields in net.logs if event == "list_changed"]
+        assert changes == [
+            {"index": net.discovery.index, "count": 1, "ready": [], "draining": ["e1"], "gone": []}
+        ]
+        rows = [net.discovery.rows[0] | {"name": f"new{number}"} for number in range(40)]
+        whole = lists.parse({"index": 90, "snapshot": True, "endpoints": rows})
+        directory.update(whole, t.ListKind.FULL)
+        change = [fields for event, fields in net.logs if event == "list_changed"][-1]
+        assert change["count"] == 42 and change["gone"] == ["e0", "e1"]
+        assert len(change["ready"]) == MAX_LOGGED
+
+    on_network(check, fine, fine)
+
+
 def test_an_update_that_raises_in_the_middle_changes_nothing():
     """Guards against applying version and states up to the bad entry without notifying the module."""
 
