--- a/lupinmill/lab/faults/reports.py
+++ b/lupinmill/lab/faults/reports.py
@@ -9,7 +9,7 @@
 import time
 from pathlib import Path
 
-from lupinmill.lab.faults.run import Verdict
+from lupinmill.lab.faults.verdict import Verdict
 
 FOLDER_VARIABLE = "LUPINMILL_REPORTS"  # names the folder; the default is one in the system's temporary folder
 MAX_REPORTS = 30
