Lab: a client that writes in small pieces notes when it wrote the last, not 10 ms later

Cause: by the kept report the new process of an upgrade was killed as planned at 529.3206 s; it had accepted the connection 147 ms before, read the request and begun an attempt. The client's note of its write is of 529.325, behind its sleep of 10 ms after the last piece, so the request seemed written after the kill. Change: it sleeps before each piece. What the referee excuses is as it was; a request counts from earlier now.

--- a/lupinmill/lab/faults/clients.py
+++ b/lupinmill/lab/faults/clients.py
@@ -386,8 +386,8 @@
                 sent = self.draw_request(random, "trickling", workload, 20)
                 data = self.encode_head(sent, random) + sent.body
                 for offset in range(0, len(data), 12):
-                    await connection.send(data[offset : offset + 12])
                     await asyncio.sleep(0.01)
+                    await connection.send(data[offset : offset + 12])
             elif kind == "expects":
                 sent = self.draw_request(random, "expects 100", workload, 50)
                 await connection.send(self.encode_head(sent, random, (b"Expect: 100-continue",)))
--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -8,10 +8,11 @@
 import sys
 import time
 from pathlib import Path
+from random import Random
 
 import pytest
 
-from lupinmill.lab.faults import endpoints, referee, reports, run, schedule
+from lupinmill.lab.faults import clients, customers, endpoints, referee, reports, run, schedule
 from lupinmill.lab.faults.customers import Workload
 from lupinmill.lab.faults.records import (
     READING_LATE,
@@ -328,6 +329,40 @@
     assert not attempt.timestamps_valid and attempt.last_byte_at < sent_at + 0.2
 
 
+def test_a_client_that_writes_in_small_pieces_notes_when_it_wrote_the_last(monkeypatch):
+    """Guards against blaming the program for a request that was written before a kill and noted after it
+    (soak, seed 1): the client slept between its last piece and its note."""
+    order: list[str] = []
+
+    class Sink:
+        async def send(self, data: bytes) -> None:
+            order.append("send")
+
+        def close(self, reset: bool = False) -> None: ...
+
+    async def sleep(seconds: float) -> None:
+        order.append("sleep")
+
+    async def open_connection(self, receive_buffer: int | None = None) -> Sink:
+        return Sink()
+
+    async def receive_answer(self, connection: Sink, sent: SentRequest) -> bool:
+        assert sent.written_at is not None
+        order.append("noted")
+        return False
+
+    monkeypatch.setattr(clients.Clients, "open_connection", open_connection)
+    monkeypatch.setattr(clients.Clients, "receive_answer", receive_answer)
+    monkeypatch.setattr(clients.asyncio, "sleep", sleep)
+    customer = customers.draw_customer("c0", Random(1))
+    sidecar = clients.Sidecar("c0-s0", ("127.0.0.1", 1))
+    sidecar.process = ProcessRecord("c0-s0", 0, 1, 0.0, "serves")
+    drawn = Random(1)
+    drawn.choice = lambda values: "trickling" if "trickling" in values else Random(1).choice(values)
+    asyncio.run(clients.Clients(customer, sidecar, "1", RunRecords()).odd(drawn))
+    assert order.count("send") > 5 and order[-2:] == ["send", "noted"]
+
+
 @pytest.mark.parametrize("after, broken", [(0.4, False), (0.9, True)])
 def test_an_effect_outside_its_window_is_told_with_what_became_of_its_attempts(after, broken):
     records = RunRecords()
