--- a/lupinmill/handover/upgrade_protocol.py
+++ b/lupinmill/handover/upgrade_protocol.py
@@ -43,7 +43,6 @@
     def __init__(self, name: str, listen: str) -> None:
         self.name, self.listen = name, listen
         self.phase = Phase.NO_SUCCESSOR
-        self.shutting_down = False  # received a signal to end, so it never resumes
 
     def accepts_clients(self) -> bool:
         return self.phase is not Phase.YIELDED
@@ -83,14 +82,9 @@
         return [Command(CommandKind.YIELD)]
 
     def on_link_lost(self) -> list[Command]:
-        """The link to the successor has ended, as the successor died or by a defect."""
+        """The link to the successor has ended, as the successor died or by a defect. Also a process that is
+        shutting down accepts again, for as long as it still runs: nobody else would."""
         previous, self.phase = self.phase, Phase.NO_SUCCESSOR
-        if previous is Phase.YIELDED and self.shutting_down:
-            self.phase = Phase.YIELDED  # this process ends anyway, and the platform starts another
-            return [Command(CommandKind.DROP_LINK)]
         if previous is Phase.YIELDED:
             return [Command(CommandKind.DROP_LINK), Command(CommandKind.RESUME)]
         return [] if previous is Phase.NO_SUCCESSOR else [Command(CommandKind.DROP_LINK)]
-
-    def on_shutdown(self) -> None:
-        self.shutting_down = True
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -486,7 +486,6 @@
         longest = max(workload.hard_limit for workload in self.settings.deployment.workloads) / 1_000_000
         serving_s = min(longest, MAX_HARD_LIMIT_S) + KILL_DELAY_S - SHUTDOWN_MARGIN_S
         deadline_s = max(serving_s, MAX_DEADLINE_S + OPEN_REQUEST_GRACE_S)
-        self.handover.protocol.on_shutdown()
         now = self.engine.clock.now()
         end = now + int(serving_s * 1_000_000)
         self.overrides.begin_shutdown(now, end - CLOSING_TIME, end)
--- a/lupinmill/program/upgrade.py
+++ b/lupinmill/program/upgrade.py
@@ -8,6 +8,7 @@
 from anyio.abc import TaskGroup
 
 from lupinmill import terms as t
+from lupinmill.admin.operator_overrides import Mode
 from lupinmill.handover import handover_state, sender_clock
 from lupinmill.protocol import lists
 from lupinmill.state import learned
@@ -130,7 +131,7 @@
         program = self.program
         self.client_handler.hand_over_client, self.listener.handing_over = None, False
         self.listener.resume()
-        if program.peers is not None:
+        if program.peers is not None and program.overrides.mode is not Mode.LEAVING:
             program.peers.resume()
         if program.live_config is not None:
             program.live_config.watch.saving_enabled = True
