--- a/lupinmill/cli/faults.py
+++ b/lupinmill/cli/faults.py
@@ -27,14 +27,18 @@
     is_flag=True,
     help="Soak test: long-lived processes, slow discovery, clients that stay until the kill.",
 )
-def faults(seed: int, seeds: int, processes: int, seconds: float, soak: bool) -> None:
+@click.option("--operators", is_flag=True, help="Operators take endpoints out and drain sidecars.")
+@click.option("--clock-steps", is_flag=True, help="The wall clock of the sidecars' processes is set.")
+def faults(
+    seed: int, seeds: int, processes: int, seconds: float, soak: bool, operators: bool, clock_steps: bool
+) -> None:
     """Run real processes among stand-ins under random faults, checked by a referee. Exit code 1 if a rule is
     broken; prints the seed and the schedule to replay it, and the path of the full report."""
     from lupinmill.lab.faults import reports, run
 
     broken = False
     for one in range(seed, seed + seeds):
-        verdict = run.play(one, processes, seconds, soak=soak)
+        verdict = run.play(one, processes, seconds, soak=soak, operators=operators, clock_steps=clock_steps)
         click.echo(reports.verdict_text(verdict))
         broken |= bool(verdict.violations)
     sys.exit(EXIT_BROKEN if broken else 0)
--- a/lupinmill/lab/faults/clients.py
+++ b/lupinmill/lab/faults/clients.py
@@ -31,6 +31,7 @@
 ANSWER_TIMEOUT_S = 8.0  # beyond the deadline of a request, so that a busy machine fails none
 CONNECT_TIMEOUT_S = 10.0
 CONNECT_AFTER_TERM_S = 0.15  # clients open new connections this long after SIGTERM
+CONNECT_IN_DRAIN_S = 0.3  # and this long after the yes to a drain, until the front has noticed
 SECOND_ANSWER_WAIT_S = 0.03  # time in which a client looks for a second answer
 MAX_REQUESTS = 2_000  # on one connection
 LARGE_BODY_BYTES = (3_000, 70_000, 1_300_000)
@@ -71,6 +72,7 @@
         self.name, self.address = name, address
         self.process: ProcessRecord | None = None
         self.closing = False  # the campaign ends, no further requests are sent
+        self.draining_since: float | None = None  # by an operator's call
 
     def accepts_connections(self) -> bool:
         """Whether a client may open a connection."""
@@ -83,6 +85,8 @@
             or self.closing
         ):
             return False
+        if self.draining_since is not None and time.time() - self.draining_since > CONNECT_IN_DRAIN_S:
+            return False
         return process.terminated_at is None or time.time() - process.terminated_at < CONNECT_AFTER_TERM_S
 
 
--- a/lupinmill/lab/faults/records.py
+++ b/lupinmill/lab/faults/records.py
@@ -63,7 +63,9 @@
     ready_at: float | None = None
     terminated_at: float | None = None  # when the first SIGTERM was sent
     killed_at: float | None = None
-    # Killed at the earliest time that the documentation allows, which excuses no violation.
+    # When the documentation allows to kill it at the earliest, where that is planned; whether it had to be
+    # killed then, which excuses no violation.
+    kill_due_at: float | None = None
     killed_after_term: bool = False
     ended_at: float | None = None
     exit_code: int | None = None
@@ -167,6 +169,27 @@
     status: str
 
 
+@dataclass(slots=True)
+class OutSpan:
+    """The time in which an operator has taken an endpoint out at one sidecar: from the yes to the call that
+    puts it back, or until no process of the sidecar is left that could know of it."""
+
+    sidecar: str
+    endpoint: str
+    since: float
+    until: float = float("inf")
+
+
+@dataclass(slots=True)
+class Drain:
+    """A drain of a sidecar, from the yes to the call that ends it."""
+
+    sidecar: str
+    since: float
+    until: float = float("inf")
+    ready_at: list[float] = field(default_factory=list)  # when `GET /ready` was asked and answered with yes
+
+
 class RunRecords:
     """Everything that happened in a run, including how late the campaign's own event loop was."""
 
@@ -178,6 +201,10 @@
         self.status_changes: dict[str, list[StatusChange]] = {}  # by customer
         self.reachable_spans: dict[str, list[tuple[float, float]]] = {}  # of a customer's discovery
         self.clock_steps: list[tuple[float, float]] = []  # when the system clock was set, and by how much
+        self.out_spans: list[OutSpan] = []
+        self.drains: list[Drain] = []
+        # When the clock of a sidecar's processes was set, and by how much; their stand-ins' never is.
+        self.process_clock_steps: list[tuple[float, str, float]] = []
         self.discovery_calls: dict[str, list[float]] = {}  # times, by the address of discovery
         # By endpoint, while new connections to it were delayed.
         self.late_spans: dict[str, list[tuple[float, float]]] = {}
--- a/lupinmill/lab/faults/referee.py
+++ b/lupinmill/lab/faults/referee.py
@@ -13,6 +13,7 @@
     HEARTBEAT_S,
     Attempt,
     ConnectionEnd,
+    Drain,
     Fault,
     ProcessRecord,
     RunRecords,
@@ -84,6 +85,9 @@
             for attempt in attempts:
                 self.judge_times(sent, attempt)
                 self.judge_listing(sent, attempt)
+                self.judge_out_by_hand(sent, attempt)
+        for drain in self.records.drains:
+            self.judge_drain(drain)
         return self.violations
 
     # Processes.
@@ -530,6 +534,35 @@
                 f"{text}, told since {after:.2f} s",
             )
 
+    def judge_out_by_hand(self, sent: SentRequest, attempt: Attempt) -> None:
+        """Checks that an endpoint that operators have taken out gets no attempt after the grace, whatever
+        discovery lists and over upgrades."""
+        for span in self.records.out_spans:
+            if (span.sidecar, span.endpoint) != (sent.process.sidecar, attempt.endpoint):
+                continue
+            after = attempt.first_byte_at - span.since
+            if after <= 0 or attempt.first_byte_at >= span.until:
+                continue
+            allowed = self.customers[attempt.customer].grace + PROTOCOL_TOLERANCE_S + BUSY_MACHINE_S
+            if after > allowed + self.tolerance(sent.process, span.since, attempt.first_byte_at):
+                self.report(
+                    Fault.TOO_LATE,
+                    "sent to what is out by hand",
+                    span.sidecar,
+                    f"{sent.id.decode()} to {attempt.endpoint}, out since {after:.2f} s",
+                )
+
+    def judge_drain(self, drain: Drain) -> None:
+        """Checks that a sidecar that drains says that it isn't ready, also over upgrades."""
+        for asked_at in drain.ready_at:
+            if drain.since + BUSY_MACHINE_S < asked_at < drain.until:
+                self.report(
+                    Fault.TOO_LATE,
+                    "ready while it drains",
+                    drain.sidecar,
+                    f"GET /ready answered yes {asked_at - drain.since:.2f} s after the yes to the drain",
+                )
+
     def known_at(self, listed_at: float, attempt: Attempt) -> float | None:
         """When the sidecar must know of a change listed since `listed_at`; None if that is not due."""
         for begin, end in self.records.reachable_spans[attempt.customer]:
--- a/lupinmill/lab/faults/run.py
+++ b/lupinmill/lab/faults/run.py
@@ -78,8 +78,9 @@
 
     def close(self) -> None:
         """Closes the sockets of a campaign that is not played."""
-        reserved = [runner.reserved_socket for runner in self.runners]
-        for sock in (*reserved, *(endpoint.listener for endpoint in self.endpoints), *self.discovery.sockets):
+        for runner in self.runners:
+            runner.close()
+        for sock in (*(endpoint.listener for endpoint in self.endpoints), *self.discovery.sockets):
             sock.close()
 
     def is_over(self) -> bool:
@@ -118,7 +119,7 @@
             await asyncio.sleep(SETTLE_S)
         finally:
             for runner in self.runners:
-                runner.reserved_socket.close()
+                runner.close()
             for task in (*runner_tasks, *clients, *events, *servers):
                 task.cancel()
             ended = await asyncio.gather(*runner_tasks, *clients, *events, *servers, return_exceptions=True)
@@ -175,13 +176,15 @@
         modes: list[tuple[float, str]] | None = None,
         list_events: list[schedule.ListEvent] | None = None,
         soak: bool = False,
+        operators: bool = False,
+        clock_steps: bool = False,
     ) -> None:
         self.seed, self.processes, self.seconds = seed, processes, seconds
         self.folder, self.command, self.records = folder, command, RunRecords()
         # What the caller gives applies to all customers; modes and list events only together with plans.
         self.timeouts, self.plans, self.fault_share = timeouts, plans, fault_share
         self.modes, self.list_events = modes, list_events
-        self.soak = soak
+        self.soak, self.operators, self.clock_steps = soak, operators, clock_steps
         self.address_octet = 10 + os.getpid() % 4 * 50 + seed % 10
         self.started_at = self.ends_at = 0.0
         remaining, self.customer_runs = processes, []
@@ -193,8 +196,14 @@
     def plans_for(self, seed_text: str) -> list[schedule.ProcessPlan]:
         random = Random(f"{self.seed} {seed_text}")
         if self.soak:
-            return schedule.draw_soak_plans(random, self.seconds, crowd=self.seed % CROWD_EVERY == 0)
-        return self.plans or schedule.draw_plans(random, self.seconds)
+            plans = schedule.draw_soak_plans(random, self.seconds, crowd=self.seed % CROWD_EVERY == 0)
+        else:
+            plans = self.plans or schedule.draw_plans(random, self.seconds)
+        if self.operators:
+            schedule.add_operator_calls(Random(f"{self.seed} {seed_text} operators"), plans)
+        if self.clock_steps:
+            schedule.add_clock_steps(Random(f"{self.seed} {seed_text} clock"), plans)
+        return plans
 
     def is_over(self) -> bool:
         """Whether the time is over and, as on a busy machine it may not, enough has happened to judge by."""
@@ -231,15 +240,33 @@
             self.records,
             figures(self.records),
             self.soak,
+            self.operators,
+            self.clock_steps,
         )
 
 
 def play(
-    seed: int, processes: int, seconds: float, command: Sequence[str] = PROGRAM, soak: bool = False
+    seed: int,
+    processes: int,
+    seconds: float,
+    command: Sequence[str] = PROGRAM,
+    soak: bool = False,
+    operators: bool = False,
+    clock_steps: bool = False,
 ) -> Verdict:
     """Plays a run with a folder of its own."""
     with tempfile.TemporaryDirectory(prefix="faults-") as folder:
-        return asyncio.run(Campaign(seed, processes, seconds, Path(folder), command, soak=soak).run())
+        campaign = Campaign(
+            seed,
+            processes,
+            seconds,
+            Path(folder),
+            command,
+            soak=soak,
+            operators=operators,
+            clock_steps=clock_steps,
+        )
+        return asyncio.run(campaign.run())
 
 
 __all__ = ["CROWD_EVERY", "Campaign", "Timeouts", "Verdict", "play"]
--- a/lupinmill/lab/faults/schedule.py
+++ b/lupinmill/lab/faults/schedule.py
@@ -49,6 +49,10 @@
 )
 MOVE_INTERVALS_S = (0.2, 0.4, 0.7)  # between two moves
 SOAK_MIN_LIFE_S, SOAK_MAX_LIFE_S = 9.0, 20.0
+STEP_SIZES_S = (2.0, 5.0, 11.0, 3600.0, 7200.0)  # by which a clock is set, forward or back
+STEPPED_EVENTS = ("upgrade", "move discovery", "burst of HUP", REPEATED_MOVES)  # with steps around them
+STEP_BEFORE_S, STEP_AFTER_S = 1.0, 0.6
+STEPS_IN_SERIES, STEP_INTERVALS_S = 6, (0.1, 0.8)
 TMPDIR_KINDS = ("own", "own", "own", "absent", "a file", "none", "overlong")
 USABLE_TMPDIRS = ("own", "overlong")
 OUTPUT_KINDS = ("read", "read", "read", "read", "closed", "stuck")
@@ -65,6 +69,31 @@
     detail: str = ""  # the defect of a configuration, or what happens during an upgrade
 
 
+@dataclass(slots=True)
+class ClockStep:
+    """The wall clock of a sidecar's processes is set."""
+
+    at: float  # seconds after the process is ready
+    seconds: float
+
+    def text(self) -> str:
+        return f"clock set by {self.seconds:+g} s at {self.at:.2f} s"
+
+
+@dataclass(slots=True)
+class OperatorCall:
+    """Operators take an endpoint out, or without one drain the sidecar, and take that back later."""
+
+    at: float  # seconds after the process is ready
+    seconds: float
+    endpoint: int | None = None  # index among the customer's endpoints
+    leaves_list: bool = False  # the endpoint is restarted meanwhile, and not listed for half of the time
+
+    def text(self) -> str:
+        what = "drained" if self.endpoint is None else f"endpoint {self.endpoint} out"
+        return f"{what}{', off the list' * self.leaves_list} for {self.seconds:.2f} s at {self.at:.2f} s"
+
+
 @dataclass(slots=True)
 class ProcessPlan:
     """What happens to one process from its start to its end."""
@@ -79,6 +108,8 @@
     events: list[Event] = field(default_factory=list)
     invalid_kind: str = ""
     moves_discovery: bool = False  # discovery has another address at the first SIGHUP during startup
+    clock_steps: list[ClockStep] = field(default_factory=list)
+    operator_calls: list[OperatorCall] = field(default_factory=list)
 
     def text(self) -> str:
         parts = ["discovery moves with the first HUP"] * self.moves_discovery
@@ -90,6 +121,7 @@
             + f" at {event.at:.2f} s"
             for event in self.events
         ]
+        parts += [each.text() for each in (*self.operator_calls, *self.clock_steps)]
         kind = f"{self.kind} {self.invalid_kind}".strip()
         list_text = "knows the list" if self.knows_list else "knows no list"
         return (
@@ -170,6 +202,40 @@
     return plans
 
 
+def add_operator_calls(random: Random, plans: list[ProcessPlan]) -> None:
+    """Draws operators' calls into the plans, and an upgrade into most of the times that they last."""
+    for plan in plans:
+        if plan.kind != SERVE:
+            continue
+        for _ in range(random.randint(1, 3)):
+            at_s, lasts_s = random.uniform(0.2, plan.seconds / 2), random.uniform(3.0, max(3.0, plan.seconds))
+            endpoint = random.randrange(6) if random.random() < 0.75 else None
+            call = OperatorCall(round(at_s, 2), round(lasts_s, 2), endpoint, random.random() < 0.6)
+            plan.operator_calls.append(call)
+            if random.random() < 0.7:
+                upgrade = draw_event(random, plan.seconds, ("upgrade",))
+                upgrade.at = round(random.uniform(at_s, min(plan.seconds, at_s + lasts_s)), 2)
+                plan.events.append(upgrade)
+        plan.events.sort(key=lambda event: event.at)
+
+
+def add_clock_steps(random: Random, plans: list[ProcessPlan]) -> None:
+    """Draws steps into the plans: at any time, around upgrades and moves, and in series."""
+    for plan in plans:
+        times = [random.uniform(0, plan.seconds) for _ in range(random.randint(0, 2))]
+        times += [
+            event.at + random.uniform(-STEP_BEFORE_S, STEP_AFTER_S)
+            for event in plan.events
+            if event.kind in STEPPED_EVENTS and random.random() < 0.8
+        ]
+        if random.random() < 0.25:
+            start_s = random.uniform(0, plan.seconds)
+            times += [start_s + at * random.choice(STEP_INTERVALS_S) for at in range(STEPS_IN_SERIES)]
+        for at_s in sorted(max(0.0, at_s) for at_s in times):
+            size_s = random.choice(STEP_SIZES_S) * random.choice((1, 1, -1))
+            plan.clock_steps.append(ClockStep(round(at_s, 2), size_s))
+
+
 @dataclass(slots=True)
 class ListEvent:
     """Something that happens to an endpoint at discovery, or to connections to it."""
--- a/lupinmill/lab/faults/sidecar_runner.py
+++ b/lupinmill/lab/faults/sidecar_runner.py
@@ -22,8 +22,10 @@
     read_answer,
     status_of,
 )
-from lupinmill.lab.faults.processes import READ, Process
+from lupinmill.lab.faults.operators import Operators
+from lupinmill.lab.faults.processes import READ, ROOT, Process
 from lupinmill.lab.faults.records import ProcessRecord
+from lupinmill.lab.faults.stepped_clock import SteppedClock
 
 if TYPE_CHECKING:
     from lupinmill.lab.faults.run import CustomerRun
@@ -33,6 +35,7 @@
 READY_CHECK_INTERVAL_S = 1.0
 READY_TIMEOUT_S = 2.0  # of one `GET /ready`
 BURST_SIGNALS, REPEATED_MOVES = 5, 8  # signals in a burst, moves in a series
+OPERATORS_DESCRIPTORS = 16  # that a sidecar keeps for operators' calls, beside those that its clients need
 HELD_S = 2.5  # the new process of an upgrade is stopped for this long
 
 
@@ -67,6 +70,22 @@
             customer_run.customer, self.sidecar, f"{customer_run.seed} {self.name}", customer_run.records
         )
         self.discovery_addresses, self.address_index = customer_run.discovery.reserve_addresses(), 0
+        admin_host = customer_run.host(f"201.{number + 1}")
+        has_operators = any(plan.operator_calls for plan in plans)
+        self.operators = Operators(self, lambda: reserve_address(admin_host)) if has_operators else None
+        self.sockets = customer_run.customer.sockets + OPERATORS_DESCRIPTORS * has_operators
+        self.operator_address: str | None = None  # of the process that serves
+        self.next_operator_address: str | None = None  # of the one that is started next
+        self.clock: SteppedClock | None = None
+        if any(plan.clock_steps for plan in plans):
+            # With every other seed the whole machine's clock is set, and the kernel's timestamps with it.
+            self.clock = SteppedClock(self.folder / "clock", with_kernel=customer_run.seed % 2 == 1)
+
+    def close(self) -> None:
+        """Gives back the addresses."""
+        self.reserved_socket.close()
+        if self.operators is not None:
+            self.operators.close()
 
     # Configurations.
 
@@ -77,12 +96,16 @@
             "listen": "%s:%d" % self.sidecar.address,
             "discovery": self.discovery_addresses[self.address_index],
             "seed": "8c1f30d27a5be964",
-            "limits": customer_run.customer.limits,
+            "limits": customer_run.customer.limits | {"sockets": self.sockets},
             "settings": customer_run.customer.settings,
         }
         if knows_list:
             rows = list(customer_run.discovery.rows.values())
             table["known"] = {"index": customer_run.discovery.index, "snapshot": True, "endpoints": rows}
+        if self.operators is not None and self.next_operator_address is None:
+            self.next_operator_address = self.operators.next_address()
+        if self.next_operator_address is not None:
+            table["operator"] = self.next_operator_address
         return customers.equivalent_config(
             table, Random(f"{customer_run.seed} {self.name} {self.process_number}")
         )
@@ -112,7 +135,7 @@
             "BALANCER_CONFIG": str(self.config_file),
             "BALANCER_NAME": self.name,
             "TMPDIR": places[plan.tmpdir],
-        }
+        } | (self.clock.environ(str(ROOT)) if self.clock is not None else {})
 
     # Processes.
 
@@ -123,6 +146,11 @@
             self.process_number += 1
         self.sidecar.closing = True
 
+    def take_operator_address(self) -> str | None:
+        """The address in the configuration of a process that is started now; the next one gets another."""
+        address, self.next_operator_address = self.next_operator_address, None
+        return address
+
     async def run_process(self, plan: schedule.ProcessPlan) -> None:
         config = self.configuration(plan.knows_list)
         self.write_config(
@@ -131,6 +159,7 @@
             else customers.encode(config)
         )
         self.process = process = Process(self.customer_run.command, self.environ(plan), plan.output)
+        self.operator_address = self.take_operator_address()
         try:
             record = await process.start(self.name, self.process_number, plan.text())
             record.can_hand_over = plan.tmpdir in schedule.USABLE_TMPDIRS
@@ -147,6 +176,8 @@
         finally:
             await process.end()
             await self.process.end()
+            if self.operators is not None:
+                self.operators.process_ended()
 
     async def wait_until_ready(self, process: Process, plan: schedule.ProcessPlan) -> bool:
         """Waits for a process during startup, while it gets its planned signals. True if it serves."""
@@ -196,7 +227,12 @@
     async def run_events(self, plan: schedule.ProcessPlan) -> None:
         """Applies the planned events until the planned end of the process, or the end of the run."""
         started_at = time.monotonic()
-        watcher = asyncio.create_task(self.watch_responsiveness())
+        beside = [
+            asyncio.create_task(self.watch_responsiveness()),
+            asyncio.create_task(self.set_clock(plan, started_at)),
+        ]
+        if self.operators is not None:
+            beside.append(asyncio.create_task(self.operators.play(plan.operator_calls, started_at)))
         try:
             for event in plan.events:
                 await self.pause(started_at + event.at - time.monotonic())
@@ -205,7 +241,19 @@
                 await self.apply_event(plan, event)
             await self.pause(started_at + plan.seconds - time.monotonic())
         finally:
-            watcher.cancel()
+            for task in beside:
+                task.cancel()
+            for ended in await asyncio.gather(*beside, return_exceptions=True):
+                if isinstance(ended, Exception):
+                    raise ended  # a fault of the campaign itself
+
+    async def set_clock(self, plan: schedule.ProcessPlan, started_at: float) -> None:
+        for step in plan.clock_steps:
+            await asyncio.sleep(max(0.0, started_at + step.at - time.monotonic()))
+            if self.clock is not None:
+                self.clock.step(step.seconds)
+                steps = self.customer_run.records.process_clock_steps
+                steps.append((time.time(), self.name, step.seconds))
 
     def alive(self) -> bool:
         return self.process is not None and self.process.alive
@@ -283,6 +331,7 @@
         assert old.record is not None
         self.write_config(customers.encode(self.configuration()))
         new = Process(self.customer_run.command, self.environ(plan), READ)
+        operator_address = self.take_operator_address()
         record = await new.start(self.name, old.record.number, f"upgrade, {event.detail}")
         record.can_hand_over = old.record.can_hand_over
         self.customer_run.records.processes.append(record)
@@ -296,11 +345,14 @@
                 await new.stop_for(HELD_S)
             elif event.detail == "the old one killed":
                 old.signal(signal.SIGKILL)
+                if self.operators is not None:
+                    self.operators.process_ended()  # the new one may have come too late to hear of them
             if not await self.wait_until_listening(record):
                 record.hangs.append("not ready in an upgrade")
                 return
             record.ready_at = time.time()
             self.sidecar.process, self.process, new = record, new, old
+            self.operator_address = operator_address
             old.signal(signal.SIGTERM)
             if not await old.ends_within(
                 self.customer_run.customer.longest_deadline
@@ -324,7 +376,7 @@
         process.record.crowded_spans.append((begin, float("inf")))
         connections: list[Connection] = []
         try:
-            for _ in range(min(300, self.customer_run.customer.sockets + 10)):
+            for _ in range(min(300, self.sockets + 10)):
                 try:
                     async with asyncio.timeout(1.0):
                         connections.append(await connect(self.sidecar.address))
@@ -364,6 +416,7 @@
             + min(self.customer_run.customer.longest_deadline, MAX_COUNTED_DEADLINE_S)
             + KILL_MARGIN_S
         )
+        record.kill_due_at = earliest
         while process.alive and (left := earliest - time.time()) > 0:
             await asyncio.sleep(min(0.02, left))
         if process.alive:
--- a/lupinmill/lab/faults/verdict.py
+++ b/lupinmill/lab/faults/verdict.py
@@ -21,6 +21,13 @@
     records: RunRecords
     figures: dict[str, int] = field(default_factory=dict)
     soak: bool = False
+    operators: bool = False
+    clock_steps: bool = False
+
+    def options(self) -> str:
+        """Of the command that replays the run, beside seed, processes and seconds."""
+        chosen = {"--soak": self.soak, "--operators": self.operators, "--clock-steps": self.clock_steps}
+        return "".join(f" {option}" for option, on in chosen.items() if on)
 
     def by_rule(self) -> dict[tuple[Fault, str], list[Violation]]:
         found: dict[tuple[Fault, str], list[Violation]] = {}
@@ -38,7 +45,7 @@
             lines += [f"    {violation.sidecar}: {violation.text}" for violation in violations[:MAX_SHOWN]]
         lines.append(
             f"replay: lupinmill lab faults --seed {self.seed} --processes {self.processes}"
-            f" --seconds {self.seconds:g}{' --soak' * self.soak}"
+            f" --seconds {self.seconds:g}{self.options()}"
         )
         lines += self.schedule
         concerned = {violation.sidecar for violation in self.violations}
@@ -60,7 +67,11 @@
         "answered": sum(bool(request.answers) for request in requests),
         "served": sum(any(answer.status == 200 for answer in request.answers) for request in requests),
         "attempts": len(records.attempts),
+        "kills due at the earliest": sum(record.kill_due_at is not None for record in records.processes),
         "killed at the earliest": sum(record.killed_after_term for record in records.processes),
+        "endpoints out by hand": len(records.out_spans),
+        "drains by hand": len(records.drains),
+        "clock of processes set": len(records.process_clock_steps),
         "calls of discovery": sum(len(calls) for calls in records.discovery_calls.values()),
         "clock set": len(records.clock_steps),
         "largest lag, ms": int(1000 * max((lag_s for _, lag_s in records.loop_lags), default=0.0)),
--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -19,21 +19,45 @@
     Answer,
     Attempt,
     ConnectionEnd,
+    Drain,
     Fault,
+    OutSpan,
     ProcessRecord,
     RunRecords,
     SentRequest,
     Violation,
 )
 from lupinmill.lab.faults.run import Campaign, Timeouts, Verdict
+from lupinmill.lab.faults.sidecar_runner import KILL_MARGIN_S
 
 FAULTS = Path(run.__file__).parent
 SEED, PROCESSES, SECONDS = 11, 5, 14.0
 PLANTED_SEED, PLANTED_SECONDS = 111, 5.0  # draws a customer with all effects and six attempts
+SLACK_S = 2.0  # by which a busy machine may kill a process later than planned
 SHORT = Timeouts(ready_s=8.0, responsive_s=4.0, exit_s=4.0)
 MOVE = schedule.Event(0.1, "move discovery")
 CALM = [schedule.ProcessPlan(schedule.SERVE, 60.0, "TERM", "own", "read", True, events=[MOVE])]
-LONGER = {"reload missed": 9.0}  # seconds
+CALLED = schedule.ProcessPlan(
+    schedule.SERVE,
+    60.0,
+    "TERM",
+    "own",
+    "read",
+    True,
+    events=[schedule.Event(1.0, "upgrade", detail="clean")],
+    operator_calls=[schedule.OperatorCall(0.3, 60.0, endpoint=0)],
+)
+DRAINED = schedule.ProcessPlan(
+    schedule.SERVE,
+    60.0,
+    "TERM",
+    "own",
+    "read",
+    True,
+    operator_calls=[schedule.OperatorCall(0.3, 60.0)],
+)
+ENDLESS = schedule.ProcessPlan(schedule.SERVE, 2.0, schedule.KILL_AT_EARLIEST, "own", "read", True)
+LONGER = {"reload missed": 9.0, "cordon lost in an upgrade": 8.0, "never ends": 9.0}  # seconds
 
 START = """
 import sys
@@ -147,6 +171,36 @@
         Fault.HUNG,
         "did not end after its signal",
     ),
+    "cordon lost in an upgrade": (
+        "from lupinmill.handover import handover_state\n"
+        "encode = handover_state.encode\n"
+        "handover_state.encode = lambda *args: encode(*args) | {'out': []}",
+        Fault.TOO_LATE,
+        "sent to what is out by hand",
+    ),
+    "ready while it drains": (
+        "from lupinmill.admin.operator_overrides import OperatorOverrides\n"
+        "OperatorOverrides.is_ready = lambda self: True",
+        Fault.TOO_LATE,
+        "ready while it drains",
+    ),
+    "never ends": (
+        "from lupinmill.program.sidecar import Program\n"
+        "import anyio\n"
+        "async def planted(self, *more):\n"
+        "    self.client_handler.serve = None\n"
+        "    await anyio.sleep(3600)\n"
+        "Program.leave = planted",
+        Fault.UNANSWERED,
+        "no answer",
+    ),
+}
+
+
+PLANS_OF = {  # where the fault shows under others than the calm ones
+    "cordon lost in an upgrade": [CALLED],
+    "ready while it drains": [DRAINED],
+    "never ends": [ENDLESS],
 }
 
 
@@ -171,7 +225,7 @@
                 folder(),
                 command(code),
                 SHORT,
-                CALM,
+                PLANS_OF.get(name, CALM),
                 fault_share=0.4,
             )
         found = await asyncio.gather(*(campaign.run() for campaign in campaigns.values()))
@@ -196,6 +250,20 @@
     assert f"--seed {verdict.seed}" in text and "life 0" in text
 
 
+def test_a_process_that_does_not_end_is_killed_at_the_earliest_time_and_excuses_nothing(verdicts):
+    """In other runs nothing has to be killed then: the program ends 0.2 s before. Guards against a kill that
+    is never played."""
+    verdict = verdicts["never ends"]
+    killed = [record for record in verdict.records.processes if record.killed_after_term]
+    assert killed and verdict.figures["killed at the earliest"] == len(killed)
+    for record in killed:
+        longest = 3.0  # of the customer's deadlines, as far as it counts
+        assert record.killed_at - record.terminated_at <= longest + KILL_MARGIN_S + SLACK_S
+        assert record.killed_at >= record.kill_due_at
+    others = [name for name in verdicts if name != "never ends"]
+    assert not any(verdicts[name].figures["killed at the earliest"] for name in others)
+
+
 def test_nothing_that_a_campaign_started_is_left(verdicts):
     for verdict in verdicts.values():
         for process in verdict.records.processes:
@@ -234,6 +302,57 @@
     )
 
 
+@pytest.mark.parametrize(
+    "at, endpoint, sidecar, broken",
+    [
+        (11.4, "e0", "c0-s0", False),  # within the grace
+        (12.0, "e0", "c0-s0", True),
+        (29.0, "e0", "c0-s0", True),  # whatever discovery lists
+        (30.5, "e0", "c0-s0", False),  # put back
+        (9.0, "e0", "c0-s0", False),
+        (20.0, "e1", "c0-s0", False),
+        (20.0, "e0", "c0-s1", False),  # of another sidecar
+    ],
+)
+def test_what_is_out_by_hand_gets_nothing_from_the_yes_to_the_call_back(at, endpoint, sidecar, broken):
+    records = RunRecords()
+    records.out_spans.append(OutSpan("c0-s0", "e0", since=10.0, until=30.0))
+    process = ProcessRecord(sidecar, 0, 1, 0.0, "serves")
+    records.processes.append(process)
+    sent = SentRequest(
+        b"s1", "c0", process, "view", "repeatable", b"GET", b"/", b"", [b"s1"], [], 1.0, "staying"
+    )
+    attempt = Attempt(endpoint, "0", "z", "c0", b"GET", b"/", b"", [b"s1"], [], b"1.0", at, at)
+    customer = customers.draw_customer("c0", Random(1))
+    assert customer.grace == 0.5
+    judging = referee.Referee(records, {"c0": customer})
+    judging.judge_out_by_hand(sent, attempt)
+    assert [violation.rule for violation in judging.violations] == ["sent to what is out by hand"] * broken
+
+
+@pytest.mark.parametrize("asked_at, broken", [(10.5, False), (12.0, True), (20.5, False)])
+def test_a_sidecar_that_drains_is_not_ready(asked_at, broken):
+    judging = referee.Referee(RunRecords(), {})
+    judging.judge_drain(Drain("c0-s0", since=10.0, until=20.0, ready_at=[asked_at]))
+    assert [violation.rule for violation in judging.violations] == ["ready while it drains"] * broken
+
+
+def test_operator_calls_and_clock_steps_are_drawn_beside_the_rest_and_change_nothing_of_it():
+    """A seed's other troubles stay what they were."""
+
+    def plans() -> list[schedule.ProcessPlan]:
+        return schedule.draw_soak_plans(Random("3"), 40.0, crowd=False)
+
+    usual, with_more = plans(), plans()
+    schedule.add_operator_calls(Random("calls"), with_more)
+    schedule.add_clock_steps(Random("steps"), with_more)
+    for before, after in zip(usual, with_more, strict=True):
+        assert after.operator_calls and set(map(str, before.events)) <= set(map(str, after.events))
+        assert (before.kind, before.seconds, before.end) == (after.kind, after.seconds, after.end)
+    texts = [plan.text() for plan in with_more]
+    assert any("clock set by" in text for text in texts) and any(" out" in text for text in texts)
+
+
 def failed_verdict(seed: int) -> Verdict:
     records = RunRecords()
     records.processes.append(ProcessRecord("c0-s0", 0, 1, 0.0, "serves"))
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -1,9 +1,11 @@
 """A short soak: real processes under slow discovery and series of signals, with clients that keep their
-connections until the kill. For longer runs: `lupinmill lab faults --soak --seeds 50`."""
+connections until the kill; in some of it operators call, and clocks are set. For longer runs:
+`lupinmill lab faults --soak --operators --clock-steps --seeds 50`."""
 
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
 import pytest
 
@@ -11,16 +13,38 @@
 from lupinmill.lab.faults.run import CROWD_EVERY, Campaign, Verdict
 
 SECONDS, PROCESSES = 40.0, 5
-# The last one moves discovery again and again while it is crowded.
-SEEDS = {"plain": 1, "crowd": 2 * CROWD_EVERY, "moved while crowded": 7422}
+
+
+@dataclass(frozen=True)
+class Soak:
+    seed: int
+    operators: bool = False
+    clock_steps: bool = False
+
+
+SOAKS = {
+    "plain": Soak(1),
+    "crowd": Soak(2 * CROWD_EVERY),
+    "moved while crowded": Soak(7422),
+    "out by hand, clocks set": Soak(7603, operators=True, clock_steps=True),
+}
+WITH_CALLS = "out by hand, clocks set"
 
 
 @pytest.fixture(scope="module")
 def verdicts(tmp_path_factory) -> dict[str, Verdict]:
     async def play_all() -> dict[str, Verdict]:
         campaigns = {
-            name: Campaign(seed, PROCESSES, SECONDS, tmp_path_factory.mktemp("soak"), soak=True)
-            for name, seed in SEEDS.items()
+            name: Campaign(
+                soak.seed,
+                PROCESSES,
+                SECONDS,
+                tmp_path_factory.mktemp("soak"),
+                soak=True,
+                operators=soak.operators,
+                clock_steps=soak.clock_steps,
+            )
+            for name, soak in SOAKS.items()
         }
         found = await asyncio.gather(*(campaign.run() for campaign in campaigns.values()))
         return dict(zip(campaigns, found))
@@ -28,7 +52,7 @@
     return asyncio.run(play_all())
 
 
-@pytest.mark.parametrize("name", list(SEEDS))
+@pytest.mark.parametrize("name", list(SOAKS))
 def test_the_program_stands_in_a_soak(verdicts, name):
     verdict = verdicts[name]
     assert not verdict.violations, reports.verdict_text(verdict)
@@ -39,3 +63,15 @@
     plans = "\n".join(line for verdict in verdicts.values() for line in verdict.schedule)
     for what in ("crowd for", "moved again and again", "KILL at the earliest", "HUP TERM HUP TERM"):
         assert what in plans
+    assert sum(verdict.figures["kills due at the earliest"] for verdict in verdicts.values()) > 3
+
+
+def test_upgrades_and_steps_came_while_endpoints_were_out(verdicts):
+    records = verdicts[WITH_CALLS].records
+    assert verdicts[WITH_CALLS].figures["drains by hand"] > 0
+
+    def during(sidecar: str, at: float) -> bool:
+        return any(span.sidecar == sidecar and span.since < at < span.until for span in records.out_spans)
+
+    assert any(during(process.sidecar, process.started_at) for process in records.processes)
+    assert any(during(sidecar, at) for at, sidecar, _ in records.process_clock_steps)
