--- a/lupinmill/handover/driver.py
+++ b/lupinmill/handover/driver.py
@@ -23,6 +23,7 @@
 from lupinmill.transport.link import Link, LinkError
 
 STATE_TIMEOUT_S = 1.5  # how long a start waits for the state of a process that may be there
+PREPARED_STATE_TIMEOUT_S = 3.0  # the same for one that has just made room, and may be held up since
 FORWARD_TIMEOUT_S = 0.4  # for the other process to apply an operator's call as well
 REPORT_INTERVAL_S = 0.05  # between two reports of the work that is still open
 HELLO_TIMEOUT_S = 1.0
@@ -110,6 +111,7 @@
     async def request_state(self) -> tuple[Message, socket.socket] | None:
         """The state of the serving process, and its listening socket; None means an ordinary start."""
         sock, self.permitted = self.permitted, None
+        timeout_s = STATE_TIMEOUT_S if sock is None else PREPARED_STATE_TIMEOUT_S
         if sock is None and self.upgrade_socket is not None:
             sock = self.upgrade_socket.connect()
         if sock is None:
@@ -120,7 +122,7 @@
                 raise LinkError("the process that listens there belongs to another user")
             protocol = self.protocol
             hello = {"say": "hello", "version": VERSION, "name": protocol.name, "listen": protocol.listen}
-            state = await link.ask(hello, STATE_TIMEOUT_S)
+            state = await link.ask(hello, timeout_s)
             if state.get("say") != "state":
                 raise LinkError(str(state.get("why", "the answer is not a state"))[:200])
             listening = listening_socket(link.take_descriptor())
--- a/lupinmill/handover/start_permission.py
+++ b/lupinmill/handover/start_permission.py
@@ -20,7 +20,9 @@
     from collections.abc import Callable, Mapping
     from typing import Any
 
-FIRST_ANSWER_S = 1.5  # until the serving process says that it makes room, or that there is none
+# Until the serving process, which may be held up, says that it makes room, or that there is none. A new
+# process has 6 s to take clients, and asks for the state after this.
+FIRST_ANSWER_S = 3.0
 ROOM_TIMEOUT_S = 3.0  # until it has made room; longer than it tries to
 POLL_S = 0.05  # between two looks at the signals that have arrived
 
--- a/tests/test_cordon_after_clock_step.py
+++ b/tests/test_cordon_after_clock_step.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import signal
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -11,6 +12,7 @@
 import anyio
 import pytest
 from clock_step_bed import HOUR_S, Play, run_plays
+from process_bed import wait_until_healthy
 
 from lupinmill.lab.earlier import worktree
 
@@ -114,3 +116,35 @@
 @pytest.mark.parametrize("name", list(PLAYS | WITH_OLDER))
 def test_an_endpoint_that_is_put_back_after_a_step_serves_again(plays, name):
     assert plays[name].back[0], plays[name].back
+
+
+HELD_UP_S = 2.5  # of the 6 s in which a new process has to take clients
+
+
+async def play_held_up(folder: Path, after_s: float) -> Play:
+    """The process before is held up just as the next one asks for its state."""
+    play = Play(folder)
+    async with play.running():
+        await play.processes.start()
+        assert await play.processes.call(0, "PUT", "/admin/cordon?member=e0") == 200
+        out_since, old = time.monotonic(), play.processes.all[0]
+        operator = play.processes.begin()
+        await anyio.sleep(after_s)
+        old.send_signal(signal.SIGSTOP)
+        await anyio.sleep(HELD_UP_S)
+        old.send_signal(signal.SIGCONT)
+        await wait_until_healthy(operator)
+        await play.processes.end(0)
+        await anyio.sleep(1.0)
+        play.late = play.sent_since(out_since + GRACE_S)
+    return play
+
+
+def test_a_cordon_is_not_lost_in_an_upgrade_from_a_process_that_is_held_up(tmp_path):
+    """Guards against a next process that starts without the state after 1.5 s, and so without the cordons."""
+    moments = (0.02, 0.1, 0.2)
+    plays = run_plays(
+        *(lambda moment=moment: play_held_up(tmp_path / f"{moment}", moment) for moment in moments)
+    )
+    for play in plays:
+        check_nothing_late(play)
