--- a/lupinmill/handover/handover_state.py
+++ b/lupinmill/handover/handover_state.py
@@ -17,6 +17,7 @@
 from lupinmill.transport.clocks import ClockReading
 
 Table = dict[str, Any]
+MAX_LOGGED_ENDPOINTS = 8  # named in one log line
 STARTED = "started_us"  # key of a row
 DISCOVERY_STATUS = {t.EndpointStatus.READY: "SERVING", t.EndpointStatus.DRAINING: "DRAINING"}
 
@@ -36,6 +37,7 @@
     private_memory: int = 0  # bytes that the predecessor alone holds, or may come to hold until it yields
     used_ids: list[int] = field(default_factory=list)  # digests of ids that must not run again
     unix_ahead: int = 0  # microseconds by which the times in `learned` are ahead of the monotonic clock
+    clock_told: bool = False  # not by an older version
     starts: dict[str, int] = field(default_factory=dict)  # of endpoints, in microseconds of monotonic time
     report_serial: int = 0  # of the predecessor's last report on zones
 
@@ -110,6 +112,20 @@
     yield from learned_times(table["learned"])
 
 
+def log_fields(state: HandoverState, overrides: OperatorOverrides, received: ClockReading) -> Table:
+    """What was handed over that is bound to a time. `clock_ahead_ms`: of the sender's clock, by that of the
+    receiver; `unlisted_s`: since a list last named each endpoint that is out."""
+    out = list(overrides.cordoned.items())[:MAX_LOGGED_ENDPOINTS]
+    return {
+        "list": state.known.index,
+        "mode": overrides.mode.value,
+        "cordoned": len(overrides.cordoned),
+        "unlisted_s": {name: round((received.monotonic - at) / 1_000_000, 1) for name, at in out},
+        "clock_told": state.clock_told,
+        "clock_ahead_ms": round((state.unix_ahead - received.unix_ahead) / 1000),
+    }
+
+
 def decode(table: Table, overrides: OperatorOverrides, received: ClockReading) -> HandoverState:
     """Applies the operator overrides and returns the rest. `received`: both clocks, as the state has come.
     Raises InvalidHandoverState."""
@@ -135,6 +151,7 @@
             memory,
             used_ids,
             ahead,
+            sender_clock.CLOCK in table,
             starts,
             int(table.get("report_serial", 0)),
         )
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -18,9 +18,10 @@
 from lupinmill.admin.admin_server import MAX_CONNECTIONS, AdminServer
 from lupinmill.admin.operator_overrides import Mode, OperatorOverrides
 from lupinmill.discovery.driver import DiscoveryClient
-from lupinmill.handover import handover_state, sender_clock
+from lupinmill.handover import handover_state
 from lupinmill.handover.driver import Handover
 from lupinmill.limits.gate import AdmissionGate
+from lupinmill.program.loop_monitor import LoopMonitor
 from lupinmill.program.process_memory import ProcessMemory
 from lupinmill.program.process_settings import ProcessSettings, StartupError, changes_needing_restart
 from lupinmill.program.signals import HANDLED_SIGNALS, SHUTDOWN_SIGNALS, Signals
@@ -37,13 +38,11 @@
 from lupinmill.routing.request_table import RequestTable
 from lupinmill.routing.response_writer import ResponseWriter
 from lupinmill.state import learned
-from lupinmill.transport import wall_clock
 from lupinmill.transport.buffers import BlockPool
 from lupinmill.transport.clocks import ClockReading, MonotonicClock
 from lupinmill.transport.connection_pool import ConnectionPool
 from lupinmill.transport.descriptors import ConnectionKind, DescriptorBudget
 from lupinmill.transport.listener import Listener
-from lupinmill.transport.wall_clock import MIN_STEP_US, ClockSteps
 
 if TYPE_CHECKING:
     from lupinmill.peers.driver import Driver
@@ -51,7 +50,6 @@
     from lupinmill.program.live_config import LiveConfig
     from lupinmill.program.operators_file import File
 
-LAG_CHECK_INTERVAL_S, LAG_HIGH_S, LAG_LOW_S = 0.25, 0.05, 0.01
 TASK_RESTART_DELAY_S = 0.1
 LATE_CONNECTIONS_S = 0.6  # after SIGTERM clients still open connections for so long
 # The platform kills the process so many seconds after the longest hard limit, of which at most 3 s count.
@@ -63,7 +61,6 @@
 # Retries to bind an address that another process still holds.
 BIND_RETRY_S, BIND_RETRY_INTERVAL_S = 3.0, 0.05
 OPEN_REQUEST_GRACE_S = 1.0  # after the longest possible deadline, shutdown stops waiting for open requests
-MAX_LOGGED_ENDPOINTS = 8  # named in one log line
 IDLE_CHECK_INTERVAL_S = 0.02  # while idle clients' connections are being closed
 
 
@@ -121,6 +118,7 @@
             self.descriptors, self.block_pool, settings.idle_timeout_s, settings.connect_timeout_s
         )
         self.engine = Engine(settings.deployment, MonotonicClock(), log)
+        self.loop_monitor = LoopMonitor(log)
         self.overrides = OperatorOverrides()
         self.directory = EndpointDirectory(self.engine, self.connection_pool, self.overrides.cordoned)
         self.request_table = RequestTable(self.engine)
@@ -270,8 +268,8 @@
             table, sock = self.inherited
             try:
                 received = ClockReading.take()
-                self.predecessor_state = handover_state.decode(table, self.overrides, received)
-                self.log_predecessor_state(table, received)
+                self.predecessor_state = state = handover_state.decode(table, self.overrides, received)
+                self.log("handover_state", **handover_state.log_fields(state, self.overrides, received))
             except handover_state.InvalidHandoverState as error:
                 self.log("handover_refused", error=str(error))
                 self.handover.decline()
@@ -291,25 +289,6 @@
                 self.memory.requests,
             )
 
-    def log_predecessor_state(self, table: dict[str, Any], received: ClockReading) -> None:
-        """What the predecessor handed over that is bound to a time. `clock_ahead_ms`: of its clock, by this
-        process's; `clock_told`: not by an older version."""
-        state = self.predecessor_state
-        assert state is not None
-        unlisted = {
-            name: round((received.monotonic - listed_at) / 1_000_000, 1)
-            for name, listed_at in [*self.overrides.cordoned.items()][:MAX_LOGGED_ENDPOINTS]
-        }
-        self.log(
-            "handover_state",
-            list=state.known.index,
-            mode=self.overrides.mode.value,
-            cordoned=len(self.overrides.cordoned),
-            unlisted_s=unlisted,
-            clock_told=sender_clock.decode_reading(table) is not None,
-            clock_ahead_ms=round((state.unix_ahead - received.unix_ahead) / 1000),
-        )
-
     async def serve(self, signals: AsyncIterator[signal.Signals], task_status: TaskStatus[str]) -> None:
         deployment, listener = self.settings.deployment, self.listener
         assert listener is not None
@@ -364,7 +343,7 @@
             self.engine.run_timer,
             self.discovery.run,
             self.sweep,
-            self.measure_lag,
+            self.loop_monitor.measure_lag,
             self.memory.watch,
             self.admin_handler.sweep,
         ):
@@ -393,8 +372,7 @@
             endpoints=len(self.directory.states),
             descriptors=self.descriptors.limit,
         )
-        if abs(wall_clock.SHARED.difference) >= MIN_STEP_US:
-            self.log("clock_differs", from_kernel_ms=round(wall_clock.SHARED.difference / 1000))
+        self.loop_monitor.log_clock_difference()
         if settings.memory is not None:
             self.log("memory", **self.memory.figures())
         if settings.unused:
@@ -560,21 +538,3 @@
         while True:
             await anyio.sleep(1.0)
             self.connection_pool.close_expired()
-
-    async def measure_lag(self) -> None:
-        """Logs when the event loop lags, which would otherwise look like slow endpoints."""
-        lagging = False
-        while True:
-            due = anyio.current_time() + LAG_CHECK_INTERVAL_S
-            await anyio.sleep(LAG_CHECK_INTERVAL_S)
-            late = anyio.current_time() - due
-            if late > LAG_HIGH_S if not lagging else late < LAG_LOW_S:
-                lagging = not lagging
-                self.log("lagging" if lagging else "lag_over", late_ms=round(late * 1000, 1))
-            if steps := wall_clock.SHARED.take_steps():
-                self.log_clock_steps(steps)
-
-    def log_clock_steps(self, steps: ClockSteps) -> None:
-        """`kernel_by_ms`: of the clock of the kernel's timestamps, which a step of this process's clock alone
-        leaves as it was."""
-        self.log("clock_set", by_ms=round(steps.process / 1000), kernel_by_ms=round(steps.kernel / 1000))
