--- a/lupinmill/handover/handover_state.py
+++ b/lupinmill/handover/handover_state.py
@@ -19,6 +19,7 @@
 Table = dict[str, Any]
 MAX_LOGGED_ENDPOINTS = 8  # named in one log line
 STARTED = "started_us"  # key of a row
+NEVER_CHANGED = 0  # of the time since when a mode lasts, in older versions
 DISCOVERY_STATUS = {t.EndpointStatus.READY: "SERVING", t.EndpointStatus.DRAINING: "DRAINING"}
 
 
@@ -108,7 +109,8 @@
 def times_of(table: Table) -> Iterator[int]:
     """All times of a state that had passed when it was sent, in microseconds."""
     yield from (int(listed_at) for _, listed_at in table["out"])
-    yield int(table["mode"][1])
+    if (since := int(table["mode"][1])) != NEVER_CHANGED:
+        yield since
     yield from learned_times(table["learned"])
 
 
--- a/lupinmill/protocol/lists.py
+++ b/lupinmill/protocol/lists.py
@@ -89,7 +89,7 @@
 
 
 def start_time(value: Any) -> int:
-    """Microseconds of Unix time, the decision module's clock. Raises ValueError."""
+    """Microseconds of Unix time, by the clock of discovery and the endpoints. Raises ValueError."""
     if value is None:
         return 0  # long ago
     milliseconds = whole_number(value, "since_ms")
--- a/tests/test_handover_times.py
+++ b/tests/test_handover_times.py
@@ -14,11 +14,14 @@
 from test_handover import UpgradePair, run_upgrade
 
 from lupinmill import terms as t
-from lupinmill.admin.operator_overrides import DRAIN_SERVING_US, CordonResult, Mode
+from lupinmill.admin.operator_overrides import DRAIN_SERVING_US, CordonResult, Mode, OperatorOverrides
+from lupinmill.handover import handover_state, sender_clock
+from lupinmill.handover.version import VERSION
 from lupinmill.program.sidecar import Program
 from lupinmill.rules import Sidecar
 from lupinmill.state.learned import BUCKET_WIDTHS, windows
 from lupinmill.transport import wall_clock
+from lupinmill.transport.clocks import ClockReading, MonotonicTime, UnixTime
 from lupinmill.transport.wall_clock import WallClock
 
 SECOND = 1_000_000  # microseconds
@@ -265,6 +268,25 @@
     run_upgrade(check, fine, fine, invariants={"ask-within-s": 1.0, "cold-share": 0.2, "cold-s": 8})
 
 
+def test_a_state_of_an_older_version_without_any_time_counts_as_of_now():
+    """Of a process that has served nothing yet: its mode has lasted since time 0."""
+    rows = {"index": 1, "snapshot": True, "endpoints": []}
+    table = {"say": "state", "version": VERSION, "held": 0, "learned": {"began": -1}, "list": rows, "out": []}
+    received = ClockReading.take()
+    state = handover_state.decode(table | {"mode": ["serving", 0]}, OperatorOverrides(), received)
+    assert state.unix_ahead == received.unix_ahead and not state.clock_told
+
+
+def test_times_of_a_sender_that_shares_no_monotonic_clock_keep_their_age():
+    """As in another time namespace."""
+    received = ClockReading.take()
+    for monotonic in (received.monotonic + HOUR_S * SECOND, received.monotonic - HOUR_S * SECOND):
+        reading = ClockReading(MonotonicTime(monotonic), UnixTime(received.unix + 5 * SECOND))
+        table = {sender_clock.CLOCK: sender_clock.encode_reading(reading)}
+        ahead = sender_clock.unix_ahead_of(table, (), received)
+        assert reading.unix - 3 * SECOND - ahead == received.monotonic - 3 * SECOND
+
+
 def test_the_widths_of_the_sums_that_are_handed_over_are_those_of_the_decision_module():
     dispatcher = Sidecar(deployment()).dispatcher
     assert {key: window.width for key, window in windows(dispatcher).items()} == BUCKET_WIDTHS
