--- a/lupinmill/transport/wall_clock.py
+++ b/lupinmill/transport/wall_clock.py
@@ -24,6 +24,7 @@
 MAX_READING_GAP_US = 500
 MAX_STAMP_AGE_US = 60_000_000  # older timestamps are ignored
 KERNEL_ROUNDING_US = 4_000  # by which the kernel may overstate a time
+LATE_TICK_US = 20_000  # by which it may overstate one on a busy machine, where its tick comes late
 
 MAX_READ_TRIES = 3  # to read both clocks together
 MAX_REMEMBERED_STEPS = 4  # settings of the clock that are remembered
@@ -153,10 +154,7 @@
         if not possible and now - self.kernel_read_at >= KERNEL_LOOK_INTERVAL_US:
             self.update_kernel_offset(False)
             possible = self.possible_ages(stamp)
-        if len(possible) > 1:
-            least = at_least() - KERNEL_ROUNDING_US
-            possible = [age for age in possible if age >= least]
-        return min(possible, default=None)
+        return likeliest(possible, at_least()) if len(possible) > 1 else min(possible, default=None)
 
     def possible_ages(self, stamp: int) -> list[int]:
         now = time.monotonic_ns() // NANOSECONDS
@@ -176,4 +174,15 @@
         )
 
 
+def likeliest(possible: list[int], at_least: int) -> int | None:
+    """The least of the possible ages that have passed at least; None if none of them has.
+
+    A true age that the kernel overstates must not give way to another setting's, which is far higher."""
+    usual = min((age for age in possible if age >= at_least - KERNEL_ROUNDING_US), default=None)
+    overstated = min((age for age in possible if age >= at_least - LATE_TICK_US), default=None)
+    if overstated is None or usual is not None and usual - overstated <= LATE_TICK_US:
+        return usual
+    return overstated
+
+
 SHARED = WallClock()  # shared by all connections of the process
