--- a/lupinmill/lab/faults/sidecar_runner.py
+++ b/lupinmill/lab/faults/sidecar_runner.py
@@ -346,7 +346,7 @@
             elif event.detail == "the old one killed":
                 old.signal(signal.SIGKILL)
                 if self.operators is not None:
-                    self.operators.process_ended()  # the new one may have come too late to hear of them
+                    self.operators.stop_judging()  # the new one may have come too late to hear of them
             if not await self.wait_until_listening(record):
                 record.hangs.append("not ready in an upgrade")
                 return
