--- a/lupinmill/transport/wall_clock.py
+++ b/lupinmill/transport/wall_clock.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 
 from lupinmill.transport import kernel_clock
-from lupinmill.transport.clocks import NANOSECONDS
+from lupinmill.transport.clocks import NANOSECONDS, monotonic_now
 
 # All in microseconds.
 # the smallest difference between two readings that means the clock was set and not merely adjusted
@@ -28,7 +28,8 @@
 
 MAX_READ_TRIES = 3  # to read both clocks together
 MAX_REMEMBERED_STEPS = 4  # settings of the clock that are remembered
-KERNEL_LOOK_INTERVAL_US = 50_000  # between two looks at the kernel's clock for timestamps that fit none
+KERNEL_LOOK_PERIOD_US = 1_000_000  # between two looks at the kernel's clock while nothing seems set
+KERNEL_LOOK_INTERVAL_US = 50_000  # between two looks at it for timestamps that fit none
 # Looks in a row at which the kernel's clock alone had been set: then it does not go by the monotonic clock of
 # this process, and tells nothing.
 MAX_KERNEL_STEPS = 4
@@ -45,18 +46,40 @@
         return bool(self.process or self.kernel)
 
 
+class OffsetHistory:
+    """By how many microseconds a wall clock is ahead of the monotonic one, now and before it was set."""
+
+    def __init__(self, offset: int) -> None:
+        self.current = offset
+        self.former: deque[int] = deque(maxlen=MAX_REMEMBERED_STEPS)
+        self.last_step_at: int | None = None  # microseconds of the monotonic clock
+
+    def update(self, offset: int, now: int) -> int:
+        """Microseconds by which the clock was set; 0 if it was merely adjusted."""
+        step, before = offset - self.current, self.current
+        self.current = offset
+        if abs(step) < MIN_STEP_US:
+            return 0
+        if all(abs(before - former) >= MIN_STEP_US for former in self.former):
+            self.former.append(before)
+        self.last_step_at = now
+        return step
+
+    def was_set_within(self, span: int, now: int) -> bool:
+        return self.last_step_at is not None and now - self.last_step_at < span
+
+
 class WallClock:
-    """Knows how far the wall clock is ahead of the monotonic one, now and before it was set.
+    """Knows how far the wall clock is ahead of the monotonic one, by both readings.
 
     `read_kernel_offset`: as `kernel_clock.read_offset`."""
 
     def __init__(self, read_kernel_offset: Callable[[], int | None] = kernel_clock.read_offset) -> None:
         self.read_kernel_offset = read_kernel_offset
-        self.process_offset = self.initial_offset()
-        self.kernel_offset = read_kernel_offset()
-        self.first_offset = self.process_offset
-        self.former_offsets: deque[int] = deque(maxlen=MAX_REMEMBERED_STEPS)
-        self.last_step_at = 0  # microseconds of the monotonic clock
+        self.process = OffsetHistory(self.initial_offset())
+        self.first_offset = self.process.current
+        kernel_offset = read_kernel_offset()
+        self.kernel = None if kernel_offset is None else OffsetHistory(kernel_offset)
         self.kernel_steps_in_row = 0
         self.kernel_read_at = 0  # microseconds of the monotonic clock
         self.unreported = ClockSteps()
@@ -75,48 +98,41 @@
         return None
 
     def update(self) -> None:
-        """Looks at both clocks."""
-        process_stepped = self.update_process_offset()
-        self.update_kernel_offset(process_stepped)
+        """Looks at the clock of this process, and at the kernel's if that was not done just now."""
+        if (
+            not self.update_process_offset()
+            and monotonic_now() - self.kernel_read_at >= KERNEL_LOOK_PERIOD_US
+        ):
+            self.update_kernel_offset(process_stepped=False)
 
     def update_process_offset(self) -> bool:
-        """Whether the clock of this process was set."""
+        """Whether the clock of this process was set. The kernel's may have been set with it."""
         offset = self.read_process_offset()
-        if offset is None:
+        step = 0 if offset is None else self.process.update(offset, monotonic_now())
+        if not step:
             return False
-        step, before = offset - self.process_offset, self.process_offset
-        self.process_offset = offset
-        if abs(step) < MIN_STEP_US:
-            return False
-        self.remember(before)
         self.unreported = ClockSteps(self.unreported.process + step, self.unreported.kernel)
+        self.update_kernel_offset(process_stepped=True)
         return True
 
     def update_kernel_offset(self, process_stepped: bool) -> None:
         if self.kernel_steps_in_row >= MAX_KERNEL_STEPS:
             return
-        self.kernel_read_at = time.monotonic_ns() // NANOSECONDS
-        offset, before = self.read_kernel_offset(), self.kernel_offset
-        if offset is None:
+        self.kernel_read_at = monotonic_now()
+        if (offset := self.read_kernel_offset()) is None:
             return
-        self.kernel_offset = offset
-        if before is None or abs(offset - before) < MIN_STEP_US:
-            self.kernel_steps_in_row = 0
+        if self.kernel is None:
+            self.kernel = OffsetHistory(offset)
             return
-        self.kernel_steps_in_row = 0 if process_stepped else self.kernel_steps_in_row + 1
+        step = self.kernel.update(offset, self.kernel_read_at)
+        self.kernel_steps_in_row = self.kernel_steps_in_row + 1 if step and not process_stepped else 0
         if self.kernel_steps_in_row >= MAX_KERNEL_STEPS:
-            self.kernel_offset = None
-            return
-        self.remember(before)
-        self.unreported = ClockSteps(self.unreported.process, self.unreported.kernel + offset - before)
-
-    def remember(self, offset: int) -> None:
-        if all(abs(offset - former) >= MIN_STEP_US for former in self.former_offsets):
-            self.former_offsets.append(offset)
-        self.last_step_at = time.monotonic_ns() // NANOSECONDS
+            self.kernel = None
+        elif step:
+            self.unreported = ClockSteps(self.unreported.process, self.unreported.kernel + step)
 
     def take_steps(self) -> ClockSteps:
-        """Looks at both clocks. Returns by how much they were set since the last call."""
+        """Looks at the clocks. Returns by how much they were set since the last call."""
         self.update()
         steps, self.unreported = self.unreported, ClockSteps()
         return steps
@@ -124,19 +140,12 @@
     @property
     def difference(self) -> int:
         """Microseconds by which this process's reading is ahead of the kernel's; 0 if that is not known."""
-        return 0 if self.kernel_offset is None else self.process_offset - self.kernel_offset
+        return 0 if self.kernel is None else self.process.current - self.kernel.current
 
     def possible_offsets(self) -> list[int]:
-        """By which a Unix time from outside may be ahead of the monotonic clock, the likeliest ones first."""
-        current = (
-            [self.process_offset]
-            if self.kernel_offset is None
-            else [
-                self.kernel_offset,
-                self.process_offset,
-            ]
-        )
-        return [*current, self.first_offset, *self.former_offsets]
+        """By which a Unix time from outside may be ahead of the monotonic clock."""
+        of_kernel = [] if self.kernel is None else [self.kernel.current, *self.kernel.former]
+        return [*of_kernel, self.process.current, self.first_offset, *self.process.former]
 
     def age(self, stamp: int, at_least: Callable[[], int]) -> int | None:
         """Microseconds of real time since the kernel's timestamp `stamp`, in microseconds of Unix time; None
@@ -146,13 +155,12 @@
         that is never set; called only if the offsets alone are ambiguous."""
         now, wall = time.monotonic_ns() // NANOSECONDS, time.time_ns() // NANOSECONDS
         if self.is_unambiguous(now, wall - now) and 0 <= wall - stamp < MAX_STAMP_AGE_US:
-            self.process_offset = wall - now  # it may be adjusted continuously, by less than a step
+            self.process.current = wall - now  # it may be adjusted continuously, by less than a step
             return wall - stamp
-        if self.update_process_offset():
-            self.update_kernel_offset(True)
+        self.update_process_offset()
         possible = self.possible_ages(stamp)
         if not possible and now - self.kernel_read_at >= KERNEL_LOOK_INTERVAL_US:
-            self.update_kernel_offset(False)
+            self.update_kernel_offset(process_stepped=False)
             possible = self.possible_ages(stamp)
         return likeliest(possible, at_least()) if len(possible) > 1 else min(possible, default=None)
 
@@ -166,11 +174,15 @@
 
         Where the kernel's clock is known, a step is forgotten as soon as no unread bytes are from before it;
         else the kernel may go by a former setting for ever."""
-        settled = self.kernel_offset is not None and now - self.last_step_at >= MAX_STAMP_AGE_US
+        process, kernel = self.process, self.kernel
+        if abs(process_offset - process.current) >= MIN_STEP_US:
+            return False
+        if kernel is None:
+            return not process.former
         return (
-            abs(process_offset - self.process_offset) < MIN_STEP_US
-            and abs(self.difference) < MIN_STEP_US
-            and (settled or not self.former_offsets)
+            abs(process.current - kernel.current) < MIN_STEP_US
+            and not process.was_set_within(MAX_STAMP_AGE_US, now)
+            and not kernel.was_set_within(MAX_STAMP_AGE_US, now)
         )
 
 
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -15,6 +15,7 @@
 from lupinmill.routing.start_times import MAX_DEPARTED, MAX_LISTING_DELAY_US, StartTimes
 from lupinmill.transport import kernel_clock, wall_clock
 from lupinmill.transport.wall_clock import (
+    KERNEL_LOOK_PERIOD_US,
     KERNEL_ROUNDING_US,
     MAX_KERNEL_STEPS,
     MAX_STAMP_AGE_US,
@@ -149,6 +150,7 @@
     clock = clock_of(machine)
     for step in (5 * SECOND, -7 * SECOND):
         machine.kernel_ahead += step
+        machine.steady += KERNEL_LOOK_PERIOD_US
         steps = clock.take_steps()
         assert (steps.process, steps.kernel) == (0, step)
         check_ages(machine, clock)
@@ -162,9 +164,12 @@
     clock = clock_of(machine)
     for _ in range(2 * MAX_KERNEL_STEPS):
         machine.kernel_ahead += SECOND
+        machine.steady += KERNEL_LOOK_PERIOD_US
         clock.update()
-    assert clock.kernel_offset is None and clock.difference == 0
+    assert clock.kernel is None and clock.difference == 0
+    assert clock.is_unambiguous(machine.steady, machine.wall_ahead)
     clock.read_kernel_offset = lambda: pytest.fail("asked")
+    machine.steady += KERNEL_LOOK_PERIOD_US
     clock.update()
     machine.kernel_ahead = None
     check_ages(machine, clock)
@@ -193,7 +198,7 @@
     clock = clock_of(machine)
     for machine.held_up in (0, 150_000, 0):
         assert clock.age(machine.wall() - 1000, rounded_up(1000)) is not None
-    assert not clock.former_offsets
+    assert not clock.process.former
 
 
 def test_a_stamp_of_no_known_setting_tells_nothing(monkeypatch):
