An old process of an upgrade that ends takes nothing up again on its way out

Seen: in a log of the soak, 'the next process is gone; this one serves again' at each regular end of an old process. Change: where its own task is cancelled nothing is given back (handover/driver.py).

--- a/lupinmill/handover/driver.py
+++ b/lupinmill/handover/driver.py
@@ -248,22 +248,34 @@
 
     async def follow_successor(self, link: Link, command: Command) -> None:
         """From the first accepted message until one of the two processes ends."""
+        this_process_ends = False
         try:
-            if command.kind is CommandKind.MAKE_ROOM:
-                if not await self.make_room(link):
-                    return
-                with anyio.fail_after(PREPARED_TIMEOUT_S):
-                    command = self.protocol.on_hello(await link.receive_message(), True, prepared=True)
-                if command.kind is CommandKind.REFUSE:
-                    return await self.refuse(link, command)
-            elif self.memory is not None:
-                self.memory.begin_upgrade()  # a successor of an older version, which does not ask
-            await self.hand_over(link)
+            await self.prepare_and_hand_over(link, command)
+        except anyio.get_cancelled_exc_class():
+            this_process_ends = True
+            raise
         finally:
             self.successor = self.id_claims.successor = None
-            self.execute(self.protocol.on_link_lost())
-            if self.memory is not None and self.protocol.phase is Phase.NO_SUCCESSOR:
-                self.memory.end_upgrade()
+            if not this_process_ends:
+                self.release_successor()
+
+    async def prepare_and_hand_over(self, link: Link, command: Command) -> None:
+        if command.kind is CommandKind.MAKE_ROOM:
+            if not await self.make_room(link):
+                return
+            with anyio.fail_after(PREPARED_TIMEOUT_S):
+                command = self.protocol.on_hello(await link.receive_message(), True, prepared=True)
+            if command.kind is CommandKind.REFUSE:
+                return await self.refuse(link, command)
+        elif self.memory is not None:
+            self.memory.begin_upgrade()  # a successor of an older version, which does not ask
+        await self.hand_over(link)
+
+    def release_successor(self) -> None:
+        """The successor is gone: this process is alone again."""
+        self.execute(self.protocol.on_link_lost())
+        if self.memory is not None and self.protocol.phase is Phase.NO_SUCCESSOR:
+            self.memory.end_upgrade()
 
     async def receive_first_message(self, link: Link) -> Message:
         try:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -708,6 +708,7 @@
     assert not held_up or found, "no process logged a shortage"
     logs = b"".join(each)
     assert b"task_failed" not in logs and b"_refused" not in logs and b"Traceback" not in logs
+    assert b"the next process is gone" not in logs  # an old process that ends takes nothing up again
 
 
 def test_without_a_common_directory_the_next_process_listens_beside_the_one_before(tmp_path):
