Lab: GET /ready that is answered after the call that ends a drain may say yes

By its log the process was stopped for 2.3 s; the question came before the call that ends the drain, the answer after both.

--- a/lupinmill/lab/faults/operators.py
+++ b/lupinmill/lab/faults/operators.py
@@ -119,7 +119,7 @@
         while drain in self.open_drains and time.monotonic() < until:
             asked_at = time.time()
             if await self.runner.is_ready():
-                drain.ready_at.append(asked_at)
+                drain.ready.append((asked_at, time.time()))
             await asyncio.sleep(READY_INTERVAL_S)
         while drain in self.open_drains:
             now, same = time.time(), list(self.open_drains)
--- a/lupinmill/lab/faults/records.py
+++ b/lupinmill/lab/faults/records.py
@@ -187,7 +187,8 @@
     sidecar: str
     since: float
     until: float = float("inf")
-    ready_at: list[float] = field(default_factory=list)  # when `GET /ready` was asked and answered with yes
+    # When `GET /ready` was asked, and when it was answered with yes.
+    ready: list[tuple[float, float]] = field(default_factory=list)
 
 
 class RunRecords:
