--- a/lupinmill/discovery/watcher.py
+++ b/lupinmill/discovery/watcher.py
@@ -34,6 +34,9 @@
 NO_CHANGE_DELAY_S = 0.05  # before the next call after an answer without changes
 # Upper bound before the first call at a new address, so that sidecars do not call at once.
 MOVE_JITTER_S = 0.3
+# From a move to a call at the new address, or from that to the next one, while calls at former addresses may
+# still be answered. A change counts as known 4 s after the move.
+MOVE_CALL_LIMIT_S = 3.0
 SUPERSEDED_GRACE_S = TOLERATED_LATENESS_S + 0.5  # after its due time a superseded call is cancelled
 MAX_CALL_AGE_S = 60.0
 DEAD_WATCH_RETEST_S = 10.0  # between two watches while watches are known to be dead
@@ -98,6 +101,7 @@
         self.next_call_at: float | None = None
         self.no_call_before = 0.0  # earliest next call after a failure
         self.first_call_after_move_at: float | None = None  # start of the first call at a new address
+        self.unserved_move_at = 0.0  # the first move since the last such call
         self.failures = 0  # consecutive
         self.full_list_failed = False  # the last failed call requested the full list
         self.dead_watches = 0  # consecutive
@@ -119,9 +123,10 @@
         further move during the delay does not restart the delay."""
         self.epoch, self.address = self.epoch + 1, address
         at = max(now + self.draw(0, MOVE_JITTER_S), self.next_call_in_series())
-        self.first_call_after_move_at = (
-            at if self.first_call_after_move_at is None else min(at, self.first_call_after_move_at)
-        )
+        if self.first_call_after_move_at is None:
+            self.first_call_after_move_at, self.unserved_move_at = at, now
+        else:
+            self.first_call_after_move_at = min(at, self.first_call_after_move_at)
         self.no_call_before = 0.0
 
     def next_call_in_series(self) -> float:
@@ -342,9 +347,6 @@
         superseded = [call for call in self.calls if call.superseded]
         if superseded:
             return superseded[0], CallEnd.SUPERSEDED
-        old = [call for call in self.calls[1:] if call.epoch < self.epoch]
-        if old:
-            return old[-1], CallEnd.ADDRESS_CHANGED
         connecting = [
             call
             for call in self.calls
@@ -353,13 +355,30 @@
         if connecting:
             return connecting[0], CallEnd.REPLACED
         if now >= self.replacement_due():
-            return self.calls[1], CallEnd.REPLACED
+            if now >= self.second_overdue_at():
+                return self.calls[1], CallEnd.REPLACED
+            return self.old_calls()[-1], CallEnd.ADDRESS_CHANGED
         return None, CallEnd.REPLACED
 
+    def old_calls(self) -> list[Call]:
+        """Calls at former addresses that may be given up, in the order of their start."""
+        return [call for call in self.calls[1:] if call.epoch < self.epoch]
+
+    def second_overdue_at(self) -> float:
+        """When the second oldest call has had the time that a slow service takes. If calls were given up
+        before, none would live to see its answer."""
+        return self.calls[1].due + TOLERATED_LATENESS_S + ANSWER_SLACK_S
+
     def replacement_due(self) -> float:
-        """When the second of MAX_CALLS calls may be replaced: nothing was answered for longer than a slow
-        service takes, so the calls may be lost; and this one has had the time that such a service takes, or
-        no call would ever live to see its answer."""
+        """When one of MAX_CALLS calls may be replaced.
+
+        For the first call at a new address, and beside calls at former ones: as soon as one is overdue, and
+        after MOVE_CALL_LIMIT_S in any case. Else nothing must have been answered for longer than a slow
+        service takes, as the calls may be lost."""
+        if self.first_call_after_move_at is not None:
+            return min(self.second_overdue_at(), self.unserved_move_at + MOVE_CALL_LIMIT_S)
+        if self.old_calls():
+            return min(self.second_overdue_at(), self.calls[-1].started_at + MOVE_CALL_LIMIT_S)
         assert self.last_answer_at is not None
         limit = max(
             self.timing.wait + TOLERATED_LATENESS_S + OVERDUE_AFTER_S,
@@ -368,7 +387,7 @@
         return max(
             self.last_answer_at + limit,
             self.calls[-1].started_at + self.timing.replace_after,
-            self.calls[1].due + TOLERATED_LATENESS_S + ANSWER_SLACK_S,
+            self.second_overdue_at(),
         )
 
     def mark_superseded(self, answered: Call) -> None:
--- a/tests/test_discovery_watcher.py
+++ b/tests/test_discovery_watcher.py
@@ -253,6 +253,27 @@
         assert simulation.update_delays()[0] < watcher.PROPAGATION_LIMIT_S, tenth
 
 
+@pytest.mark.parametrize("draw", [longest, shortest])
+@pytest.mark.parametrize("every", [0.2, 0.4, 0.7])
+@pytest.mark.parametrize("late", [1.7, 2.8, 4.0])
+def test_moves_in_series_give_up_no_call_before_a_slow_discovery_answers_it(late, every, draw):
+    """Discovery loses all calls for 2.5 s, is slow afterwards, and is moved meanwhile. Guards against each
+    move giving up the call of the one before, after 1.3 s, while lost calls stay (soak, seed 8201)."""
+    for tenth in range(0, 30, 2):
+        lost_from = 3.0 + tenth / 10
+        back = lost_from + 2.5
+        simulation = Simulation(draw=draw, changes=[lost_from + 0.5])
+        simulation.moves = [round(back + 0.4 + every * at, 2) for at in range(8)]
+        simulation.answer_at = lambda call, simulation=simulation, begin=lost_from, back=back: (
+            None
+            if begin <= simulation.due(call) < back and call.started_at < back
+            else simulation.due(call) + late * (call.started_at >= back)
+        )
+        simulation.run(back + 9.0)
+        assert simulation.updates, tenth
+        assert simulation.updates[0][0] - back < watcher.PROPAGATION_LIMIT_S, tenth
+
+
 def test_moves_that_come_all_the_time_do_not_put_off_the_first_call():
     simulation = Simulation()
     simulation.moves = [round(1.0 + 0.05 * at, 2) for at in range(60)]
