--- a/lupinmill/lab/faults/clients.py
+++ b/lupinmill/lab/faults/clients.py
@@ -219,9 +219,8 @@
 
     async def record_end(self, connection: Connection, sent: SentRequest, reset: bool) -> None:
         sent.finished_at = time.time()
-        sent.connection_end = (
-            ConnectionEnd.RESET if reset or await connection.was_reset() else ConnectionEnd.CLOSED
-        )
+        was_reset = reset or await connection.was_reset(lambda: sent.process.is_stopped)
+        sent.connection_end = ConnectionEnd.RESET if was_reset else ConnectionEnd.CLOSED
 
     async def expire(self, sent: SentRequest, timeout: asyncio.Timeout) -> None:
         """Ends the wait `ANSWER_TIMEOUT_S` after the deadline, not counting time in which the process was
@@ -230,8 +229,8 @@
         while waited_s < sent.deadline + ANSWER_TIMEOUT_S:
             await asyncio.sleep(0.1)
             now = time.monotonic()
-            stopped = any(begin <= time.time() <= end for begin, end in sent.process.stop_spans)
-            waited_s, last_check = waited_s + (0.0 if stopped else min(0.2, now - last_check)), now
+            waited_s += 0.0 if sent.process.is_stopped else min(0.2, now - last_check)
+            last_check = now
         timeout.reschedule(asyncio.get_running_loop().time())
 
     async def nothing_follows(self, connection: Connection, sent: SentRequest) -> bool:
--- a/lupinmill/lab/faults/connection.py
+++ b/lupinmill/lab/faults/connection.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 TIMESTAMP_OPTION = 35  # SO_TIMESTAMPNS
@@ -84,10 +85,12 @@
             except BlockingIOError:
                 await wait_for_socket(self.sock, True)
 
-    async def was_reset(self) -> bool:
+    async def was_reset(self, is_stopped: Callable[[], bool]) -> bool:
         """Whether the other side, having ended its stream, closed with unread bytes: its kernel then sends a
-        reset."""
-        for _ in range(RESET_CHECKS):
+        reset. While it `is_stopped` it can close nothing, and is waited for."""
+        checks = 0
+        while checks < RESET_CHECKS:
+            checks += not is_stopped()
             if self.tcp_state() == TCP_CLOSE:
                 return True
             await asyncio.sleep(RESET_CHECK_INTERVAL_S)
--- a/lupinmill/lab/faults/records.py
+++ b/lupinmill/lab/faults/records.py
@@ -96,6 +96,11 @@
             for stopped_at, continued_at in self.stop_spans
         )
 
+    @property
+    def is_stopped(self) -> bool:
+        """Whether it is stopped by SIGSTOP now."""
+        return any(continued_at == float("inf") for _, continued_at in self.stop_spans)
+
     def crowded_between(self, begin: float, end: float) -> bool:
         return any(crowd_begin <= end and crowd_end >= begin for crowd_begin, crowd_end in self.crowded_spans)
 
--- a/lupinmill/lab/faults/sidecar_runner.py
+++ b/lupinmill/lab/faults/sidecar_runner.py
@@ -271,9 +271,7 @@
             record = self.sidecar.process
             assert record is not None
             now = time.monotonic()
-            if any(end == float("inf") for _, end in record.stop_spans) or await self.is_ready(
-                needs_endpoint=False
-            ):
+            if record.is_stopped or await self.is_ready(needs_endpoint=False):
                 silent_s = 0.0
             else:
                 silent_s += min(READY_CHECK_INTERVAL_S + READY_TIMEOUT_S, time.monotonic() - last_check)
--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -5,6 +5,7 @@
 
 import ast
 import asyncio
+import socket
 import sys
 import time
 from pathlib import Path
@@ -13,6 +14,7 @@
 import pytest
 
 from lupinmill.lab.faults import clients, customers, endpoints, referee, reports, run, schedule
+from lupinmill.lab.faults.connection import connect
 from lupinmill.lab.faults.customers import Workload
 from lupinmill.lab.faults.records import (
     READING_LATE,
@@ -483,6 +485,42 @@
     assert order.count("send") > 5 and order[-2:] == ["send", "noted"]
 
 
+@pytest.mark.parametrize("reads_request", [False, True])
+def test_a_close_over_an_unread_request_is_seen_though_the_process_is_stopped_before_it(reads_request):
+    """Guards against blaming the program for a request that it never read (soak, seed 8331): it had ended its
+    stream, and was stopped before it closed, so that the reset came later than the campaign looked for it."""
+
+    async def main() -> ConnectionEnd:
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            connection = await connect(listening.getsockname())
+            accepted, _ = listening.accept()
+        process = ProcessRecord("c0-s0", 0, 1, 0.0, "serves")
+        sent = SentRequest(
+            b"s1", "c0", process, "bid", "by_key", b"POST", b"/", b"", [b"s1"], [], 3.0, "staying"
+        )
+        customer = customers.draw_customer("c0", Random(1))
+        fleet_of_clients = clients.Clients(customer, clients.Sidecar("c0-s0", ("", 0)), "1", RunRecords())
+        try:
+            accepted.shutdown(socket.SHUT_WR)
+            await connection.send(b"POST / HTTP/1.1\r\n\r\n")
+            process.stop_spans.append((time.time(), float("inf")))
+            waiting = asyncio.create_task(fleet_of_clients.receive_answer(connection, sent))
+            await asyncio.sleep(0.2)
+            assert not waiting.done()
+            if reads_request:
+                accepted.recv(100)
+            accepted.close()
+            process.stop_spans[-1] = (process.stop_spans[-1][0], time.time())
+            assert not await waiting
+        finally:
+            accepted.close()
+            connection.close()
+        return sent.connection_end
+
+    expected = ConnectionEnd.CLOSED if reads_request else ConnectionEnd.RESET
+    assert asyncio.run(main()) is expected
+
+
 @pytest.mark.parametrize("after, broken", [(0.4, False), (0.9, True)])
 def test_an_effect_outside_its_window_is_told_with_what_became_of_its_attempts(after, broken):
     records = RunRecords()
