--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -47,7 +47,7 @@
     "read",
     True,
     events=[schedule.Event(1.0, "upgrade", detail="clean")],
-    operator_calls=[schedule.OperatorCall(0.3, 60.0, endpoint=0)],
+    operator_calls=[schedule.OperatorCall(0.3, 60.0, endpoint=index) for index in range(4)],  # of six
 )
 DRAINED = schedule.ProcessPlan(
     schedule.SERVE,
@@ -188,9 +188,10 @@
     ),
     "never ends": (
         "from lupinmill.program.sidecar import Program\n"
+        "from lupinmill.routing.response_writer import ResponseWriter\n"
         "import anyio\n"
         "async def planted(self, *more):\n"
-        "    self.client_handler.serve = None\n"
+        "    ResponseWriter.send_answer = planted\n"
         "    await anyio.sleep(3600)\n"
         "Program.leave = planted",
         Fault.UNANSWERED,
@@ -586,6 +587,43 @@
     assert [violation.rule for violation in judging.violations] == ["no answer"] * (not excused)
 
 
+@pytest.mark.parametrize("end", [ConnectionEnd.CLOSED, ConnectionEnd.RESET])
+@pytest.mark.parametrize("attempts", [0, 1])
+@pytest.mark.parametrize("after_term, excused", [(True, False), (False, True)])
+def test_a_kill_at_the_earliest_time_excuses_no_request_written_just_before(
+    end, attempts, after_term, excused
+):
+    """Of a process that serves until it is killed, only these are unanswered; a request that no endpoint got
+    and whose connection was reset may have crossed the reset."""
+    records = RunRecords()
+    process = ProcessRecord("c0-s0", 0, 1, 0.0, "serves", terminated_at=8.3, killed_at=12.0)
+    process.killed_after_term = after_term
+    records.processes.append(process)
+    sent = SentRequest(
+        b"s1",
+        "c0",
+        process,
+        "view",
+        "repeatable",
+        b"GET",
+        b"/",
+        b"",
+        [b"s1"],
+        [],
+        3.0,
+        "staying",
+        opened_at=5.0,
+        written_at=11.95,
+        finished_at=12.0,
+        connection_end=end,
+    )
+    attempt = Attempt("e0", "0", "z", "c0", b"GET", b"/", b"", [b"s1"], [], b"1.0", 11.96, 11.96)
+    judging = referee.Referee(records, {})
+    judging.judge_answer(sent, [attempt] * attempts)
+    crossed = end is ConnectionEnd.RESET and not attempts
+    assert [violation.rule for violation in judging.violations] == ["no answer"] * (not (excused or crossed))
+
+
 @pytest.mark.parametrize(
     "complete, reads_from, killed_at, broken",
     [
