--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -305,6 +305,21 @@
     )
 
 
+def sent_request(
+    process: ProcessRecord,
+    deadline: float,
+    description: str,
+    workload: str = "view",
+    effect: str = "repeatable",
+    method: bytes = b"POST",
+    keys: list[bytes] | None = None,
+    **outcome,
+) -> SentRequest:
+    """The request "s1" to a sidecar of the customer "c0". `deadline` in seconds."""
+    head = (workload, effect, method, b"/", b"", [b"s1"], keys or [])
+    return SentRequest(b"s1", "c0", process, *head, deadline, description, **outcome)
+
+
 @pytest.mark.parametrize(
     "at, endpoint, sidecar, broken",
     [
@@ -322,9 +337,7 @@
     records.out_spans.append(OutSpan("c0-s0", "e0", since=10.0, until=30.0))
     process = ProcessRecord(sidecar, 0, 1, 0.0, "serves")
     records.processes.append(process)
-    sent = SentRequest(
-        b"s1", "c0", process, "view", "repeatable", b"GET", b"/", b"", [b"s1"], [], 1.0, "staying"
-    )
+    sent = sent_request(process, 1.0, "staying", method=b"GET")
     attempt = Attempt(endpoint, "0", "z", "c0", b"GET", b"/", b"", [b"s1"], [], b"1.0", at, at)
     customer = customers.draw_customer("c0", Random(1))
     assert customer.grace == 0.5
@@ -399,21 +412,7 @@
     records = RunRecords()
     process = ProcessRecord("c0-s0", 0, 1, 0.0, "serves", cpu_waits=[(11.0, 0.0), (12.6, 3.0)])
     records.processes.append(process)
-    sent = SentRequest(
-        b"s1",
-        "c0",
-        process,
-        "view",
-        "repeatable",
-        b"GET",
-        b"/",
-        b"",
-        [b"s1"],
-        [],
-        60.0,
-        "staying",
-        written_at=1.0,
-    )
+    sent = sent_request(process, 60.0, "staying", method=b"GET", written_at=1.0)
     sent.answers.append(Answer(13.0, 503, b"", False))
     begun = 13.0 + after
     attempt = Attempt("e0", "0", "z", "c0", b"GET", b"/", b"", [b"s1"], [], b"1.0", begun, begun)
@@ -496,9 +495,7 @@
             connection = await connect(listening.getsockname())
             accepted, _ = listening.accept()
         process = ProcessRecord("c0-s0", 0, 1, 0.0, "serves")
-        sent = SentRequest(
-            b"s1", "c0", process, "bid", "by_key", b"POST", b"/", b"", [b"s1"], [], 3.0, "staying"
-        )
+        sent = sent_request(process, 3.0, "staying", workload="bid", effect="by_key")
         customer = customers.draw_customer("c0", Random(1))
         fleet_of_clients = clients.Clients(customer, clients.Sidecar("c0-s0", ("", 0)), "1", RunRecords())
         try:
@@ -526,20 +523,8 @@
 def test_an_effect_outside_its_window_is_told_with_what_became_of_its_attempts(after, broken):
     records = RunRecords()
     process = ProcessRecord("c0-s0", 0, 1, 0.0, "serves", killed_at=11.0)
-    sent = SentRequest(
-        b"s1",
-        "c0",
-        process,
-        "bid",
-        "by_key",
-        b"POST",
-        b"/",
-        b"",
-        [b"s1"],
-        [b"k"],
-        3.0,
-        "staying",
-        written_at=10.0,
+    sent = sent_request(
+        process, 3.0, "staying", workload="bid", effect="by_key", keys=[b"k"], written_at=10.0
     )
     records.late_spans["e1"] = [(9.0, 12.0)]
     attempts = [
@@ -564,19 +549,11 @@
     process = ProcessRecord("c0-s0", 0, 1, 0.0, "serves")
     killed = ProcessRecord("c0-s0", 0, 2, 10.0, "upgrade", killed_at=12.0, ended_at=12.01)
     records.processes += [process, killed]
-    sent = SentRequest(
-        b"s1",
-        "c0",
+    sent = sent_request(
         process,
-        "view",
-        "by_key",
-        b"POST",
-        b"/",
-        b"",
-        [b"s1"],
-        [],
         3.0,
         READING_LATE,
+        effect="by_key",
         opened_at=opened,
         written_at=12.11,
         finished_at=12.3,
@@ -599,19 +576,11 @@
     process = ProcessRecord("c0-s0", 0, 1, 0.0, "serves", terminated_at=8.3, killed_at=12.0)
     process.killed_after_term = after_term
     records.processes.append(process)
-    sent = SentRequest(
-        b"s1",
-        "c0",
+    sent = sent_request(
         process,
-        "view",
-        "repeatable",
-        b"GET",
-        b"/",
-        b"",
-        [b"s1"],
-        [],
         3.0,
         "staying",
+        method=b"GET",
         opened_at=5.0,
         written_at=11.95,
         finished_at=12.0,
@@ -640,19 +609,11 @@
     records = RunRecords()
     process = ProcessRecord("c0-s0", 0, 1, 0.0, "serves", killed_at=killed_at, killed_after_term=True)
     records.processes.append(process)
-    sent = SentRequest(
-        b"s1",
-        "c0",
+    sent = sent_request(
         process,
-        "view",
-        "repeatable",
-        b"GET",
-        b"/",
-        b"",
-        [b"s1"],
-        [],
         3.0,
         READING_LATE,
+        method=b"GET",
         opened_at=10.0,
         written_at=10.0,
         reads_from=reads_from,
