--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -507,6 +507,35 @@
     run_upgrade(check, fine, fine)
 
 
+def test_a_next_process_that_dies_before_it_says_that_it_serves_loses_no_cordon_of_later_upgrades(
+    monkeypatch,
+):
+    """Guards against a dead process's file in the place of the one by which this process is found: the next
+    process then starts without the state (soak, seed 8413)."""
+
+    async def check(pair: UpgradePair):
+        old, send = pair.programs[0], Link.send
+
+        def send_all_but_serving(link, message, descriptor=None):
+            return message.get("say") == "serving" or send(link, message, descriptor)
+
+        monkeypatch.setattr(Link, "send", send_all_but_serving)
+        assert await admin_status(pair.operator(0), "PUT", "/admin/cordon?member=e1") == 200
+        dying = await pair.start()
+        await until(lambda: dying.handover.listener is not None)
+        assert old.handover.protocol.phase is Phase.OFFERED
+        pair.ends[1].cancel()
+        await until(lambda: old.handover.protocol.phase is Phase.NO_SUCCESSOR)
+        await until(lambda: dying.handover.listener.fileno() < 0)
+        monkeypatch.undo()
+        await anyio.sleep(0.1)
+        later = await pair.start()
+        assert list(later.overrides.cordoned) == ["e1"]
+        await until(lambda: not old.handover.protocol.accepts_clients())
+
+    run_upgrade(check, fine, fine)
+
+
 def test_connections_that_come_as_both_processes_end_are_served_by_the_older_one(tmp_path):
     """Guards against requests that wait unread until a reset: the next process is killed just as the one
     before, which still has work, is told to end; it took nothing any more (soak of seed 7601)."""
