--- a/lupinmill/handover/driver.py
+++ b/lupinmill/handover/driver.py
@@ -197,7 +197,7 @@
     # Link to the successor.
 
     async def accept_successors(self, group: TaskGroup) -> None:
-        """Accepts a successor; listens again if a successor that took over has died."""
+        """Accepts a successor; listens again if a successor that took over, or was about to, has died."""
         assert self.upgrade_socket is not None
         while True:
             try:
@@ -207,7 +207,7 @@
                 return
             with self.listener, anyio.CancelScope() as self.accept_scope:
                 await self.accept_links(self.listener, group)
-            self.listener = None
+            self.listener = self.accept_scope = None
             while not self.protocol.accepts_clients():
                 self.successor_lost = anyio.Event()
                 await self.successor_lost.wait()
@@ -276,6 +276,8 @@
         self.execute(self.protocol.on_link_lost())
         if self.memory is not None and self.protocol.phase is Phase.NO_SUCCESSOR:
             self.memory.end_upgrade()
+        if self.accept_scope is not None and self.upgrade_socket.is_replaced():
+            self.accept_scope.cancel()  # it died before it said that it serves: `accept_successors` goes on
 
     async def receive_first_message(self, link: Link) -> Message:
         try:
--- a/lupinmill/handover/upgrade_socket.py
+++ b/lupinmill/handover/upgrade_socket.py
@@ -21,6 +21,7 @@
     def __init__(self, directory: str, name: str, listen: str) -> None:
         file = SOCKET_NAME % crc32(f"{name} {listen}".encode())
         self.path = os.path.join(directory, file)
+        self.listening_file: tuple[int, int] | None = None  # device and inode of the file of `listen`
         self.directory_fd: int | None = None
         if len(os.fsencode(self.path)) > MAX_SOCKET_PATH:
             self.directory_fd = os.open(directory, os.O_RDONLY | os.O_DIRECTORY)
@@ -40,12 +41,21 @@
                 os.umask(previous_umask)
             sock.listen(MAX_PENDING_LINKS)
             sock.setblocking(False)
+            self.listening_file = file_identity(temporary_path)
             os.rename(temporary_path, self.path)
         except BaseException:
             sock.close()
             raise
         return sock
 
+    def is_replaced(self) -> bool:
+        """Whether another process listens, or did, in the place of the socket of `listen`. False if that
+        can't be told: to listen again would fail as well."""
+        try:
+            return file_identity(self.path) != self.listening_file
+        except OSError:
+            return False
+
     def connect(self) -> socket.socket | None:
         """Connects to the listening process; None if there is none, also if a dead one left its file."""
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
@@ -63,6 +73,12 @@
             self.directory_fd = None
 
 
+def file_identity(path: str) -> tuple[int, int]:
+    """Device and inode. Raises OSError."""
+    status = os.stat(path)
+    return status.st_dev, status.st_ino
+
+
 def same_user(sock: socket.socket) -> bool:
     try:
         data = sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, struct.calcsize("3i"))
