--- a/tests/test_forwarded_body.py
+++ b/tests/test_forwarded_body.py
@@ -20,6 +20,7 @@
 SEARCH = hypothesis_settings(derandomize=True, deadline=None, max_examples=400)
 OTHER = 1_000  # bytes of the memory budget that other bodies hold
 LARGEST_PART = 9
+LARGE = 1_300_000  # bytes; more than are collected before an attempt begins
 AHEAD = 12  # in place of the module's
 
 
@@ -238,3 +239,33 @@
         assert one.body == noise(300_000, int(name[1:]))
         assert (one.method, one.target) == (b"POST", b"/view?q=1")
         assert one.header(b"idempotency-key") == f"k-{name}"
+
+
+def test_a_request_that_is_rejected_as_its_last_bytes_arrive_never_runs(monkeypatch):
+    """Guards against a rejection whose attempt still writes: a task that is about to run is cancelled only
+    where it waits next (soak, seed 8540)."""
+    data = wanted("s1", body=noise(LARGE, 1))
+
+    async def check(net: Net):
+        table, finish = net.program.request_table, RequestBody.finish
+
+        def finish_and_reject(body: RequestBody) -> None:
+            finish(body)
+            table.reject_unsent(table.pending_requests["s1"])
+
+        def waits_for_the_rest() -> bool:
+            pending = table.pending_requests.get("s1")
+            return pending is not None and pending.body.read_up_to == LARGE - 10
+
+        monkeypatch.setattr(RequestBody, "finish", finish_and_reject)
+        host, port = net.address.split(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(data[:-10])
+            await until(waits_for_the_rest)
+            await anyio.sleep(0.05)
+            await stream.send(data[-10:])
+            assert (await stream.receive()).startswith(b"HTTP/1.1 503 ")
+            await anyio.sleep(0.1)
+        assert not [one for one in net.stands[0].seen if one.header(b"req-id")]
+
+    on_network(check, fine)
