--- a/lupinmill/routing/attempt_runner.py
+++ b/lupinmill/routing/attempt_runner.py
@@ -18,7 +18,7 @@
 from lupinmill.routing.request_table import Attempt, PendingRequest, RequestTable
 from lupinmill.routing.response_reader import ResponseReader
 from lupinmill.routing.response_stream import ResponseStream
-from lupinmill.transport.connection import Connection, NoDescriptor, Unconnected
+from lupinmill.transport.connection import Connection, NoDescriptor, SendRecalled, Unconnected
 from lupinmill.transport.connection_pool import ConnectionPool
 
 # Microseconds after which a client may have disconnected unnoticed: since its request arrived, ...
@@ -108,7 +108,7 @@
             result.outcome = t.Outcome.SPOILT if attempt.fully_sent else t.Outcome.UNSENT
         except OSError:
             result.outcome = t.Outcome.RESET if attempt.fully_sent else t.Outcome.UNCONNECTED
-        except (AttemptNotSent, NoDescriptor):
+        except (AttemptNotSent, NoDescriptor, SendRecalled):
             result.outcome = t.Outcome.UNSENT
 
     def log_given_up(self, pending: PendingRequest, attempt: Attempt, outcome: t.Outcome) -> None:
@@ -157,6 +157,7 @@
                 request = client_requests.attempt_request(
                     pending.request, self.request_table.time_left(pending)
                 )
+                attempt.connection = connection
                 delivery.start()
                 if pending.body is None:
                     try:
@@ -178,6 +179,7 @@
                 return answer
             finally:
                 delivery.stop()
+                attempt.connection = None
                 if connection is not None:
                     connection.recall_unacknowledged()  # what was given up must not run later
                     connection.close()
@@ -252,7 +254,7 @@
                     raise BodyUnavailable
                 await self.send_body(connection, side, pending.body, request)
                 attempt.fully_sent, attempt.sent_at = True, self.request_table.engine.clock.now()
-            except BodyUnavailable:
+            except (BodyUnavailable, SendRecalled):
                 failed = AttemptNotSent()
                 group.cancel_scope.cancel()
             except OSError:
@@ -289,8 +291,9 @@
             await connection.send(rest)
 
     def return_to_pool(self, connection: Connection, endpoint: str, address: str) -> None:
-        """Keeps the connection unless the endpoint has gone, as another one may listen at its address now."""
-        if self.directory.listens_at(endpoint, address):
+        """Keeps the connection unless it was recalled meanwhile, or the endpoint has gone, as another one may
+        listen at its address now."""
+        if not connection.writing_ended and self.directory.listens_at(endpoint, address):
             self.pool.keep(connection, endpoint)
         else:
             connection.close()
--- a/lupinmill/routing/delivery_watch.py
+++ b/lupinmill/routing/delivery_watch.py
@@ -43,4 +43,4 @@
         delivered = self.attempt.fully_sent and not self.connection.unacknowledged()
         if others_may_have_run and not delivered:
             self.engine.log("attempt_recalled", submission=self.request_id, endpoint=self.attempt.endpoint)
-            self.attempt.deadline.scope.cancel()
+            self.attempt.recall()
--- a/lupinmill/routing/request_table.py
+++ b/lupinmill/routing/request_table.py
@@ -27,6 +27,7 @@
 from lupinmill.routing.used_ids import UsedIds, digest_of
 from lupinmill.transport.buffers import MemoryLease, unlimited_lease
 from lupinmill.transport.client import Client
+from lupinmill.transport.connection import Connection
 
 # microseconds; below this, durations differ by event loop and kernel rather than by endpoint
 MIN_DURATION_US = 5_000
@@ -46,8 +47,15 @@
     unread_time: int = 0  # microseconds that its response lay unread, or that its body took to arrive
     end_reported: bool = False  # the decision module knows its end, because a large response had begun
     in_flight: bool = True
+    connection: Connection | None = None  # on which it is written
     reader: ResponseReader | None = None  # once the response is waited for
 
+    def recall(self) -> None:
+        """Ends an attempt whose last byte is not written, so that it can't run."""
+        if self.connection is not None:
+            self.connection.end_writing()
+        self.deadline.scope.cancel()
+
 
 @dataclass(slots=True)
 class PendingRequest:
@@ -242,7 +250,7 @@
         if pending.may_have_run or any(attempt.fully_sent for attempt in in_flight):
             return False
         for attempt in in_flight:
-            attempt.deadline.scope.cancel()
+            attempt.recall()
         return True
 
     def abort(self, pending: PendingRequest) -> None:
--- a/lupinmill/transport/connection.py
+++ b/lupinmill/transport/connection.py
@@ -37,13 +37,17 @@
     """No descriptor is left for a connection, which is not the other side's fault."""
 
 
+class SendRecalled(Exception):
+    """No more may be written on the connection; the last byte was not."""
+
+
 class Connection:
     """`close` is the only place where the socket, the buffers and the descriptor are released."""
 
     def __init__(self, sock: socket.socket, block_pool: BlockPool, release: Callable[[], None]) -> None:
         self.sock, self.release = sock, release
         self.incoming = RingBuffer(block_pool)
-        self.closed = False
+        self.closed = self.writing_ended = False
         # a send failed with a reset, which the kernel reports once and then shows as a regular end
         self.saw_reset = False
         self.idle_since = 0.0
@@ -127,11 +131,18 @@
         except (AttributeError, OSError, struct.error):
             return 0  # not on this system
 
+    def end_writing(self) -> None:
+        """From now on `send` writes nothing, and raises SendRecalled. To cancel its task is not enough: one
+        that is about to run is cancelled only where it waits next, and would write until then."""
+        self.writing_ended = True
+
     async def send(self, data: bytes) -> None:
         """Returns once the last byte is written. If it raises, the last byte was not written. Copies nothing:
         the caller's bytes are the only ones held while the other side does not read."""
         rest = memoryview(data)
         while rest:
+            if self.writing_ended:
+                raise SendRecalled
             try:
                 rest = rest[self.sock.send(rest) :]
             except BlockingIOError:
