--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -263,8 +263,24 @@
         longest = 3.0  # of the customer's deadlines, as far as it counts
         assert record.killed_at - record.terminated_at <= longest + KILL_MARGIN_S + SLACK_S
         assert record.killed_at >= record.kill_due_at
-    others = [name for name in verdicts if name != "never ends"]
-    assert not any(verdicts[name].figures["killed at the earliest"] for name in others)
+    killed_elsewhere = [
+        describe_kill(name, record, verdicts[name].records)
+        for name in verdicts
+        if name != "never ends"
+        for record in verdicts[name].records.processes
+        if record.killed_after_term
+    ]
+    assert not killed_elsewhere, killed_elsewhere
+
+
+def describe_kill(name: str, record: ProcessRecord, records: RunRecords) -> str:
+    after_s = record.killed_at - record.terminated_at
+    starved_s = record.starved_between(record.terminated_at, record.killed_at)
+    late_s = records.max_lag_between(record.terminated_at, record.killed_at)
+    return (
+        f"{name}: {record.sidecar} life {record.number} {after_s:.3f} s after SIGTERM,"
+        f" {starved_s:.3f} s without a core, campaign late {late_s:.3f} s, log {list(record.log_lines)[-2:]}"
+    )
 
 
 def test_nothing_that_a_campaign_started_is_left(verdicts):
