--- a/lupinmill/routing/request_table.py
+++ b/lupinmill/routing/request_table.py
@@ -51,7 +51,7 @@
     reader: ResponseReader | None = None  # once the response is waited for
 
     def recall(self) -> None:
-        """Ends an attempt whose last byte is not written, so that it can't run."""
+        """Ends the attempt; from now on no byte of it is written."""
         if self.connection is not None:
             self.connection.end_writing()
         self.deadline.scope.cancel()
