--- a/review/7/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Case 7: a sidecar that was killed starts with an old list while discovery has many callers."""
+"""Case 9: a sidecar that was killed starts with an old list while discovery has many callers."""
 
 import asyncio
 import signal
--- a/review/stand2.py
+++ b/review/stand2.py
@@ -1,4 +1,4 @@
-"""Stand-ins of the cases 6 to 10: discovery, endpoints, clients and the platform, all on loopback addresses.
+"""Stand-ins of the cases 6 to 9: discovery, endpoints, clients and the platform, all on loopback addresses.
 
 They follow the pages PROTOCOL, DEPLOY, DAYS and STANDING. The sidecar is started by the line `run` of the deploy file."""
 
