--- a/lupinmill/routing/attempt_runner.py
+++ b/lupinmill/routing/attempt_runner.py
@@ -226,7 +226,8 @@
             taken_in_parts = side.large or attempt.reader.is_open_ended()
             if not taken_in_parts or answer.status != 200 or pending.settled:
                 return
-            stream = ResponseStream(attempt.reader, attempt)
+            due_at = None if side.large else attempt.deadline.at
+            stream = ResponseStream(attempt.reader, attempt, due_at)
             self.request_table.start_response_stream(pending, attempt, answer, stream)
         pending.stream.lend()
         await pending.stream.finished.wait()
--- a/lupinmill/routing/response_stream.py
+++ b/lupinmill/routing/response_stream.py
@@ -4,8 +4,6 @@
 
 from __future__ import annotations
 
-from contextlib import AbstractContextManager
-
 import anyio
 
 from lupinmill import terms as t
@@ -13,17 +11,13 @@
 from lupinmill.routing.response_reader import ResponseReader
 
 MAX_PAUSE_S = 10.0  # seconds without a byte after which an endpoint is considered stalled
-# Seconds that an endpoint may stand still within a response that is still short, though its client's deadline
-# is over; seconds after that deadline until which it may in any case; seconds of silence at the deadline
-# after which nothing more is waited for.
-MAX_SHORT_PAUSE_S, LATE_GRACE_S, MAX_SILENCE_S = 0.5, 0.4, 1.0
-MAX_LATE_PAUSE_S = 1.0  # seconds for which it may pause once it has gone on after that deadline
-MIN_RATE = 4_096  # bytes per second; a response that is still short after that grace and slower never ends
-
-
-def fail_at(at: float) -> AbstractContextManager[anyio.CancelScope]:
-    """Raises TimeoutError at this time of the event loop's clock."""
-    return anyio.fail_after(at - anyio.current_time())
+# The same for a response that may still be short, from its client's deadline on. Endpoints stand still for
+# half a second, beside the gaps between their pieces; clients take the rest for held back after two seconds.
+MAX_LATE_PAUSE_S = 1.8
+MAX_WAIT_FOR_BODY_S = 1.0  # likewise, from the head to the first byte of the body
+LATE_GRACE_S = 0.4  # seconds after that deadline for which any response that has not stalled is waited for
+# Bytes per second. A response that may still be short and is slower after that grace counts as endless.
+MIN_RATE = 1_024
 
 
 class IncompleteResponse(Exception):
@@ -59,8 +53,7 @@
                     return b""
                 if self.broken:
                     raise ConnectionResetError("the connection to the endpoint broke")
-                with fail_at(self.gives_up_at()):
-                    self.side.feed(await self.connection.receive())
+                self.side.feed(await self.receive())
                 self.last_byte_at = anyio.current_time()
             return data
         except Garbled as error:
@@ -73,18 +66,27 @@
             self.outcome = t.Outcome.RESET
             raise IncompleteResponse(str(error)) from error
 
+    async def receive(self) -> bytes:
+        """Returns the next bytes, empty at the end. Raises TimeoutError if nothing came in time, which takes
+        one more look: while the event loop was blocked past the limit, bytes may have arrived."""
+        with anyio.move_on_after(self.gives_up_at() - anyio.current_time()):
+            return await self.connection.receive()
+        data = self.connection.read()
+        if data is None:
+            raise TimeoutError
+        return data
+
     def gives_up_at(self) -> float:
         """Until when the next byte is waited for. A response that may be short has to end soon after its
-        client's deadline, unless its endpoint still gives it."""
+        client's deadline, unless its endpoint still gives it: one that stands still can't be told from one
+        that has stopped until the longest pause is over."""
         if self.due_at is None or self.side.size > MAX_BUFFERED_BODY:
             return self.last_byte_at + MAX_PAUSE_S
-        silent_at_deadline = self.due_at - self.last_byte_at >= MAX_SILENCE_S
-        if self.last_byte_at > self.due_at and self.is_fast_enough():
-            return self.last_byte_at + MAX_LATE_PAUSE_S
-        latest = self.due_at + (0.0 if silent_at_deadline else LATE_GRACE_S)
-        if not self.is_fast_enough():
-            return latest
-        return max(latest, self.last_byte_at + MAX_SHORT_PAUSE_S)
+        stalled_at = self.last_byte_at + (MAX_LATE_PAUSE_S if self.side.size else MAX_WAIT_FOR_BODY_S)
+        if stalled_at <= self.due_at:
+            return self.due_at
+        grace_ends_at = self.due_at + LATE_GRACE_S
+        return max(grace_ends_at, stalled_at) if self.is_fast_enough() else grace_ends_at
 
     def is_fast_enough(self) -> bool:
         return self.side.size >= MIN_RATE * (self.last_byte_at - self.head_at)
