--- a/lupinmill/lab/earlier_names.py
+++ b/lupinmill/lab/earlier_names.py
@@ -136,7 +136,13 @@
 
 
 # Events and commands that no earlier module has: the lab names them, and never meets one.
-ADDED_SINCE = ("ResponseStalled", "AbandonAttempt", "OpenEndedResponseBegan", "ForwardResponse")
+ADDED_SINCE = (
+    "ResponseStalled",
+    "AbandonAttempt",
+    "OpenEndedResponseBegan",
+    "ForwardResponse",
+    "ResponseBytesArrived",
+)
 
 
 def adapt(modules: dict[str, ModuleType]) -> None:
--- a/lupinmill/routing/attempt_runner.py
+++ b/lupinmill/routing/attempt_runner.py
@@ -316,6 +316,7 @@
             pending.memory,
             partial(table.report_stall, pending, attempt),
             partial(table.report_open_ended, pending, attempt),
+            partial(table.report_bytes, pending.metadata.request_id, attempt),
         )
         return await attempt.reader.read()
 
--- a/lupinmill/routing/request_table.py
+++ b/lupinmill/routing/request_table.py
@@ -31,6 +31,7 @@
 
 # microseconds; below this, durations differ by event loop and kernel rather than by endpoint
 MIN_DURATION_US = 5_000
+BYTES_REPORT_INTERVAL_US = 100_000  # microseconds between two reports that a response still arrives
 LOGGED_LATENESS_US = 100_000  # microseconds after its deadline from which a final response is logged as late
 
 
@@ -49,6 +50,7 @@
     in_flight: bool = True
     connection: Connection | None = None  # on which it is written
     reader: ResponseReader | None = None  # once the response is waited for
+    bytes_reported_at: int | None = None  # when the decision module last heard of bytes of its response
 
     def recall(self) -> None:
         """Ends the attempt; from now on no byte of it is written."""
@@ -333,6 +335,14 @@
             t.AttemptEnded(name, attempt.number, outcome, took, pending.settled, load, last)
         )
 
+    def report_bytes(self, request_id: str, attempt: Attempt) -> None:
+        """Part of the response to the attempt has arrived, and not its end."""
+        now, last = self.engine.clock.now(), attempt.bytes_reported_at
+        if last is not None and now - last < BYTES_REPORT_INTERVAL_US:
+            return
+        attempt.bytes_reported_at = now
+        self.engine.handle_event(t.ResponseBytesArrived(attempt.endpoint, request_id, attempt.number))
+
     def report_stall(self, pending: PendingRequest, attempt: Attempt) -> None:
         """The response to the attempt has begun, and pauses."""
         name, last = pending.metadata.request_id, self.is_last_attempt(pending)
--- a/lupinmill/routing/response_reader.py
+++ b/lupinmill/routing/response_reader.py
@@ -24,7 +24,8 @@
 class ResponseReader:
     """`memory`: leased for what is collected; a response that it has no room for counts as large. `on_stall`:
     see `Deadline.receive`. `on_open_ended` is called once, when the head of a response that tells no length
-    has arrived; where it is given, such a response may be taken in parts before its end."""
+    has arrived; where it is given, such a response may be taken in parts before its end. `on_bytes` is called
+    when part of the response has arrived, and not its end."""
 
     def __init__(
         self,
@@ -34,10 +35,11 @@
         memory: MemoryLease | None = None,
         on_stall: Callable[[], None] = ignore,
         on_open_ended: Callable[[], None] | None = None,
+        on_bytes: Callable[[], None] = ignore,
     ) -> None:
         self.connection, self.side, self.deadline = connection, side, deadline
         self.memory, self.leased = memory, FREE_ANSWER_BYTES
-        self.on_stall, self.on_open_ended = on_stall, on_open_ended
+        self.on_stall, self.on_open_ended, self.on_bytes = on_stall, on_open_ended, on_bytes
         self.head_at: float | None = None  # when its head had arrived, in seconds of the event loop's clock
         self.last_byte_at: float | None = None  # likewise
         self.interrupted = False
@@ -45,6 +47,7 @@
     async def read(self) -> Answer:
         """Returns the complete response, or the head of one whose body is to be taken from `side`. Raises
         OSError and Garbled."""
+        arrived = False
         while True:
             self.parse()
             if self.interrupted and self.side.received_answer is not None:
@@ -53,8 +56,11 @@
                 return answer
             if self.side.received_answer is not None and self.is_taken_in_parts():
                 return self.side.received_answer
+            if arrived and self.side.begun():
+                self.on_bytes()
             data = await self.deadline.receive(self.connection, self.side.begun(), self.on_stall)
-            if data is not None:
+            arrived = data is not None
+            if arrived:
                 self.side.feed(data)
                 self.last_byte_at = anyio.current_time()
 
--- a/lupinmill/routing/response_stream.py
+++ b/lupinmill/routing/response_stream.py
@@ -30,6 +30,7 @@
 
     def __init__(self, reader: ResponseReader, attempt: object, due_at: float | None = None) -> None:
         self.connection, self.side, self.attempt = reader.connection, reader.side, attempt
+        self.on_bytes = reader.on_bytes
         self.due_at, self.last_byte_at = due_at, reader.last_byte_at or anyio.current_time()
         self.head_at = reader.head_at or self.last_byte_at
         self.lent, self.finished = anyio.Event(), anyio.Event()
@@ -55,6 +56,7 @@
                     raise ConnectionResetError("the connection to the endpoint broke")
                 self.side.feed(await self.receive())
                 self.last_byte_at = anyio.current_time()
+                self.on_bytes()
             return data
         except Garbled as error:
             self.outcome = t.Outcome.SPOILT
--- a/lupinmill/rules.py
+++ b/lupinmill/rules.py
@@ -31,6 +31,7 @@
     Ejected,
     EjectionRequest,
     EndpointReport,
+    EndpointHeard,
     EndpointSilent,
     EndpointState,
     FleetAverages,
@@ -859,7 +860,8 @@
                 endpoint, min(pace, 8.0), estimate.uncrowded * (event.outcome is t.Outcome.HANDLED)
             )
         self.message_queue.send(
-            self.endpoints[endpoint.name], AttemptResult(outcome, pace, overtaken, self.averages)
+            self.endpoints[endpoint.name],
+            AttemptResult(outcome, pace, overtaken, self.averages, attempt.begun),
         )
         if event.closed or event.outcome is t.Outcome.HANDLED:
             self.close(request)
@@ -912,6 +914,19 @@
         if (attempt := self.pending_attempt(event.request, event.attempt)) is not None:
             attempt.forwardable = True
 
+    def on_response_bytes_arrived(self, event: t.ResponseBytesArrived) -> None:
+        attempt = self.pending_attempt(event.request, event.attempt)
+        begins = (
+            attempt is not None
+            and attempt.counted
+            and not attempt.begun
+            and attempt.endpoint_state.name == event.endpoint
+        )
+        if begins:
+            attempt.begun = True
+        if event.endpoint in self.endpoints:
+            self.message_queue.send(self.endpoints[event.endpoint], EndpointHeard(begins))
+
     def pending_attempt(self, name: str, number: int) -> Attempt | None:
         request = self.requests.get(name)
         if request is None or not 0 <= number < len(request.attempts):
@@ -1255,8 +1270,8 @@
 
     __slots__ = (
         "message_queue", "dispatcher", "registry", "random_source", "entry", "averages", "share",
-        "reported_load", "reported_at", "busy", "crowded", "mode", "in_flight", "last_heard", "pace",
-        "answers", "connection_failures", "failed", "answered", "ejection_time", "probe_serial",
+        "reported_load", "reported_at", "busy", "crowded", "mode", "in_flight", "unanswered", "last_heard",
+        "pace", "answers", "connection_failures", "failed", "answered", "ejection_time", "probe_serial",
         "good_probes", "share_reduced_at", "brief_outage", "cold_since",
     )  # fmt: skip
 
@@ -1280,8 +1295,10 @@
         self.reported_load: float | None = None
         self.reported_at, self.busy, self.crowded = 0, 1.0, False
         self.mode = "ready"  # or "aside" (ejected), "trial"
-        # Time of the last answer, or of the first attempt after none was in flight.
-        self.in_flight, self.last_heard = 0, 0
+        # Attempts in flight; those of which no byte of a response has arrived.
+        self.in_flight, self.unanswered = 0, 0
+        # Time of the last answer or bytes of one, or of the first attempt after none was unanswered.
+        self.last_heard = 0
         self.pace: float | None = None
         # Answers since the last ejection; connection failures in a row.
         self.answers, self.connection_failures = 0, 0
@@ -1333,13 +1350,18 @@
         self.send_report()
 
     def on_attempt_sent(self, event: AttemptSent) -> None:
-        self.last_heard, self.in_flight = (
-            self.last_heard if self.in_flight else self.message_queue.now,
-            self.in_flight + 1,
-        )
+        if not self.unanswered:
+            self.last_heard = self.message_queue.now
+        self.in_flight += 1
+        self.unanswered += 1
+
+    def on_endpoint_heard(self, event: EndpointHeard) -> None:
+        self.last_heard = self.message_queue.now
+        self.unanswered -= event.begins
 
     def on_attempt_result(self, event: AttemptResult) -> None:
         self.in_flight, self.averages = self.in_flight - 1, event.averages
+        self.unanswered -= not event.begun
         if not event.overtaken:
             self.start_counting()
             self.answered.add(self.message_queue.now)
@@ -1429,15 +1451,16 @@
             self.share_reduced_at, self.share = self.message_queue.now, max(0.1, self.share * 0.7)
 
     def on_fleet_averages(self, event: FleetAverages) -> None:
-        """Evaluates again while attempts are in flight or the endpoint is picked last."""
+        """Evaluates again while attempts are in flight or the endpoint is picked last. An endpoint that has
+        begun all its answers is not silent, however long they take."""
         self.averages = event
         if self.mode == "aside" or self.entry.state is t.EndpointStatus.GONE:
             return
         silence = self.message_queue.now - self.last_heard
         if (
-            self.in_flight
+            self.unanswered
             and silence
-            > (SILENCE_MULTIPLE + SINGLE_ATTEMPT_SILENCE_MULTIPLE / self.in_flight) * event.latency
+            > (SILENCE_MULTIPLE + SINGLE_ATTEMPT_SILENCE_MULTIPLE / self.unanswered) * event.latency
             + CHECK_INTERVAL
         ):
             self.request_ejection(f"silent {silence // MS} ms, usual {event.latency // MS} ms", False)
--- a/lupinmill/terms.py
+++ b/lupinmill/terms.py
@@ -200,6 +200,17 @@
     attempt: int
 
 
+@dataclass(slots=True)
+class ResponseBytesArrived:
+    """Bytes of the response to an attempt have arrived, and more is to come, so its endpoint is not silent.
+    Told of the first ones, and then not for every read. The attempt may have ended by then, if its response
+    is forwarded."""
+
+    endpoint: str
+    request: str
+    attempt: int
+
+
 @dataclass(slots=True)
 class ResponseStalled:
     """The response to an attempt has begun, and pauses. The attempt goes on."""
@@ -292,6 +303,7 @@
     | RequestArrived
     | ResponseStarted
     | OpenEndedResponseBegan
+    | ResponseBytesArrived
     | ResponseStalled
     | AttemptEnded
     | RequestCancelled
@@ -401,6 +413,7 @@
     RequestBodyReceived: "Whole",
     ResponseStarted: "Started",
     OpenEndedResponseBegan: "Begun",
+    ResponseBytesArrived: "Bytes",
     ResponseStalled: "Stalled",
     AttemptEnded: "Ended",
     RequestCancelled: "Withdrawn",
--- a/lupinmill/workings.py
+++ b/lupinmill/workings.py
@@ -224,6 +224,13 @@
     """Dispatcher to endpoint."""
 
 
+@dataclass(slots=True)
+class EndpointHeard:
+    """Dispatcher to endpoint: bytes of a response have arrived."""
+
+    begins: bool  # the first ones of a response to an attempt in flight
+
+
 @dataclass(slots=True, frozen=True)
 class FleetAverages:
     """Dispatcher to endpoint: figures over all endpoints. `crowding` is the mean pace of all answers."""
@@ -245,6 +252,7 @@
     pace: float
     overtaken: bool  # ended by this sidecar or by the client, not by the endpoint
     averages: FleetAverages
+    begun: bool = False  # bytes of its response had arrived before
 
 
 @dataclass(slots=True)
@@ -336,6 +344,7 @@
     never_ran: bool = False
     overdue: bool = False  # unanswered at the hard limit
     counted: bool = False  # as in flight: not while the request body is incomplete
+    begun: bool = False  # bytes of its response have arrived
     forwardable: bool = False  # its response has begun, and may be forwarded before its end
 
 
--- a/tests/test_answers_given_slowly.py
+++ b/tests/test_answers_given_slowly.py
@@ -38,6 +38,7 @@
     kind=LumpyEndpoint,
     deadline_s: float = DEADLINE_S,
     rounds: int = ROUNDS,
+    clients: int = CLIENTS,
     **limits,
 ):
     """Each client sends one request after another. Returns what they got, and the endpoints."""
@@ -51,7 +52,7 @@
             received.append(await ask(address, id_, workload, deadline_s, version))
 
     async with sidecar(folder, table_of([one.address for one in endpoints], **limits)) as running:
-        await asyncio.gather(*(client(number, running.address) for number in range(CLIENTS)))
+        await asyncio.gather(*(client(number, running.address) for number in range(clients)))
     for server in servers:
         server.close()
     return received, endpoints
@@ -115,6 +116,25 @@
     assert not any(endpoint.cut for endpoint in endpoints)
 
 
+GIVING_FOR_LONG = {
+    "three lumps, each 0.55 s": LumpyAnswer(97_000, 3, 0.55, "chunked", head_after_s=0.04),
+    "four lumps, each 0.5 s": LumpyAnswer(97_000, 4, 0.5, "close", head_after_s=0.04),
+    "small pieces": LumpyAnswer(90_000, 30, 0.07, "chunked", head_after_s=0.04),
+    "told length, short": LumpyAnswer(SHORT, 5, 0.18, "length", head_after_s=0.04),
+}
+
+
+@pytest.mark.parametrize("workload", ["view", "bid", "issue"])
+@pytest.mark.parametrize("giving", GIVING_FOR_LONG)
+def test_an_endpoint_that_is_giving_an_answer_does_not_count_as_silent(giving, workload, tmp_path):
+    """Guards against setting endpoints aside because no answer has ended, while bytes of answers come from
+    them (issue 84)."""
+    received, _ = asyncio.run(
+        play(tmp_path, GIVING_FOR_LONG[giving], workload, deadline_s=0.9, rounds=5, clients=8)
+    )
+    assert Counter((one.status, one.whole) for one in received) == {(200, True): 40}
+
+
 def test_clients_of_http_1_0_get_such_an_answer_too(tmp_path):
     answer = LumpyAnswer(LONG, 6, 0.28, "chunked")
     received, _ = asyncio.run(play(tmp_path, answer, "issue", "1.0"))
--- a/tests/test_endpoints_pause.py
+++ b/tests/test_endpoints_pause.py
@@ -193,6 +193,33 @@
     assert kinds(stall(bed, name)) == [] and bed.out(name) == [0]
 
 
+# Bytes that arrive say that an endpoint is not silent.
+
+
+def silent_endpoints(bed: Bed) -> set[str]:
+    return {line.split()[0] for line in bed.logs if "set aside: silent" in line}
+
+
+@pytest.mark.parametrize("giving", [0, 1, 2])
+def test_an_endpoint_is_silent_only_where_bytes_are_missing(giving):
+    """Guards against setting aside an endpoint that is giving all its answers, and against waiting for one
+    that no longer begins any. It has two requests, and gives the answers of so many."""
+    bed, first = with_one_pending(ONCE)
+    endpoint = bed.attempts[first][0]["endpoint"]
+    others = [bed.arrive(ONCE) for _ in range(7)]
+    (second,) = [name for name in others if bed.attempts[name][0]["endpoint"] == endpoint]
+    for name in others:
+        if name != second:
+            bed.end(name, 0, t.Outcome.HANDLED, after=10 * MS)
+    for _ in range(30):
+        for name in [first, second][:giving]:
+            bed.step(t.ResponseBytesArrived(endpoint, name, 0))
+        bed.end(bed.arrive(ONCE), 0, t.Outcome.HANDLED, after=20 * MS)
+    assert silent_endpoints(bed) == (set() if giving else {endpoint})
+    bed.run(SECOND // 2)  # nothing more comes
+    assert silent_endpoints(bed) == (set() if giving == 2 else {endpoint})
+
+
 # An answer of untold length that has begun, at the deadline of its client.
 
 
--- a/tests/test_module_hostile.py
+++ b/tests/test_module_hostile.py
@@ -157,6 +157,7 @@
     def check_attempts(self) -> None:
         dispatcher = self.module.dispatcher
         counted = {name: state.predecessor_in_flight for name, state in dispatcher.endpoint_states.items()}
+        unanswered = dict.fromkeys(dispatcher.endpoint_states, 0)
         coming = dict.fromkeys(dispatcher.endpoint_states, 0)
         for request in dispatcher.requests.values():
             for attempt in request.attempts:
@@ -164,7 +165,9 @@
                     assert dispatcher.endpoint_states[attempt.endpoint_state.name] is attempt.endpoint_state
                     where = counted if attempt.counted else coming
                     where[attempt.endpoint_state.name] += 1
+                    unanswered[attempt.endpoint_state.name] += attempt.counted and not attempt.begun
         assert counted == {name: state.in_flight for name, state in dispatcher.endpoint_states.items()}
+        assert unanswered == {name: actor.unanswered for name, actor in dispatcher.endpoints.items()}
         assert coming == {name: state.receiving for name, state in dispatcher.endpoint_states.items()}
 
     # Events.
@@ -262,6 +265,19 @@
         number = self.rng.choice([number] * 4 + [-1, 99])
         self.step(t.ResponseStalled(name, number, self.rng.random() < 0.1))
 
+    def bytes_arrive(self) -> None:
+        name, number = self.rng.choice([*self.in_flight, ("no such", 0)])
+        number = self.rng.choice([number] * 4 + [-1, 99])
+        self.step(t.ResponseBytesArrived(self.rng.choice([*self.names, "no such"]), name, number))
+        self.bytes_of(name, number)
+
+    def bytes_of(self, name: str, number: int) -> None:
+        """At the endpoint of that attempt."""
+        request = self.module.dispatcher.requests.get(name)
+        if request is not None and 0 <= number < len(request.attempts):
+            endpoint = request.attempts[number].endpoint_state.name
+            self.step(t.ResponseBytesArrived(endpoint, name, number))
+
     def probed(self) -> None:
         outcome = self.rng.choice([t.Outcome.HANDLED, t.Outcome.UNCONNECTED, t.Outcome.TIMED_OUT])
         load = self.rng.choice([None, t.LoadReport(0.0, busy=0.0), t.LoadReport(50.0)])
@@ -306,7 +322,7 @@
         events = [self.list_] * 3 + [self.arrive] * 12 + [self.end] * 8 + [self.probed] * 3
         events += [self.complete, self.withdraw, self.by_hand, self.elsewhere, self.common, self.deploy]
         events += [self.tell_twice, self.turn_clock_back, self.start] + [self.stall] * 3
-        events += [self.begin] * 3
+        events += [self.begin] * 3 + [self.bytes_arrive] * 4
         self.step(
             t.ListReceived(
                 t.ListKind.CACHED, [t.ListEntry(name, t.EndpointStatus.READY) for name in self.names]
