--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -487,6 +487,8 @@
                     error=f"{len(self.request_table.pending_requests)} requests left open",
                 )
                 break
+            if waited >= serving_s:
+                client_handler.response_writer.break_off_close_delimited()
             await anyio.sleep(IDLE_CHECK_INTERVAL_S)
         with anyio.move_on_after(SHUTDOWN_MARGIN_S):
             await self.handover.flush()
--- a/lupinmill/routing/response_writer.py
+++ b/lupinmill/routing/response_writer.py
@@ -24,6 +24,8 @@
 class ResponseWriter:
     def __init__(self, request_table: RequestTable, log: Log) -> None:
         self.request_table, self.log = request_table, log
+        # Of large responses that the end of the connection ends, where a kill would pass for their end.
+        self.close_delimited: set[anyio.CancelScope] = set()
 
     async def final_answer(self, client: Client, pending: PendingRequest) -> Answer | None:
         """Returns None if the client has disconnected.
@@ -64,27 +66,39 @@
         A client that cannot tell a truncated response from a complete one gets a reset; what was written
         before is acknowledged by then (`closing.py`)."""
         complete, began = False, False
+        scope = anyio.CancelScope()
         try:
             head = side.begin(answer, stream.side.length, close)
             client.response_due = False
             client.response_starts()
-            await self.write(client, head)
-            while data := await stream.next_part():
-                began = True
-                await self.write(client, side.part(data))
-            await self.write(client, side.end())
-            complete = True
+            if not side.truncation_detectable():
+                self.close_delimited.add(scope)
+            with scope:
+                await self.write(client, head)
+                while data := await stream.next_part():
+                    began = True
+                    await self.write(client, side.part(data))
+                await self.write(client, side.end())
+                complete = True
+            if not complete:
+                client.close_reason = CloseReason.CANCELLED
         except (IncompleteResponse, h11.LocalProtocolError) as error:
             client.close_reason = CloseReason.BROKEN_ANSWER
             self.log("answer_broken", error=str(error), began=began)
         except TimeoutError:
             client.close_reason = CloseReason.NOT_READ
         finally:
+            self.close_delimited.discard(scope)
             if not complete and not client.response_due:
                 client.lingers, client.resets = True, not side.truncation_detectable()
             stream.finish()
         return complete and self.goes_on(client, side)
 
+    def break_off_close_delimited(self) -> None:
+        """Ends, by a reset, the large responses whose clients could not tell that a kill had cut them off."""
+        for scope in list(self.close_delimited):
+            scope.cancel()
+
     async def write(self, client: Client, data: bytes) -> None:
         await client.send_while_read(data, STREAM_STALL_TIMEOUT_S)
 
--- a/tests/test_answers_given_slowly.py
+++ b/tests/test_answers_given_slowly.py
@@ -27,6 +27,7 @@
 DEADLINE_S = 0.6
 LONG = 152_758  # bytes
 SHORT = 60_000
+KILL_AFTER_S = 3.7  # after SIGTERM: the longest deadline of the bed, and 0.7 s
 HELD_BACK_S = 2.0  # for longer nothing that an endpoint has given may be held back
 
 
@@ -167,6 +168,29 @@
     assert {one.id for one in received} == {id_ for endpoint in endpoints for id_ in endpoint.released}
 
 
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("framing", ["chunked", "close", "length"])
+def test_a_client_can_tell_that_an_answer_broke_off_as_the_process_was_killed(framing, version, tmp_path):
+    """Guards against a kill that ends an answer of HTTP/1.0 as if it were whole (issue 84)."""
+    answer = LumpyAnswer(LONG, 12, 0.6, framing)
+
+    async def play() -> Received:
+        endpoint = LumpyEndpoint(answer)
+        server = await endpoint.start()
+        async with sidecar(tmp_path, table_of([endpoint.address])) as running:
+            asking = asyncio.create_task(ask(running.address, "id", "issue", DEADLINE_S, version))
+            await asyncio.sleep(DEADLINE_S)
+            running.process.terminate()
+            await asyncio.sleep(KILL_AFTER_S)
+            running.process.kill()
+            received = await asking
+        server.close()
+        return received
+
+    received = asyncio.run(play())
+    assert received.status == 200 and not received.whole
+
+
 def test_an_answer_that_drips_without_end_has_failed_before_its_request_is_lost(tmp_path):
     answer = LumpyAnswer(SHORT, 1, 0.0, "chunked")
     received, _ = asyncio.run(play(tmp_path, answer, "issue", kind=EndlessEndpoint))
