--- a/lupinmill/cli/faults.py
+++ b/lupinmill/cli/faults.py
@@ -29,8 +29,16 @@
 )
 @click.option("--operators", is_flag=True, help="Operators take endpoints out and drain sidecars.")
 @click.option("--clock-steps", is_flag=True, help="The wall clock of the sidecars' processes is set.")
+@click.option("--slow-answers", is_flag=True, help="Endpoints give long answers slowly, and stand still.")
 def faults(
-    seed: int, seeds: int, processes: int, seconds: float, soak: bool, operators: bool, clock_steps: bool
+    seed: int,
+    seeds: int,
+    processes: int,
+    seconds: float,
+    soak: bool,
+    operators: bool,
+    clock_steps: bool,
+    slow_answers: bool,
 ) -> None:
     """Run real processes among stand-ins under random faults, checked by a referee. Exit code 1 if a rule is
     broken; prints the seed and the schedule to replay it, and the path of the full report."""
@@ -38,7 +46,15 @@
 
     broken = False
     for one in range(seed, seed + seeds):
-        verdict = run.play(one, processes, seconds, soak=soak, operators=operators, clock_steps=clock_steps)
+        verdict = run.play(
+            one,
+            processes,
+            seconds,
+            soak=soak,
+            operators=operators,
+            clock_steps=clock_steps,
+            slow_answers=slow_answers,
+        )
         click.echo(reports.verdict_text(verdict))
         broken |= bool(verdict.violations)
     sys.exit(EXIT_BROKEN if broken else 0)
--- a/lupinmill/lab/faults/clients.py
+++ b/lupinmill/lab/faults/clients.py
@@ -214,7 +214,9 @@
             return False
         sent.finished_at = time.time()
         closes = b"close" in message.value(b"connection").lower()
-        sent.answers.append(Answer(connection.received_at, status_of(message), message.body, closes))
+        sent.answers.append(
+            Answer(connection.received_at, status_of(message), message.body, closes, message.first_byte_at)
+        )
         return not closes
 
     async def record_end(self, connection: Connection, sent: SentRequest, reset: bool) -> None:
--- a/lupinmill/lab/faults/endpoints.py
+++ b/lupinmill/lab/faults/endpoints.py
@@ -10,6 +10,7 @@
 import time
 from random import Random
 
+from lupinmill.lab.faults import slow_answers
 from lupinmill.lab.faults.connection import (
     TCP_ESTABLISHED,
     TIMESTAMP_OPTION,
@@ -55,6 +56,7 @@
     "early error",
 )
 # For clients that read late, in place of the above: the share of their requests, and which.
+SLOW_SHARE = 0.25  # of all answers, where some are given slowly
 LATE_READER_SHARE, LATE_READER_BEHAVIOURS = 0.4, ("large", "large", "large, cut")
 CONNECTION_FAULTS = ("reset at once", "silent", "cut at a byte")
 
@@ -72,9 +74,11 @@
         idle_timeout_s: float,
         probes_allowed: bool,
         records: RunRecords,
+        gives_slowly: bool = False,
     ) -> None:
         self.customer, self.row, self.seed, self.fault_share = customer, row, seed, fault_share
         self.idle_timeout_s, self.probes_allowed, self.records = idle_timeout_s, probes_allowed, records
+        self.gives_slowly = gives_slowly
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.setsockopt(socket.SOL_SOCKET, TIMESTAMP_OPTION, 1)  # inherited by accepted connections
@@ -174,6 +178,8 @@
         behaviour = random.choice(BEHAVIOURS) if random.random() < self.fault_share else "well"
         if self.is_read_late(request_id) and random.random() < LATE_READER_SHARE:
             behaviour = random.choice(LATE_READER_BEHAVIOURS)
+        elif self.gives_slowly and random.random() < SLOW_SHARE:
+            behaviour = "slowly"
         if behaviour == "early error" and message.value(b"content-length") not in (b"", b"0"):
             await connection.send(
                 b"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -254,6 +260,8 @@
         self, connection: Connection, attempt: Attempt, behaviour: str, random: Random
     ) -> bool:
         """Sends an answer of 200, complete or not."""
+        if behaviour == "slowly":
+            return await self.answer_slowly(connection, attempt, random)
         body = self.make_body(
             attempt, random, random.choice(LARGE_BODY_BYTES) if behaviour.startswith("large") else 0
         )
@@ -294,6 +302,12 @@
             return False
         return await self.answer_cut(connection, answer, behaviour, random)
 
+    async def answer_slowly(self, connection: Connection, attempt: Attempt, random: Random) -> bool:
+        answer = slow_answers.draw(random, float(attempt.deadline))
+        attempt.given_slowly = True
+        attempt.answer_body = self.make_body(attempt, random, answer.size)[: answer.size]
+        return await slow_answers.give(connection, attempt, answer)
+
     async def answer_cut(self, connection: Connection, answer: bytes, behaviour: str, random: Random) -> bool:
         cut = random.randint(1, 12) if behaviour == "half a head" else random.randint(40, len(answer) - 1)
         await connection.send(answer[:cut])
--- a/lupinmill/lab/faults/records.py
+++ b/lupinmill/lab/faults/records.py
@@ -111,6 +111,7 @@
     status: int
     body: bytes
     closes: bool
+    began_at: float = 0.0  # its first byte
 
 
 @dataclass(slots=True)
@@ -163,6 +164,9 @@
     declined: bool = False  # with Srv-Declined: the request did not run
     answer_body: bytes = b""  # of the 200 answer that the endpoint made for it
     answer_complete: bool = False  # all of that answer was sent
+    given_slowly: bool = False
+    cut_off_at: float | None = None  # when its endpoint, still giving it, found the connection closed
+    longest_pause_s: float = 0.0  # between two of its pieces
 
 
 @dataclass(slots=True)
--- a/lupinmill/lab/faults/referee.py
+++ b/lupinmill/lab/faults/referee.py
@@ -33,6 +33,8 @@
 EXIT_CONFIG_REFUSED = 2
 CATCH_UP_S = 2.0  # time after SIGCONT in which the backlog of the stop is processed
 SLOW_CLIENT_S = 1.0  # longest time from connecting to the last byte of a request of a well-behaved client
+# An endpoint stands still for half a second, beside a gap between two pieces of up to 0.45 s.
+MAX_ENDPOINT_PAUSE_S = 1.0
 READ_WITHIN_S = 0.3  # in which a client that reads late gets all that is there
 SLOW_CLIENTS = ("trickling", "large")  # descriptions of clients whose request arrives in parts
 REFUSAL_STATUSES = (429, 503)
@@ -253,6 +255,7 @@
             return
         if not sent.answers:
             self.judge_broken(sent, attempts, description)
+            self.judge_cut_off(sent, attempts, description)
             if sent.left_at is None and not sent.broken_answer and not self.is_excused(sent, attempts):
                 sent_on = f", {len(attempts)} attempts" if attempts else ""
                 self.report(
@@ -264,7 +267,9 @@
             return
         answer = sent.answers[0]
         readable_at = max(previous_finished_at(sent), sent.reads_from)
-        late_s = answer.received_at - max(sent.written_at + sent.deadline, readable_at)
+        # Of a long answer the first bytes are timed.
+        answered_at = answer.began_at if len(answer.body) > MAX_BUFFERED_BODY else answer.received_at
+        late_s = answered_at - max(sent.written_at + sent.deadline, readable_at)
         if late_s > ANSWER_AFTER_DEADLINE_S + 2 * BUSY_MACHINE_S + self.tolerance(
             sent.process, sent.written_at, answer.received_at
         ):
@@ -310,6 +315,32 @@
             f"{description}: {sent.broken_answer}, which its endpoint sent whole",
         )
 
+    def judge_cut_off(self, sent: SentRequest, attempts: list[Attempt], description: str) -> None:
+        """Checks that no answer ends before its end while its endpoint still gives it, with no longer pause
+        than it may make. Not judged where the process was told to end before."""
+        given = [attempt for attempt in attempts if not attempt.declined]
+        if not given or not sent.broken_answer or sent.left_at is not None or self.is_excused(sent, attempts):
+            return
+        finished = sent.finished_at or FAR_FUTURE
+        if any(
+            attempt.cut_off_at is None or attempt.longest_pause_s > MAX_ENDPOINT_PAUSE_S for attempt in given
+        ):
+            return
+        ending = any(
+            process.terminated_at is not None and process.started_at <= finished >= process.terminated_at
+            for process in self.processes[sent.process.sidecar]
+            if process.ended_at is None or process.ended_at >= (sent.written_at or 0.0)
+        )
+        if ending or self.tolerance(sent.process, sent.written_at or 0.0, finished) > READ_WITHIN_S:
+            return
+        self.report(
+            Fault.UNANSWERED,
+            "cut off while its endpoint gave it",
+            sent.process.sidecar,
+            f"{description}: {sent.broken_answer} {finished - (sent.written_at or 0.0):.2f} s after it was"
+            f" sent, longest pause {max(attempt.longest_pause_s for attempt in given):.2f} s",
+        )
+
     def is_excused(self, sent: SentRequest, attempts: list[Attempt]) -> bool:
         """Whether a cause outside the program explains that a request has no answer."""
         process, finished = sent.process, sent.finished_at or FAR_FUTURE
--- a/lupinmill/lab/faults/run.py
+++ b/lupinmill/lab/faults/run.py
@@ -54,6 +54,7 @@
                 float(limits["conn-idle-s"]),
                 limits["probes"],
                 self.records,
+                campaign.slow_answers,
             )
             for index, row in enumerate(self.customer.rows)
         ]
@@ -178,6 +179,7 @@
         soak: bool = False,
         operators: bool = False,
         clock_steps: bool = False,
+        slow_answers: bool = False,
     ) -> None:
         self.seed, self.processes, self.seconds = seed, processes, seconds
         self.folder, self.command, self.records = folder, command, RunRecords()
@@ -185,6 +187,7 @@
         self.timeouts, self.plans, self.fault_share = timeouts, plans, fault_share
         self.modes, self.list_events = modes, list_events
         self.soak, self.operators, self.clock_steps = soak, operators, clock_steps
+        self.slow_answers = slow_answers
         self.address_octet = 10 + os.getpid() % 4 * 50 + seed % 10
         self.started_at = self.ends_at = 0.0
         remaining, self.customer_runs = processes, []
@@ -242,6 +245,7 @@
             self.soak,
             self.operators,
             self.clock_steps,
+            self.slow_answers,
         )
 
 
@@ -253,6 +257,7 @@
     soak: bool = False,
     operators: bool = False,
     clock_steps: bool = False,
+    slow_answers: bool = False,
 ) -> Verdict:
     """Plays a run with a folder of its own."""
     with tempfile.TemporaryDirectory(prefix="faults-") as folder:
@@ -265,6 +270,7 @@
             soak=soak,
             operators=operators,
             clock_steps=clock_steps,
+            slow_answers=slow_answers,
         )
         return asyncio.run(campaign.run())
 
--- a/lupinmill/lab/faults/verdict.py
+++ b/lupinmill/lab/faults/verdict.py
@@ -23,10 +23,16 @@
     soak: bool = False
     operators: bool = False
     clock_steps: bool = False
+    slow_answers: bool = False
 
     def options(self) -> str:
         """Of the command that replays the run, beside seed, processes and seconds."""
-        chosen = {"--soak": self.soak, "--operators": self.operators, "--clock-steps": self.clock_steps}
+        chosen = {
+            "--soak": self.soak,
+            "--operators": self.operators,
+            "--clock-steps": self.clock_steps,
+            "--slow-answers": self.slow_answers,
+        }
         return "".join(f" {option}" for option, on in chosen.items() if on)
 
     def by_rule(self) -> dict[tuple[Fault, str], list[Violation]]:
@@ -67,6 +73,8 @@
         "answered": sum(bool(request.answers) for request in requests),
         "served": sum(any(answer.status == 200 for answer in request.answers) for request in requests),
         "attempts": len(records.attempts),
+        "answers given slowly": sum(attempt.given_slowly for attempt in records.attempts),
+        "of them whole": sum(a.given_slowly and a.answer_complete for a in records.attempts),
         "kills due at the earliest": sum(record.kill_due_at is not None for record in records.processes),
         "killed at the earliest": sum(record.killed_after_term for record in records.processes),
         "endpoints out by hand": len(records.out_spans),
--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -200,6 +200,14 @@
 }
 
 
+PLANTED["slow answers cut off"] = (
+    "from lupinmill.routing.response_stream import ResponseStream\n"
+    "ResponseStream.gives_up_at = lambda self: self.last_byte_at + 0.1",
+    Fault.UNANSWERED,
+    "cut off while its endpoint gave it",
+)
+GIVES_SLOWLY = ("slow answers cut off",)
+
 PLANS_OF = {  # where the fault shows under others than the calm ones
     "cordon lost in an upgrade": [CALLED],
     "ready while it drains": [DRAINED],
@@ -230,6 +238,7 @@
                 SHORT,
                 PLANS_OF.get(name, CALM),
                 fault_share=0.4,
+                slow_answers=name in GIVES_SLOWLY,
             )
         found = await asyncio.gather(*(campaign.run() for campaign in campaigns.values()))
         return dict(zip(campaigns, found))
@@ -641,3 +650,34 @@
     judging = referee.Referee(records, {})
     judging.judge_answer(sent, [attempt])
     assert [violation.rule for violation in judging.violations] == ["a whole answer broke off"] * broken
+
+
+@pytest.mark.parametrize(
+    "cut_off, pause_s, other_attempt, terminated_at, broken",
+    [
+        (True, 0.95, False, None, True),
+        (True, 1.5, False, None, False),  # its endpoint stood still for longer than it may
+        (False, 0.95, False, None, False),  # its endpoint ended it
+        (True, 0.95, True, None, False),  # by reading it was the other one, which broke off
+        (True, 0.95, False, 11.0, False),  # the process was told to end before
+        (True, 0.95, False, 14.0, True),
+    ],
+)
+def test_an_answer_cut_off_while_its_endpoint_gives_it_is_found(
+    cut_off, pause_s, other_attempt, terminated_at, broken
+):
+    records = RunRecords()
+    process = ProcessRecord("c0-s0", 0, 1, 0.0, "serves", terminated_at=terminated_at)
+    records.processes.append(process)
+    sent = sent_request(
+        process, 1.0, "ordinary", written_at=10.0, finished_at=11.5, broken_answer="cut inside an answer"
+    )
+
+    def attempt(**outcome) -> Attempt:
+        return Attempt("e0", "0", "z", "c0", b"GET", b"/", b"", [b"s1"], [], b"1.0", 10.1, 10.1, **outcome)
+
+    slow = attempt(given_slowly=True, cut_off_at=11.5 if cut_off else None, longest_pause_s=pause_s)
+    judging = referee.Referee(records, {})
+    judging.judge_answer(sent, [slow] + [attempt()] * other_attempt)
+    found = ["cut off while its endpoint gave it"] * broken
+    assert [violation.rule for violation in judging.violations] == found
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -1,11 +1,12 @@
 """A short soak: real processes under slow discovery and series of signals, with clients that keep their
 connections until the kill; in some of it operators call, and clocks are set. For longer runs:
-`lupinmill lab faults --soak --operators --clock-steps --seeds 50`."""
+`lupinmill lab faults --soak --operators --clock-steps --slow-answers --seeds 50`."""
 
 from __future__ import annotations
 
 import asyncio
 from dataclasses import dataclass
+from pathlib import Path
 
 import pytest
 
@@ -20,6 +21,19 @@
     seed: int
     operators: bool = False
     clock_steps: bool = False
+    slow_answers: bool = False
+
+    def campaign(self, folder: Path) -> Campaign:
+        return Campaign(
+            self.seed,
+            PROCESSES,
+            SECONDS,
+            folder,
+            soak=True,
+            operators=self.operators,
+            clock_steps=self.clock_steps,
+            slow_answers=self.slow_answers,
+        )
 
 
 SOAKS = {
@@ -34,18 +48,7 @@
 @pytest.fixture(scope="module")
 def verdicts(tmp_path_factory) -> dict[str, Verdict]:
     async def play_all() -> dict[str, Verdict]:
-        campaigns = {
-            name: Campaign(
-                soak.seed,
-                PROCESSES,
-                SECONDS,
-                tmp_path_factory.mktemp("soak"),
-                soak=True,
-                operators=soak.operators,
-                clock_steps=soak.clock_steps,
-            )
-            for name, soak in SOAKS.items()
-        }
+        campaigns = {name: soak.campaign(tmp_path_factory.mktemp("soak")) for name, soak in SOAKS.items()}
         found = await asyncio.gather(*(campaign.run() for campaign in campaigns.values()))
         return dict(zip(campaigns, found))
 
@@ -59,6 +62,13 @@
     assert verdict.figures["served"] > 100 and verdict.figures["lives"] > PROCESSES, verdict.figures
 
 
+def test_the_program_stands_where_long_answers_are_given_slowly(tmp_path):
+    """On its own: its clients and endpoints have to be in time."""
+    verdict = asyncio.run(Soak(9303, slow_answers=True).campaign(tmp_path).run())
+    assert not verdict.violations, reports.verdict_text(verdict)
+    assert verdict.figures["of them whole"] > 50, verdict.figures
+
+
 def test_crowds_and_signals_in_series_were_among_it(verdicts):
     plans = "\n".join(line for verdict in verdicts.values() for line in verdict.schedule)
     for what in ("crowd for", "moved again and again", "KILL at the earliest", "HUP TERM HUP TERM"):
