The campaign asks the kernel whether a process has ended, and excuses kills without notice

Two faults of the campaign itself.

`Process.alive` now asks the kernel. The new test failed before.

A kill without notice ends the connection like the end of the answer there, and no program can help that. The referee excuses just this: HTTP/1.0, a beginning of what an endpoint made, a kill between the request and its end that no SIGTERM announced. A kill at the earliest time after SIGTERM excuses nothing.

--- a/lupinmill/lab/faults/clients.py
+++ b/lupinmill/lab/faults/clients.py
@@ -20,6 +20,7 @@
 )
 from lupinmill.lab.faults.customers import Customer, Workload
 from lupinmill.lab.faults.records import (
+    HTTP_1_0,
     READING_LATE,
     Answer,
     ConnectionEnd,
@@ -424,7 +425,7 @@
             sent = self.draw_request(random, "named in Connection", workload)
             named = random.choice(CONNECTION_VALUES)
             return sent, self.encode_head(sent, random, (b"Connection: " + named,)) + sent.body
-        sent = self.draw_request(random, "HTTP/1.0", workload)
+        sent = self.draw_request(random, HTTP_1_0, workload)
         return sent, self.encode_head(sent, random).replace(b"HTTP/1.1", b"HTTP/1.0", 1) + sent.body
 
     async def cut_off(self, connection: Connection, random: Random, workload: Workload) -> None:
--- a/lupinmill/lab/faults/processes.py
+++ b/lupinmill/lab/faults/processes.py
@@ -88,7 +88,10 @@
 
     @property
     def alive(self) -> bool:
-        return self.process is not None and self.process.returncode is None
+        """Asks the kernel, as the campaign's own event loop may be late to notice an end."""
+        return (
+            self.process is not None and self.process.returncode is None and not has_ended(self.process.pid)
+        )
 
     def signal(self, signum: signal.Signals) -> None:
         """Sends a signal. The time is recorded before, so that no effect of the signal can precede it."""
@@ -146,6 +149,14 @@
         self.full_pipe = []
 
 
+def has_ended(pid: int) -> bool:
+    """Whether this child process has ended. Leaves its exit code for whoever waits for it."""
+    try:
+        return os.waitid(os.P_PID, pid, os.WEXITED | os.WNOHANG | os.WNOWAIT) is not None
+    except ChildProcessError:
+        return True  # its exit code has been collected
+
+
 def program_started(pid: int) -> bool:
     """Whether the process has begun to load the program's imports; before that it is the bare interpreter."""
     try:
--- a/lupinmill/lab/faults/records.py
+++ b/lupinmill/lab/faults/records.py
@@ -26,6 +26,7 @@
     LOGGED_DEFECT = "a defect, logged"
 
 
+HTTP_1_0 = "HTTP/1.0"  # description of clients for which the end of the connection may end an answer
 READING_LATE = "reading late"  # description of clients that send several requests and read later
 
 
--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -5,6 +5,7 @@
 
 import ast
 import asyncio
+import signal
 import socket
 import sys
 import time
@@ -13,7 +14,7 @@
 
 import pytest
 
-from lupinmill.lab.faults import clients, customers, endpoints, referee, reports, run, schedule
+from lupinmill.lab.faults import clients, customers, endpoints, processes, referee, reports, run, schedule
 from lupinmill.lab.faults.connection import connect
 from lupinmill.lab.faults.customers import Workload
 from lupinmill.lab.faults.records import (
@@ -681,3 +682,55 @@
     judging.judge_answer(sent, [slow] + [attempt()] * other_attempt)
     found = ["cut off while its endpoint gave it"] * broken
     assert [violation.rule for violation in judging.violations] == found
+
+
+@pytest.mark.parametrize(
+    "version, killed_at, after_term, body, broken",
+    [
+        ("HTTP/1.0", 10.5, False, b"made f", False),
+        ("HTTP/1.0", 10.5, True, b"made f", True),  # the program knew when it would be killed
+        ("HTTP/1.0", None, False, b"made f", True),
+        ("HTTP/1.0", 9.0, False, b"made f", True),  # before the request
+        ("HTTP/1.0", 10.5, False, b"not made", True),
+        ("ordinary", 10.5, False, b"made f", True),
+    ],
+)
+def test_a_part_served_as_the_whole_is_excused_only_by_a_kill_without_notice(
+    version, killed_at, after_term, body, broken
+):
+    records = RunRecords()
+    process = ProcessRecord("c0-s0", 0, 1, 0.0, "serves", killed_at=killed_at, killed_after_term=after_term)
+    records.processes.append(process)
+    sent = sent_request(process, 1.0, version, written_at=10.0, finished_at=10.5)
+    sent.answers.append(Answer(10.4, 200, body, True))
+    attempt = Attempt("e0", "0", "z", "c0", b"GET", b"/", b"", [b"s1"], [], b"1.0", 10.1, 10.1)
+    attempt.answer_body = b"made for s1"
+    judging = referee.Referee(records, {})
+    judging.judge_answer(sent, [attempt])
+    found = ["served with what was not made"] * broken
+    assert [violation.rule for violation in judging.violations] == found
+
+
+def runs(pid: int) -> bool:
+    """According to the kernel; a process whose exit code nobody has collected yet does not."""
+    try:
+        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] != "Z"
+    except FileNotFoundError:
+        return False
+
+
+def test_a_process_that_has_ended_is_not_killed_though_the_campaign_has_not_noticed_its_end():
+    """Guards against counting it as one that does not end."""
+
+    async def main() -> tuple[bool, ProcessRecord]:
+        process = processes.Process([sys.executable, "-c", ""], {}, processes.READ)
+        record = await process.start("c0-s0", 0, "ends at once")
+        while runs(record.pid):
+            time.sleep(0.01)  # the event loop notices nothing meanwhile
+        alive = process.alive
+        process.signal(signal.SIGKILL)
+        await process.end()
+        return alive, record
+
+    alive, record = asyncio.run(main())
+    assert not alive and record.killed_at is None and record.exit_code == 0
