--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -62,9 +62,16 @@
     assert verdict.figures["served"] > 100 and verdict.figures["lives"] > PROCESSES, verdict.figures
 
 
-def test_the_program_stands_where_long_answers_are_given_slowly(tmp_path):
+SLOW_ANSWERS = {
+    "plain": Soak(9303, slow_answers=True),
+    "clocks set": Soak(8714, operators=True, clock_steps=True, slow_answers=True),
+}
+
+
+@pytest.mark.parametrize("name", list(SLOW_ANSWERS))
+def test_the_program_stands_where_long_answers_are_given_slowly(name, tmp_path):
     """On its own: its clients and endpoints have to be in time."""
-    verdict = asyncio.run(Soak(9303, slow_answers=True).campaign(tmp_path).run())
+    verdict = asyncio.run(SLOW_ANSWERS[name].campaign(tmp_path).run())
     assert not verdict.violations, reports.verdict_text(verdict)
     assert verdict.figures["of them whole"] > 50, verdict.figures
 
