The referee's excuses are a module of their own

What excuses a request without a whole answer (kills, stops, crowds, slow clients) is lab/faults/excuses.py, moved as it was; the test of a process that was told to end is a method beside it.

--- a/lupinmill/lab/faults/referee.py
+++ b/lupinmill/lab/faults/referee.py
@@ -9,11 +9,16 @@
 from collections import defaultdict
 
 from lupinmill.lab.faults.customers import Customer, Workload
+from lupinmill.lab.faults.excuses import (
+    BUSY_MACHINE_S,
+    CATCH_UP_S,
+    FAR_FUTURE,
+    READ_WITHIN_S,
+    Excuses,
+    was_slow,
+)
 from lupinmill.lab.faults.records import (
-    HTTP_1_0,
-    HEARTBEAT_S,
     Attempt,
-    ConnectionEnd,
     Drain,
     Fault,
     ProcessRecord,
@@ -29,18 +34,11 @@
 RELOAD_WITHIN_S = 4.0  # after SIGHUP, a reachable discovery is called at its configured address within this
 CHANGE_KNOWN_WITHIN_S = 6.0  # a sidecar must know of a change once discovery was reachable for this long
 PROTOCOL_TOLERANCE_S = 0.05  # each limit of the protocol is longer by this on sockets
-BUSY_MACHINE_S = 1.0  # allowance for a busy machine, in limits that stand for a state
-ACCEPTS_AFTER_TERM_S = 0.35  # new connections are accepted this long after SIGTERM
 EXIT_CONFIG_REFUSED = 2
-CATCH_UP_S = 2.0  # time after SIGCONT in which the backlog of the stop is processed
-SLOW_CLIENT_S = 1.0  # longest time from connecting to the last byte of a request of a well-behaved client
 # An endpoint stands still for half a second, beside a gap between two pieces of up to 0.45 s.
 MAX_ENDPOINT_PAUSE_S = 1.0
-READ_WITHIN_S = 0.3  # in which a client that reads late gets all that is there
-SLOW_CLIENTS = ("trickling", "large")  # descriptions of clients whose request arrives in parts
 REFUSAL_STATUSES = (429, 503)
 SIGNAL_EXIT_CODES = (-signal.SIGHUP, -signal.SIGTERM)
-FAR_FUTURE = 1e12
 MAX_BUFFERED_BODY = 64 * 1024  # bytes of a body
 
 
@@ -53,6 +51,7 @@
         self.processes: dict[str, list[ProcessRecord]] = defaultdict(list)  # by sidecar
         for process in records.processes:
             self.processes[process.sidecar].append(process)
+        self.excuses = Excuses(self.processes)
         self.attempts_by_id: dict[bytes, list[Attempt]] = defaultdict(list)  # by the first request id
 
     def report(self, fault: Fault, rule: str, sidecar: str, text: str) -> None:
@@ -218,7 +217,11 @@
 
     def judge_malformed(self, sent: SentRequest) -> None:
         if sent.written_at is None or not sent.answers:
-            if sent.written_at is not None and not sent.broken_answer and not self.is_excused(sent, []):
+            if (
+                sent.written_at is not None
+                and not sent.broken_answer
+                and not self.excuses.is_excused(sent, [])
+            ):
                 if sent.description == "malformed: bad chunk, cut" and sent.process.terminated_at is not None:
                     return  # the request is incomplete, and its process has ended meanwhile
                 self.report(
@@ -257,7 +260,11 @@
         if not sent.answers:
             self.judge_broken(sent, attempts, description)
             self.judge_cut_off(sent, attempts, description)
-            if sent.left_at is None and not sent.broken_answer and not self.is_excused(sent, attempts):
+            if (
+                sent.left_at is None
+                and not sent.broken_answer
+                and not self.excuses.is_excused(sent, attempts)
+            ):
                 sent_on = f", {len(attempts)} attempts" if attempts else ""
                 self.report(
                     Fault.UNANSWERED,
@@ -281,7 +288,7 @@
                 f"{description}: answered {late_s:.2f} s after its deadline",
             )
         made = [attempt.answer_body for attempt in attempts if attempt.answer_body]
-        if answer.status == 200 and answer.body not in made and not self.is_cut_by_kill(sent, made):
+        if answer.status == 200 and answer.body not in made and not self.excuses.is_cut_by_kill(sent, made):
             body = f"{answer.body[:80]!r} ({len(answer.body)} bytes)"
             text = f"{description}: served with {body}, which no endpoint made for it"
             self.report(Fault.NOT_FROM_CLIENT, "served with what was not made", sidecar, text)
@@ -293,19 +300,6 @@
                 f"{description}: refused as malformed, {answer.status}: {answer.body[:80]!r}",
             )
 
-    def is_cut_by_kill(self, sent: SentRequest, made: list[bytes]) -> bool:
-        """Whether an answer was cut off by a kill that came without a notice, at a client that could not tell
-        by its protocol."""
-        finished = sent.finished_at or FAR_FUTURE
-        killed = any(
-            process.killed_at is not None
-            and not process.killed_after_term
-            and (sent.written_at or 0.0) <= process.killed_at <= finished + HEARTBEAT_S
-            for process in self.processes[sent.process.sidecar]
-        )
-        begun = any(body.startswith(sent.answers[0].body) for body in made)
-        return killed and begun and sent.description == HTTP_1_0
-
     def judge_broken(self, sent: SentRequest, attempts: list[Attempt], description: str) -> None:
         """Checks that a client that reads late, but before its deadline, gets an answer whole that was made
         whole."""
@@ -317,7 +311,7 @@
             attempt.answer_complete for attempt in attempts
         ):
             return
-        if self.is_excused(sent, attempts):
+        if self.excuses.is_excused(sent, attempts):
             return
         if self.tolerance(sent.process, sent.written_at, finished) > READ_WITHIN_S:
             return
@@ -332,19 +326,22 @@
         """Checks that no answer ends before its end while its endpoint still gives it, with no longer pause
         than it may make. Not judged where the process was told to end before."""
         given = [attempt for attempt in attempts if not attempt.declined]
-        if not given or not sent.broken_answer or sent.left_at is not None or self.is_excused(sent, attempts):
+        if (
+            not given
+            or not sent.broken_answer
+            or sent.left_at is not None
+            or self.excuses.is_excused(sent, attempts)
+        ):
             return
         finished = sent.finished_at or FAR_FUTURE
         if any(
             attempt.cut_off_at is None or attempt.longest_pause_s > MAX_ENDPOINT_PAUSE_S for attempt in given
         ):
             return
-        ending = any(
-            process.terminated_at is not None and process.started_at <= finished >= process.terminated_at
-            for process in self.processes[sent.process.sidecar]
-            if process.ended_at is None or process.ended_at >= (sent.written_at or 0.0)
-        )
-        if ending or self.tolerance(sent.process, sent.written_at or 0.0, finished) > READ_WITHIN_S:
+        if (
+            self.excuses.was_ending(sent)
+            or self.tolerance(sent.process, sent.written_at or 0.0, finished) > READ_WITHIN_S
+        ):
             return
         self.report(
             Fault.UNANSWERED,
@@ -354,64 +351,6 @@
             f" sent, longest pause {max(attempt.longest_pause_s for attempt in given):.2f} s",
         )
 
-    def is_excused(self, sent: SentRequest, attempts: list[Attempt]) -> bool:
-        """Whether a cause outside the program explains that a request has no answer."""
-        process, finished = sent.process, sent.finished_at or FAR_FUTURE
-        assert sent.written_at is not None
-        for each in self.processes[process.sidecar]:  # there are two in an upgrade
-            until = FAR_FUTURE if each is process else each.ended_at or FAR_FUTURE
-            killed = each.killed_at is not None and not each.killed_after_term
-            if killed and sent.written_at <= until and finished >= each.killed_at - HEARTBEAT_S:
-                return True
-            if each.stopped_between(sent.written_at - CATCH_UP_S, finished) > 0:
-                return True
-            if each.killed_at is not None and sent.written_at <= each.killed_at <= self.read_by(sent):
-                return True
-        if attempts:
-            return False
-        if self.opened_before_kill(sent):
-            return True
-        if sent.previous is not None and self.closed_by_answer(sent.previous):
-            return True
-        crowded = process.crowded_between(sent.written_at - BUSY_MACHINE_S, finished)
-        if sent.connection_end is not ConnectionEnd.RESET:
-            return (
-                crowded and sent.description in SLOW_CLIENTS and sent.connection_end is ConnectionEnd.CLOSED
-            )
-        if not sent.first_on_connection or crowded or was_slow(sent):
-            return True
-        return any(
-            self.refused_at_exit(each, sent.written_at, finished) for each in self.processes[process.sidecar]
-        )
-
-    def opened_before_kill(self, sent: SentRequest) -> bool:
-        """Whether it was written on a connection that a killed process may have accepted before."""
-        return any(
-            each.killed_at is not None
-            and not each.killed_after_term
-            and each.started_at <= sent.opened_at <= each.killed_at <= (sent.written_at or 0.0)
-            for each in self.processes[sent.process.sidecar]
-        )
-
-    def read_by(self, sent: SentRequest) -> float:
-        """When a client that reads late should have got what was there; 0 for any other."""
-        return sent.reads_from + READ_WITHIN_S if sent.reads_from else 0.0
-
-    def refused_at_exit(self, process: ProcessRecord, written: float, finished: float) -> bool:
-        """Whether the connection failed because the process was exiting: it accepted no more connections, or
-        could not hand over its listening socket."""
-        if process.terminated_at is None or finished <= process.terminated_at:
-            return False
-        if process.ended_at is not None and written > process.ended_at + BUSY_MACHINE_S:
-            return False
-        return written > process.terminated_at + ACCEPTS_AFTER_TERM_S or not process.can_hand_over
-
-    def closed_by_answer(self, sent: SentRequest) -> bool:
-        """Whether the answer to this request ended the connection, so that no later request on it is read."""
-        if sent.answers:
-            return sent.answers[0].closes
-        return bool(sent.broken_answer) or sent.previous is not None and self.closed_by_answer(sent.previous)
-
     # Effects.
 
     def judge_effect(self, sent: SentRequest, attempts: list[Attempt]) -> None:
@@ -621,11 +560,6 @@
     return sent.description in ("named in Connection", "trickling") or was_slow(sent)
 
 
-def was_slow(sent: SentRequest) -> bool:
-    """Whether it was written so late, as on a busy machine, that the sidecar need not wait for it."""
-    return bool(sent.opened_at) and (sent.written_at or 0.0) - sent.opened_at > SLOW_CLIENT_S
-
-
 def previous_finished_at(sent: SentRequest) -> float:
     """When the previous request of the same pipelined batch was answered; 0 if there is none."""
     return sent.previous.finished_at or 0.0 if sent.previous is not None else 0.0
