--- a/lupinmill/routing/command_executor.py
+++ b/lupinmill/routing/command_executor.py
@@ -39,7 +39,8 @@
         if pending is None:
             return self.report_unknown_request(command)
         now = self.clock.now()
-        deadline = Deadline(anyio.current_time() + (command.until - now) / 1_000_000)
+        ends_at = anyio.current_time() + (command.until - now) / 1_000_000
+        deadline = Deadline(ends_at, self.engine.catch_up)
         attempt = Attempt(command.endpoint, len(pending.attempts), now, deadline)
         self.request_table.attempt_starts(pending, attempt)
         try:
--- a/lupinmill/routing/deadline.py
+++ b/lupinmill/routing/deadline.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 import anyio.lowlevel
@@ -18,10 +18,12 @@
 
     Until the wait for a response the scope enforces it. From then on `receive` does, which guards against an
     event loop that was blocked past the limit: a response that arrived meanwhile lies unread and is still
-    valid."""
+    valid, and a decision that was due before the limit is still to come. `before_end` makes it."""
 
-    def __init__(self, at: float) -> None:
-        self.at = at
+    def __init__(
+        self, at: float, before_end: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
+    ) -> None:
+        self.at, self.before_end = at, before_end
         self.scope = anyio.CancelScope(deadline=at)  # around the whole attempt
         self.waiting: anyio.CancelScope | None = None  # around the wait for the next bytes of a response
         self.interrupted = False
@@ -63,9 +65,23 @@
                 return data
             now = anyio.current_time()
             if now >= self.at:
-                self.scope.cancel()
-                await anyio.lowlevel.checkpoint()
+                if (data := await self.last_look(connection, begun)) is not None:
+                    return data
             elif now >= stalls_at:
                 stalls_at = math.inf
                 on_stall()
         return None
+
+    async def last_look(self, connection: Connection, begun: bool) -> bytes | None:
+        """Ends the attempt at its limit. Not if its response has begun, and a decision that is late forwards
+        it, or more bytes have arrived, which are returned."""
+        if begun:
+            await self.before_end()
+            if self.interrupted:
+                return None
+            if (data := connection.read()) is not None:
+                return data
+        if anyio.current_time() >= self.at:
+            self.scope.cancel()
+            await anyio.lowlevel.checkpoint()
+        return None
--- a/lupinmill/routing/request_table.py
+++ b/lupinmill/routing/request_table.py
@@ -144,7 +144,10 @@
         begun = [
             attempt
             for attempt in pending.attempts
-            if attempt.fully_sent and attempt.reader is not None and attempt.reader.is_open_ended()
+            if attempt.fully_sent
+            and attempt.reader is not None
+            and attempt.reader.is_open_ended()
+            and not attempt.deadline.scope.cancel_called
         ]
         if not begun or pending.settled:
             return
--- a/tests/test_endpoints_pause.py
+++ b/tests/test_endpoints_pause.py
@@ -1,5 +1,7 @@
 """Answers that have begun and pause: an endpoint stands still for up to half a second, or never goes on."""
 
+import time
+
 import anyio
 import pytest
 from bed import IDEM, ONCE, Bed, Net, deployment, listing, on_network, settings, wanted
@@ -276,3 +278,26 @@
         bed.step(t.OpenEndedResponseBegan(name, 0))
     abandoned = bed.step(t.ResponseStalled(name, 0))[:1] == [t.AbandonAttempt(name, 0)]
     assert abandoned == (not begun or latencies_left > REPLACEMENT_LATENCIES)
+
+
+@pytest.mark.parametrize("blocked_s", [0.012, 0.03, 0.1])
+def test_an_answer_is_forwarded_though_the_loop_is_blocked_past_the_deadline(blocked_s):
+    """Guards against an attempt that gives up at its deadline in the very passes of the loop in which its
+    answer is forwarded (issue 84, soak seed 8731)."""
+    deadline_s = 0.4
+    endpoint = PausingEndpoint(CHUNKED + chunk(SHORT), chunk(LONG) + b"0\r\n\r\n", 2 * deadline_s)
+
+    async def block() -> None:
+        await anyio.sleep(deadline_s - 0.01)
+        time.sleep(blocked_s)
+
+    async def check(net: Net) -> None:
+        for number in range(5):
+            async with anyio.create_task_group() as group:
+                group.start_soon(block)
+                got = await net.ask(wanted(f"s{number}", "issue", str(deadline_s)))
+            assert got is not None and (got.status, got.body) == (200, SHORT + LONG)
+        await module_is_idle(net)
+
+    net = on_network(check, fine, endpoint=endpoint, limits=NO_PROBES)
+    assert (endpoint.requests, endpoint.closed) == (5, 0) and set(net.ended()) == {t.Outcome.HANDLED}
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -65,6 +65,7 @@
 SLOW_ANSWERS = {
     "plain": Soak(9303, slow_answers=True),
     "clocks set": Soak(8714, operators=True, clock_steps=True, slow_answers=True),
+    "moved while silent, then late": Soak(8731, operators=True, clock_steps=True, slow_answers=True),
 }
 
 
