Tests of slowly given answers play side by side, as they mostly wait

The rows, their checks and bounds are the same; those of one class and framing (one stop and deadline) are played at the same time, each with a process and endpoints of its own, and a failure names its row.

--- a/tests/test_answers_given_slowly.py
+++ b/tests/test_answers_given_slowly.py
@@ -104,17 +104,30 @@
 }
 
 
+def play_all(plays: dict):
+    """Plays side by side, as they mostly wait; what each returns, by its name."""
+
+    async def gather() -> list:
+        return await asyncio.gather(*plays.values())
+
+    return dict(zip(plays, asyncio.run(gather())))
+
+
 @pytest.mark.parametrize("framing", ["chunked", "close", "length"])
 @pytest.mark.parametrize("workload", ["view", "issue"])
-@pytest.mark.parametrize("pause", PAUSES)
-def test_an_answer_that_goes_on_after_a_pause_at_its_deadline_is_not_cut_off(
-    pause, workload, framing, tmp_path
-):
+def test_an_answer_that_goes_on_after_a_pause_at_its_deadline_is_not_cut_off(workload, framing, tmp_path):
     """Guards against taking an endpoint that stands still for one that has stopped (issue 84)."""
-    answer = replace(PAUSES[pause], framing=framing)
-    received, endpoints = asyncio.run(play(tmp_path, answer, workload, rounds=1, **{"may-duplicate": False}))
-    assert [(one.status, one.body == body_of(one.id, answer.size)) for one in received] == [(200, True)] * 4
-    assert not any(endpoint.cut for endpoint in endpoints)
+    answers = {name: replace(answer, framing=framing) for name, answer in PAUSES.items()}
+    played = play_all(
+        {
+            name: play(tmp_path, answer, workload, rounds=1, **{"may-duplicate": False})
+            for name, answer in answers.items()
+        }
+    )
+    for name, (received, endpoints) in played.items():
+        got = [(one.status, one.body == body_of(one.id, answers[name].size)) for one in received]
+        assert got == [(200, True)] * CLIENTS, name
+        assert not any(endpoint.cut for endpoint in endpoints), name
 
 
 GIVING_FOR_LONG = {
@@ -126,14 +139,17 @@
 
 
 @pytest.mark.parametrize("workload", ["view", "bid", "issue"])
-@pytest.mark.parametrize("giving", GIVING_FOR_LONG)
-def test_an_endpoint_that_is_giving_an_answer_does_not_count_as_silent(giving, workload, tmp_path):
+def test_an_endpoint_that_is_giving_an_answer_does_not_count_as_silent(workload, tmp_path):
     """Guards against setting endpoints aside because no answer has ended, while bytes of answers come from
     them (issue 84)."""
-    received, _ = asyncio.run(
-        play(tmp_path, GIVING_FOR_LONG[giving], workload, deadline_s=0.9, rounds=5, clients=8)
+    played = play_all(
+        {
+            name: play(tmp_path, answer, workload, deadline_s=0.9, rounds=5, clients=8)
+            for name, answer in GIVING_FOR_LONG.items()
+        }
     )
-    assert Counter((one.status, one.whole) for one in received) == {(200, True): 40}
+    for name, (received, _) in played.items():
+        assert Counter((one.status, one.whole) for one in received) == {(200, True): 40}, name
 
 
 def test_clients_of_http_1_0_get_such_an_answer_too(tmp_path):
@@ -142,30 +158,41 @@
     assert [(one.status, one.body == body_of(one.id, LONG)) for one in received] == [(200, True)] * 12
 
 
-@pytest.mark.parametrize("framing", ["chunked", "close"])
-@pytest.mark.parametrize("version", ["1.0", "1.1"])
 @pytest.mark.parametrize(
     "stops_after, deadline_s", [(0, 0.6), (0, 2.0), (1, 0.6), (1, 2.0), (2, 0.6), (2, 2.2)]
 )
 def test_an_answer_that_never_goes_on_has_failed_before_its_request_is_lost(
-    framing, version, stops_after, deadline_s, tmp_path
+    stops_after, deadline_s, tmp_path
 ):
     """Its client gets an error in time, or can tell that what it got is not whole: within two seconds of the
     last byte that the endpoint gave, and with no more than the head in hand by half a second after the
     deadline. Nothing is held from then on."""
-    answer = LumpyAnswer(SHORT, 6, 0.2, framing, stops_after)
+    answer = LumpyAnswer(SHORT, 6, 0.2, "chunked", stops_after)
     last_byte_s = answer.head_after_s + answer.gap_s * max(0, stops_after - 1)
     held_until_s = last_byte_s + HELD_BACK_S if stops_after else 0.0
     rounds = ROUNDS if deadline_s == DEADLINE_S else 1  # such endpoints are set aside after that
-    received, endpoints = asyncio.run(
-        play(tmp_path, answer, "issue", version, deadline_s=deadline_s, rounds=rounds)
+    played = play_all(
+        {
+            (framing, version): play(
+                tmp_path,
+                replace(answer, framing=framing),
+                "issue",
+                version,
+                deadline_s=deadline_s,
+                rounds=rounds,
+            )
+            for framing in ("chunked", "close")
+            for version in ("1.0", "1.1")
+        }
     )
-    assert len(received) == CLIENTS * rounds
-    for one in received:
-        assert one.status in (200, 502) and not (one.whole and one.status == 200)
-        assert one.began_s < deadline_s + LATE_S
-        assert one.ended_s < max(deadline_s + LATE_S, held_until_s)
-    assert {one.id for one in received} == {id_ for endpoint in endpoints for id_ in endpoint.released}
+    for name, (received, endpoints) in played.items():
+        assert len(received) == CLIENTS * rounds, name
+        for one in received:
+            assert one.status in (200, 502) and not (one.whole and one.status == 200), name
+            assert one.began_s < deadline_s + LATE_S, name
+            assert one.ended_s < max(deadline_s + LATE_S, held_until_s), name
+        released = {id_ for endpoint in endpoints for id_ in endpoint.released}
+        assert {one.id for one in received} == released, name
 
 
 @pytest.mark.parametrize("version", ["1.0", "1.1"])
