--- a/tests/test_answers_given_slowly.py
+++ b/tests/test_answers_given_slowly.py
@@ -136,6 +136,22 @@
         assert not any(endpoint.cut for endpoint in endpoints), name
 
 
+BEGUN_LATE = {
+    "0.7 s, last byte 0.2 s before, 32 kB": LumpyAnswer(97_000, 3, 0.7, "chunked", head_after_s=0.4),
+    "standing still behind the head, 0.04 s before": LumpyAnswer(
+        100_000, 10, 0.05, "chunked", head_after_s=0.56, still_before=(0,), still_s=STILL_S
+    ),
+}
+
+
+@pytest.mark.parametrize("begun", BEGUN_LATE)
+def test_an_answer_that_begins_just_before_its_deadline_is_not_cut_off_in_a_pause(begun, tmp_path):
+    """Guards against taking an endpoint that stands still for one that has stopped (issue 84)."""
+    answer = BEGUN_LATE[begun]
+    received, _ = asyncio.run(play(tmp_path, answer, "issue", rounds=1, **{"may-duplicate": False}))
+    assert [(one.status, one.body == body_of(one.id, answer.size)) for one in received] == [(200, True)] * 4
+
+
 GIVING_FOR_LONG = {
     "three lumps, each 0.55 s": LumpyAnswer(97_000, 3, 0.55, "chunked", head_after_s=0.04),
     "four lumps, each 0.5 s": LumpyAnswer(97_000, 4, 0.5, "close", head_after_s=0.04),
