--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 PURE = tests/test_zones.py tests/test_zones_member.py tests/test_common.py tests/test_takeover.py tests/test_peers_members.py tests/test_peers_decisions.py tests/test_peers_wire.py tests/test_lab_model.py \
 	tests/test_rules.py tests/test_limits.py tests/test_config_core.py tests/test_config_explorer.py tests/test_cold_fleet.py \
 	tests/test_slow_start_fleet.py tests/test_thin_share.py tests/test_module_faults.py tests/test_module_hostile.py tests/test_module_learned.py \
-	tests/test_start_lists.py tests/test_memory_plan.py tests/test_discovery_six_seconds.py tests/test_discovery_watcher.py \
+	tests/test_start_lists.py tests/test_memory_plan.py tests/test_discovery_six_seconds.py tests/test_discovery_watcher.py tests/test_list_confirmation.py \
 	tests/test_discovery_fleet.py tests/test_config_fanout.py tests/test_config_push.py tests/test_config_terms.py tests/test_fleet_restart.py
 
 test: build
--- a/lupinmill/discovery/calls.py
+++ b/lupinmill/discovery/calls.py
@@ -10,6 +10,7 @@
     """What a call requests."""
 
     WATCH = "watch"  # long poll: changes since a version, as soon as there are any
+    CHANGES = "changes"  # since a version, answered at once: confirms a list that may be old
     FULL_LIST = "whole list"
 
 
@@ -43,7 +44,7 @@
     address: str
     epoch: int  # number of address changes before the call started
     started_at: float
-    wait: float  # seconds that discovery may hold the call while nothing changes; 0 for a full list
+    wait: float  # seconds that discovery may hold the call while nothing changes; 0 unless it is a watch
     index: int | None  # list version known when the call started
     jitter: float  # random factor of the delay before a parallel call
     connected: bool = False
--- a/lupinmill/discovery/driver.py
+++ b/lupinmill/discovery/driver.py
@@ -9,6 +9,7 @@
 
 from lupinmill import terms as t
 from lupinmill.discovery.calls import AnswerAction, Call, CallEnd, CallKind, Command, StartCall
+from lupinmill.discovery.confirmation import ListState
 from lupinmill.discovery.watcher import (
     MAX_CALL_AGE_S,
     MAX_WATCH_WAIT_S,
@@ -30,6 +31,9 @@
 MAX_FLEET_CALLS_PER_S = 200.0  # of all watches together, as far as MAX_WATCH_WAIT_S allows
 MIN_SLEEP_S = 0.001  # prevents a busy loop if the watcher keeps asking to be woken at once
 LARGE_FLEET_SIDECARS = 30  # larger fleets avoid requesting full lists all at once
+# Seconds within which a connection that is reset without an answer says that nobody serves there. A crowded
+# service lets calls wait for longer before it drops them.
+UNSERVED_WITHIN_S = 0.25
 MICROSECONDS = 1_000_000
 EXPECTED_ERRORS = (OSError, TimeoutError, Unconnected, NoDescriptor, Garbled)
 
@@ -71,6 +75,7 @@
         self.spare: tuple[str, Connection] | None = None  # address and idle connection for the next call
         self.steady = False  # the last call was answered, and the address has not changed since
         self.list_old_logged = False  # the log says that the list is old
+        self.list_state = ListState.CONFIRMED  # as the directory knows it
 
     @property
     def wait(self) -> float:
@@ -89,6 +94,20 @@
         self.steady = False
         self.wakeup.set()
 
+    def start_with_list(self, state: ListState) -> None:
+        """The process starts with a list that it was given. Where the decision module asks for the list, it
+        also decides how long to go by that."""
+        if not self.pushed:
+            return
+        self.watcher.confirmation.begin(anyio.current_time(), state)
+        self.list_state = state
+        self.directory.set_usable(self.watcher.confirmation.usable)
+
+    def predecessor_sent_list(self) -> None:
+        """Discovery has sent the list to the process before this one, which has passed it on."""
+        self.watcher.confirmation.confirm(anyio.current_time(), None)
+        self.apply_list_state()
+
     def watch(self, _: t.StartWatch) -> None:
         """The decision module requests that the list be watched."""
         self.watcher.request_watch(anyio.current_time())
@@ -100,10 +119,13 @@
 
     def show(self) -> dict[str, object]:
         """For operators: age of the list, lateness of discovery, and each call in flight."""
-        now, age = anyio.current_time(), self.list_age()
+        now, age, confirmation = anyio.current_time(), self.list_age(), self.watcher.confirmation
         return {
             "address": self.watcher.address,
             "index": self.directory.index,
+            "list_state": confirmation.state.value,
+            "list_state_s": None if confirmation.since is None else round(now - confirmation.since, 3),
+            "list_confirmed_by": confirmation.confirmed_by,
             "list_age_s": None if age is None else round(age, 3),
             "expected_lateness_s": round(self.watcher.lateness.expected, 3),
             "watches_answered": not self.watcher.polling(),
@@ -124,6 +146,7 @@
                         now, self.directory.index, bool(self.directory.states)
                     ):
                         self.execute(command, group)
+                    self.apply_list_state()
                     self.log_list_age(now)
                     with anyio.move_on_after(max(MIN_SLEEP_S, self.watcher.next_wakeup(now) - now)):
                         await self.wakeup.wait()
@@ -159,7 +182,8 @@
             with scope:
                 self.process_answer(call, await self.exchange(call))
         except EXPECTED_ERRORS as error:
-            self.on_call_failed(call, f"{type(error).__name__}: {error}")
+            unreachable = found_nobody(call, error, anyio.current_time())
+            self.on_call_failed(call, f"{type(error).__name__}: {error}", unreachable)
         except Exception as error:
             self.log("task_failed", task="watch", **error_fields(error))
             self.on_call_failed(call, type(error).__name__)
@@ -175,9 +199,10 @@
             connection = await connect(call.address, MAX_CALL_AGE_S, self.store, lambda: None)
         reusable = False
         try:
-            call.connected = True
+            self.watcher.call_connected(anyio.current_time(), call)
+            self.apply_list_state()
             parser = ClientSide(lists.MAX_LIST_BYTES, lists.MAX_LIST_BYTES)
-            index = call.index if call.kind is CallKind.WATCH else None
+            index = None if call.kind is CallKind.FULL_LIST else call.index
             await connection.send(parser.ask(lists.watch_request(index, int(call.wait * 1000))))
             while (answer := parser.next_answer()) is None:
                 parser.feed(await connection.receive())
@@ -230,6 +255,7 @@
         self.log("list_call", end=end.value, index=known.index, **self.log_fields_at_end(call))
         list_changed = action is AnswerAction.APPLY and bool(known.entries) and known.index != previous_index
         self.watcher.call_answered(anyio.current_time(), call, list_changed)
+        self.apply_list_state()
 
     def apply_list(self, call: Call, known: lists.EndpointList, previous_index: int | None) -> None:
         if known.refused:
@@ -239,17 +265,32 @@
         self.directory.update(known, t.ListKind.FULL if known.whole else t.ListKind.CHANGES)
         if self.directory.index is None:
             raise Garbled("the decision module did not accept the list")
-        self.watcher.list_applied(anyio.current_time(), call, known.index, known.whole, previous_index)
         if known.unnamed and not known.whole:
             self.watcher.request_full_list()  # the endpoint of that row is unknown
+        self.watcher.list_applied(anyio.current_time(), call, known.index, known.whole, previous_index)
 
-    def on_call_failed(self, call: Call, error: str) -> None:
+    def apply_list_state(self) -> None:
+        """Lets attempts go by the list, or stops them, as its state says."""
+        confirmation = self.watcher.confirmation
+        if confirmation.state is self.list_state:
+            return
+        self.list_state = confirmation.state
+        self.directory.set_usable(confirmation.usable)
+        self.log(
+            "list_state",
+            state=confirmation.state.value,
+            index=self.directory.index,
+            call=confirmation.confirmed_by,
+        )
+
+    def on_call_failed(self, call: Call, error: str, unreachable: bool = False) -> None:
         if call not in self.watcher.calls:
             return
         self.log("watch_failed", error=error, **self.log_fields_at_end(call))
         self.steady = False
-        if self.watcher.call_failed(anyio.current_time(), call) and not self.pushed:
+        if self.watcher.call_failed(anyio.current_time(), call, unreachable) and not self.pushed:
             self.directory.fetch_failed()
+        self.apply_list_state()
 
     # Logging.
 
@@ -267,6 +308,13 @@
         self.log("list_old" if self.list_old_logged else "list_current", age_ms=round(age * 1000))
 
 
+def found_nobody(call: Call, error: Exception, now: float) -> bool:
+    """Whether the failure of a call says that nobody serves at the address."""
+    if not call.connected:
+        return isinstance(error, Unconnected)
+    return isinstance(error, OSError) and call.first_byte_at is None and call.age(now) <= UNSERVED_WITHIN_S
+
+
 def call_fields(call: Call) -> dict[str, object]:
     return {"call": call.id, "kind": call.kind.value, "address": call.address}
 
--- a/lupinmill/discovery/watcher.py
+++ b/lupinmill/discovery/watcher.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 from lupinmill.discovery.calls import AnswerAction, Call, CallEnd, CallKind, CancelCall, Command, StartCall
+from lupinmill.discovery.confirmation import ListConfirmation, ListState
 from lupinmill.discovery.lateness import LatenessEstimator
 
 # A change counts as known this long after discovery had it and could be reached, whatever failed.
@@ -26,6 +27,8 @@
 OVERDUE_AFTER_S = 0.6  # past its due time a watch of a prompt service is suspected to be dead
 OVERDUE_JITTER_S = 0.1
 MIN_RETRY_DELAY_S = 0.3  # before jitter, after a call that took long to fail
+# Before jitter, after a call that found nobody there, while the list waits to be confirmed.
+AWAITED_RETRY_DELAY_S = 0.25
 # How long a watch waits for a change. A watch may be due at once, for a change made right after it arrived,
 # and a second change right behind the first is then covered by no call: so the wait and the delay of the next
 # call must fit into PARALLEL_CALL_INTERVAL_S. Only fleets of over 200 sidecars wait longer: they learn of
@@ -44,6 +47,7 @@
 MAX_CALLS = 4  # in flight, over all addresses
 MIN_WAIT_FRACTION = 0.8  # jitter of a watch's wait: watches answered together would fall due together
 MIN_RETRY_DELAY_FRACTION = 0.6  # jitter of the retry delay, so that sidecars do not call together
+MIN_SHORT_DELAY_FRACTION = 0.2  # the same of the short delays where lists are pushed
 MIN_INTERVAL_FRACTION = 0.75  # jitter of PARALLEL_CALL_INTERVAL_S
 # In flight when discovery is known to be late; the last call is a full list, as watches may be dead.
 MAX_WATCHES = 3
@@ -108,6 +112,7 @@
         self.last_watch_at = 0.0  # start of the last watch
         self.last_answer_at: float | None = None  # before any answer: start of the first call
         self.complete_as_of: float | None = None  # time up to which the known list is complete
+        self.confirmation = ListConfirmation()
 
     # Events reported by the driver.
 
@@ -138,10 +143,17 @@
         newest = unanswered[-1]
         return newest.started_at + newest.jitter * PARALLEL_CALL_INTERVAL_S
 
+    def call_connected(self, now: float, call: Call) -> None:
+        """The service has accepted the call's connection."""
+        call.connected = True
+        if call.epoch == self.epoch:
+            self.confirmation.call_connected(now)
+
     def answer_progressed(self, now: float, call: Call) -> None:
         """A part of the answer arrived."""
         if call.first_byte_at is None:
             call.first_byte_at = now
+        self.confirmation.answer_begun()
 
     def list_is_current(self) -> bool:
         """The known list came from the service at the current address."""
@@ -187,6 +199,8 @@
                 other.superseded = other.superseded or other.started_at < call.started_at
         complete_as_of = call.started_at if is_full_list or index != known_index else min(now, call.due)
         self.complete_as_of = max(complete_as_of, self.complete_as_of or complete_as_of)
+        if not self.full_list_wanted:
+            self.confirmation.confirm(now, call.id)
 
     def request_full_list(self) -> None:
         """Only a full list can be applied from now on."""
@@ -206,14 +220,18 @@
         else:
             self.next_call_at = now if list_changed or self.full_list_wanted else now + NO_CHANGE_DELAY_S
 
-    def call_failed(self, now: float, call: Call) -> bool:
-        """`call` ended without a usable answer. True if no other call in flight may still bring one."""
+    def call_failed(self, now: float, call: Call, unreachable: bool = False) -> bool:
+        """`call` ended without a usable answer; `unreachable`: it found nobody there. True if no other call
+        in flight may still bring one."""
         self.calls.remove(call)
         if call.epoch < self.epoch:
             return False
         self.failures += 1
         self.full_list_failed = call.kind is CallKind.FULL_LIST
+        self.confirmation.call_failed(now, unreachable, self.call_accepted())
         delay = self.retry_delay(call.age(now))
+        if unreachable and self.confirmation.state is ListState.AWAITED:
+            delay = min(delay, AWAITED_RETRY_DELAY_S * self.draw(MIN_SHORT_DELAY_FRACTION, 1))
         self.next_call_at = self.no_call_before = now + delay
         return not self.active_calls()
 
@@ -227,6 +245,7 @@
         """Commands due now. `index` is the version of the known list, if any; `accepts_changes` says whether
         changes since that version can be applied to it."""
         commands: list[Command] = []
+        self.confirmation.expire(now, self.call_accepted())
         for call in list(self.calls):
             if (end := self.expiry_reason(now, call)) is not None:
                 commands.append(self.cancel_call(call, end))
@@ -256,12 +275,16 @@
             )
         ends = [call.started_at + MAX_CALL_AGE_S for call in self.calls]
         ends += [call.due + SUPERSEDED_GRACE_S for call in self.calls if call.superseded]
-        return min([starts, *ends])
+        return min([starts, self.confirmation.awaited_until, *ends])
 
     def active_calls(self) -> list[Call]:
         """Calls at the current address that may still bring something new."""
         return [call for call in self.calls if call.epoch == self.epoch and not call.superseded]
 
+    def call_accepted(self) -> bool:
+        """Whether the service at the current address has accepted a call that is still in flight."""
+        return any(call.connected and call.epoch == self.epoch for call in self.calls)
+
     def polling(self) -> bool:
         """Whether full lists are polled, since watches are not answered."""
         return self.dead_watches >= DEAD_WATCH_LIMIT
@@ -305,15 +328,19 @@
         active = self.active_calls()
         if not active:
             skip_watch = self.polling() and now - self.last_watch_at < DEAD_WATCH_RETEST_S
-            return CallKind.FULL_LIST if skip_watch else CallKind.WATCH
+            return CallKind.FULL_LIST if skip_watch else self.cheap_kind()
         if self.full_list_failed:
-            return CallKind.WATCH  # cheaper for discovery, so it may be answered
+            return self.cheap_kind()
         if self.dead_watches:
             return CallKind.FULL_LIST
         lateness_expected = active[-1].late(now) <= self.lateness.expected
         limit = MAX_WATCHES if lateness_expected else self.timing.initial_watches
-        watches = sum(call.kind is CallKind.WATCH for call in active)
-        return CallKind.WATCH if watches < limit else CallKind.FULL_LIST
+        cheap = sum(call.kind is not CallKind.FULL_LIST for call in active)
+        return self.cheap_kind() if cheap < limit else CallKind.FULL_LIST
+
+    def cheap_kind(self) -> CallKind:
+        """The kind that costs discovery least. A watch says nothing about the list until its wait is over."""
+        return CallKind.WATCH if self.confirmation.confirmed else CallKind.CHANGES
 
     def start_call(self, now: float, index: int | None, accepts_changes: bool) -> Call:
         kind = self.choose_kind(now, accepts_changes)
@@ -410,4 +437,4 @@
         delay = max(MIN_RETRY_DELAY_S, span - call_duration) * self.draw(MIN_RETRY_DELAY_FRACTION, 1)
         if self.timing.rewatch_within is None:
             return delay
-        return min(delay, self.timing.rewatch_within * self.draw(0.2, 1))
+        return min(delay, self.timing.rewatch_within * self.draw(MIN_SHORT_DELAY_FRACTION, 1))
--- a/lupinmill/handover/handover_state.py
+++ b/lupinmill/handover/handover_state.py
@@ -41,6 +41,7 @@
     clock_told: bool = False  # not by an older version
     starts: dict[str, int] = field(default_factory=dict)  # of endpoints, in microseconds of monotonic time
     report_serial: int = 0  # of the predecessor's last report on zones
+    list_state: str = ""  # whether discovery has confirmed the list; empty from an older version
 
 
 @dataclass(slots=True)
@@ -156,6 +157,7 @@
             sender_clock.CLOCK in table,
             starts,
             int(table.get("report_serial", 0)),
+            str(table.get("list_state", "")),
         )
         if state.open_descriptors < 0 or state.retries < 0 or state.private_memory < 0:
             raise ValueError("held, repeats, memory: must not be negative")
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -17,6 +17,7 @@
 from lupinmill.admin.admin_handler import AdminHandler
 from lupinmill.admin.admin_server import MAX_CONNECTIONS, AdminServer
 from lupinmill.admin.operator_overrides import Mode, OperatorOverrides
+from lupinmill.discovery.confirmation import ListState
 from lupinmill.discovery.driver import DiscoveryClient
 from lupinmill.handover import handover_state
 from lupinmill.handover.driver import Handover
@@ -77,6 +78,17 @@
     return limit
 
 
+def initial_list_state(state: handover_state.HandoverState | None) -> ListState:
+    """The state of the list that a process starts with: discovery may have changed the configured one since,
+    while a predecessor watches its own. A predecessor of an older version does not tell."""
+    if state is None:
+        return ListState.AWAITED
+    try:
+        return ListState(state.list_state or ListState.CONFIRMED)
+    except ValueError:
+        return ListState.AWAITED
+
+
 class Program:
     """`signals`: records those that arrive before `run` has opened its receiver. `permitted`: a connection to
     the predecessor, which has made room for this process. `start_memory`: bytes that this process held alone
@@ -370,6 +382,7 @@
             listen=listener.address,
             operator=self.operator,
             endpoints=len(self.directory.states),
+            list_state=self.discovery.list_state.value,
             descriptors=self.descriptors.limit,
         )
         self.loop_monitor.log_clock_difference()
@@ -507,6 +520,7 @@
         # The directory and the decision module have what they need of it.
         self.settings.initial_list.entries.clear()
         self.settings.initial_list.addresses.clear()
+        self.discovery.start_with_list(initial_list_state(state))
         if state is None:
             return
         for name in self.overrides.cordoned:
--- a/lupinmill/program/upgrade.py
+++ b/lupinmill/program/upgrade.py
@@ -72,6 +72,7 @@
             "used_ids": self.request_table.all_used_ids(),
             "claims": True,
             "report_serial": self.report_serial(),
+            "list_state": self.program.discovery.list_state.value,
         }
 
     def report_serial(self) -> int:
@@ -150,6 +151,7 @@
             starts = handover_state.decode_starts(message["list"], ahead, received.monotonic)
             self.directory.start_times.adopt(starts, known.entries)
             self.directory.update(known, t.ListKind.FULL)
+            self.program.discovery.predecessor_sent_list()
 
     def adopt_client(self, sock: socket.socket) -> None:
         self.descriptors.held_by_predecessor = max(0, self.descriptors.held_by_predecessor - 1)
--- a/lupinmill/routing/client_handler.py
+++ b/lupinmill/routing/client_handler.py
@@ -205,6 +205,7 @@
         incomplete = body is not None and not body.complete
         if not incomplete:
             self.admission.enter(client)  # a slow upload is admitted only when it is complete
+        await self.request_factory.wait_for_list(received.request)
         opened = await self.id_refusal(received) or self.open_request(client, received)
         if isinstance(opened, Answer):
             return await self.response_writer.send_answer(client, side, opened, self.must_close(client, side))
--- a/lupinmill/routing/directory.py
+++ b/lupinmill/routing/directory.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Container
 
+import anyio
+
 from lupinmill import terms as t
 from lupinmill.protocol.lists import EndpointList
 from lupinmill.routing.engine import Engine
@@ -27,6 +29,8 @@
         self.states: dict[str, t.EndpointStatus] = {}
         self.addresses: dict[str, str] = {}
         self.index: int | None = None
+        self.usable = True  # False while no attempt may go by the list, as it may be about to change
+        self.became_usable = anyio.Event()
         self.start_times = StartTimes(wall_clock.SHARED)
         engine.failure_listeners.append(self.on_module_failure)
 
@@ -86,11 +90,25 @@
     def fetch_failed(self) -> None:
         self.engine.handle_event(t.ListReceived(t.ListKind.FAILED, []))
 
+    def set_usable(self, usable: bool) -> None:
+        """Attempts that have not begun look at this too."""
+        self.usable = usable
+        if usable:
+            self.became_usable.set()
+            self.became_usable = anyio.Event()
+
+    async def wait_usable(self, seconds: float) -> None:
+        """Waits until attempts may go by the list, for so many seconds at most."""
+        with anyio.move_on_after(seconds):
+            while not self.usable:
+                await self.became_usable.wait()
+
     def listens_at(self, name: str, address: str) -> bool:
         return self.addresses.get(name) == address and name not in self.cordoned
 
     def accepts_attempts(self, name: str) -> bool:
-        return self.states.get(name) is t.EndpointStatus.READY and name not in self.cordoned
+        ready = self.states.get(name) is t.EndpointStatus.READY
+        return ready and self.usable and name not in self.cordoned
 
     def has_no_ready_endpoint(self) -> bool:
         """Whether no endpoint is ready. Cordoned ones count as ready here, as operators chose that none
--- a/lupinmill/routing/request_factory.py
+++ b/lupinmill/routing/request_factory.py
@@ -15,6 +15,11 @@
 MAX_REMOVED_WORKLOADS = 1_000  # removed workloads that are remembered; older ones count as unknown
 
 
+# A request that comes before discovery has confirmed the list waits for it: in seconds, which cover a prompt
+# answer and one repeated call, and as a fraction of its client's time, which must suffice for the attempt.
+MAX_LIST_WAIT_S, MAX_LIST_WAIT_FRACTION = 0.25, 0.25
+
+
 class RequestFactory:
     def __init__(
         self,
@@ -71,6 +76,8 @@
             return plain(error.status, f"{error}\n")
         if metadata.workload in self.removed_workloads:
             return client_requests.rejection(self.retry_after)
+        if not self.directory.usable:
+            return client_requests.rejection(self.retry_after)
         incomplete = body is not None and not body.complete
         waited = client.max_elapsed_wait(metadata.time_left, incomplete)
         if incomplete and waited >= metadata.time_left:
@@ -93,6 +100,15 @@
             raise
         return pending
 
+    async def wait_for_list(self, request: Request) -> None:
+        """Waits until attempts may go by the list, but not for long: `create` then rejects the request."""
+        if self.directory.usable:
+            return
+        time_left = client_requests.time_left_of(request)
+        if time_left is not None:
+            limit = time_left / 1_000_000 * MAX_LIST_WAIT_FRACTION
+            await self.directory.wait_usable(min(MAX_LIST_WAIT_S, limit))
+
     def used_id(self, request_id: str) -> Malformed:
         """The refusal of a request whose id may have run before, and may not run again."""
         self.request_table.sampled_log("id_repeated", submission=request_id)
@@ -134,4 +150,5 @@
         return ends is not None and self.request_table.engine.clock.now() >= ends
 
     def is_ready(self) -> bool:
-        return self.overrides.is_ready() and not self.directory.has_no_ready_endpoint()
+        listed = self.directory.usable and not self.directory.has_no_ready_endpoint()
+        return listed and self.overrides.is_ready()
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -283,7 +283,8 @@
         after = re.search(rb"index=(\d+)", request.target)
         known = int(after[1]) if after else None
         if known is not None and known >= self.index:
-            with anyio.move_on_after(1):
+            wait = re.search(rb"wait=(\d+)", request.target)
+            with anyio.move_on_after(int(wait[1]) / 1000 if wait else 0):
                 await self.news.wait()
         whole = not known
         rows = self.rows if whole else [row for at, row in self.changes.items() if at > known]
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -119,6 +119,7 @@
         )
 
     on_network(check, fine, discovery="push", instances=200)
+    assert waits.pop(0) == 0  # the first call confirms the list of the start, and is no watch
     # 1.7 s is what is left of 6 s beside a response that is 4 s late, and 0.7 s pass before the watch is
     # doubted.
     assert len(set(waits)) > 1 and 800 <= min(waits) and max(waits) <= 1_000
