--- a/lupinmill/cli/faults.py
+++ b/lupinmill/cli/faults.py
@@ -30,6 +30,11 @@
 @click.option("--operators", is_flag=True, help="Operators take endpoints out and drain sidecars.")
 @click.option("--clock-steps", is_flag=True, help="The wall clock of the sidecars' processes is set.")
 @click.option("--slow-answers", is_flag=True, help="Endpoints give long answers slowly, and stand still.")
+@click.option(
+    "--old-lists",
+    is_flag=True,
+    help="Lists are pushed; processes are killed and start with an old list beside a slow discovery.",
+)
 def faults(
     seed: int,
     seeds: int,
@@ -39,6 +44,7 @@
     operators: bool,
     clock_steps: bool,
     slow_answers: bool,
+    old_lists: bool,
 ) -> None:
     """Run real processes among stand-ins under random faults, checked by a referee. Exit code 1 if a rule is
     broken; prints the seed and the schedule to replay it, and the path of the full report."""
@@ -54,6 +60,7 @@
             operators=operators,
             clock_steps=clock_steps,
             slow_answers=slow_answers,
+            old_lists=old_lists,
         )
         click.echo(reports.verdict_text(verdict))
         broken |= bool(verdict.violations)
--- a/lupinmill/lab/faults/customers.py
+++ b/lupinmill/lab/faults/customers.py
@@ -56,6 +56,10 @@
     def grace(self) -> float:
         return float(self.settings["invariants"]["stop-sending-within-s"])
 
+    @property
+    def lists_pushed(self) -> bool:
+        return self.settings["discovery"] == "push"
+
     @property
     def longest_deadline(self) -> float:
         return max(workload.deadline for workload in self.workloads)
--- a/lupinmill/lab/faults/discovery.py
+++ b/lupinmill/lab/faults/discovery.py
@@ -45,12 +45,14 @@
         self.versions: dict[str, int] = {}
         self.index, self.mode = 1, UP
         self.reachable_since: float | None = time.time()
+        self.history: list[tuple[float, dict[str, Any]]] = []  # each list, and until when it was the newest
         self.changed = asyncio.Event()
         self.worker_lock = asyncio.Lock()  # in the crowded mode calls are served one at a time
         self.random = Random(f"{customer} discovery")
         self.sockets: list[socket.socket] = []
         self.tasks: set[asyncio.Task[None]] = set()
         records.status_changes[customer], records.reachable_spans[customer] = [], []
+        records.discovery_modes[customer] = [(time.time(), UP)]
 
     def reserve_addresses(self) -> list[str]:
         """Opens the two addresses of a sidecar, one of which its configuration names at a time."""
@@ -61,6 +63,7 @@
     def change(self, name: str, /, **values: Any) -> None:
         """Changes the row of an endpoint; the status DELETED removes it."""
         row = self.rows.get(name, {}) | values
+        self.history.append((time.time(), self.full_list()))
         self.index += 1
         self.versions[name] = self.index
         if row["status"] == "DELETED":
@@ -72,6 +75,13 @@
         self.records.status_changes[self.customer].append(StatusChange(time.time(), name, row["status"]))
         self.wake_watches()
 
+    def full_list(self) -> dict[str, Any]:
+        return {"index": self.index, "snapshot": True, "endpoints": list(self.rows.values())}
+
+    def full_list_at(self, at: float) -> dict[str, Any]:
+        """The whole list as it was then, in Unix seconds."""
+        return next((table for until, table in self.history if until > at), self.full_list())
+
     def wake_watches(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
@@ -84,6 +94,7 @@
         elif self.reachable_since is None:
             self.reachable_since = time.time()
         self.mode = mode
+        self.records.discovery_modes[self.customer].append((time.time(), mode))
         if mode == "silent":
             return  # open watches stay open, without an answer
         self.wake_watches()
@@ -128,7 +139,8 @@
                 if path != "/v1/endpoints" or not message.start_line.startswith(b"GET "):
                     raise MalformedMessage(f"not a call of discovery: {message.start_line[:80]!r}")
                 self.records.discovery_calls.setdefault(address, []).append(time.time())
-                await self.answer(connection, {key: values[0] for key, values in parse_qs(query).items()})
+                if await self.answer(connection, {key: values[0] for key, values in parse_qs(query).items()}):
+                    self.records.discovery_answers.setdefault(address, []).append(time.time())
         except (ConnectionCut, OSError):
             pass
         except MalformedMessage as error:
@@ -136,11 +148,13 @@
         finally:
             connection.close()
 
-    async def answer(self, connection: Connection, query: dict[str, str]) -> None:
+    async def answer(self, connection: Connection, query: dict[str, str]) -> bool:
+        """True if a list was written whole."""
         if self.mode == MIXED and self.random.random() < REFUSED_SHARE:
             await self.refuse(connection)
         elif self.mode in ANSWERING_MODES:
             await self.answer_list(connection, query)
+            return True
         elif self.mode == "503":
             await connection.send(REFUSAL_ANSWER)
         elif self.mode == "garbage":
@@ -156,6 +170,7 @@
                 await asyncio.sleep(0.05)
         else:
             await asyncio.sleep(MAX_WAIT_S)
+        return False
 
     async def refuse(self, connection: Connection) -> None:
         """Resets the connection or answers 503."""
@@ -182,7 +197,7 @@
                     await asyncio.sleep(MAX_WAIT_S)
             table = self.changes_since(index)
         else:
-            table = {"index": self.index, "snapshot": True, "endpoints": list(self.rows.values())}
+            table = self.full_list()
         data = encode_answer(table, indented=self.mode == IN_PIECES)
         if self.mode in (LATE, MIXED):
             await asyncio.sleep(LATE_ANSWER_S)
--- a/lupinmill/lab/faults/records.py
+++ b/lupinmill/lab/faults/records.py
@@ -83,6 +83,8 @@
     signalled_before_startup: bool = False
     # Time, and seconds for which the process has waited for a core so far.
     cpu_waits: list[tuple[float, float]] = field(default_factory=list)
+    has_old_list: bool = False  # lists are pushed, and the one in its configuration is some seconds old
+    discovery_addresses: list[str] = field(default_factory=list)  # at which its sidecar may call discovery
 
     def starved_between(self, begin: float, end: float) -> float:
         """Seconds for which it was ready to run without a core, in the span and a heartbeat on each side."""
@@ -217,6 +219,8 @@
         # When the clock of a sidecar's processes was set, and by how much; their stand-ins' never is.
         self.process_clock_steps: list[tuple[float, str, float]] = []
         self.discovery_calls: dict[str, list[float]] = {}  # times, by the address of discovery
+        self.discovery_answers: dict[str, list[float]] = {}  # the same of lists that it has written whole
+        self.discovery_modes: dict[str, list[tuple[float, str]]] = {}  # since when which, by customer
         # By endpoint, while new connections to it were delayed.
         self.late_spans: dict[str, list[tuple[float, float]]] = {}
         self.loop_lags: list[tuple[float, float]] = []  # time of a heartbeat, and how late it was
@@ -237,6 +241,12 @@
                 if process.ended_at is None and (wait_s := cpu_wait_s(process.pid)):
                     process.cpu_waits.append((time.time(), wait_s))
 
+    def mode_spans(self, customer: str) -> list[tuple[float, float, str]]:
+        """Begin, end and mode of what the customer's discovery did."""
+        modes = self.discovery_modes.get(customer, [])
+        ends = [begin for begin, _ in modes[1:]] + [float("inf")]
+        return [(begin, end, mode) for (begin, mode), end in zip(modes, ends)]
+
     def max_lag_between(self, begin: float, end: float) -> float:
         """The longest delay of the campaign's own event loop in the span."""
         return max(
--- a/lupinmill/lab/faults/referee.py
+++ b/lupinmill/lab/faults/referee.py
@@ -8,6 +8,7 @@
 import signal
 from collections import defaultdict
 
+from lupinmill.lab.faults import start_lists
 from lupinmill.lab.faults.customers import Customer, Workload
 from lupinmill.lab.faults.excuses import (
     BUSY_MACHINE_S,
@@ -109,6 +110,12 @@
             self.judge_refusal(process)
             return
         self.judge_moves(process)
+        ready_at = process.ready_at or process.started_at
+        late_start = start_lists.describe_late_start(
+            process, self.tolerance(process, process.started_at, ready_at)
+        )
+        if late_start is not None:
+            self.report(Fault.NOT_STARTED, "not ready by its list", process.sidecar, late_start)
         if process.killed_at is not None or process.hangs:
             return
         if process.signalled_before_startup and process.exit_code in SIGNAL_EXIT_CODES:
@@ -500,6 +507,7 @@
                 unwanted = None if change.status == "SERVING" else unwanted or change
         if unwanted is None:
             return
+        self.judge_start_list(sent, attempt, unwanted)
         known_at = self.known_at(max(unwanted.at, sent.process.started_at), attempt)
         if known_at is None:
             return
@@ -517,6 +525,22 @@
                 f"{text}, told since {after:.2f} s",
             )
 
+    def judge_start_list(self, sent: SentRequest, attempt: Attempt, unwanted: StatusChange) -> None:
+        """Checks that no attempt goes by an old list of the start while discovery may still answer."""
+        told_at = start_lists.told_at(self.records, unwanted, sent.process, attempt)
+        if told_at is None:
+            return
+        after = attempt.first_byte_at - told_at
+        allowed = self.customers[attempt.customer].grace + PROTOCOL_TOLERANCE_S + BUSY_MACHINE_S
+        if after > allowed + self.tolerance(sent.process, told_at, attempt.first_byte_at):
+            self.report(
+                Fault.TOO_LATE,
+                "sent by an old list",
+                sent.process.sidecar,
+                f"{sent.id.decode()} to {attempt.endpoint}, {unwanted.status}, told since {after:.2f} s,"
+                f" {describe_moment(sent)}",
+            )
+
     def judge_out_by_hand(self, sent: SentRequest, attempt: Attempt) -> None:
         """Checks that an endpoint that operators have taken out gets no attempt after the grace, whatever
         discovery lists and over upgrades."""
--- a/lupinmill/lab/faults/run.py
+++ b/lupinmill/lab/faults/run.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from random import Random
 
-from lupinmill.lab.faults import customers, discovery, endpoints, referee, schedule
+from lupinmill.lab.faults import customers, discovery, endpoints, referee, schedule, start_lists
 from lupinmill.lab.faults.clients import Sidecar
 from lupinmill.lab.faults.processes import PROGRAM
 from lupinmill.lab.faults.records import RunRecords
@@ -40,6 +40,8 @@
         self.folder.mkdir()
         random = Random(f"{self.seed} {self.name}")
         self.customer = customers.draw_customer(self.name, random)
+        if campaign.old_lists:
+            self.customer.settings["discovery"] = "push"
         drawn_share = random.choice(FAULT_SHARES)
         self.fault_share = drawn_share if campaign.fault_share is None else campaign.fault_share
         self.discovery = discovery.Discovery(self.name, self.host("1.1"), self.records)
@@ -65,6 +67,9 @@
         draw_modes = discovery.draw_slow_modes if campaign.soak else discovery.draw_modes
         self.modes = draw_modes(random, campaign.seconds)
         self.list_events = schedule.draw_list_events(random, len(self.endpoints), campaign.seconds)
+        if campaign.old_lists:
+            self.modes = start_lists.draw_modes(random, campaign.seconds)
+            self.list_events = start_lists.draw_list_events(random, len(self.endpoints), campaign.seconds)
         if campaign.plans is not None:  # the caller gives all faults
             self.modes = campaign.modes or [(0.0, discovery.UP)]
             self.list_events = campaign.list_events or []
@@ -180,6 +185,7 @@
         operators: bool = False,
         clock_steps: bool = False,
         slow_answers: bool = False,
+        old_lists: bool = False,
     ) -> None:
         self.seed, self.processes, self.seconds = seed, processes, seconds
         self.folder, self.command, self.records = folder, command, RunRecords()
@@ -187,7 +193,7 @@
         self.timeouts, self.plans, self.fault_share = timeouts, plans, fault_share
         self.modes, self.list_events = modes, list_events
         self.soak, self.operators, self.clock_steps = soak, operators, clock_steps
-        self.slow_answers = slow_answers
+        self.slow_answers, self.old_lists = slow_answers, old_lists
         self.address_octet = 10 + os.getpid() % 4 * 50 + seed % 10
         self.started_at = self.ends_at = 0.0
         remaining, self.customer_runs = processes, []
@@ -198,7 +204,9 @@
 
     def plans_for(self, seed_text: str) -> list[schedule.ProcessPlan]:
         random = Random(f"{self.seed} {seed_text}")
-        if self.soak:
+        if self.old_lists:
+            plans = start_lists.draw_plans(random, self.seconds)
+        elif self.soak:
             plans = schedule.draw_soak_plans(random, self.seconds, crowd=self.seed % CROWD_EVERY == 0)
         else:
             plans = self.plans or schedule.draw_plans(random, self.seconds)
@@ -246,6 +254,7 @@
             self.operators,
             self.clock_steps,
             self.slow_answers,
+            self.old_lists,
         )
 
 
@@ -258,6 +267,7 @@
     operators: bool = False,
     clock_steps: bool = False,
     slow_answers: bool = False,
+    old_lists: bool = False,
 ) -> Verdict:
     """Plays a run with a folder of its own."""
     with tempfile.TemporaryDirectory(prefix="faults-") as folder:
@@ -271,6 +281,7 @@
             operators=operators,
             clock_steps=clock_steps,
             slow_answers=slow_answers,
+            old_lists=old_lists,
         )
         return asyncio.run(campaign.run())
 
--- a/lupinmill/lab/faults/schedule.py
+++ b/lupinmill/lab/faults/schedule.py
@@ -104,6 +104,7 @@
     tmpdir: str
     output: str
     knows_list: bool  # the configuration contains the endpoint list
+    list_age_s: float = 0.0  # seconds by which that list is older than the process
     signals: list[tuple[float, str]] = field(default_factory=list)  # seconds after the start
     events: list[Event] = field(default_factory=list)
     invalid_kind: str = ""
@@ -124,6 +125,7 @@
         parts += [each.text() for each in (*self.operator_calls, *self.clock_steps)]
         kind = f"{self.kind} {self.invalid_kind}".strip()
         list_text = "knows the list" if self.knows_list else "knows no list"
+        list_text += f" of {self.list_age_s:g} s before" * bool(self.list_age_s)
         return (
             f"{kind}, {self.seconds:.1f} s, ends by {self.end}, TMPDIR {self.tmpdir}, output {self.output},"
             f" {list_text}" + "".join(f"; {event}" for event in parts)
--- a/lupinmill/lab/faults/sidecar_runner.py
+++ b/lupinmill/lab/faults/sidecar_runner.py
@@ -89,7 +89,7 @@
 
     # Configurations.
 
-    def configuration(self, knows_list: bool = True) -> dict[str, Any]:
+    def configuration(self, knows_list: bool = True, list_age_s: float = 0.0) -> dict[str, Any]:
         customer_run = self.customer_run
         table: dict[str, Any] = {
             "name": self.name,
@@ -100,8 +100,7 @@
             "settings": customer_run.customer.settings,
         }
         if knows_list:
-            rows = list(customer_run.discovery.rows.values())
-            table["known"] = {"index": customer_run.discovery.index, "snapshot": True, "endpoints": rows}
+            table["known"] = customer_run.discovery.full_list_at(time.time() - list_age_s)
         if self.operators is not None and self.next_operator_address is None:
             self.next_operator_address = self.operators.next_address()
         if self.next_operator_address is not None:
@@ -152,7 +151,7 @@
         return address
 
     async def run_process(self, plan: schedule.ProcessPlan) -> None:
-        config = self.configuration(plan.knows_list)
+        config = self.configuration(plan.knows_list, plan.list_age_s)
         self.write_config(
             customers.invalid_config(plan.invalid_kind, config)
             if plan.invalid_kind
@@ -164,6 +163,8 @@
             record = await process.start(self.name, self.process_number, plan.text())
             record.can_hand_over = plan.tmpdir in schedule.USABLE_TMPDIRS
             record.config_valid = plan.kind != schedule.INVALID_CONFIG
+            record.has_old_list = plan.list_age_s > 0 and self.customer_run.customer.lists_pushed
+            record.discovery_addresses = self.discovery_addresses
             self.customer_run.records.processes.append(record)
             self.sidecar.process = record
             if plan.kind == schedule.INVALID_CONFIG:
--- a/lupinmill/lab/faults/verdict.py
+++ b/lupinmill/lab/faults/verdict.py
@@ -24,6 +24,7 @@
     operators: bool = False
     clock_steps: bool = False
     slow_answers: bool = False
+    old_lists: bool = False
 
     def options(self) -> str:
         """Of the command that replays the run, beside seed, processes and seconds."""
@@ -32,6 +33,7 @@
             "--operators": self.operators,
             "--clock-steps": self.clock_steps,
             "--slow-answers": self.slow_answers,
+            "--old-lists": self.old_lists,
         }
         return "".join(f" {option}" for option, on in chosen.items() if on)
 
@@ -79,6 +81,7 @@
         "killed at the earliest": sum(record.killed_after_term for record in records.processes),
         "endpoints out by hand": len(records.out_spans),
         "drains by hand": len(records.drains),
+        "starts with an old list": sum(record.has_old_list for record in records.processes),
         "clock of processes set": len(records.process_clock_steps),
         "calls of discovery": sum(len(calls) for calls in records.discovery_calls.values()),
         "clock set": len(records.clock_steps),
--- a/lupinmill/lab/scale/returns_stand.py
+++ b/lupinmill/lab/scale/returns_stand.py
@@ -159,7 +159,7 @@
     def __init__(
         self, loop: VirtualLoop, deployment: t.Deployment, on_list: Callable[[SimulatedSidecar, int], None]
     ) -> None:
-        self.loop, self.on_list = loop, on_list
+        self.loop, self.deployment, self.on_list = loop, deployment, on_list
         self.states, self.index = {"e0": t.EndpointStatus.READY}, 7
         self.rules = Sidecar(deployment) if deployment.poll_discovery else None
         self.discovery: discovery.DiscoveryClient | None = None
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -1,6 +1,7 @@
 """A short soak: real processes under slow discovery and series of signals, with clients that keep their
-connections until the kill; in some of it operators call, and clocks are set. For longer runs:
-`lupinmill lab faults --soak --operators --clock-steps --slow-answers --seeds 50`."""
+connections until the kill; in some of it operators call, clocks are set, or processes start with old lists. For
+longer runs: `lupinmill lab faults --soak --operators --clock-steps --slow-answers --seeds 50`, and `lupinmill lab
+faults --old-lists --seeds 50`."""
 
 from __future__ import annotations
 
@@ -22,6 +23,7 @@
     operators: bool = False
     clock_steps: bool = False
     slow_answers: bool = False
+    old_lists: bool = False
 
     def campaign(self, folder: Path) -> Campaign:
         return Campaign(
@@ -29,10 +31,11 @@
             PROCESSES,
             SECONDS,
             folder,
-            soak=True,
+            soak=not self.old_lists,
             operators=self.operators,
             clock_steps=self.clock_steps,
             slow_answers=self.slow_answers,
+            old_lists=self.old_lists,
         )
 
 
@@ -41,6 +44,7 @@
     "crowd": Soak(2 * CROWD_EVERY),
     "moved while crowded": Soak(7422),
     "out by hand, clocks set": Soak(7604, operators=True, clock_steps=True),
+    "old lists": Soak(8805, old_lists=True),
 }
 WITH_CALLS = "out by hand, clocks set"
 
