--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -1,7 +1,8 @@
 """A short soak: real processes under slow discovery and series of signals, with clients that keep their
-connections until the kill; in some of it operators call, clocks are set, or processes start with old lists. For
-longer runs: `lupinmill lab faults --soak --operators --clock-steps --slow-answers --seeds 50`, and `lupinmill lab
-faults --old-lists --seeds 50`."""
+connections until the kill; in some of it operators call, clocks are set, or processes start with old lists.
+
+For longer runs: `lupinmill lab faults --soak --operators --clock-steps --slow-answers --seeds 50`, and
+`lupinmill lab faults --old-lists --seeds 50`."""
 
 from __future__ import annotations
 
