--- a/lupinmill/discovery/confirmation.py
+++ b/lupinmill/discovery/confirmation.py
@@ -20,6 +20,7 @@
     """What is known about the list; the values appear in the log, in the admin API and in upgrades."""
 
     CONFIRMED = "confirmed"
+    INHERITED = "inherited"  # from the process before this one, which still watches it
     AWAITED = "awaited"  # discovery may answer soon
     UNREACHABLE = "discovery unreachable"
     OVERDUE = "discovery silent"  # it takes calls, and has answered none for too long
@@ -59,19 +60,37 @@
 
     def enter(self, now: float, state: ListState) -> None:
         spent = now - (now if self.since is None else self.since)
-        if self.state is ListState.AWAITED:
+        if self.state in (ListState.AWAITED, ListState.INHERITED):
             self.awaited_left = max(0.0, self.awaited_left - spent)
         else:
             self.awaited_left = min(MAX_AWAITED_S, self.awaited_left + spent)
         self.state, self.since = state, now
 
-    def confirm(self, now: float, call_id: int | None) -> None:
-        """An answer of discovery has been applied to the list. `call_id`: None if another process got it."""
+    def confirm(self, now: float, call_id: int) -> None:
+        """The answer to a call has been applied to the list."""
         self.unreachable_calls = 0
         if not self.confirmed:
             self.confirmed_by = call_id
             self.enter(now, ListState.CONFIRMED)
 
+    def predecessor_sent_list(self, now: float) -> None:
+        """The process before this one has passed on a newer list that discovery has sent to it."""
+        if not self.confirmed:
+            self.enter(now, ListState.INHERITED)
+
+    def predecessor_ended(self, now: float, call_accepted: bool) -> None:
+        """From now on only this process's own calls tell of changes. `call_accepted`: as in `expire`."""
+        if self.state is not ListState.INHERITED:
+            return
+        self.enter(now, ListState.AWAITED)
+        if self.is_down(call_accepted):
+            self.enter(now, ListState.UNREACHABLE)
+        self.expire(now, call_accepted)
+
+    def is_down(self, call_accepted: bool) -> bool:
+        """Whether discovery counts as down: nobody is found there."""
+        return self.unreachable_calls >= UNREACHABLE_CALLS and not call_accepted
+
     def call_connected(self, now: float) -> None:
         """Discovery can be reached, so it may tell what has changed."""
         if self.state is ListState.UNREACHABLE:
@@ -81,12 +100,10 @@
         """Discovery is up, whatever its answer says."""
         self.unreachable_calls = 0
 
-    def call_failed(self, now: float, unreachable: bool, others_wait: bool) -> None:
-        """A call failed. `unreachable`: it found nobody there. `others_wait`: discovery has accepted another
-        call that is still in flight."""
+    def call_failed(self, now: float, unreachable: bool, call_accepted: bool) -> None:
+        """A call failed. `unreachable`: it found nobody there. `call_accepted`: as in `expire`."""
         self.unreachable_calls = self.unreachable_calls + 1 if unreachable else 0
-        down = self.unreachable_calls >= UNREACHABLE_CALLS and not others_wait
-        if down and self.state in (ListState.AWAITED, ListState.OVERDUE):
+        if self.is_down(call_accepted) and self.state in (ListState.AWAITED, ListState.OVERDUE):
             self.enter(now, ListState.UNREACHABLE)
 
     def expire(self, now: float, call_accepted: bool) -> None:
--- a/lupinmill/discovery/driver.py
+++ b/lupinmill/discovery/driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -76,6 +77,7 @@
         self.steady = False  # the last call was answered, and the address has not changed since
         self.list_old_logged = False  # the log says that the list is old
         self.list_state = ListState.CONFIRMED  # as the directory knows it
+        self.on_confirmed: Callable[[], None] = lambda: None
 
     @property
     def wait(self) -> float:
@@ -104,8 +106,13 @@
         self.directory.set_usable(self.watcher.confirmation.usable)
 
     def predecessor_sent_list(self) -> None:
-        """Discovery has sent the list to the process before this one, which has passed it on."""
-        self.watcher.confirmation.confirm(anyio.current_time(), None)
+        """The process before this one has passed on a newer list."""
+        self.watcher.confirmation.predecessor_sent_list(anyio.current_time())
+        self.apply_list_state()
+
+    def predecessor_ended(self) -> None:
+        """The process before this one no longer watches the list for both."""
+        self.watcher.predecessor_ended(anyio.current_time())
         self.apply_list_state()
 
     def watch(self, _: t.StartWatch) -> None:
@@ -282,6 +289,8 @@
             index=self.directory.index,
             call=confirmation.confirmed_by,
         )
+        if confirmation.confirmed:
+            self.on_confirmed()
 
     def on_call_failed(self, call: Call, error: str, unreachable: bool = False) -> None:
         if call not in self.watcher.calls:
--- a/lupinmill/discovery/watcher.py
+++ b/lupinmill/discovery/watcher.py
@@ -149,6 +149,10 @@
         if call.epoch == self.epoch:
             self.confirmation.call_connected(now)
 
+    def predecessor_ended(self, now: float) -> None:
+        """The process before this one has ended."""
+        self.confirmation.predecessor_ended(now, self.call_accepted())
+
     def answer_progressed(self, now: float, call: Call) -> None:
         """A part of the answer arrived."""
         if call.first_byte_at is None:
--- a/lupinmill/handover/driver.py
+++ b/lupinmill/handover/driver.py
@@ -104,6 +104,10 @@
         # receive a list after it yielded. `on_list` handles such a list of the predecessor.
         self.newer_list: Callable[[int], Message | None] = lambda index: None
         self.on_list: Callable[[Message], None] = lambda message: None
+        # `list_inherited` tells whether this process still relies on the predecessor's watch on the list.
+        self.list_inherited: Callable[[], bool] = lambda: False
+        self.on_predecessor_ended: Callable[[], None] = lambda: None
+        self.successor_needs_list = False  # it relies on this process's watch
         self.sent_list_index = 0  # version of the list that the successor has from this process
 
     # At the start: taking over from a predecessor.
@@ -147,7 +151,7 @@
     def start(self, group: TaskGroup) -> None:
         """This process accepts clients: its successor can find it, and its predecessor yields."""
         if self.predecessor is not None:
-            self.predecessor.send({"say": "serving"})
+            self.predecessor.send({"say": "serving", "needs_list": self.list_inherited()})
             group.start_soon(self.run_guarded, "follow", self.follow_predecessor, self.predecessor)
         if self.upgrade_socket is not None:
             group.start_soon(self.run_guarded, "keep", self.accept_successors, group)
@@ -168,8 +172,14 @@
             self.predecessor = None
             self.on_predecessor_work({})
             self.id_claims.predecessor_ended()
+            self.on_predecessor_ended()
             self.log("handover", text="the previous process has ended")
 
+    def report_list_confirmed(self) -> None:
+        """Discovery has answered this process: the predecessor may end."""
+        if self.predecessor is not None:
+            self.predecessor.send({"say": "list confirmed"})
+
     async def run_link(self, link: Link, on_message: Callable[[Message], None]) -> None:
         """Runs the link until the other side ends, and closes it."""
         try:
@@ -273,6 +283,7 @@
 
     def release_successor(self) -> None:
         """The successor is gone: this process is alone again."""
+        self.successor_needs_list = False
         self.execute(self.protocol.on_link_lost())
         if self.memory is not None and self.protocol.phase is Phase.NO_SUCCESSOR:
             self.memory.end_upgrade()
@@ -332,8 +343,12 @@
             os.close(descriptor)
 
     def on_successor_message(self, message: Message) -> None:
-        if message.get("say") == "serving":
+        say = message.get("say")
+        if say == "serving":
+            self.successor_needs_list = message.get("needs_list") is True  # an older one does not tell
             self.execute(self.protocol.on_serving())
+        elif say == "list confirmed":
+            self.successor_needs_list = False
         elif self.successor is not None:
             self.on_call_message(self.successor, message)
 
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -83,10 +83,10 @@
     while a predecessor watches its own. A predecessor of an older version does not tell."""
     if state is None:
         return ListState.AWAITED
-    try:
-        return ListState(state.list_state or ListState.CONFIRMED)
-    except ValueError:
-        return ListState.AWAITED
+    if state.list_state in ("", ListState.CONFIRMED.value):
+        return ListState.INHERITED
+    in_use = (ListState.UNREACHABLE, ListState.OVERDUE)
+    return next((each for each in in_use if each.value == state.list_state), ListState.AWAITED)
 
 
 class Program:
@@ -490,7 +490,7 @@
         ):
             # Includes accepted connections whose tasks have not started yet.
             clients = self.descriptors.open[ConnectionKind.CLIENT] + listener.turning_away
-            if not clients and (waited >= LATE_CONNECTIONS_S or not self.handover.protocol.accepts_clients()):
+            if not clients and self.may_end(waited):
                 break
             if waited >= deadline_s:
                 # A defect has left a request open: without this, the process would never end.
@@ -506,6 +506,13 @@
         with anyio.move_on_after(SHUTDOWN_MARGIN_S):
             await self.handover.flush()
 
+    def may_end(self, waited: float) -> bool:
+        """Whether nobody needs this process `waited` seconds after SIGTERM, if it has no clients: no new ones
+        come, and no successor relies on its watch on the list."""
+        if not self.handover.protocol.accepts_clients():
+            return not self.handover.successor_needs_list
+        return waited >= LATE_CONNECTIONS_S
+
     def load_initial_list(self, state: handover_state.HandoverState | None) -> None:
         """Loads the configured list of endpoints, or the predecessor's list with what that has learned."""
         if state is not None:
--- a/lupinmill/program/upgrade.py
+++ b/lupinmill/program/upgrade.py
@@ -9,6 +9,7 @@
 
 from lupinmill import terms as t
 from lupinmill.admin.operator_overrides import Mode
+from lupinmill.discovery.confirmation import ListState
 from lupinmill.handover import handover_state, sender_clock
 from lupinmill.protocol import lists
 from lupinmill.state import learned
@@ -45,6 +46,10 @@
         handover.adopt_client = self.adopt_client
         handover.on_predecessor_work = self.update_predecessor_work
         handover.newer_list, handover.on_list = self.newer_list, self.take_list
+        discovery = self.program.discovery
+        handover.list_inherited = lambda: discovery.list_state is ListState.INHERITED
+        handover.on_predecessor_ended = discovery.predecessor_ended
+        discovery.on_confirmed = handover.report_list_confirmed
         handover.id_claims.take = self.request_table.take_id
         handover.id_claims.learn = self.request_table.learn_used_id
         self.request_table.on_unrepeatable_attempt = handover.id_claims.share
