The program's end and the reading of configuration files are modules of their own

`protocol/config_file.py` has the reading and checking of TOML files that stood in three places (operator's file, relay's file, target of `lab capacity`); all three now say "not valid UTF-8" in the same words.

Behaviour is the same. Test changes: names of what moved; the operator's file's text for bytes that are no UTF-8 is the one of the other files.

--- a/lupinmill/cli/check.py
+++ b/lupinmill/cli/check.py
@@ -10,7 +10,8 @@
 from lupinmill.peers.elector import majority
 from lupinmill.peers.partition_policy import POLICY_TABLE
 from lupinmill.program import operators_file
-from lupinmill.program.operators_file import ConfigFileError, File
+from lupinmill.protocol.config_file import ConfigFileError
+from lupinmill.program.operators_file import File
 
 
 def summary(file: File, name: str | None) -> list[str]:
--- a/lupinmill/cli/relay.py
+++ b/lupinmill/cli/relay.py
@@ -9,7 +9,7 @@
 
 from lupinmill.cli.admin_client import exit_with_error
 from lupinmill.config import relay_file
-from lupinmill.program.operators_file import ConfigFileError
+from lupinmill.protocol.config_file import ConfigFileError
 
 
 @click.command()
--- a/lupinmill/config/push.py
+++ b/lupinmill/config/push.py
@@ -15,7 +15,8 @@
 from lupinmill.config import checks, merge, wire
 from lupinmill.config.model import MEMBER, SCOPES, SETTINGS, ZONES, Entries, Key
 from lupinmill.program import operators_file
-from lupinmill.program.operators_file import ConfigFileError, MemberEntry, Zones, known_keys
+from lupinmill.protocol.config_file import ConfigFileError, known_keys
+from lupinmill.program.operators_file import MemberEntry, Zones
 from lupinmill.protocol import settings as platform_settings
 
 MAX_ENTRIES = 25_000  # per push
--- a/lupinmill/config/relay_file.py
+++ b/lupinmill/config/relay_file.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 import math
-import tomllib
-from pathlib import Path
+from typing import Any
 
-import msgspec
 from msgspec import Struct
 
-from lupinmill.program.operators_file import MAX_NAME_LENGTH, ConfigFileError, check_address, known_keys
+from lupinmill.protocol import config_file
+from lupinmill.protocol.config_file import ConfigFileError
+from lupinmill.program.operators_file import MAX_NAME_LENGTH, check_address
 
 MAX_FILE_BYTES = 64 * 1024
 MAX_UPSTREAMS = 8
@@ -42,27 +42,12 @@
 
 def read(path: str) -> RelayFile:
     """Raises ConfigFileError."""
-    try:
-        data = Path(path).read_bytes()
-    except OSError as error:
-        raise ConfigFileError(f"{path}: {error.strerror}") from error
-    try:
-        if len(data) > MAX_FILE_BYTES:
-            raise ConfigFileError(f"over {MAX_FILE_BYTES} bytes")
-        return parse(tomllib.loads(data.decode()))
-    except UnicodeDecodeError as error:
-        raise ConfigFileError(f"{path}: not UTF-8") from error
-    except (tomllib.TOMLDecodeError, ConfigFileError) as error:
-        raise ConfigFileError(f"{path}: {error}") from error
-
-
-def parse(table: dict[str, object]) -> RelayFile:
-    known_keys(table, RelayFile, "")
-    try:
-        file = msgspec.convert(table, RelayFile)
-    except msgspec.ValidationError as error:
-        text, _, place = str(error).partition(" - at `$")
-        raise ConfigFileError(f"{place.rstrip('`').lstrip('.') or 'the file'}: {text}") from error
+    return config_file.read(path, MAX_FILE_BYTES, parse)
+
+
+def parse(table: dict[str, Any]) -> RelayFile:
+    """Raises ConfigFileError."""
+    file = config_file.convert(table, RelayFile)
     check(file)
     return file
 
--- a/lupinmill/lab/scale/runs.py
+++ b/lupinmill/lab/scale/runs.py
@@ -13,7 +13,7 @@
 from lupinmill.lab.scale.hollow import SimulatedFleet
 from lupinmill.lab.scale.measured import Point
 from lupinmill.lab.scale.reference import microseconds
-from lupinmill.program.operators_file import ConfigFileError
+from lupinmill.protocol.config_file import ConfigFileError
 
 CORE_UNIT = "part of a core"
 UNITS = {
--- a/lupinmill/lab/scale/target.py
+++ b/lupinmill/lab/scale/target.py
@@ -8,14 +8,14 @@
 from __future__ import annotations
 
 import re
-import tomllib
 from pathlib import Path
 from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta, Struct
 
-from lupinmill.program.operators_file import ConfigFileError, known_keys
+from lupinmill.protocol import config_file
+from lupinmill.protocol.config_file import ConfigFileError, known_keys
 
 FILE = Path(__file__).with_name("target.toml")
 MAX_FILE_BYTES = 2**18  # bytes
@@ -150,16 +150,9 @@
 def read(path: Path = FILE) -> Target:
     """Raises InvalidTarget."""
     try:
-        data = path.read_bytes()
-        if len(data) > MAX_FILE_BYTES:
-            raise ConfigFileError(f"over {MAX_FILE_BYTES} bytes")
-        return parse(tomllib.loads(data.decode()))
-    except OSError as error:
-        raise InvalidTarget(f"{path}: {error.strerror}") from error
-    except UnicodeDecodeError as error:
-        raise InvalidTarget(f"{path}: not valid UTF-8") from error
-    except (tomllib.TOMLDecodeError, ConfigFileError) as error:
-        raise InvalidTarget(f"{path}: {error}") from error
+        return config_file.read(str(path), MAX_FILE_BYTES, parse)
+    except ConfigFileError as error:
+        raise InvalidTarget(str(error)) from error
 
 
 def parse(table: dict[str, Any]) -> Target:
--- a/lupinmill/program/operators_file.py
+++ b/lupinmill/program/operators_file.py
@@ -6,17 +6,15 @@
 
 from __future__ import annotations
 
-import difflib
 import ipaddress
-import tomllib
-import typing
-from functools import cache, lru_cache
-from pathlib import Path
+from functools import lru_cache
 from typing import Any
 
 import msgspec
 from msgspec import Struct
 
+from lupinmill.protocol import config_file
+from lupinmill.protocol.config_file import ConfigFileError, hints_of, known_keys
 from lupinmill.peers.peer import REHEARSAL_TOPIC, PeerSettings
 from lupinmill.peers.view import MS, SECOND, MembershipTiming, RosterEntry
 from lupinmill.terms import Deployment
@@ -33,10 +31,6 @@
 MAX_RELAYS = 16
 
 
-class ConfigFileError(Exception):
-    """The text is one line that names the key."""
-
-
 class MemberEntry(Struct, forbid_unknown_fields=True, frozen=True):
     address: str
     zone: str = ""
@@ -99,60 +93,16 @@
 
 def read(path: str) -> File:
     """Raises ConfigFileError."""
-    try:
-        data = Path(path).read_bytes()
-    except OSError as error:
-        raise ConfigFileError(f"{path}: {error.strerror}") from error
-    try:
-        if len(data) > MAX_FILE_BYTES:
-            raise ConfigFileError(f"over {MAX_FILE_BYTES} bytes")
-        return parse(tomllib.loads(data.decode()))
-    except UnicodeDecodeError as error:
-        raise ConfigFileError(f"{path}: no UTF-8") from error
-    except (tomllib.TOMLDecodeError, ConfigFileError) as error:
-        raise ConfigFileError(f"{path}: {error}") from error
+    return config_file.read(path, MAX_FILE_BYTES, parse)
 
 
 def parse(table: dict[str, Any]) -> File:
-    known_keys(table, File, "")
-    try:
-        file = msgspec.convert(table, File)
-    except msgspec.ValidationError as error:
-        text, _, place = str(error).partition(" - at `$")
-        raise ConfigFileError(f"{place.rstrip('`').lstrip('.') or 'the file'}: {text}") from error
+    """Raises ConfigFileError."""
+    file = config_file.convert(table, File)
     check(file)
     return file
 
 
-@cache
-def hints_of(kind: type) -> dict[str, Any]:
-    return typing.get_type_hints(kind)
-
-
-def known_keys(table: Any, kind: Any, prefix: str) -> None:
-    """Refuses unknown keys: a misspelt switch would silently be off. Raises ConfigFileError."""
-    for part in typing.get_args(kind):
-        if isinstance(part, type) and issubclass(part, Struct):
-            kind = part
-    if typing.get_origin(kind) is dict and isinstance(table, dict):
-        for name, row in table.items():
-            known_keys(row, typing.get_args(kind)[1], f"{prefix}{name}.")
-        return
-    if not (isinstance(kind, type) and issubclass(kind, Struct) and isinstance(table, dict)):
-        return
-    hints = hints_of(kind)
-    for key, value in table.items():
-        if key not in hints:
-            nearest = difflib.get_close_matches(key, list(hints), 1, 0.0)
-            raise ConfigFileError(f"{prefix}{key}: unknown; the nearest known key is {nearest[0]}")
-        inner = hints[key]
-        if typing.get_origin(inner) is dict and isinstance(value, dict):
-            for name, row in value.items():
-                known_keys(row, typing.get_args(inner)[1], f"{prefix}{key}.{name}.")
-        else:
-            known_keys(value, inner, f"{prefix}{key}.")
-
-
 def check(file: File) -> None:
     if not 0 < len(file.site) <= MAX_NAME_LENGTH:
         raise ConfigFileError("site: wants a name of 1 to 64 characters")
--- a/lupinmill/program/sidecar.py
+++ b/lupinmill/program/sidecar.py
@@ -25,10 +25,10 @@
 from lupinmill.program.loop_monitor import LoopMonitor
 from lupinmill.program.process_memory import ProcessMemory
 from lupinmill.program.process_settings import ProcessSettings, StartupError, changes_needing_restart
+from lupinmill.program.shutdown import Shutdown
 from lupinmill.program.signals import HANDLED_SIGNALS, SHUTDOWN_SIGNALS, Signals
 from lupinmill.program.upgrade import Upgrade
 from lupinmill.protocol import lists
-from lupinmill.protocol.client_requests import MAX_DEADLINE_S
 from lupinmill.routing.admission import AdmissionController
 from lupinmill.routing.attempt_runner import AttemptRunner
 from lupinmill.routing.client_handler import ClientHandler
@@ -42,7 +42,7 @@
 from lupinmill.transport.buffers import BlockPool
 from lupinmill.transport.clocks import ClockReading, MonotonicClock
 from lupinmill.transport.connection_pool import ConnectionPool
-from lupinmill.transport.descriptors import ConnectionKind, DescriptorBudget
+from lupinmill.transport.descriptors import DescriptorBudget
 from lupinmill.transport.listener import Listener
 
 if TYPE_CHECKING:
@@ -52,16 +52,10 @@
     from lupinmill.program.operators_file import File
 
 TASK_RESTART_DELAY_S = 0.1
-LATE_CONNECTIONS_S = 0.6  # after SIGTERM clients still open connections for so long
-# The platform kills the process so many seconds after the longest hard limit, of which at most 3 s count.
-KILL_DELAY_S, MAX_HARD_LIMIT_S = 0.7, 3.0
-# Reserved before that: microseconds for the last answers, and seconds for late work.
-CLOSING_TIME, SHUTDOWN_MARGIN_S = 500_000, 0.2
 PEER_DESCRIPTORS = 3  # socket, lock, file
 CONFIG_DESCRIPTORS = 3  # connection, file, its directory
 # Retries to bind an address that another process still holds.
 BIND_RETRY_S, BIND_RETRY_INTERVAL_S = 3.0, 0.05
-OPEN_REQUEST_GRACE_S = 1.0  # after the longest possible deadline, shutdown stops waiting for open requests
 IDLE_CHECK_INTERVAL_S = 0.02  # while idle clients' connections are being closed
 
 
@@ -340,7 +334,7 @@
                 task_status.started(listener.address)
                 self.reload_if_changed()
                 await self.handle_signals(signals)
-                await self.leave(listener, client_handler)
+                await Shutdown(self, listener, client_handler).run()
                 group.cancel_scope.cancel()
         finally:
             listener.close()
@@ -471,48 +465,6 @@
         if self.fleet_state is not None and self.fleet_state.zone_driver is not None:
             self.fleet_state.zone_driver.update_members(peers)
 
-    async def leave(self, listener: Listener, client_handler: ClientHandler) -> None:
-        """Shuts down. Clients keep using their connections, and may have no other sidecar: they are served
-        until little time is left, and only then are their connections closed."""
-        longest = max(workload.hard_limit for workload in self.settings.deployment.workloads) / 1_000_000
-        serving_s = min(longest, MAX_HARD_LIMIT_S) + KILL_DELAY_S - SHUTDOWN_MARGIN_S
-        deadline_s = max(serving_s, MAX_DEADLINE_S + OPEN_REQUEST_GRACE_S)
-        now = self.engine.clock.now()
-        end = now + int(serving_s * 1_000_000)
-        self.overrides.begin_shutdown(now, end - CLOSING_TIME, end)
-        self.mode_changed()
-        began = anyio.current_time()
-        # Answers being written count too: a request is settled some passes before its client has the answer.
-        while (
-            (waited := anyio.current_time() - began) < serving_s
-            or self.request_table.pending_requests
-            or client_handler.answering
-        ):
-            # Includes accepted connections whose tasks have not started yet.
-            clients = self.descriptors.open[ConnectionKind.CLIENT] + listener.turning_away
-            if not clients and self.may_end(waited):
-                break
-            if waited >= deadline_s:
-                # A defect has left a request open: without this, the process would never end.
-                self.log(
-                    "task_failed",
-                    task="leave",
-                    error=f"{len(self.request_table.pending_requests)} requests left open",
-                )
-                break
-            if waited >= serving_s:
-                client_handler.response_writer.break_off_close_delimited()
-            await anyio.sleep(IDLE_CHECK_INTERVAL_S)
-        with anyio.move_on_after(SHUTDOWN_MARGIN_S):
-            await self.handover.flush()
-
-    def may_end(self, waited: float) -> bool:
-        """Whether nobody needs this process `waited` seconds after SIGTERM, if it has no clients: no new ones
-        come, and no successor relies on its watch on the list."""
-        if not self.handover.protocol.accepts_clients():
-            return not self.handover.successor_needs_list
-        return waited >= LATE_CONNECTIONS_S
-
     def load_initial_list(self, state: handover_state.HandoverState | None) -> None:
         """Loads the configured list of endpoints, or the predecessor's list with what that has learned."""
         if state is not None:
--- a/tests/test_config_push.py
+++ b/tests/test_config_push.py
@@ -10,7 +10,7 @@
 from lupinmill.config import push, relay_file
 from lupinmill.config.model import Key
 from lupinmill.config.push import InvalidPush
-from lupinmill.program.operators_file import ConfigFileError
+from lupinmill.protocol.config_file import ConfigFileError
 
 RELAY = {"name": "r", "listen": "127.0.0.1:7500", "keep": "/k/r", "upstreams": ["127.0.0.1:7501"]}
 
--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -167,10 +167,10 @@
         "reload missed",
     ),
     "does not end": (
-        "from lupinmill.program.sidecar import Program\n"
+        "from lupinmill.program.shutdown import Shutdown\n"
         "import anyio\n"
         "async def planted(self, *more): await anyio.sleep(3600)\n"
-        "Program.leave = planted",
+        "Shutdown.run = planted",
         Fault.HUNG,
         "did not end after its signal",
     ),
@@ -188,13 +188,13 @@
         "ready while it drains",
     ),
     "never ends": (
-        "from lupinmill.program.sidecar import Program\n"
+        "from lupinmill.program.shutdown import Shutdown\n"
         "from lupinmill.routing.response_writer import ResponseWriter\n"
         "import anyio\n"
         "async def planted(self, *more):\n"
         "    ResponseWriter.send_answer = planted\n"
         "    await anyio.sleep(3600)\n"
-        "Program.leave = planted",
+        "Shutdown.run = planted",
         Fault.UNANSWERED,
         "no answer",
     ),
--- a/tests/test_operators_file.py
+++ b/tests/test_operators_file.py
@@ -82,7 +82,7 @@
     ("config.keep: wants a whole path", GOOD + CONFIG + 'keep = "kept"\n'),
     ("config.spread_s: wants 0.1 to 600", GOOD + CONFIG + "spread_s = 0\n"),
     ("config.service: a name has up to 64", GOOD + CONFIG + f'service = "{"x" * 65}"\n'),
-    ("no UTF-8", None),
+    ("not valid UTF-8", None),
     ("Expected '=' after a key", GOOD + "\nabc"),
 ]
 
--- a/tests/test_start_faults.py
+++ b/tests/test_start_faults.py
@@ -20,7 +20,7 @@
 from lupinmill.handover import driver
 from lupinmill.handover.driver import Handover
 from lupinmill.handover.upgrade_socket import UpgradeSocket
-from lupinmill.program import sidecar
+from lupinmill.program import shutdown, sidecar
 from lupinmill.program.logs import MAX_QUEUED_BYTES, Logs
 from lupinmill.program.sidecar import Program
 from lupinmill.transport.descriptors import ConnectionKind
@@ -416,8 +416,8 @@
 
 def test_an_end_waits_for_no_request_beyond_the_longest_deadline(monkeypatch):
     """Guards against a program that never ends: `leave` waits for a count that a defect has left too high."""
-    monkeypatch.setattr(sidecar, "MAX_DEADLINE_S", 0.5)
-    monkeypatch.setattr(sidecar, "OPEN_REQUEST_GRACE_S", 0.1)
+    monkeypatch.setattr(shutdown, "MAX_DEADLINE_S", 0.5)
+    monkeypatch.setattr(shutdown, "OPEN_REQUEST_GRACE_S", 0.1)
 
     async def check(net: Net):
         program = net.program
