The campaign's answers in pieces count as written with their last piece

Trace: the sidecar had the whole answer at 997.739 and took it (`list_state: confirmed`), the attempts began at 997.77; the stand-in paused for 0.7 s behind the last piece, too, and noted the answer only then. The endpoint was deleted 1 s after the answer was composed, so other limits hold. The stand-in pauses between the pieces alone; the check and its bound are as they were.

--- a/lupinmill/lab/faults/discovery.py
+++ b/lupinmill/lab/faults/discovery.py
@@ -211,8 +211,9 @@
     async def send_in_pieces(self, connection: Connection, data: bytes, pieces: int, pause: float) -> None:
         step = max(1, -(-len(data) // pieces))
         for offset in range(0, len(data), step):
+            if offset:
+                await asyncio.sleep(pause)
             await connection.send(data[offset : offset + step])
-            await asyncio.sleep(pause)
 
     def changes_since(self, index: int) -> dict[str, Any]:
         rows = [row for name, row in self.rows.items() if self.versions[name] > index]
--- a/tests/test_fault_start_lists.py
+++ b/tests/test_fault_start_lists.py
@@ -1,5 +1,6 @@
 """Starts with an old list in the fault campaign: what is drawn, and what its referee judges."""
 
+import asyncio
 from random import Random
 
 import pytest
@@ -102,3 +103,29 @@
     (changed_at, kept), *_ = service.history
     assert kept == first and service.full_list_at(changed_at - 1.0) == first
     assert service.full_list_at(changed_at + 1.0) == service.full_list() != first
+
+
+def test_an_answer_in_pieces_counts_as_written_with_its_last_piece():
+    """Guards against an attempt by a list that had come, judged as one before the answer: the stand-in paused
+    behind the last piece, too (seed 505)."""
+    written: list[tuple[float, bytes]] = []
+
+    class Connection:
+        async def send(self, data: bytes) -> None:
+            written.append((asyncio.get_running_loop().time(), data))
+
+    async def main() -> float:
+        service = discovery.Discovery("c0", "127.0.0.1", RunRecords())
+        await service.send_in_pieces(Connection(), b"0123456789", 5, 0.0)
+        before = len(written)
+        pauses = []
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(discovery.asyncio, "sleep", lambda pause: pauses.append(pause) or nothing())
+            await service.send_in_pieces(Connection(), b"0123456789", 5, 0.7)
+        assert before == 5 and b"".join(data for _, data in written[before:]) == b"0123456789"
+        return sum(pauses)
+
+    async def nothing() -> None:
+        pass
+
+    assert asyncio.run(main()) == pytest.approx(4 * 0.7)
